--- /dev/null
+++ b/cmd/sedgemast-lab/main.go
@@ -0,0 +1,42 @@
+// Sedgemast-lab is the developers' and capacity planners' program: stand-ins
+// for the systems that sedgemast serves, load, and experiments.
+//
+// Exit codes: 0 done, 1 failed, 2 wrong flags or settings.
+package main
+
+import (
+	"github.com/sedgemast/sedgemast/internal/command"
+	"github.com/sedgemast/sedgemast/internal/daemon"
+)
+
+// arguments is the command line.
+type arguments struct {
+	Engine   *engineCommand   `arg:"subcommand:engine" help:"run an emulated engine"`
+	Platform *platformCommand `arg:"subcommand:platform" help:"run the emulated platform: list of workers and weight store"`
+	Load     *loadCommand     `arg:"subcommand:load" help:"send online requests and a batch job, and check every answer"`
+	JobFile  *jobFileCommand  `arg:"subcommand:job-file" help:"write a job's file"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "Stand-ins, load and experiments for sedgemast."
+}
+
+// Version implements arg.Versioned.
+func (arguments) Version() string { return "sedgemast-lab " + daemon.Version }
+
+func main() {
+	var args arguments
+	parser := command.Parse("sedgemast-lab", &args)
+	switch {
+	case args.Engine != nil:
+		command.Exit(runEngine(args.Engine))
+	case args.Platform != nil:
+		command.Exit(runPlatform(args.Platform))
+	case args.Load != nil:
+		command.Exit(runLoad(args.Load))
+	case args.JobFile != nil:
+		command.Exit(runJobFile(args.JobFile))
+	}
+	parser.Fail("name a subcommand")
+}
--- a/cmd/sedgemast/main.go
+++ b/cmd/sedgemast/main.go
@@ -16,7 +16,8 @@
 // gatewayCommand runs a gateway.
 type gatewayCommand struct {
 	command.ProcessFlags
-	Control []string `arg:"--control" placeholder:"IP:PORT" help:"addresses of the control processes [default: 127.0.0.1:7300]"`
+	Control           []string `arg:"--control" placeholder:"IP:PORT" help:"addresses of the control processes [default: 127.0.0.1:7300]"`
+	OperatorKeySHA256 string   `arg:"--operator-key-sha256" placeholder:"DIGEST" help:"digest of a key that may operate the system before any operator document exists"`
 }
 
 // dispatcherCommand runs a dispatcher.
@@ -71,6 +72,7 @@
 		if len(flags.Control) > 0 {
 			config.Control = flags.Control
 		}
+		command.Set(&config.OperatorKeySHA256, flags.OperatorKeySHA256)
 	})
 	if err != nil {
 		return err
--- a/internal/gateway/chooser.go
+++ b/internal/gateway/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,6 +24,9 @@
 	ring     *routing.Ring
 	byName   map[string]*routing.Candidate
 	address  map[string]string
+	// suspects are dispatchers that failed lately, with the time until which
+	// they are avoided: control takes a lease's length to notice a death.
+	suspects map[string]time.Time
 }
 
 const (
@@ -32,10 +36,13 @@
 	// are about equally loaded.
 	weightAffinity = 0.5
 	fullLoad       = 255
+	// suspectTime is how long a dispatcher that failed is avoided. One request
+	// is then the probe.
+	suspectTime = time.Second
 )
 
 func newChooser(session *controlclient.Session, zone string, random *rand.Rand) *chooser {
-	c := &chooser{session: session, zone: zone, random: random, ring: routing.NewRing(nil)}
+	c := &chooser{session: session, zone: zone, random: random, ring: routing.NewRing(nil), suspects: map[string]time.Time{}}
 	c.pipeline = routing.NewPipeline(
 		[]routing.Filter{routing.AvailableFilter{}, routing.ModelFilter{}, routing.ExcludeFilter{}},
 		[]routing.Weighted{
@@ -56,13 +63,24 @@
 	c.refresh()
 	request.Zone = c.zone
 	request.Key = c.key(request)
-	proposed := c.ring.Propose(request.Key, c.random, func(candidate *routing.Candidate) bool {
+	now := time.Now()
+	serves := func(candidate *routing.Candidate) bool {
 		return !candidate.Unavailable && candidate.Models[request.Model] && !request.Exclude[candidate.Name]
+	}
+	proposed := c.ring.Propose(request.Key, c.random, func(candidate *routing.Candidate) bool {
+		return serves(candidate) && !now.Before(c.suspects[candidate.Name])
 	})
+	if len(proposed) == 0 {
+		// Better a suspect than none.
+		proposed = c.ring.Propose(request.Key, c.random, serves)
+	}
 	chosen := c.pipeline.Choose(request, proposed, c.random)
 	if chosen == nil {
 		return "", ""
 	}
+	if _, suspected := c.suspects[chosen.Name]; suspected {
+		c.suspects[chosen.Name] = now.Add(suspectTime)
+	}
 	return chosen.Name, c.address[chosen.Name]
 }
 
@@ -100,13 +118,26 @@
 		c.byName[dispatcher.Name] = candidate
 		c.address[dispatcher.Name] = dispatcher.Address
 	}
+	for name := range c.suspects {
+		if c.byName[name] == nil {
+			delete(c.suspects, name)
+		}
+	}
 	c.ring = routing.NewRing(candidates)
 }
 
+// failed avoids a dispatcher for a while.
+func (c *chooser) failed(name string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.suspects[name] = time.Now().Add(suspectTime)
+}
+
 // learn takes in the load that a dispatcher's answer told.
 func (c *chooser) learn(name string, utilization uint8) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	delete(c.suspects, name)
 	if candidate := c.byName[name]; candidate != nil {
 		candidate.Load = float64(utilization) / fullLoad
 	}
@@ -118,7 +149,7 @@
 	defer c.mutex.Unlock()
 	c.refresh()
 	proposed := c.ring.Propose(c.random.Uint64(), c.random, func(candidate *routing.Candidate) bool {
-		return !exclude[candidate.Name]
+		return !exclude[candidate.Name] && !time.Now().Before(c.suspects[candidate.Name])
 	})
 	if len(proposed) == 0 {
 		return "", ""
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -110,9 +110,12 @@
 	stream, err := rpc.OpenStream(ctx, r.gateway.rpc, address, dispatcher.MethodGenerate, &request, request.NotRepeatable)
 	if err != nil {
 		r.started = r.started || !failure.Is(err, failure.NotRun)
+		if rpc.Unreachable(err) && ctx.Err() == nil {
+			r.gateway.chooser.failed(name)
+		}
 		return err
 	}
-	err = r.read(name, stream)
+	err = r.read(ctx, name, stream)
 	if failure.Is(err, failure.OutcomeUnknown) && r.workerAddress != "" && ctx.Err() == nil {
 		return r.resume(ctx, err)
 	}
@@ -141,16 +144,19 @@
 	if err != nil {
 		return cause
 	}
-	return r.read(name, stream)
+	return r.read(ctx, name, stream)
 }
 
 // read takes the frames of one stream until its end.
-func (r *relay) read(name string, stream *rpc.FrameReader) error {
+func (r *relay) read(ctx context.Context, name string, stream *rpc.FrameReader) error {
 	defer stream.Close()
 	for {
 		frame, err := stream.Next()
 		if err != nil {
 			r.started = true
+			if ctx.Err() == nil {
+				r.gateway.chooser.failed(name)
+			}
 			return err
 		}
 		switch frame.Kind {
--- a/internal/loadgen/online.go
+++ b/internal/loadgen/online.go
@@ -35,7 +35,7 @@
 	Whole    int
 	Wrong    int
 	Failures map[failure.Kind]int
-	// FirstToken and Gap are in microseconds.
+	// FirstToken and Gap are those of streamed answers, in microseconds.
 	FirstToken *hdrhistogram.Histogram
 	Gap        *hdrhistogram.Histogram
 	FirstError error
@@ -109,6 +109,9 @@
 		s.note(errors.Newf("wrong answer to %q: %q", request.Text, reply.Text))
 	default:
 		s.Whole++
+		if !request.Stream {
+			return
+		}
 		// Values beyond the histogram's range are far past any deadline.
 		_ = s.FirstToken.RecordValue((reply.FirstToken + late).Microseconds())
 		for _, gap := range reply.Gaps {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -90,3 +90,25 @@
 	}
 	return decoder.Decode(reply)
 }
+
+const (
+	applyTries   = 10
+	applyBackoff = 200 * time.Millisecond
+)
+
+// ApplyUntilAnswered sends a change again, under its id, while the answer is
+// lost or control can't take it.
+func ApplyUntilAnswered(ctx context.Context, client *Client, change *Change) (*Applied, error) {
+	for try := 1; ; try++ {
+		applied, err := client.Apply(ctx, change)
+		lost := failure.Is(err, failure.OutcomeUnknown) || failure.Is(err, failure.NotRun)
+		if !lost || try == applyTries {
+			return applied, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(applyBackoff):
+		}
+	}
+}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -104,7 +105,25 @@
 	return nil, peerFailure(httpResponse, address)
 }
 
+// transportError marks failures of the connection, as against failures that the
+// peer itself answered.
+type transportError struct{ cause error }
+
+// Error implements error.
+func (e *transportError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *transportError) Unwrap() error { return e.cause }
+
+// Unreachable reports whether the failure is one of the connection: the peer may
+// be dead or cut off.
+func Unreachable(err error) bool {
+	var transport *transportError
+	return errors.As(err, &transport)
+}
+
 func transportFailure(err error, address string, connected bool) error {
+	err = &transportError{cause: err}
 	if !connected {
 		return failure.Wrap(err, failure.NotRun, "try another peer", "no connection to %s", address)
 	}
--- /dev/null
+++ b/internal/scheduling/scheduler_test.go
@@ -0,0 +1,170 @@
+package scheduling
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/proptest"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func spec(id string, slots int) WorkerSpec {
+	return WorkerSpec{ID: id, Slots: slots, KVTokens: slots * 100, Models: map[string]bool{"m": true}, Epoch: 1}
+}
+
+func attempt(id string, class wire.Class) *Attempt {
+	return &Attempt{ID: id, Class: class, Rank: 5, Model: "m", PromptTokens: 40, MaxTokens: 60, Deadline: start.Add(time.Hour)}
+}
+
+func kinds(actions []Action) string {
+	names := map[ActionKind]string{Start: "start", Preempt: "preempt", Abandon: "abandon", Refuse: "refuse"}
+	text := ""
+	for _, action := range actions {
+		text += names[action.Kind] + " " + action.AttemptID + ";"
+	}
+	return text
+}
+
+func TestOnlinePreemptsBatchInTheSameStep(t *testing.T) {
+	s := New(Config{MaxQueue: 4}, 1)
+	s.Step(start, WorkerUpdate{spec("w", 2)})
+	s.Step(start, Arrive{attempt("b1", wire.Batch)})
+	s.Step(start, Arrive{attempt("b2", wire.Batch)})
+	s.Step(start, Progress{AttemptID: "b1", Tokens: 30})
+	if got := kinds(s.Step(start, Arrive{attempt("o1", wire.Online)})); got != "preempt b2;start o1;" {
+		t.Errorf("the step gave %q; the attempt that loses least must yield", got)
+	}
+	s.Step(start, Arrive{attempt("o2", wire.Online)})
+	if got := kinds(s.Step(start, Arrive{attempt("o3", wire.Online)})); got != "" {
+		t.Errorf("a full worker gave %q, want the attempt to wait", got)
+	}
+	if got := kinds(s.Step(start, Finish{AttemptID: "o1", CachedBlocks: -1})); got != "start o3;" {
+		t.Errorf("after a finish: %q", got)
+	}
+}
+
+func TestReserveIsLeftFree(t *testing.T) {
+	s := New(Config{MaxQueue: 4, ReservePercent: 25}, 1)
+	s.Step(start, WorkerUpdate{spec("w", 8)})
+	for i := range 10 {
+		s.Step(start, Arrive{attempt(fmt.Sprint("b", i), wire.Batch)})
+	}
+	if _, batch := s.InFlight(); batch != 6 {
+		t.Errorf("%d batch attempts run on 8 slots with a reserve of 2", batch)
+	}
+}
+
+func TestLeavingAndSilentWorkersGetNothing(t *testing.T) {
+	s := New(Config{MaxQueue: 4}, 1)
+	s.Step(start, WorkerUpdate{spec("w", 2)})
+	s.Step(start, Arrive{attempt("o1", wire.Online)})
+	leaving := spec("w", 2)
+	leaving.Leaving = true
+	if got := kinds(s.Step(start, WorkerUpdate{leaving})); got != "" {
+		t.Errorf("leaving cut a request: %q", got)
+	}
+	if got := kinds(s.Step(start, Arrive{attempt("o2", wire.Online)})); got != "refuse o2;" {
+		t.Errorf("a leaving worker: %q", got)
+	}
+	if got := kinds(s.Step(start, WorkerSilent{"w"})); got != "abandon o1;" {
+		t.Errorf("a silent worker: %q", got)
+	}
+	s.Step(start, WorkerUpdate{spec("w", 2)})
+	if got := kinds(s.Step(start, Arrive{attempt("o3", wire.Online)})); got != "start o3;" {
+		t.Errorf("a worker that came back: %q", got)
+	}
+}
+
+func TestOverloadIsAnsweredAtOnce(t *testing.T) {
+	s := New(Config{MaxQueue: 1}, 1)
+	s.Step(start, WorkerUpdate{spec("w", 1)})
+	s.Step(start, Arrive{attempt("o1", wire.Online)})
+	s.Step(start, Arrive{attempt("o2", wire.Online)})
+	if got := kinds(s.Step(start, Arrive{attempt("o3", wire.Online)})); got != "refuse o3;" {
+		t.Errorf("a full queue: %q", got)
+	}
+	if got := kinds(s.Step(start.Add(2*time.Hour), Tick{})); got != "refuse o2;" {
+		t.Errorf("a deadline that passed in the queue: %q", got)
+	}
+}
+
+// TestRandomEvents checks the package's invariants after every step.
+func TestRandomEvents(t *testing.T) {
+	proptest.Run(t, "invariants", func(random *rand.Rand) error {
+		s := New(Config{MaxQueue: 8, ReservePercent: 20}, uint64(random.Int63()))
+		running := map[string]string{}
+		next := 0
+		for step := 0; step < 300; step++ {
+			var event Event
+			switch draw := random.Intn(10); {
+			case draw < 1:
+				update := spec(fmt.Sprint("w", random.Intn(3)), 2+random.Intn(4))
+				update.Leaving = random.Intn(5) == 0
+				event = WorkerUpdate{update}
+			case draw < 2 && random.Intn(3) == 0:
+				event = WorkerSilent{fmt.Sprint("w", random.Intn(3))}
+			case draw < 6 || len(running) == 0:
+				next++
+				class := wire.Online
+				if random.Intn(2) == 0 {
+					class = wire.Batch
+				}
+				arriving := attempt(fmt.Sprint(next), class)
+				arriving.PromptTokens = random.Intn(150)
+				event = Arrive{arriving}
+			default:
+				for id := range running {
+					event = Finish{AttemptID: id, CachedBlocks: -1}
+					delete(running, id)
+					break
+				}
+			}
+			for _, action := range s.Step(start, event) {
+				switch action.Kind {
+				case Start:
+					if !s.workers[action.Worker].available() {
+						return fmt.Errorf("step %d: a start on a worker that is leaving or silent", step)
+					}
+					running[action.AttemptID] = action.Worker
+				case Preempt, Abandon:
+					delete(running, action.AttemptID)
+				}
+			}
+			if err := checkInvariants(s, running); err != nil {
+				return fmt.Errorf("step %d: %w", step, err)
+			}
+		}
+		return nil
+	})
+}
+
+func checkInvariants(s *Scheduler, running map[string]string) error {
+	if len(s.running) != len(running) {
+		return fmt.Errorf("%d attempts in the table, %d running", len(s.running), len(running))
+	}
+	for _, id := range s.order {
+		w := s.workers[id]
+		used, online := 0, 0
+		for _, candidate := range w.inFlight {
+			used += candidate.attempt.kvTokens()
+			if candidate.attempt.Class == wire.Online {
+				online++
+			}
+		}
+		if used != w.kvUsed || online != w.online {
+			return fmt.Errorf("worker %s counts %d tokens and %d online, has %d and %d", id, w.kvUsed, w.online, used, online)
+		}
+	}
+	for _, waiting := range s.online.attempts {
+		for _, id := range s.order {
+			if w := s.workers[id]; w.usable(waiting.request()) && w.fitsAfterPreemption(waiting) {
+				return fmt.Errorf("online attempt %s waits while batch holds its place on %s", waiting.ID, id)
+			}
+		}
+	}
+	return nil
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -12,14 +12,10 @@
 // Checker gathers the faults of a settings structure.
 type Checker struct {
 	faults []string
-	first  string
 }
 
 // Fault records that the field at path has a bad value.
 func (c *Checker) Fault(path string, value any, remedy string) {
-	if c.first == "" {
-		c.first = path
-	}
 	c.faults = append(c.faults, fmt.Sprintf("%s: %v is not valid: %s", path, quote(value), remedy))
 }
 
@@ -35,7 +31,7 @@
 	if len(c.faults) == 0 {
 		return nil
 	}
-	return failure.New(failure.BadRequest, "correct the settings file or the flags", "%s", strings.Join(c.faults, "; ")).WithField(c.first)
+	return failure.New(failure.BadRequest, "correct the settings file or the flags", "%s", strings.Join(c.faults, "; "))
 }
 
 // Name checks the name of a process, zone or worker.
--- /dev/null
+++ b/test/cluster_test.go
@@ -0,0 +1,286 @@
+// Package test holds the end-to-end tests: real processes on loopback, killed,
+// frozen and cut off. Only tests start processes.
+package test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/configuration"
+	"github.com/sedgemast/sedgemast/internal/fleet"
+	"github.com/sedgemast/sedgemast/internal/keys"
+	"github.com/sedgemast/sedgemast/internal/loadgen"
+	"github.com/sedgemast/sedgemast/internal/operator"
+)
+
+const (
+	testModel    = "heron-8b"
+	testTenant   = "test-school"
+	startTimeout = 20 * time.Second
+	testTimeout  = 4 * time.Minute
+)
+
+var (
+	buildOnce   sync.Once
+	buildFolder string
+	buildErr    error
+)
+
+// binary returns the path of a program, built once for all tests.
+func binary(t *testing.T, name string) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		if buildFolder, buildErr = os.MkdirTemp("", "sedgemast-test-"); buildErr != nil {
+			return
+		}
+		output, err := exec.Command("go", "build", "-o", buildFolder+"/", "../cmd/...").CombinedOutput()
+		if err != nil {
+			buildErr = fmt.Errorf("build: %w\n%s", err, output)
+		}
+	})
+	if buildErr != nil {
+		t.Fatal(buildErr)
+	}
+	return filepath.Join(buildFolder, name)
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if buildFolder != "" {
+		_ = os.RemoveAll(buildFolder)
+	}
+	os.Exit(code)
+}
+
+// process is one running program.
+type process struct {
+	name      string
+	path      string
+	arguments []string
+	address   string
+	command   *exec.Cmd
+	exited    chan struct{}
+	state     *os.ProcessState
+	logPath   string
+}
+
+var startedPattern = regexp.MustCompile(`event=started address=([0-9.:]+)`)
+
+// start runs a program and waits until it has told its address.
+func start(t *testing.T, folder, program, name string, arguments ...string) *process {
+	t.Helper()
+	p := &process{name: name, path: binary(t, program), arguments: arguments, address: "127.0.0.1:0"}
+	p.logPath = filepath.Join(folder, name+".log")
+	p.launch(t)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the end of the log of %s:\n%s", name, tail(p.logPath))
+		}
+	})
+	t.Cleanup(func() { p.kill() })
+	return p
+}
+
+// launch starts the program, at its old address if it had one.
+func (p *process) launch(t *testing.T) {
+	t.Helper()
+	logFile, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	arguments := append(append([]string{}, p.arguments...), "--name", p.name, "--listen", p.address)
+	p.command = exec.Command(p.path, arguments...)
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.command.Stderr = writer
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	writer.Close()
+	address := make(chan string, 1)
+	go copyLog(reader, logFile, address)
+	exited := make(chan struct{})
+	p.exited = exited
+	go func() {
+		// The exit status is read from the state.
+		_ = p.command.Wait()
+		p.state = p.command.ProcessState
+		close(exited)
+	}()
+	select {
+	case p.address = <-address:
+	case <-exited:
+		t.Fatalf("%s ended at once:\n%s", p.name, tail(p.logPath))
+	case <-time.After(startTimeout):
+		t.Fatalf("%s did not start:\n%s", p.name, tail(p.logPath))
+	}
+}
+
+func copyLog(reader io.ReadCloser, logFile io.WriteCloser, address chan<- string) {
+	defer reader.Close()
+	defer logFile.Close()
+	scanner := bufio.NewScanner(reader)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		if found := startedPattern.FindSubmatch(scanner.Bytes()); found != nil {
+			select {
+			case address <- string(found[1]):
+			default:
+			}
+		}
+		fmt.Fprintln(logFile, scanner.Text())
+	}
+}
+
+func tail(path string) string {
+	const limit = 4000
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	if len(data) > limit {
+		data = data[len(data)-limit:]
+	}
+	return string(data)
+}
+
+func (p *process) signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// stop ends the process in the planned way and returns its exit code.
+func (p *process) stop() int {
+	p.signal(syscall.SIGTERM)
+	<-p.exited
+	return p.state.ExitCode()
+}
+
+// peakMemory returns the largest resident size of the process so far, in bytes.
+func (p *process) peakMemory(t *testing.T) int64 {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(data)
+	var kilobytes int64
+	if _, err := fmt.Sscan(string(found[1]), &kilobytes); err != nil {
+		t.Fatal(err)
+	}
+	return kilobytes << 10
+}
+
+// cluster is a fleet of separate processes.
+type cluster struct {
+	folder      string
+	control     *process
+	platform    *process
+	engines     []*process
+	dispatchers []*process
+	gateways    []*process
+	operatorKey string
+	tenantKey   string
+}
+
+// clusterSize says how many processes of each role there are.
+type clusterSize struct {
+	engines     int
+	dispatchers int
+	gateways    int
+	engineFlags []string
+}
+
+func newCluster(t *testing.T, ctx context.Context, size clusterSize) *cluster {
+	t.Helper()
+	c := &cluster{folder: t.TempDir()}
+	c.operatorKey = newKey(t, "operator", "test")
+	c.tenantKey = newKey(t, "tenant", testTenant)
+	platformFlags := []string{"platform", "--lag", "200ms"}
+	for number := 1; number <= size.engines; number++ {
+		name := fmt.Sprintf("engine-%d", number)
+		flags := append([]string{"engine", "--step-base", "4ms", "--seed", fmt.Sprint(number)}, size.engineFlags...)
+		engine := start(t, c.folder, "sedgemast-lab", name, flags...)
+		c.engines = append(c.engines, engine)
+		platformFlags = append(platformFlags, "--worker", fmt.Sprintf("%s=%s=zone-a", name, engine.address))
+	}
+	c.platform = start(t, c.folder, "sedgemast-lab", "platform", platformFlags...)
+	c.control = start(t, c.folder, "sedgemast", "control-1", "control", "--data-folder", filepath.Join(c.folder, "control-1"), "--platform", c.platform.address)
+	for number := 1; number <= size.dispatchers; number++ {
+		c.dispatchers = append(c.dispatchers, start(t, c.folder, "sedgemast", fmt.Sprintf("dispatcher-%d", number), "dispatcher", "--control", c.control.address))
+	}
+	for number := 1; number <= size.gateways; number++ {
+		c.gateways = append(c.gateways, start(t, c.folder, "sedgemast", fmt.Sprintf("gateway-%d", number), "gateway", "--control", c.control.address, "--operator-key-sha256", configuration.Digest(c.operatorKey)))
+	}
+	c.configure(t, ctx)
+	return c
+}
+
+func newKey(t *testing.T, kind, owner string) string {
+	t.Helper()
+	key, err := keys.New(kind, owner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func (c *cluster) operator() *operator.Client {
+	return operator.NewClient(c.gateways[0].address, c.operatorKey)
+}
+
+func (c *cluster) client(gateway int) *loadgen.Client {
+	return loadgen.NewClient(c.gateways[gateway].address, c.tenantKey)
+}
+
+func (c *cluster) clients() []*loadgen.Client {
+	var clients []*loadgen.Client
+	for number := range c.gateways {
+		clients = append(clients, c.client(number))
+	}
+	return clients
+}
+
+// configure applies the tenant and waits until every gateway serves it.
+func (c *cluster) configure(t *testing.T, ctx context.Context) {
+	t.Helper()
+	revision := uint64(0)
+	applied, err := operator.ApplyUntilAnswered(ctx, c.operator(), &operator.Change{
+		ChangeID:         "first",
+		ExpectedRevision: &revision,
+		Documents:        fleet.DemoDocuments(testTenant, []string{testModel}, c.tenantKey),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := fleet.WaitInForce(ctx, c.operator(), applied.Revision); err != nil {
+		t.Fatal(err)
+	}
+	for _, client := range c.clients() {
+		if err := loadgen.WaitServing(ctx, client, testModel); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
