--- a/Makefile
+++ b/Makefile
@@ -1,27 +1,41 @@
-# Sedgemast needs Go and make; `make run` and `make test` do all set-up.
+# Sedgemast needs Go, a C compiler for Go and make; `make run` and `make test`
+# do all set-up.
 
 GO ?= go
 BIN := bin
 
-.PHONY: all build run test vet fmt-check generate
+.PHONY: all build run test fleet-smoke bench vet lint fmt-check generate
 
 all: build
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
+# run starts the embedded fleet, sends online requests and a batch job, checks
+# every answer and ends. ARGS="--stay" keeps it up.
 run: build
-	$(BIN)/sedgemast dev
+	$(BIN)/sedgemast dev $(ARGS)
 
 test:
-	$(GO) test ./...
+	$(GO) test -timeout 20m ./...
+
+# fleet-smoke runs separate processes, whole and with two of them killed.
+fleet-smoke:
+	$(GO) test -count=1 -v -run 'TestFleetSmoke' ./test
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime 200x ./test
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
 
 vet:
 	$(GO) vet ./...
 
+lint:
+	$(GO) tool staticcheck ./...
+
 fmt-check:
 	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "gofmt would change: $$files"; exit 1; fi
 
+# generate rewrites the committed message code in internal/wire.
 generate:
-	$(GO) run github.com/tinylib/msgp@v1.6.5 -version >/dev/null 2>&1 || true
-	PATH="$$($(GO) env GOPATH)/bin:$$PATH" $(GO) generate ./internal/wire
+	$(GO) generate ./internal/wire
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,7 +45,6 @@
 	metrics     *metrics
 	incarnation uint64
 	draining    atomic.Bool
-	started     atomic.Uint64
 
 	// mutex guards the scheduler and the tasks that its actions name.
 	mutex     sync.Mutex
@@ -65,7 +65,7 @@
 		online:      engine.NewClient(),
 		batch:       engine.NewClient(),
 		incarnation: uint64(now.UnixNano()),
-		scheduler:   scheduling.New(scheduling.Config{MaxQueue: config.MaxQueue}, uint64(now.UnixNano())),
+		scheduler:   scheduling.New(scheduling.Config{MaxQueue: config.MaxQueue}, newRandom(now)),
 		tasks:       map[string]*task{},
 	}
 	dispatcher.session = controlclient.NewSession(controlclient.SessionOptions{
@@ -89,6 +89,11 @@
 	return dispatcher
 }
 
+// newRandom returns a source of random numbers for one process.
+func newRandom(now time.Time) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(now.UnixNano()), 1))
+}
+
 // report fills in the dispatcher's part of a heartbeat.
 func (d *Dispatcher) report(request *wire.HeartbeatRequest) {
 	request.Daemon = d.settings.Name
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -5,10 +5,13 @@
 // Each step counts what it did; the daemons export the counts as metrics.
 package routing
 
-import (
-	"math/rand/v2"
-	"sync/atomic"
-)
+import "sync/atomic"
+
+// Random is the caller's source of random numbers; *rand.Rand implements it.
+type Random interface {
+	// IntN returns a number from 0 (inclusive) to n (exclusive).
+	IntN(n int) int
+}
 
 // Request is what the steps know of a request.
 type Request struct {
@@ -60,7 +63,7 @@
 // Picker takes one of the scored candidates, which are not empty.
 type Picker interface {
 	Name() string
-	Pick(scored []Scored, random *rand.Rand) *Candidate
+	Pick(scored []Scored, random Random) *Candidate
 }
 
 // Scored is a candidate with its weighted score.
@@ -85,7 +88,7 @@
 }
 
 // Choose returns the endpoint for the request, or nil if no candidate is left.
-func (p *Pipeline) Choose(request *Request, candidates []*Candidate, random *rand.Rand) *Candidate {
+func (p *Pipeline) Choose(request *Request, candidates []*Candidate, random Random) *Candidate {
 	scored := make([]Scored, 0, len(candidates))
 	for _, candidate := range candidates {
 		if p.keep(request, candidate) {
--- a/internal/routing/ring.go
+++ b/internal/routing/ring.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math/rand/v2"
 	"sort"
 	"strconv"
 
@@ -47,7 +46,7 @@
 }
 
 // Propose returns a few different candidates that the keep function accepts.
-func (r *Ring) Propose(key uint64, random *rand.Rand, keep func(*Candidate) bool) []*Candidate {
+func (r *Ring) Propose(key uint64, random Random, keep func(*Candidate) bool) []*Candidate {
 	proposed := make([]*Candidate, 0, ringChoices+randomChoices)
 	start := sort.Search(len(r.points), func(i int) bool { return r.points[i].hash >= key })
 	for step := 0; step < min(len(r.points), maxRingWalk) && len(proposed) < ringChoices; step++ {
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -1,10 +1,6 @@
 package routing
 
-import (
-	"math/rand/v2"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // LoadScorer prefers endpoints with capacity to spare.
 type LoadScorer struct{}
@@ -68,7 +64,7 @@
 func (BestPicker) Name() string { return "best" }
 
 // Pick implements Picker.
-func (BestPicker) Pick(scored []Scored, random *rand.Rand) *Candidate {
+func (BestPicker) Pick(scored []Scored, random Random) *Candidate {
 	best := scored[0]
 	equals := 1
 	for _, candidate := range scored[1:] {
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -13,7 +13,6 @@
 package scheduling
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/routing"
@@ -57,7 +56,7 @@
 	online   queue
 	batch    queue
 	pipeline *routing.Pipeline
-	random   *rand.Rand
+	random   routing.Random
 	actions  []Action
 	rate     finishRate
 }
@@ -68,8 +67,8 @@
 	weightLoad   = 1.0
 )
 
-// New returns a scheduler without workers. The seed settles ties.
-func New(config Config, seed uint64) *Scheduler {
+// New returns a scheduler without workers. The random source settles ties.
+func New(config Config, random routing.Random) *Scheduler {
 	return &Scheduler{
 		config:  config,
 		workers: map[string]*worker{},
@@ -82,7 +81,7 @@
 			},
 			routing.BestPicker{},
 		),
-		random: rand.New(rand.NewPCG(seed, seed+1)),
+		random: random,
 	}
 }
 
--- a/internal/scheduling/scheduler_test.go
+++ b/internal/scheduling/scheduler_test.go
@@ -29,8 +29,15 @@
 	return text
 }
 
+// seededRandom adapts the source of a property test.
+type seededRandom struct{ source *rand.Rand }
+
+func (r seededRandom) IntN(n int) int { return r.source.Intn(n) }
+
+func testRandom() seededRandom { return seededRandom{rand.New(rand.NewSource(1))} }
+
 func TestOnlinePreemptsBatchInTheSameStep(t *testing.T) {
-	s := New(Config{MaxQueue: 4}, 1)
+	s := New(Config{MaxQueue: 4}, testRandom())
 	s.Step(start, WorkerUpdate{spec("w", 2)})
 	s.Step(start, Arrive{attempt("b1", wire.Batch)})
 	s.Step(start, Arrive{attempt("b2", wire.Batch)})
@@ -48,7 +55,7 @@
 }
 
 func TestReserveIsLeftFree(t *testing.T) {
-	s := New(Config{MaxQueue: 4, ReservePercent: 25}, 1)
+	s := New(Config{MaxQueue: 4, ReservePercent: 25}, testRandom())
 	s.Step(start, WorkerUpdate{spec("w", 8)})
 	for i := range 10 {
 		s.Step(start, Arrive{attempt(fmt.Sprint("b", i), wire.Batch)})
@@ -59,7 +66,7 @@
 }
 
 func TestLeavingAndSilentWorkersGetNothing(t *testing.T) {
-	s := New(Config{MaxQueue: 4}, 1)
+	s := New(Config{MaxQueue: 4}, testRandom())
 	s.Step(start, WorkerUpdate{spec("w", 2)})
 	s.Step(start, Arrive{attempt("o1", wire.Online)})
 	leaving := spec("w", 2)
@@ -80,7 +87,7 @@
 }
 
 func TestOverloadIsAnsweredAtOnce(t *testing.T) {
-	s := New(Config{MaxQueue: 1}, 1)
+	s := New(Config{MaxQueue: 1}, testRandom())
 	s.Step(start, WorkerUpdate{spec("w", 1)})
 	s.Step(start, Arrive{attempt("o1", wire.Online)})
 	s.Step(start, Arrive{attempt("o2", wire.Online)})
@@ -95,7 +102,7 @@
 // TestRandomEvents checks the package's invariants after every step.
 func TestRandomEvents(t *testing.T) {
 	proptest.Run(t, "invariants", func(random *rand.Rand) error {
-		s := New(Config{MaxQueue: 8, ReservePercent: 20}, uint64(random.Int63()))
+		s := New(Config{MaxQueue: 8, ReservePercent: 20}, seededRandom{random})
 		running := map[string]string{}
 		next := 0
 		for step := 0; step < 300; step++ {
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -7,7 +7,7 @@
 // time left, so that clocks need not agree.
 package wire
 
-//go:generate msgp -file generate.go -o generate_gen.go -tests=false
-//go:generate msgp -file control.go -o control_gen.go -tests=false
-//go:generate msgp -file configuration.go -o configuration_gen.go -tests=false
-//go:generate msgp -file jobs.go -o jobs_gen.go -tests=false
+//go:generate go tool msgp -file generate.go -o generate_gen.go -tests=false
+//go:generate go tool msgp -file control.go -o control_gen.go -tests=false
+//go:generate go tool msgp -file configuration.go -o configuration_gen.go -tests=false
+//go:generate go tool msgp -file jobs.go -o jobs_gen.go -tests=false
