--- a/cmd/sedgemast/main.go
+++ b/cmd/sedgemast/main.go
@@ -29,8 +29,9 @@
 // controlCommand runs a control process.
 type controlCommand struct {
 	command.ProcessFlags
-	DataFolder string `arg:"--data-folder" placeholder:"FOLDER" help:"folder of the log and the state [default: data/control-1]"`
-	Platform   string `arg:"--platform" placeholder:"IP:PORT" help:"address of the platform's list of workers"`
+	DataFolder string   `arg:"--data-folder" placeholder:"FOLDER" help:"folder of the log and the state [default: data/control-1]"`
+	Peers      []string `arg:"--peers" placeholder:"IP:PORT" help:"addresses of all control processes in the same order everywhere [default: this one alone]"`
+	Platform   string   `arg:"--platform" placeholder:"IP:PORT" help:"address of the platform's list of workers"`
 }
 
 // arguments is the command line.
@@ -110,6 +111,9 @@
 		flags.Override(&config.Process)
 		command.Set(&config.DataFolder, flags.DataFolder)
 		command.Set(&config.Platform, flags.Platform)
+		if len(flags.Peers) > 0 {
+			config.Peers = flags.Peers
+		}
 	})
 	if err != nil {
 		return err
--- a/cmd/sedgemastctl/commands.go
+++ b/cmd/sedgemastctl/commands.go
@@ -145,6 +145,15 @@
 		return err
 	}
 	fmt.Println()
+	err = printTable("CONTROL\tSTATE\tADDRESS\tBEHIND\tSILENT", func(table io.Writer) {
+		for _, row := range status.Control {
+			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%dms\n", row.Name, row.State, row.Address, row.Behind, row.SilentMillis)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Println()
 	return printTable("WORKER\tZONE\tADDRESS\tDISPATCHER\tEPOCH\tLEAVING", func(table io.Writer) {
 		for _, row := range status.Workers {
 			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%t\n", row.Name, row.Zone, row.Address, row.Dispatcher, row.Epoch, row.Leaving)
--- /dev/null
+++ b/internal/consensus/status.go
@@ -0,0 +1,84 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// Status is a replica's state for operators and for the repair of groups.
+type Status struct {
+	Role       Role
+	Term       uint64
+	Leader     uint64
+	Commit     uint64
+	Applied    uint64
+	Last       uint64
+	Membership wire.Membership
+	// Settled is set while no change of membership is under way.
+	Settled bool
+	// Peers holds a leader's followers.
+	Peers []PeerStatus
+}
+
+// PeerStatus is a leader's view of one follower.
+type PeerStatus struct {
+	Replica wire.Replica
+	// Silence is the time since the follower's last answer.
+	Silence time.Duration
+	// Behind is the number of entries that it has not stored yet.
+	Behind uint64
+	// Streaming is set while it takes entries from the log.
+	Streaming bool
+}
+
+// ID returns the replica's identity.
+func (r *Replica) ID() uint64 { return r.config.ID }
+
+// Role returns what the replica currently is.
+func (r *Replica) Role() Role { return r.role }
+
+// Term returns the current term.
+func (r *Replica) Term() uint64 { return r.term }
+
+// Commit returns the index of the last committed entry.
+func (r *Replica) Commit() uint64 { return r.log.commit }
+
+// Applied returns the index of the last applied entry.
+func (r *Replica) Applied() uint64 { return r.log.applied }
+
+// Membership returns the newest membership in the log.
+func (r *Replica) Membership() wire.Membership { return r.membership }
+
+// NotLeader returns the refusal that names the leader.
+func (r *Replica) NotLeader() error { return r.notLeader() }
+
+// Status returns the replica's state.
+func (r *Replica) Status(now time.Time) Status {
+	status := Status{
+		Role:       r.role,
+		Term:       r.term,
+		Leader:     r.leader,
+		Commit:     r.log.commit,
+		Applied:    r.log.applied,
+		Last:       r.log.lastIndex(),
+		Membership: r.membership,
+		Settled:    r.membershipIndex <= r.log.commit && len(r.membership.Outgoing) == 0,
+	}
+	if r.role != Leader {
+		return status
+	}
+	for _, member := range Members(&r.membership) {
+		progress := r.progress[member.ID]
+		if member.ID == r.config.ID || progress == nil {
+			continue
+		}
+		status.Peers = append(status.Peers, PeerStatus{
+			Replica:   member,
+			Silence:   now.Sub(progress.heardAt),
+			Behind:    r.log.lastIndex() - min(progress.Match, r.log.lastIndex()),
+			Streaming: progress.State == Replicate,
+		})
+	}
+	return status
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,22 +1,27 @@
 // Package control is the daemon that keeps the durable state: the meta group
 // with the configuration and the assignment of workers, and the job groups. All
-// decisions are made by the pure packages metastate, jobstate and membership;
-// this package feeds them with messages, time and storage.
+// decisions are made by the pure packages consensus, metastate, jobstate,
+// membership and coordination; this package feeds them with messages, time and
+// storage.
 package control
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/controlclient"
+	"github.com/sedgemast/sedgemast/internal/coordination"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/jobstate"
 	"github.com/sedgemast/sedgemast/internal/logging"
-	"github.com/sedgemast/sedgemast/internal/membership"
 	"github.com/sedgemast/sedgemast/internal/metastate"
 	"github.com/sedgemast/sedgemast/internal/platform"
 	"github.com/sedgemast/sedgemast/internal/replication"
@@ -27,9 +32,9 @@
 const (
 	planInterval   = 50 * time.Millisecond
 	expireInterval = time.Second
-	// adoptionTime is how long a new leader waits for dispatchers to renew the
-	// item leases that its predecessor granted.
-	adoptionTime = 1500 * time.Millisecond
+	// handOverTimeout bounds the hand-over of leadership on a planned stop.
+	handOverTimeout = 3 * time.Second
+	readyInterval   = 20 * time.Millisecond
 )
 
 // Control is a control process.
@@ -39,21 +44,27 @@
 	logger   logging.Logger
 	store    storage.Store
 	host     *replication.Host
-	meta     *metastate.Machine
-	groups   []*jobGroup
 	metrics  *metrics
+	meta     *metaGroup
+	groups   []*jobGroup
+}
 
+// metaGroup is the meta group with its leader's soft state, if this process
+// leads it.
+type metaGroup struct {
+	machine *metastate.Machine
 	mutex   sync.Mutex
-	table   *membership.Table
-	workers *membership.Workers
+	term    uint64
+	leader  *coordination.Meta
 }
 
-// jobGroup is a job group with its leader's leases.
+// jobGroup is a job group with its leader's soft state.
 type jobGroup struct {
 	number  int
 	machine *jobstate.Machine
 	mutex   sync.Mutex
-	leases  *jobstate.Leases
+	term    uint64
+	leader  *coordination.Jobs
 }
 
 // New opens the data folder and prepares the process; d.Run serves it.
@@ -67,43 +78,114 @@
 		settings: config,
 		logger:   d.Logger,
 		store:    store,
-		meta:     metastate.New(),
 		metrics:  newMetrics(d.Registry),
+		meta:     &metaGroup{machine: metastate.New()},
 	}
-	machines := []replication.StateMachine{c.meta}
+	machines := []replication.StateMachine{c.meta.machine}
 	for number := 1; number <= config.JobGroups; number++ {
 		group := &jobGroup{number: number, machine: jobstate.New(number)}
 		c.groups = append(c.groups, group)
 		machines = append(machines, group.machine)
 	}
-	c.host, err = replication.NewHost(store, machines)
+	c.host, err = replication.NewHost(c.replicationOptions(machines), replication.NewPeerTransport())
 	if err != nil {
-		return nil, err
+		return nil, errors.CombineErrors(err, store.Close())
 	}
-	c.lead(time.Now())
 	c.register()
+	d.BeforeStop(c.handOver)
+	d.Go(c.readyLoop)
 	d.Go(c.planLoop)
 	d.Go(c.expireLoop)
 	if config.Platform != "" {
 		d.Go(c.platformLoop)
 	}
-	d.SetReady(true)
 	return c, nil
 }
 
-// lead begins a term as leader with fresh soft state.
-func (c *Control) lead(now time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	term := uint64(now.Unix())
-	c.table = membership.NewTable(term, c.settings.DaemonLease.Std(), now)
-	c.workers = membership.NewWorkers(c.settings.ForgetWorkers.Std())
-	c.workers.Restore(now, c.meta.Assignments())
-	for _, group := range c.groups {
-		group.leases = jobstate.NewLeases(group.machine, c.settings.ItemLease.Std(), adoptionTime, now)
+func (c *Control) replicationOptions(machines []replication.StateMachine) replication.Options {
+	peers := c.settings.Peers
+	if len(peers) == 0 {
+		peers = []string{c.daemon.Address()}
+	}
+	now := uint64(time.Now().UnixNano())
+	return replication.Options{
+		Store:             c.store,
+		Machines:          machines,
+		Name:              c.settings.Name,
+		Address:           c.daemon.Address(),
+		Peers:             peers,
+		Voters:            c.settings.Voters,
+		NewID:             newIdentity,
+		ElectionTimeout:   c.settings.ElectionTimeout.Std(),
+		HeartbeatInterval: c.settings.ElectionTimeout.Std() / heartbeatsPerTimeout,
+		ReplaceAfter:      c.settings.ReplaceAfter.Std(),
+		LogBytes:          c.settings.LogBytes,
+		Random:            mathrand.New(mathrand.NewPCG(now, now)),
+	}
+}
+
+// heartbeatsPerTimeout is how many heartbeats a leader sends within the shortest
+// election timeout.
+const heartbeatsPerTimeout = 5
+
+// newIdentity returns the identity of an empty data folder. It must never be
+// given twice, hence the system's source of randomness.
+func newIdentity() uint64 {
+	var identity [8]byte
+	// Read never fails, by its documentation.
+	_, _ = rand.Read(identity[:])
+	return binary.BigEndian.Uint64(identity[:]) | 1
+}
+
+func (c *Control) policy() coordination.Policy {
+	return coordination.Policy{
+		DaemonLease:   c.settings.DaemonLease.Std(),
+		ConfigLease:   c.settings.ConfigLease.Std(),
+		ItemLease:     c.settings.ItemLease.Std(),
+		ForgetWorkers: c.settings.ForgetWorkers.Std(),
+		JobGroups:     len(c.groups),
 	}
 }
 
+// readMeta calls read with the leader's soft state and the replicated state of
+// the meta group, if this process leads it.
+func (c *Control) readMeta(read func(now time.Time, leader *coordination.Meta, machine *metastate.Machine) error) error {
+	return c.host.Read(controlclient.MetaGroup, func(term uint64, _ storage.Reader) error {
+		c.meta.mutex.Lock()
+		defer c.meta.mutex.Unlock()
+		now := time.Now()
+		if c.meta.leader == nil || c.meta.term != term {
+			c.meta.term = term
+			c.meta.leader = coordination.NewMeta(c.meta.machine, c.policy(), term, now)
+			logging.Info(c.logger, "leading", "group", controlclient.MetaGroup, "term", term)
+		}
+		return read(now, c.meta.leader, c.meta.machine)
+	})
+}
+
+// readJobs calls read with the leader's soft state and the state of a job group.
+func (c *Control) readJobs(group *jobGroup, read func(now time.Time, leader *coordination.Jobs, reader storage.Reader) error) error {
+	return c.host.Read(group.number, func(term uint64, reader storage.Reader) error {
+		group.mutex.Lock()
+		defer group.mutex.Unlock()
+		now := time.Now()
+		if group.leader == nil || group.term != term {
+			group.term = term
+			group.leader = coordination.NewJobs(group.machine, c.policy(), now)
+			logging.Info(c.logger, "leading", "group", group.number, "term", term)
+		}
+		return read(now, group.leader, reader)
+	})
+}
+
+// handOver is a step of the planned stop: other processes lead before this one
+// goes.
+func (c *Control) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	c.host.HandOver(ctx)
+}
+
 // Close stops the log and closes the store. It is called after the server has
 // stopped.
 func (c *Control) Close() error {
@@ -111,6 +193,24 @@
 	return c.store.Close()
 }
 
+// readyLoop makes the process ready once it belongs to a cluster whose leaders
+// it knows.
+func (c *Control) readyLoop(ctx context.Context) {
+	every(ctx, readyInterval, func() {
+		statuses, err := c.host.Statuses(ctx)
+		if err != nil {
+			return
+		}
+		ready := true
+		for i := range statuses {
+			ready = ready && statuses[i].Leader != 0
+		}
+		if ready && !c.daemon.Stopping() {
+			c.daemon.SetReady(true)
+		}
+	})
+}
+
 func (c *Control) planLoop(ctx context.Context) {
 	every(ctx, planInterval, func() { c.plan(ctx) })
 }
@@ -123,6 +223,9 @@
 	client := platform.NewClient(c.settings.Platform)
 	failing := false
 	every(ctx, c.settings.PlatformInterval.Std(), func() {
+		if !c.leadsMeta() {
+			return
+		}
 		listed, err := client.Workers(ctx)
 		if err != nil {
 			if !failing {
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -7,9 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/controlclient"
+	"github.com/sedgemast/sedgemast/internal/coordination"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/jobstate"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/metastate"
+	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -17,6 +20,12 @@
 
 func (c *Control) register() {
 	server := c.daemon.Server
+	rpc.Handle(server, replication.MethodHello, func(ctx context.Context, hello *wire.Hello) (msgp.Marshaler, error) {
+		return c.host.Hello(ctx, hello)
+	})
+	rpc.Handle(server, replication.MethodMessages, func(ctx context.Context, batch *wire.PeerBatch) (msgp.Marshaler, error) {
+		return &wire.Empty{}, c.host.Receive(ctx, batch)
+	})
 	rpc.Handle(server, controlclient.MethodHeartbeat, c.heartbeat)
 	rpc.Handle(server, controlclient.MethodStatus, c.status)
 	rpc.Handle(server, controlclient.MethodApply, c.apply)
@@ -52,9 +61,9 @@
 
 func (c *Control) documents(_ context.Context, request *wire.GetDocumentsRequest) (msgp.Marshaler, error) {
 	response := &wire.GetDocumentsResponse{}
-	err := c.host.Read(controlclient.MetaGroup, func(storage.Reader) error {
-		response.Revision = c.meta.Revision()
-		response.Documents = c.meta.Documents(request.Kind, request.Name)
+	err := c.readMeta(func(_ time.Time, _ *coordination.Meta, machine *metastate.Machine) error {
+		response.Revision = machine.Revision()
+		response.Documents = machine.Documents(request.Kind, request.Name)
 		return nil
 	})
 	return response, err
@@ -62,8 +71,8 @@
 
 func (c *Control) history(_ context.Context, request *wire.HistoryRequest) (msgp.Marshaler, error) {
 	response := &wire.HistoryResponse{}
-	err := c.host.Read(controlclient.MetaGroup, func(storage.Reader) error {
-		response.Changes = c.meta.History(request.Limit)
+	err := c.readMeta(func(_ time.Time, _ *coordination.Meta, machine *metastate.Machine) error {
+		response.Changes = machine.History(request.Limit)
 		return nil
 	})
 	return response, err
@@ -144,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	return c.host.Read(number, func(reader storage.Reader) error {
+	return c.host.Read(number, func(_ uint64, reader storage.Reader) error {
 		return read(c.groups[number-1], reader)
 	})
 }
@@ -185,7 +194,7 @@
 		number = jobstate.GroupOfTenant(request.Tenant, len(c.groups))
 	}
 	response := &wire.ListJobsResponse{}
-	err := c.host.Read(number, func(storage.Reader) error {
+	err := c.host.Read(number, func(uint64, storage.Reader) error {
 		response.Jobs = c.groups[number-1].machine.Jobs(request.Tenant, request.Limit)
 		return nil
 	})
--- a/internal/control/items.go
+++ b/internal/control/items.go
@@ -6,6 +6,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/sedgemast/sedgemast/internal/coordination"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/jobstate"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -13,50 +14,20 @@
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
-// maxLeasedItems bounds the items given in one answer, and so its size.
-const maxLeasedItems = 256
-
 func (c *Control) leaseItems(_ context.Context, request *wire.LeaseItemsRequest) (msgp.Marshaler, error) {
 	if request.Group < 1 || request.Group > len(c.groups) {
 		return nil, failure.New(failure.BadRequest, "ask for a group from 1 to the number of job groups", "there is no job group %d", request.Group)
 	}
-	group := c.groups[request.Group-1]
-	now := time.Now()
-	response := &wire.LeaseItemsResponse{LeaseMillis: c.settings.ItemLease.Std().Milliseconds()}
-	group.mutex.Lock()
-	defer group.mutex.Unlock()
-	err := c.host.Read(group.number, func(reader storage.Reader) error {
-		group.leases.Expire(now)
-		response.Stop = group.leases.Renew(now, request.Dispatcher, request.Incarnation, request.Held)
-		granted := group.leases.Grant(now, request.Dispatcher, request.Incarnation, min(request.Want, maxLeasedItems), request.Models)
-		for _, ref := range granted {
-			item, err := readItem(group.machine, reader, ref)
-			if err != nil {
-				return err
-			}
-			response.Items = append(response.Items, item)
-		}
-		return nil
+	var response *wire.LeaseItemsResponse
+	err := c.readJobs(c.groups[request.Group-1], func(now time.Time, leader *coordination.Jobs, reader storage.Reader) (err error) {
+		response, err = leader.LeaseItems(now, request, reader)
+		return err
 	})
-	c.metrics.items.WithLabelValues("leased").Add(float64(len(response.Items)))
-	return response, err
-}
-
-func readItem(machine *jobstate.Machine, reader storage.Reader, ref wire.ItemRef) (wire.LeasedItem, error) {
-	record, err := machine.Job("", ref.JobID)
 	if err != nil {
-		return wire.LeasedItem{}, err
+		return nil, err
 	}
-	line, err := jobstate.ReadLine(reader, record.FileID, ref.Item)
-	return wire.LeasedItem{
-		Ref:            ref,
-		Tenant:         record.Tenant,
-		Rank:           record.Rank,
-		DeadlineMillis: record.DeadlineMillis,
-		Model:          record.Model,
-		Adapter:        record.Adapter,
-		Line:           line,
-	}, err
+	c.metrics.items.WithLabelValues("leased").Add(float64(len(response.Items)))
+	return response, nil
 }
 
 // completeItems commits a group of results, which all belong to one job group.
@@ -72,10 +43,11 @@
 	if err != nil {
 		return nil, err
 	}
-	group := c.groups[number-1]
-	group.mutex.Lock()
-	group.leases.Settle(request.Results)
-	group.mutex.Unlock()
+	// An error means that another process leads now; the leases went with it.
+	_ = c.readJobs(c.groups[number-1], func(_ time.Time, leader *coordination.Jobs, _ storage.Reader) error {
+		leader.Settle(request.Results)
+		return nil
+	})
 	c.metrics.items.WithLabelValues("completed").Add(float64(result.Complete.Accepted))
 	c.metrics.items.WithLabelValues("duplicate").Add(float64(result.Complete.Duplicates))
 	c.metrics.items.WithLabelValues("refused").Add(float64(result.Complete.Refused))
@@ -84,15 +56,13 @@
 
 // expireJobs ends the jobs whose deadline has passed.
 func (c *Control) expireJobs(ctx context.Context) {
-	now := time.Now().UnixMilli()
 	for _, group := range c.groups {
 		due := false
-		// Read fails for unknown groups only.
-		_ = c.host.Read(group.number, func(storage.Reader) error {
-			due = group.machine.ExpiryDue(now)
+		err := c.readJobs(group, func(now time.Time, _ *coordination.Jobs, _ storage.Reader) error {
+			due = group.machine.ExpiryDue(now.UnixMilli())
 			return nil
 		})
-		if !due {
+		if err != nil || !due {
 			continue
 		}
 		if _, err := c.proposeJob(ctx, group.number, &wire.JobCommand{Expire: true}); err != nil {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -4,64 +4,33 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/controlclient"
+	"github.com/sedgemast/sedgemast/internal/coordination"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/membership"
 	"github.com/sedgemast/sedgemast/internal/metastate"
 	"github.com/sedgemast/sedgemast/internal/platform"
-	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
 func (c *Control) heartbeat(_ context.Context, request *wire.HeartbeatRequest) (msgp.Marshaler, error) {
-	now := time.Now()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if err := c.table.Heartbeat(now, request); err != nil {
+	var response *wire.HeartbeatResponse
+	err := c.readMeta(func(now time.Time, leader *coordination.Meta, _ *metastate.Machine) (err error) {
+		response, err = leader.Heartbeat(now, request)
+		return err
+	})
+	if err != nil {
 		return nil, err
 	}
 	c.metrics.heartbeats.WithLabelValues(request.Role.String()).Inc()
-	for i := range request.Workers {
-		c.workers.Reported(&request.Workers[i])
-	}
-	response := &wire.HeartbeatResponse{
-		LeaseMillis:       c.settings.DaemonLease.Std().Milliseconds(),
-		ConfigLeaseMillis: c.settings.ConfigLease.Std().Milliseconds(),
-		JobGroups:         len(c.groups),
-		Gateways:          c.table.Count(wire.RoleGateway),
-	}
-	if request.Role == wire.RoleGateway {
-		response.View = c.table.View(request.ViewVersion)
-	}
-	err := c.host.Read(controlclient.MetaGroup, func(storage.Reader) error {
-		response.ConfigRevision = c.meta.Revision()
-		response.Config = c.meta.Changed(request.ConfigRevision)
-		if request.Role == wire.RoleDispatcher {
-			c.fillAssignments(request, response)
-		}
-		return nil
-	})
-	return response, err
+	return response, nil
 }
 
-// fillAssignments lists a dispatcher's workers unless it knows them already.
-// The version is a digest of the list, which no change of leader invalidates.
-func (c *Control) fillAssignments(request *wire.HeartbeatRequest, response *wire.HeartbeatResponse) {
-	owned := c.meta.AssignmentsOf(request.Daemon)
-	var encoded []byte
-	for i := range owned {
-		var err error
-		if encoded, err = owned[i].MarshalMsg(encoded); err != nil {
-			return
-		}
-	}
-	response.AssignmentVersion = xxhash.Sum64(encoded)
-	if response.AssignmentVersion != request.AssignmentVersion {
-		response.Assignments = owned
-	}
+func (c *Control) leadsMeta() bool {
+	return c.readMeta(func(time.Time, *coordination.Meta, *metastate.Machine) error { return nil }) == nil
 }
 
 func (c *Control) listWorkers(listed []platform.Worker) {
@@ -69,33 +38,33 @@
 	for _, row := range listed {
 		rows = append(rows, membership.ListedWorker(row))
 	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.workers.Listed(time.Now(), rows)
+	// An error means that another process leads now; it reads the list itself.
+	_ = c.readMeta(func(now time.Time, leader *coordination.Meta, _ *metastate.Machine) error {
+		leader.Listed(now, rows)
+		return nil
+	})
 }
 
 // plan ends the leases that have run out and commits the assignments that
 // follow. The plan is made from what is committed; the epochs are given by the
 // state machine.
 func (c *Control) plan(ctx context.Context) {
-	now := time.Now()
+	var expired []string
 	var command wire.AssignCommand
-	c.mutex.Lock()
-	for _, name := range c.table.Expire(now) {
-		logging.Warn(c.logger, "daemon_lease_expired", "daemon", name)
+	err := c.readMeta(func(now time.Time, leader *coordination.Meta, _ *metastate.Machine) error {
+		expired, command = leader.Plan(now)
+		return nil
+	})
+	if err != nil {
+		return
 	}
-	if c.table.Ready(now) {
-		// Read fails for unknown groups only.
-		_ = c.host.Read(controlclient.MetaGroup, func(storage.Reader) error {
-			command = membership.Plan(c.workers, c.table.Dispatchers(), c.meta.Assignments(), c.drained)
-			return nil
-		})
+	for _, name := range expired {
+		logging.Warn(c.logger, "daemon_lease_expired", "daemon", name)
 	}
-	c.mutex.Unlock()
 	if len(command.Assignments)+len(command.Forget) == 0 {
 		return
 	}
-	result, err := propose[wire.MetaResult](ctx, c, controlclient.MetaGroup, &wire.MetaCommand{AtMillis: now.UnixMilli(), Assign: &command})
+	result, err := propose[wire.MetaResult](ctx, c, controlclient.MetaGroup, &wire.MetaCommand{AtMillis: time.Now().UnixMilli(), Assign: &command})
 	if err != nil {
 		logging.Warn(c.logger, "assignment_failed", "error", err)
 		return
@@ -106,26 +75,39 @@
 	}
 }
 
-// drained reports whether an operator drains the worker. The meta group is held
-// by the caller.
-func (c *Control) drained(name string) bool {
-	return len(c.meta.Documents(metastate.KindDrain, name)) > 0
-}
-
-func (c *Control) status(_ context.Context, _ *wire.StatusRequest) (msgp.Marshaler, error) {
-	response := &wire.StatusResponse{}
-	c.mutex.Lock()
-	response.Daemons = c.table.Status(time.Now())
-	c.mutex.Unlock()
-	err := c.host.Read(controlclient.MetaGroup, func(storage.Reader) error {
-		response.ConfigRevision = c.meta.Revision()
-		response.Workers = c.meta.SortedAssignments()
+func (c *Control) status(ctx context.Context, _ *wire.StatusRequest) (msgp.Marshaler, error) {
+	var response *wire.StatusResponse
+	err := c.readMeta(func(now time.Time, leader *coordination.Meta, _ *metastate.Machine) error {
+		response = leader.Status(now)
 		return nil
 	})
-	for _, row := range response.Daemons {
-		if row.ConfigRevision == response.ConfigRevision {
-			response.InForce++
+	if err != nil {
+		return nil, err
+	}
+	statuses, err := c.host.Statuses(ctx)
+	if err != nil {
+		return nil, err
+	}
+	response.Replicas = replicaRows(&statuses[controlclient.MetaGroup], c.settings.Name)
+	return response, nil
+}
+
+// replicaRows describes the meta group's replicas as its leader sees them.
+func replicaRows(status *consensus.Status, leader string) []wire.ReplicaStatus {
+	rows := []wire.ReplicaStatus{{Name: leader, State: "leader"}}
+	for i := range status.Peers {
+		peer := &status.Peers[i]
+		row := wire.ReplicaStatus{
+			Name:         peer.Replica.Name,
+			Address:      peer.Replica.Address,
+			State:        "spare",
+			Behind:       peer.Behind,
+			SilentMillis: peer.Silence.Milliseconds(),
+		}
+		if consensus.IsVoter(&status.Membership, peer.Replica.ID) {
+			row.State = "voter"
 		}
+		rows = append(rows, row)
 	}
-	return response, err
+	return rows
 }
--- /dev/null
+++ b/internal/coordination/jobs.go
@@ -0,0 +1,70 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/jobstate"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	// adoptionTime is how long a new leader waits for dispatchers to renew the
+	// item leases that its predecessor granted.
+	adoptionTime = 1500 * time.Millisecond
+	// maxLeasedItems bounds the items given in one answer, and so its size.
+	maxLeasedItems = 256
+)
+
+// Jobs is the soft state of a job group's leader in one term.
+type Jobs struct {
+	policy  Policy
+	machine *jobstate.Machine
+	leases  *jobstate.Leases
+}
+
+// NewJobs begins a term.
+func NewJobs(machine *jobstate.Machine, policy Policy, now time.Time) *Jobs {
+	return &Jobs{
+		policy:  policy,
+		machine: machine,
+		leases:  jobstate.NewLeases(machine, policy.ItemLease, adoptionTime, now),
+	}
+}
+
+// LeaseItems renews what a dispatcher holds and grants it waiting items. The
+// reader is the group's state.
+func (j *Jobs) LeaseItems(now time.Time, request *wire.LeaseItemsRequest, reader storage.Reader) (*wire.LeaseItemsResponse, error) {
+	response := &wire.LeaseItemsResponse{LeaseMillis: j.policy.ItemLease.Milliseconds()}
+	j.leases.Expire(now)
+	response.Stop = j.leases.Renew(now, request.Dispatcher, request.Incarnation, request.Held)
+	granted := j.leases.Grant(now, request.Dispatcher, request.Incarnation, min(request.Want, maxLeasedItems), request.Models)
+	for _, ref := range granted {
+		item, err := j.read(reader, ref)
+		if err != nil {
+			return nil, err
+		}
+		response.Items = append(response.Items, item)
+	}
+	return response, nil
+}
+
+func (j *Jobs) read(reader storage.Reader, ref wire.ItemRef) (wire.LeasedItem, error) {
+	record, err := j.machine.Job("", ref.JobID)
+	if err != nil {
+		return wire.LeasedItem{}, err
+	}
+	line, err := jobstate.ReadLine(reader, record.FileID, ref.Item)
+	return wire.LeasedItem{
+		Ref:            ref,
+		Tenant:         record.Tenant,
+		Rank:           record.Rank,
+		DeadlineMillis: record.DeadlineMillis,
+		Model:          record.Model,
+		Adapter:        record.Adapter,
+		Line:           line,
+	}, err
+}
+
+// Settle forgets the leases of items whose results are committed.
+func (j *Jobs) Settle(results []wire.ItemResult) { j.leases.Settle(results) }
--- /dev/null
+++ b/internal/coordination/meta.go
@@ -0,0 +1,122 @@
+// Package coordination is what the leader of a group knows beyond the replicated
+// state: the leases of daemons, the workers, and the leases of batch items. It is
+// pure and soft: a new leader begins with none of it and learns it from the
+// daemons' next messages; it waits one lease before it takes anything from
+// anyone.
+package coordination
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sedgemast/sedgemast/internal/membership"
+	"github.com/sedgemast/sedgemast/internal/metastate"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// Policy holds the lengths of the leases that a leader grants.
+type Policy struct {
+	DaemonLease time.Duration
+	ConfigLease time.Duration
+	ItemLease   time.Duration
+	// ForgetWorkers is how long a worker may be missing from the platform's
+	// list.
+	ForgetWorkers time.Duration
+	JobGroups     int
+}
+
+// Meta is the soft state of the meta group's leader in one term.
+type Meta struct {
+	policy  Policy
+	machine *metastate.Machine
+	table   *membership.Table
+	workers *membership.Workers
+}
+
+// NewMeta begins a term.
+func NewMeta(machine *metastate.Machine, policy Policy, term uint64, now time.Time) *Meta {
+	m := &Meta{
+		policy:  policy,
+		machine: machine,
+		table:   membership.NewTable(term, policy.DaemonLease, now),
+		workers: membership.NewWorkers(policy.ForgetWorkers),
+	}
+	m.workers.Restore(now, machine.Assignments())
+	return m
+}
+
+// Heartbeat renews a daemon's leases and answers with what it does not know yet.
+func (m *Meta) Heartbeat(now time.Time, request *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
+	if err := m.table.Heartbeat(now, request); err != nil {
+		return nil, err
+	}
+	for i := range request.Workers {
+		m.workers.Reported(&request.Workers[i])
+	}
+	response := &wire.HeartbeatResponse{
+		LeaseMillis:       m.policy.DaemonLease.Milliseconds(),
+		ConfigLeaseMillis: m.policy.ConfigLease.Milliseconds(),
+		JobGroups:         m.policy.JobGroups,
+		Gateways:          m.table.Count(wire.RoleGateway),
+		ConfigRevision:    m.machine.Revision(),
+		Config:            m.machine.Changed(request.ConfigRevision),
+	}
+	switch request.Role {
+	case wire.RoleGateway:
+		response.View = m.table.View(request.ViewVersion)
+	case wire.RoleDispatcher:
+		m.fillAssignments(request, response)
+	}
+	return response, nil
+}
+
+// fillAssignments lists a dispatcher's workers unless it knows them already.
+// The version is a digest of the list, which no change of leader invalidates.
+func (m *Meta) fillAssignments(request *wire.HeartbeatRequest, response *wire.HeartbeatResponse) {
+	owned := m.machine.AssignmentsOf(request.Daemon)
+	var encoded []byte
+	for i := range owned {
+		var err error
+		if encoded, err = owned[i].MarshalMsg(encoded); err != nil {
+			return
+		}
+	}
+	response.AssignmentVersion = xxhash.Sum64(encoded)
+	if response.AssignmentVersion != request.AssignmentVersion {
+		response.Assignments = owned
+	}
+}
+
+// Listed takes in one reading of the platform's list.
+func (m *Meta) Listed(now time.Time, rows []membership.ListedWorker) { m.workers.Listed(now, rows) }
+
+// Plan ends the daemon leases that have run out, whose holders it returns, and
+// works out the assignments that follow; an empty command changes nothing.
+func (m *Meta) Plan(now time.Time) (expired []string, command wire.AssignCommand) {
+	expired = m.table.Expire(now)
+	if m.table.Ready(now) {
+		command = membership.Plan(m.workers, m.table.Dispatchers(), m.machine.Assignments(), m.drained)
+	}
+	return expired, command
+}
+
+// drained reports whether an operator drains the worker.
+func (m *Meta) drained(name string) bool {
+	return len(m.machine.Documents(metastate.KindDrain, name)) > 0
+}
+
+// Status returns the operators' view of the fleet.
+func (m *Meta) Status(now time.Time) *wire.StatusResponse {
+	response := &wire.StatusResponse{
+		ConfigRevision: m.machine.Revision(),
+		Daemons:        m.table.Status(now),
+		Workers:        m.machine.SortedAssignments(),
+	}
+	for i := range response.Daemons {
+		if response.Daemons[i].ConfigRevision == response.ConfigRevision {
+			response.InForce++
+		}
+	}
+	return response
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,7 @@
 	listener   net.Listener
 	app        *kratos.App
 	ready      atomic.Bool
+	stopping   atomic.Bool
 	beforeStop []func(context.Context)
 	background sync.WaitGroup
 	cancel     context.CancelFunc
@@ -133,6 +134,9 @@
 // Ready reports what /readyz answers.
 func (d *Daemon) Ready() bool { return d.ready.Load() }
 
+// Stopping reports whether a planned stop has begun.
+func (d *Daemon) Stopping() bool { return d.stopping.Load() }
+
 // BeforeStop adds a step of the planned stop. The steps run in order, before
 // the server stops, and share the stop timeout.
 func (d *Daemon) BeforeStop(step func(context.Context)) {
@@ -184,6 +188,7 @@
 
 func (d *Daemon) runStopSteps() {
 	logging.Info(d.Logger, "stopping")
+	d.stopping.Store(true)
 	d.SetReady(false)
 	ctx, cancel := context.WithTimeout(context.Background(), d.options.StopTimeout)
 	defer cancel()
--- a/internal/dispatcher/items.go
+++ b/internal/dispatcher/items.go
@@ -10,6 +10,7 @@
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/jobstate"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/membership"
 	"github.com/sedgemast/sedgemast/internal/retry"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -42,6 +43,7 @@
 // heldItem is an item on lease.
 type heldItem struct {
 	cancel context.CancelFunc
+	lease  membership.Lease
 	// done is set once the result waits to be reported.
 	done bool
 }
@@ -74,6 +76,7 @@
 }
 
 func (s *itemSet) pullGroups(ctx context.Context, now time.Time) {
+	s.stopLapsed(now)
 	groups := s.dispatcher.session.JobGroups()
 	want, models := s.room(now)
 	for number := 1; number <= groups; number++ {
@@ -86,6 +89,18 @@
 	}
 }
 
+// stopLapsed ends the work on items whose lease could not be renewed: their job
+// may have been cancelled, or others may work on them by now.
+func (s *itemSet) stopLapsed(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for ref, held := range s.held {
+		if !held.lease.Valid(now) {
+			s.stopItem(ref)
+		}
+	}
+}
+
 // room returns how many items to ask for, and for which models.
 func (s *itemSet) room(now time.Time) (int, []string) {
 	if s.dispatcher.accepts(now) != nil {
@@ -140,6 +155,7 @@
 }
 
 func (s *itemSet) pull(ctx context.Context, request *wire.LeaseItemsRequest) {
+	sent := time.Now()
 	response, err := controlclient.CallOnce[wire.LeaseItemsResponse](ctx, s.dispatcher.control, request.Group, controlclient.MethodLeaseItems, request, 0)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -152,8 +168,16 @@
 	for _, ref := range response.Stop {
 		s.stopItem(ref)
 	}
+	length := time.Duration(response.LeaseMillis) * time.Millisecond
+	for _, ref := range request.Held {
+		if held := s.held[ref]; held != nil {
+			held.lease.Renew(sent, length)
+		}
+	}
 	for i := range response.Items {
-		s.startItem(ctx, &response.Items[i])
+		var lease membership.Lease
+		lease.Renew(sent, length)
+		s.startItem(ctx, &response.Items[i], lease)
 	}
 	if request.Want > 0 && len(response.Items) == 0 {
 		group.nextAsk = time.Now().Add(idleInterval)
@@ -169,12 +193,12 @@
 	}
 }
 
-func (s *itemSet) startItem(ctx context.Context, item *wire.LeasedItem) {
+func (s *itemSet) startItem(ctx context.Context, item *wire.LeasedItem, lease membership.Lease) {
 	if s.held[item.Ref] != nil || s.stopped {
 		return
 	}
 	itemContext, cancel := context.WithCancel(ctx)
-	held := &heldItem{cancel: cancel}
+	held := &heldItem{cancel: cancel, lease: lease}
 	s.held[item.Ref] = held
 	go s.runItem(itemContext, item, held)
 }
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -14,10 +14,16 @@
 // Stream reads the events of one attempt. It passes on only events of that
 // attempt and only tokens not seen yet, in order; a gap ends the stream as cut.
 type Stream struct {
-	body      io.ReadCloser
-	scanner   *bufio.Scanner
-	attemptID string
-	offset    int
+	Sequencer
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+}
+
+// Sequencer keeps the events of one attempt in order.
+type Sequencer struct {
+	// AttemptID is the attempt, Offset the number of tokens seen.
+	AttemptID string
+	Offset    int
 	// Foreign counts dropped events of other attempts, Repeated dropped events
 	// whose tokens had been seen.
 	Foreign  int
@@ -27,7 +33,7 @@
 func newStream(body io.ReadCloser, attemptID string, offset int) *Stream {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxEventBytes)
-	return &Stream{body: body, scanner: scanner, attemptID: attemptID, offset: offset}
+	return &Stream{Sequencer: Sequencer{AttemptID: attemptID, Offset: offset}, body: body, scanner: scanner}
 }
 
 // Close ends the reading; the engine goes on until cancelled.
@@ -45,7 +51,7 @@
 		if err := json.Unmarshal(data, event); err != nil {
 			return nil, cut("an event does not parse: %v", err)
 		}
-		keep, err := s.accept(event)
+		keep, err := s.Accept(event)
 		if err != nil {
 			return nil, err
 		}
@@ -59,22 +65,24 @@
 	return nil, cut("the stream ended without its end event")
 }
 
-func (s *Stream) accept(event *Event) (bool, error) {
-	if event.AttemptID != s.attemptID {
+// Accept reports whether the event is the next one of the attempt; a gap is an
+// OutcomeUnknown failure.
+func (s *Sequencer) Accept(event *Event) (bool, error) {
+	if event.AttemptID != s.AttemptID {
 		s.Foreign++
 		return false, nil
 	}
 	if event.Type == EventError {
 		return true, nil
 	}
-	if event.Offset < s.offset {
+	if event.Offset < s.Offset {
 		s.Repeated++
 		return false, nil
 	}
-	if event.Offset > s.offset {
-		return false, cut("%d tokens are missing at offset %d", event.Offset-s.offset, s.offset)
+	if event.Offset > s.Offset {
+		return false, cut("%d tokens are missing at offset %d", event.Offset-s.Offset, s.Offset)
 	}
-	s.offset += event.Tokens
+	s.Offset += event.Tokens
 	return true, nil
 }
 
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -23,7 +23,7 @@
 	if !file.Complete {
 		return nil, failure.New(failure.Conflict, "finish the upload first", "file %s is not complete", file.ID)
 	}
-	if running := m.running(request.Tenant); request.MaxRunning > 0 && running >= request.MaxRunning {
+	if running := m.runningOf(request.Tenant); request.MaxRunning > 0 && running >= request.MaxRunning {
 		return nil, failure.New(failure.OverLimit, "wait until a job ends, or ask for a higher running_jobs", "%d jobs of the tenant are running", running).WithRetryAfter(overLimitRetryAfter)
 	}
 	created := &job{finished: newBitmap(file.Lines), record: wire.JobRecord{
@@ -42,9 +42,10 @@
 		Metadata:       request.Metadata,
 	}}
 	m.jobs[created.record.ID] = created
+	m.running[created.record.ID] = created
 	m.keys[key] = created.record.ID
 	if created.record.Items == 0 {
-		created.end(now, wire.JobCompleted)
+		m.end(created, now, wire.JobCompleted)
 	}
 	return m.storeJob(created), nil
 }
@@ -52,10 +53,10 @@
 // overLimitRetryAfter is when a job over the tenant's limit may be sent again.
 const overLimitRetryAfter = 30 * time.Second
 
-func (m *Machine) running(tenant string) int {
+func (m *Machine) runningOf(tenant string) int {
 	count := 0
-	for _, candidate := range m.jobs {
-		if candidate.record.Tenant == tenant && candidate.record.State == wire.JobRunning {
+	for _, candidate := range m.running {
+		if candidate.record.Tenant == tenant {
 			count++
 		}
 	}
@@ -92,7 +93,7 @@
 	if found.record.State != wire.JobRunning {
 		return &wire.JobResponse{Job: found.record, Repeated: true}, nil
 	}
-	found.end(now, wire.JobCancelled)
+	m.end(found, now, wire.JobCancelled)
 	return m.storeJob(found), nil
 }
 
@@ -132,21 +133,22 @@
 		found.record.Failed++
 	}
 	if found.record.Succeeded+found.record.Failed == found.record.Items {
-		found.end(now, wire.JobCompleted)
+		m.end(found, now, wire.JobCompleted)
 	}
 }
 
-func (j *job) end(now int64, state wire.JobState) {
-	j.record.State = state
-	j.record.EndedMillis = now
-	j.finished = nil
+func (m *Machine) end(ended *job, now int64, state wire.JobState) {
+	ended.record.State = state
+	ended.record.EndedMillis = now
+	ended.finished = nil
+	delete(m.running, ended.record.ID)
 }
 
 func (m *Machine) expire(now int64) {
-	for _, id := range sortedKeys(m.jobs) {
-		candidate := m.jobs[id]
-		if candidate.record.State == wire.JobRunning && candidate.record.DeadlineMillis <= now {
-			candidate.end(now, wire.JobExpired)
+	for _, id := range sortedKeys(m.running) {
+		candidate := m.running[id]
+		if candidate.record.DeadlineMillis <= now {
+			m.end(candidate, now, wire.JobExpired)
 			m.storeJob(candidate)
 		}
 	}
@@ -160,8 +162,8 @@
 // ExpiryDue reports whether an Expire command at the time now would change
 // anything.
 func (m *Machine) ExpiryDue(now int64) bool {
-	for _, candidate := range m.jobs {
-		if candidate.record.State == wire.JobRunning && candidate.record.DeadlineMillis <= now {
+	for _, candidate := range m.running {
+		if candidate.record.DeadlineMillis <= now {
 			return true
 		}
 	}
--- a/internal/jobstate/leases.go
+++ b/internal/jobstate/leases.go
@@ -27,6 +27,8 @@
 	duration time.Duration
 	open     map[string]*openJob
 	held     map[wire.ItemRef]lease
+	holders  map[string]map[wire.ItemRef]bool
+	expiry   time.Time
 	passes   map[string]float64
 	ready    time.Time
 }
@@ -52,6 +54,7 @@
 		duration: duration,
 		open:     map[string]*openJob{},
 		held:     map[wire.ItemRef]lease{},
+		holders:  map[string]map[wire.ItemRef]bool{},
 		passes:   map[string]float64{},
 		ready:    now.Add(adoption),
 	}
@@ -75,11 +78,13 @@
 		}
 		keep[ref] = true
 	}
-	for ref, current := range l.held {
-		if current.holder == holder && !keep[ref] {
-			l.giveBack(ref)
+	var dropped []wire.ItemRef
+	for ref := range l.holders[holder] {
+		if !keep[ref] {
+			dropped = append(dropped, ref)
 		}
 	}
+	l.giveBack(dropped)
 	return stop
 }
 
@@ -96,39 +101,70 @@
 	if leased && other && now.Before(current.expires) {
 		return false
 	}
-	l.held[ref] = lease{holder: holder, incarnation: incarnation, expires: now.Add(l.duration)}
+	l.hold(ref, lease{holder: holder, incarnation: incarnation, expires: now.Add(l.duration)})
 	return true
 }
 
-// Release ends a holder's leases at once, as on a planned stop.
-func (l *Leases) Release(holder string) {
-	for ref, current := range l.held {
-		if current.holder == holder {
-			l.giveBack(ref)
-		}
+func (l *Leases) hold(ref wire.ItemRef, granted lease) {
+	l.drop(ref)
+	l.held[ref] = granted
+	if l.holders[granted.holder] == nil {
+		l.holders[granted.holder] = map[wire.ItemRef]bool{}
+	}
+	l.holders[granted.holder][ref] = true
+}
+
+// drop forgets who holds the item.
+func (l *Leases) drop(ref wire.ItemRef) {
+	current, leased := l.held[ref]
+	if !leased {
+		return
+	}
+	delete(l.held, ref)
+	delete(l.holders[current.holder], ref)
+	if len(l.holders[current.holder]) == 0 {
+		delete(l.holders, current.holder)
 	}
 }
 
+// expiryInterval is the time between looks at all leases.
+const expiryInterval = 100 * time.Millisecond
+
 // Expire ends the leases that have run out.
 func (l *Leases) Expire(now time.Time) {
+	if now.Before(l.expiry) {
+		return
+	}
+	l.expiry = now.Add(expiryInterval)
+	var expired []wire.ItemRef
 	for ref, current := range l.held {
 		if !now.Before(current.expires) {
-			l.giveBack(ref)
+			expired = append(expired, ref)
 		}
 	}
+	l.giveBack(expired)
 }
 
-func (l *Leases) giveBack(ref wire.ItemRef) {
-	delete(l.held, ref)
-	if waiting := l.open[ref.JobID]; waiting != nil {
-		waiting.returned = append(waiting.returned, ref.Item)
+// giveBack lets the items wait again, in an order that depends on them alone.
+func (l *Leases) giveBack(refs []wire.ItemRef) {
+	sort.Slice(refs, func(a, b int) bool {
+		if refs[a].JobID != refs[b].JobID {
+			return refs[a].JobID < refs[b].JobID
+		}
+		return refs[a].Item < refs[b].Item
+	})
+	for _, ref := range refs {
+		l.drop(ref)
+		if waiting := l.open[ref.JobID]; waiting != nil {
+			waiting.returned = append(waiting.returned, ref.Item)
+		}
 	}
 }
 
 // Settle forgets the leases of items that have been reported.
 func (l *Leases) Settle(results []wire.ItemResult) {
 	for i := range results {
-		delete(l.held, wire.ItemRef{JobID: results[i].JobID, Item: results[i].Item})
+		l.drop(wire.ItemRef{JobID: results[i].JobID, Item: results[i].Item})
 	}
 }
 
@@ -154,7 +190,7 @@
 		}
 	}
 	for _, ref := range granted {
-		l.held[ref] = lease{holder: holder, incarnation: incarnation, expires: now.Add(l.duration)}
+		l.hold(ref, lease{holder: holder, incarnation: incarnation, expires: now.Add(l.duration)})
 	}
 	return granted
 }
@@ -166,8 +202,8 @@
 			delete(l.open, id)
 		}
 	}
-	for id, candidate := range l.machine.jobs {
-		if candidate.record.State == wire.JobRunning && l.open[id] == nil {
+	for id := range l.machine.running {
+		if l.open[id] == nil {
 			l.open[id] = &openJob{}
 		}
 	}
--- a/internal/jobstate/machine.go
+++ b/internal/jobstate/machine.go
@@ -28,6 +28,7 @@
 	sequence  uint64
 	files     map[string]*wire.FileRecord
 	jobs      map[string]*job
+	running   map[string]*job
 	keys      map[idempotencyKey]string
 	mutations []storage.Mutation
 }
@@ -47,10 +48,11 @@
 // New returns the empty state of the group with the given number.
 func New(group int) *Machine {
 	return &Machine{
-		group: group,
-		files: map[string]*wire.FileRecord{},
-		jobs:  map[string]*job{},
-		keys:  map[idempotencyKey]string{},
+		group:   group,
+		files:   map[string]*wire.FileRecord{},
+		jobs:    map[string]*job{},
+		running: map[string]*job{},
+		keys:    map[idempotencyKey]string{},
 	}
 }
 
@@ -131,10 +133,7 @@
 	if err := m.restoreJobs(reader); err != nil {
 		return err
 	}
-	for id, restored := range m.jobs {
-		if restored.record.State != wire.JobRunning {
-			continue
-		}
+	for id, restored := range m.running {
 		if err := restored.restoreFinished(reader, id); err != nil {
 			return err
 		}
@@ -164,6 +163,9 @@
 		}
 		record := &restored.record
 		m.jobs[record.ID] = restored
+		if record.State == wire.JobRunning {
+			m.running[record.ID] = restored
+		}
 		m.keys[idempotencyKey{record.Tenant, record.IdempotencyKey}] = record.ID
 		return true
 	})
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -52,6 +52,8 @@
 	InForce        int                 `json:"in_force"`
 	Daemons        []wire.DaemonStatus `json:"daemons"`
 	Workers        []Worker            `json:"workers"`
+	// Control lists the control processes.
+	Control []wire.ReplicaStatus `json:"control"`
 }
 
 // Worker is a worker with its owner.
@@ -71,6 +73,7 @@
 		InForce:        response.InForce,
 		Daemons:        response.Daemons,
 		Workers:        []Worker{},
+		Control:        response.Replicas,
 	}
 	for _, assignment := range response.Workers {
 		status.Workers = append(status.Workers, Worker{
--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -1,138 +1,219 @@
-// Package replication turns proposed commands into committed ones and applies
-// them to the state machines of several groups. All groups of a process share
-// one store and one sync: proposals that arrive while a sync runs go into the
-// next one together.
-//
-// A command is committed once it is in the synced log; its effects are then
-// applied without a sync of their own, because the log can replay them.
 package replication
 
 import (
 	"context"
 	"sync"
+	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
-// StateMachine is the deterministic state of one group.
-type StateMachine interface {
-	// Apply executes a committed command and returns its answer and the
-	// changes of stored state, with keys relative to the group.
-	Apply(command []byte) (answer []byte, mutations []storage.Mutation)
-	// Restore loads the state from storage.
-	Restore(reader storage.Reader) error
-}
-
 const (
-	maxBatchProposals = 512
-	maxBatchBytes     = 8 << 20
+	tickInterval  = 10 * time.Millisecond
+	helloInterval = 200 * time.Millisecond
+	helloTimeout  = time.Second
+	// maxEvents bounds the events between two flushes, and so the size of one
+	// sync.
+	maxEvents = 1024
+	// transferPoll is the time between looks at a hand-over of leadership.
+	transferPoll = 10 * time.Millisecond
 )
 
-// Host runs the groups of one process.
+// Transport carries messages between control processes.
+type Transport interface {
+	// Send sends a message without waiting; it may be lost.
+	Send(address string, message wire.PeerMessage)
+	// Hello introduces this process and returns who the other is.
+	Hello(ctx context.Context, address string, hello *wire.Hello) (*wire.Hello, error)
+	Close()
+}
+
+// Host runs a node: one goroutine feeds it with time, messages and proposals.
 type Host struct {
-	store     storage.Store
-	groups    []*group
-	proposals chan *proposal
-	stopped   chan struct{}
+	node      *Node
+	transport Transport
+	peers     []string
+	address   string
+	events    chan func(now time.Time)
 	closing   chan struct{}
+	stopped   chan struct{}
 	closeOnce sync.Once
+	cancel    context.CancelFunc
+	loops     sync.WaitGroup
 }
 
-// group is one replicated state machine with the position of its log.
-type group struct {
-	number  int
-	mutex   sync.RWMutex
-	machine StateMachine
-	last    uint64
-	applied uint64
+// NewHost opens a node and runs it until Close. options.Send is set by it.
+func NewHost(options Options, transport Transport) (*Host, error) {
+	options.Send = transport.Send
+	now := time.Now()
+	node, err := Open(options, now)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{
+		node:      node,
+		transport: transport,
+		peers:     options.Peers,
+		address:   options.Address,
+		events:    make(chan func(time.Time), maxEvents),
+		closing:   make(chan struct{}),
+		stopped:   make(chan struct{}),
+		cancel:    cancel,
+	}
+	h.node.Tick(now)
+	h.node.Flush(now)
+	go h.run()
+	for _, peer := range h.peers {
+		if peer != h.address {
+			h.loops.Add(1)
+			go h.introduce(ctx, peer)
+		}
+	}
+	return h, nil
 }
 
-// proposal is a command on its way through the log.
-type proposal struct {
-	group   *group
-	command []byte
-	index   uint64
-	done    chan outcome
+func (h *Host) run() {
+	defer close(h.stopped)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			h.node.Tick(time.Now())
+		case event := <-h.events:
+			h.runEvents(event)
+		case <-h.closing:
+			h.drain()
+			return
+		}
+		h.node.Flush(time.Now())
+	}
 }
 
-type outcome struct {
-	answer []byte
-	err    error
+// runEvents runs the first event and those that wait behind it, so that they
+// share a sync.
+func (h *Host) runEvents(first func(time.Time)) {
+	now := time.Now()
+	first(now)
+	for count := 1; count < maxEvents; count++ {
+		select {
+		case event := <-h.events:
+			event(now)
+		default:
+			return
+		}
+	}
 }
 
-// NewHost restores the machines from the store, replays what the log holds
-// beyond them, and begins to take proposals. The group number is the position
-// in machines.
-func NewHost(store storage.Store, machines []StateMachine) (*Host, error) {
-	host := &Host{
-		store:     store,
-		proposals: make(chan *proposal, maxBatchProposals),
-		stopped:   make(chan struct{}),
-		closing:   make(chan struct{}),
+func (h *Host) drain() {
+	for {
+		select {
+		case event := <-h.events:
+			h.runEvents(event)
+			h.node.Flush(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// enter hands an event to the loop.
+func (h *Host) enter(ctx context.Context, event func(now time.Time)) error {
+	select {
+	case h.events <- event:
+		return nil
+	case <-h.closing:
+		return failure.New(failure.NotRun, "try another control process", "control is stopping")
+	case <-ctx.Done():
+		return failure.Wrap(ctx.Err(), failure.NotRun, "try again", "control did not take the message in time")
 	}
-	for number, machine := range machines {
-		restored := &group{number: number, machine: machine}
-		if err := host.restore(restored); err != nil {
-			return nil, errors.Wrapf(err, "group %d does not restore", number)
+}
+
+// introduce says hello to a peer again and again.
+func (h *Host) introduce(ctx context.Context, peer string) {
+	defer h.loops.Done()
+	for ctx.Err() == nil {
+		h.exchangeHello(ctx, peer)
+		select {
+		case <-ctx.Done():
+		case <-time.After(helloInterval):
 		}
-		host.groups = append(host.groups, restored)
 	}
-	go host.run()
-	return host, nil
 }
 
-func (h *Host) restore(restored *group) error {
-	applied, err := h.store.Get(appliedKey(restored.number))
+func (h *Host) exchangeHello(ctx context.Context, peer string) {
+	own, err := ask(ctx, h, func(time.Time) wire.Hello { return h.node.Hello() })
 	if err != nil {
-		return err
-	}
-	restored.applied = decodeIndex(applied)
-	restored.last = restored.applied
-	if err := restored.machine.Restore(h.reader(restored)); err != nil {
-		return err
+		return
 	}
-	var commands [][]byte
-	end := storage.PrefixEnd(logPrefix(restored.number))
-	err = h.store.Scan(logKey(restored.number, restored.applied+1), end, func(_, value []byte) bool {
-		commands = append(commands, append([]byte(nil), value...))
-		return true
-	})
+	callContext, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	answer, err := h.transport.Hello(callContext, peer, &own)
 	if err != nil {
-		return err
+		return
 	}
-	for _, command := range commands {
-		restored.last++
-		if _, err := h.apply(restored, restored.last, command); err != nil {
-			return err
+	// An error means that the host is closing.
+	_ = h.enter(ctx, func(now time.Time) { h.node.Hear(now, answer) })
+}
+
+// Hello answers the introduction of another process.
+func (h *Host) Hello(ctx context.Context, hello *wire.Hello) (*wire.Hello, error) {
+	own, err := ask(ctx, h, func(now time.Time) wire.Hello {
+		h.node.Hear(now, hello)
+		return h.node.Hello()
+	})
+	return &own, err
+}
+
+// Receive takes in messages of another process.
+func (h *Host) Receive(ctx context.Context, batch *wire.PeerBatch) error {
+	return h.enter(ctx, func(now time.Time) {
+		for i := range batch.Messages {
+			h.node.Receive(now, &batch.Messages[i])
 		}
+	})
+}
+
+// ask runs a question in the loop and returns its answer.
+func ask[Answer any](ctx context.Context, h *Host, question func(now time.Time) Answer) (Answer, error) {
+	answers := make(chan Answer, 1)
+	var none Answer
+	if err := h.enter(ctx, func(now time.Time) { answers <- question(now) }); err != nil {
+		return none, err
+	}
+	select {
+	case answer := <-answers:
+		return answer, nil
+	case <-h.stopped:
+		return none, failure.New(failure.NotRun, "try another control process", "control has stopped")
+	case <-ctx.Done():
+		return none, failure.Wrap(ctx.Err(), failure.NotRun, "try again", "control did not answer in time")
 	}
-	return nil
 }
 
-func (h *Host) reader(of *group) storage.Reader {
-	return storage.Scoped(h.store, statePrefix(of.number))
+// outcome is the end of a proposal.
+type outcome struct {
+	answer []byte
+	err    error
 }
 
 // Propose commits a command and returns the state machine's answer. If ctx ends
 // first the outcome is not known: the command may still be committed.
 func (h *Host) Propose(ctx context.Context, number int, command []byte) ([]byte, error) {
-	if number < 0 || number >= len(h.groups) {
-		return nil, failure.New(failure.NotFound, "check the id", "there is no group %d", number)
-	}
-	made := &proposal{group: h.groups[number], command: command, done: make(chan outcome, 1)}
-	select {
-	case h.proposals <- made:
-	case <-h.closing:
-		return nil, errClosing()
-	case <-ctx.Done():
-		return nil, failure.Wrap(ctx.Err(), failure.NotRun, "try again", "the log did not take the command in time")
+	outcomes := make(chan outcome, 1)
+	err := h.enter(ctx, func(time.Time) {
+		h.node.Propose(number, command, func(answer []byte, err error) { outcomes <- outcome{answer, err} })
+	})
+	if err != nil {
+		return nil, err
 	}
 	select {
-	case result := <-made.done:
-		return result.answer, result.err
+	case ended := <-outcomes:
+		return ended.answer, ended.err
 	case <-h.stopped:
 		return nil, failure.New(failure.OutcomeUnknown, "send the same command again", "control stopped while the command was on its way")
 	case <-ctx.Done():
@@ -140,106 +221,46 @@
 	}
 }
 
-func errClosing() error {
-	return failure.New(failure.NotRun, "try another control process", "control is stopping")
+// Read calls read as Node.Read does; it may be called from any goroutine.
+func (h *Host) Read(number int, read func(term uint64, reader storage.Reader) error) error {
+	return h.node.Read(time.Now(), number, read)
 }
 
-// Read calls read while the group's state does not change.
-func (h *Host) Read(number int, read func(reader storage.Reader) error) error {
-	if number < 0 || number >= len(h.groups) {
-		return failure.New(failure.NotFound, "check the id", "there is no group %d", number)
-	}
-	target := h.groups[number]
-	target.mutex.RLock()
-	defer target.mutex.RUnlock()
-	return read(h.reader(target))
+// Statuses returns the state of every replica.
+func (h *Host) Statuses(ctx context.Context) ([]consensus.Status, error) {
+	return ask(ctx, h, h.node.Statuses)
 }
 
-// Groups returns the number of groups.
-func (h *Host) Groups() int { return len(h.groups) }
-
-// Close stops taking proposals and waits for those on their way.
-func (h *Host) Close() {
-	h.closeOnce.Do(func() { close(h.closing) })
-	<-h.stopped
+// Processes returns the control processes known here, this one first.
+func (h *Host) Processes(ctx context.Context) ([]wire.Process, error) {
+	return ask(ctx, h, h.node.Processes)
 }
 
-func (h *Host) run() {
-	defer close(h.stopped)
-	for {
-		select {
-		case first := <-h.proposals:
-			h.commit(h.gather(first))
-		case <-h.closing:
-			h.drain()
-			return
-		}
-	}
-}
+// Groups returns the number of groups.
+func (h *Host) Groups() int { return len(h.node.groups) }
 
-func (h *Host) drain() {
-	for {
-		select {
-		case first := <-h.proposals:
-			h.commit(h.gather(first))
-		default:
+// HandOver gives the leadership of all groups to other processes, until ctx
+// ends.
+func (h *Host) HandOver(ctx context.Context) {
+	for ctx.Err() == nil {
+		done, err := ask(ctx, h, h.node.TransferAll)
+		if err != nil || done {
 			return
 		}
-	}
-}
-
-// gather takes the proposals that wait, up to the size of one batch.
-func (h *Host) gather(first *proposal) []*proposal {
-	batch := []*proposal{first}
-	size := len(first.command)
-	for len(batch) < maxBatchProposals && size < maxBatchBytes {
 		select {
-		case next := <-h.proposals:
-			batch = append(batch, next)
-			size += len(next.command)
-		default:
-			return batch
+		case <-ctx.Done():
+		case <-time.After(transferPoll):
 		}
 	}
-	return batch
 }
 
-// commit writes the batch to the log with one sync, then applies it.
-func (h *Host) commit(batch []*proposal) {
-	mutations := make([]storage.Mutation, 0, len(batch))
-	for _, made := range batch {
-		made.group.last++
-		made.index = made.group.last
-		mutations = append(mutations, storage.Mutation{Key: logKey(made.group.number, made.index), Value: made.command})
-	}
-	if err := h.store.Commit(mutations, true); err != nil {
-		// A log that can't be written makes every later answer a lie.
-		panic(errors.Wrap(err, "the log can't be written"))
-	}
-	for _, made := range batch {
-		answer, err := h.apply(made.group, made.index, made.command)
-		made.done <- outcome{answer: answer, err: err}
-	}
-}
-
-// apply executes one committed command and stores its effects, the position
-// reached and the removal of the log entry in one batch.
-func (h *Host) apply(target *group, index uint64, command []byte) ([]byte, error) {
-	target.mutex.Lock()
-	defer target.mutex.Unlock()
-	answer, mutations := target.machine.Apply(command)
-	prefix := statePrefix(target.number)
-	stored := make([]storage.Mutation, 0, len(mutations)+2)
-	for _, mutation := range mutations {
-		mutation.Key = append(append([]byte{}, prefix...), mutation.Key...)
-		stored = append(stored, mutation)
-	}
-	stored = append(stored,
-		storage.Mutation{Key: appliedKey(target.number), Value: encodeIndex(index)},
-		storage.Mutation{Key: logKey(target.number, index), Delete: true})
-	if err := h.store.Commit(stored, false); err != nil {
-		panic(errors.Wrap(err, "the state can't be written"))
-	}
-	target.applied = index
-	return answer, nil
+// Close stops taking events and waits for those on their way.
+func (h *Host) Close() {
+	h.closeOnce.Do(func() {
+		h.cancel()
+		close(h.closing)
+	})
+	<-h.stopped
+	h.loops.Wait()
+	h.transport.Close()
 }
--- a/internal/replication/keys.go
+++ b/internal/replication/keys.go
@@ -2,29 +2,38 @@
 
 import "encoding/binary"
 
+// Sections of a group's keys.
 const (
-	keyLog     = 'l'
-	keyState   = 's'
-	keyApplied = 'a'
+	sectionLog        = 'l'
+	sectionBase       = 'b'
+	sectionHardState  = 'h'
+	sectionApplied    = 'a'
+	sectionGeneration = 'n'
+	sectionState      = 's'
 )
 
-func groupPrefix(number int, section byte) []byte {
+// identityKey holds the identity of the data folder.
+var identityKey = []byte("identity")
+
+func groupKey(number int, section byte) []byte {
 	return append(binary.BigEndian.AppendUint16([]byte{'g'}, uint16(number)), section)
 }
 
-func logPrefix(number int) []byte { return groupPrefix(number, keyLog) }
-
-func statePrefix(number int) []byte { return groupPrefix(number, keyState) }
-
-func appliedKey(number int) []byte { return groupPrefix(number, keyApplied) }
+// statePrefix begins the keys of one generation of a group's state. A snapshot
+// is taken in as the next generation, so that the change from the old state to
+// the new one is a single write.
+func statePrefix(number int, generation uint64) []byte {
+	return binary.BigEndian.AppendUint64(groupKey(number, sectionState), generation)
+}
 
 func logKey(number int, index uint64) []byte {
-	return binary.BigEndian.AppendUint64(logPrefix(number), index)
+	return binary.BigEndian.AppendUint64(groupKey(number, sectionLog), index)
 }
 
-func encodeIndex(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+func encodeUint64(value uint64) []byte { return binary.BigEndian.AppendUint64(nil, value) }
 
-func decodeIndex(value []byte) uint64 {
+// decodeUint64 returns zero for a key that is not there.
+func decodeUint64(value []byte) uint64 {
 	if len(value) != 8 {
 		return 0
 	}
--- /dev/null
+++ b/internal/replication/node.go
@@ -0,0 +1,330 @@
+package replication
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/consensus"
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	maxAppendBytes   = 1 << 20
+	maxInflightBytes = 8 << 20
+)
+
+// Options describe a node.
+type Options struct {
+	Store    storage.Store
+	Machines []StateMachine
+	// Name and Address are this process's.
+	Name    string
+	Address string
+	// Peers are the addresses of all control processes, this one's included.
+	// The first Voters of them form the cluster.
+	Peers  []string
+	Voters int
+	// NewID makes the identity of an empty data folder.
+	NewID             func() uint64
+	ElectionTimeout   time.Duration
+	HeartbeatInterval time.Duration
+	// ReplaceAfter is how long a voter may be silent before a spare takes its
+	// place.
+	ReplaceAfter time.Duration
+	// LogBytes is how much of each group's log is kept for slow followers.
+	LogBytes int
+	Random   consensus.Random
+	// Send sends a message to the process at the address; it may be lost.
+	Send func(address string, message wire.PeerMessage)
+	// Applied, if it is set, is told of every entry that is applied, for
+	// checkers.
+	Applied func(group int, entry *wire.LogEntry)
+}
+
+// Node holds the replicas of one control process.
+type Node struct {
+	options    Options
+	identity   wire.Hello
+	groups     []*group
+	known      map[string]*heard
+	addresses  map[uint64]string
+	repairDue  time.Time
+	transferID uint64
+}
+
+// heard is what is known of the process at an address.
+type heard struct {
+	hello wire.Hello
+	at    time.Time
+}
+
+// Open restores a node from its store, which gets an identity if it is empty.
+func Open(options Options, now time.Time) (*Node, error) {
+	n := &Node{options: options, known: map[string]*heard{}, addresses: map[uint64]string{}}
+	if err := n.openIdentity(); err != nil {
+		return nil, err
+	}
+	for number, machine := range options.Machines {
+		opened, err := n.open(number, machine, now)
+		if err != nil {
+			return nil, errors.Wrapf(err, "group %d does not restore", number)
+		}
+		n.groups = append(n.groups, opened)
+	}
+	if n.soleProcess() {
+		n.form([]wire.Replica{n.identity.Replica}, now)
+	}
+	return n, nil
+}
+
+func (n *Node) soleProcess() bool {
+	return !n.identity.Formed && len(n.options.Peers) == 1 && n.options.Peers[0] == n.options.Address
+}
+
+// Tick lets time pass.
+func (n *Node) Tick(now time.Time) {
+	n.tryForm(now)
+	for _, g := range n.groups {
+		g.replica.Tick(now)
+		n.tickSenders(g, now)
+	}
+	if !now.Before(n.repairDue) {
+		n.repairDue = now.Add(repairInterval)
+		n.repair(now)
+	}
+}
+
+// Receive takes in a message of another control process.
+func (n *Node) Receive(now time.Time, message *wire.PeerMessage) {
+	if message.Group < 0 || message.Group >= len(n.groups) || message.To != n.identity.Replica.ID {
+		return
+	}
+	g := n.groups[message.Group]
+	g.replica.Step(now, message)
+	switch message.Kind {
+	case wire.MessageSnapshotChunk:
+		n.takeChunk(g, now, message)
+	case wire.MessageSnapshotResponse:
+		n.takeChunkResponse(g, now, message)
+	}
+}
+
+// Propose appends a command to the group's log; done is called once.
+func (n *Node) Propose(number int, command []byte, done Done) {
+	if number < 0 || number >= len(n.groups) {
+		done(nil, unknownGroup(number))
+		return
+	}
+	g := n.groups[number]
+	index, term, err := g.replica.Propose(command)
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	g.waiting[index] = waiter{term: term, done: done}
+}
+
+func unknownGroup(number int) error {
+	return failure.New(failure.NotFound, "check the id", "there is no group %d", number)
+}
+
+// TransferAll hands leadership of every group to another process, and reports
+// whether this one leads none any more.
+func (n *Node) TransferAll(now time.Time) bool {
+	done := true
+	for _, g := range n.groups {
+		if g.replica.TransferLeadership(now) {
+			done = false
+		}
+	}
+	return done
+}
+
+// Read calls read while the group's state does not change. It fails with NotRun
+// unless this replica leads the group and holds its lease; the term that it
+// leads in is handed to read.
+func (n *Node) Read(now time.Time, number int, read func(term uint64, reader storage.Reader) error) error {
+	if number < 0 || number >= len(n.groups) {
+		return unknownGroup(number)
+	}
+	g := n.groups[number]
+	// The lease is checked after the request has come: what is read below was
+	// the newest state at this moment or later.
+	current := g.leadership.Load()
+	if current.refusal != nil {
+		return current.refusal
+	}
+	if !now.Before(current.leaseUntil) {
+		return failure.New(failure.NotRun, "try again", "the leader of group %d has not heard a majority lately", number)
+	}
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	return read(current.term, n.reader(g))
+}
+
+// Statuses returns the state of every replica.
+func (n *Node) Statuses(now time.Time) []consensus.Status {
+	statuses := make([]consensus.Status, 0, len(n.groups))
+	for _, g := range n.groups {
+		statuses = append(statuses, g.replica.Status(now))
+	}
+	return statuses
+}
+
+// ID returns the identity of the node's data folder.
+func (n *Node) ID() uint64 { return n.identity.Replica.ID }
+
+// round is one group's share of a flush.
+type round struct {
+	group *group
+	ready consensus.Ready
+}
+
+// Flush stores, sends and applies what the replicas have ready, with one sync
+// for all groups of a round, until nothing is left. A store that fails makes it
+// panic: a log that can't be written makes every later answer a lie.
+func (n *Node) Flush(now time.Time) {
+	for {
+		rounds := n.rounds(now)
+		if len(rounds) == 0 {
+			break
+		}
+		n.persist(rounds)
+		n.applyAll(rounds, now)
+	}
+	for _, g := range n.groups {
+		n.compact(g)
+		n.noticeRole(g)
+		g.publish(now)
+	}
+}
+
+func (n *Node) rounds(now time.Time) []round {
+	var rounds []round
+	for _, g := range n.groups {
+		ready := g.replica.Ready()
+		if ready.Empty() {
+			continue
+		}
+		// A lease that is given up must be gone before the message that lets
+		// another replica lead is sent.
+		g.publish(now)
+		n.sendAll(ready.Immediate)
+		rounds = append(rounds, round{group: g, ready: ready})
+	}
+	return rounds
+}
+
+func (n *Node) persist(rounds []round) {
+	var batch []storage.Mutation
+	for i := range rounds {
+		batch = rounds[i].group.stage(batch, &rounds[i].ready)
+	}
+	if len(batch) > 0 {
+		n.commit(batch, true)
+	}
+}
+
+func (n *Node) commit(batch []storage.Mutation, sync bool) {
+	if err := n.options.Store.Commit(batch, sync); err != nil {
+		panic(errors.Wrap(err, "the store can't be written"))
+	}
+}
+
+func (n *Node) applyAll(rounds []round, now time.Time) {
+	for i := range rounds {
+		g, ready := rounds[i].group, &rounds[i].ready
+		n.sendAll(ready.Durable)
+		g.mutex.Lock()
+		batch, answers := g.apply(nil, ready.Committed)
+		n.tellApplied(g, ready.Committed)
+		if len(batch) > 0 {
+			n.commit(batch, false)
+		}
+		g.mutex.Unlock()
+		g.replica.Advance(now, ready)
+		for _, ended := range answers {
+			ended.done(ended.answer, ended.err)
+		}
+		for _, to := range ready.SnapshotsTo {
+			n.beginSnapshot(g, to, now)
+		}
+	}
+}
+
+func (n *Node) tellApplied(g *group, entries []wire.LogEntry) {
+	if n.options.Applied == nil {
+		return
+	}
+	for i := range entries {
+		n.options.Applied(g.number, &entries[i])
+	}
+}
+
+func (n *Node) sendAll(messages []wire.PeerMessage) {
+	for i := range messages {
+		if address := n.addressOf(messages[i].Group, messages[i].To); address != "" {
+			n.options.Send(address, messages[i])
+		}
+	}
+}
+
+// addressOf returns where the replica is: as it says itself, or else as the
+// membership says.
+func (n *Node) addressOf(number int, id uint64) string {
+	if address := n.addresses[id]; address != "" {
+		return address
+	}
+	membership := n.groups[number].replica.Membership()
+	for _, member := range consensus.Members(&membership) {
+		n.addresses[member.ID] = member.Address
+	}
+	return n.addresses[id]
+}
+
+// noticeRole ends the proposals of a replica that no longer leads.
+func (n *Node) noticeRole(g *group) {
+	leads := g.replica.Role() == consensus.Leader
+	if g.wasLeader && !leads {
+		g.failWaiting()
+	}
+	g.wasLeader = leads
+}
+
+// compact drops the oldest part of a log that has grown to twice what is kept.
+func (n *Node) compact(g *group) {
+	if g.replica.LogBytes() < 2*n.options.LogBytes {
+		return
+	}
+	before := g.replica.Base().Index
+	base := g.replica.Compact(g.replica.CompactionPoint(n.options.LogBytes))
+	if base.Index == before {
+		return
+	}
+	n.commit([]storage.Mutation{
+		{Key: groupKey(g.number, sectionBase), Value: encode(&base)},
+		{Key: logKey(g.number, before+1), DeleteTo: logKey(g.number, base.Index+1)},
+	}, false)
+}
+
+func encode(message msgp.Marshaler) []byte {
+	data, err := message.MarshalMsg(nil)
+	if err != nil {
+		panic(errors.Wrap(err, "a generated encoder failed on a plain structure"))
+	}
+	return data
+}
+
+// readMessage decodes what is stored under key; nothing leaves it unchanged.
+func readMessage(reader storage.Reader, key []byte, message msgp.Unmarshaler) error {
+	value, err := reader.Get(key)
+	if err != nil || value == nil {
+		return err
+	}
+	_, err = message.UnmarshalMsg(value)
+	return err
+}
--- /dev/null
+++ b/internal/replication/repair.go
@@ -0,0 +1,142 @@
+package replication
+
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/consensus"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	repairInterval = 200 * time.Millisecond
+	// maxLearners bounds the spares of a group.
+	maxLearners = 3
+	// maxBehind is how many entries a learner may lack when it becomes a voter.
+	maxBehind = 256
+	// maxLearnerSilence is how lately a learner must have answered then.
+	maxLearnerSilence = time.Second
+)
+
+// repairPolicy says when the membership of a group is to change.
+type repairPolicy struct {
+	voters       int
+	replaceAfter time.Duration
+}
+
+// repair changes the membership of the groups that this process leads, one step
+// at a time.
+func (n *Node) repair(now time.Time) {
+	policy := repairPolicy{voters: min(n.options.Voters, len(n.options.Peers)), replaceAfter: n.options.ReplaceAfter}
+	for _, g := range n.groups {
+		if g.replica.Role() != consensus.Leader {
+			continue
+		}
+		status := g.replica.Status(now)
+		if voters, learners, change := planRepair(&status, n.Processes(now), policy); change {
+			// A refusal means that another change is under way; the next round
+			// tries again.
+			_ = g.replica.ProposeMembership(voters, learners)
+		}
+	}
+}
+
+// planRepair returns the next membership of a group, seen from its leader. A
+// voter whose storage is gone, or that has been silent for too long, gives its
+// place to a learner that has caught up; both happen in one change, so that the
+// group is never short of a voter that it counts. Processes that are no members
+// become learners.
+func planRepair(status *consensus.Status, processes []wire.Process, policy repairPolicy) (voters, learners []wire.Replica, change bool) {
+	membership := &status.Membership
+	if !status.Settled {
+		return nil, nil, false
+	}
+	plan := repairPlan{status: status, processes: processes, policy: policy}
+	if lost := plan.lostOf(membership.Learners); lost != 0 {
+		return membership.Voters, without(membership.Learners, lost), true
+	}
+	if ready, found := plan.readyLearner(); found {
+		rest := without(membership.Learners, ready.ID)
+		if lost := plan.lostOf(membership.Voters); lost != 0 {
+			return append(without(membership.Voters, lost), ready), rest, true
+		}
+		if len(membership.Voters) < policy.voters {
+			return append(without(membership.Voters, 0), ready), rest, true
+		}
+	}
+	if joiner, found := plan.joiner(); found && len(membership.Learners) < maxLearners {
+		return membership.Voters, append(without(membership.Learners, 0), joiner), true
+	}
+	return nil, nil, false
+}
+
+// repairPlan holds what a plan goes by.
+type repairPlan struct {
+	status    *consensus.Status
+	processes []wire.Process
+	policy    repairPolicy
+}
+
+// lostOf returns the identity of a replica of the list that is gone, or zero.
+func (p *repairPlan) lostOf(replicas []wire.Replica) uint64 {
+	for _, replica := range replicas {
+		peer, isPeer := p.peer(replica.ID)
+		if isPeer && (p.storageGone(replica) || peer.Silence > p.policy.replaceAfter) {
+			return replica.ID
+		}
+	}
+	return 0
+}
+
+func (p *repairPlan) peer(id uint64) (consensus.PeerStatus, bool) {
+	for _, peer := range p.status.Peers {
+		if peer.Replica.ID == id {
+			return peer, true
+		}
+	}
+	return consensus.PeerStatus{}, false
+}
+
+// storageGone reports whether the replica's process has come back with another
+// identity.
+func (p *repairPlan) storageGone(replica wire.Replica) bool {
+	for _, process := range p.processes {
+		if process.Hello.Replica.Address == replica.Address && process.Hello.Replica.ID != replica.ID && fresh(&process) {
+			return true
+		}
+	}
+	return false
+}
+
+func fresh(process *wire.Process) bool { return process.SilentMillis <= helloFresh.Milliseconds() }
+
+// readyLearner returns a learner that lacks next to nothing.
+func (p *repairPlan) readyLearner() (wire.Replica, bool) {
+	for _, learner := range p.status.Membership.Learners {
+		peer, found := p.peer(learner.ID)
+		if found && peer.Streaming && peer.Behind <= maxBehind && peer.Silence <= maxLearnerSilence {
+			return learner, true
+		}
+	}
+	return wire.Replica{}, false
+}
+
+// joiner returns a living process that is no member.
+func (p *repairPlan) joiner() (wire.Replica, bool) {
+	for _, process := range p.processes {
+		if process.Hello.Formed && fresh(&process) && !consensus.IsMember(&p.status.Membership, process.Hello.Replica.ID) {
+			return process.Hello.Replica, true
+		}
+	}
+	return wire.Replica{}, false
+}
+
+// without returns a copy of the list less the identity.
+func without(replicas []wire.Replica, id uint64) []wire.Replica {
+	kept := make([]wire.Replica, 0, len(replicas)+1)
+	for _, replica := range replicas {
+		if replica.ID != id {
+			kept = append(kept, replica)
+		}
+	}
+	return kept
+}
--- a/internal/scheduling/scheduler_test.go
+++ b/internal/scheduling/scheduler_test.go
@@ -153,25 +153,5 @@
 	if len(s.running) != len(running) {
 		return fmt.Errorf("%d attempts in the table, %d running", len(s.running), len(running))
 	}
-	for _, id := range s.order {
-		w := s.workers[id]
-		used, online := 0, 0
-		for _, candidate := range w.inFlight {
-			used += candidate.attempt.kvTokens()
-			if candidate.attempt.Class == wire.Online {
-				online++
-			}
-		}
-		if used != w.kvUsed || online != w.online {
-			return fmt.Errorf("worker %s counts %d tokens and %d online, has %d and %d", id, w.kvUsed, w.online, used, online)
-		}
-	}
-	for _, waiting := range s.online.attempts {
-		for _, id := range s.order {
-			if w := s.workers[id]; w.usable(waiting.request()) && w.fitsAfterPreemption(waiting) {
-				return fmt.Errorf("online attempt %s waits while batch holds its place on %s", waiting.ID, id)
-			}
-		}
-	}
-	return nil
+	return s.Verify()
 }
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -178,6 +180,19 @@
 	PlatformInterval Duration `json:"platform_interval"`
 	// JobGroups is the number of job groups. It can't change once set.
 	JobGroups int `json:"job_groups"`
+	// Peers are the addresses of all control processes, this one's included,
+	// in the same order everywhere; empty means that there is only this one.
+	// The first Voters of them form the cluster; the others are spares.
+	Peers  []string `json:"peers"`
+	Voters int      `json:"voters"`
+	// ElectionTimeout is the shortest time without a leader after which
+	// another is elected.
+	ElectionTimeout Duration `json:"election_timeout"`
+	// ReplaceAfter is how long a voter may be silent before a spare takes its
+	// place.
+	ReplaceAfter Duration `json:"replace_after"`
+	// LogBytes is how much of each group's log is kept for slow replicas.
+	LogBytes int `json:"log_bytes"`
 	// DaemonLease is the length of the leases of daemons.
 	DaemonLease Duration `json:"daemon_lease"`
 	// ConfigLease is how long a daemon may act on a configuration that
@@ -196,6 +211,11 @@
 		DataFolder:       "data/control-1",
 		PlatformInterval: Duration(500 * time.Millisecond),
 		JobGroups:        4,
+		Peers:            []string{},
+		Voters:           5,
+		ElectionTimeout:  Duration(500 * time.Millisecond),
+		ReplaceAfter:     Duration(30 * time.Second),
+		LogBytes:         4 << 20,
 		DaemonLease:      Duration(2500 * time.Millisecond),
 		ConfigLease:      Duration(4 * time.Second),
 		ItemLease:        Duration(5 * time.Second),
@@ -214,6 +234,16 @@
 	}
 	checker.Between("platform_interval", c.PlatformInterval, 10*time.Millisecond, time.Minute)
 	checker.Range("job_groups", c.JobGroups, 1, 256)
+	if len(c.Peers) > 0 {
+		checker.Addresses("peers", c.Peers)
+		if !slices.Contains(c.Peers, c.Listen) {
+			checker.Fault("peers", strings.Join(c.Peers, ", "), "name this process's own listen address among the peers")
+		}
+	}
+	checker.Range("voters", c.Voters, 1, 9)
+	checker.Between("election_timeout", c.ElectionTimeout, 50*time.Millisecond, 10*time.Second)
+	checker.Between("replace_after", c.ReplaceAfter, time.Second, 24*time.Hour)
+	checker.Range("log_bytes", c.LogBytes, 64<<10, 1<<30)
 	checker.Between("daemon_lease", c.DaemonLease, 100*time.Millisecond, time.Minute)
 	checker.Between("config_lease", c.ConfigLease, 100*time.Millisecond, time.Minute)
 	checker.Between("item_lease", c.ItemLease, 100*time.Millisecond, 10*time.Minute)
--- a/internal/storage/memory.go
+++ b/internal/storage/memory.go
@@ -10,19 +10,22 @@
 // It serves simulations and tests.
 type Memory struct {
 	mutex    sync.Mutex
-	entries  []memoryEntry
+	live     keySpace
+	durable  keySpace
 	unsynced [][]Mutation
-	durable  []memoryEntry
 	syncs    uint64
 }
 
-type memoryEntry struct {
-	key   []byte
-	value []byte
+// keySpace is a sorted list of keys with their values.
+type keySpace struct {
+	keys   []string
+	values map[string][]byte
 }
 
 // NewMemory returns an empty store.
-func NewMemory() *Memory { return &Memory{} }
+func NewMemory() *Memory {
+	return &Memory{live: keySpace{values: map[string][]byte{}}, durable: keySpace{values: map[string][]byte{}}}
+}
 
 // Syncs returns how many synced commits there have been.
 func (m *Memory) Syncs() uint64 {
@@ -36,12 +39,10 @@
 func (m *Memory) Crash(keep int) *Memory {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	survivor := &Memory{entries: cloneEntries(m.durable)}
 	for i := 0; i < keep && i < len(m.unsynced); i++ {
-		survivor.apply(m.unsynced[i])
+		m.durable.apply(m.unsynced[i])
 	}
-	survivor.durable = cloneEntries(survivor.entries)
-	return survivor
+	return &Memory{live: m.durable.clone(), durable: m.durable.clone()}
 }
 
 // Unsynced returns the number of batches that a crash could lose.
@@ -51,31 +52,20 @@
 	return len(m.unsynced)
 }
 
-func cloneEntries(entries []memoryEntry) []memoryEntry {
-	return append([]memoryEntry(nil), entries...)
-}
-
 // Get implements Reader.
 func (m *Memory) Get(key []byte) ([]byte, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	index := m.search(key)
-	if index == len(m.entries) || !bytes.Equal(m.entries[index].key, key) {
-		return nil, nil
-	}
-	return append([]byte{}, m.entries[index].value...), nil
+	return m.live.get(key), nil
 }
 
 // Scan implements Reader.
 func (m *Memory) Scan(lower, upper []byte, visit func(key, value []byte) bool) error {
 	m.mutex.Lock()
-	entries := cloneEntries(m.entries[m.search(lower):])
+	pairs := m.live.between(lower, upper)
 	m.mutex.Unlock()
-	for _, entry := range entries {
-		if upper != nil && bytes.Compare(entry.key, upper) >= 0 {
-			return nil
-		}
-		if !visit(entry.key, entry.value) {
+	for _, pair := range pairs {
+		if !visit(pair.Key, pair.Value) {
 			return nil
 		}
 	}
@@ -87,70 +77,108 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	kept := cloneMutations(mutations)
-	m.apply(kept)
+	m.live.apply(kept)
 	m.unsynced = append(m.unsynced, kept)
-	if sync {
-		m.syncs++
-		m.unsynced = nil
-		m.durable = cloneEntries(m.entries)
+	if !sync {
+		return nil
 	}
+	m.syncs++
+	for _, batch := range m.unsynced {
+		m.durable.apply(batch)
+	}
+	m.unsynced = nil
 	return nil
 }
 
+// View implements Store.
+func (m *Memory) View() View {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	clone := m.live.clone()
+	return &Memory{live: clone, durable: keySpace{values: map[string][]byte{}}}
+}
+
+// Close implements Store.
+func (m *Memory) Close() error { return nil }
+
 func cloneMutations(mutations []Mutation) []Mutation {
 	kept := make([]Mutation, len(mutations))
 	for i, mutation := range mutations {
 		kept[i] = mutation
-		kept[i].Key = append([]byte(nil), mutation.Key...)
-		kept[i].Value = append([]byte(nil), mutation.Value...)
+		kept[i].Key = bytes.Clone(mutation.Key)
+		kept[i].Value = bytes.Clone(mutation.Value)
+		kept[i].DeleteTo = bytes.Clone(mutation.DeleteTo)
 	}
 	return kept
 }
 
-// Close implements Store.
-func (m *Memory) Close() error { return nil }
+func (k *keySpace) clone() keySpace {
+	values := make(map[string][]byte, len(k.values))
+	for key, value := range k.values {
+		values[key] = value
+	}
+	return keySpace{keys: append([]string(nil), k.keys...), values: values}
+}
+
+func (k *keySpace) get(key []byte) []byte {
+	value, found := k.values[string(key)]
+	if !found {
+		return nil
+	}
+	return append([]byte{}, value...)
+}
+
+func (k *keySpace) search(key []byte) int { return sort.SearchStrings(k.keys, string(key)) }
 
-func (m *Memory) search(key []byte) int {
-	return sort.Search(len(m.entries), func(i int) bool {
-		return bytes.Compare(m.entries[i].key, key) >= 0
-	})
+// bounds returns the positions of the keys from lower to upper; a nil upper is
+// the end.
+func (k *keySpace) bounds(lower, upper []byte) (first, last int) {
+	first, last = k.search(lower), len(k.keys)
+	if upper != nil {
+		last = max(first, k.search(upper))
+	}
+	return first, last
+}
+
+func (k *keySpace) between(lower, upper []byte) []Mutation {
+	first, last := k.bounds(lower, upper)
+	pairs := make([]Mutation, 0, last-first)
+	for _, key := range k.keys[first:last] {
+		pairs = append(pairs, Mutation{Key: []byte(key), Value: k.values[key]})
+	}
+	return pairs
 }
 
-func (m *Memory) apply(mutations []Mutation) {
-	for _, mutation := range mutations {
+func (k *keySpace) apply(mutations []Mutation) {
+	for i := range mutations {
+		mutation := &mutations[i]
 		switch {
+		case mutation.DeleteTo != nil:
+			k.remove(mutation.Key, mutation.DeleteTo)
 		case mutation.DeletePrefix:
-			m.deleteRange(m.search(mutation.Key), mutation.Key)
+			k.remove(mutation.Key, PrefixEnd(mutation.Key))
 		case mutation.Delete:
-			m.deleteKey(mutation.Key)
+			k.remove(mutation.Key, append(bytes.Clone(mutation.Key), 0))
 		default:
-			m.set(mutation.Key, mutation.Value)
+			k.set(mutation.Key, mutation.Value)
 		}
 	}
 }
 
-func (m *Memory) set(key, value []byte) {
-	index := m.search(key)
-	if index < len(m.entries) && bytes.Equal(m.entries[index].key, key) {
-		m.entries[index] = memoryEntry{key: key, value: value}
-		return
-	}
-	m.entries = append(m.entries, memoryEntry{})
-	copy(m.entries[index+1:], m.entries[index:])
-	m.entries[index] = memoryEntry{key: key, value: value}
-}
-
-func (m *Memory) deleteKey(key []byte) {
-	index := m.search(key)
-	if index < len(m.entries) && bytes.Equal(m.entries[index].key, key) {
-		m.entries = append(m.entries[:index], m.entries[index+1:]...)
+func (k *keySpace) set(key, value []byte) {
+	if _, found := k.values[string(key)]; !found {
+		position := k.search(key)
+		k.keys = append(k.keys, "")
+		copy(k.keys[position+1:], k.keys[position:])
+		k.keys[position] = string(key)
 	}
+	k.values[string(key)] = value
 }
 
-func (m *Memory) deleteRange(first int, prefix []byte) {
-	last := first
-	for last < len(m.entries) && bytes.HasPrefix(m.entries[last].key, prefix) {
-		last++
+func (k *keySpace) remove(lower, upper []byte) {
+	first, last := k.bounds(lower, upper)
+	for _, key := range k.keys[first:last] {
+		delete(k.values, key)
 	}
-	m.entries = append(m.entries[:first], m.entries[last:]...)
+	k.keys = append(k.keys[:first], k.keys[last:]...)
 }
--- a/internal/storage/pebble.go
+++ b/internal/storage/pebble.go
@@ -45,8 +45,32 @@
 }
 
 // Get implements Reader.
-func (p *Pebble) Get(key []byte) ([]byte, error) {
-	value, closer, err := p.database.Get(key)
+func (p *Pebble) Get(key []byte) ([]byte, error) { return get(p.database, key) }
+
+// Scan implements Reader.
+func (p *Pebble) Scan(lower, upper []byte, visit func(key, value []byte) bool) error {
+	return scan(p.database, lower, upper, visit)
+}
+
+// View implements Store.
+func (p *Pebble) View() View { return pebbleView{snapshot: p.database.NewSnapshot()} }
+
+// pebbleView is a View of a Pebble store.
+type pebbleView struct{ snapshot *pebble.Snapshot }
+
+// Get implements Reader.
+func (v pebbleView) Get(key []byte) ([]byte, error) { return get(v.snapshot, key) }
+
+// Scan implements Reader.
+func (v pebbleView) Scan(lower, upper []byte, visit func(key, value []byte) bool) error {
+	return scan(v.snapshot, lower, upper, visit)
+}
+
+// Close implements View.
+func (v pebbleView) Close() error { return v.snapshot.Close() }
+
+func get(from pebble.Reader, key []byte) ([]byte, error) {
+	value, closer, err := from.Get(key)
 	if errors.Is(err, pebble.ErrNotFound) {
 		return nil, nil
 	}
@@ -57,9 +81,8 @@
 	return append([]byte{}, value...), nil
 }
 
-// Scan implements Reader.
-func (p *Pebble) Scan(lower, upper []byte, visit func(key, value []byte) bool) error {
-	iterator, err := p.database.NewIter(&pebble.IterOptions{LowerBound: lower, UpperBound: upper})
+func scan(from pebble.Reader, lower, upper []byte, visit func(key, value []byte) bool) error {
+	iterator, err := from.NewIter(&pebble.IterOptions{LowerBound: lower, UpperBound: upper})
 	if err != nil {
 		return err
 	}
@@ -89,6 +112,8 @@
 
 func stage(batch *pebble.Batch, mutation Mutation) error {
 	switch {
+	case mutation.DeleteTo != nil:
+		return batch.DeleteRange(mutation.Key, mutation.DeleteTo, nil)
 	case mutation.DeletePrefix:
 		return batch.DeleteRange(mutation.Key, PrefixEnd(mutation.Key), nil)
 	case mutation.Delete:
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -11,6 +11,9 @@
 	Delete bool
 	// DeletePrefix removes every key that begins with Key.
 	DeletePrefix bool
+	// DeleteTo, where it is set, removes the keys from Key (inclusive) to
+	// DeleteTo (exclusive).
+	DeleteTo []byte
 }
 
 // Reader reads the key space.
@@ -29,6 +32,14 @@
 	// Commit applies the mutations, all or none. With sync set it returns once
 	// they, and all committed before them, are durable.
 	Commit(mutations []Mutation, sync bool) error
+	// View returns the key space as it is now, unmoved by later commits.
+	View() View
+	Close() error
+}
+
+// View is a consistent copy of the key space; it must be closed.
+type View interface {
+	Reader
 	Close() error
 }
 
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -87,6 +87,8 @@
 				mutation.Delete = true
 			case 1:
 				mutation.DeletePrefix, mutation.Key = true, mutation.Key[:2]
+			case 2:
+				mutation.DeleteTo = fmt.Appendf(nil, "k%02d", random.Intn(20))
 			}
 			for _, store := range []Store{onDisk, inMemory} {
 				if err := store.Commit([]Mutation{mutation}, false); err != nil {
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -129,4 +129,17 @@
 	InForce        int            `msg:"in_force" json:"in_force"`
 	Daemons        []DaemonStatus `msg:"daemons" json:"daemons"`
 	Workers        []Assignment   `msg:"workers" json:"workers"`
+	// Replicas are the control processes.
+	Replicas []ReplicaStatus `msg:"replicas" json:"replicas"`
+}
+
+// ReplicaStatus is one control process as the meta group's leader sees it.
+type ReplicaStatus struct {
+	Name    string `msg:"name" json:"name"`
+	Address string `msg:"address" json:"address"`
+	// State is leader, voter or spare.
+	State string `msg:"state" json:"state"`
+	// Behind is the number of log entries that it has not stored yet.
+	Behind       uint64 `msg:"behind" json:"behind"`
+	SilentMillis int64  `msg:"silent" json:"silent_ms"`
 }
--- a/internal/wire/control_gen.go
+++ b/internal/wire/control_gen.go
@@ -1783,6 +1783,209 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ReplicaStatus) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "name":
+			z.Name, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "address":
+			z.Address, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "state":
+			z.State, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		case "behind":
+			z.Behind, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Behind")
+				return
+			}
+		case "silent":
+			z.SilentMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "SilentMillis")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ReplicaStatus) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "name"
+	err = en.Append(0x85, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	// write "address"
+	err = en.Append(0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	// write "state"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.State)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	// write "behind"
+	err = en.Append(0xa6, 0x62, 0x65, 0x68, 0x69, 0x6e, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Behind)
+	if err != nil {
+		err = msgp.WrapError(err, "Behind")
+		return
+	}
+	// write "silent"
+	err = en.Append(0xa6, 0x73, 0x69, 0x6c, 0x65, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.SilentMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "SilentMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReplicaStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "name"
+	o = append(o, 0x85, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "address"
+	o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "state"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	o = msgp.AppendString(o, z.State)
+	// string "behind"
+	o = append(o, 0xa6, 0x62, 0x65, 0x68, 0x69, 0x6e, 0x64)
+	o = msgp.AppendUint64(o, z.Behind)
+	// string "silent"
+	o = append(o, 0xa6, 0x73, 0x69, 0x6c, 0x65, 0x6e, 0x74)
+	o = msgp.AppendInt64(o, z.SilentMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReplicaStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "state":
+			z.State, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		case "behind":
+			z.Behind, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Behind")
+				return
+			}
+		case "silent":
+			z.SilentMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SilentMillis")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReplicaStatus) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.StringPrefixSize + len(z.State) + 7 + msgp.Uint64Size + 7 + msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Role) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
@@ -1988,6 +2191,25 @@
 					return
 				}
 			}
+		case "replicas":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Replicas")
+				return
+			}
+			if cap(z.Replicas) >= int(zb0004) {
+				z.Replicas = (z.Replicas)[:zb0004]
+			} else {
+				z.Replicas = make([]ReplicaStatus, zb0004)
+			}
+			for za0003 := range z.Replicas {
+				err = z.Replicas[za0003].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0003)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2001,9 +2223,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *StatusResponse) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "config_revision"
-	err = en.Append(0x84, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x85, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -2056,15 +2278,32 @@
 			return
 		}
 	}
+	// write "replicas"
+	err = en.Append(0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Replicas)))
+	if err != nil {
+		err = msgp.WrapError(err, "Replicas")
+		return
+	}
+	for za0003 := range z.Replicas {
+		err = z.Replicas[za0003].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Replicas", za0003)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StatusResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "config_revision"
-	o = append(o, 0x84, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x85, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.ConfigRevision)
 	// string "in_force"
 	o = append(o, 0xa8, 0x69, 0x6e, 0x5f, 0x66, 0x6f, 0x72, 0x63, 0x65)
@@ -2089,6 +2328,16 @@
 			return
 		}
 	}
+	// string "replicas"
+	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
+	for za0003 := range z.Replicas {
+		o, err = z.Replicas[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Replicas", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -2160,6 +2409,25 @@
 					return
 				}
 			}
+		case "replicas":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replicas")
+				return
+			}
+			if cap(z.Replicas) >= int(zb0004) {
+				z.Replicas = (z.Replicas)[:zb0004]
+			} else {
+				z.Replicas = make([]ReplicaStatus, zb0004)
+			}
+			for za0003 := range z.Replicas {
+				bts, err = z.Replicas[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2182,6 +2450,10 @@
 	for za0002 := range z.Workers {
 		s += z.Workers[za0002].Msgsize()
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0003 := range z.Replicas {
+		s += z.Replicas[za0003].Msgsize()
+	}
 	return
 }
 
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -11,3 +11,4 @@
 //go:generate go tool msgp -file control.go -o control_gen.go -tests=false
 //go:generate go tool msgp -file configuration.go -o configuration_gen.go -tests=false
 //go:generate go tool msgp -file jobs.go -o jobs_gen.go -tests=false
+//go:generate go tool msgp -file consensus.go -o consensus_gen.go -tests=false
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -49,7 +49,7 @@
 done
 for ((n = 1; n <= controls; n++)); do
 	run "control-$n" bin/sedgemast control --listen "127.0.0.1:$((7300 + n))" \
-		--data-folder "$folder/control-$n" --platform 127.0.0.1:7200
+		--data-folder "$folder/control-$n" --platform 127.0.0.1:7200 --peers "${control[@]}"
 done
 for ((n = 1; n <= dispatchers; n++)); do
 	run "dispatcher-$n" bin/sedgemast dispatcher --listen "127.0.0.1:$((7500 + n))" --zone "$(zone "$n")" --control "${control[@]}"
