Simulator of the whole fleet, by seed, with checks that are seen red

Cause: the promises had been tried on one control process and a few kills only. Change: internal/simulation drives the product's own cores in virtual time under 29 kinds of faults, two at a time; a ledger checks each promise; sedgemast-lab simulate and prove; shrinking and replay. Found by it and mended, each in the product: - a leader whose commit changed the membership used the progress of a replica that was no member any more (panic); - a new leader of control showed gateways an empty list of dispatchers for up to a lease; gateways now keep the old view until every lease has been renewed; - an online attempt excluded from the only worker left waited behind the batch work there; - a new owner of a worker placed work by load reports from before its claim, while the former owner's attempts still ran.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,17 @@
 # generate rewrites the committed message code in internal/wire.
 generate:
 	$(GO) generate ./internal/wire
+
+# sim runs the fleet in virtual time under all faults: 200 runs. sim-long runs
+# 5,000.
+.PHONY: sim sim-long prove
+sim: build
+	$(BIN)/sedgemast-lab simulate --seeds 1..100
+
+sim-long: build
+	$(BIN)/sedgemast-lab simulate --seeds 1001..3500
+
+# prove prints each promise under its faults, whole and with its mechanism taken
+# away.
+prove: build
+	$(BIN)/sedgemast-lab prove
--- a/cmd/sedgemast-lab/main.go
+++ b/cmd/sedgemast-lab/main.go
@@ -15,6 +15,8 @@
 	Platform *platformCommand `arg:"subcommand:platform" help:"run the emulated platform: list of workers and weight store"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"send online requests and a batch job, and check every answer"`
 	JobFile  *jobFileCommand  `arg:"subcommand:job-file" help:"write a job's file"`
+	Simulate *simulateCommand `arg:"subcommand:simulate" help:"run the fleet with faults in virtual time, by seed, and check the promises"`
+	Prove    *proveCommand    `arg:"subcommand:prove" help:"show that every promise holds under its faults, and that its check turns red without its mechanism"`
 }
 
 // Description implements arg.Described.
@@ -37,6 +39,10 @@
 		command.Exit(runLoad(args.Load))
 	case args.JobFile != nil:
 		command.Exit(runJobFile(args.JobFile))
+	case args.Simulate != nil:
+		command.Exit(runSimulate(args.Simulate))
+	case args.Prove != nil:
+		command.Exit(runProve(args.Prove))
 	}
 	parser.Fail("name a subcommand")
 }
--- a/internal/consensus/append.go
+++ b/internal/consensus/append.go
@@ -186,7 +186,8 @@
 	if news {
 		r.advanceCommit()
 	}
-	if r.role != Leader {
+	if r.role != Leader || r.progress[message.From] == nil {
+		// The commit ended this leadership, or the sender's membership.
 		return
 	}
 	r.sendAppend(message.From, false)
--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -186,7 +186,9 @@
 	if s.config.Current().Revision >= response.ConfigRevision {
 		s.configLease.Renew(sent, time.Duration(response.ConfigLeaseMillis)*time.Millisecond)
 	}
-	s.gateways = response.Gateways
+	if response.Gateways > 0 {
+		s.gateways = response.Gateways
+	}
 	s.jobGroups = response.JobGroups
 	s.applyView(response.View)
 	s.assignmentVersion = response.AssignmentVersion
--- a/internal/coordination/meta.go
+++ b/internal/coordination/meta.go
@@ -58,13 +58,13 @@
 		LeaseMillis:       m.policy.DaemonLease.Milliseconds(),
 		ConfigLeaseMillis: m.policy.ConfigLease.Milliseconds(),
 		JobGroups:         m.policy.JobGroups,
-		Gateways:          m.table.Count(wire.RoleGateway),
+		Gateways:          m.table.Count(now, wire.RoleGateway),
 		ConfigRevision:    m.machine.Revision(),
 		Config:            m.machine.Changed(request.ConfigRevision),
 	}
 	switch request.Role {
 	case wire.RoleGateway:
-		response.View = m.table.View(request.ViewVersion)
+		response.View = m.table.View(now, request.ViewVersion)
 	case wire.RoleDispatcher:
 		m.fillAssignments(request, response)
 	}
--- a/internal/dispatcher/workers.go
+++ b/internal/dispatcher/workers.go
@@ -135,16 +135,25 @@
 	}
 	owned.load = *load
 	owned.silent = false
+	if load.Epoch < owned.assignment.Epoch {
+		// The report is from before the claim: attempts of the former owner may
+		// have begun after it. Nothing is placed on such a guess.
+		return
+	}
 	w.dispatcher.step(scheduling.WorkerUpdate{Spec: w.spec(owned)})
 }
 
+// reportLag is how old a load report may be: attempts that were started later
+// are not counted as part of what it shows.
+const reportLag = time.Second
+
 // spec describes the worker to the scheduler. The slots that a former owner's
 // attempts still hold count as foreign until a report shows none.
 func (w *workerSet) spec(owned *ownedWorker) scheduling.WorkerSpec {
 	load := &owned.load
 	foreign := 0
 	if !owned.settled {
-		foreign = load.Running + load.Waiting - w.dispatcher.runningOn(owned.assignment.Worker)
+		foreign = load.Running + load.Waiting - w.dispatcher.runningOn(owned.assignment.Worker, time.Now().Add(-reportLag))
 		owned.settled = foreign <= 0
 	}
 	return scheduling.WorkerSpec{
@@ -161,11 +170,12 @@
 	}
 }
 
-// runningOn returns the attempts of this dispatcher on a worker.
-func (d *Dispatcher) runningOn(worker string) int {
+// runningOn returns the attempts of this dispatcher on a worker that were started
+// by the moment given.
+func (d *Dispatcher) runningOn(worker string, startedBy time.Time) int {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.scheduler.RunningOn(worker)
+	return d.scheduler.RunningOn(worker, startedBy)
 }
 
 func (w *workerSet) readCacheEvents(ctx context.Context, owned *ownedWorker) {
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -125,7 +125,7 @@
 }
 
 func (m *Machine) acceptResult(now int64, found *job, result *wire.ItemResult) {
-	m.putMessage(resultKey(result.JobID, result.Item), result)
+	m.putMessage(ResultKey(result.JobID, result.Item), result)
 	found.finished.set(result.Item)
 	if result.Failure == nil {
 		found.record.Succeeded++
--- a/internal/jobstate/keys.go
+++ b/internal/jobstate/keys.go
@@ -32,7 +32,8 @@
 	return binary.BigEndian.AppendUint32(lineKeyPrefix(fileID), line)
 }
 
-func resultKey(jobID string, item uint32) []byte {
+// ResultKey returns the key, relative to the group, of an item's result.
+func ResultKey(jobID string, item uint32) []byte {
 	return binary.BigEndian.AppendUint32(resultKeyPrefix(jobID), item)
 }
 
--- a/internal/jobstate/read.go
+++ b/internal/jobstate/read.go
@@ -42,7 +42,7 @@
 	response := &wire.ReadResultsResponse{Done: true, Next: request.From}
 	var decodeErr error
 	end := storage.PrefixEnd(resultKeyPrefix(request.JobID))
-	err := reader.Scan(resultKey(request.JobID, request.From), end, func(key, value []byte) bool {
+	err := reader.Scan(ResultKey(request.JobID, request.From), end, func(key, value []byte) bool {
 		if len(response.Results) == request.Limit {
 			response.Done = false
 			return false
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -122,12 +122,17 @@
 
 // View returns what has changed among the dispatchers since the version known,
 // or nil if nothing has.
-func (t *Table) View(known uint64) *wire.ViewDelta {
+func (t *Table) View(now time.Time, known uint64) *wire.ViewDelta {
 	if known == t.version {
 		return nil
 	}
 	// Versions of another term can't be compared with this term's.
 	full := known>>versionTermShift != t.version>>versionTermShift
+	if full && known != 0 && !t.Ready(now) {
+		// Not every dispatcher has reported to the new leader yet; what the
+		// daemon knows from the last one is the better view.
+		return nil
+	}
 	delta := &wire.ViewDelta{Version: t.version, Full: full}
 	for _, name := range sortedNames(t.daemons) {
 		candidate := t.daemons[name]
@@ -194,8 +199,12 @@
 	return names
 }
 
-// Count returns the number of living daemons of the role.
-func (t *Table) Count(role wire.Role) int {
+// Count returns the number of living daemons of the role; zero while a new
+// leader has not heard of all of them.
+func (t *Table) Count(now time.Time, role wire.Role) int {
+	if !t.Ready(now) {
+		return 0
+	}
 	count := 0
 	for _, known := range t.daemons {
 		if known.report.Role == role {
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -58,6 +58,7 @@
 	pipeline *routing.Pipeline
 	random   routing.Random
 	actions  []Action
+	now      time.Time
 	rate     finishRate
 }
 
@@ -91,6 +92,7 @@
 // Step takes one event and returns the actions to carry out, in order.
 func (s *Scheduler) Step(now time.Time, event Event) []Action {
 	s.actions = nil
+	s.now = now
 	event.apply(s, now)
 	s.drainOnline(now)
 	s.fillBatch(now)
@@ -151,13 +153,27 @@
 }
 
 // placeOnline starts an online attempt where it fits, preempting batch work if
-// it must. It reports whether the attempt was started.
+// it must. It reports whether the attempt was started. A worker on which an
+// earlier attempt failed is the last choice, but better than waiting behind the
+// batch work there.
 func (s *Scheduler) placeOnline(attempt *Attempt) bool {
-	if chosen := s.choose(attempt, func(w *worker) bool { return w.fits(attempt, 0) }); chosen != nil {
+	request := attempt.request()
+	if s.placeOnlineFor(attempt, request) {
+		return true
+	}
+	if len(request.Exclude) == 0 {
+		return false
+	}
+	request.Exclude = nil
+	return s.placeOnlineFor(attempt, request)
+}
+
+func (s *Scheduler) placeOnlineFor(attempt *Attempt, request *routing.Request) bool {
+	if chosen := s.choose(request, func(w *worker) bool { return w.fits(attempt, 0) }); chosen != nil {
 		s.start(chosen, attempt)
 		return true
 	}
-	chosen := s.choose(attempt, func(w *worker) bool { return w.fitsAfterPreemption(attempt) })
+	chosen := s.choose(request, func(w *worker) bool { return w.fitsAfterPreemption(attempt) })
 	if chosen == nil {
 		return false
 	}
@@ -169,7 +185,7 @@
 }
 
 // choose runs the routing steps over the workers that the condition accepts.
-func (s *Scheduler) choose(attempt *Attempt, condition func(*worker) bool) *worker {
+func (s *Scheduler) choose(request *routing.Request, condition func(*worker) bool) *worker {
 	candidates := make([]*routing.Candidate, 0, len(s.order))
 	for _, id := range s.order {
 		if w := s.workers[id]; condition(w) {
@@ -179,7 +195,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	picked := s.pipeline.Choose(attempt.request(), candidates, s.random)
+	picked := s.pipeline.Choose(request, candidates, s.random)
 	if picked == nil {
 		return nil
 	}
@@ -191,7 +207,7 @@
 }
 
 func (s *Scheduler) start(on *worker, attempt *Attempt) {
-	started := &running{attempt: attempt, worker: on}
+	started := &running{attempt: attempt, worker: on, since: s.now}
 	on.add(started)
 	s.running[attempt.ID] = started
 	s.emit(Action{
@@ -230,7 +246,7 @@
 			s.refuse(attempt, ReasonNoWorker, noWorkerRetryAfter)
 			return false
 		}
-		chosen := s.choose(attempt, func(w *worker) bool { return w.fits(attempt, w.reserve(s.config.ReservePercent)) })
+		chosen := s.choose(attempt.request(), func(w *worker) bool { return w.fits(attempt, w.reserve(s.config.ReservePercent)) })
 		if chosen == nil {
 			full[attempt.Model] = true
 			return true
@@ -293,10 +309,18 @@
 // SetReserve changes the reserve in percent of a worker's slots.
 func (s *Scheduler) SetReserve(percent int) { s.config.ReservePercent = percent }
 
-// RunningOn returns the number of attempts in flight on a worker.
-func (s *Scheduler) RunningOn(worker string) int {
-	if known := s.workers[worker]; known != nil {
-		return len(known.inFlight)
+// RunningOn returns the attempts in flight on a worker that were started at the
+// moment given or before.
+func (s *Scheduler) RunningOn(worker string, startedBy time.Time) int {
+	known := s.workers[worker]
+	if known == nil {
+		return 0
+	}
+	count := 0
+	for _, candidate := range known.inFlight {
+		if !candidate.since.After(startedBy) {
+			count++
+		}
 	}
-	return 0
+	return count
 }
--- a/internal/scheduling/scheduler_test.go
+++ b/internal/scheduling/scheduler_test.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// TestExcludedWorkerBeforeWaiting: simulation seed 1 of stundir with worker_dies
+// showed an online attempt waiting behind batch work on the one worker that was
+// left, because an earlier attempt had failed there.
+func TestExcludedWorkerBeforeWaiting(t *testing.T) {
+	s := New(Config{MaxQueue: 4}, testRandom())
+	s.Step(start, WorkerUpdate{spec("w1", 1)})
+	s.Step(start, Arrive{attempt("b1", wire.Batch)})
+	again := attempt("o1", wire.Online)
+	again.Exclude = map[string]bool{"w1": true}
+	if got := kinds(s.Step(start, Arrive{again})); got != "preempt b1;start o1;" {
+		t.Errorf("an attempt excluded from the only worker: %q", got)
+	}
+}
+
 // TestRandomEvents checks the package's invariants after every step.
 func TestRandomEvents(t *testing.T) {
 	proptest.Run(t, "invariants", func(random *rand.Rand) error {
--- a/internal/scheduling/worker.go
+++ b/internal/scheduling/worker.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"time"
 
 	"github.com/sedgemast/sedgemast/internal/routing"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -40,6 +41,7 @@
 type running struct {
 	attempt *Attempt
 	worker  *worker
+	since   time.Time
 	// tokens is the number of tokens generated so far.
 	tokens int
 }
--- /dev/null
+++ b/internal/simulation/control.go
@@ -0,0 +1,378 @@
+package simulation
+
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/controlclient"
+	"github.com/sedgemast/sedgemast/internal/coordination"
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/jobstate"
+	"github.com/sedgemast/sedgemast/internal/membership"
+	"github.com/sedgemast/sedgemast/internal/metastate"
+	"github.com/sedgemast/sedgemast/internal/replication"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	tickInterval     = 20 * time.Millisecond
+	helloInterval    = 200 * time.Millisecond
+	planInterval     = 50 * time.Millisecond
+	platformInterval = 500 * time.Millisecond
+	electionTimeout  = 500 * time.Millisecond
+	heartbeatShare   = 5
+	replaceAfter     = 3 * time.Second
+	keptLogBytes     = 8 << 10
+	controlVoters    = 5
+	controlCount     = 6
+	jobGroups        = 2
+	// tornRestart is when a process starts again after its disk lost power.
+	tornRestart = time.Second
+)
+
+func (w *World) policy() coordination.Policy {
+	return coordination.Policy{
+		DaemonLease:   2500 * time.Millisecond,
+		ConfigLease:   4 * time.Second,
+		ItemLease:     5 * time.Second,
+		ForgetWorkers: 30 * time.Second,
+		JobGroups:     jobGroups,
+	}
+}
+
+// controlProcess is a control process: a replication node on a disk, with the
+// soft state of the groups that it leads.
+type controlProcess struct {
+	process
+	world *World
+	disk  *disk
+	node  *replication.Node
+	// gone processes never come back.
+	gone       bool
+	meta       *metastate.Machine
+	metaTerm   uint64
+	metaLeader *coordination.Meta
+	planning   bool
+	jobs       []*jobstate.Machine
+	jobTerms   []uint64
+	jobLeaders []*coordination.Jobs
+}
+
+func controlName(number int) string { return [...]string{"c1", "c2", "c3", "c4", "c5", "c6"}[number] }
+
+func (w *World) addControl(number int) {
+	c := &controlProcess{process: process{name: controlName(number), zone: number % w.profile.Zones}, world: w, disk: newDisk()}
+	w.controls = append(w.controls, c)
+}
+
+func (w *World) controlByName(name string) *controlProcess {
+	for _, c := range w.controls {
+		if c.name == name {
+			return c
+		}
+	}
+	return nil
+}
+
+// start begins a life of the process on its disk.
+func (c *controlProcess) start() {
+	w := c.world
+	c.alive = true
+	c.life++
+	c.meta = metastate.New()
+	c.metaLeader, c.planning = nil, false
+	c.jobs, c.jobTerms, c.jobLeaders = nil, make([]uint64, jobGroups), make([]*coordination.Jobs, jobGroups)
+	machines := []replication.StateMachine{w.mutation.machine(0, c.meta)}
+	for number := 1; number <= jobGroups; number++ {
+		machine := jobstate.New(number)
+		c.jobs = append(c.jobs, machine)
+		machines = append(machines, w.mutation.machine(number, machine))
+	}
+	var err error
+	c.node, err = replication.Open(replication.Options{
+		Store:             c.disk,
+		Machines:          machines,
+		Name:              c.name,
+		Address:           c.name,
+		Peers:             controlNames(),
+		Voters:            controlVoters,
+		NewID:             w.newIdentity(c),
+		ElectionTimeout:   electionTimeout,
+		HeartbeatInterval: electionTimeout / heartbeatShare,
+		ReplaceAfter:      replaceAfter,
+		LogBytes:          keptLogBytes,
+		Random:            w.random,
+		Send:              c.send,
+		Applied: func(group int, entry *wire.LogEntry) {
+			w.ledger.applied(c.node, group, entry)
+		},
+	}, w.clock.now)
+	if err != nil {
+		w.ledger.violate("storage", "%s does not start on its disk: %v", c.name, err)
+		c.alive = false
+		return
+	}
+	c.guarded(func() { c.node.Flush(w.clock.now) })
+	w.every(&c.process, tickInterval, func() { c.drive(func() { c.node.Tick(w.clock.now) }) })
+	w.every(&c.process, helloInterval, c.introduce)
+	w.every(&c.process, planInterval, c.plan)
+	w.every(&c.process, platformInterval, c.readPlatform)
+}
+
+func controlNames() []string {
+	names := make([]string, 0, controlCount)
+	for number := 0; number < controlCount; number++ {
+		names = append(names, controlName(number))
+	}
+	return names
+}
+
+// newIdentity gives identities to empty disks.
+func (w *World) newIdentity(c *controlProcess) func() uint64 {
+	return func() uint64 {
+		w.identities++
+		if w.mutation == MutationKeepIdentity {
+			return uint64(c.name[1])
+		}
+		return 1000 + w.identities
+	}
+}
+
+// drive runs something on the node and carries out what follows from it.
+func (c *controlProcess) drive(action func()) {
+	c.guarded(func() {
+		action()
+		c.node.Flush(c.world.clock.now)
+	})
+}
+
+// guarded turns a disk that fails in the middle of a write into the death of the
+// process.
+func (c *controlProcess) guarded(action func()) {
+	defer func() {
+		if c.disk.broken {
+			// The panic of the store's user is the process's death.
+			_ = recover()
+			c.world.killControl(c, false)
+			c.world.restartControl(c, tornRestart)
+		}
+	}()
+	action()
+}
+
+func (c *controlProcess) send(address string, message wire.PeerMessage) {
+	to := c.world.controlByName(address)
+	c.world.transmit(&c.process, &to.process, func() {
+		to.drive(func() { to.node.Receive(c.world.clock.now, &message) })
+	}, nil)
+}
+
+func (c *controlProcess) introduce() {
+	for _, other := range c.world.controls {
+		if other == c {
+			continue
+		}
+		hello := c.node.Hello()
+		call(c.world, &c.process, &other.process, time.Second, func(answer reply[wire.Hello]) {
+			other.drive(func() { other.node.Hear(c.world.clock.now, &hello) })
+			answer(other.node.Hello(), nil)
+		}, func(answer wire.Hello, err error) {
+			if err == nil {
+				c.node.Hear(c.world.clock.now, &answer)
+			}
+		})
+	}
+}
+
+// readMeta calls read if this process leads the meta group.
+func (c *controlProcess) readMeta(read func(leader *coordination.Meta) error) error {
+	now := c.world.clock.now
+	return c.node.Read(now, controlclient.MetaGroup, func(term uint64, _ storage.Reader) error {
+		if c.metaLeader == nil || c.metaTerm != term {
+			c.metaTerm = term
+			c.metaLeader = coordination.NewMeta(c.meta, c.world.policy(), term, now)
+		}
+		return read(c.metaLeader)
+	})
+}
+
+// readJobs calls read if this process leads the job group.
+func (c *controlProcess) readJobs(group int, read func(leader *coordination.Jobs, reader storage.Reader) error) error {
+	now := c.world.clock.now
+	return c.node.Read(now, group, func(term uint64, reader storage.Reader) error {
+		index := group - 1
+		if c.jobLeaders[index] == nil || c.jobTerms[index] != term {
+			c.jobTerms[index] = term
+			c.jobLeaders[index] = coordination.NewJobs(c.jobs[index], c.world.policy(), now)
+		}
+		return read(c.jobLeaders[index], reader)
+	})
+}
+
+func (c *controlProcess) plan() {
+	if c.planning {
+		return
+	}
+	var command wire.AssignCommand
+	err := c.readMeta(func(leader *coordination.Meta) error {
+		_, command = leader.Plan(c.world.clock.now)
+		return nil
+	})
+	if err != nil || len(command.Assignments)+len(command.Forget) == 0 {
+		return
+	}
+	c.planning = true
+	c.propose(controlclient.MetaGroup, &wire.MetaCommand{Assign: &command}, func([]byte, error) { c.planning = false })
+}
+
+func (c *controlProcess) propose(group int, command interface {
+	MarshalMsg([]byte) ([]byte, error)
+}, done replication.Done) {
+	encoded, err := command.MarshalMsg(nil)
+	if err != nil {
+		panic(err)
+	}
+	c.drive(func() {
+		c.node.Propose(group, encoded, func(answer []byte, err error) {
+			// What follows must not enter the node while it flushes.
+			c.world.timer(&c.process, 0, func() { done(answer, err) })
+		})
+	})
+}
+
+// proposeMeta commits a command to the meta group and answers with the result.
+func (c *controlProcess) proposeMeta(command *wire.MetaCommand, answer reply[*wire.MetaResult]) {
+	command.AtMillis = c.world.clock.now.UnixMilli()
+	c.propose(controlclient.MetaGroup, command, func(encoded []byte, err error) {
+		if err != nil {
+			answer(nil, err)
+			return
+		}
+		result := &wire.MetaResult{}
+		if _, err = result.UnmarshalMsg(encoded); err == nil {
+			err = result.Failure.Err()
+		}
+		answer(result, err)
+	})
+}
+
+// proposeJob commits a command to a job group and answers with the result.
+func (c *controlProcess) proposeJob(group int, command *wire.JobCommand, answer reply[*wire.JobResult]) {
+	command.AtMillis = c.world.clock.now.UnixMilli()
+	c.propose(group, command, func(encoded []byte, err error) {
+		if err != nil {
+			answer(nil, err)
+			return
+		}
+		result := &wire.JobResult{}
+		if _, err = result.UnmarshalMsg(encoded); err == nil {
+			err = result.Failure.Err()
+		}
+		answer(result, err)
+	})
+}
+
+func (c *controlProcess) heartbeat(request *wire.HeartbeatRequest, answer reply[*wire.HeartbeatResponse]) {
+	var response *wire.HeartbeatResponse
+	err := c.readMeta(func(leader *coordination.Meta) (err error) {
+		response, err = leader.Heartbeat(c.world.clock.now, request)
+		return err
+	})
+	answer(response, err)
+}
+
+func (c *controlProcess) leaseItems(request *wire.LeaseItemsRequest, answer reply[*wire.LeaseItemsResponse]) {
+	var response *wire.LeaseItemsResponse
+	err := c.readJobs(request.Group, func(leader *coordination.Jobs, reader storage.Reader) (err error) {
+		response, err = leader.LeaseItems(c.world.clock.now, request, reader)
+		return err
+	})
+	answer(response, err)
+}
+
+func (c *controlProcess) completeItems(group int, request *wire.CompleteItemsRequest, answer reply[*wire.JobResult]) {
+	c.proposeJob(group, &wire.JobCommand{Complete: request}, func(result *wire.JobResult, err error) {
+		if err == nil {
+			// An error means that another process leads now.
+			_ = c.readJobs(group, func(leader *coordination.Jobs, _ storage.Reader) error {
+				leader.Settle(request.Results)
+				return nil
+			})
+		}
+		answer(result, err)
+	})
+}
+
+// jobView is what a caller reads of a job.
+type jobView struct {
+	record  wire.JobRecord
+	results *wire.ReadResultsResponse
+}
+
+func (c *controlProcess) readJob(group int, tenant, id string, answer reply[jobView]) {
+	var view jobView
+	err := c.readJobs(group, func(_ *coordination.Jobs, reader storage.Reader) (err error) {
+		if view.record, err = c.jobs[group-1].Job(tenant, id); err != nil {
+			return err
+		}
+		view.results, err = jobstate.ReadResults(reader, &wire.ReadResultsRequest{JobID: id, Tenant: tenant, Limit: maxItems})
+		return err
+	})
+	answer(view, err)
+}
+
+// readPlatform takes in the platform's lagging list.
+func (c *controlProcess) readPlatform() {
+	if c.readMeta(func(*coordination.Meta) error { return nil }) != nil {
+		return
+	}
+	w := c.world
+	call(w, &c.process, &w.platform.process, time.Second, func(answer reply[[]membership.ListedWorker]) {
+		answer(w.platform.list(), nil)
+	}, func(rows []membership.ListedWorker, err error) {
+		if err != nil {
+			return
+		}
+		_ = c.readMeta(func(leader *coordination.Meta) error {
+			leader.Listed(w.clock.now, rows)
+			return nil
+		})
+	})
+}
+
+// callControl makes a call to a group's leader, going round the control
+// processes until it is answered or the time is up. Typed refusals of the state
+// machine are answers.
+func callControl[Answer any](w *World, from *process, leaders map[int]string, group int, within time.Duration, serve func(*controlProcess, reply[Answer]), done reply[Answer]) {
+	deadline := w.clock.now.Add(within)
+	var attempt func(number int)
+	attempt = func(number int) {
+		target := leaders[group]
+		if target == "" {
+			target = controlName(number % controlCount)
+		}
+		c := w.controlByName(target)
+		call(w, from, &c.process, 2*time.Second, func(answer reply[Answer]) { serve(c, answer) }, func(answer Answer, err error) {
+			if !failure.Is(err, failure.NotRun) && !failure.Is(err, failure.OutcomeUnknown) {
+				leaders[group] = target
+				done(answer, err)
+				return
+			}
+			leaders[group] = leaderHint(err, target)
+			if w.clock.now.After(deadline) {
+				done(answer, err)
+				return
+			}
+			w.timer(from, 20*time.Millisecond, func() { attempt(number + 1) })
+		})
+	}
+	attempt(w.random.IntN(controlCount))
+}
+
+func leaderHint(err error, target string) string {
+	field := failure.From(err).Field
+	if len(field) <= len(controlclient.LeaderHint) || field[len(controlclient.LeaderHint):] == target {
+		return ""
+	}
+	return field[len(controlclient.LeaderHint):]
+}
--- /dev/null
+++ b/internal/simulation/session.go
@@ -0,0 +1,139 @@
+package simulation
+
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/configuration"
+	"github.com/sedgemast/sedgemast/internal/controlclient"
+	"github.com/sedgemast/sedgemast/internal/membership"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	heartbeatTimeout  = time.Second
+)
+
+// session keeps a daemon's leases and configuration, as controlclient.Session
+// does in the real daemons.
+type session struct {
+	world        *World
+	process      *process
+	role         wire.Role
+	incarnation  uint64
+	leaders      map[int]string
+	config       *configuration.Store
+	lease        membership.Lease
+	configLease  membership.Lease
+	viewVersion  uint64
+	view         map[string]wire.DaemonView
+	viewChanges  int
+	assignments  []wire.Assignment
+	assignmentID uint64
+	draining     bool
+	leaving      bool
+	report       func(*wire.HeartbeatRequest)
+	changed      func()
+	busy         bool
+}
+
+func (w *World) newSession(p *process, role wire.Role, previous *session) *session {
+	w.incarnations++
+	s := &session{
+		world:       w,
+		process:     p,
+		role:        role,
+		incarnation: w.incarnations,
+		leaders:     map[int]string{},
+		config:      configuration.NewStore(),
+		view:        map[string]wire.DaemonView{},
+	}
+	if previous != nil && w.mutation == MutationOldConfiguration {
+		s.config = previous.config
+		s.configLease.Renew(w.clock.now, time.Hour)
+		s.lease.Renew(w.clock.now, time.Hour)
+		s.view = previous.view
+	}
+	w.timer(p, time.Millisecond, s.beat)
+	w.every(p, heartbeatInterval, s.beat)
+	return s
+}
+
+// serves reports whether the daemon may act on its configuration.
+func (s *session) serves() bool {
+	now := s.world.clock.now
+	if s.world.mutation == MutationNoConfigurationLease {
+		return s.config.Current().Revision > 0
+	}
+	return s.lease.Valid(now) && s.configLease.Valid(now) && !s.draining
+}
+
+func (s *session) beat() {
+	if s.busy {
+		return
+	}
+	s.busy = true
+	request := &wire.HeartbeatRequest{
+		Daemon:            s.process.name,
+		Incarnation:       s.incarnation,
+		Role:              s.role,
+		Zone:              zoneName(s.process.zone),
+		Address:           s.process.name,
+		Draining:          s.draining,
+		Leaving:           s.leaving,
+		ConfigRevision:    s.config.Current().Revision,
+		ViewVersion:       s.viewVersion,
+		AssignmentVersion: s.assignmentID,
+	}
+	if s.report != nil {
+		s.report(request)
+	}
+	sent := s.world.clock.now
+	callControl(s.world, s.process, s.leaders, controlclient.MetaGroup, heartbeatTimeout, func(c *controlProcess, answer reply[*wire.HeartbeatResponse]) {
+		c.heartbeat(request, answer)
+	}, func(response *wire.HeartbeatResponse, err error) {
+		s.busy = false
+		if err == nil {
+			s.accept(sent, response)
+		}
+	})
+}
+
+func (s *session) accept(sent time.Time, response *wire.HeartbeatResponse) {
+	before := s.config.Current().Revision
+	if _, err := s.config.Apply(response.Config); err != nil {
+		s.world.ledger.violate("configuration", "%s can't apply revision %d: %v", s.process.name, response.ConfigRevision, err)
+		return
+	}
+	current := s.config.Current().Revision
+	s.world.ledger.inForce(s.process.name, s.incarnation, before, current)
+	s.lease.Renew(sent, time.Duration(response.LeaseMillis)*time.Millisecond)
+	if current >= response.ConfigRevision {
+		s.configLease.Renew(sent, time.Duration(response.ConfigLeaseMillis)*time.Millisecond)
+	}
+	s.applyView(response.View)
+	if response.AssignmentVersion != s.assignmentID {
+		s.assignmentID = response.AssignmentVersion
+		s.assignments = response.Assignments
+	}
+	if s.changed != nil {
+		s.changed()
+	}
+}
+
+func (s *session) applyView(delta *wire.ViewDelta) {
+	if delta == nil {
+		return
+	}
+	if delta.Full {
+		s.view = map[string]wire.DaemonView{}
+	}
+	for _, dispatcher := range delta.Dispatchers {
+		s.view[dispatcher.Name] = dispatcher
+	}
+	for _, name := range delta.Removed {
+		delete(s.view, name)
+	}
+	s.viewVersion = delta.Version
+	s.viewChanges++
+}
--- /dev/null
+++ b/internal/simulation/world_run.go
@@ -0,0 +1,379 @@
+package simulation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/consensus"
+	"github.com/sedgemast/sedgemast/internal/coordination"
+	"github.com/sedgemast/sedgemast/internal/jobstate"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// Profile is one deployment of the users' with its load.
+type Profile struct {
+	Name           string
+	Zones          int
+	Workers        int
+	Latencies      latencies
+	OnlineCallers  int
+	OnlineInterval time.Duration
+	BatchCallers   int
+	JobInterval    time.Duration
+	JobItems       int
+	ChangeInterval time.Duration
+	ReservePercent int
+	EngineStep     time.Duration
+	// WarmUp is when load begins, FaultsFrom and FaultsTo when faults strike,
+	// and Settle how long the fleet has afterwards to get over everything.
+	WarmUp     time.Duration
+	FaultsFrom time.Duration
+	FaultsTo   time.Duration
+	Settle     time.Duration
+	Faults     int
+}
+
+func profile(name string, zones, workers int, jobInterval time.Duration) Profile {
+	return Profile{
+		Name:           name,
+		Zones:          zones,
+		Workers:        workers,
+		Latencies:      latencies{sameZone: 200 * time.Microsecond, otherZone: time.Millisecond, client: 3 * time.Millisecond, jitter: 300 * time.Microsecond},
+		OnlineCallers:  3,
+		OnlineInterval: 400 * time.Millisecond,
+		BatchCallers:   2,
+		JobInterval:    jobInterval,
+		JobItems:       30,
+		ChangeInterval: 1500 * time.Millisecond,
+		ReservePercent: 25,
+		EngineStep:     20 * time.Millisecond,
+		WarmUp:         5 * time.Second,
+		FaultsFrom:     6 * time.Second,
+		FaultsTo:       20 * time.Second,
+		Settle:         60 * time.Second,
+		Faults:         8,
+	}
+}
+
+// Profiles returns the deployments by name. Heaps come as often as the users
+// say, from two senders.
+func Profiles() map[string]Profile {
+	return map[string]Profile{
+		"stundir": profile("stundir", 3, 12, 8*time.Second),
+		"kotare":  profile("kotare", 4, 18, 9*time.Second),
+	}
+}
+
+// Options say what to run.
+type Options struct {
+	Profile  Profile
+	Seed     uint64
+	Kinds    []string
+	Mutation Mutation
+	// Schedule replaces the schedule drawn from the seed.
+	Schedule []Fault
+}
+
+// World is one simulated fleet.
+type World struct {
+	profile          Profile
+	mutation         Mutation
+	clock            clock
+	random           *rand.Rand
+	workload         *rand.Rand
+	network          network
+	faults           faultState
+	ledger           *ledger
+	controls         []*controlProcess
+	engines          []*engineProcess
+	dispatchers      []*dispatcherProcess
+	gateways         []*gatewayProcess
+	platform         *platformProcess
+	identities       uint64
+	incarnations     uint64
+	races            int
+	settleEnd        time.Time
+	plannedStopsOnly bool
+}
+
+// Result is what a run showed.
+type Result struct {
+	Seed        uint64
+	Profile     string
+	Schedule    []Fault
+	Violations  []Violation
+	Struck      map[string]int
+	Requests    int
+	Whole       int
+	Refused     int
+	Jobs        int
+	Items       int
+	Changes     int
+	Preemptions int
+	Resumes     int
+	// LeaderChange, HandOver, InForce and FaultyInForce are explained in
+	// timings.
+	LeaderChange  []time.Duration
+	HandOver      []time.Duration
+	InForce       []time.Duration
+	FaultyInForce []time.Duration
+	// Virtual is the simulated time.
+	Virtual time.Duration
+}
+
+// streams of random numbers that one seed is split into, so that leaving a fault
+// out does not change the load.
+const (
+	streamNetwork = iota + 1
+	streamWorkload
+	streamSchedule
+	streamFleet
+)
+
+// Run simulates one seed.
+func Run(options Options) *Result {
+	w := newWorld(options)
+	schedule := options.Schedule
+	if schedule == nil {
+		schedule = drawSchedule(rand.New(rand.NewPCG(options.Seed, streamSchedule)), options.Kinds, w.profile.FaultsFrom, w.profile.FaultsTo, w.profile.Faults)
+	}
+	w.plannedStopsOnly = true
+	for _, fault := range schedule {
+		w.plannedStopsOnly = w.plannedStopsOnly && faultKinds[fault.Kind].planned
+	}
+	w.schedule(schedule)
+	w.startLoad()
+	w.clock.runUntil(epoch.Add(w.profile.FaultsTo), w.broken)
+	w.settle()
+	return w.result(options, schedule)
+}
+
+
+func newWorld(options Options) *World {
+	w := &World{
+		profile:  options.Profile,
+		mutation: options.Mutation,
+		clock:    clock{now: epoch},
+		random:   rand.New(rand.NewPCG(options.Seed, streamFleet)),
+		workload: rand.New(rand.NewPCG(options.Seed, streamWorkload)),
+		network: network{
+			latencies: options.Profile.Latencies,
+			loss:      0.0005,
+			cut:       map[[2]string]bool{},
+			random:    rand.New(rand.NewPCG(options.Seed, streamNetwork)),
+		},
+		faults: faultState{counts: map[string]int{}},
+	}
+	w.ledger = newLedger(&w.clock)
+	w.ledger.calm = func() bool { return len(w.faults.counts) == 0 }
+	w.ledger.timings.living = w.livingDaemons
+	w.ledger.timings.faulty = func() bool { return w.faults.on > 0 }
+	w.settleEnd = epoch.Add(w.profile.FaultsTo + w.profile.Settle)
+	w.addPlatform()
+	for number := 0; number < w.profile.Workers; number++ {
+		w.addEngine(number)
+	}
+	for number := 0; number < controlCount; number++ {
+		w.addControl(number)
+		w.prepareDisk(w.controls[number].disk)
+	}
+	for _, c := range w.controls {
+		c.start()
+	}
+	for number := 0; number < dispatcherCount; number++ {
+		w.addDispatcher(number)
+	}
+	for number := 0; number < gatewayCount; number++ {
+		w.addGateway(number)
+	}
+	return w
+}
+
+func (w *World) startLoad() {
+	w.every(&w.platform.process, timingInterval, func() { w.ledger.timings.check(w.clock.now) })
+	end := epoch.Add(w.profile.FaultsTo)
+	w.clock.after(w.profile.WarmUp/3, w.firstChange)
+	for number := 0; number < w.profile.OnlineCallers; number++ {
+		w.onlineCaller(number, end)
+	}
+	for number := 0; number < w.profile.BatchCallers; number++ {
+		w.batchCaller(number, end)
+	}
+	for number := 1; number <= 2; number++ {
+		w.operator(number, end)
+	}
+}
+
+// broken stops a run at its first violation.
+func (w *World) broken() bool { return len(w.ledger.violations) > 0 }
+
+func (w *World) everyone() []*process {
+	var all []*process
+	for _, c := range w.controls {
+		all = append(all, &c.process)
+	}
+	for _, e := range w.engines {
+		all = append(all, &e.process)
+	}
+	for _, d := range w.dispatchers {
+		all = append(all, &d.process)
+	}
+	for _, g := range w.gateways {
+		all = append(all, &g.process)
+	}
+	return append(all, &w.platform.process)
+}
+
+// livingDaemons returns the daemons that serve: the others refuse work, so that
+// no configuration is acted on there.
+func (w *World) livingDaemons() []string {
+	var names []string
+	for _, d := range w.dispatchers {
+		if w.serving(&d.process, d.session) {
+			names = append(names, d.name)
+		}
+	}
+	for _, g := range w.gateways {
+		if w.serving(&g.process, g.session) {
+			names = append(names, g.name)
+		}
+	}
+	return names
+}
+
+func (w *World) serving(p *process, s *session) bool {
+	return p.alive && !w.clock.now.Before(p.frozenUntil) && s.serves()
+}
+
+const (
+	timingInterval = 20 * time.Millisecond
+	settlePoll     = 500 * time.Millisecond
+	readRounds     = 15
+	readInterval   = 2 * time.Second
+)
+
+// settle lets the fleet get over everything and checks that it does.
+func (w *World) settle() {
+	for !w.broken() {
+		w.clock.runUntil(w.clock.now.Add(settlePoll), w.broken)
+		missing := w.missing()
+		if missing == "" {
+			break
+		}
+		if w.clock.now.After(w.settleEnd) {
+			w.ledger.violate("recovery", "%s after the faults: %s", w.profile.Settle, missing)
+			return
+		}
+	}
+	if w.broken() {
+		return
+	}
+	if leader := w.metaLeaderProcess(); leader != nil {
+		w.ledger.checkHistory(leader.meta.History(1 << 20))
+	}
+	w.readEverything()
+}
+
+// missing says what has not come to its end yet; nothing if all has.
+func (w *World) missing() string {
+	for _, record := range w.ledger.order {
+		if !record.over {
+			return "request " + record.id + " has no answer"
+		}
+	}
+	for _, job := range w.ledger.jobs {
+		if job.id == "" {
+			return "job " + job.key + " is not accepted"
+		}
+		group := jobstate.GroupOfTenant(job.tenant, jobGroups)
+		record, err := w.jobRecord(group, job.id)
+		if err != nil {
+			return fmt.Sprintf("job %s: %v", job.id, err)
+		}
+		if !job.finished(&record) {
+			return fmt.Sprintf("job %s is %s with %d of %d items", job.id, record.State, record.Succeeded, record.Items)
+		}
+	}
+	for _, id := range sortedKeys(w.ledger.changes) {
+		if change := w.ledger.changes[id]; change.revision == 0 && !change.refused {
+			return "change " + id + " has no answer"
+		}
+	}
+	if len(w.ledger.timings.pending) > 0 {
+		return fmt.Sprintf("revision %d is not in force everywhere", w.ledger.timings.pending[0].revision)
+	}
+	return ""
+}
+
+// jobRecord reads a job where its group is led.
+func (w *World) jobRecord(group int, id string) (wire.JobRecord, error) {
+	var record wire.JobRecord
+	err := consensusUnknown
+	for _, c := range w.controls {
+		if !c.alive {
+			continue
+		}
+		read := c.readJobs(group, func(*coordination.Jobs, storage.Reader) (err error) {
+			record, err = c.jobs[group-1].Job("", id)
+			return err
+		})
+		if read == nil {
+			return record, nil
+		}
+	}
+	return record, err
+}
+
+var consensusUnknown = fmt.Errorf("no %s of its group", consensus.Leader)
+
+// readEverything reads all results once more.
+func (w *World) readEverything() {
+	p := w.newCaller("reader")
+	for _, job := range w.ledger.jobs {
+		w.readJob(p, job)
+	}
+	w.clock.runUntil(w.clock.now.Add(readInterval), w.broken)
+	for round := 0; round < readRounds; round++ {
+		for _, job := range w.ledger.jobs {
+			w.readJob(p, job)
+		}
+		w.clock.runUntil(w.clock.now.Add(readInterval), w.broken)
+	}
+	for _, job := range w.ledger.jobs {
+		if job.cancelledAt.IsZero() && !job.cancelling && len(job.seen) != len(job.lines) && !w.broken() {
+			w.ledger.violate("readable", "job %s has %d of %d results readable", job.id, len(job.seen), len(job.lines))
+		}
+	}
+}
+
+func (w *World) result(options Options, schedule []Fault) *Result {
+	result := &Result{
+		Seed:          options.Seed,
+		Profile:       w.profile.Name,
+		Schedule:      schedule,
+		Violations:    w.ledger.violations,
+		Struck:        w.faults.counts,
+		Requests:      len(w.ledger.order),
+		Jobs:          len(w.ledger.jobs),
+		Changes:       len(w.ledger.accepted),
+		Preemptions:   w.ledger.preemptions,
+		Resumes:       w.ledger.resumes,
+		LeaderChange:  w.ledger.timings.LeaderChange,
+		HandOver:      w.ledger.timings.HandOver,
+		InForce:       w.ledger.timings.InForce,
+		FaultyInForce: w.ledger.timings.FaultyInForce,
+		Virtual:       w.clock.now.Sub(epoch),
+	}
+	for _, record := range w.ledger.order {
+		if record.over && record.err == nil {
+			result.Whole++
+		}
+	}
+	result.Refused = result.Requests - result.Whole
+	for _, job := range w.ledger.jobs {
+		result.Items += len(job.seen)
+	}
+	return result
+}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -72,7 +72,8 @@
 	Assignments []Assignment `msg:"assignments"`
 	// JobGroups is the number of job groups.
 	JobGroups int `msg:"job_groups"`
-	// Gateways is the number of living gateways, which share tenants' limits.
+	// Gateways is the number of living gateways, which share tenants' limits;
+	// zero while control does not know.
 	Gateways int  `msg:"gateways"`
 	Drain    bool `msg:"drain"`
 }
