--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -71,11 +71,12 @@
 
 // ProcessFlags are the flags that all daemons have. They go over the file.
 type ProcessFlags struct {
-	Settings string `arg:"--settings" placeholder:"FILE" help:"settings file (YAML); without it the defaults hold"`
-	Name     string `arg:"--name" help:"unique name of the process"`
-	Zone     string `arg:"--zone" help:"zone of the machine"`
-	Listen   string `arg:"--listen" placeholder:"IP:PORT" help:"address at which others reach the process"`
-	LogLevel string `arg:"--log-level" help:"debug, info, warn or error"`
+	Settings  string `arg:"--settings" placeholder:"FILE" help:"settings file (YAML); without it the defaults hold"`
+	Name      string `arg:"--name" help:"unique name of the process"`
+	Zone      string `arg:"--zone" help:"zone of the machine"`
+	Listen    string `arg:"--listen" placeholder:"IP:PORT" help:"address at which others reach the process"`
+	Advertise string `arg:"--advertise" placeholder:"IP:PORT" help:"address that others are told [default: the one listened on]"`
+	LogLevel  string `arg:"--log-level" help:"debug, info, warn or error"`
 }
 
 // Override applies the flags that were given.
@@ -83,6 +84,7 @@
 	Set(&process.Name, f.Name)
 	Set(&process.Zone, f.Zone)
 	Set(&process.Listen, f.Listen)
+	Set(&process.Advertise, f.Advertise)
 	Set(&process.LogLevel, f.LogLevel)
 }
 
@@ -100,6 +102,7 @@
 		Role:        role,
 		Name:        process.Name,
 		Listen:      process.Listen,
+		Advertise:   process.Advertise,
 		Logger:      logger,
 		StopTimeout: process.StopTimeout.Std(),
 	})
--- /dev/null
+++ b/internal/consensus/replica_test.go
@@ -0,0 +1,147 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+var testStart = time.Unix(0, 0)
+
+func testReplica(id uint64, restored Restored) *Replica {
+	return New(Config{
+		ID:                id,
+		ElectionTimeout:   testElection,
+		HeartbeatInterval: testHeartbeat,
+		MaxAppendBytes:    256,
+		MaxInflightBytes:  1024,
+		Random:            fixedRandom(1),
+	}, restored, testStart)
+}
+
+func three() wire.LogBase {
+	return wire.LogBase{Membership: wire.Membership{Voters: replicas(3)}}
+}
+
+// vote asks the replica for its vote and reports whether it gave it.
+func vote(r *Replica, now time.Time, from, term uint64, forced bool) bool {
+	r.Step(now, &wire.PeerMessage{Kind: wire.MessageVote, From: from, To: r.ID(), Term: term, Forced: forced})
+	ready := r.Ready()
+	r.Advance(now, &ready)
+	return len(ready.Durable) == 1 && !ready.Durable[0].Reject
+}
+
+// TestOneVotePerTerm shows that the stored vote is what keeps a restarted replica
+// from voting twice: without it the second vote is given.
+func TestOneVotePerTerm(t *testing.T) {
+	later := testStart.Add(time.Second)
+	r := testReplica(1, Restored{Base: three()})
+	if !vote(r, later, 2, 5, false) {
+		t.Fatal("the first vote of a term was refused")
+	}
+	if vote(r, later, 3, 5, false) {
+		t.Error("a second vote was given in the same term")
+	}
+	restarted := testReplica(1, Restored{Base: three(), HardState: wire.HardState{Term: 5, Vote: 2}})
+	if vote(restarted, later, 3, 5, false) {
+		t.Error("a second vote was given after a restart")
+	}
+	forgetful := testReplica(1, Restored{Base: three()})
+	if !vote(forgetful, later, 3, 5, false) {
+		t.Error("the mutation without a stored vote is not seen")
+	}
+}
+
+// TestVotes lists when a vote is given.
+func TestVotes(t *testing.T) {
+	entries := []wire.LogEntry{{Index: 1, Term: 2}, {Index: 2, Term: 3}}
+	cases := []struct {
+		name    string
+		after   time.Duration
+		message wire.PeerMessage
+		granted bool
+	}{
+		{"longer log", time.Second, wire.PeerMessage{Term: 4, Index: 3, LogTerm: 3}, true},
+		{"same log", time.Second, wire.PeerMessage{Term: 4, Index: 2, LogTerm: 3}, true},
+		{"shorter log", time.Second, wire.PeerMessage{Term: 4, Index: 1, LogTerm: 3}, false},
+		{"older last term", time.Second, wire.PeerMessage{Term: 4, Index: 9, LogTerm: 2}, false},
+		{"older term", time.Second, wire.PeerMessage{Term: 2, Index: 9, LogTerm: 9}, false},
+		{"within an election timeout of the start", testElection / 2, wire.PeerMessage{Term: 4, Index: 3, LogTerm: 3}, false},
+		{"the same, named by the leader", testElection / 2, wire.PeerMessage{Term: 4, Index: 3, LogTerm: 3, Forced: true}, true},
+		{"for another identity", time.Second, wire.PeerMessage{Term: 4, Index: 3, LogTerm: 3, To: 99}, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			r := testReplica(1, Restored{Base: three(), Entries: entries, HardState: wire.HardState{Term: 3}})
+			message := test.message
+			message.Kind, message.From = wire.MessageVote, 2
+			if message.To == 0 {
+				message.To = 1
+			}
+			r.Step(testStart.Add(test.after), &message)
+			ready := r.Ready()
+			granted := len(ready.Durable) == 1 && !ready.Durable[0].Reject
+			if granted != test.granted {
+				t.Errorf("granted %t, want %t", granted, test.granted)
+			}
+		})
+	}
+}
+
+// TestSnapshotKeepsMatchingEntries: entries after a snapshot's position may have
+// been counted for a majority and must stay.
+func TestSnapshotKeepsMatchingEntries(t *testing.T) {
+	entries := []wire.LogEntry{{Index: 1, Term: 1}, {Index: 2, Term: 1}, {Index: 3, Term: 1}}
+	r := testReplica(1, Restored{Base: three(), Entries: entries})
+	base := wire.LogBase{Index: 2, Term: 1}
+	if r.WantsSnapshot(2, &base) {
+		t.Error("a snapshot is wanted that the log holds already")
+	}
+	if r.log.lastIndex() != 3 || r.Commit() != 2 {
+		t.Errorf("last %d, commit %d; want 3 and 2", r.log.lastIndex(), r.Commit())
+	}
+	other := wire.LogBase{Index: 3, Term: 2}
+	if !r.WantsSnapshot(2, &other) {
+		t.Error("a snapshot of another term's entry is not wanted")
+	}
+}
+
+func TestQuorum(t *testing.T) {
+	values := map[uint64]int64{1: 5, 2: 4, 3: 3, 4: 2, 5: 1, 6: 9, 7: 9}
+	value := func(id uint64) int64 { return values[id] }
+	cases := []struct {
+		name       string
+		membership wire.Membership
+		want       int64
+	}{
+		{"one", wire.Membership{Voters: replicas(1)}, 5},
+		{"three", wire.Membership{Voters: replicas(3)}, 4},
+		{"four need three", wire.Membership{Voters: replicas(4)}, 3},
+		{"five", wire.Membership{Voters: replicas(5)}, 3},
+		{"joint takes the lower", wire.Membership{Voters: replicas(7)[4:], Outgoing: replicas(5)}, 3},
+		{"learners do not count", wire.Membership{Voters: replicas(3), Learners: replicas(7)[5:]}, 4},
+		{"nobody", wire.Membership{}, 0},
+	}
+	for _, test := range cases {
+		if got := quorumValue(&test.membership, value); got != test.want {
+			t.Errorf("%s: %d, want %d", test.name, got, test.want)
+		}
+	}
+}
+
+// TestCommitThatRemovesTheSender: the answer that commits a membership may come
+// from a replica that the membership lacks. Simulation seed 1 of
+// control_leader_killed panicked here.
+func TestCommitThatRemovesTheSender(t *testing.T) {
+	c := newTestCluster(3)
+	c.pass(300 * time.Millisecond)
+	c.cut[[2]uint64{1, 2}] = true
+	c.replace(3, 4)
+	c.pass(200 * time.Millisecond)
+	delete(c.cut, [2]uint64{1, 2})
+	c.pass(300 * time.Millisecond)
+	if leader := c.replicas[1]; leader.role != Leader || contains(leader.membership.Voters, 3) || len(leader.membership.Outgoing) > 0 {
+		t.Errorf("membership %+v under %s", leader.membership, leader.role)
+	}
+}
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -44,7 +44,7 @@
 const LeaderHint = "leader="
 
 const (
-	attemptTimeout = 2 * time.Second
+	attemptTimeout = time.Second
 	firstBackoff   = 20 * time.Millisecond
 	maxBackoff     = 500 * time.Millisecond
 )
--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -176,6 +176,8 @@
 	}
 	if changed {
 		logging.Info(s.options.Logger, "configuration_in_force", "revision", s.config.Current().Revision)
+		// Control learns at once that the change is in force here.
+		s.Hurry()
 	}
 	s.mutex.Lock()
 	if s.failures > 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,7 +32,9 @@
 	Role   string
 	Name   string
 	Listen string
-	Logger logging.Logger
+	// Advertise is the address that others are told, if it is not Listen.
+	Advertise string
+	Logger    logging.Logger
 	// StopTimeout bounds the time between the order to stop and the exit.
 	StopTimeout time.Duration
 	// Embedded processes share an operating-system process and leave its
@@ -122,8 +124,13 @@
 	_, _ = writer.Write([]byte("ok\n"))
 }
 
-// Address returns the IP:port that the process listens on.
-func (d *Daemon) Address() string { return d.listener.Addr().String() }
+// Address returns the IP:port at which others reach the process.
+func (d *Daemon) Address() string {
+	if d.options.Advertise != "" {
+		return d.options.Advertise
+	}
+	return d.listener.Addr().String()
+}
 
 // Context ends when the process has stopped.
 func (d *Daemon) Context() context.Context { return d.context }
@@ -175,7 +182,7 @@
 	if !d.options.Embedded {
 		kratoslog.SetLogger(logging.Kratos(d.Logger))
 	}
-	logging.Info(d.Logger, "started", "address", d.Address(), "version", Version)
+	logging.Info(d.Logger, "started", "address", d.listener.Addr().String(), "version", Version)
 	err := d.app.Run()
 	d.cancel()
 	d.background.Wait()
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -13,9 +13,12 @@
 	// Name is the process's name in logs, tables and leases; it is unique.
 	Name string `json:"name"`
 	Zone string `json:"zone"`
-	// Listen is the IP:port at which others reach the process.
-	Listen   string `json:"listen"`
-	LogLevel string `json:"log_level"`
+	// Listen is the IP:port that the process listens on.
+	Listen string `json:"listen"`
+	// Advertise is the IP:port at which others reach the process, where that
+	// is not Listen.
+	Advertise string `json:"advertise"`
+	LogLevel  string `json:"log_level"`
 	// StopTimeout bounds a planned stop.
 	StopTimeout Duration `json:"stop_timeout"`
 }
@@ -36,10 +39,21 @@
 	}
 }
 
+// Reachable returns the address at which others reach the process.
+func (p *Process) Reachable() string {
+	if p.Advertise != "" {
+		return p.Advertise
+	}
+	return p.Listen
+}
+
 func (p *Process) check(checker *Checker) {
 	checker.Name("name", p.Name)
 	checker.Name("zone", p.Zone)
 	checker.Listen("listen", p.Listen)
+	if p.Advertise != "" {
+		checker.Address("advertise", p.Advertise)
+	}
 	checker.OneOf("log_level", p.LogLevel, "debug", "info", "warn", "error")
 	checker.Between("stop_timeout", p.StopTimeout, time.Second, maxStopTimeout)
 }
@@ -236,8 +250,8 @@
 	checker.Range("job_groups", c.JobGroups, 1, 256)
 	if len(c.Peers) > 0 {
 		checker.Addresses("peers", c.Peers)
-		if !slices.Contains(c.Peers, c.Listen) {
-			checker.Fault("peers", strings.Join(c.Peers, ", "), "name this process's own listen address among the peers")
+		if !slices.Contains(c.Peers, c.Reachable()) {
+			checker.Fault("peers", strings.Join(c.Peers, ", "), "name this process's own address among the peers")
 		}
 	}
 	checker.Range("voters", c.Voters, 1, 9)
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/proptest"
+)
+
+func TestDefaultsAreValid(t *testing.T) {
+	for name, target := range map[string]Checked{"gateway": DefaultGateway(), "dispatcher": DefaultDispatcher(), "control": DefaultControl(), "engine": DefaultEngine()} {
+		if err := Load("", target, nil); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// TestLoadProperty writes random fields with random values: a file is loaded, or
+// refused with a typed failure that names the field; never half.
+func TestLoadProperty(t *testing.T) {
+	folder := t.TempDir()
+	fields := []string{"name", "zone", "listen", "log_level", "stop_timeout", "control", "max_requests", "retry_percent", "heartbeat", "unknown_field", "max_body_bytes"}
+	values := []string{"x", "10.0.0.1:80", "localhost:80", "-1", "5s", "[]", "[10.0.0.1:80]", "{interval: 1s}", "{intervall: 1s}", "99999999999999999999", "true", "null", "''"}
+	proptest.Run(t, "loaded or refused by name", func(random *rand.Rand) error {
+		path := filepath.Join(folder, fmt.Sprintf("%d.yaml", random.Int63()))
+		var text strings.Builder
+		for _, index := range random.Perm(len(fields))[:1+random.Intn(3)] {
+			fmt.Fprintf(&text, "%s: %s\n", fields[index], values[random.Intn(len(values))])
+		}
+		if err := os.WriteFile(path, []byte(text.String()), 0o600); err != nil {
+			return err
+		}
+		target := DefaultGateway()
+		err := Load(path, target, nil)
+		if err == nil {
+			checker := &Checker{}
+			target.Check(checker)
+			return errors.Wrapf(checker.Err(), "accepted\n%s", text.String())
+		}
+		if !failure.Is(err, failure.BadRequest) || failure.From(err).Remedy == "" {
+			return errors.Newf("refused without kind or remedy:\n%s%v", text.String(), err)
+		}
+		return nil
+	})
+}
--- a/internal/simulation/world_run.go
+++ b/internal/simulation/world_run.go
@@ -150,7 +150,6 @@
 	return w.result(options, schedule)
 }
 
-
 func newWorld(options Options) *World {
 	w := &World{
 		profile:  options.Profile,
@@ -310,7 +309,7 @@
 // jobRecord reads a job where its group is led.
 func (w *World) jobRecord(group int, id string) (wire.JobRecord, error) {
 	var record wire.JobRecord
-	err := consensusUnknown
+	err := errNoLeader
 	for _, c := range w.controls {
 		if !c.alive {
 			continue
@@ -326,7 +325,7 @@
 	return record, err
 }
 
-var consensusUnknown = fmt.Errorf("no %s of its group", consensus.Leader)
+var errNoLeader = fmt.Errorf("no %s of its group", consensus.Leader)
 
 // readEverything reads all results once more.
 func (w *World) readEverything() {
--- a/internal/wire/configuration.go
+++ b/internal/wire/configuration.go
@@ -1,5 +1,7 @@
 package wire
 
+//msgp:limit arrays:65536 maps:65536
+
 // Document is one configuration document as control keeps it. Body is
 // canonical JSON of the kind's type in package metastate.
 type Document struct {
--- a/internal/wire/configuration_gen.go
+++ b/internal/wire/configuration_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z1d5d2b92limitArrays = 65536
+	z1d5d2b92limitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *ApplyRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -49,6 +59,10 @@
 				err = msgp.WrapError(err, "Documents")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Documents) >= int(zb0002) {
 				z.Documents = (z.Documents)[:zb0002]
 			} else {
@@ -161,6 +175,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -194,6 +212,10 @@
 				err = msgp.WrapError(err, "Documents")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Documents) >= int(zb0002) {
 				z.Documents = (z.Documents)[:zb0002]
 			} else {
@@ -237,6 +259,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -317,6 +343,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -365,6 +395,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -380,6 +414,10 @@
 				err = msgp.WrapError(err, "Assignments")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Assignments) >= int(zb0002) {
 				z.Assignments = (z.Assignments)[:zb0002]
 			} else {
@@ -399,6 +437,10 @@
 				err = msgp.WrapError(err, "Forget")
 				return
 			}
+			if zb0003 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Forget) >= int(zb0003) {
 				z.Forget = (z.Forget)[:zb0003]
 			} else {
@@ -495,6 +537,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -510,6 +556,10 @@
 				err = msgp.WrapError(err, "Assignments")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Assignments) >= int(zb0002) {
 				z.Assignments = (z.Assignments)[:zb0002]
 			} else {
@@ -529,6 +579,10 @@
 				err = msgp.WrapError(err, "Forget")
 				return
 			}
+			if zb0003 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Forget) >= int(zb0003) {
 				z.Forget = (z.Forget)[:zb0003]
 			} else {
@@ -576,6 +630,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -621,6 +679,10 @@
 				err = msgp.WrapError(err, "Documents")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Documents) >= int(zb0002) {
 				z.Documents = (z.Documents)[:zb0002]
 			} else {
@@ -755,6 +817,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -800,6 +866,10 @@
 				err = msgp.WrapError(err, "Documents")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Documents) >= int(zb0002) {
 				z.Documents = (z.Documents)[:zb0002]
 			} else {
@@ -843,6 +913,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -870,6 +944,10 @@
 				err = msgp.WrapError(err, "Documents")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Documents) >= int(zb0002) {
 				z.Documents = (z.Documents)[:zb0002]
 			} else {
@@ -969,6 +1047,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -996,6 +1078,10 @@
 				err = msgp.WrapError(err, "Documents")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Documents) >= int(zb0002) {
 				z.Documents = (z.Documents)[:zb0002]
 			} else {
@@ -1039,6 +1125,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1060,7 +1150,10 @@
 				return
 			}
 		case "body":
-			z.Body, err = dc.ReadBytes(z.Body)
+			z.Body, err = dc.ReadBytesLimit(z.Body, z1d5d2b92limitArrays)
+			if err == nil && z.Body == nil {
+				z.Body = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
@@ -1176,6 +1269,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1197,11 +1294,27 @@
 				return
 			}
 		case "body":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Body == nil || uint32(cap(z.Body)) < zb0002 {
+				z.Body = make([]byte, zb0002)
+			} else {
+				z.Body = z.Body[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Body, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "revision":
 			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -1242,6 +1355,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1322,6 +1439,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1370,6 +1491,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1391,6 +1516,10 @@
 				err = msgp.WrapError(err, "Documents")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Documents) >= int(zb0002) {
 				z.Documents = (z.Documents)[:zb0002]
 			} else {
@@ -1477,6 +1606,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1498,6 +1631,10 @@
 				err = msgp.WrapError(err, "Documents")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Documents) >= int(zb0002) {
 				z.Documents = (z.Documents)[:zb0002]
 			} else {
@@ -1541,6 +1678,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1602,6 +1743,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1644,6 +1789,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1659,6 +1808,10 @@
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Changes) >= int(zb0002) {
 				z.Changes = (z.Changes)[:zb0002]
 			} else {
@@ -1732,6 +1885,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1747,6 +1904,10 @@
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
+			if zb0002 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Changes) >= int(zb0002) {
 				z.Changes = (z.Changes)[:zb0002]
 			} else {
@@ -1790,6 +1951,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1943,6 +2108,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2030,6 +2199,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2074,6 +2247,10 @@
 					err = msgp.WrapError(err, "Apply")
 					return
 				}
+				if zb0002 > z1d5d2b92limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0002 > 0 {
 					zb0002--
 					field, err = dc.ReadMapKeyPtr()
@@ -2110,6 +2287,10 @@
 				err = msgp.WrapError(err, "Assignments")
 				return
 			}
+			if zb0003 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Assignments) >= int(zb0003) {
 				z.Assignments = (z.Assignments)[:zb0003]
 			} else {
@@ -2257,6 +2438,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2299,6 +2484,10 @@
 					err = msgp.WrapError(err, "Apply")
 					return
 				}
+				if zb0002 > z1d5d2b92limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0002 > 0 {
 					zb0002--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2335,6 +2524,10 @@
 				err = msgp.WrapError(err, "Assignments")
 				return
 			}
+			if zb0003 > z1d5d2b92limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Assignments) >= int(zb0003) {
 				z.Assignments = (z.Assignments)[:zb0003]
 			} else {
--- a/internal/wire/consensus.go
+++ b/internal/wire/consensus.go
@@ -1,5 +1,7 @@
 package wire
 
+//msgp:limit arrays:65536 maps:65536
+
 // EntryKind says what a log entry holds.
 type EntryKind uint8
 
--- a/internal/wire/consensus_gen.go
+++ b/internal/wire/consensus_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z121f821blimitArrays = 65536
+	z121f821blimitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Empty) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -65,6 +75,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -153,6 +167,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -233,6 +251,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -281,6 +303,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -296,6 +322,10 @@
 				err = msgp.WrapError(err, "Replica")
 				return
 			}
+			if zb0002 > z121f821blimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -343,6 +373,10 @@
 				err = msgp.WrapError(err, "Initial")
 				return
 			}
+			if zb0003 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Initial) >= int(zb0003) {
 				z.Initial = (z.Initial)[:zb0003]
 			} else {
@@ -355,6 +389,10 @@
 					err = msgp.WrapError(err, "Initial", za0001)
 					return
 				}
+				if zb0004 > z121f821blimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -543,6 +581,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -558,6 +600,10 @@
 				err = msgp.WrapError(err, "Replica")
 				return
 			}
+			if zb0002 > z121f821blimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -605,6 +651,10 @@
 				err = msgp.WrapError(err, "Initial")
 				return
 			}
+			if zb0003 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Initial) >= int(zb0003) {
 				z.Initial = (z.Initial)[:zb0003]
 			} else {
@@ -617,6 +667,10 @@
 					err = msgp.WrapError(err, "Initial", za0001)
 					return
 				}
+				if zb0004 > z121f821blimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -683,6 +737,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -692,13 +750,19 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "key":
-			z.Key, err = dc.ReadBytes(z.Key)
+			z.Key, err = dc.ReadBytesLimit(z.Key, z121f821blimitArrays)
+			if err == nil && z.Key == nil {
+				z.Key = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Key")
 				return
 			}
 		case "value":
-			z.Value, err = dc.ReadBytes(z.Value)
+			z.Value, err = dc.ReadBytesLimit(z.Value, z121f821blimitArrays)
+			if err == nil && z.Value == nil {
+				z.Value = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Value")
 				return
@@ -763,6 +827,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -772,17 +840,49 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "key":
-			z.Key, bts, err = msgp.ReadBytesBytes(bts, z.Key)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Key")
 				return
 			}
+			if zb0002 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Key == nil || uint32(cap(z.Key)) < zb0002 {
+				z.Key = make([]byte, zb0002)
+			} else {
+				z.Key = z.Key[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Key, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "value":
-			z.Value, bts, err = msgp.ReadBytesBytes(bts, z.Value)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Value")
 				return
 			}
+			if zb0003 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Value == nil || uint32(cap(z.Value)) < zb0003 {
+				z.Value = make([]byte, zb0003)
+			} else {
+				z.Value = z.Value[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Value, bts[:zb0003])
+			bts = bts[zb0003:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -811,6 +911,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -914,6 +1018,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -968,6 +1076,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -999,7 +1111,10 @@
 				z.Kind = EntryKind(zb0002)
 			}
 		case "data":
-			z.Data, err = dc.ReadBytes(z.Data)
+			z.Data, err = dc.ReadBytesLimit(z.Data, z121f821blimitArrays)
+			if err == nil && z.Data == nil {
+				z.Data = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Data")
 				return
@@ -1090,6 +1205,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1121,11 +1240,27 @@
 				z.Kind = EntryKind(zb0002)
 			}
 		case "data":
-			z.Data, bts, err = msgp.ReadBytesBytes(bts, z.Data)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Data")
 				return
 			}
+			if zb0003 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Data == nil || uint32(cap(z.Data)) < zb0003 {
+				z.Data = make([]byte, zb0003)
+			} else {
+				z.Data = z.Data[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Data, bts[:zb0003])
+			bts = bts[zb0003:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1154,6 +1289,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1169,6 +1308,10 @@
 				err = msgp.WrapError(err, "Voters")
 				return
 			}
+			if zb0002 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Voters) >= int(zb0002) {
 				z.Voters = (z.Voters)[:zb0002]
 			} else {
@@ -1181,6 +1324,10 @@
 					err = msgp.WrapError(err, "Voters", za0001)
 					return
 				}
+				if zb0003 > z121f821blimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -1223,6 +1370,10 @@
 				err = msgp.WrapError(err, "Outgoing")
 				return
 			}
+			if zb0004 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Outgoing) >= int(zb0004) {
 				z.Outgoing = (z.Outgoing)[:zb0004]
 			} else {
@@ -1235,6 +1386,10 @@
 					err = msgp.WrapError(err, "Outgoing", za0002)
 					return
 				}
+				if zb0005 > z121f821blimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, err = dc.ReadMapKeyPtr()
@@ -1277,6 +1432,10 @@
 				err = msgp.WrapError(err, "Learners")
 				return
 			}
+			if zb0006 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Learners) >= int(zb0006) {
 				z.Learners = (z.Learners)[:zb0006]
 			} else {
@@ -1289,6 +1448,10 @@
 					err = msgp.WrapError(err, "Learners", za0003)
 					return
 				}
+				if zb0007 > z121f821blimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0007 > 0 {
 					zb0007--
 					field, err = dc.ReadMapKeyPtr()
@@ -1532,6 +1695,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1547,6 +1714,10 @@
 				err = msgp.WrapError(err, "Voters")
 				return
 			}
+			if zb0002 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Voters) >= int(zb0002) {
 				z.Voters = (z.Voters)[:zb0002]
 			} else {
@@ -1559,6 +1730,10 @@
 					err = msgp.WrapError(err, "Voters", za0001)
 					return
 				}
+				if zb0003 > z121f821blimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1601,6 +1776,10 @@
 				err = msgp.WrapError(err, "Outgoing")
 				return
 			}
+			if zb0004 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Outgoing) >= int(zb0004) {
 				z.Outgoing = (z.Outgoing)[:zb0004]
 			} else {
@@ -1613,6 +1792,10 @@
 					err = msgp.WrapError(err, "Outgoing", za0002)
 					return
 				}
+				if zb0005 > z121f821blimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1655,6 +1838,10 @@
 				err = msgp.WrapError(err, "Learners")
 				return
 			}
+			if zb0006 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Learners) >= int(zb0006) {
 				z.Learners = (z.Learners)[:zb0006]
 			} else {
@@ -1667,6 +1854,10 @@
 					err = msgp.WrapError(err, "Learners", za0003)
 					return
 				}
+				if zb0007 > z121f821blimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0007 > 0 {
 					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1793,6 +1984,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1808,6 +2003,10 @@
 				err = msgp.WrapError(err, "Messages")
 				return
 			}
+			if zb0002 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Messages) >= int(zb0002) {
 				z.Messages = (z.Messages)[:zb0002]
 			} else {
@@ -1881,6 +2080,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1896,6 +2099,10 @@
 				err = msgp.WrapError(err, "Messages")
 				return
 			}
+			if zb0002 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Messages) >= int(zb0002) {
 				z.Messages = (z.Messages)[:zb0002]
 			} else {
@@ -1939,6 +2146,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2006,6 +2217,10 @@
 				err = msgp.WrapError(err, "Entries")
 				return
 			}
+			if zb0003 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Entries) >= int(zb0003) {
 				z.Entries = (z.Entries)[:zb0003]
 			} else {
@@ -2305,6 +2520,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2372,6 +2591,10 @@
 				err = msgp.WrapError(err, "Entries")
 				return
 			}
+			if zb0003 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Entries) >= int(zb0003) {
 				z.Entries = (z.Entries)[:zb0003]
 			} else {
@@ -2462,6 +2685,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2546,6 +2773,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2594,6 +2825,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2693,6 +2928,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2747,6 +2986,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2762,6 +3005,10 @@
 				err = msgp.WrapError(err, "Base")
 				return
 			}
+			if zb0002 > z121f821blimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -2815,6 +3062,10 @@
 				err = msgp.WrapError(err, "Pairs")
 				return
 			}
+			if zb0003 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Pairs) >= int(zb0003) {
 				z.Pairs = (z.Pairs)[:zb0003]
 			} else {
@@ -2827,6 +3078,10 @@
 					err = msgp.WrapError(err, "Pairs", za0001)
 					return
 				}
+				if zb0004 > z121f821blimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -2836,13 +3091,19 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "key":
-						z.Pairs[za0001].Key, err = dc.ReadBytes(z.Pairs[za0001].Key)
+						z.Pairs[za0001].Key, err = dc.ReadBytesLimit(z.Pairs[za0001].Key, z121f821blimitArrays)
+						if err == nil && z.Pairs[za0001].Key == nil {
+							z.Pairs[za0001].Key = []byte{}
+						}
 						if err != nil {
 							err = msgp.WrapError(err, "Pairs", za0001, "Key")
 							return
 						}
 					case "value":
-						z.Pairs[za0001].Value, err = dc.ReadBytes(z.Pairs[za0001].Value)
+						z.Pairs[za0001].Value, err = dc.ReadBytesLimit(z.Pairs[za0001].Value, z121f821blimitArrays)
+						if err == nil && z.Pairs[za0001].Value == nil {
+							z.Pairs[za0001].Value = []byte{}
+						}
 						if err != nil {
 							err = msgp.WrapError(err, "Pairs", za0001, "Value")
 							return
@@ -3032,6 +3293,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z121f821blimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3047,6 +3312,10 @@
 				err = msgp.WrapError(err, "Base")
 				return
 			}
+			if zb0002 > z121f821blimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3100,6 +3369,10 @@
 				err = msgp.WrapError(err, "Pairs")
 				return
 			}
+			if zb0003 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Pairs) >= int(zb0003) {
 				z.Pairs = (z.Pairs)[:zb0003]
 			} else {
@@ -3112,6 +3385,10 @@
 					err = msgp.WrapError(err, "Pairs", za0001)
 					return
 				}
+				if zb0004 > z121f821blimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3121,17 +3398,49 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "key":
-						z.Pairs[za0001].Key, bts, err = msgp.ReadBytesBytes(bts, z.Pairs[za0001].Key)
+						var zb0005 uint32
+						zb0005, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Pairs", za0001, "Key")
 							return
 						}
+						if zb0005 > z121f821blimitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Pairs[za0001].Key == nil || uint32(cap(z.Pairs[za0001].Key)) < zb0005 {
+							z.Pairs[za0001].Key = make([]byte, zb0005)
+						} else {
+							z.Pairs[za0001].Key = z.Pairs[za0001].Key[:zb0005]
+						}
+						if uint32(len(bts)) < zb0005 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Pairs[za0001].Key, bts[:zb0005])
+						bts = bts[zb0005:]
 					case "value":
-						z.Pairs[za0001].Value, bts, err = msgp.ReadBytesBytes(bts, z.Pairs[za0001].Value)
+						var zb0006 uint32
+						zb0006, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Pairs", za0001, "Value")
 							return
 						}
+						if zb0006 > z121f821blimitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Pairs[za0001].Value == nil || uint32(cap(z.Pairs[za0001].Value)) < zb0006 {
+							z.Pairs[za0001].Value = make([]byte, zb0006)
+						} else {
+							z.Pairs[za0001].Value = z.Pairs[za0001].Value[:zb0006]
+						}
+						if uint32(len(bts)) < zb0006 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Pairs[za0001].Value, bts[:zb0006])
+						bts = bts[zb0006:]
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -1,5 +1,7 @@
 package wire
 
+//msgp:limit arrays:65536 maps:65536
+
 // Role is the role of a daemon.
 type Role uint8
 
--- a/internal/wire/control_gen.go
+++ b/internal/wire/control_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zfe1bd8eflimitArrays = 65536
+	zfe1bd8eflimitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Assignment) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -191,6 +201,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -269,6 +283,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -482,6 +500,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -572,6 +594,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -617,6 +643,10 @@
 				err = msgp.WrapError(err, "Models")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Models) >= int(zb0002) {
 				z.Models = (z.Models)[:zb0002]
 			} else {
@@ -751,6 +781,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -796,6 +830,10 @@
 				err = msgp.WrapError(err, "Models")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Models) >= int(zb0002) {
 				z.Models = (z.Models)[:zb0002]
 			} else {
@@ -839,6 +877,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -906,6 +948,10 @@
 				err = msgp.WrapError(err, "Models")
 				return
 			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Models) >= int(zb0003) {
 				z.Models = (z.Models)[:zb0003]
 			} else {
@@ -943,6 +989,10 @@
 				err = msgp.WrapError(err, "Workers")
 				return
 			}
+			if zb0004 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Workers) >= int(zb0004) {
 				z.Workers = (z.Workers)[:zb0004]
 			} else {
@@ -1182,6 +1232,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1249,6 +1303,10 @@
 				err = msgp.WrapError(err, "Models")
 				return
 			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Models) >= int(zb0003) {
 				z.Models = (z.Models)[:zb0003]
 			} else {
@@ -1286,6 +1344,10 @@
 				err = msgp.WrapError(err, "Workers")
 				return
 			}
+			if zb0004 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Workers) >= int(zb0004) {
 				z.Workers = (z.Workers)[:zb0004]
 			} else {
@@ -1333,6 +1395,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1408,6 +1474,10 @@
 				err = msgp.WrapError(err, "Assignments")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Assignments) >= int(zb0002) {
 				z.Assignments = (z.Assignments)[:zb0002]
 			} else {
@@ -1646,6 +1716,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1719,6 +1793,10 @@
 				err = msgp.WrapError(err, "Assignments")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Assignments) >= int(zb0002) {
 				z.Assignments = (z.Assignments)[:zb0002]
 			} else {
@@ -1793,6 +1871,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1930,6 +2012,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2048,6 +2134,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2097,6 +2187,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2133,6 +2227,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2160,6 +2258,10 @@
 				err = msgp.WrapError(err, "Daemons")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Daemons) >= int(zb0002) {
 				z.Daemons = (z.Daemons)[:zb0002]
 			} else {
@@ -2179,6 +2281,10 @@
 				err = msgp.WrapError(err, "Workers")
 				return
 			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Workers) >= int(zb0003) {
 				z.Workers = (z.Workers)[:zb0003]
 			} else {
@@ -2198,6 +2304,10 @@
 				err = msgp.WrapError(err, "Replicas")
 				return
 			}
+			if zb0004 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Replicas) >= int(zb0004) {
 				z.Replicas = (z.Replicas)[:zb0004]
 			} else {
@@ -2351,6 +2461,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2378,6 +2492,10 @@
 				err = msgp.WrapError(err, "Daemons")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Daemons) >= int(zb0002) {
 				z.Daemons = (z.Daemons)[:zb0002]
 			} else {
@@ -2397,6 +2515,10 @@
 				err = msgp.WrapError(err, "Workers")
 				return
 			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Workers) >= int(zb0003) {
 				z.Workers = (z.Workers)[:zb0003]
 			} else {
@@ -2416,6 +2538,10 @@
 				err = msgp.WrapError(err, "Replicas")
 				return
 			}
+			if zb0004 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Replicas) >= int(zb0004) {
 				z.Replicas = (z.Replicas)[:zb0004]
 			} else {
@@ -2467,6 +2593,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2494,6 +2624,10 @@
 				err = msgp.WrapError(err, "Dispatchers")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Dispatchers) >= int(zb0002) {
 				z.Dispatchers = (z.Dispatchers)[:zb0002]
 			} else {
@@ -2513,6 +2647,10 @@
 				err = msgp.WrapError(err, "Removed")
 				return
 			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Removed) >= int(zb0003) {
 				z.Removed = (z.Removed)[:zb0003]
 			} else {
@@ -2635,6 +2773,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2662,6 +2804,10 @@
 				err = msgp.WrapError(err, "Dispatchers")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Dispatchers) >= int(zb0002) {
 				z.Dispatchers = (z.Dispatchers)[:zb0002]
 			} else {
@@ -2681,6 +2827,10 @@
 				err = msgp.WrapError(err, "Removed")
 				return
 			}
+			if zb0003 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Removed) >= int(zb0003) {
 				z.Removed = (z.Removed)[:zb0003]
 			} else {
@@ -2728,6 +2878,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2755,6 +2909,10 @@
 				err = msgp.WrapError(err, "Models")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Models) >= int(zb0002) {
 				z.Models = (z.Models)[:zb0002]
 			} else {
@@ -2888,6 +3046,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zfe1bd8eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2915,6 +3077,10 @@
 				err = msgp.WrapError(err, "Models")
 				return
 			}
+			if zb0002 > zfe1bd8eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Models) >= int(zb0002) {
 				z.Models = (z.Models)[:zb0002]
 			} else {
--- a/internal/wire/generate.go
+++ b/internal/wire/generate.go
@@ -1,5 +1,7 @@
 package wire
 
+//msgp:limit arrays:65536 maps:65536
+
 // Class tells online work from batch work.
 type Class uint8
 
--- a/internal/wire/generate_gen.go
+++ b/internal/wire/generate_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z607ce924limitArrays = 65536
+	z607ce924limitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Class) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
@@ -68,6 +74,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z607ce924limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -205,6 +215,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z607ce924limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -323,6 +337,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z607ce924limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -624,6 +642,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z607ce924limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -752,6 +774,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z607ce924limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1045,6 +1071,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z607ce924limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1163,6 +1193,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z607ce924limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1300,6 +1334,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z607ce924limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/internal/wire/jobs.go
+++ b/internal/wire/jobs.go
@@ -1,5 +1,7 @@
 package wire
 
+//msgp:limit arrays:65536 maps:65536
+
 // BeginFileRequest opens an upload.
 type BeginFileRequest struct {
 	Tenant   string `msg:"tenant"`
--- a/internal/wire/jobs_gen.go
+++ b/internal/wire/jobs_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z267f2b0elimitArrays = 65536
+	z267f2b0elimitMaps   = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *AppendFileRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -55,6 +65,10 @@
 				err = msgp.WrapError(err, "Lines")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Lines) >= int(zb0002) {
 				z.Lines = (z.Lines)[:zb0002]
 			} else {
@@ -67,6 +81,10 @@
 					err = msgp.WrapError(err, "Lines", za0001)
 					return
 				}
+				if zb0003 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -246,6 +264,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -285,6 +307,10 @@
 				err = msgp.WrapError(err, "Lines")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Lines) >= int(zb0002) {
 				z.Lines = (z.Lines)[:zb0002]
 			} else {
@@ -297,6 +323,10 @@
 					err = msgp.WrapError(err, "Lines", za0001)
 					return
 				}
+				if zb0003 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -363,6 +393,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -462,6 +496,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -516,6 +554,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -615,6 +657,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -669,6 +715,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -749,6 +799,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -797,6 +851,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -953,6 +1011,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1025,6 +1087,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1046,6 +1112,10 @@
 				err = msgp.WrapError(err, "Results")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Results) >= int(zb0002) {
 				z.Results = (z.Results)[:zb0002]
 			} else {
@@ -1132,6 +1202,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1153,6 +1227,10 @@
 				err = msgp.WrapError(err, "Results")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Results) >= int(zb0002) {
 				z.Results = (z.Results)[:zb0002]
 			} else {
@@ -1196,6 +1274,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1295,6 +1377,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1349,6 +1435,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1406,7 +1496,10 @@
 				return
 			}
 		case "metadata":
-			z.Metadata, err = dc.ReadBytes(z.Metadata)
+			z.Metadata, err = dc.ReadBytesLimit(z.Metadata, z267f2b0elimitArrays)
+			if err == nil && z.Metadata == nil {
+				z.Metadata = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Metadata")
 				return
@@ -1562,6 +1655,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1619,11 +1716,27 @@
 				return
 			}
 		case "metadata":
-			z.Metadata, bts, err = msgp.ReadBytesBytes(bts, z.Metadata)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Metadata")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Metadata == nil || uint32(cap(z.Metadata)) < zb0002 {
+				z.Metadata = make([]byte, zb0002)
+			} else {
+				z.Metadata = z.Metadata[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Metadata, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1652,6 +1765,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1732,6 +1849,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1780,6 +1901,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2050,6 +2175,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2158,6 +2287,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2223,6 +2356,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2265,6 +2402,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2345,6 +2486,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2393,6 +2538,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2473,6 +2622,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2521,6 +2674,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2601,6 +2758,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2649,6 +2810,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2908,6 +3073,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3020,6 +3189,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3052,6 +3225,10 @@
 					err = msgp.WrapError(err, "BeginFile")
 					return
 				}
+				if zb0002 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0002 > 0 {
 					zb0002--
 					field, err = dc.ReadMapKeyPtr()
@@ -3141,6 +3318,10 @@
 					err = msgp.WrapError(err, "DeleteFile")
 					return
 				}
+				if zb0003 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -3206,6 +3387,10 @@
 					err = msgp.WrapError(err, "CancelJob")
 					return
 				}
+				if zb0004 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -3253,6 +3438,10 @@
 					err = msgp.WrapError(err, "Complete")
 					return
 				}
+				if zb0005 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, err = dc.ReadMapKeyPtr()
@@ -3274,6 +3463,10 @@
 							err = msgp.WrapError(err, "Complete", "Results")
 							return
 						}
+						if zb0006 > z267f2b0elimitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
 						if cap(z.Complete.Results) >= int(zb0006) {
 							z.Complete.Results = (z.Complete.Results)[:zb0006]
 						} else {
@@ -3656,6 +3849,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3687,6 +3884,10 @@
 					err = msgp.WrapError(err, "BeginFile")
 					return
 				}
+				if zb0002 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0002 > 0 {
 					zb0002--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3773,6 +3974,10 @@
 					err = msgp.WrapError(err, "DeleteFile")
 					return
 				}
+				if zb0003 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3836,6 +4041,10 @@
 					err = msgp.WrapError(err, "CancelJob")
 					return
 				}
+				if zb0004 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3882,6 +4091,10 @@
 					err = msgp.WrapError(err, "Complete")
 					return
 				}
+				if zb0005 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3903,6 +4116,10 @@
 							err = msgp.WrapError(err, "Complete", "Results")
 							return
 						}
+						if zb0006 > z267f2b0elimitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
 						if cap(z.Complete.Results) >= int(zb0006) {
 							z.Complete.Results = (z.Complete.Results)[:zb0006]
 						} else {
@@ -4003,6 +4220,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4112,7 +4333,10 @@
 				return
 			}
 		case "metadata":
-			z.Metadata, err = dc.ReadBytes(z.Metadata)
+			z.Metadata, err = dc.ReadBytesLimit(z.Metadata, z267f2b0elimitArrays)
+			if err == nil && z.Metadata == nil {
+				z.Metadata = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Metadata")
 				return
@@ -4372,6 +4596,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4481,11 +4709,27 @@
 				return
 			}
 		case "metadata":
-			z.Metadata, bts, err = msgp.ReadBytesBytes(bts, z.Metadata)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Metadata")
 				return
 			}
+			if zb0003 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Metadata == nil || uint32(cap(z.Metadata)) < zb0003 {
+				z.Metadata = make([]byte, zb0003)
+			} else {
+				z.Metadata = z.Metadata[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Metadata, bts[:zb0003])
+			bts = bts[zb0003:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4514,6 +4758,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4598,6 +4846,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4646,6 +4898,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4690,6 +4946,10 @@
 					err = msgp.WrapError(err, "File")
 					return
 				}
+				if zb0002 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0002 > 0 {
 					zb0002--
 					field, err = dc.ReadMapKeyPtr()
@@ -4731,6 +4991,10 @@
 					err = msgp.WrapError(err, "Job")
 					return
 				}
+				if zb0003 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -4778,6 +5042,10 @@
 					err = msgp.WrapError(err, "Complete")
 					return
 				}
+				if zb0004 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -5021,6 +5289,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5063,6 +5335,10 @@
 					err = msgp.WrapError(err, "File")
 					return
 				}
+				if zb0002 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0002 > 0 {
 					zb0002--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5103,6 +5379,10 @@
 					err = msgp.WrapError(err, "Job")
 					return
 				}
+				if zb0003 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5149,6 +5429,10 @@
 					err = msgp.WrapError(err, "Complete")
 					return
 				}
+				if zb0004 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5287,6 +5571,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5326,6 +5614,10 @@
 				err = msgp.WrapError(err, "Models")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Models) >= int(zb0002) {
 				z.Models = (z.Models)[:zb0002]
 			} else {
@@ -5345,6 +5637,10 @@
 				err = msgp.WrapError(err, "Held")
 				return
 			}
+			if zb0003 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Held) >= int(zb0003) {
 				z.Held = (z.Held)[:zb0003]
 			} else {
@@ -5357,6 +5653,10 @@
 					err = msgp.WrapError(err, "Held", za0002)
 					return
 				}
+				if zb0004 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -5540,6 +5840,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5579,6 +5883,10 @@
 				err = msgp.WrapError(err, "Models")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Models) >= int(zb0002) {
 				z.Models = (z.Models)[:zb0002]
 			} else {
@@ -5598,6 +5906,10 @@
 				err = msgp.WrapError(err, "Held")
 				return
 			}
+			if zb0003 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Held) >= int(zb0003) {
 				z.Held = (z.Held)[:zb0003]
 			} else {
@@ -5610,6 +5922,10 @@
 					err = msgp.WrapError(err, "Held", za0002)
 					return
 				}
+				if zb0004 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5674,6 +5990,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5689,6 +6009,10 @@
 				err = msgp.WrapError(err, "Items")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Items) >= int(zb0002) {
 				z.Items = (z.Items)[:zb0002]
 			} else {
@@ -5708,6 +6032,10 @@
 				err = msgp.WrapError(err, "Stop")
 				return
 			}
+			if zb0003 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Stop) >= int(zb0003) {
 				z.Stop = (z.Stop)[:zb0003]
 			} else {
@@ -5720,6 +6048,10 @@
 					err = msgp.WrapError(err, "Stop", za0002)
 					return
 				}
+				if zb0004 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -5874,6 +6206,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5889,6 +6225,10 @@
 				err = msgp.WrapError(err, "Items")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Items) >= int(zb0002) {
 				z.Items = (z.Items)[:zb0002]
 			} else {
@@ -5908,6 +6248,10 @@
 				err = msgp.WrapError(err, "Stop")
 				return
 			}
+			if zb0003 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Stop) >= int(zb0003) {
 				z.Stop = (z.Stop)[:zb0003]
 			} else {
@@ -5920,6 +6264,10 @@
 					err = msgp.WrapError(err, "Stop", za0002)
 					return
 				}
+				if zb0004 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5991,6 +6339,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6006,6 +6358,10 @@
 				err = msgp.WrapError(err, "Ref")
 				return
 			}
+			if zb0002 > z267f2b0elimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -6071,6 +6427,10 @@
 				err = msgp.WrapError(err, "Line")
 				return
 			}
+			if zb0003 > z267f2b0elimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
@@ -6287,6 +6647,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6302,6 +6666,10 @@
 				err = msgp.WrapError(err, "Ref")
 				return
 			}
+			if zb0002 > z267f2b0elimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6367,6 +6735,10 @@
 				err = msgp.WrapError(err, "Line")
 				return
 			}
+			if zb0003 > z267f2b0elimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6429,6 +6801,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6528,6 +6904,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6582,6 +6962,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6597,6 +6981,10 @@
 				err = msgp.WrapError(err, "Jobs")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Jobs) >= int(zb0002) {
 				z.Jobs = (z.Jobs)[:zb0002]
 			} else {
@@ -6670,6 +7058,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6685,6 +7077,10 @@
 				err = msgp.WrapError(err, "Jobs")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Jobs) >= int(zb0002) {
 				z.Jobs = (z.Jobs)[:zb0002]
 			} else {
@@ -6728,6 +7124,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6846,6 +7246,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6906,6 +7310,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6921,6 +7329,10 @@
 				err = msgp.WrapError(err, "Lines")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Lines) >= int(zb0002) {
 				z.Lines = (z.Lines)[:zb0002]
 			} else {
@@ -6933,6 +7345,10 @@
 					err = msgp.WrapError(err, "Lines", za0001)
 					return
 				}
+				if zb0003 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -7060,6 +7476,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7075,6 +7495,10 @@
 				err = msgp.WrapError(err, "Lines")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Lines) >= int(zb0002) {
 				z.Lines = (z.Lines)[:zb0002]
 			} else {
@@ -7087,6 +7511,10 @@
 					err = msgp.WrapError(err, "Lines", za0001)
 					return
 				}
+				if zb0003 > z267f2b0elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7153,6 +7581,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -7290,6 +7722,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7356,6 +7792,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -7371,6 +7811,10 @@
 				err = msgp.WrapError(err, "Results")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Results) >= int(zb0002) {
 				z.Results = (z.Results)[:zb0002]
 			} else {
@@ -7482,6 +7926,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z267f2b0elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7497,6 +7945,10 @@
 				err = msgp.WrapError(err, "Results")
 				return
 			}
+			if zb0002 > z267f2b0elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Results) >= int(zb0002) {
 				z.Results = (z.Results)[:zb0002]
 			} else {
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -190,6 +190,8 @@
 type cluster struct {
 	folder      string
 	control     *process
+	controls    []*process
+	relays      []*relay
 	platform    *process
 	engines     []*process
 	dispatchers []*process
@@ -204,6 +206,9 @@
 	dispatchers int
 	gateways    int
 	engineFlags []string
+	// controls is the number of control processes; each is reached through a
+	// relay that can be cut if there are several.
+	controls int
 }
 
 func newCluster(t *testing.T, ctx context.Context, size clusterSize) *cluster {
@@ -220,17 +225,56 @@
 		platformFlags = append(platformFlags, "--worker", fmt.Sprintf("%s=%s=zone-a", name, engine.address))
 	}
 	c.platform = start(t, c.folder, "sedgemast-lab", "platform", platformFlags...)
-	c.control = start(t, c.folder, "sedgemast", "control-1", "control", "--data-folder", filepath.Join(c.folder, "control-1"), "--platform", c.platform.address)
+	c.startControls(t, max(1, size.controls))
 	for number := 1; number <= size.dispatchers; number++ {
-		c.dispatchers = append(c.dispatchers, start(t, c.folder, "sedgemast", fmt.Sprintf("dispatcher-%d", number), "dispatcher", "--control", c.control.address))
+		c.dispatchers = append(c.dispatchers, start(t, c.folder, "sedgemast", fmt.Sprintf("dispatcher-%d", number), append([]string{"dispatcher", "--control"}, c.controlAddresses()...)...))
 	}
 	for number := 1; number <= size.gateways; number++ {
-		c.gateways = append(c.gateways, start(t, c.folder, "sedgemast", fmt.Sprintf("gateway-%d", number), "gateway", "--control", c.control.address, "--operator-key-sha256", configuration.Digest(c.operatorKey)))
+		c.gateways = append(c.gateways, start(t, c.folder, "sedgemast", fmt.Sprintf("gateway-%d", number), append([]string{"gateway", "--operator-key-sha256", configuration.Digest(c.operatorKey), "--control"}, c.controlAddresses()...)...))
 	}
 	c.configure(t, ctx)
 	return c
 }
 
+// startControls starts control processes, each behind a relay.
+func (c *cluster) startControls(t *testing.T, count int) {
+	t.Helper()
+	for number := 0; number < count; number++ {
+		c.relays = append(c.relays, newRelay(t))
+	}
+	peers := c.controlAddresses()
+	for number := 1; number <= count; number++ {
+		name := fmt.Sprintf("control-%d", number)
+		relay := c.relays[number-1]
+		settingsFile := filepath.Join(c.folder, name+".yaml")
+		writeFile(t, settingsFile, "replace_after: 3s\n")
+		arguments := []string{"control", "--settings", settingsFile, "--data-folder", c.dataFolder(number), "--platform", c.platform.address, "--advertise", relay.address(), "--peers"}
+		started := start(t, c.folder, "sedgemast", name, append(arguments, peers...)...)
+		relay.forwardTo(started.address)
+		c.controls = append(c.controls, started)
+	}
+	c.control = c.controls[0]
+}
+
+func (c *cluster) dataFolder(number int) string {
+	return filepath.Join(c.folder, fmt.Sprintf("control-%d", number))
+}
+
+func (c *cluster) controlAddresses() []string {
+	var addresses []string
+	for _, relay := range c.relays {
+		addresses = append(addresses, relay.address())
+	}
+	return addresses
+}
+
+func writeFile(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func newKey(t *testing.T, kind, owner string) string {
 	t.Helper()
 	key, err := keys.New(kind, owner)
