Uploads over 64 KB replicate again; stale workers are silenced before placing

Seen as a hang of TestDaemonFailures and of the scale run; TestLargeFields shows it. The scheduler now silences workers not heard of for worker_timeout at the beginning of every step; TestThawedProcess failed before.

--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,9 @@
 # away.
 prove: build
 	$(BIN)/sedgemast-lab prove
+
+# scale measures hollow fleets of three sizes beside real processes; the data and
+# plots go to out/scale.
+.PHONY: scale
+scale:
+	scripts/scale.sh
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -62,6 +62,9 @@
 	return &Client{rpc: rpc.NewClient(), addresses: addresses, leaders: map[int]string{}}
 }
 
+// Traffic returns what the client has exchanged with control.
+func (c *Client) Traffic() rpc.Traffic { return c.rpc.Traffic() }
+
 // Close drops the idle connections.
 func (c *Client) Close() { c.rpc.Close() }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -65,7 +65,7 @@
 		online:      engine.NewClient(),
 		batch:       engine.NewClient(),
 		incarnation: uint64(now.UnixNano()),
-		scheduler:   scheduling.New(scheduling.Config{MaxQueue: config.MaxQueue}, newRandom(now)),
+		scheduler:   scheduling.New(scheduling.Config{MaxQueue: config.MaxQueue, WorkerTimeout: config.WorkerTimeout.Std()}, newRandom(now)),
 		tasks:       map[string]*task{},
 	}
 	dispatcher.session = controlclient.NewSession(controlclient.SessionOptions{
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -24,22 +24,74 @@
 
 // Client makes internal calls over shared, long-lived connections.
 type Client struct {
-	pooled *http.Client
-	fresh  *http.Client
+	pooled  *http.Client
+	fresh   *http.Client
+	traffic *traffic
 }
 
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
+	counted := &traffic{}
 	return &Client{
-		pooled: &http.Client{Transport: newTransport(false)},
-		fresh:  &http.Client{Transport: newTransport(true)},
+		pooled:  &http.Client{Transport: newTransport(false, counted)},
+		fresh:   &http.Client{Transport: newTransport(true, counted)},
+		traffic: counted,
 	}
 }
 
-func newTransport(fresh bool) *http.Transport {
+// Traffic is what a client has sent and received so far.
+type Traffic struct {
+	Calls         uint64
+	SentBytes     uint64
+	ReceivedBytes uint64
+}
+
+// Traffic returns the bytes on the client's connections, headers included.
+func (c *Client) Traffic() Traffic {
+	return Traffic{
+		Calls:         c.traffic.calls.Load(),
+		SentBytes:     c.traffic.sent.Load(),
+		ReceivedBytes: c.traffic.received.Load(),
+	}
+}
+
+// traffic counts calls and the bytes on connections.
+type traffic struct {
+	calls    atomic.Uint64
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+// countedConnection counts the bytes that pass through a connection.
+type countedConnection struct {
+	net.Conn
+	traffic *traffic
+}
+
+// Read implements net.Conn.
+func (c countedConnection) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.traffic.received.Add(uint64(count))
+	return count, err
+}
+
+// Write implements net.Conn.
+func (c countedConnection) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.traffic.sent.Add(uint64(count))
+	return count, err
+}
+
+func newTransport(fresh bool, counted *traffic) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countedConnection{connection, counted}, nil
+		},
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
@@ -80,6 +132,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, "report this", "the request does not encode")
 	}
+	c.traffic.calls.Add(1)
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,246 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/fleet"
+	"github.com/sedgemast/sedgemast/internal/keys"
+	"github.com/sedgemast/sedgemast/internal/loadgen"
+	"github.com/sedgemast/sedgemast/internal/metastate"
+	"github.com/sedgemast/sedgemast/internal/operator"
+)
+
+const (
+	settleTime   = 4 * time.Second
+	changesAStep = 10
+	changePause  = 300 * time.Millisecond
+	inForcePoll  = 2 * time.Millisecond
+	stepTimeout  = 2 * time.Minute
+	itemHeadroom = 1.6
+	uploaders    = 4
+	submitPause  = 100 * time.Millisecond
+)
+
+// Step is one size of the fleet.
+type Step struct {
+	Daemons  int
+	Tenants  int
+	ItemRate int
+}
+
+// Run is a scale run against real control processes and gateways.
+type Run struct {
+	Control     []string
+	Gateway     string
+	OperatorKey string
+	Model       string
+	Processes   []Process
+	Steps       []Step
+	Window      time.Duration
+	Out         io.Writer
+
+	daemons    *Daemons
+	baseMemory float64
+	tenants    []tenant
+	operator   *operator.Client
+}
+
+// tenant is a tenant of the run with its caller's key.
+type tenant struct {
+	name string
+	key  string
+}
+
+// Measure grows the fleet step by step and measures each size.
+func (r *Run) Measure(ctx context.Context) ([]*Point, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.operator = operator.NewClient(r.Gateway, r.OperatorKey)
+	r.daemons = NewDaemons(r.Control, r.Model)
+	base, err := ownUsage()
+	if err != nil {
+		return nil, err
+	}
+	r.baseMemory = base.residentBytes
+	var points []*Point
+	for _, step := range r.Steps {
+		stepContext, stop := context.WithTimeout(ctx, stepTimeout)
+		point, err := r.step(ctx, stepContext, step)
+		stop()
+		if err != nil {
+			return points, errors.Wrapf(err, "at %d daemons", step.Daemons)
+		}
+		points = append(points, point)
+		fmt.Fprintf(r.Out, "daemons=%d serving=%d workers=%d tenants=%d items/s=%.0f beats/s=%.0f missed=%.4f in_force_ms max=%.0f daemon: cpu=%.4f bytes/s=%.0f memory=%.0f leader_cpu=%.3f\n",
+			point.Daemons, point.Serving, point.Workers, point.Tenants, point.ItemRate, point.BeatsPerSecond, point.MissedShare, largest(point.InForceMillis), point.DaemonCPU, point.DaemonBytes, point.DaemonMemory, point.LeaderCPU)
+	}
+	cancel()
+	r.daemons.Wait()
+	return points, nil
+}
+
+func (r *Run) step(ctx, stepContext context.Context, step Step) (*Point, error) {
+	if err := r.growTenants(stepContext, step.Tenants); err != nil {
+		return nil, err
+	}
+	r.daemons.Grow(ctx, step.Daemons)
+	if err := r.waitServing(stepContext); err != nil {
+		return nil, err
+	}
+	if err := r.submitJobs(stepContext, step); err != nil {
+		return nil, err
+	}
+	r.daemons.itemRate.Store(int64(step.ItemRate))
+	time.Sleep(settleTime)
+	first, err := r.open(stepContext)
+	if err != nil {
+		return nil, err
+	}
+	inForce, err := r.changes(stepContext)
+	if err != nil {
+		return nil, err
+	}
+	if rest := r.Window - time.Since(first.started); rest > 0 {
+		time.Sleep(rest)
+	}
+	second, err := r.open(stepContext)
+	if err != nil {
+		return nil, err
+	}
+	point := r.point(first, second)
+	point.InForceMillis = inForce
+	point.Tenants = step.Tenants
+	r.daemons.itemRate.Store(0)
+	status, err := r.operator.Status(stepContext)
+	if err != nil {
+		return nil, err
+	}
+	point.Workers = len(status.Workers)
+	return point, nil
+}
+
+func (r *Run) waitServing(ctx context.Context) error {
+	for r.daemons.serving(time.Now()) < len(r.daemons.all) {
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d of %d daemons hold their leases", r.daemons.serving(time.Now()), len(r.daemons.all))
+		case <-time.After(inForcePoll):
+		}
+	}
+	return nil
+}
+
+// apply makes one change of the configuration.
+func (r *Run) apply(ctx context.Context, id string, documents []operator.Document) (uint64, error) {
+	current, err := r.operator.Documents(ctx, "none", "")
+	if err != nil {
+		return 0, err
+	}
+	applied, err := operator.ApplyUntilAnswered(ctx, r.operator, &operator.Change{ChangeID: id, ExpectedRevision: &current.Revision, Documents: documents})
+	if err != nil {
+		return 0, err
+	}
+	return applied.Revision, nil
+}
+
+func (r *Run) growTenants(ctx context.Context, count int) error {
+	var documents []operator.Document
+	for number := len(r.tenants); number < count; number++ {
+		made := tenant{name: fmt.Sprintf("tenant-%d", number)}
+		var err error
+		if made.key, err = keys.New("tenant", made.name); err != nil {
+			return err
+		}
+		for _, document := range fleet.DemoDocuments(made.name, []string{r.Model}, made.key) {
+			if document.Kind == metastate.KindTenant || number == 0 {
+				documents = append(documents, document)
+			}
+		}
+		r.tenants = append(r.tenants, made)
+	}
+	if len(documents) == 0 {
+		return nil
+	}
+	_, err := r.apply(ctx, fmt.Sprintf("tenants-%d", count), documents)
+	return err
+}
+
+// submitJobs uploads the items that the step works off, spread over tenants and
+// so over job groups.
+func (r *Run) submitJobs(ctx context.Context, step Step) error {
+	total := int(float64(step.ItemRate) * (r.Window + settleTime).Seconds() * itemHeadroom)
+	if total == 0 {
+		return nil
+	}
+	errs := make(chan error, uploaders)
+	for uploader := 0; uploader < uploaders; uploader++ {
+		go func() {
+			owner := r.tenants[(uploader*7+step.Daemons)%len(r.tenants)]
+			client := loadgen.NewClient(r.Gateway, owner.key)
+			job := &loadgen.Job{Model: r.Model, Items: total / uploaders, MaxTokens: 64, Words: 16, Name: fmt.Sprintf("scale-%d-%d", step.Daemons, uploader)}
+			errs <- submit(ctx, client, job)
+		}()
+	}
+	var failed error
+	for uploader := 0; uploader < uploaders; uploader++ {
+		failed = errors.CombineErrors(failed, <-errs)
+	}
+	return failed
+}
+
+// submit submits a job; the gateway may not know a new tenant at once.
+func submit(ctx context.Context, client *loadgen.Client, job *loadgen.Job) error {
+	for {
+		_, err := job.Submit(ctx, client)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(submitPause):
+		}
+	}
+}
+
+// changes makes changes and measures how long each takes until the last hollow
+// daemon acts on it.
+func (r *Run) changes(ctx context.Context) ([]float64, error) {
+	var taken []float64
+	for number := 0; number < changesAStep; number++ {
+		spec, err := json.Marshal(metastate.Drain{Reason: fmt.Sprint(number)})
+		if err != nil {
+			return nil, err
+		}
+		document := operator.Document{Kind: metastate.KindDrain, Name: "nobody", Spec: spec}
+		revision, err := r.apply(ctx, fmt.Sprintf("scale-%d-%d", len(r.daemons.all), number), []operator.Document{document})
+		if err != nil {
+			return nil, err
+		}
+		begun := time.Now()
+		for r.daemons.slowestRevision() < revision {
+			select {
+			case <-ctx.Done():
+				return nil, errors.Wrapf(ctx.Err(), "revision %d is not in force everywhere", revision)
+			case <-time.After(inForcePoll):
+			}
+		}
+		taken = append(taken, float64(time.Since(begun).Microseconds())/1000)
+		time.Sleep(changePause)
+	}
+	return taken, nil
+}
+
+func largest(values []float64) float64 {
+	top := 0.0
+	for _, value := range values {
+		top = max(top, value)
+	}
+	return top
+}
--- a/internal/scheduling/events.go
+++ b/internal/scheduling/events.go
@@ -64,13 +64,15 @@
 // silent counts as answering again.
 type WorkerUpdate struct{ Spec WorkerSpec }
 
-func (e WorkerUpdate) apply(s *Scheduler, _ time.Time) {
+func (e WorkerUpdate) apply(s *Scheduler, now time.Time) {
 	if known := s.workers[e.Spec.ID]; known != nil {
 		known.spec = e.Spec
 		known.silent = false
+		known.heard = now
 		return
 	}
 	s.workers[e.Spec.ID] = newWorker(e.Spec)
+	s.workers[e.Spec.ID].heard = now
 	s.order = sortedNames(s.workers)
 }
 
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -25,6 +25,9 @@
 	MaxQueue int
 	// ReservePercent is the share of a worker's slots left free of batch work.
 	ReservePercent int
+	// WorkerTimeout is how long a worker may not be heard of before it counts
+	// as silent; zero means for ever.
+	WorkerTimeout time.Duration
 }
 
 // Attempt is one attempt at a request.
@@ -93,12 +96,28 @@
 func (s *Scheduler) Step(now time.Time, event Event) []Action {
 	s.actions = nil
 	s.now = now
+	s.silenceStale(event)
 	event.apply(s, now)
 	s.drainOnline(now)
 	s.fillBatch(now)
 	return s.actions
 }
 
+// silenceStale marks the workers that have not been heard of for too long, but
+// for one that the event brings news of. It runs at the beginning of every step,
+// so that a process that was frozen does not act on what it knew before.
+func (s *Scheduler) silenceStale(event Event) {
+	if s.config.WorkerTimeout == 0 {
+		return
+	}
+	update, _ := event.(WorkerUpdate)
+	for _, id := range s.order {
+		if known := s.workers[id]; id != update.Spec.ID && !known.silent && s.now.Sub(known.heard) > s.config.WorkerTimeout {
+			WorkerSilent{Worker: id}.apply(s, s.now)
+		}
+	}
+}
+
 func (s *Scheduler) emit(action Action) { s.actions = append(s.actions, action) }
 
 // arriveOnline places an online attempt, queues it, or refuses it at once.
--- a/internal/scheduling/scheduler_test.go
+++ b/internal/scheduling/scheduler_test.go
@@ -113,6 +113,17 @@
 	}
 }
 
+// TestThawedProcess: simulation seed 2544 of stundir showed a dispatcher that had
+// been frozen send work to a worker that had begun to leave meanwhile.
+func TestThawedProcess(t *testing.T) {
+	s := New(Config{MaxQueue: 4, WorkerTimeout: time.Second}, testRandom())
+	s.Step(start, WorkerUpdate{spec("w1", 2)})
+	late := start.Add(6 * time.Second)
+	if got := kinds(s.Step(late, Arrive{attempt("o1", wire.Online)})); got != "refuse o1;" {
+		t.Errorf("an arrival long after the last report: %q", got)
+	}
+}
+
 // TestRandomEvents checks the package's invariants after every step.
 func TestRandomEvents(t *testing.T) {
 	proptest.Run(t, "invariants", func(random *rand.Rand) error {
--- a/internal/scheduling/worker.go
+++ b/internal/scheduling/worker.go
@@ -31,6 +31,7 @@
 type worker struct {
 	spec     WorkerSpec
 	silent   bool
+	heard    time.Time
 	inFlight map[string]*running
 	online   int
 	kvUsed   int
--- a/internal/simulation/dispatcher.go
+++ b/internal/simulation/dispatcher.go
@@ -39,7 +39,6 @@
 	assignment wire.Assignment
 	claimed    bool
 	settled    bool
-	heard      time.Time
 }
 
 func (w *World) addDispatcher(number int) {
@@ -61,7 +60,7 @@
 	w := d.world
 	d.alive = true
 	d.life++
-	d.scheduler = scheduling.New(scheduling.Config{MaxQueue: maxOnlineQueue, ReservePercent: w.profile.ReservePercent}, w.random)
+	d.scheduler = scheduling.New(scheduling.Config{MaxQueue: maxOnlineQueue, ReservePercent: w.profile.ReservePercent, WorkerTimeout: workerTimeout}, w.random)
 	d.tasks = map[string]*task{}
 	d.workers = map[string]*ownedWorker{}
 	d.items = newItemSet(d)
@@ -101,8 +100,8 @@
 		switch {
 		case kept && replacement == owned.assignment:
 		case kept && replacement.Epoch == owned.assignment.Epoch && replacement.Incarnation == owned.assignment.Incarnation:
+			// The next load report takes it to the scheduler.
 			owned.assignment = replacement
-			d.update(owned)
 		default:
 			delete(d.workers, name)
 			d.step(scheduling.WorkerRemoved{Worker: name, Abandon: kept && replacement.Incarnation != owned.assignment.Incarnation})
@@ -134,7 +133,6 @@
 			return
 		}
 		owned.claimed = true
-		owned.heard = d.world.clock.now
 		d.update(owned)
 	})
 }
@@ -162,7 +160,7 @@
 		Slots:    engineSlots,
 		KVTokens: engineKVTokens,
 		Models:   map[string]bool{simulatedModel: true},
-		Leaving:  owned.assignment.Leaving,
+		Leaving:  owned.assignment.Leaving || (load.Leaving && d.world.mutation != MutationForgetLeaving),
 		Foreign:  max(0, foreign),
 	}})
 }
@@ -174,14 +172,10 @@
 			continue
 		}
 		e := d.world.engineByName(name)
-		if d.world.clock.now.Sub(owned.heard) > workerTimeout {
-			d.step(scheduling.WorkerSilent{Worker: name})
-		}
 		call(d.world, &d.process, &e.process, workerTimeout, func(answer reply[engine.Load]) { answer(e.load(), nil) }, func(load engine.Load, err error) {
 			if err != nil || d.workers[name] != owned || load.Incarnation > owned.assignment.Incarnation {
 				return
 			}
-			owned.heard = d.world.clock.now
 			if load.Leaving && d.world.mutation != MutationForgetLeaving {
 				owned.assignment.Leaving = true
 			}
--- a/internal/wire/configuration.go
+++ b/internal/wire/configuration.go
@@ -7,7 +7,7 @@
 type Document struct {
 	Kind     string `msg:"kind" json:"kind"`
 	Name     string `msg:"name" json:"name"`
-	Body     []byte `msg:"body" json:"-"`
+	Body     []byte `msg:"body,limit=33554432" json:"-"`
 	Revision uint64 `msg:"revision" json:"revision"`
 	Deleted  bool   `msg:"deleted" json:"deleted,omitempty"`
 }
--- a/internal/wire/configuration_gen.go
+++ b/internal/wire/configuration_gen.go
@@ -1150,7 +1150,7 @@
 				return
 			}
 		case "body":
-			z.Body, err = dc.ReadBytesLimit(z.Body, z1d5d2b92limitArrays)
+			z.Body, err = dc.ReadBytesLimit(z.Body, 33554432)
 			if err == nil && z.Body == nil {
 				z.Body = []byte{}
 			}
@@ -1300,7 +1300,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0002 > z1d5d2b92limitArrays {
+			if zb0002 > 33554432 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
--- a/internal/wire/consensus.go
+++ b/internal/wire/consensus.go
@@ -19,7 +19,7 @@
 	Index uint64    `msg:"index"`
 	Term  uint64    `msg:"term"`
 	Kind  EntryKind `msg:"kind"`
-	Data  []byte    `msg:"data"`
+	Data  []byte    `msg:"data,limit=33554432"`
 }
 
 // HardState is what a replica must not forget between two votes.
@@ -113,7 +113,7 @@
 // KeyPair is one key of a group's state with its value.
 type KeyPair struct {
 	Key   []byte `msg:"key"`
-	Value []byte `msg:"value"`
+	Value []byte `msg:"value,limit=33554432"`
 }
 
 // PeerBatch carries messages from one control process to another.
--- a/internal/wire/consensus_gen.go
+++ b/internal/wire/consensus_gen.go
@@ -759,7 +759,7 @@
 				return
 			}
 		case "value":
-			z.Value, err = dc.ReadBytesLimit(z.Value, z121f821blimitArrays)
+			z.Value, err = dc.ReadBytesLimit(z.Value, 33554432)
 			if err == nil && z.Value == nil {
 				z.Value = []byte{}
 			}
@@ -868,7 +868,7 @@
 				err = msgp.WrapError(err, "Value")
 				return
 			}
-			if zb0003 > z121f821blimitArrays {
+			if zb0003 > 33554432 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1111,7 +1111,7 @@
 				z.Kind = EntryKind(zb0002)
 			}
 		case "data":
-			z.Data, err = dc.ReadBytesLimit(z.Data, z121f821blimitArrays)
+			z.Data, err = dc.ReadBytesLimit(z.Data, 33554432)
 			if err == nil && z.Data == nil {
 				z.Data = []byte{}
 			}
@@ -1246,7 +1246,7 @@
 				err = msgp.WrapError(err, "Data")
 				return
 			}
-			if zb0003 > z121f821blimitArrays {
+			if zb0003 > 33554432 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -3100,7 +3100,7 @@
 							return
 						}
 					case "value":
-						z.Pairs[za0001].Value, err = dc.ReadBytesLimit(z.Pairs[za0001].Value, z121f821blimitArrays)
+						z.Pairs[za0001].Value, err = dc.ReadBytesLimit(z.Pairs[za0001].Value, 33554432)
 						if err == nil && z.Pairs[za0001].Value == nil {
 							z.Pairs[za0001].Value = []byte{}
 						}
@@ -3426,7 +3426,7 @@
 							err = msgp.WrapError(err, "Pairs", za0001, "Value")
 							return
 						}
-						if zb0006 > z121f821blimitArrays {
+						if zb0006 > 33554432 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -116,3 +116,25 @@
 		}
 	})
 }
+
+// TestLargeFields: the limit on lists must not refuse a chunk of an upload or a
+// long prompt. With it, groups that carried uploads lost their leaders for good.
+func TestLargeFields(t *testing.T) {
+	large := bytes.Repeat([]byte("x"), 8<<20)
+	for _, original := range []message{
+		&LogEntry{Data: large},
+		&KeyPair{Value: large},
+		&Document{Body: large},
+		&GenerateRequest{Prompt: string(large)},
+		&ItemResult{Text: string(large)},
+	} {
+		encoded, err := original.MarshalMsg(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded := reflect.New(reflect.TypeOf(original).Elem()).Interface().(message)
+		if _, err := decoded.UnmarshalMsg(encoded); err != nil {
+			t.Errorf("%T with %d bytes does not decode: %v", original, len(large), err)
+		}
+	}
+}
