Full-size simulation with a lost zone; asking for items backs off with the fleet

Cause: at 200 dispatchers and four job groups the asking for items that are not there would be 3,200 calls a second, over the budget of 5 KB/s a daemon. Change: the leader of a job group says when to ask again, so that a group gets at most 200 such calls a second; a target profile (330 daemons, 600 workers, nine zones) and the kinds zone_lost and zone_dispatchers_lost in the simulator.

--- a/cmd/sedgemast-lab/simulate.go
+++ b/cmd/sedgemast-lab/simulate.go
@@ -15,7 +15,7 @@
 // simulateCommand runs the fleet in virtual time by seed.
 type simulateCommand struct {
 	Seeds    string `arg:"--seeds" default:"1..100" placeholder:"A..B" help:"seeds to run"`
-	Profile  string `arg:"--profile" default:"all" help:"stundir, kotare or all"`
+	Profile  string `arg:"--profile" default:"all" help:"stundir, kotare, both (all), or target: 330 daemons and 600 workers"`
 	Faults   string `arg:"--faults" default:"all" help:"kinds of faults, separated by commas; all or none"`
 	Count    int    `arg:"--count" help:"faults in each run [default: the profile's]"`
 	Mutation string `arg:"--mutation" help:"take a mechanism away, to see a check turn red; by its name in docs/PROMISES.md"`
@@ -69,7 +69,7 @@
 	case profiles[f.Profile].Name != "":
 		sweep.Profiles = []simulation.Profile{profiles[f.Profile]}
 	default:
-		return sweep, failure.New(failure.BadRequest, "use stundir, kotare or all", "%q is not a profile", f.Profile).WithField("--profile")
+		return sweep, failure.New(failure.BadRequest, "use stundir, kotare, target or all", "%q is not a profile", f.Profile).WithField("--profile")
 	}
 	for i := range sweep.Profiles {
 		if f.Count > 0 {
@@ -94,10 +94,10 @@
 }
 
 func parseKinds(text string) ([]string, error) {
-	known := simulation.FaultKinds()
+	known := simulation.KnownFaults()
 	switch text {
 	case "all":
-		return known, nil
+		return simulation.FaultKinds(), nil
 	case "none":
 		return nil, nil
 	}
--- a/internal/dispatcher/items.go
+++ b/internal/dispatcher/items.go
@@ -19,7 +19,7 @@
 	// renewInterval is the time between renewals of the leases of held items;
 	// within it a cancelled job's items stop.
 	renewInterval = 750 * time.Millisecond
-	// idleInterval is the time between requests to a group that had no items.
+	// idleInterval is when to ask again after a request that failed.
 	idleInterval = 250 * time.Millisecond
 	// maxReportItems bounds the results in one report.
 	maxReportItems  = 512
@@ -180,7 +180,7 @@
 		s.startItem(ctx, &response.Items[i], lease)
 	}
 	if request.Want > 0 && len(response.Items) == 0 {
-		group.nextAsk = time.Now().Add(idleInterval)
+		group.nextAsk = time.Now().Add(time.Duration(response.IdleMillis) * time.Millisecond)
 	}
 }
 
--- a/internal/simulation/control.go
+++ b/internal/simulation/control.go
@@ -26,6 +26,10 @@
 	controlVoters    = 5
 	controlCount     = 6
 	jobGroups        = 2
+	// firstBackoff and maxBackoff are those of controlclient.
+	firstBackoff = 20 * time.Millisecond
+	maxBackoff   = 500 * time.Millisecond
+	callTimeout  = time.Second
 	// tornRestart is when a process starts again after its disk lost power.
 	tornRestart = time.Second
 )
@@ -345,14 +349,17 @@
 // machine are answers.
 func callControl[Answer any](w *World, from *process, leaders map[int]string, group int, within time.Duration, serve func(*controlProcess, reply[Answer]), done reply[Answer]) {
 	deadline := w.clock.now.Add(within)
+	backoff := firstBackoff
+	first := w.random.IntN(controlCount)
 	var attempt func(number int)
 	attempt = func(number int) {
 		target := leaders[group]
 		if target == "" {
-			target = controlName(number % controlCount)
+			target = controlName((first + number) % controlCount)
 		}
 		c := w.controlByName(target)
-		call(w, from, &c.process, 2*time.Second, func(answer reply[Answer]) { serve(c, answer) }, func(answer Answer, err error) {
+		w.controlLoad[w.clock.now.Unix()]++
+		call(w, from, &c.process, callTimeout, func(answer reply[Answer]) { serve(c, answer) }, func(answer Answer, err error) {
 			if !failure.Is(err, failure.NotRun) && !failure.Is(err, failure.OutcomeUnknown) {
 				leaders[group] = target
 				done(answer, err)
@@ -363,10 +370,15 @@
 				done(answer, err)
 				return
 			}
-			w.timer(from, 20*time.Millisecond, func() { attempt(number + 1) })
+			pause := time.Duration(0)
+			if number%controlCount == controlCount-1 {
+				pause = backoff
+				backoff = min(2*backoff, maxBackoff)
+			}
+			w.timer(from, pause, func() { attempt(number + 1) })
 		})
 	}
-	attempt(w.random.IntN(controlCount))
+	attempt(0)
 }
 
 func leaderHint(err error, target string) string {
--- a/internal/simulation/dispatcher.go
+++ b/internal/simulation/dispatcher.go
@@ -14,7 +14,6 @@
 	loadInterval      = 250 * time.Millisecond
 	workerTimeout     = time.Second
 	engineCallTimeout = 2 * time.Second
-	dispatcherCount   = 3
 	drainPoll         = 50 * time.Millisecond
 	drainTimeout      = 20 * time.Second
 	maxOnlineQueue    = 32
@@ -44,16 +43,12 @@
 func (w *World) addDispatcher(number int) {
 	d := &dispatcherProcess{process: process{name: fmt.Sprintf("d%d", number+1), zone: number % w.profile.Zones}, world: w}
 	w.dispatchers = append(w.dispatchers, d)
+	w.dispatchersNamed[d.name] = d
 	d.start()
 }
 
 func (w *World) dispatcherByName(name string) *dispatcherProcess {
-	for _, d := range w.dispatchers {
-		if d.name == name {
-			return d
-		}
-	}
-	return nil
+	return w.dispatchersNamed[name]
 }
 
 func (d *dispatcherProcess) start() {
--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/emulator"
@@ -64,19 +65,13 @@
 func (w *World) addEngine(number int) {
 	e := &engineProcess{process: process{name: engineName(number), zone: number % w.profile.Zones}, world: w}
 	w.engines = append(w.engines, e)
+	w.enginesByName[e.name] = e
 	e.start()
 }
 
-func engineName(number int) string { return "e" + string(rune('a'+number)) }
+func engineName(number int) string { return fmt.Sprintf("e%d", number) }
 
-func (w *World) engineByName(name string) *engineProcess {
-	for _, e := range w.engines {
-		if e.name == name {
-			return e
-		}
-	}
-	return nil
-}
+func (w *World) engineByName(name string) *engineProcess { return w.enginesByName[name] }
 
 func (e *engineProcess) start() {
 	e.alive = true
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -31,6 +31,8 @@
 	// heavy faults take a control process's disk or the process itself away
 	// for good; a run has at most as many as the voters can bear.
 	heavy bool
+	// rare faults are drawn only where they are named.
+	rare bool
 	// once faults strike at most once in a run.
 	once bool
 	// planned faults are stops in the planned way.
@@ -50,6 +52,7 @@
 	"control_leader_killed":    {strike: strikeLeaderKilled},
 	"control_torn":             {strike: strikeControlTorn},
 	"control_freezes":          {strike: strikeControlFreezes},
+	"control_majority_killed":  {strike: strikeMajorityKilled},
 	"control_cut":              {strike: strikeControlCut},
 	"control_cut_one_way":      {strike: strikeControlCutOneWay},
 	"control_leader_cut":       {strike: strikeLeaderCut},
@@ -65,6 +68,8 @@
 	"gateway_freezes":          {strike: strikeGatewayFreezes},
 	"gateway_cut":              {strike: strikeGatewayCut},
 	"gateway_stops":            {strike: strikeGatewayStops, planned: true},
+	"zone_dispatchers_lost":    {strike: strikeZoneDispatchersLost, rare: true},
+	"zone_lost":                {strike: strikeZoneLost, rare: true},
 	"platform_contradicts":     {strike: strikePlatform},
 	"operators_race":           {strike: strikeOperators},
 	"missed_500_revisions":     {strike: strikeMissedRevisions, once: true},
@@ -84,8 +89,19 @@
 // voters can bear.
 var takesAllHeavy = map[string]bool{"second_loss_after_repair": true, "rolling_disk_loss": true}
 
-// FaultKinds returns the names of all kinds of faults.
-func FaultKinds() []string { return sortedKeys(faultKinds) }
+// FaultKinds returns the names of the kinds of faults that runs draw from.
+func FaultKinds() []string {
+	var names []string
+	for _, name := range KnownFaults() {
+		if !faultKinds[name].rare {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// KnownFaults returns the names of all kinds of faults.
+func KnownFaults() []string { return sortedKeys(faultKinds) }
 
 // drawSchedule draws the faults of a run: some alone, some two at a time.
 func drawSchedule(random *rand.Rand, kinds []string, from, to time.Duration, count int) []Fault {
@@ -290,6 +306,21 @@
 	return w.bounceControl(w.metaLeaderProcess(), fault.Length)
 }
 
+// strikeMajorityKilled takes so many control processes away that none can lead.
+func strikeMajorityKilled(w *World, fault Fault) bool {
+	struck := false
+	for number := 0; number < majorityLoss; number++ {
+		if w.bounceControl(w.controls[(fault.Target+number)%controlCount], fault.Length) {
+			struck = true
+		}
+	}
+	return struck
+}
+
+// majorityLoss is how many of the six control processes leave no majority of
+// five voters, whichever of them is the spare.
+const majorityLoss = 4
+
 // strikeControlTorn lets a disk lose power in the middle of one of the next
 // writes.
 func strikeControlTorn(w *World, fault Fault) bool {
@@ -595,6 +626,44 @@
 	return true
 }
 
+// strikeZoneDispatchersLost takes all dispatchers of one zone away and leaves
+// their workers without an owner.
+func strikeZoneDispatchersLost(w *World, fault Fault) bool {
+	for _, d := range w.dispatchers {
+		if d.zone == fault.Target%w.profile.Zones && d.alive {
+			w.killDispatcher(d)
+		}
+	}
+	return true
+}
+
+// strikeZoneLost takes everything in one zone away for good.
+func strikeZoneLost(w *World, fault Fault) bool {
+	zone := fault.Target % w.profile.Zones
+	for _, e := range w.engines {
+		if e.zone == zone {
+			w.killEngine(e)
+		}
+	}
+	for _, d := range w.dispatchers {
+		if d.zone == zone && d.alive {
+			w.killDispatcher(d)
+		}
+	}
+	for _, g := range w.gateways {
+		if g.zone == zone && g.alive {
+			w.killGateway(g)
+		}
+	}
+	for _, c := range w.controls {
+		if c.zone == zone && c.alive {
+			w.killControl(c, true)
+			c.gone = true
+		}
+	}
+	return true
+}
+
 func strikePlatform(w *World, fault Fault) bool {
 	w.platform.contradictUntil = w.clock.now.Add(fault.Length)
 	return true
--- a/internal/simulation/gateway.go
+++ b/internal/simulation/gateway.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	gatewayCount       = 3
 	maxGatewayAttempts = 4
 	retryPercent       = 20
 	connectTimeout     = 2 * time.Second
--- a/internal/simulation/items.go
+++ b/internal/simulation/items.go
@@ -25,6 +25,7 @@
 	finished   []wire.ItemResult
 	busy       map[int]bool
 	renewed    map[int]time.Time
+	nextAsk    map[int]time.Time
 	stopped    bool
 	sequence   int
 }
@@ -37,7 +38,7 @@
 }
 
 func newItemSet(d *dispatcherProcess) *itemSet {
-	return &itemSet{dispatcher: d, held: map[wire.ItemRef]*heldItem{}, busy: map[int]bool{}, renewed: map[int]time.Time{}}
+	return &itemSet{dispatcher: d, held: map[wire.ItemRef]*heldItem{}, busy: map[int]bool{}, renewed: map[int]time.Time{}, nextAsk: map[int]time.Time{}}
 }
 
 func (s *itemSet) refs(group int) []wire.ItemRef {
@@ -63,6 +64,9 @@
 			_, queued := d.scheduler.Queued()
 			want = max(0, room+itemBacklog-queued)
 		}
+		if d.world.clock.now.Before(s.nextAsk[group]) {
+			want = 0
+		}
 		held := s.refs(group)
 		renew := len(held) > 0 && d.world.clock.now.Sub(s.renewed[group]) >= renewInterval
 		if s.busy[group] || (want == 0 && !renew) {
@@ -86,6 +90,9 @@
 			return
 		}
 		s.granted(sent, held, response)
+		if want > 0 && len(response.Items) == 0 {
+			s.nextAsk[group] = d.world.clock.now.Add(time.Duration(response.IdleMillis) * time.Millisecond)
+		}
 	})
 }
 
--- a/internal/simulation/sweep.go
+++ b/internal/simulation/sweep.go
@@ -109,6 +109,7 @@
 	r.Preemptions += other.Preemptions
 	r.Resumes += other.Resumes
 	r.Virtual += other.Virtual
+	r.PeakControl = max(r.PeakControl, other.PeakControl)
 	r.LeaderChange = append(r.LeaderChange, other.LeaderChange...)
 	r.HandOver = append(r.HandOver, other.HandOver...)
 	r.InForce = append(r.InForce, other.InForce...)
@@ -124,6 +125,7 @@
 	fmt.Fprintf(out, "workers owned again:  %s\n", spread(t.HandOver))
 	fmt.Fprintf(out, "in force, no fault:   %s\n", spread(t.InForce))
 	fmt.Fprintf(out, "in force, with fault: %s\n", spread(t.FaultyInForce))
+	fmt.Fprintf(out, "calls to control:     most in a second %d\n", t.PeakControl)
 	for _, kind := range sortedKeys(s.Struck) {
 		fmt.Fprintf(out, "fault %-26s struck %d\n", kind, s.Struck[kind])
 	}
--- a/internal/simulation/world_run.go
+++ b/internal/simulation/world_run.go
@@ -17,6 +17,8 @@
 	Name           string
 	Zones          int
 	Workers        int
+	Dispatchers    int
+	Gateways       int
 	Latencies      latencies
 	OnlineCallers  int
 	OnlineInterval time.Duration
@@ -40,6 +42,8 @@
 		Name:           name,
 		Zones:          zones,
 		Workers:        workers,
+		Dispatchers:    3,
+		Gateways:       3,
 		Latencies:      latencies{sameZone: 200 * time.Microsecond, otherZone: time.Millisecond, client: 3 * time.Millisecond, jitter: 300 * time.Microsecond},
 		OnlineCallers:  3,
 		OnlineInterval: 400 * time.Millisecond,
@@ -63,9 +67,22 @@
 	return map[string]Profile{
 		"stundir": profile("stundir", 3, 12, 8*time.Second),
 		"kotare":  profile("kotare", 4, 18, 9*time.Second),
+		"target":  targetProfile(),
 	}
 }
 
+// targetProfile is the fleet that the system is built towards, with little load:
+// it shows what control and the daemons do at that size.
+func targetProfile() Profile {
+	target := profile("target", 9, 600, 8*time.Second)
+	target.Dispatchers = 200
+	target.Gateways = 130
+	target.FaultsFrom = 8 * time.Second
+	target.FaultsTo = 10 * time.Second
+	target.Faults = 1
+	return target
+}
+
 // Options say what to run.
 type Options struct {
 	Profile  Profile
@@ -93,6 +110,9 @@
 	platform         *platformProcess
 	identities       uint64
 	incarnations     uint64
+	enginesByName    map[string]*engineProcess
+	dispatchersNamed map[string]*dispatcherProcess
+	controlLoad      map[int64]int
 	races            int
 	settleEnd        time.Time
 	plannedStopsOnly bool
@@ -119,6 +139,9 @@
 	HandOver      []time.Duration
 	InForce       []time.Duration
 	FaultyInForce []time.Duration
+	// PeakControl is the most calls to control in one second, once faults can
+	// strike.
+	PeakControl int
 	// Virtual is the simulated time.
 	Virtual time.Duration
 }
@@ -163,7 +186,10 @@
 			cut:       map[[2]string]bool{},
 			random:    rand.New(rand.NewPCG(options.Seed, streamNetwork)),
 		},
-		faults: faultState{counts: map[string]int{}},
+		faults:           faultState{counts: map[string]int{}},
+		enginesByName:    map[string]*engineProcess{},
+		dispatchersNamed: map[string]*dispatcherProcess{},
+		controlLoad:      map[int64]int{},
 	}
 	w.ledger = newLedger(&w.clock)
 	w.ledger.calm = func() bool { return len(w.faults.counts) == 0 }
@@ -181,10 +207,10 @@
 	for _, c := range w.controls {
 		c.start()
 	}
-	for number := 0; number < dispatcherCount; number++ {
+	for number := 0; number < w.profile.Dispatchers; number++ {
 		w.addDispatcher(number)
 	}
-	for number := 0; number < gatewayCount; number++ {
+	for number := 0; number < w.profile.Gateways; number++ {
 		w.addGateway(number)
 	}
 	return w
@@ -365,6 +391,11 @@
 		FaultyInForce: w.ledger.timings.FaultyInForce,
 		Virtual:       w.clock.now.Sub(epoch),
 	}
+	for second, calls := range w.controlLoad {
+		if second >= epoch.Add(w.profile.FaultsFrom).Unix() {
+			result.PeakControl = max(result.PeakControl, calls)
+		}
+	}
 	for _, record := range w.ledger.order {
 		if record.over && record.err == nil {
 			result.Whole++
--- a/internal/wire/jobs.go
+++ b/internal/wire/jobs.go
@@ -246,6 +246,8 @@
 	Items       []LeasedItem `msg:"items"`
 	Stop        []ItemRef    `msg:"stop"`
 	LeaseMillis int64        `msg:"lease"`
+	// IdleMillis is when to ask again after an answer without items.
+	IdleMillis int64 `msg:"idle"`
 }
 
 // CompleteItemsRequest reports finished items in a group.
--- a/internal/wire/jobs_gen.go
+++ b/internal/wire/jobs_gen.go
@@ -6087,6 +6087,12 @@
 				err = msgp.WrapError(err, "LeaseMillis")
 				return
 			}
+		case "idle":
+			z.IdleMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "IdleMillis")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -6100,9 +6106,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *LeaseItemsResponse) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "items"
-	err = en.Append(0x83, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+	err = en.Append(0x84, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
 	if err != nil {
 		return
 	}
@@ -6161,15 +6167,25 @@
 		err = msgp.WrapError(err, "LeaseMillis")
 		return
 	}
+	// write "idle"
+	err = en.Append(0xa4, 0x69, 0x64, 0x6c, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.IdleMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "IdleMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *LeaseItemsResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "items"
-	o = append(o, 0x83, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+	o = append(o, 0x84, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
 	for za0001 := range z.Items {
 		o, err = z.Items[za0001].MarshalMsg(o)
@@ -6193,6 +6209,9 @@
 	// string "lease"
 	o = append(o, 0xa5, 0x6c, 0x65, 0x61, 0x73, 0x65)
 	o = msgp.AppendInt64(o, z.LeaseMillis)
+	// string "idle"
+	o = append(o, 0xa4, 0x69, 0x64, 0x6c, 0x65)
+	o = msgp.AppendInt64(o, z.IdleMillis)
 	return
 }
 
@@ -6303,6 +6322,12 @@
 				err = msgp.WrapError(err, "LeaseMillis")
 				return
 			}
+		case "idle":
+			z.IdleMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "IdleMillis")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -6325,7 +6350,7 @@
 	for za0002 := range z.Stop {
 		s += 1 + 4 + msgp.StringPrefixSize + len(z.Stop[za0002].JobID) + 5 + msgp.Uint32Size
 	}
-	s += 6 + msgp.Int64Size
+	s += 6 + msgp.Int64Size + 5 + msgp.Int64Size
 	return
 }
 
