A checker over the logs of real runs

Cause: what callers got was compared in the end-to-end tests, but nothing looked at what the processes did.

--- a/cmd/sedgemast-lab/main.go
+++ b/cmd/sedgemast-lab/main.go
@@ -11,14 +11,15 @@
 
 // arguments is the command line.
 type arguments struct {
-	Engine   *engineCommand        `arg:"subcommand:engine" help:"run an emulated engine"`
-	Platform *platformCommand      `arg:"subcommand:platform" help:"run the emulated platform: list of workers and weight store"`
-	Load     *loadCommand          `arg:"subcommand:load" help:"send online requests and a batch job, and check every answer"`
-	JobFile  *jobFileCommand       `arg:"subcommand:job-file" help:"write a job's file"`
-	Simulate *simulateCommand      `arg:"subcommand:simulate" help:"run the fleet with faults in virtual time, by seed, and check the promises"`
-	Workers  *hollowWorkersCommand `arg:"subcommand:hollow-workers" help:"serve hollow workers and the platform's list of them"`
-	Scale    *scaleCommand         `arg:"subcommand:scale" help:"measure a fleet of hollow daemons beside real processes"`
-	Prove    *proveCommand         `arg:"subcommand:prove" help:"show that every promise holds under its faults, and that its check turns red without its mechanism"`
+	Engine      *engineCommand        `arg:"subcommand:engine" help:"run an emulated engine"`
+	Platform    *platformCommand      `arg:"subcommand:platform" help:"run the emulated platform: list of workers and weight store"`
+	Load        *loadCommand          `arg:"subcommand:load" help:"send online requests and a batch job, and check every answer"`
+	JobFile     *jobFileCommand       `arg:"subcommand:job-file" help:"write a job's file"`
+	Simulate    *simulateCommand      `arg:"subcommand:simulate" help:"run the fleet with faults in virtual time, by seed, and check the promises"`
+	Workers     *hollowWorkersCommand `arg:"subcommand:hollow-workers" help:"serve hollow workers and the platform's list of them"`
+	Scale       *scaleCommand         `arg:"subcommand:scale" help:"measure a fleet of hollow daemons beside real processes"`
+	CheckRecord *checkRecordCommand   `arg:"subcommand:check-record" help:"check the promises over the logs of a real run"`
+	Prove       *proveCommand         `arg:"subcommand:prove" help:"show that every promise holds under its faults, and that its check turns red without its mechanism"`
 }
 
 // Description implements arg.Described.
@@ -47,6 +48,8 @@
 		command.Exit(runHollowWorkers(args.Workers))
 	case args.Scale != nil:
 		command.Exit(runScale(args.Scale))
+	case args.CheckRecord != nil:
+		command.Exit(runCheckRecord(args.CheckRecord))
 	case args.Prove != nil:
 		command.Exit(runProve(args.Prove))
 	}
--- a/cmd/sedgemast-lab/standins.go
+++ b/cmd/sedgemast-lab/standins.go
@@ -8,6 +8,7 @@
 	"github.com/sedgemast/sedgemast/internal/command"
 	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/platform"
 	"github.com/sedgemast/sedgemast/internal/settings"
 )
@@ -52,14 +53,14 @@
 	if err != nil {
 		return err
 	}
-	emulated := emulator.NewEngine(engineOptions(config, flags))
+	emulated := emulator.NewEngine(engineOptions(config, flags, d.Logger))
 	emulated.Register(d.Server)
 	d.Go(emulated.Run)
 	d.SetReady(true)
 	return d.Run()
 }
 
-func engineOptions(config *settings.Engine, flags *engineCommand) emulator.EngineOptions {
+func engineOptions(config *settings.Engine, flags *engineCommand, logger logging.Logger) emulator.EngineOptions {
 	capacity := emulator.DefaultCapacity()
 	capacity.Slots = config.Slots
 	capacity.KVTokens = config.KVTokens
@@ -78,6 +79,7 @@
 		EventLag:    config.EventLag.Std(),
 		ResumeGrace: resumeGrace,
 		WeightStore: config.WeightStore,
+		Logger:      logger,
 	}
 }
 
--- a/internal/emulator/orders.go
+++ b/internal/emulator/orders.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/engine"
+	"github.com/sedgemast/sedgemast/internal/logging"
 )
 
 // start begins an attempt unless it must be refused.
@@ -25,6 +26,7 @@
 	e.attempts[request.AttemptID] = started
 	e.seen[request.AttemptID] = true
 	e.counters.Started++
+	logging.Info(e.options.Logger, "attempt_started", "attempt", request.AttemptID, "epoch", request.Epoch)
 	select {
 	case e.wake <- struct{}{}:
 	default:
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -10,6 +10,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/configuration"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -174,6 +175,7 @@
 	defer release()
 	request.RequestID = requestID
 	request.NotRepeatable = strings.EqualFold(httpRequest.Header.Get(HeaderAtMostOnce), "true")
+	logging.Info(g.logger, "request_accepted", "request", requestID, "tenant", tenant.Name, "model", request.Model, "at_most_once", request.NotRepeatable)
 	answer := newChatAnswer(writer, requestID, body.Model, now)
 	if body.Stream {
 		usage := body.StreamOptions != nil && body.StreamOptions.IncludeUsage
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,98 @@
+// Package record reads the logs of a real run and checks the promises that they
+// show: it says which was broken, and by which events. The logs are the record;
+// nothing is asked of the processes.
+package record
+
+import (
+	"bufio"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logfmt/logfmt"
+)
+
+// Event is one line of a log.
+type Event struct {
+	At      time.Time
+	Process string
+	Role    string
+	Name    string
+	fields  map[string]string
+}
+
+// Text returns a field; empty if the event lacks it.
+func (e *Event) Text(field string) string { return e.fields[field] }
+
+// Number returns a field as a number; zero if the event lacks it.
+func (e *Event) Number(field string) uint64 {
+	value, err := strconv.ParseUint(e.fields[field], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return value
+}
+
+// maxLineBytes bounds one line of a log.
+const maxLineBytes = 1 << 20
+
+// ReadFolder reads all files of a folder whose names end in .log, and returns
+// their events in the order of time.
+func ReadFolder(folder string) ([]Event, error) {
+	paths, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		return nil, err
+	}
+	if len(paths) == 0 {
+		return nil, errors.Newf("there is no log in %s", folder)
+	}
+	var events []Event
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		read, err := Read(file)
+		if err = errors.CombineErrors(err, file.Close()); err != nil {
+			return nil, errors.Wrap(err, path)
+		}
+		events = append(events, read...)
+	}
+	sort.SliceStable(events, func(a, b int) bool { return events[a].At.Before(events[b].At) })
+	return events, nil
+}
+
+// Read reads one log. Lines that are no events are passed over: a process that
+// was killed may have left half of one.
+func Read(from io.Reader) ([]Event, error) {
+	scanner := bufio.NewScanner(from)
+	scanner.Buffer(nil, maxLineBytes)
+	var events []Event
+	for scanner.Scan() {
+		if event, whole := parse(scanner.Bytes()); whole {
+			events = append(events, event)
+		}
+	}
+	return events, scanner.Err()
+}
+
+func parse(line []byte) (Event, bool) {
+	decoder := logfmt.NewDecoder(newLineReader(line))
+	event := Event{fields: map[string]string{}}
+	if !decoder.ScanRecord() {
+		return event, false
+	}
+	for decoder.ScanKeyval() {
+		event.fields[string(decoder.Key())] = string(decoder.Value())
+	}
+	at, err := time.Parse(time.RFC3339Nano, event.fields["time"])
+	event.At = at
+	event.Process = event.fields["process"]
+	event.Role = event.fields["role"]
+	event.Name = event.fields["event"]
+	return event, decoder.Err() == nil && err == nil && event.Name != "" && event.Process != ""
+}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -21,6 +22,7 @@
 	"github.com/sedgemast/sedgemast/internal/keys"
 	"github.com/sedgemast/sedgemast/internal/loadgen"
 	"github.com/sedgemast/sedgemast/internal/operator"
+	"github.com/sedgemast/sedgemast/internal/record"
 )
 
 const (
@@ -236,6 +238,22 @@
 	return c
 }
 
+// checkRecord checks the promises over the logs of all processes.
+func (c *cluster) checkRecord(t *testing.T) {
+	t.Helper()
+	events, err := record.ReadFolder(c.folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	report := record.Check(events)
+	var text strings.Builder
+	report.Print(&text)
+	t.Logf("record of %d events:\n%s", len(events), text.String())
+	if len(report.Violations) > 0 {
+		t.Errorf("the record shows %d violations", len(report.Violations))
+	}
+}
+
 // startControls starts control processes, each behind a relay.
 func (c *cluster) startControls(t *testing.T, count int) {
 	t.Helper()
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -159,7 +159,7 @@
 }
 
 // TestControlFailures breaks control processes of one fleet, one after another,
-// under load: killed, frozen, cut off silently, emptied.
+// under load: killed, frozen, cut off silently, stopped as planned, emptied.
 func TestControlFailures(t *testing.T) {
 	ctx := testContext(t)
 	c := newCluster(t, ctx, fullSize)
@@ -185,6 +185,14 @@
 		relay.setCut(false)
 	})
 	c.waitVoters(t, ctx, 5)
+	c.underLoad(t, ctx, "leader stopped as planned", func() {
+		leader := c.controls[c.leader(t, ctx)]
+		if code := leader.stop(); code != 0 {
+			t.Errorf("the planned stop ended with code %d", code)
+		}
+		leader.launch(t)
+	})
+	c.waitVoters(t, ctx, 5)
 	c.underLoad(t, ctx, "leader emptied", func() { c.empty(t, c.leader(t, ctx)) })
 	c.waitVoters(t, ctx, 5)
 	c.underLoad(t, ctx, "a second one emptied after the repair", func() { c.empty(t, c.leader(t, ctx)) })
@@ -192,6 +200,7 @@
 	if err := fleet.WaitInForce(ctx, c.operator(), 1); err != nil {
 		t.Error(err)
 	}
+	c.checkRecord(t)
 }
 
 // empty kills a control process, takes its disk and starts it again.
@@ -225,6 +234,7 @@
 		time.Sleep(3 * time.Second)
 		c.engines[0].signal(syscall.SIGCONT)
 	})
+	c.checkRecord(t)
 }
 
 // untilOwned returns how long it takes until the dispatcher owns no worker.
--- a/test/hop_test.go
+++ b/test/hop_test.go
@@ -28,11 +28,11 @@
 	direct, through := loadgen.NewHistogram(), loadgen.NewHistogram()
 	for i := 0; b.Loop(); i++ {
 		text := fmt.Sprintf("question %d", i)
-		record(b, through, func() error {
+		recordLatency(b, through, func() error {
 			_, err := client.Chat(ctx, &loadgen.Request{Model: testModel, Text: text, MaxTokens: hopTokens, Stream: true})
 			return err
 		})
-		record(b, direct, func() error { return runStraight(ctx, straight, started.Engines[0].Address(), i, text) })
+		recordLatency(b, direct, func() error { return runStraight(ctx, straight, started.Engines[0].Address(), i, text) })
 	}
 	report(b, "straight", direct)
 	report(b, "through", through)
@@ -40,7 +40,7 @@
 	b.ReportMetric(float64(through.ValueAtQuantile(99)-direct.ValueAtQuantile(99)), "hop-p99-µs")
 }
 
-func record(b *testing.B, histogram *hdrhistogram.Histogram, action func() error) {
+func recordLatency(b *testing.B, histogram *hdrhistogram.Histogram, action func() error) {
 	b.Helper()
 	time.Sleep(hopPause)
 	begun := time.Now()
