--- a/internal/dispatcher/items.go
+++ b/internal/dispatcher/items.go
@@ -21,6 +21,8 @@
 	renewInterval = 750 * time.Millisecond
 	// idleInterval is when to ask again after a request that failed.
 	idleInterval = 250 * time.Millisecond
+	// probeItems is how many items a group is asked for that gave none lately.
+	probeItems = 8
 	// maxReportItems bounds the results in one report.
 	maxReportItems  = 512
 	reportTimeout   = 10 * time.Second
@@ -53,6 +55,8 @@
 	busy      bool
 	lastRenew time.Time
 	nextAsk   time.Time
+	// giving is set while the group's last answer held items.
+	giving bool
 	// released is set while control has not been told of items given back.
 	released bool
 }
@@ -84,7 +88,6 @@
 		if request == nil {
 			continue
 		}
-		want -= request.Want
 		go s.pull(ctx, request)
 	}
 }
@@ -123,6 +126,11 @@
 		group = &groupPull{}
 		s.groups[number] = group
 	}
+	if !group.giving {
+		// A group that had nothing to give must not take the room that the
+		// others could fill.
+		want = min(want, probeItems)
+	}
 	if now.Before(group.nextAsk) || s.stopped {
 		want = 0
 	}
@@ -179,7 +187,10 @@
 		lease.Renew(sent, length)
 		s.startItem(ctx, &response.Items[i], lease)
 	}
-	if request.Want > 0 && len(response.Items) == 0 {
+	if request.Want > 0 {
+		group.giving = len(response.Items) > 0
+	}
+	if request.Want > 0 && !group.giving {
 		group.nextAsk = time.Now().Add(time.Duration(response.IdleMillis) * time.Millisecond)
 	}
 }
--- a/internal/scale/workers.go
+++ b/internal/scale/workers.go
@@ -13,11 +13,6 @@
 	"github.com/sedgemast/sedgemast/internal/platform"
 )
 
-const (
-	workerSlots  = 32
-	workerMemory = 131_072
-)
-
 // hollowWorker answers the load reports and orders that its owner asks for, and
 // runs nothing.
 type hollowWorker struct {
@@ -45,8 +40,8 @@
 			Worker:       h.name,
 			Incarnation:  1,
 			Epoch:        h.epoch,
-			Slots:        workerSlots,
-			KVTokens:     workerMemory,
+			// Without slots its owner gives it no work.
+			Slots:        0,
 			BlockTokens:  engine.BlockTokens,
 			Models:       []string{h.model},
 			MeasuredAtMS: time.Now().UnixMilli(),
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -25,6 +25,12 @@
 	MaxQueue int
 	// ReservePercent is the share of a worker's slots left free of batch work.
 	ReservePercent int
+	// AdaptiveReserve lets the reserve follow the recent bursts of online
+	// arrivals, up to ReservePercent.
+	AdaptiveReserve bool
+	// EnginePriorities leaves the order of work to the engines, for
+	// comparison: nothing is preempted and no slot is kept free.
+	EnginePriorities bool
 	// WorkerTimeout is how long a worker may not be heard of before it counts
 	// as silent; zero means for ever.
 	WorkerTimeout time.Duration
@@ -63,6 +69,7 @@
 	actions  []Action
 	now      time.Time
 	rate     finishRate
+	bursts   burstMeter
 }
 
 // Weights of the scorers that choose a worker.
@@ -122,6 +129,7 @@
 
 // arriveOnline places an online attempt, queues it, or refuses it at once.
 func (s *Scheduler) arriveOnline(now time.Time, attempt *Attempt) {
+	s.bursts.arrived(now)
 	if s.online.len() == 0 && s.placeOnline(attempt) {
 		return
 	}
@@ -192,6 +200,9 @@
 		s.start(chosen, attempt)
 		return true
 	}
+	if s.config.EnginePriorities {
+		return s.placeBeyondSlots(attempt, request)
+	}
 	chosen := s.choose(request, func(w *worker) bool { return w.fitsAfterPreemption(attempt) })
 	if chosen == nil {
 		return false
@@ -203,6 +214,17 @@
 	return true
 }
 
+// placeBeyondSlots hands the attempt to a worker without a free slot, whose
+// engine orders it by priority.
+func (s *Scheduler) placeBeyondSlots(attempt *Attempt, request *routing.Request) bool {
+	chosen := s.choose(request, func(w *worker) bool { return w.available() && len(w.inFlight) < 2*w.spec.Slots })
+	if chosen == nil {
+		return false
+	}
+	s.start(chosen, attempt)
+	return true
+}
+
 // choose runs the routing steps over the workers that the condition accepts.
 func (s *Scheduler) choose(request *routing.Request, condition func(*worker) bool) *worker {
 	candidates := make([]*routing.Candidate, 0, len(s.order))
@@ -265,7 +287,7 @@
 			s.refuse(attempt, ReasonNoWorker, noWorkerRetryAfter)
 			return false
 		}
-		chosen := s.choose(attempt.request(), func(w *worker) bool { return w.fits(attempt, w.reserve(s.config.ReservePercent)) })
+		chosen := s.choose(attempt.request(), func(w *worker) bool { return w.fits(attempt, w.reserve(s.reservePercent())) })
 		if chosen == nil {
 			full[attempt.Model] = true
 			return true
@@ -285,7 +307,7 @@
 		if !w.available() {
 			continue
 		}
-		room += max(0, w.freeSlots()-w.reserve(s.config.ReservePercent))
+		room += max(0, w.freeSlots()-w.reserve(s.reservePercent()))
 		for model := range w.spec.Models {
 			models[model] = true
 		}
--- a/internal/simulation/callers.go
+++ b/internal/simulation/callers.go
@@ -45,7 +45,8 @@
 
 // ask sends one online request through a random gateway.
 func (w *World) ask(p *process, id string) {
-	prompt := fmt.Sprintf("timetable clash %s %s", id, strings.Repeat("room ", w.workload.IntN(40)))
+	words, tokens := w.questionShape(w.workload)
+	prompt := promptOf(id, words)
 	request := wire.GenerateRequest{
 		RequestID:      id,
 		Tenant:         simulatedTenant,
@@ -53,12 +54,13 @@
 		Rank:           5,
 		Model:          simulatedModel,
 		Prompt:         prompt,
-		MaxTokens:      8 + w.workload.IntN(24),
+		MaxTokens:      tokens,
 		TimeLeftMillis: onlineDeadline.Milliseconds(),
 		NotRepeatable:  w.workload.IntN(4) == 0,
 	}
 	want := emulator.NewAnswer(simulatedModel, "", prompt).Text(request.MaxTokens)
 	record := w.ledger.asked(&request, want)
+	record.experiment = w.experiment
 	g := w.gateways[w.workload.IntN(len(w.gateways))]
 	w.timer(p, callerPatience, func() { record.ended(w, failure.New(failure.OutcomeUnknown, "ask again", "no answer")) })
 	w.transmit(p, &g.process, func() {
@@ -114,8 +116,10 @@
 	w.every(p, time.Second, func() { w.readBack(p, number) })
 }
 
+func groupOf(job *jobRecord) int { return jobstate.GroupOfTenant(job.tenant, jobGroups) }
+
 func (w *World) submit(p *process, job *jobRecord) {
-	group := jobstate.GroupOfTenant(job.tenant, jobGroups)
+	group := groupOf(job)
 	viaGateway(w, p, group, func(c *controlProcess, answer reply[*wire.JobResponse]) {
 		c.uploadAndCreate(group, job, answer)
 	}, func(response *wire.JobResponse, err error) {
@@ -166,7 +170,7 @@
 	if job.id == "" {
 		return
 	}
-	group := jobstate.GroupOfTenant(job.tenant, jobGroups)
+	group := groupOf(job)
 	job.cancelling = true
 	viaGateway(w, p, group, func(c *controlProcess, answer reply[*wire.JobResult]) {
 		c.proposeJob(group, &wire.JobCommand{CancelJob: &wire.CancelJobRequest{Tenant: job.tenant, JobID: job.id}}, answer)
@@ -196,7 +200,7 @@
 }
 
 func (w *World) readJob(p *process, job *jobRecord) {
-	group := jobstate.GroupOfTenant(job.tenant, jobGroups)
+	group := groupOf(job)
 	viaGateway(w, p, group, func(c *controlProcess, answer reply[jobView]) {
 		c.readJob(group, job.tenant, job.id, answer)
 	}, func(view jobView, err error) {
--- a/internal/simulation/control.go
+++ b/internal/simulation/control.go
@@ -15,17 +15,18 @@
 )
 
 const (
-	tickInterval     = 20 * time.Millisecond
-	helloInterval    = 200 * time.Millisecond
-	planInterval     = 50 * time.Millisecond
-	platformInterval = 500 * time.Millisecond
-	electionTimeout  = 500 * time.Millisecond
-	heartbeatShare   = 5
-	replaceAfter     = 3 * time.Second
-	keptLogBytes     = 8 << 10
-	controlVoters    = 5
-	controlCount     = 6
-	jobGroups        = 2
+	tickInterval       = 20 * time.Millisecond
+	helloInterval      = 200 * time.Millisecond
+	planInterval       = 50 * time.Millisecond
+	platformInterval   = 500 * time.Millisecond
+	electionTimeout    = 500 * time.Millisecond
+	heartbeatShare     = 5
+	replaceAfter       = 3 * time.Second
+	keptLogBytes       = 8 << 10
+	experimentLogBytes = 4 << 20
+	controlVoters      = 5
+	controlCount       = 6
+	jobGroups          = 2
 	// firstBackoff and maxBackoff are those of controlclient.
 	firstBackoff = 20 * time.Millisecond
 	maxBackoff   = 500 * time.Millisecond
@@ -104,7 +105,7 @@
 		ElectionTimeout:   electionTimeout,
 		HeartbeatInterval: electionTimeout / heartbeatShare,
 		ReplaceAfter:      replaceAfter,
-		LogBytes:          keptLogBytes,
+		LogBytes:          w.logBytes(),
 		Random:            w.random,
 		Send:              c.send,
 		Applied: func(group int, entry *wire.LogEntry) {
@@ -123,6 +124,15 @@
 	w.every(&c.process, platformInterval, c.readPlatform)
 }
 
+// logBytes is small in failure runs, so that replicas that were away need
+// snapshots.
+func (w *World) logBytes() int {
+	if w.experiment != nil || w.profile.Engine != nil {
+		return experimentLogBytes
+	}
+	return keptLogBytes
+}
+
 func controlNames() []string {
 	names := make([]string, 0, controlCount)
 	for number := 0; number < controlCount; number++ {
--- a/internal/simulation/ledger.go
+++ b/internal/simulation/ledger.go
@@ -107,6 +107,8 @@
 	over          bool
 	err           error
 	asked         time.Time
+	last          time.Time
+	experiment    *experiment
 }
 
 func (l *ledger) asked(request *wire.GenerateRequest, want string) *requestRecord {
@@ -122,6 +124,7 @@
 		return
 	}
 	r.text.WriteString(text)
+	r.time()
 	if !strings.HasPrefix(r.want, r.text.String()) {
 		r.over = true
 		r.err = errStreamCut
@@ -129,12 +132,27 @@
 	}
 }
 
+// time takes in when a piece of the answer reached the caller.
+func (r *requestRecord) time() {
+	x, now := r.experiment, r.ledger.clock.now
+	if x == nil || r.asked.Before(x.from) || !r.asked.Before(x.till) {
+		return
+	}
+	if r.last.IsZero() {
+		recordDuration(x.measured.FirstToken, now.Sub(r.asked))
+	} else {
+		recordDuration(x.measured.Gap, now.Sub(r.last))
+	}
+	r.last = now
+}
+
 // ended takes in the final answer.
 func (r *requestRecord) ended(w *World, err error) {
 	if r.over {
 		return
 	}
 	r.over, r.err = true, err
+	r.count()
 	switch {
 	case err == nil && r.text.String() != r.want:
 		r.ledger.violate("whole answer", "request %s ended with %d of %d bytes", r.id, r.text.Len(), len(r.want))
@@ -145,6 +163,23 @@
 	}
 }
 
+// count takes in the end of a request in an experiment.
+func (r *requestRecord) count() {
+	x, now := r.experiment, r.ledger.clock.now
+	if x == nil || r.asked.Before(x.from) {
+		return
+	}
+	if r.err != nil {
+		recordDuration(x.measured.Refusal, now.Sub(r.asked))
+		return
+	}
+	second := int(now.Sub(x.from) / time.Second)
+	for len(x.measured.Goodput) <= second {
+		x.measured.Goodput = append(x.measured.Goodput, 0)
+	}
+	x.measured.Goodput[second]++
+}
+
 // engineStarted takes in that an engine began an attempt.
 func (l *ledger) engineStarted(e *engineProcess, request *engine.GenerateRequest) {
 	if request.Epoch < e.fence {
@@ -244,6 +279,7 @@
 	cancelledAt time.Time
 	seen        map[uint32]string
 	succeeded   int
+	done        bool
 }
 
 func (l *ledger) newJob(w *World, key string, items int) *jobRecord {
--- a/internal/simulation/task.go
+++ b/internal/simulation/task.go
@@ -204,7 +204,13 @@
 		return
 	}
 	e := d.world.engineByName(t.worker)
-	d.world.transmit(&d.process, &e.process, func() { e.cancel(id) }, nil)
+	decided := d.world.clock.now
+	d.world.transmit(&d.process, &e.process, func() {
+		e.cancel(id)
+		if t.request.Class == wire.Batch && d.world.measuring() {
+			recordDuration(d.world.experiment.measured.Yield, d.world.clock.now.Sub(decided))
+		}
+	}, nil)
 }
 
 // failed ends an attempt that did not become whole, and lets the policy decide
--- a/internal/simulation/world_run.go
+++ b/internal/simulation/world_run.go
@@ -7,6 +7,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/coordination"
+	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/jobstate"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -28,6 +29,8 @@
 	ChangeInterval time.Duration
 	ReservePercent int
 	EngineStep     time.Duration
+	// Engine replaces the small engines of failure runs; may be nil.
+	Engine *emulator.Capacity
 	// WarmUp is when load begins, FaultsFrom and FaultsTo when faults strike,
 	// and Settle how long the fleet has afterwards to get over everything.
 	WarmUp     time.Duration
@@ -89,6 +92,8 @@
 	Seed     uint64
 	Kinds    []string
 	Mutation Mutation
+	// Variant is set in experiments.
+	Variant Variant
 	// Schedule replaces the schedule drawn from the seed.
 	Schedule []Fault
 }
@@ -96,6 +101,8 @@
 // World is one simulated fleet.
 type World struct {
 	profile          Profile
+	variant          Variant
+	experiment       *experiment
 	mutation         Mutation
 	clock            clock
 	random           *rand.Rand
@@ -177,6 +184,7 @@
 	w := &World{
 		profile:  options.Profile,
 		mutation: options.Mutation,
+		variant:  options.Variant,
 		clock:    clock{now: epoch},
 		random:   rand.New(rand.NewPCG(options.Seed, streamFleet)),
 		workload: rand.New(rand.NewPCG(options.Seed, streamWorkload)),
--- a/internal/storage/memory.go
+++ b/internal/storage/memory.go
@@ -2,8 +2,9 @@
 
 import (
 	"bytes"
-	"sort"
 	"sync"
+
+	"github.com/tidwall/btree"
 )
 
 // Memory is a Store in memory that loses, when it crashes, what was not synced.
@@ -16,15 +17,16 @@
 	syncs    uint64
 }
 
-// keySpace is a sorted list of keys with their values.
+// keySpace is an ordered map that is copied when it is written to after a clone.
 type keySpace struct {
-	keys   []string
-	values map[string][]byte
+	tree *btree.Map[string, []byte]
 }
 
+func newKeySpace() keySpace { return keySpace{tree: &btree.Map[string, []byte]{}} }
+
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{live: keySpace{values: map[string][]byte{}}, durable: keySpace{values: map[string][]byte{}}}
+	return &Memory{live: newKeySpace(), durable: newKeySpace()}
 }
 
 // Syncs returns how many synced commits there have been.
@@ -62,13 +64,9 @@
 // Scan implements Reader.
 func (m *Memory) Scan(lower, upper []byte, visit func(key, value []byte) bool) error {
 	m.mutex.Lock()
-	pairs := m.live.between(lower, upper)
+	now := m.live.clone()
 	m.mutex.Unlock()
-	for _, pair := range pairs {
-		if !visit(pair.Key, pair.Value) {
-			return nil
-		}
-	}
+	now.scan(lower, upper, visit)
 	return nil
 }
 
@@ -94,8 +92,7 @@
 func (m *Memory) View() View {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	clone := m.live.clone()
-	return &Memory{live: clone, durable: keySpace{values: map[string][]byte{}}}
+	return &Memory{live: m.live.clone(), durable: newKeySpace()}
 }
 
 // Close implements Store.
@@ -112,41 +109,24 @@
 	return kept
 }
 
-func (k *keySpace) clone() keySpace {
-	values := make(map[string][]byte, len(k.values))
-	for key, value := range k.values {
-		values[key] = value
-	}
-	return keySpace{keys: append([]string(nil), k.keys...), values: values}
-}
+func (k *keySpace) clone() keySpace { return keySpace{tree: k.tree.Copy()} }
 
 func (k *keySpace) get(key []byte) []byte {
-	value, found := k.values[string(key)]
+	value, found := k.tree.Get(string(key))
 	if !found {
 		return nil
 	}
 	return append([]byte{}, value...)
 }
 
-func (k *keySpace) search(key []byte) int { return sort.SearchStrings(k.keys, string(key)) }
-
-// bounds returns the positions of the keys from lower to upper; a nil upper is
-// the end.
-func (k *keySpace) bounds(lower, upper []byte) (first, last int) {
-	first, last = k.search(lower), len(k.keys)
-	if upper != nil {
-		last = max(first, k.search(upper))
-	}
-	return first, last
-}
-
-func (k *keySpace) between(lower, upper []byte) []Mutation {
-	first, last := k.bounds(lower, upper)
-	pairs := make([]Mutation, 0, last-first)
-	for _, key := range k.keys[first:last] {
-		pairs = append(pairs, Mutation{Key: []byte(key), Value: k.values[key]})
-	}
-	return pairs
+// scan visits the pairs from lower to upper; a nil upper is the end.
+func (k *keySpace) scan(lower, upper []byte, visit func(key, value []byte) bool) {
+	k.tree.Ascend(string(lower), func(key string, value []byte) bool {
+		if upper != nil && key >= string(upper) {
+			return false
+		}
+		return visit([]byte(key), value)
+	})
 }
 
 func (k *keySpace) apply(mutations []Mutation) {
@@ -158,27 +138,20 @@
 		case mutation.DeletePrefix:
 			k.remove(mutation.Key, PrefixEnd(mutation.Key))
 		case mutation.Delete:
-			k.remove(mutation.Key, append(bytes.Clone(mutation.Key), 0))
+			k.tree.Delete(string(mutation.Key))
 		default:
-			k.set(mutation.Key, mutation.Value)
+			k.tree.Set(string(mutation.Key), mutation.Value)
 		}
 	}
 }
 
-func (k *keySpace) set(key, value []byte) {
-	if _, found := k.values[string(key)]; !found {
-		position := k.search(key)
-		k.keys = append(k.keys, "")
-		copy(k.keys[position+1:], k.keys[position:])
-		k.keys[position] = string(key)
-	}
-	k.values[string(key)] = value
-}
-
 func (k *keySpace) remove(lower, upper []byte) {
-	first, last := k.bounds(lower, upper)
-	for _, key := range k.keys[first:last] {
-		delete(k.values, key)
+	var doomed []string
+	k.scan(lower, upper, func(key, _ []byte) bool {
+		doomed = append(doomed, string(key))
+		return true
+	})
+	for _, key := range doomed {
+		k.tree.Delete(key)
 	}
-	k.keys = append(k.keys[:first], k.keys[last:]...)
 }
