--- a/cmd/sedgemast-lab/main.go
+++ b/cmd/sedgemast-lab/main.go
@@ -18,6 +18,7 @@
 	Simulate    *simulateCommand      `arg:"subcommand:simulate" help:"run the fleet with faults in virtual time, by seed, and check the promises"`
 	Workers     *hollowWorkersCommand `arg:"subcommand:hollow-workers" help:"serve hollow workers and the platform's list of them"`
 	Scale       *scaleCommand         `arg:"subcommand:scale" help:"measure a fleet of hollow daemons beside real processes"`
+	Experiment  *experimentCommand    `arg:"subcommand:experiment" help:"measure ways of sharing the fleet side by side, in virtual time"`
 	CheckRecord *checkRecordCommand   `arg:"subcommand:check-record" help:"check the promises over the logs of a real run"`
 	Prove       *proveCommand         `arg:"subcommand:prove" help:"show that every promise holds under its faults, and that its check turns red without its mechanism"`
 }
@@ -48,6 +49,8 @@
 		command.Exit(runHollowWorkers(args.Workers))
 	case args.Scale != nil:
 		command.Exit(runScale(args.Scale))
+	case args.Experiment != nil:
+		command.Exit(runExperiment(args.Experiment))
 	case args.CheckRecord != nil:
 		command.Exit(runCheckRecord(args.CheckRecord))
 	case args.Prove != nil:
