--- a/internal/scale/workers.go
+++ b/internal/scale/workers.go
@@ -37,9 +37,9 @@
 		h.write(writer, struct{}{})
 	case engine.PathLoad:
 		h.write(writer, engine.Load{
-			Worker:       h.name,
-			Incarnation:  1,
-			Epoch:        h.epoch,
+			Worker:      h.name,
+			Incarnation: 1,
+			Epoch:       h.epoch,
 			// Without slots its owner gives it no work.
 			Slots:        0,
 			BlockTokens:  engine.BlockTokens,
