--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -7,8 +7,8 @@
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
-// contains reports whether the identity is among the replicas.
-func contains(replicas []wire.Replica, id uint64) bool {
+// Contains reports whether the identity is among the replicas.
+func Contains(replicas []wire.Replica, id uint64) bool {
 	for i := range replicas {
 		if replicas[i].ID == id {
 			return true
@@ -19,12 +19,12 @@
 
 // IsVoter reports whether the replica counts for majorities.
 func IsVoter(membership *wire.Membership, id uint64) bool {
-	return contains(membership.Voters, id) || contains(membership.Outgoing, id)
+	return Contains(membership.Voters, id) || Contains(membership.Outgoing, id)
 }
 
 // IsMember reports whether the replica receives the log.
 func IsMember(membership *wire.Membership, id uint64) bool {
-	return IsVoter(membership, id) || contains(membership.Learners, id)
+	return IsVoter(membership, id) || Contains(membership.Learners, id)
 }
 
 // Members returns every replica of the membership once.
@@ -32,7 +32,7 @@
 	var members []wire.Replica
 	for _, list := range [][]wire.Replica{membership.Voters, membership.Outgoing, membership.Learners} {
 		for _, replica := range list {
-			if !contains(members, replica.ID) {
+			if !Contains(members, replica.ID) {
 				members = append(members, replica)
 			}
 		}
@@ -78,7 +78,7 @@
 		return false
 	}
 	for i := range first {
-		if !contains(second, first[i].ID) {
+		if !Contains(second, first[i].ID) {
 			return false
 		}
 	}
--- a/internal/consensus/replica_test.go
+++ b/internal/consensus/replica_test.go
@@ -141,7 +141,7 @@
 	c.pass(200 * time.Millisecond)
 	delete(c.cut, [2]uint64{1, 2})
 	c.pass(300 * time.Millisecond)
-	if leader := c.replicas[1]; leader.role != Leader || contains(leader.membership.Voters, 3) || len(leader.membership.Outgoing) > 0 {
+	if leader := c.replicas[1]; leader.role != Leader || Contains(leader.membership.Voters, 3) || len(leader.membership.Outgoing) > 0 {
 		t.Errorf("membership %+v under %s", leader.membership, leader.role)
 	}
 }
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -125,24 +126,15 @@
 	if model == "" {
 		return failure.New(failure.BadRequest, "name a model", "there is no model in the request").WithField("model")
 	}
-	if !contains(tenant.Spec.Models, model) {
+	if !slices.Contains(tenant.Spec.Models, model) {
 		return failure.New(failure.BadRequest, "use one of: "+strings.Join(tenant.Spec.Models, ", "), "tenant %s may not use model %q", tenant.Name, model).WithField("model")
 	}
-	if adapter != "" && !contains(tenant.Spec.Adapters, adapter) {
+	if adapter != "" && !slices.Contains(tenant.Spec.Adapters, adapter) {
 		return failure.New(failure.BadRequest, "use one of: "+strings.Join(tenant.Spec.Adapters, ", "), "tenant %s may not use adapter %q", tenant.Name, adapter).WithField("model")
 	}
 	return nil
 }
 
-func contains(list []string, wanted string) bool {
-	for _, entry := range list {
-		if entry == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // handleChat serves POST /v1/chat/completions.
 func (g *Gateway) handleChat(writer http.ResponseWriter, httpRequest *http.Request, requestID string) error {
 	now := time.Now()
--- a/internal/replication/formation.go
+++ b/internal/replication/formation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -60,7 +61,7 @@
 		if known == nil || !known.hello.Formed {
 			continue
 		}
-		if containsID(known.hello.Initial, n.identity.Replica.ID) {
+		if consensus.Contains(known.hello.Initial, n.identity.Replica.ID) {
 			n.form(known.hello.Initial, now)
 			return
 		}
@@ -74,15 +75,6 @@
 	}
 }
 
-func containsID(replicas []wire.Replica, id uint64) bool {
-	for i := range replicas {
-		if replicas[i].ID == id {
-			return true
-		}
-	}
-	return false
-}
-
 // clusterExists reports whether any process belongs to a cluster. One that forms
 // later than this is heard of before, because forming needs this process's own
 // answer or it is no first voter.
--- a/internal/replication/repair_test.go
+++ b/internal/replication/repair_test.go
@@ -66,7 +66,7 @@
 		t.Fatalf("%s %v, want %v", what, got, want)
 	}
 	for _, id := range want {
-		if !containsID(got, id) {
+		if !consensus.Contains(got, id) {
 			t.Errorf("%s %v, want %v", what, got, want)
 		}
 	}
