Online requests gather on few workers, and only those keep a reserve

Change: a routing step that keeps the two kinds apart, and a reserve on workers with online work only. Also: the simulation's item set read an item that dropping another had let go.

--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -15,6 +15,8 @@
 
 // Request is what the steps know of a request.
 type Request struct {
+	// Batch is set for batch work.
+	Batch   bool
 	Model   string
 	Adapter string
 	// Zone is where the request came in.
@@ -38,6 +40,8 @@
 	Unavailable bool
 	// Load is the share of the endpoint's capacity in use, from 0 to 1.
 	Load float64
+	// Online is set while the endpoint serves online requests.
+	Online bool
 	// Prefixes knows which blocks the endpoint probably caches; may be nil.
 	Prefixes *PrefixIndex
 }
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -53,6 +53,23 @@
 	return float64(mixed>>(64-mantissaBits)) / (1 << mantissaBits)
 }
 
+// GatherScorer keeps the two kinds of work apart: online requests prefer endpoints
+// that serve online requests already, batch work the others. A step of an engine
+// takes longer the more sequences it has, so that fewer endpoints pay for a reserve
+// if online requests gather.
+type GatherScorer struct{}
+
+// Name implements Scorer.
+func (GatherScorer) Name() string { return "gather" }
+
+// Score implements Scorer.
+func (GatherScorer) Score(request *Request, candidate *Candidate) float64 {
+	if candidate.Online != request.Batch {
+		return 1
+	}
+	return 0
+}
+
 // BestPicker takes the highest score, and one of the equals at random, so that
 // several choosers do not all run to the same endpoint.
 type BestPicker struct{}
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -76,6 +76,7 @@
 const (
 	weightPrefix = 2.0
 	weightLoad   = 1.0
+	weightGather = 0.3
 )
 
 // New returns a scheduler without workers. The random source settles ties.
@@ -89,6 +90,7 @@
 			[]routing.Weighted{
 				{Scorer: routing.PrefixScorer{}, Weight: weightPrefix},
 				{Scorer: routing.LoadScorer{}, Weight: weightLoad},
+				{Scorer: routing.GatherScorer{}, Weight: weightGather},
 			},
 			routing.BestPicker{},
 		),
@@ -244,7 +246,7 @@
 }
 
 func (a *Attempt) request() *routing.Request {
-	return &routing.Request{Model: a.Model, Adapter: a.Adapter, Blocks: a.Blocks, Exclude: a.Exclude}
+	return &routing.Request{Batch: a.Class == wire.Batch, Model: a.Model, Adapter: a.Adapter, Blocks: a.Blocks, Exclude: a.Exclude}
 }
 
 func (s *Scheduler) start(on *worker, attempt *Attempt) {
--- a/internal/scheduling/worker.go
+++ b/internal/scheduling/worker.go
@@ -64,8 +64,12 @@
 
 func (w *worker) freeKV() int { return w.spec.KVTokens - w.kvUsed }
 
-// reserve returns how many slots batch work must leave free.
+// reserve returns how many slots batch work must leave free: none where no online
+// work runs, because what arrives there preempts at once.
 func (w *worker) reserve(percent int) int {
+	if w.online == 0 {
+		return 0
+	}
 	return int(math.Ceil(float64(w.spec.Slots) * float64(percent) / 100))
 }
 
@@ -152,6 +156,7 @@
 		Adapters:    w.spec.Adapters,
 		Unavailable: !w.available(),
 		Load:        load,
+		Online:      w.online > 0,
 		Prefixes:    w.prefixes,
 	}
 }
--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -195,6 +195,10 @@
 	e.world.timer(&e.process, duration, func() {
 		for _, output := range outputs {
 			found := e.attempts[output.Sequence.ID]
+			if found == nil {
+				// It was cancelled during the step and forgotten since.
+				continue
+			}
 			if output.Ended {
 				found.ended = true
 			} else {
