--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
 
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -29,6 +30,9 @@
 
 // Parse reads the command line into target; help and version end the program.
 func Parse(name string, target any) *arg.Parser {
+	// The framework says how it loads settings in lines of its own form; a
+	// process logs from its start on.
+	kratoslog.SetLogger(logging.Kratos(logging.Discard()))
 	parser, err := arg.NewParser(arg.Config{Program: name}, target)
 	if err != nil {
 		// The argument structures are fixed; an error is a mistake in them.
--- a/internal/loadgen/online.go
+++ b/internal/loadgen/online.go
@@ -28,6 +28,8 @@
 	Seed  uint64
 	// StreamShare is the share of requests that are streamed, 0 to 1.
 	StreamShare float64
+	// AtMostOnceShare is the share of requests that may not be repeated, 0 to 1.
+	AtMostOnceShare float64
 }
 
 // Summary is what became of an online load.
@@ -82,6 +84,8 @@
 			Text:      fmt.Sprintf("%s question %d of %d", SharedPrompt("timetable", o.Words), number, o.Seed),
 			MaxTokens: o.MaxTokens,
 			Stream:    random.Float64() < o.StreamShare,
+			// The order of draws keeps the load of a seed as it was.
+			AtMostOnce: o.AtMostOnceShare > 0 && random.Float64() < o.AtMostOnceShare,
 		}
 		time.Sleep(time.Until(due))
 		pending.Add(1)
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -132,7 +132,7 @@
 		defer running.Done()
 		changes.run(writing, c.operator(), strings.ReplaceAll(name, " ", "-"))
 	}()
-	online := &loadgen.Online{Model: testModel, Requests: 200, Rate: 20, MaxTokens: 64, Words: 32, Seed: 1, StreamShare: 0.5}
+	online := &loadgen.Online{Model: testModel, Requests: 200, Rate: 20, MaxTokens: 64, Words: 32, Seed: 1, StreamShare: 0.5, AtMostOnceShare: 0.25}
 	var summary *loadgen.Summary
 	go func() {
 		defer running.Done()
