--- a/internal/record/check.go
+++ b/internal/record/check.go
@@ -1,15 +1,12 @@
 package record
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"strings"
 	"time"
 )
 
-func newLineReader(line []byte) io.Reader { return bytes.NewReader(line) }
-
 // cancelBound is how long after a cancel an item may still be started: the lease
 // of an item, a call, and room.
 const cancelBound = 8 * time.Second
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"os"
 	"path/filepath"
@@ -81,7 +82,7 @@
 }
 
 func parse(line []byte) (Event, bool) {
-	decoder := logfmt.NewDecoder(newLineReader(line))
+	decoder := logfmt.NewDecoder(bytes.NewReader(line))
 	event := Event{fields: map[string]string{}}
 	if !decoder.ScanRecord() {
 		return event, false
