Followers look for a new membership only where there may be one

A follower searched its whole log for the newest membership at every append; it does so now only when an entry of that kind came or was dropped. broadcast and heartbeat were one loop twice; the prefix that names a leader stood twice; repair listed the processes once for each group.

--- a/internal/consensus/append.go
+++ b/internal/consensus/append.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -15,20 +16,12 @@
 	}
 }
 
-// broadcast sends every follower what it may be sent now.
-func (r *Replica) broadcast() {
+// broadcast sends every follower what it may be sent now; with always set also
+// those to whom there is nothing to send, as a heartbeat.
+func (r *Replica) broadcast(always bool) {
 	for _, member := range Members(&r.membership) {
 		if member.ID != r.config.ID {
-			r.sendAppend(member.ID, false)
-		}
-	}
-}
-
-// heartbeat sends every follower a message, with entries where there are some.
-func (r *Replica) heartbeat() {
-	for _, member := range Members(&r.membership) {
-		if member.ID != r.config.ID {
-			r.sendAppend(member.ID, true)
+			r.sendAppend(member.ID, always)
 		}
 	}
 }
@@ -125,10 +118,17 @@
 	}
 	fresh := message.Entries[conflict-message.Index-1:]
 	r.log.push(fresh)
-	r.adoptMembership()
+	// Finding the newest membership looks through the whole log.
+	if conflict <= r.membershipIndex || holdsMembership(fresh) {
+		r.adoptMembership()
+	}
 	return last
 }
 
+func holdsMembership(entries []wire.LogEntry) bool {
+	return slices.ContainsFunc(entries, func(entry wire.LogEntry) bool { return entry.Kind == wire.EntryMembership })
+}
+
 // noteTruncation remembers which stored entries must be removed.
 func (r *Replica) noteTruncation(first, last uint64) {
 	if r.truncateFrom == 0 || first < r.truncateFrom {
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -113,5 +113,5 @@
 	}
 	r.termStart = r.log.lastIndex() + 1
 	r.appendEntry(wire.EntryNoop, nil)
-	r.broadcast()
+	r.broadcast(false)
 }
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -105,7 +105,7 @@
 		next.Outgoing = r.membership.Voters
 	}
 	r.appendMembership(next)
-	r.broadcast()
+	r.broadcast(false)
 	return nil
 }
 
@@ -123,7 +123,7 @@
 		return
 	}
 	r.appendMembership(wire.Membership{Voters: r.membership.Voters, Learners: r.membership.Learners})
-	r.broadcast()
+	r.broadcast(false)
 }
 
 // adoptMembership takes the newest membership of the log into use.
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -159,7 +159,7 @@
 	}
 	if !now.Before(r.heartbeatDue) {
 		r.heartbeatDue = now.Add(r.config.HeartbeatInterval)
-		r.heartbeat()
+		r.broadcast(true)
 	}
 }
 
@@ -273,7 +273,7 @@
 		return 0, 0, r.notLeader()
 	}
 	r.appendEntry(wire.EntryCommand, command)
-	r.broadcast()
+	r.broadcast(false)
 	return r.log.lastIndex(), r.term, nil
 }
 
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 )
@@ -41,7 +42,7 @@
 const MetaGroup = 0
 
 // LeaderHint is the prefix of the failure field that names a group's leader.
-const LeaderHint = "leader="
+const LeaderHint = consensus.LeaderField
 
 const (
 	attemptTimeout = time.Second
--- a/internal/replication/repair.go
+++ b/internal/replication/repair.go
@@ -27,12 +27,13 @@
 // at a time.
 func (n *Node) repair(now time.Time) {
 	policy := repairPolicy{voters: min(n.options.Voters, len(n.options.Peers)), replaceAfter: n.options.ReplaceAfter}
+	processes := n.Processes(now)
 	for _, g := range n.groups {
 		if g.replica.Role() != consensus.Leader {
 			continue
 		}
 		status := g.replica.Status(now)
-		if voters, learners, change := planRepair(&status, n.Processes(now), policy); change {
+		if voters, learners, change := planRepair(&status, processes, policy); change {
 			// A refusal means that another change is under way; the next round
 			// tries again.
 			_ = g.replica.ProposeMembership(voters, learners)
