One wait for a change to be in force, one histogram

Found on reading the change again: sedgemastctl and the embedded fleet each waited for a revision to be in force in a loop of their own, and experiments made the load generator's histogram a second time.

--- a/cmd/sedgemast/dev.go
+++ b/cmd/sedgemast/dev.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "apply")
 	}
-	if err := fleet.WaitInForce(ctx, client, applied.Revision); err != nil {
+	if err := operator.WaitInForce(ctx, client, applied.Revision); err != nil {
 		return "", err
 	}
 	fmt.Printf("configuration: revision %d in force at every daemon\n", applied.Revision)
--- a/cmd/sedgemastctl/commands.go
+++ b/cmd/sedgemastctl/commands.go
@@ -21,7 +21,6 @@
 )
 
 const (
-	inForcePoll = 100 * time.Millisecond
 	// maxDrainTries bounds the tries of a drain that other changes overtake.
 	maxDrainTries = 20
 )
@@ -55,7 +54,7 @@
 		return errors.Wrapf(err, "change %s", change.ChangeID)
 	}
 	if flags.Wait {
-		if err := waitInForce(ctx, client, applied.Revision); err != nil {
+		if err := operator.WaitInForce(ctx, client, applied.Revision); err != nil {
 			return err
 		}
 	}
@@ -74,23 +73,6 @@
 	return fmt.Sprintf("ctl-%s-%d", time.Now().UTC().Format("20060102-150405.000"), os.Getpid())
 }
 
-func waitInForce(ctx context.Context, client *operator.Client, revision uint64) error {
-	for {
-		status, err := client.Status(ctx)
-		if err != nil {
-			return err
-		}
-		if status.ConfigRevision >= revision && status.InForce == len(status.Daemons) {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(inForcePoll):
-		}
-	}
-}
-
 func runGet(ctx context.Context, flags *getCommand) error {
 	client, err := flags.client()
 	if err != nil {
--- a/internal/fleet/demo.go
+++ b/internal/fleet/demo.go
@@ -1,11 +1,7 @@
 package fleet
 
 import (
-	"context"
 	"encoding/json"
-	"time"
-
-	"github.com/cockroachdb/errors"
 
 	"github.com/sedgemast/sedgemast/internal/configuration"
 	"github.com/sedgemast/sedgemast/internal/metastate"
@@ -14,7 +10,6 @@
 
 const (
 	demoTemplate    = "demo"
-	inForcePoll     = 20 * time.Millisecond
 	demoRate        = 2000
 	demoConcurrency = 2000
 )
@@ -50,21 +45,3 @@
 	}
 	return encoded
 }
-
-// WaitInForce waits until every daemon acts on the revision or a later one.
-func WaitInForce(ctx context.Context, client *operator.Client, revision uint64) error {
-	for {
-		status, err := client.Status(ctx)
-		if err != nil {
-			return errors.Wrap(err, "status")
-		}
-		if status.ConfigRevision >= revision && status.InForce == len(status.Daemons) {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "revision %d is in force at %d of %d daemons", revision, status.InForce, len(status.Daemons))
-		case <-time.After(inForcePoll):
-		}
-	}
-}
--- a/internal/simulation/experiment.go
+++ b/internal/simulation/experiment.go
@@ -12,6 +12,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/loadgen"
 )
 
 // Variant is one way of running online and batch work on one fleet.
@@ -72,18 +73,8 @@
 	Goodput []int
 }
 
-const (
-	lowestMicros      = 1
-	highestMicros     = 120_000_000
-	significantDigits = 3
-)
-
-func newHistogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(lowestMicros, highestMicros, significantDigits)
-}
-
 func newMeasured(variant Variant) *Measured {
-	return &Measured{Variant: variant, FirstToken: newHistogram(), Gap: newHistogram(), Yield: newHistogram(), Refusal: newHistogram()}
+	return &Measured{Variant: variant, FirstToken: loadgen.NewHistogram(), Gap: loadgen.NewHistogram(), Yield: loadgen.NewHistogram(), Refusal: loadgen.NewHistogram()}
 }
 
 func recordDuration(histogram *hdrhistogram.Histogram, length time.Duration) {
--- a/test/bad_input_test.go
+++ b/test/bad_input_test.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := fleet.WaitInForce(ctx, client, applied.Revision); err != nil {
+	if err := operator.WaitInForce(ctx, client, applied.Revision); err != nil {
 		t.Fatal(err)
 	}
 	if err := loadgen.WaitServing(ctx, loadgen.NewClient(started.Gateways[0].Address(), tenantKey), testModel); err != nil {
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -330,7 +330,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := fleet.WaitInForce(ctx, c.operator(), applied.Revision); err != nil {
+	if err := operator.WaitInForce(ctx, c.operator(), applied.Revision); err != nil {
 		t.Fatal(err)
 	}
 	for _, client := range c.clients() {
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/fleet"
 	"github.com/sedgemast/sedgemast/internal/loadgen"
 	"github.com/sedgemast/sedgemast/internal/metastate"
 	"github.com/sedgemast/sedgemast/internal/operator"
@@ -197,7 +196,7 @@
 	c.waitVoters(t, ctx, 5)
 	c.underLoad(t, ctx, "a second one emptied after the repair", func() { c.empty(t, c.leader(t, ctx)) })
 	c.waitVoters(t, ctx, 5)
-	if err := fleet.WaitInForce(ctx, c.operator(), 1); err != nil {
+	if err := operator.WaitInForce(ctx, c.operator(), 1); err != nil {
 		t.Error(err)
 	}
 	c.checkRecord(t)
