--- a/cmd/sedgemast-lab/scale.go
+++ b/cmd/sedgemast-lab/scale.go
@@ -10,7 +10,7 @@
 	"github.com/sedgemast/sedgemast/internal/command"
 	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/failure"
-	"github.com/sedgemast/sedgemast/internal/platform"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/scale"
 	"github.com/sedgemast/sedgemast/internal/settings"
 )
@@ -42,7 +42,7 @@
 	listed.Set(rows)
 	listed.Register(d.Server)
 	d.SetReady(true)
-	fmt.Printf("platform: %d hollow workers listed at http://%s%s\n", len(rows), d.Address(), platform.PathWorkers)
+	fmt.Printf("platform: %d hollow workers listed at http://%s%s\n", len(rows), d.Address(), workerlist.PathWorkers)
 	return d.Run()
 }
 
--- a/cmd/sedgemast-lab/standins.go
+++ b/cmd/sedgemast-lab/standins.go
@@ -9,7 +9,7 @@
 	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
-	"github.com/sedgemast/sedgemast/internal/platform"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/settings"
 )
 
@@ -100,13 +100,13 @@
 	if err := settings.Load(flags.Settings, config, func() { flags.Override(&config.Process) }); err != nil {
 		return err
 	}
-	var workers []platform.Worker
+	var workers []workerlist.Worker
 	for _, text := range flags.Workers {
 		parts := strings.Split(text, "=")
 		if len(parts) != workerParts {
 			return failure.New(failure.BadRequest, "write NAME=IP:PORT=ZONE", "%q is not a worker", text).WithField("--worker")
 		}
-		workers = append(workers, platform.Worker{ID: parts[0], Address: parts[1], Zone: parts[2], Incarnation: 1})
+		workers = append(workers, workerlist.Worker{ID: parts[0], Address: parts[1], Zone: parts[2], Incarnation: 1})
 	}
 	d, err := command.NewDaemon("platform", &config.Process)
 	if err != nil {
@@ -116,6 +116,6 @@
 	emulated.Set(workers)
 	emulated.Register(d.Server)
 	d.SetReady(true)
-	fmt.Printf("platform: %d workers listed at http://%s%s\n", len(workers), d.Address(), platform.PathWorkers)
+	fmt.Printf("platform: %d workers listed at http://%s%s\n", len(workers), d.Address(), workerlist.PathWorkers)
 	return d.Run()
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,7 +23,7 @@
 	"github.com/sedgemast/sedgemast/internal/jobstate"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/metastate"
-	"github.com/sedgemast/sedgemast/internal/platform"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/settings"
 	"github.com/sedgemast/sedgemast/internal/storage"
@@ -220,7 +220,7 @@
 }
 
 func (c *Control) platformLoop(ctx context.Context) {
-	client := platform.NewClient(c.settings.Platform)
+	client := workerlist.NewClient(c.settings.Platform)
 	failing := false
 	every(ctx, c.settings.PlatformInterval.Std(), func() {
 		if !c.leadsMeta() {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -12,7 +12,7 @@
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/membership"
 	"github.com/sedgemast/sedgemast/internal/metastate"
-	"github.com/sedgemast/sedgemast/internal/platform"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -33,7 +33,7 @@
 	return c.readMeta(func(time.Time, *coordination.Meta, *metastate.Machine) error { return nil }) == nil
 }
 
-func (c *Control) listWorkers(listed []platform.Worker) {
+func (c *Control) listWorkers(listed []workerlist.Worker) {
 	rows := make([]membership.ListedWorker, 0, len(listed))
 	for _, row := range listed {
 		rows = append(rows, membership.ListedWorker(row))
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/platform"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 )
 
@@ -30,7 +30,7 @@
 
 type platformVersion struct {
 	at      time.Time
-	workers []platform.Worker
+	workers []workerlist.Worker
 }
 
 // NewPlatform returns a platform whose list is lag old.
@@ -41,17 +41,17 @@
 const maxHistory = 1024
 
 // Set changes the list. It becomes visible after the lag.
-func (p *Platform) Set(workers []platform.Worker) {
+func (p *Platform) Set(workers []workerlist.Worker) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.history = append(p.history, platformVersion{at: time.Now(), workers: append([]platform.Worker(nil), workers...)})
+	p.history = append(p.history, platformVersion{at: time.Now(), workers: append([]workerlist.Worker(nil), workers...)})
 	if len(p.history) > maxHistory {
 		p.history = p.history[1:]
 	}
 }
 
 // Listed returns the list as it is seen at now. The first version shows at once.
-func (p *Platform) Listed(now time.Time) []platform.Worker {
+func (p *Platform) Listed(now time.Time) []workerlist.Worker {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for i := len(p.history) - 1; i > 0; i-- {
@@ -60,28 +60,28 @@
 		}
 	}
 	if len(p.history) == 0 {
-		return []platform.Worker{}
+		return []workerlist.Worker{}
 	}
 	return p.history[0].workers
 }
 
 // Register adds the platform's protocol to a server.
 func (p *Platform) Register(router rpc.Router) {
-	router.HandleFunc(platform.PathWorkers, p.handleWorkers)
+	router.HandleFunc(workerlist.PathWorkers, p.handleWorkers)
 	router.HandleFunc(PathWeights+"{name}", p.handleWeights)
 }
 
 // handleWorkers answers the list (GET) or replaces it (PUT, emulator only).
 func (p *Platform) handleWorkers(writer http.ResponseWriter, request *http.Request) {
 	if request.Method == http.MethodPut {
-		var list platform.List
+		var list workerlist.List
 		if readJSON(writer, request, &list) {
 			p.Set(list.Workers)
 			writeJSON(writer, struct{}{})
 		}
 		return
 	}
-	writeJSON(writer, platform.List{Workers: p.Listed(time.Now())})
+	writeJSON(writer, workerlist.List{Workers: p.Listed(time.Now())})
 }
 
 // handleWeights streams weights; all readers share one rate.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,7 +17,7 @@
 	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/gateway"
 	"github.com/sedgemast/sedgemast/internal/logging"
-	"github.com/sedgemast/sedgemast/internal/platform"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/settings"
 )
 
@@ -185,9 +185,9 @@
 
 // PublishWorkers tells the platform of the engines.
 func (f *Fleet) PublishWorkers() {
-	var workers []platform.Worker
+	var workers []workerlist.Worker
 	for index, member := range f.Engines {
-		workers = append(workers, platform.Worker{ID: member.Name, Address: member.Address(), Zone: zoneOf(index), Incarnation: 1})
+		workers = append(workers, workerlist.Worker{ID: member.Name, Address: member.Address(), Zone: zoneOf(index), Incarnation: 1})
 	}
 	f.Platform.Set(workers)
 }
--- a/internal/scale/workers.go
+++ b/internal/scale/workers.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/engine"
-	"github.com/sedgemast/sedgemast/internal/platform"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 )
 
 // hollowWorker answers the load reports and orders that its owner asks for, and
@@ -61,8 +61,8 @@
 
 // ServeWorkers serves hollow workers on ports of their own until ctx ends, and
 // returns their rows for the platform's list.
-func ServeWorkers(ctx context.Context, count int, model string) ([]platform.Worker, error) {
-	var rows []platform.Worker
+func ServeWorkers(ctx context.Context, count int, model string) ([]workerlist.Worker, error) {
+	var rows []workerlist.Worker
 	for number := 0; number < count; number++ {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -75,7 +75,7 @@
 			_ = server.Serve(listener)
 		}()
 		context.AfterFunc(ctx, func() { server.Close() })
-		rows = append(rows, platform.Worker{ID: name, Address: listener.Addr().String(), Zone: fmt.Sprintf("zone-%c", 'a'+number%zones), Incarnation: 1})
+		rows = append(rows, workerlist.Worker{ID: name, Address: listener.Addr().String(), Zone: fmt.Sprintf("zone-%c", 'a'+number%zones), Incarnation: 1})
 	}
 	return rows, nil
 }
--- a/internal/platform/client.go
+++ b/internal/workerlist/client.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's list of workers. The list
+// Package workerlist is the client of the platform's list of workers. The list
 // lags behind the truth and may contradict what the workers say themselves.
-package platform
+package workerlist
 
 import (
 	"context"
