--- a/cmd/sedgemast-lab/scale.go
+++ b/cmd/sedgemast-lab/scale.go
@@ -10,9 +10,9 @@
 	"github.com/sedgemast/sedgemast/internal/command"
 	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/failure"
-	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/scale"
 	"github.com/sedgemast/sedgemast/internal/settings"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 )
 
 // hollowWorkersCommand serves hollow workers and the platform's list of them.
--- a/cmd/sedgemast-lab/standins.go
+++ b/cmd/sedgemast-lab/standins.go
@@ -9,8 +9,8 @@
 	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
-	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/settings"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 )
 
 // engineCommand runs an emulated engine.
--- /dev/null
+++ b/internal/balance/cost.go
@@ -0,0 +1,60 @@
+package balance
+
+import "github.com/sedgemast/sedgemast/internal/dialect"
+
+const (
+	// tieMargin is the difference below which two costs count as equal.
+	tieMargin = 1e-9
+	// unreadShare is the part of a worker's memory that, as prompt tokens still
+	// to be read, weighs as much as all its slots taken: a long prompt holds
+	// back the first events of others.
+	unreadShare = 1.0 / 16
+	// defaultMemory stands in where a pool does not tell its memory.
+	defaultMemory = 100_000
+	// zoneCost is what another zone costs, in parts of a slot: enough to decide
+	// between workers of equal load, and no more.
+	zoneCost = 0.5
+	// cachedWorth is what a prompt wholly cached saves, in parts of a slot.
+	cachedWorth = 1.0
+)
+
+// cost rates a worker for a demand: the lower the better, in slots.
+func (t *Table) cost(candidate *worker, demand *Demand) float64 {
+	slots := float64(max(candidate.listed.Slots, 1))
+	memory := t.memory[demand.Pool]
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	cost := float64(candidate.inFlight)
+	cost += slots * float64(candidate.unread) / (float64(memory) * unreadShare)
+	if candidate.listed.Zone != t.zone {
+		cost += zoneCost
+	}
+	if demand.PromptTokens > 0 {
+		cost -= cachedWorth * float64(cachedTokens(candidate, demand.Parts)) / float64(demand.PromptTokens)
+	}
+	return cost
+}
+
+// shared returns the ids of the parts that other requests may have too: all but
+// the last.
+func shared(parts []dialect.Part) []string {
+	ids := make([]string, 0, len(parts))
+	for i := 0; i+1 < len(parts); i++ {
+		ids = append(ids, parts[i].ID)
+	}
+	return ids
+}
+
+// cachedTokens returns how many tokens of the prompt's beginning the worker has
+// probably read before.
+func cachedTokens(candidate *worker, parts []dialect.Part) int64 {
+	var tokens int64
+	for _, part := range parts {
+		if _, known := candidate.parts[part.ID]; !known {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
--- /dev/null
+++ b/internal/balance/worker.go
@@ -0,0 +1,53 @@
+// Package balance chooses workers for opaque requests by what this process has
+// sent to each: requests in flight, and prompt tokens that are still to be read.
+// It is pure but for a lock: time and randomness come from the caller.
+package balance
+
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	// maxParts bounds the prompt parts remembered of one worker.
+	maxParts = 4096
+	// suspectTime is how long a worker is avoided after it gave no answer.
+	suspectTime = time.Second
+)
+
+// worker is a worker and what this process knows of it.
+type worker struct {
+	listed wire.PoolWorker
+	// inFlight counts this process's requests, unread the prompt tokens of
+	// those without a first event.
+	inFlight int
+	batch    int
+	unread   int64
+	// refused is set once the worker said that it is another one, or leaving;
+	// that holds for its incarnation.
+	refused      bool
+	suspectUntil time.Time
+	// parts holds the prompt parts read here, with the number of the last use.
+	parts map[string]uint64
+	uses  uint64
+}
+
+// usable reports whether new requests may go to the worker.
+func (w *worker) usable() bool { return !w.listed.Leaving && !w.refused }
+
+// remember takes in that the worker reads the parts now.
+func (w *worker) remember(parts []string) {
+	w.uses++
+	for _, part := range parts {
+		w.parts[part] = w.uses
+	}
+	if len(w.parts) <= maxParts {
+		return
+	}
+	for part, use := range w.parts {
+		if use+maxParts/2 < w.uses {
+			delete(w.parts, part)
+		}
+	}
+}
--- /dev/null
+++ b/internal/batchstate/keys.go
@@ -0,0 +1,32 @@
+package batchstate
+
+import "encoding/binary"
+
+// Sections of the group's keys. A job's id is followed by a zero byte, which no
+// id holds.
+const (
+	sectionJob      = 'j'
+	sectionContent  = 'c'
+	sectionProgress = 'p'
+	sectionResult   = 'r'
+)
+
+// numberBytes is the length of the number at the end of a key.
+const numberBytes = 4
+
+func prefix(section byte, id string) []byte {
+	return append(append([]byte{section}, id...), 0)
+}
+
+func numbered(section byte, id string, number int) []byte {
+	return binary.BigEndian.AppendUint32(prefix(section, id), uint32(number))
+}
+
+func jobKey(id string) []byte                          { return prefix(sectionJob, id) }
+func contentPrefix(id string) []byte                   { return prefix(sectionContent, id) }
+func contentKey(id string, item int) []byte            { return numbered(sectionContent, id, item) }
+func progressPrefix(id string) []byte                  { return prefix(sectionProgress, id) }
+func progressKey(id string, item int) []byte           { return numbered(sectionProgress, id, item) }
+func resultPrefix(id string) []byte                    { return prefix(sectionResult, id) }
+func resultKey(id string, position int) []byte         { return numbered(sectionResult, id, position) }
+func sectionBounds(section byte) (lower, upper []byte) { return []byte{section}, []byte{section + 1} }
--- /dev/null
+++ b/internal/batchstate/machine.go
@@ -0,0 +1,267 @@
+// Package batchstate is the replicated state machine of the batch group: jobs of
+// opaque items, their progress and their results at lasting positions. It is
+// pure. Requests and texts live in storage; in memory an item costs its id and a
+// few numbers.
+//
+// Invariants:
+//   - a job's items never change once it has been accepted;
+//   - an item has at most one result, the first that was committed, at one
+//     position, and a position holds one result for good;
+//   - an ended job takes no result;
+//   - the waiting tokens of a route are the sum over the items of its open jobs
+//     without a result.
+package batchstate
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// Machine is the state of the batch group.
+type Machine struct {
+	jobs  map[string]*Job
+	order uint64
+	// waiting holds the waiting tokens by route.
+	waiting   map[string]int64
+	mutations []storage.Mutation
+}
+
+// Job is a job as it is kept in memory. Callers must not change it.
+type Job struct {
+	ID    string
+	Route string
+	Host  string
+	// Order numbers jobs as they were accepted.
+	Order uint64
+	Ended bool
+	Items []Item
+	// Results counts the items with a result, which is the next position.
+	Results int
+	byID    map[string]int
+}
+
+// Item is an item as it is kept in memory.
+type Item struct {
+	ID     string
+	Tokens int64
+	State  wire.ItemState
+	// Failures counts attempts that failed.
+	Failures int
+	// Events and LastEvent say how far the stored text goes.
+	Events    int
+	LastEvent int64
+}
+
+// Open reports whether the job still takes results.
+func (j *Job) Open() bool { return !j.Ended && j.Results < len(j.Items) }
+
+// Find returns the number of the item with the id.
+func (j *Job) Find(id string) (int, bool) {
+	number, found := j.byID[id]
+	return number, found
+}
+
+// New returns the empty state.
+func New() *Machine {
+	return &Machine{jobs: map[string]*Job{}, waiting: map[string]int64{}}
+}
+
+// Apply executes one encoded wire.BatchCommand. It returns the encoded
+// wire.BatchResult and the changes of stored state that go with it.
+func (m *Machine) Apply(encoded []byte) ([]byte, []storage.Mutation) {
+	m.mutations = nil
+	var command wire.BatchCommand
+	result := wire.BatchResult{}
+	if _, err := command.UnmarshalMsg(encoded); err != nil {
+		result.Failure = wire.NewFailure(failure.Wrap(err, failure.Internal, "upgrade every replica first", "the command does not decode"))
+	} else if err := m.execute(&command, &result); err != nil {
+		result.Failure = wire.NewFailure(err)
+	}
+	return encode(&result), m.mutations
+}
+
+func (m *Machine) execute(command *wire.BatchCommand, result *wire.BatchResult) error {
+	switch {
+	case command.Submit != nil:
+		return m.submit(command.Submit, result)
+	case command.Record != nil:
+		for i := range command.Record.Items {
+			m.record(&command.Record.Items[i])
+		}
+	case command.End != nil:
+		return m.end(command.End.ID)
+	case command.Forget != nil:
+		m.forget(command.Forget.ID)
+	}
+	return nil
+}
+
+func encode(message msgp.Marshaler) []byte {
+	data, err := message.MarshalMsg(nil)
+	if err != nil {
+		panic(errors.Wrap(err, "a generated encoder failed on a plain structure"))
+	}
+	return data
+}
+
+func (m *Machine) put(key []byte, message msgp.Marshaler) {
+	m.mutations = append(m.mutations, storage.Mutation{Key: key, Value: encode(message)})
+}
+
+func (m *Machine) remove(key []byte) {
+	m.mutations = append(m.mutations, storage.Mutation{Key: key, Delete: true})
+}
+
+func (m *Machine) removeAll(prefix []byte) {
+	m.mutations = append(m.mutations, storage.Mutation{Key: prefix, DeletePrefix: true})
+}
+
+// Fits returns the refusal of a job that does not fit the route's quota now, or
+// nil.
+func (m *Machine) Fits(job *wire.SubmitBatch) error {
+	if job.Limit <= 0 {
+		return nil
+	}
+	var tokens int64
+	for i := range job.Items {
+		tokens += job.Items[i].Tokens
+	}
+	if waiting := m.waiting[job.Route]; waiting+tokens > job.Limit {
+		return failure.New(failure.OverLimit, "send it again when fewer tokens wait", "%d tokens wait on route %s, and %d more than %d may", waiting, job.Route, tokens, job.Limit)
+	}
+	return nil
+}
+
+func (m *Machine) submit(submit *wire.SubmitBatch, result *wire.BatchResult) error {
+	if m.jobs[submit.ID] != nil {
+		result.Repeated = true
+		return nil
+	}
+	if err := m.Fits(submit); err != nil {
+		return err
+	}
+	m.order++
+	job := newJob(submit.ID, submit.Route, submit.Host, m.order)
+	meta := wire.BatchMeta{ID: submit.ID, Route: submit.Route, Host: submit.Host, Order: m.order}
+	for i := range submit.Items {
+		item := &submit.Items[i]
+		job.add(item.ID, item.Tokens)
+		meta.Items = append(meta.Items, wire.BatchItemMeta{ID: item.ID, Tokens: item.Tokens})
+		m.waiting[submit.Route] += item.Tokens
+		m.put(contentKey(submit.ID, i), &wire.ItemContent{Path: item.Path, Headers: item.Headers, Body: item.Body})
+	}
+	m.jobs[submit.ID] = job
+	m.put(jobKey(submit.ID), &meta)
+	return nil
+}
+
+func newJob(id, route, host string, order uint64) *Job {
+	return &Job{ID: id, Route: route, Host: host, Order: order, byID: map[string]int{}}
+}
+
+func (j *Job) add(id string, tokens int64) {
+	j.byID[id] = len(j.Items)
+	j.Items = append(j.Items, Item{ID: id, Tokens: tokens})
+}
+
+// record takes in the news of one item; news that come too late are dropped.
+func (m *Machine) record(news *wire.ItemRecord) {
+	job := m.jobs[news.Job]
+	if job == nil || job.Ended || news.Item < 0 || news.Item >= len(job.Items) {
+		return
+	}
+	item := &job.Items[news.Item]
+	if item.State != wire.ItemWaiting {
+		return
+	}
+	item.Failures = max(item.Failures, news.Failures)
+	if news.State == wire.ItemWaiting {
+		if news.Events >= item.Events {
+			item.Events, item.LastEvent = news.Events, news.LastEvent
+			m.put(progressKey(job.ID, news.Item), news)
+		}
+		return
+	}
+	item.State = news.State
+	m.waiting[job.Route] -= item.Tokens
+	stored := *news
+	if stored.State == wire.ItemAbandoned {
+		stored.Text = ""
+	}
+	m.put(resultKey(job.ID, job.Results), &stored)
+	job.Results++
+	m.remove(progressKey(job.ID, news.Item))
+	m.remove(contentKey(job.ID, news.Item))
+}
+
+func (m *Machine) end(id string) error {
+	job := m.jobs[id]
+	if job == nil {
+		return unknownJob(id)
+	}
+	if job.Ended {
+		return nil
+	}
+	m.release(job)
+	job.Ended = true
+	meta := wire.BatchMeta{ID: id, Route: job.Route, Host: job.Host, Order: job.Order, Ended: true}
+	for i := range job.Items {
+		meta.Items = append(meta.Items, wire.BatchItemMeta{ID: job.Items[i].ID, Tokens: job.Items[i].Tokens})
+	}
+	m.put(jobKey(id), &meta)
+	m.removeAll(contentPrefix(id))
+	m.removeAll(progressPrefix(id))
+	return nil
+}
+
+// release takes the job's waiting tokens off its route.
+func (m *Machine) release(job *Job) {
+	if job.Ended {
+		return
+	}
+	for i := range job.Items {
+		if job.Items[i].State == wire.ItemWaiting {
+			m.waiting[job.Route] -= job.Items[i].Tokens
+		}
+	}
+}
+
+func (m *Machine) forget(id string) {
+	job := m.jobs[id]
+	if job == nil {
+		return
+	}
+	m.release(job)
+	delete(m.jobs, id)
+	m.remove(jobKey(id))
+	m.removeAll(contentPrefix(id))
+	m.removeAll(progressPrefix(id))
+	m.removeAll(resultPrefix(id))
+}
+
+func unknownJob(id string) error {
+	return failure.New(failure.NotFound, "check the id", "there is no job %q", id)
+}
+
+// Job returns a job.
+func (m *Machine) Job(id string) (*Job, error) {
+	job := m.jobs[id]
+	if job == nil {
+		return nil, unknownJob(id)
+	}
+	return job, nil
+}
+
+// Jobs calls visit with every job, in no order.
+func (m *Machine) Jobs(visit func(job *Job)) {
+	for _, job := range m.jobs {
+		visit(job)
+	}
+}
+
+// Waiting returns the tokens that wait on the route.
+func (m *Machine) Waiting(route string) int64 { return m.waiting[route] }
--- /dev/null
+++ b/internal/batchstate/read.go
@@ -0,0 +1,137 @@
+package batchstate
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// Restore loads the state from storage, replacing what was there.
+func (m *Machine) Restore(reader storage.Reader) error {
+	*m = *New()
+	if err := m.restoreJobs(reader); err != nil {
+		return err
+	}
+	if err := m.restoreRecords(reader, sectionProgress, (*Job).restoreProgress); err != nil {
+		return err
+	}
+	if err := m.restoreRecords(reader, sectionResult, (*Job).restoreResult); err != nil {
+		return err
+	}
+	for _, job := range m.jobs {
+		if job.Ended {
+			continue
+		}
+		for i := range job.Items {
+			if job.Items[i].State == wire.ItemWaiting {
+				m.waiting[job.Route] += job.Items[i].Tokens
+			}
+		}
+	}
+	return nil
+}
+
+func (m *Machine) restoreJobs(reader storage.Reader) error {
+	lower, upper := sectionBounds(sectionJob)
+	var decodeErr error
+	err := reader.Scan(lower, upper, func(_, value []byte) bool {
+		var meta wire.BatchMeta
+		if _, decodeErr = meta.UnmarshalMsg(value); decodeErr != nil {
+			return false
+		}
+		job := newJob(meta.ID, meta.Route, meta.Host, meta.Order)
+		job.Ended = meta.Ended
+		for _, item := range meta.Items {
+			job.add(item.ID, item.Tokens)
+		}
+		m.jobs[job.ID] = job
+		m.order = max(m.order, job.Order)
+		return true
+	})
+	return errors.CombineErrors(err, decodeErr)
+}
+
+func (m *Machine) restoreRecords(reader storage.Reader, section byte, take func(*Job, *wire.ItemRecord)) error {
+	lower, upper := sectionBounds(section)
+	var decodeErr error
+	err := reader.Scan(lower, upper, func(_, value []byte) bool {
+		var record wire.ItemRecord
+		if _, decodeErr = record.UnmarshalMsg(value); decodeErr != nil {
+			return false
+		}
+		if job := m.jobs[record.Job]; job != nil {
+			take(job, &record)
+		}
+		return true
+	})
+	return errors.CombineErrors(err, decodeErr)
+}
+
+func (j *Job) restoreProgress(record *wire.ItemRecord) {
+	item := &j.Items[record.Item]
+	item.Failures, item.Events, item.LastEvent = record.Failures, record.Events, record.LastEvent
+}
+
+func (j *Job) restoreResult(record *wire.ItemRecord) {
+	j.Items[record.Item].State = record.State
+	j.Results++
+}
+
+// Read returns results from a position on: at least one if there is one, and no
+// more than fit maxBytes.
+func (m *Machine) Read(reader storage.Reader, id string, since, maxBytes int) (*wire.BatchReadResponse, error) {
+	job, err := m.Job(id)
+	if err != nil {
+		return nil, err
+	}
+	response := &wire.BatchReadResponse{Total: len(job.Items)}
+	size := 0
+	for position := max(since, 0); position < job.Results; position++ {
+		var record wire.ItemRecord
+		if err := load(reader, resultKey(id, position), &record); err != nil {
+			return nil, err
+		}
+		size += len(record.Text) + resultOverhead
+		if len(response.Results) > 0 && size > maxBytes {
+			break
+		}
+		row := wire.BatchResultRow{ID: job.Items[record.Item].ID, State: record.State, Text: record.Text}
+		response.Results = append(response.Results, row)
+	}
+	return response, nil
+}
+
+// resultOverhead is what a result takes beside its text, in bytes.
+const resultOverhead = 128
+
+// Content returns the request of an item without a result.
+func (m *Machine) Content(reader storage.Reader, id string, item int) (*wire.ItemContent, error) {
+	content := &wire.ItemContent{}
+	return content, load(reader, contentKey(id, item), content)
+}
+
+// Progress returns how far an item has come.
+func (m *Machine) Progress(reader storage.Reader, id string, item int) (*wire.ItemRecord, error) {
+	value, err := reader.Get(progressKey(id, item))
+	record := &wire.ItemRecord{Job: id, Item: item}
+	if err != nil || value == nil {
+		return record, err
+	}
+	_, err = record.UnmarshalMsg(value)
+	return record, err
+}
+
+func load(reader storage.Reader, key []byte, message msgp.Unmarshaler) error {
+	value, err := reader.Get(key)
+	if err != nil {
+		return err
+	}
+	if value == nil {
+		return failure.New(failure.NotFound, "read its result", "nothing is stored under %q", key)
+	}
+	_, err = message.UnmarshalMsg(value)
+	return err
+}
--- /dev/null
+++ b/internal/batchstore/handlers.go
@@ -0,0 +1,107 @@
+package batchstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/replication"
+	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/storeclient"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+func (s *Store) register() {
+	server := s.daemon.Server
+	rpc.Handle(server, replication.MethodHello, func(ctx context.Context, hello *wire.Hello) (msgp.Marshaler, error) {
+		return s.host.Hello(ctx, hello)
+	})
+	rpc.Handle(server, replication.MethodMessages, func(ctx context.Context, batch *wire.PeerBatch) (msgp.Marshaler, error) {
+		return &wire.Empty{}, s.host.Receive(ctx, batch)
+	})
+	rpc.Handle(server, storeclient.MethodSubmit, s.submit)
+	rpc.Handle(server, storeclient.MethodRead, s.results)
+	rpc.Handle(server, storeclient.MethodBody, s.body)
+	rpc.Handle(server, storeclient.MethodEnd, s.end)
+}
+
+func (s *Store) submit(ctx context.Context, job *wire.SubmitBatch) (msgp.Marshaler, error) {
+	repeated := false
+	// What is refused anyway is not written to the log first.
+	err := s.read(func(storage.Reader) error {
+		if _, missing := s.machine.Job(job.ID); missing == nil {
+			repeated = true
+			return nil
+		}
+		return s.machine.Fits(job)
+	})
+	result := &wire.BatchResult{Repeated: repeated}
+	if err == nil && !repeated {
+		result, err = s.propose(ctx, &wire.BatchCommand{Submit: job})
+	}
+	logging.Info(s.logger, "job_submitted", "job", job.ID, "route", job.Route, "items", len(job.Items), "limit", job.Limit, "repeated", repeated, "error", err)
+	if err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
+func (s *Store) results(ctx context.Context, request *wire.BatchReadRequest) (msgp.Marshaler, error) {
+	timeout := time.NewTimer(time.Duration(request.WaitMillis) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		changed := s.changes()
+		var response *wire.BatchReadResponse
+		err := s.read(func(reader storage.Reader) (err error) {
+			response, err = s.machine.Read(reader, request.ID, request.Since, request.MaxBytes)
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		if len(response.Results) > 0 || request.Since >= response.Total || request.WaitMillis <= 0 {
+			return response, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return response, nil
+		case <-ctx.Done():
+			return response, nil
+		}
+	}
+}
+
+func (s *Store) body(_ context.Context, request *wire.ItemBodyRequest) (msgp.Marshaler, error) {
+	response := &wire.ItemBody{}
+	err := s.read(func(reader storage.Reader) error {
+		job, err := s.machine.Job(request.Job)
+		if err != nil {
+			return err
+		}
+		number, found := job.Find(request.Item)
+		if !found || job.Items[number].State != wire.ItemWaiting {
+			return failure.New(failure.NotFound, "check the id, or read the result", "job %q has no item %q without a result", request.Job, request.Item)
+		}
+		content, err := s.machine.Content(reader, request.Job, number)
+		response.Body = content.Body
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+func (s *Store) end(ctx context.Context, request *wire.BatchName) (msgp.Marshaler, error) {
+	result, err := s.propose(ctx, &wire.BatchCommand{End: request})
+	logging.Info(s.logger, "job_ended", "job", request.ID, "error", err)
+	if err != nil {
+		return nil, err
+	}
+	return result, nil
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,10 +23,10 @@
 	"github.com/sedgemast/sedgemast/internal/jobstate"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/metastate"
-	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/settings"
 	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 )
 
 const (
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -12,8 +12,8 @@
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/membership"
 	"github.com/sedgemast/sedgemast/internal/metastate"
-	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/wire"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 )
 
 func (c *Control) heartbeat(_ context.Context, request *wire.HeartbeatRequest) (msgp.Marshaler, error) {
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,307 @@
+// Package coordinator is the daemon that keeps the fleet group: the
+// configuration of routes, and who belongs to the fleet. Its leader reads the
+// platform's list of workers and tells every process what has changed.
+package coordinator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/consensus"
+	"github.com/sedgemast/sedgemast/internal/daemon"
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/fleetstate"
+	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/replication"
+	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/settings"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	// fleetGroup is the number of the only group.
+	fleetGroup = 0
+	// maxVoters bounds the group; further coordinators are spares.
+	maxVoters       = 9
+	refreshInterval = 100 * time.Millisecond
+	handOverTimeout = 2 * time.Second
+	// heartbeatsPerTimeout is how many heartbeats a leader sends within the
+	// shortest election timeout.
+	heartbeatsPerTimeout = 5
+)
+
+// WorkerList reads the platform's list of workers, whole.
+type WorkerList interface {
+	Workers(ctx context.Context) ([]wire.PoolWorker, error)
+}
+
+// Coordinator is a coordinator process.
+type Coordinator struct {
+	daemon   *daemon.Daemon
+	settings *settings.Coordinator
+	logger   logging.Logger
+	store    storage.Store
+	host     *replication.Host
+	client   *rpc.Client
+	machine  *fleetstate.Machine
+	list     WorkerList
+
+	// mutex guards what follows.
+	mutex   sync.Mutex
+	view    *view
+	changed chan struct{}
+}
+
+// New opens the data folder and prepares the process; d.Run serves it.
+func New(d *daemon.Daemon, config *settings.Coordinator, list WorkerList) (*Coordinator, error) {
+	store, err := storage.OpenPebble(config.DataFolder, vfs.Default)
+	if err != nil {
+		return nil, err
+	}
+	c := &Coordinator{
+		daemon:   d,
+		settings: config,
+		logger:   d.Logger,
+		store:    store,
+		client:   rpc.NewClient(),
+		machine:  fleetstate.New(),
+		list:     list,
+		changed:  make(chan struct{}),
+	}
+	c.host, err = replication.NewHost(c.replicationOptions(), replication.NewPeerTransport())
+	if err != nil {
+		return nil, errors.CombineErrors(err, store.Close())
+	}
+	c.register()
+	d.BeforeStop(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+		defer cancel()
+		c.host.HandOver(ctx)
+	})
+	d.Go(c.refreshLoop)
+	d.Go(c.pollLoop)
+	return c, nil
+}
+
+func (c *Coordinator) replicationOptions() replication.Options {
+	now := uint64(time.Now().UnixNano())
+	return replication.Options{
+		Store:             c.store,
+		Machines:          []replication.StateMachine{&notifying{StateMachine: c.machine, notify: c.notify}},
+		Name:              c.settings.Name,
+		Address:           c.daemon.Address(),
+		Peers:             c.settings.Seeds,
+		Voters:            maxVoters,
+		MinVoters:         2*c.settings.Tolerate + 1,
+		Formation:         replication.FormBySeeds,
+		Bootstrap:         c.settings.Bootstrap,
+		NewID:             NewIdentity,
+		ElectionTimeout:   c.settings.ElectionTimeout.Std(),
+		HeartbeatInterval: c.settings.ElectionTimeout.Std() / heartbeatsPerTimeout,
+		ReplaceAfter:      c.settings.ReplaceAfter.Std(),
+		LogBytes:          c.settings.LogBytes,
+		Random:            mathrand.New(mathrand.NewPCG(now, now)),
+	}
+}
+
+// NewIdentity returns the identity of an empty data folder. It must never be
+// given twice, hence the system's source of randomness.
+func NewIdentity() uint64 {
+	var identity [8]byte
+	// Read never fails, by its documentation.
+	_, _ = rand.Read(identity[:])
+	return binary.BigEndian.Uint64(identity[:]) | 1
+}
+
+// notifying tells of every applied command.
+type notifying struct {
+	replication.StateMachine
+	notify func()
+}
+
+// Apply implements replication.StateMachine.
+func (n *notifying) Apply(command []byte) ([]byte, []storage.Mutation) {
+	defer n.notify()
+	return n.StateMachine.Apply(command)
+}
+
+// notify wakes the calls that wait for news.
+func (c *Coordinator) notify() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// readLeader calls read with the leader's view, if this process leads; it may
+// be called from any goroutine. read must not call notify.
+func (c *Coordinator) readLeader(read func(now time.Time, v *view)) error {
+	return c.host.Read(fleetGroup, func(term uint64, _ storage.Reader) error {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		if c.view == nil || c.view.term != term {
+			c.view = newView(term)
+			logging.Info(c.logger, "leading", "term", term)
+		}
+		read(time.Now(), c.view)
+		return nil
+	})
+}
+
+// refreshLoop keeps the leader's view up to date and carries out what follows
+// from it.
+func (c *Coordinator) refreshLoop(ctx context.Context) {
+	every(ctx, refreshInterval, func() {
+		processes, err := c.host.Processes(ctx)
+		if err != nil {
+			return
+		}
+		var coordinators []string
+		for i := range processes {
+			if processes[i].SilentMillis <= processFresh.Milliseconds() {
+				coordinators = append(coordinators, processes[i].Hello.Replica.Address)
+			}
+		}
+		changed := false
+		var form []wire.Replica
+		err = c.readLeader(func(now time.Time, v *view) {
+			changed = v.refresh(now, coordinators, c.machine.Initial(), c.machine.Retiring())
+			if len(c.machine.Initial()) == 0 {
+				form = v.firstVoters(now, c.settings.Tolerate)
+			}
+		})
+		if err != nil {
+			return
+		}
+		if changed {
+			c.notify()
+		}
+		if len(form) > 0 {
+			_, err := c.propose(ctx, &wire.FleetCommand{Form: &wire.FormStores{Voters: form}})
+			logging.Info(c.logger, "store_group_forming", "voters", len(form), "error", err)
+		}
+	})
+}
+
+// pollLoop reads the platform's list while this process leads.
+func (c *Coordinator) pollLoop(ctx context.Context) {
+	failing := false
+	every(ctx, c.settings.PollInterval.Std(), func() {
+		if c.readLeader(func(time.Time, *view) {}) != nil {
+			return
+		}
+		workers, err := c.list.Workers(ctx)
+		if (err != nil) != failing {
+			failing = err != nil
+			logging.Info(c.logger, "worker_list", "readable", !failing, "error", err)
+		}
+		if err != nil {
+			return
+		}
+		changed := false
+		// An error means that another process leads now; it reads the list itself.
+		_ = c.readLeader(func(_ time.Time, v *view) { changed = v.listed(workers) })
+		if changed {
+			logging.Info(c.logger, "workers_changed", "workers", len(workers))
+			c.notify()
+		}
+	})
+}
+
+func every(ctx context.Context, interval time.Duration, action func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		action()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// propose commits a command on this process, if it leads.
+func (c *Coordinator) propose(ctx context.Context, command *wire.FleetCommand) (*wire.FleetResult, error) {
+	encoded, err := command.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := c.host.Propose(ctx, fleetGroup, encoded)
+	if err != nil {
+		return nil, err
+	}
+	result := &wire.FleetResult{}
+	if _, err := result.UnmarshalMsg(answer); err != nil {
+		return nil, err
+	}
+	return result, result.Failure.Err()
+}
+
+// leaderOf returns the address of the leader that a refusal names, or nothing.
+func leaderOf(err error) string {
+	address, found := strings.CutPrefix(failure.From(err).Field, consensus.LeaderField)
+	if !found {
+		return ""
+	}
+	return address
+}
+
+// decodable is a pointer to T that decodes itself.
+type decodable[T any] interface {
+	*T
+	msgp.Unmarshaler
+}
+
+const (
+	// leadPause is the time between two tries to reach the leader.
+	leadPause = 40 * time.Millisecond
+	// leadPatience bounds them.
+	leadPatience = 800 * time.Millisecond
+)
+
+// atLeader runs a call here, if this process leads, or else at the leader. While
+// there is none it tries again for a moment. Only refusals are repeated: a call
+// whose outcome is unknown is not.
+func atLeader[Response any, Pointer decodable[Response]](ctx context.Context, c *Coordinator, method string, request msgp.Marshaler, local func(context.Context) (*Response, error)) (*Response, error) {
+	deadline := time.Now().Add(leadPatience)
+	for {
+		response, err := local(ctx)
+		if leader := leaderOf(err); err != nil && leader != "" && leader != c.daemon.Address() {
+			callContext, cancel := context.WithDeadline(ctx, deadline.Add(leadPatience))
+			response, err = rpc.Call[Response, Pointer](callContext, c.client, leader, method, request)
+			cancel()
+		}
+		if err == nil || !failure.Is(err, failure.NotRun) || time.Now().After(deadline) {
+			return response, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(leadPause):
+		}
+	}
+}
+
+// Close stops the log and closes the store. It is called after the server has
+// stopped.
+func (c *Coordinator) Close() error {
+	c.host.Close()
+	c.client.Close()
+	return c.store.Close()
+}
+
+// AddSeeds takes in addresses of further coordinators.
+func (c *Coordinator) AddSeeds(ctx context.Context, seeds []string) error {
+	return c.host.AddPeers(ctx, seeds)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kratos/kratos/v2"
 	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"github.com/go-kratos/kratos/v2/transport"
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -53,7 +55,9 @@
 
 	options    Options
 	listener   net.Listener
+	servers    []transport.Server
 	app        *kratos.App
+	appOnce    sync.Once
 	ready      atomic.Bool
 	stopping   atomic.Bool
 	beforeStop []func(context.Context)
@@ -84,16 +88,49 @@
 	// its own instead.
 	d.Server = kratoshttp.NewServer(
 		kratoshttp.Listener(listener),
+		endpointOf(listener),
 		kratoshttp.Timeout(0),
 		kratoshttp.StrictSlash(false),
 		kratoshttp.NotFoundHandler(http.HandlerFunc(notFound)),
 		kratoshttp.MethodNotAllowedHandler(http.HandlerFunc(notFound)),
 	)
 	d.registerCommon()
-	d.app = d.newApplication()
 	return d, nil
 }
 
+// AddServer serves another address with the handler alone: paths reach it as
+// they came, without the routes that all processes have. It must be called
+// before Run; configure, where it is set, may change the server's limits.
+func (d *Daemon) AddServer(listen string, handler http.Handler, configure func(*http.Server)) error {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "free the address or choose another in the settings", "%s can't listen", d.options.Name).WithField(listen)
+	}
+	server := kratoshttp.NewServer(
+		kratoshttp.Listener(listener),
+		endpointOf(listener),
+		kratoshttp.Timeout(0),
+		kratoshttp.Filter(func(http.Handler) http.Handler { return handler }),
+	)
+	if configure != nil {
+		configure(server.Server)
+	}
+	d.servers = append(d.servers, server)
+	return nil
+}
+
+// application returns the frame, which is made once all servers are known.
+func (d *Daemon) application() *kratos.App {
+	d.appOnce.Do(func() { d.app = d.newApplication() })
+	return d.app
+}
+
+// endpointOf tells kratos the address, which it would otherwise look for among the
+// machine's network interfaces; not every machine shows those.
+func endpointOf(listener net.Listener) kratoshttp.ServerOption {
+	return kratoshttp.Endpoint(&url.URL{Scheme: "http", Host: listener.Addr().String()})
+}
+
 func notFound(writer http.ResponseWriter, request *http.Request) {
 	err := failure.New(failure.NotFound, "check the method and the path", "there is no %s %s", request.Method, request.URL.Path)
 	failure.WriteHTTP(writer, err, "")
@@ -170,7 +207,7 @@
 		kratos.ID(d.options.Name),
 		kratos.Version(Version),
 		kratos.Logger(logging.Kratos(d.Logger)),
-		kratos.Server(d.Server),
+		kratos.Server(append([]transport.Server{d.Server}, d.servers...)...),
 		kratos.StopTimeout(d.options.StopTimeout),
 		signals,
 		kratos.BeforeStop(func(context.Context) error { d.runStopSteps(); return nil }),
@@ -183,7 +220,7 @@
 		kratoslog.SetLogger(logging.Kratos(d.Logger))
 	}
 	logging.Info(d.Logger, "started", "address", d.listener.Addr().String(), "version", Version)
-	err := d.app.Run()
+	err := d.application().Run()
 	d.cancel()
 	d.background.Wait()
 	logging.Info(d.Logger, "stopped")
@@ -205,7 +242,7 @@
 }
 
 // Stop begins the planned stop.
-func (d *Daemon) Stop() error { return d.app.Stop() }
+func (d *Daemon) Stop() error { return d.application().Stop() }
 
 // Kill ends an embedded process as if its machine had died: open connections
 // break, and no step of the planned stop runs.
--- /dev/null
+++ b/internal/dialect/dialect.go
@@ -0,0 +1,125 @@
+// Package dialect names the headers of opaque requests as callers and workers
+// know them, so that nothing else in the product does.
+package dialect
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// Dialect holds the names of headers, in canonical form.
+type Dialect struct {
+	// RequestID carries a request's id, which workers echo.
+	RequestID string
+	// Deadline carries how many milliseconds are left.
+	Deadline string
+	// ExpectWorker carries the id of the worker that alone may run a request.
+	ExpectWorker string
+	// NotRun marks a worker's answer that did not run the request.
+	NotRun string
+	// LastEvent carries the id of the last event received of a stream.
+	LastEvent string
+	// Load carries what a worker tells of itself: running, waiting and slots,
+	// separated by commas.
+	Load string
+	// PromptParts lists the parts of the prompt as ID:TOKENS, separated by
+	// commas.
+	PromptParts string
+	// Tokens carries the tokens of the prompt and the most out, separated by a
+	// comma.
+	Tokens string
+}
+
+// Own is the product's own dialect.
+func Own() *Dialect {
+	return &Dialect{
+		RequestID:    "Sedgemast-Request-Id",
+		Deadline:     "Sedgemast-Deadline-Ms",
+		ExpectWorker: "Sedgemast-Expect-Worker",
+		NotRun:       "Sedgemast-Not-Run",
+		LastEvent:    "Last-Event-Id",
+		Load:         "Sedgemast-Load",
+		PromptParts:  "Sedgemast-Prompt-Parts",
+		Tokens:       "Sedgemast-Tokens",
+	}
+}
+
+// Part is a part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// Parts reads the parts of a prompt; what does not parse ends the list.
+func Parts(value string) []Part {
+	var parts []Part
+	for _, field := range strings.Split(value, ",") {
+		id, count, found := strings.Cut(strings.TrimSpace(field), ":")
+		tokens, err := strconv.ParseInt(count, 10, 64)
+		if !found || err != nil || id == "" {
+			break
+		}
+		parts = append(parts, Part{ID: id, Tokens: tokens})
+	}
+	return parts
+}
+
+// TokenCounts reads the tokens of the prompt and the most out; zero where they
+// are not told.
+func TokenCounts(value string) (prompt, out int64) {
+	first, second, _ := strings.Cut(value, ",")
+	prompt, _ = strconv.ParseInt(strings.TrimSpace(first), 10, 64)
+	out, _ = strconv.ParseInt(strings.TrimSpace(second), 10, 64)
+	return prompt, out
+}
+
+// TimeLeft reads a deadline header; without one it returns the longest time
+// given.
+func TimeLeft(value string, longest time.Duration) time.Duration {
+	millis, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+	if err != nil || millis < 0 {
+		return longest
+	}
+	return min(longest, time.Duration(millis)*time.Millisecond)
+}
+
+// hopByHop are headers that pertain to one connection only (RFC 9110, 7.6.1).
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	"Host":                true,
+	"Expect":              true,
+}
+
+// Forwardable returns the headers that are passed on, without those that the
+// Connection header names.
+func Forwardable(header http.Header) []wire.HeaderField {
+	named := map[string]bool{}
+	for _, value := range header["Connection"] {
+		for _, name := range strings.Split(value, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	fields := make([]wire.HeaderField, 0, len(header))
+	for name, values := range header {
+		if hopByHop[name] || named[name] {
+			continue
+		}
+		for _, value := range values {
+			fields = append(fields, wire.HeaderField{Name: name, Value: value})
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/edge/call.go
@@ -0,0 +1,271 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/dialect"
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/routetable"
+	"github.com/sedgemast/sedgemast/internal/upstream"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	// maxDials bounds the workers to which no connection came about.
+	maxDials = 3
+	// firstPatience and gapPatience are how many times the goals of a stream a
+	// silent worker is waited for while another may be tried.
+	firstPatience = 3
+	gapPatience   = 2
+	// minPatience bounds both from below.
+	minPatience = 400 * time.Millisecond
+)
+
+// call is one request on its way through the edge. It is used by one goroutine.
+type call struct {
+	edge       *Edge
+	context    context.Context
+	version    uint64
+	route      *routetable.Route
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	id         string
+	request    upstream.Request
+	demand     balance.Demand
+	arrived    time.Time
+	deadline   time.Time
+	attempts   int
+	dials      int
+	worker     string
+	// started is set once the head of the answer has been written, broken once
+	// that answer can't be ended as it should.
+	started   bool
+	broken    bool
+	firstAt   time.Time
+	lastEvent int64
+	hasEvent  bool
+	// mayHaveRun is set once a worker may have begun.
+	mayHaveRun bool
+	lastErr    error
+}
+
+func newCall(e *Edge, ctx context.Context, table *routetable.Table, route *routetable.Route, writer http.ResponseWriter, controller *http.ResponseController, request *http.Request, body []byte, arrived, deadline time.Time) *call {
+	header := request.Header
+	prompt, _ := dialect.TokenCounts(header.Get(e.dialect.Tokens))
+	c := &call{
+		edge:       e,
+		context:    ctx,
+		version:    table.Configuration.Version,
+		route:      route,
+		writer:     writer,
+		controller: controller,
+		id:         header.Get(e.dialect.RequestID),
+		arrived:    arrived,
+		deadline:   deadline,
+		demand: balance.Demand{
+			Pool:         e.pool(route),
+			Exclude:      map[string]bool{},
+			Parts:        dialect.Parts(header.Get(e.dialect.PromptParts)),
+			PromptTokens: prompt,
+		},
+	}
+	c.request = upstream.Request{
+		Method:  request.Method,
+		Target:  request.RequestURI,
+		Host:    request.Host,
+		Headers: dialect.Forwardable(header),
+		Body:    body,
+		ID:      c.id,
+	}
+	if last, err := strconv.ParseInt(header.Get(e.dialect.LastEvent), 10, 64); err == nil {
+		c.lastEvent, c.hasEvent = last, true
+	}
+	return c
+}
+
+// outcome says how an attempt ended.
+type outcome uint8
+
+const (
+	// delivered means that the caller has its final answer.
+	delivered outcome = iota
+	// notRun means that the worker did not run the request and will not.
+	notRun
+	// failed means that the worker may have run the request, wholly or in part.
+	failed
+)
+
+// run makes attempts until the caller has an answer.
+func (c *call) run() {
+	for c.mayTry() {
+		lease := c.edge.workers.Acquire(time.Now(), &c.demand)
+		if lease == nil {
+			c.lastErr = failure.New(failure.NotRun, "try again", "pool %q has no worker for the request", c.demand.Pool)
+			break
+		}
+		result := c.attempt(lease)
+		lease.Release()
+		c.edge.metrics.attempts.WithLabelValues(result.String()).Inc()
+		if result == delivered {
+			c.finish("delivered", nil)
+			return
+		}
+		c.demand.Exclude[lease.Endpoint.ID] = true
+		if result == failed {
+			c.mayHaveRun = true
+		}
+		logging.Info(c.edge.logger, "attempt_failed", "id", c.id, "attempt", c.attempts, "worker", lease.Endpoint.ID, "outcome", result, "last_event", c.lastEvent, "ms", c.elapsed(), "error", c.lastErr)
+		if result == failed && !c.route.Idempotent() {
+			break
+		}
+	}
+	c.giveUp()
+}
+
+// String returns the outcome as used in logs and metrics.
+func (o outcome) String() string { return [...]string{"delivered", "not_run", "failed"}[o] }
+
+func (c *call) mayTry() bool {
+	return c.context.Err() == nil && c.attempts < max(c.route.MaxAttempts, 1) && c.dials < maxDials
+}
+
+// mayMove reports whether another worker could take over.
+func (c *call) mayMove() bool {
+	return c.route.Idempotent() && c.attempts < max(c.route.MaxAttempts, 1)
+}
+
+func (c *call) elapsed() int64 { return time.Since(c.arrived).Milliseconds() }
+
+// giveUp gives the final answer at once.
+func (c *call) giveUp() {
+	switch {
+	case c.started:
+		c.broken = true
+		c.finish("broken", c.lastErr)
+	case c.context.Err() != nil && time.Now().Before(c.deadline):
+		c.broken = true
+		c.finish("caller_gone", nil)
+	case c.mayHaveRun && !time.Now().Before(c.deadline):
+		c.refuse(failure.New(failure.DeadlineExceeded, "allow more time", "no worker answered in time"))
+	case c.mayHaveRun:
+		c.refuse(failure.New(failure.OutcomeUnknown, "ask again if the request may be repeated", "the worker broke off"))
+	default:
+		c.refuse(failure.New(failure.NotRun, "try again", "no worker took the request").WithRetryAfter(shortRetry))
+	}
+}
+
+func (c *call) refuse(err *failure.Error) {
+	WriteFailure(c.writer, err.Kind.HTTPStatus(), err)
+	c.finish(err.Kind.String(), c.lastErr)
+}
+
+func (c *call) finish(result string, err error) {
+	e := c.edge
+	e.metrics.requests.WithLabelValues(c.route.Name, result).Inc()
+	e.metrics.wholeTime.WithLabelValues(c.route.Name).Observe(time.Since(c.arrived).Seconds())
+	first := int64(-1)
+	if !c.firstAt.IsZero() {
+		first = c.firstAt.Sub(c.arrived).Milliseconds()
+		e.metrics.firstTime.WithLabelValues(c.route.Name).Observe(c.firstAt.Sub(c.arrived).Seconds())
+	}
+	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "version", c.version, "worker", c.worker, "attempts", c.attempts, "outcome", result, "first_ms", first, "ms", c.elapsed(), "error", err)
+}
+
+// headers returns the headers of one attempt: the caller's, with those that the
+// edge sets.
+func (c *call) headers(lease *balance.Lease) []wire.HeaderField {
+	names := c.edge.dialect
+	fields := make([]wire.HeaderField, 0, len(c.request.Headers)+3)
+	for _, field := range c.request.Headers {
+		if field.Name != names.Deadline && field.Name != names.ExpectWorker && field.Name != names.LastEvent {
+			fields = append(fields, field)
+		}
+	}
+	left := max(time.Until(c.deadline).Milliseconds(), 1)
+	fields = append(fields,
+		wire.HeaderField{Name: names.Deadline, Value: strconv.FormatInt(left, 10)},
+		wire.HeaderField{Name: names.ExpectWorker, Value: lease.Endpoint.ID},
+	)
+	if c.hasEvent {
+		fields = append(fields, wire.HeaderField{Name: names.LastEvent, Value: strconv.FormatInt(c.lastEvent, 10)})
+	}
+	return fields
+}
+
+// attempt sends the request to one worker and passes its answer on.
+func (c *call) attempt(lease *balance.Lease) outcome {
+	c.worker = lease.Endpoint.ID
+	request := c.request
+	request.Headers = c.headers(lease)
+	c.attempts++
+	response, err := c.edge.upstream.Send(c.context, lease.Endpoint, &request, c.headBy())
+	if err != nil {
+		return c.sendFailed(lease, err)
+	}
+	defer response.Close()
+	switch {
+	case response.Status == http.StatusMisdirectedRequest:
+		lease.Refuse()
+		c.lastErr = failure.New(failure.NotRun, "", "another worker has the address")
+		return c.passOver(response, notRun)
+	case response.Header.Get(c.edge.dialect.NotRun) != "":
+		c.lastErr = failure.New(failure.NotRun, "", "the worker answered %d and did not run it", response.Status)
+		return c.passOver(response, notRun)
+	case response.Status >= http.StatusInternalServerError && (c.started || c.mayMove()):
+		c.lastErr = failure.New(failure.OutcomeUnknown, "", "the worker answered %d", response.Status)
+		return c.passOver(response, failed)
+	case c.route.Kind == routetable.KindStream && response.Status == http.StatusOK:
+		return c.relayStream(lease, response)
+	case c.started:
+		c.lastErr = failure.New(failure.OutcomeUnknown, "", "the worker answered %d to a stream that goes on", response.Status)
+		return c.passOver(response, failed)
+	}
+	return c.relayWhole(lease, response)
+}
+
+func (c *call) sendFailed(lease *balance.Lease, err error) outcome {
+	c.lastErr = err
+	if c.context.Err() == nil {
+		lease.Suspect(time.Now())
+	}
+	if failure.Is(err, failure.NotRun) {
+		// Nothing was sent: this worker does not count as an attempt.
+		c.attempts--
+		c.dials++
+		return notRun
+	}
+	return failed
+}
+
+// headBy returns until when a worker may keep silent before its answer.
+func (c *call) headBy() time.Time {
+	if !c.mayMoveAfterThis() {
+		return c.deadline
+	}
+	return c.earlier(max(firstPatience*c.route.Goal(), minPatience))
+}
+
+// mayMoveAfterThis reports whether there is an attempt left after the present
+// one.
+func (c *call) mayMoveAfterThis() bool { return c.mayMove() }
+
+// gapBy returns until when a worker may keep silent within a stream.
+func (c *call) gapBy() time.Time {
+	if !c.mayMoveAfterThis() {
+		return c.deadline
+	}
+	return c.earlier(max(gapPatience*c.route.GapGoal(), minPatience))
+}
+
+func (c *call) earlier(wait time.Duration) time.Time {
+	at := time.Now().Add(wait)
+	if at.After(c.deadline) {
+		return c.deadline
+	}
+	return at
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,131 @@
+// Package edge is the daemon that takes opaque requests from callers straight to
+// workers, and hands jobs to the stores. It passes on what a caller sent byte for
+// byte, and what the worker answered. The choice of a worker is made by package
+// balance, the route by package routetable.
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/daemon"
+	"github.com/sedgemast/sedgemast/internal/dialect"
+	"github.com/sedgemast/sedgemast/internal/fleetwatch"
+	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/routetable"
+	"github.com/sedgemast/sedgemast/internal/settings"
+	"github.com/sedgemast/sedgemast/internal/storeclient"
+	"github.com/sedgemast/sedgemast/internal/upstream"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// Edge is an edge process.
+type Edge struct {
+	daemon   *daemon.Daemon
+	settings *settings.Edge
+	logger   logging.Logger
+	dialect  *dialect.Dialect
+	watcher  *fleetwatch.Watcher
+	workers  *balance.Table
+	upstream *upstream.Client
+	metrics  *metrics
+
+	// Stores hands jobs to the stores.
+	Stores *storeclient.Client
+
+	mutex    sync.Mutex
+	splitter *routetable.Splitter
+}
+
+// New prepares the process; d.Run serves it.
+func New(d *daemon.Daemon, config *settings.Edge, names *dialect.Dialect) *Edge {
+	seed := uint64(time.Now().UnixNano())
+	e := &Edge{
+		daemon:   d,
+		settings: config,
+		logger:   d.Logger,
+		dialect:  names,
+		workers:  balance.NewTable(config.Zone, rand.New(rand.NewPCG(seed, seed))),
+		upstream: upstream.NewClient(names),
+		metrics:  newMetrics(d.Registry),
+		splitter: routetable.NewSplitter(),
+	}
+	e.watcher = fleetwatch.New(d.Logger, config.Seeds, e.report)
+	e.watcher.OnChange(e.adopt)
+	e.Stores = storeclient.New(func() []string { return e.watcher.Current().Fleet.Stores })
+	d.Go(e.watcher.Run)
+	d.BeforeStop(e.drain)
+	return e
+}
+
+func (e *Edge) report() wire.ProcessReport {
+	return wire.ProcessReport{Kind: wire.ProcessEdge, Name: e.settings.Name, Zone: e.settings.Zone}
+}
+
+// SetSeeds replaces the coordinators that are asked first.
+func (e *Edge) SetSeeds(seeds []string) { e.watcher.SetSeeds(seeds) }
+
+// adopt takes in a new snapshot. The process is ready once it has a
+// configuration and a list of workers; it stays so when the coordinators can't
+// be reached.
+func (e *Edge) adopt(snapshot *fleetwatch.Snapshot) {
+	memory := map[string]int64{}
+	if snapshot.Table != nil {
+		for _, pool := range snapshot.Table.Configuration.Pools {
+			memory[pool.Name] = pool.MemoryTokens
+		}
+	}
+	e.workers.Update(snapshot.Fleet.Workers, memory)
+	e.upstream.Forget(e.workers.Knows)
+	if snapshot.Table != nil && snapshot.Fleet.Listed && !e.daemon.Stopping() && !e.daemon.Ready() {
+		logging.Info(e.logger, "ready", "version", snapshot.Table.Configuration.Version)
+		e.daemon.SetReady(true)
+	}
+}
+
+// drain is the first step of a planned stop: the process is not ready any more,
+// but goes on serving until callers are led elsewhere.
+func (e *Edge) drain(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(e.settings.UnreadyTime.Std()):
+	}
+}
+
+// Table returns the configuration in force, or nil before the first one.
+func (e *Edge) Table() *routetable.Table { return e.watcher.Current().Table }
+
+// pool chooses the part of the route that the next request belongs to.
+func (e *Edge) pool(route *routetable.Route) string {
+	if len(route.Parts) == 1 {
+		return route.Parts[0].Pool
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.splitter.Next(route, e.workers.Usable)
+}
+
+// metrics are what the process counts.
+type metrics struct {
+	requests  *prometheus.CounterVec
+	attempts  *prometheus.CounterVec
+	firstTime *prometheus.HistogramVec
+	wholeTime *prometheus.HistogramVec
+}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	buckets := []float64{.01, .02, .05, .1, .15, .2, .25, .3, .5, .8, 1, 2, 5, 10}
+	m := &metrics{
+		requests:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_requests_total", Help: "Requests by route and outcome."}, []string{"route", "outcome"}),
+		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_attempts_total", Help: "Requests sent to workers, by outcome."}, []string{"outcome"}),
+		firstTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
+		wholeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
+	}
+	registry.MustRegister(m.requests, m.attempts, m.firstTime, m.wholeTime)
+	return m
+}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 )
 
 // PathWeights is the weight store's path; the name of the weights follows.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,8 +17,8 @@
 	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/gateway"
 	"github.com/sedgemast/sedgemast/internal/logging"
-	"github.com/sedgemast/sedgemast/internal/workerlist"
 	"github.com/sedgemast/sedgemast/internal/settings"
+	"github.com/sedgemast/sedgemast/internal/workerlist"
 )
 
 // Options describe an embedded fleet.
--- /dev/null
+++ b/internal/fleetstate/machine.go
@@ -0,0 +1,162 @@
+// Package fleetstate is the replicated state machine of the fleet group: the
+// configuration of routes, the first voters of the store group, and the stores
+// that are to be emptied. It is pure.
+//
+// Invariants:
+//   - the version in force never falls, and the content under a version never
+//     changes;
+//   - the first voters of the store group are named once.
+package fleetstate
+
+import (
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+var (
+	routesKey    = []byte("routes")
+	formKey      = []byte("form")
+	retirePrefix = []byte("retire/")
+)
+
+// Machine is the state of the fleet group.
+type Machine struct {
+	routes      wire.ApplyRoutes
+	initial     []wire.Replica
+	retirements map[string]bool
+	mutations   []storage.Mutation
+}
+
+// New returns the empty state.
+func New() *Machine { return &Machine{retirements: map[string]bool{}} }
+
+// Apply executes one encoded wire.FleetCommand. It returns the encoded
+// wire.FleetResult and the changes of stored state that go with it.
+func (m *Machine) Apply(encoded []byte) ([]byte, []storage.Mutation) {
+	m.mutations = nil
+	var command wire.FleetCommand
+	result := wire.FleetResult{}
+	if _, err := command.UnmarshalMsg(encoded); err != nil {
+		result.Failure = wire.NewFailure(failure.Wrap(err, failure.Internal, "upgrade every replica first", "the command does not decode"))
+	} else {
+		result.Changed = m.execute(&command)
+	}
+	result.Version = m.routes.Version
+	return encode(&result), m.mutations
+}
+
+func (m *Machine) execute(command *wire.FleetCommand) bool {
+	switch {
+	case command.Apply != nil:
+		return m.applyRoutes(command.Apply)
+	case command.Form != nil:
+		return m.form(command.Form)
+	case command.Retire != nil:
+		return m.retire(command.Retire.Name, false)
+	case command.Retired != nil:
+		return m.retire(command.Retired.Name, true)
+	}
+	return false
+}
+
+func (m *Machine) applyRoutes(apply *wire.ApplyRoutes) bool {
+	if m.routes.Source != nil && apply.Version <= m.routes.Version {
+		return false
+	}
+	m.routes = *apply
+	m.put(routesKey, apply)
+	return true
+}
+
+func (m *Machine) form(form *wire.FormStores) bool {
+	if len(m.initial) > 0 {
+		return false
+	}
+	m.initial = form.Voters
+	m.put(formKey, form)
+	return true
+}
+
+func (m *Machine) retire(name string, done bool) bool {
+	before, known := m.retirements[name]
+	if known && (before || before == done) {
+		return false
+	}
+	m.retirements[name] = done
+	m.put(append(append([]byte{}, retirePrefix...), name...), &wire.Retirement{Name: name, Done: done})
+	return true
+}
+
+func (m *Machine) put(key []byte, message msgp.Marshaler) {
+	m.mutations = append(m.mutations, storage.Mutation{Key: key, Value: encode(message)})
+}
+
+func encode(message msgp.Marshaler) []byte {
+	data, err := message.MarshalMsg(nil)
+	if err != nil {
+		panic(errors.Wrap(err, "a generated encoder failed on a plain structure"))
+	}
+	return data
+}
+
+// Restore loads the state from storage, replacing what was there.
+func (m *Machine) Restore(reader storage.Reader) error {
+	*m = *New()
+	if err := read(reader, routesKey, &m.routes); err != nil {
+		return err
+	}
+	var form wire.FormStores
+	if err := read(reader, formKey, &form); err != nil {
+		return err
+	}
+	m.initial = form.Voters
+	var decodeErr error
+	err := reader.Scan(retirePrefix, storage.PrefixEnd(retirePrefix), func(_, value []byte) bool {
+		var retirement wire.Retirement
+		if _, decodeErr = retirement.UnmarshalMsg(value); decodeErr != nil {
+			return false
+		}
+		m.retirements[retirement.Name] = retirement.Done
+		return true
+	})
+	return errors.CombineErrors(err, decodeErr)
+}
+
+func read(reader storage.Reader, key []byte, message msgp.Unmarshaler) error {
+	value, err := reader.Get(key)
+	if err != nil || value == nil {
+		return err
+	}
+	_, err = message.UnmarshalMsg(value)
+	return err
+}
+
+// Routes returns the configuration in force; its Source is nil before the first
+// one. The caller must not change it.
+func (m *Machine) Routes() wire.ApplyRoutes { return m.routes }
+
+// Initial returns the first voters of the store group.
+func (m *Machine) Initial() []wire.Replica { return m.initial }
+
+// Retirement reports whether the store is to be emptied, and whether it is.
+func (m *Machine) Retirement(name string) (asked, done bool) {
+	done, asked = m.retirements[name]
+	return asked, done
+}
+
+// Retiring returns the names of all stores that are to be emptied or are, in
+// order.
+func (m *Machine) Retiring() []string {
+	names := make([]string, 0, len(m.retirements))
+	for name := range m.retirements {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- a/internal/replication/formation.go
+++ b/internal/replication/formation.go
@@ -26,18 +26,28 @@
 }
 
 // Hello introduces this process to others.
-func (n *Node) Hello() wire.Hello { return n.identity }
+func (n *Node) Hello() wire.Hello {
+	hello := n.identity
+	if n.options.Formation != FormFixed {
+		hello.Known = append([]string(nil), n.peers...)
+	}
+	return hello
+}
 
 // Hear takes in the introduction of another control process.
 func (n *Node) Hear(now time.Time, hello *wire.Hello) {
 	n.known[hello.Replica.Address] = &heard{hello: *hello, at: now}
 	n.addresses[hello.Replica.ID] = hello.Replica.Address
+	if n.options.Formation != FormFixed {
+		n.AddPeers(now, []string{hello.Replica.Address})
+		n.AddPeers(now, hello.Known)
+	}
 }
 
 // Processes returns the control processes that have introduced themselves.
 func (n *Node) Processes(now time.Time) []wire.Process {
 	processes := []wire.Process{{Hello: n.identity}}
-	for _, address := range n.options.Peers {
+	for _, address := range n.peers {
 		if known := n.known[address]; known != nil && address != n.options.Address {
 			processes = append(processes, wire.Process{Hello: known.hello, SilentMillis: now.Sub(known.at).Milliseconds()})
 		}
@@ -53,10 +63,10 @@
 // identity; so a process whose folder was emptied meanwhile does not count as
 // one of them. Every other process waits to be taken in as a learner.
 func (n *Node) tryForm(now time.Time) {
-	if n.identity.Formed {
+	if n.identity.Formed || n.options.Formation == FormByOrder {
 		return
 	}
-	for _, address := range n.options.Peers {
+	for _, address := range n.peers {
 		known := n.known[address]
 		if known == nil || !known.hello.Formed {
 			continue
@@ -90,6 +100,9 @@
 // firstVoters returns the list of first voters if this process is the one to
 // make it and all of them are there.
 func (n *Node) firstVoters(now time.Time) []wire.Replica {
+	if n.options.Formation == FormBySeeds && !n.options.Bootstrap {
+		return nil
+	}
 	if len(n.options.Peers) == 0 || n.options.Peers[0] != n.options.Address {
 		return nil
 	}
--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -67,12 +67,15 @@
 	h.node.Tick(now)
 	h.node.Flush(now)
 	go h.run()
-	for _, peer := range h.peers {
-		if peer != h.address {
-			h.loops.Add(1)
-			go h.introduce(ctx, peer)
-		}
+	h.loops.Add(1)
+	if options.Formation == FormFixed {
+		go func() {
+			defer h.loops.Done()
+			h.introduceAll(ctx, h.peers)
+		}()
+		return h, nil
 	}
+	go h.discover(ctx)
 	return h, nil
 }
 
@@ -133,6 +136,15 @@
 	}
 }
 
+func (h *Host) introduceAll(ctx context.Context, peers []string) {
+	for _, peer := range peers {
+		if peer != h.address {
+			h.loops.Add(1)
+			go h.introduce(ctx, peer)
+		}
+	}
+}
+
 // introduce says hello to a peer again and again.
 func (h *Host) introduce(ctx context.Context, peer string) {
 	defer h.loops.Done()
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -25,9 +25,18 @@
 	Name    string
 	Address string
 	// Peers are the addresses of all control processes, this one's included.
-	// The first Voters of them form the cluster.
+	// The first Voters of them form the cluster. With another Formation than
+	// FormFixed they are only the addresses to ask first, and Voters is the
+	// largest number of voters.
 	Peers  []string
 	Voters int
+	// Formation says how the first membership comes about.
+	Formation Formation
+	// Bootstrap is set while the whole system starts for the first time; only
+	// then may FormBySeeds form a cluster.
+	Bootstrap bool
+	// MinVoters is how many voters silence alone never takes a group below.
+	MinVoters int
 	// NewID makes the identity of an empty data folder.
 	NewID             func() uint64
 	ElectionTimeout   time.Duration
@@ -49,6 +58,9 @@
 type Node struct {
 	options    Options
 	identity   wire.Hello
+	peers      []string
+	candidates map[string]time.Time
+	retiring   map[string]bool
 	groups     []*group
 	known      map[string]*heard
 	addresses  map[uint64]string
@@ -64,7 +76,13 @@
 
 // Open restores a node from its store, which gets an identity if it is empty.
 func Open(options Options, now time.Time) (*Node, error) {
-	n := &Node{options: options, known: map[string]*heard{}, addresses: map[uint64]string{}}
+	n := &Node{
+		options:    options,
+		peers:      append([]string(nil), options.Peers...),
+		candidates: map[string]time.Time{},
+		known:      map[string]*heard{},
+		addresses:  map[uint64]string{},
+	}
 	if err := n.openIdentity(); err != nil {
 		return nil, err
 	}
@@ -82,7 +100,7 @@
 }
 
 func (n *Node) soleProcess() bool {
-	return !n.identity.Formed && len(n.options.Peers) == 1 && n.options.Peers[0] == n.options.Address
+	return !n.identity.Formed && n.options.Formation == FormFixed && len(n.options.Peers) == 1 && n.options.Peers[0] == n.options.Address
 }
 
 // Tick lets time pass.
@@ -94,6 +112,7 @@
 	}
 	if !now.Before(n.repairDue) {
 		n.repairDue = now.Add(repairInterval)
+		n.forgetPeers(now)
 		n.repair(now)
 	}
 }
--- a/internal/replication/repair.go
+++ b/internal/replication/repair.go
@@ -21,17 +21,29 @@
 type repairPolicy struct {
 	voters       int
 	replaceAfter time.Duration
+	// minVoters, where it is set, lets a voter go that has been silent for
+	// dropAfter times replaceAfter while more than minVoters are left.
+	minVoters int
+	// retiring names the processes that are to hold nothing any more.
+	retiring map[string]bool
 }
 
+// dropAfter is how many times replaceAfter a voter is silent before it is let
+// go without a successor.
+const dropAfter = 3
+
 // repair changes the membership of the groups that this process leads, one step
 // at a time.
 func (n *Node) repair(now time.Time) {
-	policy := repairPolicy{voters: min(n.options.Voters, len(n.options.Peers)), replaceAfter: n.options.ReplaceAfter}
+	policy := n.repairPolicy()
 	processes := n.Processes(now)
 	for _, g := range n.groups {
 		if g.replica.Role() != consensus.Leader {
 			continue
 		}
+		if n.retiring[n.options.Name] && g.replica.TransferLeadership(now) {
+			continue
+		}
 		status := g.replica.Status(now)
 		if voters, learners, change := planRepair(&status, processes, policy); change {
 			// A refusal means that another change is under way; the next round
@@ -41,6 +53,16 @@
 	}
 }
 
+func (n *Node) repairPolicy() repairPolicy {
+	policy := repairPolicy{voters: n.options.Voters, replaceAfter: n.options.ReplaceAfter, retiring: n.retiring}
+	if n.options.Formation == FormFixed {
+		policy.voters = min(n.options.Voters, len(n.options.Peers))
+		return policy
+	}
+	policy.minVoters = n.options.MinVoters
+	return policy
+}
+
 // planRepair returns the next membership of a group, seen from its leader. A
 // voter whose storage is gone, or that has been silent for too long, gives its
 // place to a learner that has caught up; both happen in one change, so that the
@@ -64,6 +86,9 @@
 			return append(without(membership.Voters, 0), ready), rest, true
 		}
 	}
+	if dropped := plan.droppable(); dropped != 0 {
+		return without(membership.Voters, dropped), membership.Learners, true
+	}
 	if joiner, found := plan.joiner(); found && len(membership.Learners) < maxLearners {
 		return membership.Voters, append(without(membership.Learners, 0), joiner), true
 	}
@@ -80,6 +105,9 @@
 // lostOf returns the identity of a replica of the list that is gone, or zero.
 func (p *repairPlan) lostOf(replicas []wire.Replica) uint64 {
 	for _, replica := range replicas {
+		if p.policy.retiring[replica.Name] {
+			return replica.ID
+		}
 		peer, isPeer := p.peer(replica.ID)
 		if isPeer && (p.storageGone(replica) || peer.Silence > p.policy.replaceAfter) {
 			return replica.ID
@@ -88,6 +116,22 @@
 	return 0
 }
 
+// droppable returns a voter that the group is better off without, or zero: one
+// that is to retire, or that has been silent for long, while enough are left.
+func (p *repairPlan) droppable() uint64 {
+	voters := p.status.Membership.Voters
+	if p.policy.minVoters == 0 || len(voters) <= p.policy.minVoters {
+		return 0
+	}
+	for _, replica := range voters {
+		peer, isPeer := p.peer(replica.ID)
+		if p.policy.retiring[replica.Name] || isPeer && peer.Silence > dropAfter*p.policy.replaceAfter {
+			return replica.ID
+		}
+	}
+	return 0
+}
+
 func (p *repairPlan) peer(id uint64) (consensus.PeerStatus, bool) {
 	for _, peer := range p.status.Peers {
 		if peer.Replica.ID == id {
@@ -124,6 +168,9 @@
 // joiner returns a living process that is no member.
 func (p *repairPlan) joiner() (wire.Replica, bool) {
 	for _, process := range p.processes {
+		if p.policy.retiring[process.Hello.Replica.Name] {
+			continue
+		}
 		if process.Hello.Formed && fresh(&process) && !consensus.IsMember(&p.status.Membership, process.Hello.Replica.ID) {
 			return process.Hello.Replica, true
 		}
--- /dev/null
+++ b/internal/routetable/table.go
@@ -0,0 +1,54 @@
+package routetable
+
+import (
+	"net"
+	"sort"
+	"strings"
+)
+
+// Table finds the route of a request.
+type Table struct {
+	// Configuration is what the table was made from; it must not change.
+	Configuration *Configuration
+	hosts         map[string][]*Route
+	pools         map[string]*Pool
+}
+
+// NewTable prepares a checked configuration for look-ups.
+func NewTable(configuration *Configuration) *Table {
+	table := &Table{Configuration: configuration, hosts: map[string][]*Route{}, pools: map[string]*Pool{}}
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		host := strings.ToLower(route.Host)
+		table.hosts[host] = append(table.hosts[host], route)
+	}
+	for _, routes := range table.hosts {
+		sort.SliceStable(routes, func(a, b int) bool { return len(routes[a].PathPrefix) > len(routes[b].PathPrefix) })
+	}
+	for i := range configuration.Pools {
+		table.pools[configuration.Pools[i].Name] = &configuration.Pools[i]
+	}
+	return table
+}
+
+// Match returns the route of the host whose prefix begins the path and is
+// longest, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, route := range t.hosts[hostName(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Pool returns the pool with the name, or nil.
+func (t *Table) Pool(name string) *Pool { return t.pools[name] }
+
+// hostName returns a Host header without port, in lower case.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/settings/fleet.go
@@ -0,0 +1,132 @@
+package settings
+
+import "time"
+
+// Coordinator holds the settings of a coordinator, which keeps the
+// configuration of routes and the view of the fleet.
+type Coordinator struct {
+	Process
+	Replication
+	// Seeds are the addresses of a few coordinators. At the first start they
+	// are the same everywhere, and those at them form the group.
+	Seeds []string `json:"seeds"`
+	// Bootstrap is set at the first start of the whole system only.
+	Bootstrap bool `json:"bootstrap"`
+	// PollInterval is the time between readings of the platform's list.
+	PollInterval Duration `json:"poll_interval"`
+}
+
+// Replication holds what the processes with disks have in common.
+type Replication struct {
+	// DataFolder holds the log and the state.
+	DataFolder string `json:"data_folder"`
+	// Tolerate is how many disks may be lost at once.
+	Tolerate int `json:"tolerate"`
+	// ElectionTimeout is the shortest time without a leader after which
+	// another is elected.
+	ElectionTimeout Duration `json:"election_timeout"`
+	// ReplaceAfter is how long a voter may be silent before a spare takes its
+	// place.
+	ReplaceAfter Duration `json:"replace_after"`
+	// LogBytes is how much of the log is kept for slow replicas.
+	LogBytes int `json:"log_bytes"`
+}
+
+func defaultReplication() Replication {
+	return Replication{
+		DataFolder:      "data",
+		Tolerate:        1,
+		ElectionTimeout: Duration(500 * time.Millisecond),
+		ReplaceAfter:    Duration(1500 * time.Millisecond),
+		LogBytes:        4 << 20,
+	}
+}
+
+func (r *Replication) check(checker *Checker) {
+	if r.DataFolder == "" {
+		checker.Fault("data_folder", r.DataFolder, "name a folder")
+	}
+	checker.Range("tolerate", r.Tolerate, 0, 3)
+	checker.Between("election_timeout", r.ElectionTimeout, 50*time.Millisecond, 10*time.Second)
+	checker.Between("replace_after", r.ReplaceAfter, 100*time.Millisecond, time.Hour)
+	checker.Range("log_bytes", r.LogBytes, 64<<10, 1<<30)
+}
+
+// DefaultCoordinator returns a coordinator's defaults.
+func DefaultCoordinator() *Coordinator {
+	return &Coordinator{
+		Process:      defaultProcess("coordinator-1", "127.0.0.1:7600"),
+		Replication:  defaultReplication(),
+		Seeds:        []string{"127.0.0.1:7600"},
+		PollInterval: Duration(500 * time.Millisecond),
+	}
+}
+
+// Check implements Checked.
+func (c *Coordinator) Check(checker *Checker) {
+	c.Process.check(checker)
+	c.Replication.check(checker)
+	checker.Addresses("seeds", c.Seeds)
+	checker.Between("poll_interval", c.PollInterval, 10*time.Millisecond, time.Minute)
+}
+
+// Store holds the settings of a store, which keeps batch jobs and runs their
+// items.
+type Store struct {
+	Process
+	Replication
+	// Seeds are the addresses of a few coordinators.
+	Seeds []string `json:"seeds"`
+	// ForgetAfter is how long an ended job is kept.
+	ForgetAfter Duration `json:"forget_after"`
+	// BatchShare is the part of a worker's slots that batch items may take, in
+	// hundredths.
+	BatchShare int `json:"batch_share"`
+}
+
+// DefaultStore returns a store's defaults.
+func DefaultStore() *Store {
+	return &Store{
+		Process:     defaultProcess("store-1", "127.0.0.1:7700"),
+		Replication: defaultReplication(),
+		Seeds:       []string{"127.0.0.1:7600"},
+		ForgetAfter: Duration(time.Hour),
+		BatchShare:  60,
+	}
+}
+
+// Check implements Checked.
+func (s *Store) Check(checker *Checker) {
+	s.Process.check(checker)
+	s.Replication.check(checker)
+	checker.Addresses("seeds", s.Seeds)
+	checker.Between("forget_after", s.ForgetAfter, time.Second, 30*24*time.Hour)
+	checker.Range("batch_share", s.BatchShare, 1, 100)
+}
+
+// Edge holds the settings of an edge, which takes requests from callers
+// straight to the workers.
+type Edge struct {
+	Process
+	// Seeds are the addresses of a few coordinators.
+	Seeds []string `json:"seeds"`
+	// UnreadyTime is how long an edge that is told to stop goes on taking
+	// requests, so that callers can be led elsewhere.
+	UnreadyTime Duration `json:"unready_time"`
+}
+
+// DefaultEdge returns an edge's defaults.
+func DefaultEdge() *Edge {
+	return &Edge{
+		Process:     defaultProcess("edge-1", "127.0.0.1:7800"),
+		Seeds:       []string{"127.0.0.1:7600"},
+		UnreadyTime: Duration(2500 * time.Millisecond),
+	}
+}
+
+// Check implements Checked.
+func (e *Edge) Check(checker *Checker) {
+	e.Process.check(checker)
+	checker.Addresses("seeds", e.Seeds)
+	checker.Between("unready_time", e.UnreadyTime, 0, time.Minute)
+}
--- /dev/null
+++ b/internal/wire/batch.go
@@ -0,0 +1,139 @@
+package wire
+
+//msgp:limit arrays:1048576 maps:65536
+
+// BatchCommand is a command of the batch group's log. Exactly one field is set.
+type BatchCommand struct {
+	Submit *SubmitBatch `msg:"submit"`
+	Record *RecordItems `msg:"record"`
+	End    *BatchName   `msg:"end"`
+	Forget *BatchName   `msg:"forget"`
+}
+
+// SubmitBatch hands in a job of opaque items.
+type SubmitBatch struct {
+	ID string `msg:"id"`
+	// Route and Host say which route's quota it counts against.
+	Route string `msg:"route"`
+	Host  string `msg:"host"`
+	// Limit is how many tokens may wait on the route; zero means no limit.
+	Limit int64       `msg:"limit"`
+	Items []BatchItem `msg:"items"`
+}
+
+// BatchItem is one request of a job.
+type BatchItem struct {
+	ID      string        `msg:"id"`
+	Path    string        `msg:"path"`
+	Headers []HeaderField `msg:"headers"`
+	Body    []byte        `msg:"body,limit=33554432"`
+	// Tokens are those of the prompt and the most that may be generated.
+	Tokens int64 `msg:"tokens"`
+}
+
+// HeaderField is one header of an opaque request.
+type HeaderField struct {
+	Name  string `msg:"name"`
+	Value string `msg:"value"`
+}
+
+// ItemState is the state of an item.
+type ItemState uint8
+
+const (
+	// ItemWaiting has no result yet.
+	ItemWaiting ItemState = iota
+	// ItemCompleted has its whole text.
+	ItemCompleted
+	// ItemAbandoned will never be done.
+	ItemAbandoned
+)
+
+// RecordItems records progress and results, several at a time.
+type RecordItems struct {
+	Items []ItemRecord `msg:"items"`
+}
+
+// ItemRecord is the news of one item.
+type ItemRecord struct {
+	Job   string    `msg:"job"`
+	Item  int       `msg:"item"`
+	State ItemState `msg:"state"`
+	// Text is the item's whole text so far, Events how many events it holds,
+	// LastEvent the id of the last one.
+	Text      string `msg:"text,limit=33554432"`
+	Events    int    `msg:"events"`
+	LastEvent int64  `msg:"last_event"`
+	// Failures counts the attempts that failed.
+	Failures int `msg:"failures"`
+}
+
+// BatchName names a job.
+type BatchName struct {
+	ID string `msg:"id"`
+}
+
+// BatchResult is the answer to a BatchCommand.
+type BatchResult struct {
+	Failure *Failure `msg:"failure"`
+	// Repeated is set where a job had been accepted before.
+	Repeated bool `msg:"repeated"`
+}
+
+// BatchMeta is the stored record of a job.
+type BatchMeta struct {
+	ID    string          `msg:"id"`
+	Route string          `msg:"route"`
+	Host  string          `msg:"host"`
+	Ended bool            `msg:"ended"`
+	Order uint64          `msg:"order"`
+	Items []BatchItemMeta `msg:"items"`
+}
+
+// BatchItemMeta is what is kept in memory of an item.
+type BatchItemMeta struct {
+	ID     string `msg:"id"`
+	Tokens int64  `msg:"tokens"`
+}
+
+// ItemContent is the stored request of an item.
+type ItemContent struct {
+	Path    string        `msg:"path"`
+	Headers []HeaderField `msg:"headers"`
+	Body    []byte        `msg:"body,limit=33554432"`
+}
+
+// BatchReadRequest reads results from a position on.
+type BatchReadRequest struct {
+	ID    string `msg:"id"`
+	Since int    `msg:"since"`
+	// WaitMillis is how long the call may be held until there is a result.
+	WaitMillis int64 `msg:"wait_millis"`
+	// MaxBytes bounds the texts of the answer, which holds at least one result
+	// if there is one.
+	MaxBytes int `msg:"max_bytes"`
+}
+
+// BatchReadResponse holds results in the order of their positions.
+type BatchReadResponse struct {
+	Total   int              `msg:"total"`
+	Results []BatchResultRow `msg:"results"`
+}
+
+// BatchResultRow is the result at a position.
+type BatchResultRow struct {
+	ID    string    `msg:"id"`
+	State ItemState `msg:"state"`
+	Text  string    `msg:"text,limit=33554432"`
+}
+
+// ItemBodyRequest asks for the body of an item without a result.
+type ItemBodyRequest struct {
+	Job  string `msg:"job"`
+	Item string `msg:"item"`
+}
+
+// ItemBody is the body of an item.
+type ItemBody struct {
+	Body []byte `msg:"body,limit=33554432"`
+}
--- a/internal/wire/consensus.go
+++ b/internal/wire/consensus.go
@@ -130,6 +130,9 @@
 	// Initial lists the first voters of the cluster; empty in processes that
 	// joined later.
 	Initial []Replica `msg:"initial"`
+	// Known lists addresses of further processes, where they are found by
+	// asking one another.
+	Known []string `msg:"known"`
 }
 
 // Empty is an answer without content.
--- a/internal/wire/consensus_gen.go
+++ b/internal/wire/consensus_gen.go
@@ -428,6 +428,29 @@
 					}
 				}
 			}
+		case "known":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+			if zb0005 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Known) >= int(zb0005) {
+				z.Known = (z.Known)[:zb0005]
+			} else {
+				z.Known = make([]string, zb0005)
+			}
+			for za0002 := range z.Known {
+				z.Known[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Known", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -441,9 +464,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Hello) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "replica"
-	err = en.Append(0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	err = en.Append(0x84, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
 	if err != nil {
 		return
 	}
@@ -531,15 +554,32 @@
 			return
 		}
 	}
+	// write "known"
+	err = en.Append(0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Known)))
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	for za0002 := range z.Known {
+		err = en.WriteString(z.Known[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Known", za0002)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "replica"
-	o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	o = append(o, 0x84, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
 	// map header, size 3
 	// string "id"
 	o = append(o, 0x83, 0xa2, 0x69, 0x64)
@@ -568,6 +608,12 @@
 		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 		o = msgp.AppendString(o, z.Initial[za0001].Address)
 	}
+	// string "known"
+	o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Known)))
+	for za0002 := range z.Known {
+		o = msgp.AppendString(o, z.Known[za0002])
+	}
 	return
 }
 
@@ -706,6 +752,29 @@
 					}
 				}
 			}
+		case "known":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+			if zb0005 > z121f821blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Known) >= int(zb0005) {
+				z.Known = (z.Known)[:zb0005]
+			} else {
+				z.Known = make([]string, zb0005)
+			}
+			for za0002 := range z.Known {
+				z.Known[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Known", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -724,6 +793,10 @@
 	for za0001 := range z.Initial {
 		s += 1 + 3 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Initial[za0001].Name) + 8 + msgp.StringPrefixSize + len(z.Initial[za0001].Address)
 	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Known {
+		s += msgp.StringPrefixSize + len(z.Known[za0002])
+	}
 	return
 }
 
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -12,3 +12,5 @@
 //go:generate go tool msgp -file configuration.go -o configuration_gen.go -tests=false
 //go:generate go tool msgp -file jobs.go -o jobs_gen.go -tests=false
 //go:generate go tool msgp -file consensus.go -o consensus_gen.go -tests=false
+//go:generate go tool msgp -file fleet.go -o fleet_gen.go -tests=false
+//go:generate go tool msgp -file batch.go -o batch_gen.go -tests=false
--- /dev/null
+++ b/internal/wire/fleet.go
@@ -0,0 +1,126 @@
+package wire
+
+//msgp:limit arrays:1048576 maps:65536
+
+// FleetCommand is a command of the fleet group's log. Exactly one field is set.
+type FleetCommand struct {
+	Apply   *ApplyRoutes `msg:"apply"`
+	Form    *FormStores  `msg:"form"`
+	Retire  *RetireStore `msg:"retire"`
+	Retired *RetireStore `msg:"retired"`
+}
+
+// ApplyRoutes brings in a whole configuration of routes and pools.
+type ApplyRoutes struct {
+	// Version orders configurations: the highest one is in force.
+	Version uint64 `msg:"version"`
+	// Document is the encoded routetable.Configuration.
+	Document []byte `msg:"document,limit=33554432"`
+	// Source is what the operator sent, byte for byte.
+	Source []byte `msg:"source,limit=33554432"`
+}
+
+// FormStores names the first voters of the store group. Only the first such
+// command counts.
+type FormStores struct {
+	Voters []Replica `msg:"voters"`
+}
+
+// RetireStore names a store process that is to hold nothing any more.
+type RetireStore struct {
+	Name string `msg:"name"`
+}
+
+// FleetResult is the answer to a FleetCommand.
+type FleetResult struct {
+	Failure *Failure `msg:"failure"`
+	// Version is the configuration in force after the command.
+	Version uint64 `msg:"version"`
+	// Changed is set where the command changed the state.
+	Changed bool `msg:"changed"`
+}
+
+// ProcessKind says what a watching process is.
+type ProcessKind uint8
+
+const (
+	// ProcessEdge serves callers.
+	ProcessEdge ProcessKind = iota
+	// ProcessStore keeps batch jobs.
+	ProcessStore
+)
+
+// ProcessReport is what a process tells the coordinator of itself.
+type ProcessReport struct {
+	Kind ProcessKind `msg:"kind"`
+	Name string      `msg:"name"`
+	Zone string      `msg:"zone"`
+	// Replica and Formed are a store's.
+	Replica Replica `msg:"replica"`
+	Formed  bool    `msg:"formed"`
+	// Leads is set in the leader of the store group; Members then lists the
+	// names of the processes that hold data.
+	Leads   bool     `msg:"leads"`
+	Members []string `msg:"members"`
+}
+
+// WatchRequest asks the coordinator's leader for what differs from what the
+// caller knows. It is held until something does, for WaitMillis at most.
+type WatchRequest struct {
+	Process ProcessReport `msg:"process"`
+	// Version and View are the last ones received, zero for none.
+	Version uint64 `msg:"version"`
+	View    uint64 `msg:"view"`
+	// Term is the leader's term that View belongs to.
+	Term       uint64 `msg:"term"`
+	WaitMillis int64  `msg:"wait_millis"`
+}
+
+// WatchResponse tells what differs.
+type WatchResponse struct {
+	Version uint64 `msg:"version"`
+	// Document is the configuration, unless the caller has this version.
+	Document []byte `msg:"document,limit=33554432"`
+	Term     uint64 `msg:"term"`
+	View     uint64 `msg:"view"`
+	// Fleet is the view of processes and workers, unless the caller has it.
+	Fleet *FleetView `msg:"fleet"`
+}
+
+// FleetView is the leader's view of the processes and the workers.
+type FleetView struct {
+	// Listed is set once the platform's list has been read.
+	Listed       bool         `msg:"listed"`
+	Workers      []PoolWorker `msg:"workers"`
+	Coordinators []string     `msg:"coordinators"`
+	Stores       []string     `msg:"stores"`
+	// Edges counts the processes that serve callers.
+	Edges int `msg:"edges"`
+	// Initial lists the first voters of the store group.
+	Initial []Replica `msg:"initial"`
+	// Retiring names stores that are to hold nothing any more.
+	Retiring []string `msg:"retiring"`
+}
+
+// PoolWorker is one worker of a pool.
+type PoolWorker struct {
+	// ID names one incarnation of the worker.
+	ID      string `msg:"id"`
+	Pool    string `msg:"pool"`
+	Address string `msg:"address"`
+	Zone    string `msg:"zone"`
+	Slots   int    `msg:"slots"`
+	Leaving bool   `msg:"leaving"`
+}
+
+// RouteSource asks for the configuration as it was sent.
+type RouteSource struct {
+	Version uint64 `msg:"version"`
+	Source  []byte `msg:"source,limit=33554432"`
+}
+
+// Retirement tells how far the emptying of a store is.
+type Retirement struct {
+	Name string `msg:"name"`
+	Done bool   `msg:"done"`
+}
