Nothing is taken in before forming; the first voters are as many as wanted; tests of the new cores

Cause 1: a process that belonged to no group yet took in and acknowledged entries of a leader that had formed earlier, and lost them when it formed (its log begins anew): the leader waited for ever on an index it believed matched, and a committed entry stood on one disk. Cause 2: the loop over stores counted against a list that it shortened, so the store group formed with two of three voters.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,128 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand"
+	randv2 "math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/dialect"
+	"github.com/sedgemast/sedgemast/internal/proptest"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+func tableOf(workers ...wire.PoolWorker) *Table {
+	table := NewTable("z1", randv2.New(randv2.NewPCG(1, 1)))
+	table.Update(workers, map[string]int64{"p": 100_000})
+	return table
+}
+
+func listed(id, zone string) wire.PoolWorker {
+	return wire.PoolWorker{ID: id, Pool: "p", Zone: zone, Slots: 4}
+}
+
+func TestLeavingIsFinal(t *testing.T) {
+	table := tableOf(listed("a", "z1"))
+	leaving := listed("a", "z1")
+	leaving.Leaving = true
+	table.Update([]wire.PoolWorker{leaving}, nil)
+	table.Update([]wire.PoolWorker{listed("a", "z1")}, nil)
+	if lease := table.Acquire(start, &Demand{Pool: "p"}); lease != nil || table.Usable("p") {
+		t.Error("a worker that leaves got a request")
+	}
+}
+
+func TestRefusedIncarnationIsNotAskedAgain(t *testing.T) {
+	table := tableOf(listed("a", "z1"))
+	lease := table.Acquire(start, &Demand{Pool: "p"})
+	lease.Refuse()
+	lease.Release()
+	if table.Acquire(start, &Demand{Pool: "p"}) != nil {
+		t.Error("an incarnation that is gone got a request")
+	}
+	table.Update([]wire.PoolWorker{listed("b", "z1")}, nil)
+	if table.Acquire(start, &Demand{Pool: "p"}) == nil {
+		t.Error("its successor got none")
+	}
+}
+
+func TestSuspectsComeLast(t *testing.T) {
+	table := tableOf(listed("a", "z1"), listed("b", "z2"))
+	first := table.Acquire(start, &Demand{Pool: "p"})
+	if first.Endpoint.ID != "a" {
+		t.Fatalf("the worker of the zone was not taken but %s", first.Endpoint.ID)
+	}
+	first.Suspect(start)
+	first.Release()
+	if next := table.Acquire(start, &Demand{Pool: "p"}); next.Endpoint.ID != "b" {
+		t.Errorf("the suspect %s was taken", next.Endpoint.ID)
+	}
+	if last := table.Acquire(start, &Demand{Pool: "p", Exclude: map[string]bool{"b": true}}); last == nil || last.Endpoint.ID != "a" {
+		t.Error("the suspect was not taken where there is no other")
+	}
+}
+
+func TestLongPromptsHoldOthersOff(t *testing.T) {
+	table := tableOf(listed("a", "z1"), listed("b", "z1"))
+	long := table.Acquire(start, &Demand{Pool: "p", PromptTokens: 9000})
+	next := table.Acquire(start, &Demand{Pool: "p", PromptTokens: 500})
+	if long.Endpoint.ID == next.Endpoint.ID {
+		t.Error("a short prompt went behind a long one that is still to be read")
+	}
+}
+
+func TestSharedPartsMeet(t *testing.T) {
+	table := tableOf(listed("a", "z1"), listed("b", "z1"), listed("c", "z1"))
+	parts := []dialect.Part{{ID: "s", Tokens: 800}, {ID: "own", Tokens: 200}}
+	first := table.Acquire(start, &Demand{Pool: "p", PromptTokens: 1000, Parts: parts})
+	first.Release()
+	for i := 0; i < 5; i++ {
+		parts[1].ID = fmt.Sprint(i)
+		next := table.Acquire(start, &Demand{Pool: "p", PromptTokens: 1000, Parts: parts})
+		if next.Endpoint.ID != first.Endpoint.ID {
+			t.Errorf("request %d went to %s, not %s", i, next.Endpoint.ID, first.Endpoint.ID)
+		}
+		next.Release()
+	}
+}
+
+// TestBatchStaysWithinItsShare checks with random traffic that batch items never
+// take more than their share of any worker's slots, and that all counts return
+// to zero.
+func TestBatchStaysWithinItsShare(t *testing.T) {
+	proptest.Run(t, "batch share", func(random *rand.Rand) error {
+		table := tableOf(listed("a", "z1"), listed("b", "z2"), listed("c", "z3"))
+		var leases []*Lease
+		for step := 0; step < 100; step++ {
+			demand := &Demand{Pool: "p", Batch: random.Intn(2) == 0, BatchShare: 50, PromptTokens: int64(random.Intn(5000))}
+			if lease := table.Acquire(start, demand); lease != nil {
+				leases = append(leases, lease)
+			}
+			if len(leases) > 0 && random.Intn(2) == 0 {
+				chosen := random.Intn(len(leases))
+				leases[chosen].Begun()
+				leases[chosen].Release()
+				leases[chosen].Release()
+			}
+			for id, worker := range table.workers {
+				if worker.batch > 2 {
+					return errors.Newf("%d items at %s", worker.batch, id)
+				}
+			}
+		}
+		for _, lease := range leases {
+			lease.Release()
+		}
+		for id, worker := range table.workers {
+			if worker.inFlight != 0 || worker.unread != 0 || worker.batch != 0 {
+				return errors.Newf("%s ends with %+v", id, worker)
+			}
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/batchstate/machine_test.go
@@ -0,0 +1,202 @@
+package batchstate
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/proptest"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// apply runs a command as a replica does.
+func apply(machine *Machine, store *storage.Memory, command *wire.BatchCommand) (*wire.BatchResult, error) {
+	encoded, err := command.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, mutations := machine.Apply(encoded)
+	if err := store.Commit(mutations, false); err != nil {
+		return nil, err
+	}
+	result := &wire.BatchResult{}
+	_, err = result.UnmarshalMsg(answer)
+	return result, err
+}
+
+func mustApply(t *testing.T, machine *Machine, store *storage.Memory, command *wire.BatchCommand) *wire.BatchResult {
+	t.Helper()
+	result, err := apply(machine, store, command)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+func job(id string, items int, tokens, limit int64) *wire.BatchCommand {
+	submit := &wire.SubmitBatch{ID: id, Route: "r", Host: "h.example", Limit: limit}
+	for i := 0; i < items; i++ {
+		submit.Items = append(submit.Items, wire.BatchItem{ID: fmt.Sprintf("%s-%d", id, i), Path: "/p/x", Body: []byte(id), Tokens: tokens})
+	}
+	return &wire.BatchCommand{Submit: submit}
+}
+
+func news(id string, item int, state wire.ItemState, text string) *wire.BatchCommand {
+	return &wire.BatchCommand{Record: &wire.RecordItems{Items: []wire.ItemRecord{{Job: id, Item: item, State: state, Text: text, Events: 1, LastEvent: 1}}}}
+}
+
+func TestQuotaCountsWhatWaits(t *testing.T) {
+	machine, store := New(), storage.NewMemory()
+	mustApply(t, machine, store, job("a", 2, 40, 100))
+	if refused := mustApply(t, machine, store, job("b", 1, 21, 100)); refused.Failure == nil || failure.Kind(refused.Failure.Kind) != failure.OverLimit {
+		t.Fatalf("a job over the quota got %+v", refused)
+	}
+	if again := mustApply(t, machine, store, job("a", 2, 40, 100)); again.Failure != nil || !again.Repeated {
+		t.Fatalf("the same job again got %+v", again)
+	}
+	mustApply(t, machine, store, news("a", 0, wire.ItemCompleted, "x"))
+	if taken := mustApply(t, machine, store, job("b", 1, 21, 100)); taken.Failure != nil {
+		t.Fatalf("a job that fits got %+v", taken)
+	}
+	mustApply(t, machine, store, &wire.BatchCommand{End: &wire.BatchName{ID: "a"}})
+	if waiting := machine.Waiting("r"); waiting != 21 {
+		t.Errorf("%d tokens wait, want 21", waiting)
+	}
+}
+
+func TestResultsStay(t *testing.T) {
+	machine, store := New(), storage.NewMemory()
+	mustApply(t, machine, store, job("a", 3, 1, 0))
+	mustApply(t, machine, store, news("a", 2, wire.ItemCompleted, "two"))
+	mustApply(t, machine, store, news("a", 2, wire.ItemCompleted, "other"))
+	mustApply(t, machine, store, news("a", 0, wire.ItemAbandoned, "half"))
+	mustApply(t, machine, store, &wire.BatchCommand{End: &wire.BatchName{ID: "a"}})
+	mustApply(t, machine, store, news("a", 1, wire.ItemCompleted, "late"))
+	read, err := machine.Read(store, "a", 0, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []wire.BatchResultRow{{ID: "a-2", State: wire.ItemCompleted, Text: "two"}, {ID: "a-0", State: wire.ItemAbandoned}}
+	if read.Total != 3 || len(read.Results) != 2 || read.Results[0] != want[0] || read.Results[1] != want[1] {
+		t.Errorf("read %+v", read)
+	}
+	if _, err := machine.Read(store, "b", 0, 1); !failure.Is(err, failure.NotFound) {
+		t.Errorf("an unknown job gave %v", err)
+	}
+	if one, err := machine.Read(store, "a", 0, 1); err != nil || len(one.Results) != 1 {
+		t.Errorf("a read of at most one byte gave %+v, %v", one, err)
+	}
+}
+
+func TestProgressNeverFalls(t *testing.T) {
+	machine, store := New(), storage.NewMemory()
+	mustApply(t, machine, store, job("a", 1, 1, 0))
+	record := func(events int, failures int) {
+		mustApply(t, machine, store, &wire.BatchCommand{Record: &wire.RecordItems{Items: []wire.ItemRecord{{Job: "a", Events: events, LastEvent: int64(events), Failures: failures, Text: fmt.Sprint(events)}}}})
+	}
+	record(5, 1)
+	record(3, 0)
+	progress, err := machine.Progress(store, "a", 0)
+	if err != nil || progress.Events != 5 || progress.Text != "5" {
+		t.Fatalf("progress %+v, %v", progress, err)
+	}
+	if found, _ := machine.Job("a"); found.Items[0].Failures != 1 {
+		t.Errorf("failures %d", found.Items[0].Failures)
+	}
+}
+
+// model is what a reader has seen of the jobs.
+type model struct {
+	positions map[string][]wire.BatchResultRow
+	ended     map[string]bool
+}
+
+// TestRandomCommands applies random commands and checks after each that what was
+// read stays, that no item stands twice, that the quota is exact, and that a
+// restored machine is the same.
+func TestRandomCommands(t *testing.T) {
+	proptest.Run(t, "batch invariants", func(random *rand.Rand) error {
+		machine, store := New(), storage.NewMemory()
+		seen := model{positions: map[string][]wire.BatchResultRow{}, ended: map[string]bool{}}
+		for step := 0; step < 60; step++ {
+			if _, err := apply(machine, store, randomCommand(random)); err != nil {
+				return err
+			}
+			if random.Intn(10) == 0 {
+				restored := New()
+				if err := restored.Restore(store); err != nil {
+					return err
+				}
+				machine = restored
+			}
+			if err := seen.check(machine, store); err != nil {
+				return errors.Wrapf(err, "step %d", step)
+			}
+		}
+		return nil
+	})
+}
+
+func randomCommand(random *rand.Rand) *wire.BatchCommand {
+	id := fmt.Sprintf("job-%d", random.Intn(4))
+	switch random.Intn(8) {
+	case 0, 1:
+		return job(id, 1+random.Intn(4), int64(random.Intn(50)), 150)
+	case 2:
+		if random.Intn(3) == 0 {
+			return &wire.BatchCommand{End: &wire.BatchName{ID: id}}
+		}
+	}
+	return news(id, random.Intn(5)-1, wire.ItemState(random.Intn(3)), fmt.Sprint(random.Intn(100)))
+}
+
+func (m *model) check(machine *Machine, store *storage.Memory) error {
+	var waiting int64
+	var failed error
+	machine.Jobs(func(job *Job) {
+		read, err := machine.Read(store, job.ID, 0, 1<<20)
+		if err != nil {
+			failed = err
+			return
+		}
+		before := m.positions[job.ID]
+		if len(read.Results) < len(before) {
+			failed = fmt.Errorf("%s had %d results, now %d", job.ID, len(before), len(read.Results))
+			return
+		}
+		items := map[string]bool{}
+		for position, row := range read.Results {
+			if position < len(before) && before[position] != row {
+				failed = fmt.Errorf("%s position %d was %+v, now %+v", job.ID, position, before[position], row)
+			}
+			if items[row.ID] {
+				failed = fmt.Errorf("%s lists %s twice", job.ID, row.ID)
+			}
+			items[row.ID] = true
+		}
+		if m.ended[job.ID] && len(read.Results) > len(before) {
+			failed = fmt.Errorf("%s took a result after its end", job.ID)
+		}
+		m.positions[job.ID], m.ended[job.ID] = read.Results, job.Ended
+		for number := range job.Items {
+			if job.Ended || job.Items[number].State != wire.ItemWaiting {
+				continue
+			}
+			waiting += job.Items[number].Tokens
+			if content, err := machine.Content(store, job.ID, number); err != nil || string(content.Body) != job.ID {
+				failed = fmt.Errorf("%s has lost the body of item %d: %v", job.ID, number, err)
+			}
+		}
+	})
+	if failed == nil && waiting != machine.Waiting("r") {
+		return fmt.Errorf("%d tokens wait, the machine says %d", waiting, machine.Waiting("r"))
+	}
+	if failed == nil && waiting > 150 {
+		return fmt.Errorf("%d tokens wait, over the quota", waiting)
+	}
+	return failed
+}
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -110,18 +110,16 @@
 	}
 	var voters []wire.Replica
 	perZone := map[string]int{}
-	for len(voters) < min(wanted, len(stores)) {
-		best := -1
+	for len(voters) < wanted && len(stores) > 0 {
+		best := 0
 		for i, store := range stores {
-			if store != nil && (best < 0 || perZone[store.Zone] < perZone[stores[best].Zone]) {
+			if perZone[store.Zone] < perZone[stores[best].Zone] {
 				best = i
 			}
 		}
 		voters = append(voters, stores[best].Replica)
 		perZone[stores[best].Zone]++
-		stores[best] = nil
-		stores = slices.DeleteFunc(stores, func(store *wire.ProcessReport) bool { return store == nil })
-		wanted = min(wanted, len(voters)+len(stores))
+		stores = slices.Delete(stores, best, best+1)
 	}
 	return voters
 }
--- /dev/null
+++ b/internal/fleetstate/machine_test.go
@@ -0,0 +1,110 @@
+package fleetstate
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+
+	"github.com/sedgemast/sedgemast/internal/proptest"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// apply runs a command as a replica does.
+func apply(machine *Machine, store *storage.Memory, command *wire.FleetCommand) (*wire.FleetResult, error) {
+	encoded, err := command.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, mutations := machine.Apply(encoded)
+	if err := store.Commit(mutations, false); err != nil {
+		return nil, err
+	}
+	result := &wire.FleetResult{}
+	_, err = result.UnmarshalMsg(answer)
+	return result, err
+}
+
+func routes(version uint64, source string) *wire.FleetCommand {
+	return &wire.FleetCommand{Apply: &wire.ApplyRoutes{Version: version, Document: []byte(source), Source: []byte(source)}}
+}
+
+func TestHighestVersionIsInForce(t *testing.T) {
+	machine, store := New(), storage.NewMemory()
+	steps := []struct {
+		version uint64
+		source  string
+		changed bool
+		want    string
+	}{
+		{0, "zero", true, "zero"},
+		{3, "three", true, "three"},
+		{3, "other three", false, "three"},
+		{2, "two", false, "three"},
+		{3, "three", false, "three"},
+		{9, "nine", true, "nine"},
+	}
+	for _, step := range steps {
+		result, err := apply(machine, store, routes(step.version, step.source))
+		if err != nil || result.Failure != nil || result.Changed != step.changed {
+			t.Errorf("version %d %q: %+v, %v", step.version, step.source, result, err)
+		}
+		if got := string(machine.Routes().Source); got != step.want {
+			t.Errorf("after %q %q is in force", step.source, got)
+		}
+	}
+}
+
+func TestFirstVotersAreNamedOnce(t *testing.T) {
+	machine, store := New(), storage.NewMemory()
+	for id := uint64(1); id <= 2; id++ {
+		command := &wire.FleetCommand{Form: &wire.FormStores{Voters: []wire.Replica{{ID: id}}}}
+		if _, err := apply(machine, store, command); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if initial := machine.Initial(); len(initial) != 1 || initial[0].ID != 1 {
+		t.Errorf("first voters %+v", initial)
+	}
+}
+
+// TestRandomCommands checks that the version never falls, that content under a
+// version stays, that an emptied store stays so, and that a restored machine is
+// the same.
+func TestRandomCommands(t *testing.T) {
+	proptest.Run(t, "fleet invariants", func(random *rand.Rand) error {
+		machine, store := New(), storage.NewMemory()
+		for step := 0; step < 50; step++ {
+			before := machine.Routes()
+			_, wasDone := machine.Retirement("s-1")
+			command := &wire.FleetCommand{}
+			switch random.Intn(4) {
+			case 0:
+				command.Retire = &wire.RetireStore{Name: fmt.Sprintf("s-%d", random.Intn(3))}
+			case 1:
+				command.Retired = &wire.RetireStore{Name: fmt.Sprintf("s-%d", random.Intn(3))}
+			default:
+				command = routes(uint64(random.Intn(30)), fmt.Sprint(random.Int()))
+			}
+			if _, err := apply(machine, store, command); err != nil {
+				return err
+			}
+			after := machine.Routes()
+			if after.Version < before.Version || before.Source != nil && after.Version == before.Version && !reflect.DeepEqual(before, after) {
+				return fmt.Errorf("version %d %q became %d %q", before.Version, before.Source, after.Version, after.Source)
+			}
+			if _, done := machine.Retirement("s-1"); wasDone && !done {
+				return fmt.Errorf("store s-1 is no longer emptied")
+			}
+			restored := New()
+			if err := restored.Restore(store); err != nil {
+				return err
+			}
+			if !reflect.DeepEqual(restored.Routes(), after) || !reflect.DeepEqual(restored.retirements, machine.retirements) {
+				return fmt.Errorf("the restored state differs")
+			}
+		}
+		return nil
+	})
+}
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -117,8 +117,13 @@
 	}
 }
 
-// Receive takes in a message of another control process.
+// Receive takes in a message of another control process. A process that belongs
+// to no cluster yet takes none: forming begins its log anew, and an entry that it
+// had acknowledged before would be lost.
 func (n *Node) Receive(now time.Time, message *wire.PeerMessage) {
+	if !n.identity.Formed {
+		return
+	}
 	if message.Group < 0 || message.Group >= len(n.groups) || message.To != n.identity.Replica.ID {
 		return
 	}
