Loads are shared through the store leader, items yield and run by due time, texts travel in parts

Change: edges tell the store leader what they have in flight by datagram and learn the rest; items are admitted beside a reserve and stop, to go on at their event, where a worker has more requests than slots; order by due time, what can't be in time any more last (batchplan); an item's text travels once, in parts.

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -1,6 +1,10 @@
 package balance
 
-import "github.com/sedgemast/sedgemast/internal/dialect"
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/dialect"
+)
 
 const (
 	// tieMargin is the difference below which two costs count as equal.
@@ -14,19 +18,27 @@
 	// zoneCost is what another zone costs, in parts of a slot: enough to decide
 	// between workers of equal load, and no more.
 	zoneCost = 0.5
+	// batchCost is what an item of a job costs an online request, in slots: it
+	// gives way, but not at once and not for nothing.
+	batchCost = 0.9
 	// cachedWorth is what a prompt wholly cached saves, in parts of a slot.
 	cachedWorth = 1.0
 )
 
 // cost rates a worker for a demand: the lower the better, in slots.
-func (t *Table) cost(candidate *worker, demand *Demand) float64 {
+func (t *Table) cost(now time.Time, candidate *worker, demand *Demand) float64 {
 	slots := float64(max(candidate.listed.Slots, 1))
 	memory := t.memory[demand.Pool]
 	if memory <= 0 {
 		memory = defaultMemory
 	}
 	cost := float64(candidate.inFlight)
-	cost += slots * float64(candidate.unread) / (float64(memory) * unreadShare)
+	unread := float64(candidate.unread)
+	if others, known := candidate.told(now); known {
+		cost += float64(others.Online) + batchCost*float64(others.Batch)
+		unread += float64(others.Unread)
+	}
+	cost += slots * unread / (float64(memory) * unreadShare)
 	if candidate.listed.Zone != t.zone {
 		cost += zoneCost
 	}
--- /dev/null
+++ b/internal/balance/share.go
@@ -0,0 +1,91 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/loadshare"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	// reserveParts says how many slots batch items leave free beside the online
+	// requests at a worker: one in so many.
+	reserveParts = 4
+	// patientOver is how many requests more than slots a worker may have before
+	// batch items are stopped: an online request ends soon.
+	patientOver = 1
+)
+
+// Loads returns what this process has at each worker where it has anything.
+func (t *Table) Loads() []wire.WorkerLoad {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var loads []wire.WorkerLoad
+	for id, known := range t.workers {
+		if known.inFlight == 0 {
+			continue
+		}
+		loads = append(loads, wire.WorkerLoad{
+			Worker: loadshare.Hash(id),
+			Online: uint16(min(known.inFlight-known.batch, math.MaxUint16)),
+			Batch:  uint16(min(known.batch, math.MaxUint16)),
+			Unread: uint32(min(max(known.unread, 0), math.MaxUint32)),
+		})
+	}
+	return loads
+}
+
+// SetOthers takes in what other processes have at the workers. A worker that is
+// not named has nothing.
+func (t *Table) SetOthers(now time.Time, loads []wire.WorkerLoad) {
+	byHash := make(map[uint32]wire.WorkerLoad, len(loads))
+	for _, load := range loads {
+		byHash[load.Worker] = load
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for id, known := range t.workers {
+		known.others = byHash[loadshare.Hash(id)]
+		known.othersAt = now
+	}
+}
+
+// told returns what others have at the worker, if that is known.
+func (w *worker) told(now time.Time) (wire.WorkerLoad, bool) {
+	return w.others, !w.othersAt.IsZero() && now.Sub(w.othersAt) <= loadshare.Fresh
+}
+
+// admitsBatch reports whether one more batch item fits.
+func (w *worker) admitsBatch(now time.Time, share int, urgent bool) bool {
+	others, known := w.told(now)
+	if !known {
+		const hundredths = 100
+		return w.batch*hundredths < w.listed.Slots*share
+	}
+	reserve := max(w.listed.Slots/reserveParts, 1)
+	if urgent {
+		reserve = 0
+	}
+	return w.batch+int(others.Online)+int(others.Batch)+reserve < w.listed.Slots
+}
+
+// Overfull returns, by worker, how many batch items of this process stand in the
+// way of online requests.
+func (t *Table) Overfull(now time.Time) map[string]int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var overfull map[string]int
+	for id, known := range t.workers {
+		others, fresh := known.told(now)
+		over := known.batch + int(others.Online) - known.listed.Slots - patientOver
+		if !fresh || over <= 0 || known.batch == 0 {
+			continue
+		}
+		if overfull == nil {
+			overfull = map[string]int{}
+		}
+		overfull[id] = min(over, known.batch)
+	}
+	return overfull
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -76,10 +76,13 @@
 	Parts   []dialect.Part
 	// PromptTokens is the length of the prompt.
 	PromptTokens int64
-	// Batch is set for items of jobs, which take at most BatchShare hundredths
-	// of a worker's slots.
+	// Batch is set for items of jobs. They leave a reserve of a worker's slots
+	// free beside the online requests there; while these are not known, they
+	// take at most BatchShare hundredths of the slots.
 	Batch      bool
 	BatchShare int
+	// Urgent items of jobs leave no reserve.
+	Urgent bool
 }
 
 // Lease is a place of a request at a worker; it must be released.
@@ -130,7 +133,7 @@
 		if !t.admits(now, candidate, demand, suspects) {
 			continue
 		}
-		cost := t.cost(candidate, demand)
+		cost := t.cost(now, candidate, demand)
 		switch {
 		case best == nil || cost < bestCost-tieMargin:
 			best, bestCost, equals = candidate, cost, 1
@@ -151,8 +154,7 @@
 	if !suspects && now.Before(candidate.suspectUntil) {
 		return false
 	}
-	const hundredths = 100
-	return !demand.Batch || candidate.batch*hundredths < candidate.listed.Slots*demand.BatchShare
+	return !demand.Batch || candidate.admitsBatch(now, demand.BatchShare, demand.Urgent)
 }
 
 // Begun takes in that the worker has read the prompt.
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -26,7 +26,10 @@
 	unread   int64
 	// refused is set once the worker said that it is another one, or leaving;
 	// that holds for its incarnation.
-	refused      bool
+	refused bool
+	// others is what other processes have here, as they told at othersAt.
+	others       wire.WorkerLoad
+	othersAt     time.Time
 	suspectUntil time.Time
 	// parts holds the prompt parts read here, with the number of the last use.
 	parts map[string]uint64
--- a/internal/batchstate/keys.go
+++ b/internal/batchstate/keys.go
@@ -22,11 +22,17 @@
 	return binary.BigEndian.AppendUint32(prefix(section, id), uint32(number))
 }
 
-func jobKey(id string) []byte                          { return prefix(sectionJob, id) }
-func contentPrefix(id string) []byte                   { return prefix(sectionContent, id) }
-func contentKey(id string, item int) []byte            { return numbered(sectionContent, id, item) }
-func progressPrefix(id string) []byte                  { return prefix(sectionProgress, id) }
-func progressKey(id string, item int) []byte           { return numbered(sectionProgress, id, item) }
+func jobKey(id string) []byte                       { return prefix(sectionJob, id) }
+func contentPrefix(id string) []byte                { return prefix(sectionContent, id) }
+func contentKey(id string, item int) []byte         { return numbered(sectionContent, id, item) }
+func progressPrefix(id string) []byte               { return prefix(sectionProgress, id) }
+func itemProgressPrefix(id string, item int) []byte { return numbered(sectionProgress, id, item) }
+
+// progressKey is the key of the part of an item's text after its first events.
+func progressKey(id string, item, from int) []byte {
+	return binary.BigEndian.AppendUint32(itemProgressPrefix(id, item), uint32(from))
+}
+
 func resultPrefix(id string) []byte                    { return prefix(sectionResult, id) }
 func resultKey(id string, position int) []byte         { return numbered(sectionResult, id, position) }
 func sectionBounds(section byte) (lower, upper []byte) { return []byte{section}, []byte{section + 1} }
--- a/internal/batchstate/machine.go
+++ b/internal/batchstate/machine.go
@@ -51,9 +51,11 @@
 	State  wire.ItemState
 	// Failures counts attempts that failed.
 	Failures int
-	// Events and LastEvent say how far the stored text goes.
+	// Events and LastEvent say how far the text goes that is kept until there is
+	// a result.
 	Events    int
 	LastEvent int64
+	Text      string
 }
 
 // Open reports whether the job still takes results.
@@ -179,22 +181,36 @@
 		return
 	}
 	item.Failures = max(item.Failures, news.Failures)
+	if news.State != wire.ItemAbandoned && news.From != item.Events {
+		// A part before this one was lost with an earlier leader: the item goes
+		// on from what there is.
+		return
+	}
 	if news.State == wire.ItemWaiting {
-		if news.Events >= item.Events {
-			item.Events, item.LastEvent = news.Events, news.LastEvent
-			m.put(progressKey(job.ID, news.Item), news)
-		}
+		item.add(news)
+		m.put(progressKey(job.ID, news.Item, news.From), news)
 		return
 	}
-	item.State = news.State
-	m.waiting[job.Route] -= item.Tokens
+	m.finish(job, item, news)
+}
+
+func (i *Item) add(news *wire.ItemRecord) {
+	i.Events, i.LastEvent = news.Events, news.LastEvent
+	i.Text += news.Text
+}
+
+func (m *Machine) finish(job *Job, item *Item, news *wire.ItemRecord) {
 	stored := *news
+	stored.From = 0
+	stored.Text = item.Text + news.Text
 	if stored.State == wire.ItemAbandoned {
 		stored.Text = ""
 	}
+	item.State, item.Text = news.State, ""
+	m.waiting[job.Route] -= item.Tokens
 	m.put(resultKey(job.ID, job.Results), &stored)
 	job.Results++
-	m.remove(progressKey(job.ID, news.Item))
+	m.removeAll(itemProgressPrefix(job.ID, news.Item))
 	m.remove(contentKey(job.ID, news.Item))
 }
 
@@ -208,6 +224,9 @@
 	}
 	m.release(job)
 	job.Ended = true
+	for i := range job.Items {
+		job.Items[i].Text = ""
+	}
 	meta := wire.BatchMeta{ID: id, Route: job.Route, Host: job.Host, Order: job.Order, Ended: true}
 	for i := range job.Items {
 		meta.Items = append(meta.Items, wire.BatchItemMeta{ID: job.Items[i].ID, Tokens: job.Items[i].Tokens})
--- a/internal/batchstate/read.go
+++ b/internal/batchstate/read.go
@@ -72,7 +72,8 @@
 
 func (j *Job) restoreProgress(record *wire.ItemRecord) {
 	item := &j.Items[record.Item]
-	item.Failures, item.Events, item.LastEvent = record.Failures, record.Events, record.LastEvent
+	item.Failures = max(item.Failures, record.Failures)
+	item.add(record)
 }
 
 func (j *Job) restoreResult(record *wire.ItemRecord) {
@@ -113,17 +114,6 @@
 	return content, load(reader, contentKey(id, item), content)
 }
 
-// Progress returns how far an item has come.
-func (m *Machine) Progress(reader storage.Reader, id string, item int) (*wire.ItemRecord, error) {
-	value, err := reader.Get(progressKey(id, item))
-	record := &wire.ItemRecord{Job: id, Item: item}
-	if err != nil || value == nil {
-		return record, err
-	}
-	_, err = record.UnmarshalMsg(value)
-	return record, err
-}
-
 func load(reader storage.Reader, key []byte, message msgp.Unmarshaler) error {
 	value, err := reader.Get(key)
 	if err != nil {
--- a/internal/batchstore/record.go
+++ b/internal/batchstore/record.go
@@ -51,10 +51,12 @@
 }
 
 func (r *runner) write(ctx context.Context, records []wire.ItemRecord) {
-	defer r.tellRecorded(ctx, records)
+	failed := true
+	defer func() { r.tellRecorded(ctx, records, failed) }()
 	for try := 0; try < recordTries && ctx.Err() == nil; try++ {
 		_, err := r.store.propose(ctx, &wire.BatchCommand{Record: &wire.RecordItems{Items: records}})
 		if err == nil {
+			failed = false
 			return
 		}
 		logging.Warn(r.store.logger, "record_failed", "records", len(records), "error", err)
@@ -66,13 +68,18 @@
 	}
 }
 
-func (r *runner) tellRecorded(ctx context.Context, records []wire.ItemRecord) {
+func (r *runner) tellRecorded(ctx context.Context, records []wire.ItemRecord, failed bool) {
 	for i := range records {
-		if records[i].State == wire.ItemWaiting {
+		end := recordEnd{
+			key:    itemKey{records[i].Job, records[i].Item},
+			final:  records[i].State != wire.ItemWaiting,
+			failed: failed,
+		}
+		if !end.final && !failed {
 			continue
 		}
 		select {
-		case r.recorded <- itemKey{records[i].Job, records[i].Item}:
+		case r.recorded <- end:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/batchplan"
 	"github.com/sedgemast/sedgemast/internal/batchstate"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -23,6 +24,8 @@
 	routeGrace = 2 * time.Second
 	// forgetInterval is the time between looks for jobs to forget.
 	forgetInterval = 5 * time.Second
+	// yieldPause is how long an item rests that gave way to online requests.
+	yieldPause = time.Second
 	// notRunPause is how long an item rests after a worker would not take it.
 	notRunPause = 100 * time.Millisecond
 )
@@ -38,14 +41,18 @@
 type runner struct {
 	store   *Store
 	running map[itemKey]*task
+	// carried holds what items had that were stopped here, where it goes beyond
+	// the log.
+	carried map[itemKey]carry
 	resting map[itemKey]time.Time
 	seen    map[string]*sighting
 	ended   chan *task
 	records chan wire.ItemRecord
 	// pending holds items whose result is on its way to the log.
 	pending   map[itemKey]bool
-	recorded  chan itemKey
+	recorded  chan recordEnd
 	splitter  *routetable.Splitter
+	runTime   batchplan.RunTime
 	leading   bool
 	forgetDue time.Time
 }
@@ -55,6 +62,7 @@
 type sighting struct {
 	first     time.Time
 	routeGone time.Time
+	plan      batchplan.Job
 }
 
 const queueLength = 4096
@@ -64,12 +72,13 @@
 		store:    s,
 		splitter: routetable.NewSplitter(),
 		running:  map[itemKey]*task{},
+		carried:  map[itemKey]carry{},
 		resting:  map[itemKey]time.Time{},
 		seen:     map[string]*sighting{},
 		pending:  map[itemKey]bool{},
 		ended:    make(chan *task, queueLength),
 		records:  make(chan wire.ItemRecord, queueLength),
-		recorded: make(chan itemKey, queueLength),
+		recorded: make(chan recordEnd, queueLength),
 	}
 }
 
@@ -85,8 +94,8 @@
 		case <-ticker.C:
 		case ended := <-r.ended:
 			r.end(ended)
-		case key := <-r.recorded:
-			delete(r.pending, key)
+		case end := <-r.recorded:
+			r.takeRecorded(end)
 		}
 		r.drainEvents()
 		r.look(ctx, time.Now())
@@ -98,23 +107,56 @@
 		select {
 		case ended := <-r.ended:
 			r.end(ended)
-		case key := <-r.recorded:
-			delete(r.pending, key)
+		case end := <-r.recorded:
+			r.takeRecorded(end)
 		default:
 			return
 		}
 	}
 }
 
+// recordEnd says how the writing of an item's news ended.
+type recordEnd struct {
+	key itemKey
+	// final is set for a result.
+	final  bool
+	failed bool
+}
+
+// takeRecorded takes in that news are written, or are not: then what was carried
+// does not follow on the log any more.
+func (r *runner) takeRecorded(end recordEnd) {
+	if end.final {
+		delete(r.pending, end.key)
+	}
+	if !end.failed {
+		return
+	}
+	delete(r.carried, end.key)
+	if running := r.running[end.key]; running != nil {
+		running.cancel()
+		running.unusable = true
+	}
+}
+
 // end takes in that a task is over.
 func (r *runner) end(ended *task) {
 	ended.cancel()
 	if r.running[ended.key] == ended {
 		delete(r.running, ended.key)
 	}
+	delete(r.carried, ended.key)
+	if !ended.finished && !ended.unusable && ended.carry.events > 0 {
+		r.carried[ended.key] = ended.carry
+	}
 	switch {
 	case ended.finished:
 		r.pending[ended.key] = true
+		if ended.ranWhole {
+			r.runTime.Add(ended.ran)
+		}
+	case ended.yielded:
+		r.resting[ended.key] = time.Now().Add(yieldPause)
 	case ended.rest > 0:
 		r.resting[ended.key] = time.Now().Add(ended.rest)
 	}
@@ -161,42 +203,43 @@
 	}
 	r.leading = false
 	logging.Info(r.store.logger, "running_items", "leading", false, "stopped", len(r.running))
+	for _, task := range r.running {
+		task.unusable = true
+	}
 	r.stopAll()
 	r.seen = map[string]*sighting{}
 	r.pending = map[itemKey]bool{}
+	r.carried = map[itemKey]carry{}
 	r.resting = map[itemKey]time.Time{}
 }
 
 // plan stops the tasks of jobs that take no results, and prepares tasks for
-// waiting items in the order in which their jobs were accepted.
+// waiting items in the order of package batchplan.
 func (r *runner) plan(ctx context.Context, now time.Time, reader storage.Reader) []*task {
 	machine := r.store.machine
-	var open []*batchstate.Job
-	machine.Jobs(func(job *batchstate.Job) {
-		if r.seen[job.ID] == nil {
-			r.seen[job.ID] = &sighting{first: now}
-		}
-		if job.Open() {
-			open = append(open, job)
-		}
-	})
 	for key, task := range r.running {
 		if job, err := machine.Job(key.job); err != nil || !job.Open() {
 			task.cancel()
 		}
 	}
 	table := r.store.watcher.Current().Table
+	jobs := r.order(now, table)
+	r.yield(now)
 	if table == nil {
 		return nil
 	}
-	sort.Slice(open, func(a, b int) bool { return open[a].Order < open[b].Order })
 	var starts []*task
-	for _, job := range open {
+	full := map[string]bool{}
+	for _, planned := range jobs {
+		job, err := machine.Job(planned.ID)
+		if err != nil {
+			continue
+		}
 		for number := range job.Items {
 			if len(starts) >= maxStarts {
 				return starts
 			}
-			if task := r.consider(ctx, now, reader, table, job, number); task != nil {
+			if task := r.consider(ctx, now, reader, table, job, number, full); task != nil {
 				starts = append(starts, task)
 			}
 		}
@@ -204,17 +247,48 @@
 	return starts
 }
 
-// consider returns a task for the item if it can run now.
-func (r *runner) consider(ctx context.Context, now time.Time, reader storage.Reader, table *routetable.Table, job *batchstate.Job, number int) *task {
+// order returns the open jobs in the order in which their items run, and notes
+// their urgency.
+func (r *runner) order(now time.Time, table *routetable.Table) []batchplan.Job {
+	var jobs []batchplan.Job
+	r.store.machine.Jobs(func(job *batchstate.Job) {
+		seen := r.seen[job.ID]
+		if seen == nil {
+			seen = &sighting{first: now}
+			r.seen[job.ID] = seen
+		}
+		seen.plan = batchplan.Job{ID: job.ID, Order: job.Order, Urgency: batchplan.Classify(now.Sub(seen.first), dueOf(table, job), r.runTime.Mean())}
+		if job.Open() {
+			jobs = append(jobs, seen.plan)
+		}
+	})
+	batchplan.Sort(jobs)
+	return jobs
+}
+
+// dueOf returns the age at which a job's results are due, or zero.
+func dueOf(table *routetable.Table, job *batchstate.Job) time.Duration {
+	if table == nil {
+		return 0
+	}
+	return time.Duration(table.Named(job.Route).RunGoalMillis) * time.Millisecond
+}
+
+// consider returns a task for the item if it can run now. full names pools, with
+// the urgency, that have no room left at this look.
+func (r *runner) consider(ctx context.Context, now time.Time, reader storage.Reader, table *routetable.Table, job *batchstate.Job, number int, full map[string]bool) *task {
 	key := itemKey{job.ID, number}
-	if job.Items[number].State != wire.ItemWaiting || r.running[key] != nil || r.pending[key] {
+	if job.Items[number].State != wire.ItemWaiting || r.running[key] != nil || r.pending[key] || r.rests(now, key) {
 		return nil
 	}
-	if until, rests := r.resting[key]; rests {
-		if now.Before(until) {
-			return nil
-		}
-		delete(r.resting, key)
+	seen := r.seen[job.ID]
+	urgent := seen.plan.Urgency == batchplan.Urgent
+	place := job.Route
+	if urgent {
+		place += " urgent"
+	}
+	if full[place] {
+		return nil
 	}
 	content, err := r.store.machine.Content(reader, job.ID, number)
 	if err != nil {
@@ -222,7 +296,6 @@
 		return nil
 	}
 	route := table.Match(job.Host, pathOf(content.Path))
-	seen := r.seen[job.ID]
 	if route == nil {
 		r.routeGone(now, key, seen)
 		return nil
@@ -236,23 +309,30 @@
 		Pool:       r.splitter.Next(route, r.store.workers.Usable),
 		Parts:      dialect.Parts(headerOf(content.Headers, r.store.dialect.PromptParts)),
 		Batch:      true,
+		Urgent:     urgent,
 		BatchShare: r.store.settings.BatchShare,
 	}
 	demand.PromptTokens, _ = dialect.TokenCounts(headerOf(content.Headers, r.store.dialect.Tokens))
 	lease := r.store.workers.Acquire(now, demand)
 	if lease == nil {
+		full[place] = true
 		return nil
 	}
-	progress, err := r.store.machine.Progress(reader, job.ID, number)
-	if err != nil {
-		lease.Release()
-		return nil
+	return r.prepare(ctx, key, job, route, content, lease)
+}
+
+// rests reports whether an item is to wait a moment.
+func (r *runner) rests(now time.Time, key itemKey) bool {
+	until, rests := r.resting[key]
+	if rests && !now.Before(until) {
+		delete(r.resting, key)
+		return false
 	}
-	return r.prepare(ctx, key, job, route, content, progress, lease)
+	return rests
 }
 
-func (r *runner) prepare(ctx context.Context, key itemKey, job *batchstate.Job, route *routetable.Route, content *wire.ItemContent, progress *wire.ItemRecord, lease *balance.Lease) *task {
-	ctx, cancel := context.WithCancel(ctx)
+func (r *runner) prepare(ctx context.Context, key itemKey, job *batchstate.Job, route *routetable.Route, content *wire.ItemContent, lease *balance.Lease) *task {
+	itemContext, cancel := context.WithCancel(ctx)
 	started := &task{
 		runner:   r,
 		key:      key,
@@ -260,15 +340,56 @@
 		host:     job.Host,
 		route:    route,
 		content:  content,
-		progress: *progress,
+		carry:    r.carryOf(key, &job.Items[key.item]),
+		failures: job.Items[key.item].Failures,
 		lease:    lease,
-		context:  ctx,
+		context:  itemContext,
 		cancel:   cancel,
 	}
 	r.running[key] = started
 	return started
 }
 
+// carryOf returns from where an item goes on: from what was carried here, if that
+// goes beyond the log, or else from the log.
+func (r *runner) carryOf(key itemKey, item *batchstate.Item) carry {
+	carried, found := r.carried[key]
+	if found && carried.noted >= item.Events {
+		return carried
+	}
+	return carry{events: item.Events, lastEvent: item.LastEvent, noted: item.Events}
+}
+
+// yield stops items that stand in the way of online requests. They go on
+// elsewhere from where they are.
+func (r *runner) yield(now time.Time) {
+	overfull := r.store.workers.Overfull(now)
+	if len(overfull) == 0 {
+		return
+	}
+	tasks := make([]*task, 0, len(r.running))
+	for _, task := range r.running {
+		if overfull[task.lease.Endpoint.ID] > 0 && task.context.Err() == nil && r.planOf(task).Yields() {
+			tasks = append(tasks, task)
+		}
+	}
+	sort.Slice(tasks, func(a, b int) bool { return batchplan.YieldsBefore(r.planOf(tasks[a]), r.planOf(tasks[b])) })
+	for _, task := range tasks {
+		if id := task.lease.Endpoint.ID; overfull[id] > 0 {
+			overfull[id]--
+			task.yielded = true
+			task.cancel()
+		}
+	}
+}
+
+func (r *runner) planOf(task *task) batchplan.Job {
+	if seen := r.seen[task.key.job]; seen != nil {
+		return seen.plan
+	}
+	return batchplan.Job{}
+}
+
 // routeGone gives an item up once its route has been gone for a while.
 func (r *runner) routeGone(now time.Time, key itemKey, seen *sighting) {
 	switch {
@@ -282,16 +403,18 @@
 func (r *runner) abandon(key itemKey, reason string) {
 	logging.Info(r.store.logger, "item_abandoned", "job", key.job, "item", key.item, "reason", reason)
 	r.pending[key] = true
-	r.enqueue(wire.ItemRecord{Job: key.job, Item: key.item, State: wire.ItemAbandoned})
+	if !r.enqueue(wire.ItemRecord{Job: key.job, Item: key.item, State: wire.ItemAbandoned}) {
+		delete(r.pending, key)
+	}
 }
 
-// enqueue hands news to the recorder. A full queue drops them: the item is then
-// looked at again.
-func (r *runner) enqueue(record wire.ItemRecord) {
+// enqueue hands news to the recorder and reports whether there was room.
+func (r *runner) enqueue(record wire.ItemRecord) bool {
 	select {
 	case r.records <- record:
+		return true
 	default:
-		r.recorded <- itemKey{record.Job, record.Item}
+		return false
 	}
 }
 
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -20,6 +20,7 @@
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
+	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/settings"
@@ -52,6 +53,7 @@
 	dialect  *dialect.Dialect
 	identity wire.Hello
 	runner   *runner
+	hub      *loadshare.Hub
 
 	// mutex guards what follows.
 	mutex   sync.Mutex
@@ -76,6 +78,7 @@
 		workers:  balance.NewTable(config.Zone, mathrand.New(mathrand.NewPCG(now, 1))),
 		upstream: upstream.NewClient(names),
 		dialect:  names,
+		hub:      loadshare.NewHub(),
 		changed:  make(chan struct{}),
 	}
 	s.runner = newRunner(s)
@@ -93,6 +96,7 @@
 	d.BeforeStop(s.handOver)
 	d.Go(s.watcher.Run)
 	d.Go(s.statusLoop)
+	d.Go(s.takeLoads)
 	d.Go(s.runner.run)
 	d.Go(s.runner.recordLoop)
 	d.SetReady(true)
@@ -204,6 +208,24 @@
 	s.status.Formed = len(members) > 0
 }
 
+// takeLoads is the hub of all processes' loads while this process leads: it tells
+// each what the others have, its own batch items included.
+func (s *Store) takeLoads(ctx context.Context) {
+	err := loadshare.Serve(ctx, s.daemon.Address(), func(report *wire.LoadReport) *wire.LoadReport {
+		if s.read(func(storage.Reader) error { return nil }) != nil {
+			return nil
+		}
+		now := time.Now()
+		s.hub.Take(now, report)
+		s.hub.Take(now, &wire.LoadReport{Workers: s.workers.Loads()})
+		s.workers.SetOthers(now, s.hub.Others(now, 0))
+		return &wire.LoadReport{Workers: s.hub.Others(now, report.Source)}
+	})
+	if err != nil {
+		logging.Warn(s.logger, "loads_not_taken", "error", err)
+	}
+}
+
 // handOver is a step of the planned stop: other processes lead before this one
 // goes.
 func (s *Store) handOver(ctx context.Context) {
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -28,6 +28,17 @@
 	failedPause = 50 * time.Millisecond
 )
 
+// carry is how far an item has come at this store. It is handed from one task of
+// the item to the next.
+type carry struct {
+	// events counts the events received, lastEvent is the id of the last one.
+	events    int
+	lastEvent int64
+	// text is that of the events after the first noted ones, which the log has.
+	text  string
+	noted int
+}
+
 // task is one attempt at an item, from where it had come before.
 type task struct {
 	runner   *runner
@@ -36,39 +47,48 @@
 	host     string
 	route    *routetable.Route
 	content  *wire.ItemContent
-	progress wire.ItemRecord
+	carry    carry
+	failures int
 	lease    *balance.Lease
 	context  context.Context
 	cancel   context.CancelFunc
-	noted    time.Time
-	worker   string
+	notedAt  time.Time
+	// yielded is set by the runner where the item gives way to online requests,
+	// unusable where its carry does not follow on the log.
+	yielded  bool
+	unusable bool
 	// The following say how the task ended.
 	finished bool
+	state    wire.ItemState
 	rest     time.Duration
+	// ran is how long it took, ranWhole is set where it ran from the first
+	// event to the last.
+	ran      time.Duration
+	ranWhole bool
 }
 
 func (t *task) run() {
 	started := time.Now()
-	t.noted = started
-	t.worker = t.lease.Endpoint.ID
-	before := t.progress.Events
+	t.notedAt = started
+	before := t.carry.events
+	failuresBefore := t.failures
 	err := t.attempt()
 	t.lease.Release()
+	t.ran = time.Since(started)
+	t.ranWhole = err == nil && before == 0
 	switch {
 	case err == nil:
-		t.progress.State = wire.ItemCompleted
-		t.finish()
+		t.finish(wire.ItemCompleted)
 	case t.context.Err() != nil:
 	case t.hopeless(err):
-		t.progress.State = wire.ItemAbandoned
-		t.finish()
-	case t.progress.Events > before || failure.Is(err, failure.Internal):
-		t.note()
+		t.finish(wire.ItemAbandoned)
+	case t.failures > failuresBefore:
+		t.note(wire.ItemWaiting)
 	}
 	if t.rest == 0 && !t.finished {
 		t.rest = failedPause
 	}
-	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.worker, "from_event", before, "events", t.progress.Events, "failures", t.progress.Failures, "state", t.progress.State, "ms", time.Since(started).Milliseconds(), "error", err)
+	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.lease.Endpoint.ID, "from_event", before, "events", t.carry.events, "failures", t.failures, "state", t.state, "yielded", t.context.Err() != nil, "ms", time.Since(started).Milliseconds(), "error", err)
 	t.runner.ended <- t
 }
 
@@ -78,19 +98,32 @@
 	if failure.Is(err, failure.BadRequest) {
 		return true
 	}
-	return t.progress.Failures >= max(t.route.MaxAttempts, 1)
+	return t.failures >= max(t.route.MaxAttempts, 1)
 }
 
-func (t *task) finish() {
-	t.finished = true
-	t.note()
+func (t *task) finish(state wire.ItemState) {
+	t.state = state
+	t.finished = t.note(state)
 }
 
-// note hands the item's state to the recorder.
-func (t *task) note() {
-	t.noted = time.Now()
-	t.progress.Job, t.progress.Item = t.key.job, t.key.item
-	t.runner.enqueue(t.progress)
+// note hands the item's news to the recorder and reports whether they were
+// taken.
+func (t *task) note(state wire.ItemState) bool {
+	t.notedAt = time.Now()
+	taken := t.runner.enqueue(wire.ItemRecord{
+		Job:       t.key.job,
+		Item:      t.key.item,
+		State:     state,
+		From:      t.carry.noted,
+		Text:      t.carry.text,
+		Events:    t.carry.events,
+		LastEvent: t.carry.lastEvent,
+		Failures:  t.failures,
+	})
+	if taken {
+		t.carry.noted, t.carry.text = t.carry.events, ""
+	}
+	return taken
 }
 
 // attempt runs the item at the worker of the lease. A failure of kind BadRequest
@@ -124,7 +157,7 @@
 	case response.Status == http.StatusUnprocessableEntity:
 		return t.pass(response, failure.New(failure.BadRequest, "", "the worker can't ever do it"))
 	case response.Status == http.StatusInternalServerError:
-		t.progress.Failures++
+		t.failures++
 		return t.pass(response, failure.New(failure.Internal, "", "the worker failed at it"))
 	case response.Status != http.StatusOK:
 		return t.pass(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d", response.Status))
@@ -156,8 +189,8 @@
 		wire.HeaderField{Name: names.RequestID, Value: t.id},
 		wire.HeaderField{Name: names.ExpectWorker, Value: t.lease.Endpoint.ID},
 	)
-	if t.progress.Events > 0 {
-		fields = append(fields, wire.HeaderField{Name: names.LastEvent, Value: strconv.FormatInt(t.progress.LastEvent, 10)})
+	if t.carry.events > 0 {
+		fields = append(fields, wire.HeaderField{Name: names.LastEvent, Value: strconv.FormatInt(t.carry.lastEvent, 10)})
 	}
 	return fields
 }
@@ -175,11 +208,11 @@
 		if orderErr := t.take(parser.Feed(buffer[:count])); orderErr != nil {
 			return orderErr
 		}
-		if t.progress.Events > 0 {
+		if t.carry.events > 0 {
 			silence = gapSilence
 		}
 		switch {
-		case err == io.EOF && parser.Rest() == 0 && t.progress.Events > 0:
+		case err == io.EOF && parser.Rest() == 0 && t.carry.events > 0:
 			return nil
 		case err == io.EOF:
 			return failure.New(failure.OutcomeUnknown, "", "the answer ended within an event")
@@ -189,8 +222,8 @@
 			}
 			return failure.Wrap(err, failure.OutcomeUnknown, "", "the worker broke off")
 		}
-		if time.Since(t.noted) > progressInterval && t.progress.Events > 0 {
-			t.note()
+		if time.Since(t.notedAt) > progressInterval && t.carry.events > 0 {
+			t.note(wire.ItemWaiting)
 		}
 	}
 }
@@ -201,23 +234,23 @@
 	}
 	t.lease.Begun()
 	var text strings.Builder
-	text.WriteString(t.progress.Text)
+	text.WriteString(t.carry.text)
+	defer func() { t.carry.text = text.String() }()
 	for i := range events {
 		event := &events[i]
-		if !event.HasID || t.progress.Events > 0 && event.ID <= t.progress.LastEvent {
+		if !event.HasID || t.carry.events > 0 && event.ID <= t.carry.lastEvent {
 			continue
 		}
-		if t.progress.Events > 0 && event.ID != t.progress.LastEvent+1 {
-			return failure.New(failure.OutcomeUnknown, "", "event %d came after event %d", event.ID, t.progress.LastEvent)
+		if t.carry.events > 0 && event.ID != t.carry.lastEvent+1 {
+			return failure.New(failure.OutcomeUnknown, "", "event %d came after event %d", event.ID, t.carry.lastEvent)
 		}
-		if t.progress.Events > 0 {
+		if t.carry.events > 0 {
 			text.WriteByte('\n')
 		}
 		text.WriteString(event.Data)
-		t.progress.Events++
-		t.progress.LastEvent = event.ID
+		t.carry.events++
+		t.carry.lastEvent = event.ID
 	}
-	t.progress.Text = text.String()
 	return nil
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
+	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/settings"
@@ -59,10 +60,24 @@
 	e.watcher.OnChange(e.adopt)
 	e.Stores = storeclient.New(func() []string { return e.watcher.Current().Fleet.Stores })
 	d.Go(e.watcher.Run)
+	d.Go(e.shareLoads)
 	d.BeforeStop(e.drain)
 	return e
 }
 
+// shareLoads tells the stores what this process has in flight, and learns what
+// the others have.
+func (e *Edge) shareLoads(ctx context.Context) {
+	source := loadshare.Hash(e.settings.Name)
+	err := loadshare.Report(ctx,
+		func() []string { return e.watcher.Current().Fleet.Stores },
+		func() *wire.LoadReport { return &wire.LoadReport{Source: source, Workers: e.workers.Loads()} },
+		e.workers.SetOthers)
+	if err != nil {
+		logging.Warn(e.logger, "loads_not_shared", "error", err)
+	}
+}
+
 func (e *Edge) report() wire.ProcessReport {
 	return wire.ProcessReport{Kind: wire.ProcessEdge, Name: e.settings.Name, Zone: e.settings.Zone}
 }
--- /dev/null
+++ b/internal/loadshare/datagrams.go
@@ -0,0 +1,123 @@
+package loadshare
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// maxDatagram bounds a report; what does not fit is left out.
+const maxDatagram = 60 << 10
+
+// Serve answers reports at the address until ctx ends. answer returns what the
+// sender is told, or nothing if it is to ask elsewhere.
+func Serve(ctx context.Context, address string, answer func(report *wire.LoadReport) *wire.LoadReport) error {
+	udpAddress, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "correct the address", "load reports have no address")
+	}
+	socket, err := net.ListenUDP("udp", udpAddress)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "free the address", "load reports can't be taken")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagram)
+	for {
+		count, sender, err := socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			continue
+		}
+		report := &wire.LoadReport{}
+		if _, err := report.UnmarshalMsg(buffer[:count]); err != nil {
+			continue
+		}
+		if reply := answer(report); reply != nil {
+			// A lost answer is made good by the next.
+			if encoded, err := reply.MarshalMsg(nil); err == nil {
+				_, _ = socket.WriteToUDPAddrPort(encoded, sender)
+			}
+		}
+	}
+}
+
+// silence is how long a hub may be silent before another is asked.
+const silence = 4 * Interval
+
+// Report tells a hub what own returns, again and again, and hands its answers to
+// learn. It looks for a hub among the addresses that hubs returns.
+func Report(ctx context.Context, hubs func() []string, own func() *wire.LoadReport, learn func(now time.Time, others []wire.WorkerLoad)) error {
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{})
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "free descriptors", "loads can't be told")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
+	defer stop()
+	r := &reporter{socket: socket, began: time.Now()}
+	go r.receive(ctx, learn)
+	ticker := time.NewTicker(Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		r.send(hubs(), own())
+	}
+}
+
+// reporter sends reports to one hub while it answers.
+type reporter struct {
+	socket *net.UDPConn
+	next   int
+	target string
+	// since is when the target was chosen, heard when a hub last answered, in
+	// nanoseconds of the steady clock since began.
+	began time.Time
+	since time.Duration
+	heard atomic.Int64
+}
+
+func (r *reporter) send(hubs []string, report *wire.LoadReport) {
+	now := time.Since(r.began)
+	if r.target == "" || now-max(r.since, time.Duration(r.heard.Load())) > silence {
+		if len(hubs) == 0 {
+			return
+		}
+		r.next++
+		r.target, r.since = hubs[r.next%len(hubs)], now
+	}
+	encoded, err := report.MarshalMsg(nil)
+	if err != nil {
+		return
+	}
+	address, err := net.ResolveUDPAddr("udp", r.target)
+	if err != nil {
+		return
+	}
+	// A lost report is made good by the next.
+	_, _ = r.socket.WriteToUDP(encoded, address)
+}
+
+func (r *reporter) receive(ctx context.Context, learn func(now time.Time, others []wire.WorkerLoad)) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		count, _, err := r.socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			continue
+		}
+		report := &wire.LoadReport{}
+		if _, err := report.UnmarshalMsg(buffer[:count]); err == nil {
+			r.heard.Store(int64(time.Since(r.began)))
+			learn(time.Now(), report.Workers)
+		}
+	}
+}
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -11,16 +11,18 @@
 	// Configuration is what the table was made from; it must not change.
 	Configuration *Configuration
 	hosts         map[string][]*Route
+	names         map[string]*Route
 	pools         map[string]*Pool
 }
 
 // NewTable prepares a checked configuration for look-ups.
 func NewTable(configuration *Configuration) *Table {
-	table := &Table{Configuration: configuration, hosts: map[string][]*Route{}, pools: map[string]*Pool{}}
+	table := &Table{Configuration: configuration, hosts: map[string][]*Route{}, names: map[string]*Route{}, pools: map[string]*Pool{}}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
 		host := strings.ToLower(route.Host)
 		table.hosts[host] = append(table.hosts[host], route)
+		table.names[route.Name] = route
 	}
 	for _, routes := range table.hosts {
 		sort.SliceStable(routes, func(a, b int) bool { return len(routes[a].PathPrefix) > len(routes[b].PathPrefix) })
@@ -42,6 +44,14 @@
 	return nil
 }
 
+// Named returns the route with the name, or one without goals.
+func (t *Table) Named(name string) *Route {
+	if route := t.names[name]; route != nil {
+		return route
+	}
+	return &Route{}
+}
+
 // Pool returns the pool with the name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -59,8 +59,10 @@
 	Job   string    `msg:"job"`
 	Item  int       `msg:"item"`
 	State ItemState `msg:"state"`
-	// Text is the item's whole text so far, Events how many events it holds,
-	// LastEvent the id of the last one.
+	// Text is the item's text after its first From events, with the line feed
+	// that parts it from what came before. Events is how many events there are
+	// with it, LastEvent the id of the last one.
+	From      int    `msg:"from"`
 	Text      string `msg:"text,limit=33554432"`
 	Events    int    `msg:"events"`
 	LastEvent int64  `msg:"last_event"`
--- a/internal/wire/batch_gen.go
+++ b/internal/wire/batch_gen.go
@@ -3186,6 +3186,12 @@
 				}
 				z.State = ItemState(zb0002)
 			}
+		case "from":
+			z.From, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
 		case "text":
 			z.Text, err = dc.ReadString()
 			if err != nil {
@@ -3223,9 +3229,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ItemRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "job"
-	err = en.Append(0x87, 0xa3, 0x6a, 0x6f, 0x62)
+	err = en.Append(0x88, 0xa3, 0x6a, 0x6f, 0x62)
 	if err != nil {
 		return
 	}
@@ -3254,6 +3260,16 @@
 		err = msgp.WrapError(err, "State")
 		return
 	}
+	// write "from"
+	err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
 	// write "text"
 	err = en.Append(0xa4, 0x74, 0x65, 0x78, 0x74)
 	if err != nil {
@@ -3300,9 +3316,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ItemRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "job"
-	o = append(o, 0x87, 0xa3, 0x6a, 0x6f, 0x62)
+	o = append(o, 0x88, 0xa3, 0x6a, 0x6f, 0x62)
 	o = msgp.AppendString(o, z.Job)
 	// string "item"
 	o = append(o, 0xa4, 0x69, 0x74, 0x65, 0x6d)
@@ -3310,6 +3326,9 @@
 	// string "state"
 	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 	o = msgp.AppendUint8(o, uint8(z.State))
+	// string "from"
+	o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = msgp.AppendInt(o, z.From)
 	// string "text"
 	o = append(o, 0xa4, 0x74, 0x65, 0x78, 0x74)
 	o = msgp.AppendString(o, z.Text)
@@ -3369,6 +3388,12 @@
 				}
 				z.State = ItemState(zb0002)
 			}
+		case "from":
+			z.From, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
 		case "text":
 			z.Text, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -3407,7 +3432,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ItemRecord) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 5 + msgp.IntSize + 6 + msgp.Uint8Size + 5 + msgp.StringPrefixSize + len(z.Text) + 7 + msgp.IntSize + 11 + msgp.Int64Size + 9 + msgp.IntSize
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 5 + msgp.IntSize + 6 + msgp.Uint8Size + 5 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Text) + 7 + msgp.IntSize + 11 + msgp.Int64Size + 9 + msgp.IntSize
 	return
 }
 
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -14,3 +14,4 @@
 //go:generate go tool msgp -file consensus.go -o consensus_gen.go -tests=false
 //go:generate go tool msgp -file fleet.go -o fleet_gen.go -tests=false
 //go:generate go tool msgp -file batch.go -o batch_gen.go -tests=false
+//go:generate go tool msgp -file load.go -o load_gen.go -tests=false
