Items give way slowly, are noted often, and begin one after another

Change: one item gives way per worker and 100 ms, after a second at least; an item's text is noted each 0.6 s and when it gives way; a batch item is added only where few prompt tokens wait to be read.

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -28,10 +28,7 @@
 // cost rates a worker for a demand: the lower the better, in slots.
 func (t *Table) cost(now time.Time, candidate *worker, demand *Demand) float64 {
 	slots := float64(max(candidate.listed.Slots, 1))
-	memory := t.memory[demand.Pool]
-	if memory <= 0 {
-		memory = defaultMemory
-	}
+	memory := t.memoryOf(demand.Pool)
 	cost := float64(candidate.inFlight)
 	unread := float64(candidate.unread)
 	if others, known := candidate.told(now); known {
@@ -48,6 +45,14 @@
 	return cost
 }
 
+// memoryOf returns how many tokens a worker of the pool holds.
+func (t *Table) memoryOf(pool string) int64 {
+	if memory := t.memory[pool]; memory > 0 {
+		return memory
+	}
+	return defaultMemory
+}
+
 // shared returns the ids of the parts that other requests may have too: all but
 // the last.
 func shared(parts []dialect.Part) []string {
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -11,10 +11,16 @@
 const (
 	// reserveParts says how many slots batch items leave free beside the online
 	// requests at a worker: one in so many.
-	reserveParts = 4
-	// patientOver is how many requests more than slots a worker may have before
-	// batch items are stopped: an online request ends soon.
-	patientOver = 1
+	reserveParts = 8
+	// patientParts says how many requests more than slots a worker may have
+	// before batch items are stopped, because an online request ends soon: one
+	// for so many slots.
+	patientParts = 4
+	// batchUnreadParts says how many prompt tokens may wait to be read at a
+	// worker when a batch item is added: one for so many of its memory. Items
+	// that start all at once, as after the loss of a store, would hold back the
+	// first events of online requests.
+	batchUnreadParts = 64
 )
 
 // Loads returns what this process has at each worker where it has anything.
@@ -57,8 +63,11 @@
 }
 
 // admitsBatch reports whether one more batch item fits.
-func (w *worker) admitsBatch(now time.Time, share int, urgent bool) bool {
+func (w *worker) admitsBatch(now time.Time, share int, urgent bool, memory int64) bool {
 	others, known := w.told(now)
+	if w.unread+int64(others.Unread) > memory/batchUnreadParts {
+		return false
+	}
 	if !known {
 		const hundredths = 100
 		return w.batch*hundredths < w.listed.Slots*share
@@ -78,7 +87,7 @@
 	var overfull map[string]int
 	for id, known := range t.workers {
 		others, fresh := known.told(now)
-		over := known.batch + int(others.Online) - known.listed.Slots - patientOver
+		over := known.batch + int(others.Online) - known.listed.Slots - max(known.listed.Slots/patientParts, 1)
 		if !fresh || over <= 0 || known.batch == 0 {
 			continue
 		}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -154,7 +154,7 @@
 	if !suspects && now.Before(candidate.suspectUntil) {
 		return false
 	}
-	return !demand.Batch || candidate.admitsBatch(now, demand.BatchShare, demand.Urgent)
+	return !demand.Batch || candidate.admitsBatch(now, demand.BatchShare, demand.Urgent, t.memoryOf(demand.Pool))
 }
 
 // Begun takes in that the worker has read the prompt.
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -26,6 +26,12 @@
 	forgetInterval = 5 * time.Second
 	// yieldPause is how long an item rests that gave way to online requests.
 	yieldPause = time.Second
+	// yieldEffect is the time between two items that give way at one worker: the
+	// load that is told then shows what the first has brought.
+	yieldEffect = 100 * time.Millisecond
+	// leastRun is how long an item runs at least before it gives way, so that the
+	// reading of its prompt was not for nothing.
+	leastRun = time.Second
 	// notRunPause is how long an item rests after a worker would not take it.
 	notRunPause = 100 * time.Millisecond
 )
@@ -46,8 +52,10 @@
 	carried map[itemKey]carry
 	resting map[itemKey]time.Time
 	seen    map[string]*sighting
-	ended   chan *task
-	records chan wire.ItemRecord
+	// yieldedAt is when an item last gave way at a worker.
+	yieldedAt map[string]time.Time
+	ended     chan *task
+	records   chan wire.ItemRecord
 	// pending holds items whose result is on its way to the log.
 	pending   map[itemKey]bool
 	recorded  chan recordEnd
@@ -69,16 +77,17 @@
 
 func newRunner(s *Store) *runner {
 	return &runner{
-		store:    s,
-		splitter: routetable.NewSplitter(),
-		running:  map[itemKey]*task{},
-		carried:  map[itemKey]carry{},
-		resting:  map[itemKey]time.Time{},
-		seen:     map[string]*sighting{},
-		pending:  map[itemKey]bool{},
-		ended:    make(chan *task, queueLength),
-		records:  make(chan wire.ItemRecord, queueLength),
-		recorded: make(chan recordEnd, queueLength),
+		store:     s,
+		splitter:  routetable.NewSplitter(),
+		running:   map[itemKey]*task{},
+		carried:   map[itemKey]carry{},
+		resting:   map[itemKey]time.Time{},
+		seen:      map[string]*sighting{},
+		yieldedAt: map[string]time.Time{},
+		pending:   map[itemKey]bool{},
+		ended:     make(chan *task, queueLength),
+		records:   make(chan wire.ItemRecord, queueLength),
+		recorded:  make(chan recordEnd, queueLength),
 	}
 }
 
@@ -343,6 +352,7 @@
 		carry:    r.carryOf(key, &job.Items[key.item]),
 		failures: job.Items[key.item].Failures,
 		lease:    lease,
+		started:  time.Now(),
 		context:  itemContext,
 		cancel:   cancel,
 	}
@@ -369,17 +379,19 @@
 	}
 	tasks := make([]*task, 0, len(r.running))
 	for _, task := range r.running {
-		if overfull[task.lease.Endpoint.ID] > 0 && task.context.Err() == nil && r.planOf(task).Yields() {
+		if overfull[task.lease.Endpoint.ID] > 0 && task.mayYield(now) && r.planOf(task).Yields() {
 			tasks = append(tasks, task)
 		}
 	}
 	sort.Slice(tasks, func(a, b int) bool { return batchplan.YieldsBefore(r.planOf(tasks[a]), r.planOf(tasks[b])) })
 	for _, task := range tasks {
-		if id := task.lease.Endpoint.ID; overfull[id] > 0 {
-			overfull[id]--
-			task.yielded = true
-			task.cancel()
+		id := task.lease.Endpoint.ID
+		if overfull[id] == 0 || now.Sub(r.yieldedAt[id]) < yieldEffect {
+			continue
 		}
+		r.yieldedAt[id] = now
+		task.yielded = true
+		task.cancel()
 	}
 }
 
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -22,7 +22,7 @@
 	firstSilence = 6 * time.Second
 	gapSilence   = 2 * time.Second
 	// progressInterval is the time between two notes of an item's progress.
-	progressInterval = 1500 * time.Millisecond
+	progressInterval = 600 * time.Millisecond
 	readBufferBytes  = 8 << 10
 	// failedPause is how long an item rests after an attempt that failed.
 	failedPause = 50 * time.Millisecond
@@ -52,6 +52,7 @@
 	lease    *balance.Lease
 	context  context.Context
 	cancel   context.CancelFunc
+	started  time.Time
 	notedAt  time.Time
 	// yielded is set by the runner where the item gives way to online requests,
 	// unusable where its carry does not follow on the log.
@@ -67,19 +68,27 @@
 	ranWhole bool
 }
 
+// mayYield reports whether the item has run long enough to be stopped.
+func (t *task) mayYield(now time.Time) bool {
+	return t.context.Err() == nil && now.Sub(t.started) >= leastRun
+}
+
 func (t *task) run() {
-	started := time.Now()
-	t.notedAt = started
+	t.notedAt = t.started
 	before := t.carry.events
 	failuresBefore := t.failures
 	err := t.attempt()
 	t.lease.Release()
-	t.ran = time.Since(started)
+	t.ran = time.Since(t.started)
 	t.ranWhole = err == nil && before == 0
 	switch {
 	case err == nil:
 		t.finish(wire.ItemCompleted)
 	case t.context.Err() != nil:
+		// What it has must outlive this store, too, while it waits.
+		if t.carry.text != "" {
+			t.note(wire.ItemWaiting)
+		}
 	case t.hopeless(err):
 		t.finish(wire.ItemAbandoned)
 	case t.failures > failuresBefore:
@@ -88,7 +97,7 @@
 	if t.rest == 0 && !t.finished {
 		t.rest = failedPause
 	}
-	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.lease.Endpoint.ID, "from_event", before, "events", t.carry.events, "failures", t.failures, "state", t.state, "yielded", t.context.Err() != nil, "ms", time.Since(started).Milliseconds(), "error", err)
+	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.lease.Endpoint.ID, "from_event", before, "events", t.carry.events, "failures", t.failures, "state", t.state, "yielded", t.context.Err() != nil, "ms", time.Since(t.started).Milliseconds(), "error", err)
 	t.runner.ended <- t
 }
 
