End-to-end tests of the hosted fleet on separate processes; a leader that takes a change itself; logs that never block

Cause 1: a coordinator that led and was asked for a change itself read the leader's name out of a refusal that was not there and panicked: the operator saw a closed connection and went to another. Found by TestHostedFleet, red before ('the first configuration did not come about'). Ruled out: formation (the leader was there). Cause 2: a caller that sent a body over the bound saw a reset connection in place of 413, because the rest was not read; up to the bound again is passed over now. Stand-ins for the platform's workers and list are in the emulator.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -277,7 +277,10 @@
 	deadline := time.Now().Add(leadPatience)
 	for {
 		response, err := local(ctx)
-		if leader := leaderOf(err); err != nil && leader != "" && leader != c.daemon.Address() {
+		if err == nil {
+			return response, nil
+		}
+		if leader := leaderOf(err); leader != "" && leader != c.daemon.Address() {
 			callContext, cancel := context.WithDeadline(ctx, deadline.Add(leadPatience))
 			response, err = rpc.Call[Response, Pointer](callContext, c.client, leader, method, request)
 			cancel()
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -75,7 +75,7 @@
 		limit = defaultMaxBody
 	}
 	if request.ContentLength > limit {
-		return nil, tooLong(limit)
+		return nil, refuseLong(request, limit)
 	}
 	if request.ContentLength == 0 {
 		return nil, nil
@@ -94,7 +94,7 @@
 		return nil, failure.Wrap(err, failure.BadRequest, "send the whole body", "the body broke off")
 	}
 	if int64(len(body)) > limit {
-		return nil, tooLong(limit)
+		return nil, refuseLong(request, limit)
 	}
 	return body, nil
 }
@@ -102,7 +102,11 @@
 // TooLongField marks the refusal of a body over the bound.
 const TooLongField = "body"
 
-func tooLong(limit int64) error {
+// refuseLong passes over as much again as is allowed, because a caller that still
+// writes when the connection closes does not see the answer.
+func refuseLong(request *http.Request, limit int64) error {
+	// What breaks off here is refused all the same.
+	_, _ = io.CopyN(io.Discard, request.Body, limit)
 	return failure.New(failure.BadRequest, "send a shorter body", "the body is longer than %d bytes", limit).WithField(TooLongField)
 }
 
--- /dev/null
+++ b/internal/emulator/hosted.go
@@ -0,0 +1,237 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// HostedWorker is a stand-in for a model worker of the users' platform: it
+// answers with events and a seal, takes so many requests at once, and can be told
+// to misbehave.
+type HostedWorker struct {
+	ID    string
+	Slots int
+	// Pause is the time between two events.
+	Pause time.Duration
+
+	server  *httptest.Server
+	mutex   sync.Mutex
+	running int
+	seen    []HostedRequest
+	behave  func(request *HostedRequest) HostedFault
+	leaving bool
+}
+
+// HostedRequest is a request as the worker got it.
+type HostedRequest struct {
+	ID        string
+	Method    string
+	Target    string
+	Host      string
+	Body      string
+	LastEvent int
+	Header    http.Header
+}
+
+// HostedFault says how the worker misbehaves at a request.
+type HostedFault struct {
+	// NotRun refuses it.
+	NotRun bool
+	// Status, where it is set, answers with it.
+	Status int
+	// BreakAfter, where it is set, breaks the connection after so many events.
+	BreakAfter int
+}
+
+// NewHostedWorker starts a worker; Close ends it.
+func NewHostedWorker(id string, slots int, pause time.Duration) *HostedWorker {
+	w := &HostedWorker{ID: id, Slots: slots, Pause: pause}
+	w.server = httptest.NewServer(http.HandlerFunc(w.serve))
+	return w
+}
+
+// Close ends the worker.
+func (w *HostedWorker) Close() { w.server.Close() }
+
+// Address returns the worker's IP:port.
+func (w *HostedWorker) Address() string { return w.server.Listener.Addr().String() }
+
+// Behave sets how the worker misbehaves; nil means that it does not.
+func (w *HostedWorker) Behave(behave func(request *HostedRequest) HostedFault) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.behave = behave
+}
+
+// Leave lists the worker as draining.
+func (w *HostedWorker) Leave() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.leaving = true
+}
+
+// Seen returns the requests that the worker ran.
+func (w *HostedWorker) Seen() []HostedRequest {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return append([]HostedRequest(nil), w.seen...)
+}
+
+// admit takes a request in and returns how the worker misbehaves at it.
+func (w *HostedWorker) admit(request *HostedRequest) HostedFault {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	fault := HostedFault{}
+	if w.behave != nil {
+		fault = w.behave(request)
+	}
+	if w.running >= w.Slots {
+		fault.NotRun = true
+	}
+	if !fault.NotRun {
+		w.running++
+		w.seen = append(w.seen, *request)
+	}
+	return fault
+}
+
+func (w *HostedWorker) serve(writer http.ResponseWriter, httpRequest *http.Request) {
+	header := httpRequest.Header
+	writer.Header().Set("Request-Id", header.Get("Request-Id"))
+	if expected := header.Get("Expect-Instance"); expected != "" && expected != w.ID {
+		writer.Header().Set("Instance", w.ID)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(httpRequest.Body)
+	if err != nil {
+		return
+	}
+	last, _ := strconv.Atoi(header.Get("Last-Event-Id"))
+	request := &HostedRequest{
+		ID:        header.Get("Request-Id"),
+		Method:    httpRequest.Method,
+		Target:    httpRequest.RequestURI,
+		Host:      httpRequest.Host,
+		Body:      string(body),
+		LastEvent: last,
+		Header:    header.Clone(),
+	}
+	fault := w.admit(request)
+	if fault.NotRun {
+		writer.Header().Set("Not-Run", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.running--
+	}()
+	writer.Header().Set("Server-Seal", w.ID+"."+request.ID)
+	if fault.Status != 0 {
+		writer.WriteHeader(fault.Status)
+		return
+	}
+	w.stream(writer, httpRequest, request, fault)
+}
+
+// HostedEvent returns the data of a request's event, so that a test can tell
+// what the whole text must be.
+func HostedEvent(id string, number int) string { return fmt.Sprintf("%s-%d", id, number) }
+
+// stream sends the events after the last one that the caller has.
+func (w *HostedWorker) stream(writer http.ResponseWriter, httpRequest *http.Request, request *HostedRequest, fault HostedFault) {
+	writer.Header().Set("Content-Type", "text/event-stream")
+	_, out, _ := strings.Cut(request.Header.Get("Token-Count"), ",")
+	count, _ := strconv.Atoi(out)
+	flusher, _ := writer.(http.Flusher)
+	for sent, number := 0, request.LastEvent+1; number <= count; number++ {
+		select {
+		case <-httpRequest.Context().Done():
+			return
+		case <-time.After(w.Pause):
+		}
+		if fault.BreakAfter > 0 && sent >= fault.BreakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, HostedEvent(request.ID, number)); err != nil {
+			return
+		}
+		if flusher != nil {
+			flusher.Flush()
+		}
+		sent++
+	}
+}
+
+// HostedList is a stand-in for the platform's list of workers, in pages.
+type HostedList struct {
+	server  *httptest.Server
+	service string
+	mutex   sync.Mutex
+	workers []*HostedWorker
+}
+
+// NewHostedList starts a list of workers of one service; Close ends it.
+func NewHostedList(service string, workers ...*HostedWorker) *HostedList {
+	l := &HostedList{service: service, workers: workers}
+	l.server = httptest.NewServer(http.HandlerFunc(l.serve))
+	return l
+}
+
+// Close ends the list.
+func (l *HostedList) Close() { l.server.Close() }
+
+// Address returns the list's IP:port.
+func (l *HostedList) Address() string { return l.server.Listener.Addr().String() }
+
+// hostedPageRows is how many rows a page has: few, so that there are several.
+const hostedPageRows = 2
+
+// hostedRow is one row of the list.
+type hostedRow struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+}
+
+// hostedPage is one answer of the list.
+type hostedPage struct {
+	Instances []hostedRow `json:"instances"`
+	NextToken *string     `json:"nextToken"`
+}
+
+func (l *HostedList) serve(writer http.ResponseWriter, request *http.Request) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	first, _ := strconv.Atoi(request.URL.Query().Get("pageToken"))
+	page := hostedPage{Instances: []hostedRow{}}
+	for i := first; i < len(l.workers) && i < first+hostedPageRows; i++ {
+		worker := l.workers[i]
+		worker.mutex.Lock()
+		state := "ready"
+		if worker.leaving {
+			state = "draining"
+		}
+		worker.mutex.Unlock()
+		page.Instances = append(page.Instances, hostedRow{ID: worker.ID, Service: l.service, Address: worker.Address(), Zone: "zone-a", Slots: worker.Slots, State: state})
+	}
+	if next := first + hostedPageRows; next < len(l.workers) {
+		token := strconv.Itoa(next)
+		page.NextToken = &token
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	// A failed write means that the reader has gone.
+	_ = json.NewEncoder(writer).Encode(page)
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -21,6 +21,15 @@
 	return log.With(logger, "time", log.DefaultTimestampUTC)
 }
 
+// NewAsync returns a logger like New's whose lines are written by a goroutine of
+// their own, so that no caller ever waits for the output. Lines that the output
+// can't take in time are left out, and counted in a line of their own. The
+// function returned writes what waits, for the end of the process.
+func NewAsync(output io.Writer, minimum string) (logger Logger, flush func()) {
+	writer := newAsyncWriter(output)
+	return New(writer, minimum), writer.Flush
+}
+
 // Discard returns a logger that writes nothing.
 func Discard() Logger { return log.NewNopLogger() }
 
--- /dev/null
+++ b/test/hosted_test.go
@@ -0,0 +1,636 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/emulator"
+)
+
+const (
+	hostedService = "s1"
+	hostedHost    = "h.example"
+	// hostedWait bounds what a test waits for; nothing is judged by it.
+	hostedWait = 60 * time.Second
+)
+
+// hostedMachine is a process on an address of its own.
+type hostedMachine struct {
+	name    string
+	ip      string
+	role    string
+	folder  string
+	command *exec.Cmd
+	exited  chan error
+}
+
+// hostedFleet is a fleet as the users' platform runs it, on loopback addresses.
+type hostedFleet struct {
+	t        *testing.T
+	binary   string
+	port     int
+	list     *emulator.HostedList
+	workers  []*emulator.HostedWorker
+	machines map[string]*hostedMachine
+}
+
+// Ports behind the first one.
+const (
+	portControl = 1
+	portFront   = 2
+	portReady   = 3
+)
+
+func newHostedFleet(t *testing.T) *hostedFleet {
+	t.Helper()
+	folder := t.TempDir()
+	output, err := exec.Command("go", "build", "-o", folder+"/", "../platform/sedgemast-hosted").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	f := &hostedFleet{t: t, binary: filepath.Join(folder, "sedgemast-hosted"), port: freePorts(t), machines: map[string]*hostedMachine{}}
+	for i := 1; i <= 3; i++ {
+		worker := emulator.NewHostedWorker(fmt.Sprintf("w-%d", i), 8, 5*time.Millisecond)
+		t.Cleanup(worker.Close)
+		f.workers = append(f.workers, worker)
+	}
+	f.list = emulator.NewHostedList(hostedService, f.workers...)
+	t.Cleanup(f.list.Close)
+	for i := 1; i <= 3; i++ {
+		f.add("core", "coordinator", i)
+		f.add("store", "store", i+10)
+	}
+	for i := 1; i <= 2; i++ {
+		f.add("front", "edge", i+20)
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+// freePorts returns the first of a few ports that are probably free on all
+// loopback addresses.
+func freePorts(t *testing.T) int {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	port := listener.Addr().(*net.TCPAddr).Port
+	if port > 65000 {
+		port -= 1000
+	}
+	return port
+}
+
+func (f *hostedFleet) add(class, role string, number int) {
+	machine := &hostedMachine{name: fmt.Sprintf("%s-%d", class, number), ip: fmt.Sprintf("127.0.77.%d", number), role: role, folder: f.t.TempDir()}
+	f.machines[machine.name] = machine
+	f.start(machine, true)
+}
+
+func (f *hostedFleet) address(machine *hostedMachine, port int) string {
+	return fmt.Sprintf("%s:%d", machine.ip, f.port+port)
+}
+
+func (f *hostedFleet) start(machine *hostedMachine, bootstrap bool) {
+	var seeds []string
+	for i := 1; i <= 3; i++ {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("127.0.77.%d:%d", i, f.port+portControl)))
+	}
+	text := fmt.Sprintf(`node = %q
+ip = %q
+zone = "zone-a"
+portRange = [%d,%d]
+seeds = [%s]
+bootstrap = %t
+dataDir = %q
+[listen]
+control = %q
+front = %q
+ready = %q
+[limits]
+cores = 1
+memoryMb = 300
+[tolerate]
+machines = 1
+[bounds]
+graceS = 8
+statusS = 120
+[cloud]
+address = %q
+`, machine.name, machine.ip, f.port, f.port, strings.Join(seeds, ","), bootstrap, machine.folder+"/data",
+		f.address(machine, portControl), f.address(machine, portFront), f.address(machine, portReady), f.list.Address())
+	boot := filepath.Join(machine.folder, "settings.toml")
+	writeFile(f.t, boot, text)
+	log, err := os.OpenFile(filepath.Join(machine.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	machine.command = exec.Command(f.binary, machine.role)
+	machine.command.Env = append(os.Environ(), "SEDGEMAST_BOOT="+boot)
+	machine.command.Stdout, machine.command.Stderr = log, log
+	if err := machine.command.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	exited := make(chan error, 1)
+	machine.exited = exited
+	go func(command *exec.Cmd) {
+		exited <- command.Wait()
+		_ = log.Close()
+	}(machine.command)
+}
+
+func (f *hostedFleet) kill(machine *hostedMachine) {
+	_ = machine.command.Process.Kill()
+	<-machine.exited
+}
+
+func (f *hostedFleet) stopAll() {
+	for _, machine := range f.machines {
+		if machine.command.ProcessState == nil {
+			_ = machine.command.Process.Kill()
+			select {
+			case <-machine.exited:
+			case <-time.After(hostedWait):
+			}
+		}
+		if f.t.Failed() {
+			text, _ := os.ReadFile(filepath.Join(machine.folder, "log"))
+			f.t.Logf("log of %s:\n%s", machine.name, text[max(0, len(text)-3000):])
+		}
+	}
+}
+
+// eventually repeats a check until it holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(hostedWait); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s did not come about", what)
+}
+
+var hostedClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hostedWait}
+
+// call makes one call and returns the status, headers and body.
+func (f *hostedFleet) call(method, address, target string, headers map[string]string, body string) (int, http.Header, string, error) {
+	request, err := http.NewRequest(method, "http://"+address+target, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = hostedHost
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := hostedClient.Do(request)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(text), err
+}
+
+func (f *hostedFleet) configuration(version int, more string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[
+ {"name":"stream","host":%q,"pathPrefix":"/stream/","routeKind":"streaming","timeoutMs":20000,"goalMs":2000,"gapGoalMs":2000,"service":%q,"maxAttempts":3,"resumable":true},
+ {"name":"once","host":%q,"pathPrefix":"/once/","routeKind":"streaming","timeoutMs":20000,"goalMs":2000,"gapGoalMs":2000,"service":%q,"maxAttempts":3},
+ {"name":"batch","host":%q,"pathPrefix":"/batch/","routeKind":"batch","timeoutMs":30000,"goalMs":400,"runGoalMs":20000,"retainS":60,"maxQueuedTokens":100000,"service":%q,"maxAttempts":3}%s],
+ "services":[{"name":%q,"maxConns":100,"engine":{"slots":8,"kvCapacityTokens":100000}}],"limits":{"maxBodyBytes":1000000}}`,
+		version, hostedHost, hostedService, hostedHost, hostedService, hostedHost, hostedService, more, hostedService)
+}
+
+func (f *hostedFleet) put(core, document string) int {
+	status, _, _, err := f.call(http.MethodPut, f.address(f.machines[core], portControl), "/-/config", nil, document)
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
+// events returns the body that a whole stream has.
+func events(id string, from, to int) string {
+	var text strings.Builder
+	for number := from; number <= to; number++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", number, emulator.HostedEvent(id, number))
+	}
+	return text.String()
+}
+
+// TestHostedFleet runs a whole fleet as the users' platform does and brings about
+// the failures that it must bear.
+func TestHostedFleet(t *testing.T) {
+	f := newHostedFleet(t)
+	front := f.address(f.machines["front-21"], portFront)
+	second := f.address(f.machines["front-22"], portFront)
+	eventually(t, "the first configuration", func() bool { return f.put("core-2", f.configuration(5, "")) == http.StatusOK })
+	for _, name := range []string{"front-21", "front-22"} {
+		eventually(t, name+" ready", func() bool {
+			status, _, _, err := f.call(http.MethodGet, f.address(f.machines[name], portReady), "/-/ready", nil, "")
+			return err == nil && status == http.StatusOK
+		})
+	}
+	t.Run("configuration", f.testConfiguration)
+	t.Run("stream", func(t *testing.T) { f.testStream(t, front) })
+	t.Run("resumed", func(t *testing.T) { f.testResumed(t, front) })
+	t.Run("once", func(t *testing.T) { f.testOnce(t, front) })
+	t.Run("not run", func(t *testing.T) { f.testNotRun(t, front) })
+	t.Run("wrong input", func(t *testing.T) { f.testWrongInput(t, front) })
+	t.Run("job over a killed store", func(t *testing.T) { f.testJob(t, front, second) })
+	t.Run("in force", func(t *testing.T) { f.testInForce(t, front, second) })
+	t.Run("leaving worker", func(t *testing.T) { f.testLeaving(t, front) })
+	t.Run("planned stop", func(t *testing.T) { f.testStop(t) })
+}
+
+func (f *hostedFleet) testConfiguration(t *testing.T) {
+	core := f.address(f.machines["core-3"], portControl)
+	read := func() string {
+		body := ""
+		eventually(t, "a read of the configuration", func() bool {
+			status, _, text, err := f.call(http.MethodGet, core, "/-/config", nil, "")
+			body = text
+			return err == nil && status == http.StatusOK
+		})
+		return body
+	}
+	if read() != f.configuration(5, "") {
+		t.Error("the configuration is not read back as it was sent")
+	}
+	if status := f.put("core-1", f.configuration(4, "")); status != http.StatusOK {
+		t.Errorf("an older version got %d", status)
+	}
+	other := strings.Replace(f.configuration(5, ""), "/stream/", "/other/", 1)
+	if status := f.put("core-1", other); status != http.StatusOK {
+		t.Errorf("other content under the held version got %d", status)
+	}
+	if status := f.put("core-1", f.configuration(9, "")[:100]); status != http.StatusBadRequest {
+		t.Errorf("half a document got %d", status)
+	}
+	if read() != f.configuration(5, "") {
+		t.Error("what was not above the held version is in force")
+	}
+}
+
+func (f *hostedFleet) testStream(t *testing.T, front string) {
+	headers := map[string]string{"Request-Id": "r-1", "Token-Count": "10,6", "Deadline-Ms": "15000", "X-Other": "kept"}
+	status, header, body, err := f.call(http.MethodPost, front, "/stream/a?b=c%20d", headers, "prompt")
+	if err != nil || status != http.StatusOK || body != events("r-1", 1, 6) {
+		t.Fatalf("%d, %v: %q", status, err, body)
+	}
+	if seal := header.Get("Server-Seal"); !strings.HasSuffix(seal, ".r-1") {
+		t.Errorf("seal %q", seal)
+	}
+	for _, worker := range f.workers {
+		for _, seen := range worker.Seen() {
+			if seen.ID != "r-1" {
+				continue
+			}
+			if seen.Method != http.MethodPost || seen.Target != "/stream/a?b=c%20d" || seen.Host != hostedHost || seen.Body != "prompt" || seen.Header.Get("X-Other") != "kept" || seen.Header.Get("Expect-Instance") != worker.ID {
+				t.Errorf("the worker got %+v", seen)
+			}
+		}
+	}
+}
+
+func (f *hostedFleet) behaveAll(behave func(request *emulator.HostedRequest) emulator.HostedFault) {
+	for _, worker := range f.workers {
+		worker.Behave(behave)
+	}
+}
+
+func (f *hostedFleet) runs(id string) (runs int) {
+	for _, worker := range f.workers {
+		for _, seen := range worker.Seen() {
+			if seen.ID == id {
+				runs++
+			}
+		}
+	}
+	return runs
+}
+
+// testResumed breaks the first run after three events: another worker goes on,
+// and the caller sees each event once.
+func (f *hostedFleet) testResumed(t *testing.T, front string) {
+	f.behaveAll(func(request *emulator.HostedRequest) emulator.HostedFault {
+		if request.LastEvent == 0 {
+			return emulator.HostedFault{BreakAfter: 3}
+		}
+		return emulator.HostedFault{}
+	})
+	defer f.behaveAll(nil)
+	headers := map[string]string{"Request-Id": "r-2", "Token-Count": "10,7"}
+	status, _, body, err := f.call(http.MethodPost, front, "/stream/a", headers, "p")
+	if err != nil || status != http.StatusOK || body != events("r-2", 1, 7) {
+		t.Errorf("%d, %v: %q", status, err, body)
+	}
+	if runs := f.runs("r-2"); runs != 2 {
+		t.Errorf("%d runs", runs)
+	}
+}
+
+// testOnce breaks a stream that may not be resumed: it must not look whole, and
+// must not run again.
+func (f *hostedFleet) testOnce(t *testing.T, front string) {
+	f.behaveAll(func(*emulator.HostedRequest) emulator.HostedFault { return emulator.HostedFault{BreakAfter: 2} })
+	defer f.behaveAll(nil)
+	headers := map[string]string{"Request-Id": "r-3", "Token-Count": "10,7"}
+	_, _, body, err := f.call(http.MethodPost, front, "/once/a", headers, "p")
+	if err == nil {
+		t.Errorf("a broken stream looks whole: %q", body)
+	}
+	if runs := f.runs("r-3"); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
+
+func (f *hostedFleet) testNotRun(t *testing.T, front string) {
+	f.behaveAll(func(*emulator.HostedRequest) emulator.HostedFault { return emulator.HostedFault{NotRun: true} })
+	defer f.behaveAll(nil)
+	for _, path := range []string{"/stream/a", "/once/a"} {
+		headers := map[string]string{"Request-Id": "r-4" + path, "Token-Count": "10,7"}
+		status, header, _, err := f.call(http.MethodPost, front, path, headers, "p")
+		if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+			t.Errorf("%s: %d, Retry-After %q, %v", path, status, header.Get("Retry-After"), err)
+		}
+	}
+}
+
+// testWrongInput sends what can't be served: each case its status, and nothing
+// runs.
+func (f *hostedFleet) testWrongInput(t *testing.T, front string) {
+	long := strings.Repeat("x", 1_000_001)
+	cases := []struct {
+		name, method, target, id, body string
+		status                         int
+	}{
+		{"unknown path", http.MethodPost, "/none/a", "b-1", "p", http.StatusNotFound},
+		{"prefix without its slash", http.MethodPost, "/stream", "b-2", "p", http.StatusNotFound},
+		{"body too long", http.MethodPost, "/stream/a", "b-3", long, http.StatusRequestEntityTooLarge},
+		{"job that is no JSON", http.MethodPost, "/batch/a", "b-4", "{", http.StatusBadRequest},
+		{"job without items", http.MethodPost, "/batch/a", "b-5", `{"items":[]}`, http.StatusBadRequest},
+		{"job without id", http.MethodPost, "/batch/a", "", `{"items":[{"id":"i","path":"/batch/i"}]}`, http.StatusBadRequest},
+		{"item twice", http.MethodPost, "/batch/a", "b-6", `{"items":[{"id":"i","path":"/batch/i"},{"id":"i","path":"/batch/i"}]}`, http.StatusBadRequest},
+		{"body that is no base64", http.MethodPost, "/batch/a", "b-7", `{"items":[{"id":"i","path":"/batch/i","body":"%%"}]}`, http.StatusBadRequest},
+		{"job over the quota", http.MethodPost, "/batch/a", "b-8", `{"items":[{"id":"i","path":"/batch/i","tokens":100001}]}`, http.StatusTooManyRequests},
+		{"job too long", http.MethodPost, "/batch/a", "b-9", long, http.StatusRequestEntityTooLarge},
+		{"results of an unknown job", http.MethodGet, "/-/lots/none", "", "", http.StatusNotFound},
+		{"position that is none", http.MethodGet, "/-/lots/none?sinceRev=x", "", "", http.StatusBadRequest},
+		{"body of an unknown item", http.MethodGet, "/-/items/none?id=i", "", "", http.StatusNotFound},
+		{"end of an unknown job", http.MethodDelete, "/-/lots/none", "", "", http.StatusNotFound},
+	}
+	for _, test := range cases {
+		headers := map[string]string{"Token-Count": "10,3"}
+		if test.id != "" {
+			headers["Request-Id"] = test.id
+		}
+		status, _, _, err := f.call(test.method, front, test.target, headers, test.body)
+		if err != nil || status != test.status {
+			t.Errorf("%s: %d, %v; want %d", test.name, status, err, test.status)
+		}
+		if test.id != "" && (f.runs(test.id) > 0 || f.runs("i") > 0) {
+			t.Errorf("%s: it ran", test.name)
+		}
+	}
+	f.testRawInput(t, front)
+}
+
+// testRawInput sends bytes that are no proper request.
+func (f *hostedFleet) testRawInput(t *testing.T, front string) {
+	cases := map[string]string{
+		"no HTTP":                 "hello\r\n\r\n",
+		"no host":                 "POST /stream/a HTTP/1.1\r\nRequest-Id: q-1\r\n\r\n",
+		"two lengths":             "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q-2\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+		"length that is none":     "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q-3\r\nContent-Length: -1\r\n\r\n",
+		"chunk that is none":      "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q-4\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+		"header without a colon":  "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id q-5\r\n\r\n",
+		"head over the bound":     "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q-6\r\nX: " + strings.Repeat("x", 200<<10) + "\r\n\r\n",
+		"unknown coding":          "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q-7\r\nTransfer-Encoding: odd\r\n\r\nab",
+		"blank in a header name":  "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id : q-8\r\n\r\n",
+		"version that is unknown": "POST /stream/a HTTP/9.9\r\nHost: h.example\r\nRequest-Id: q-9\r\n\r\n",
+	}
+	for name, text := range cases {
+		connection, err := net.Dial("tcp", front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = connection.SetDeadline(time.Now().Add(hostedWait))
+		_, _ = connection.Write([]byte(text))
+		answer := make([]byte, 64)
+		count, _ := connection.Read(answer)
+		_ = connection.Close()
+		if status := string(answer[:count]); count > 0 && !strings.Contains(status, " 4") && !strings.Contains(status, " 5") {
+			t.Errorf("%s: %q", name, status)
+		}
+	}
+	for number := 1; number <= 9; number++ {
+		if id := fmt.Sprintf("q-%d", number); f.runs(id) > 0 {
+			t.Errorf("%s ran", id)
+		}
+	}
+}
+
+// hostedPage is an answer to a read of results.
+type hostedPage struct {
+	Total     int
+	NextToken int
+	Results   []struct{ ID, State, Message string }
+}
+
+func (f *hostedFleet) read(front, id string, since int) (*hostedPage, int) {
+	status, _, body, err := f.call(http.MethodGet, front, fmt.Sprintf("/-/lots/%s?sinceRev=%d", id, since), map[string]string{"Wait-Ms": "200"}, "")
+	page := &hostedPage{}
+	if err != nil || status != http.StatusOK || json.Unmarshal([]byte(body), page) != nil {
+		return nil, status
+	}
+	return page, status
+}
+
+func jobDocument(id string, items, tokens int) string {
+	var document bytes.Buffer
+	for i := 0; i < items; i++ {
+		body := base64.StdEncoding.EncodeToString([]byte(fmt.Sprintf("body of %s-%d", id, i)))
+		fmt.Fprintf(&document, `,{"id":"%s-%d","path":"/batch/%d","headers":{"Token-Count":"10,%d"},"body":%q,"tokens":%d}`, id, i, i, tokens, body, tokens)
+	}
+	return `{"items":[` + document.String()[1:] + `]}`
+}
+
+// testJob submits a job twice, kills the store that leads while its items run,
+// and reads all results; what was read before stays.
+func (f *hostedFleet) testJob(t *testing.T, front, second string) {
+	const items, tokens = 12, 120
+	document := jobDocument("j1", items, tokens)
+	for _, address := range []string{front, second} {
+		eventually(t, "the job accepted", func() bool {
+			status, _, _, err := f.call(http.MethodPost, address, "/batch/j1", map[string]string{"Request-Id": "j1"}, document)
+			return err == nil && status == http.StatusAccepted
+		})
+	}
+	status, _, body, err := f.call(http.MethodGet, second, "/-/items/j1?id=j1-11", nil, "")
+	if err != nil || status != http.StatusOK || body != "body of j1-11" {
+		t.Errorf("the body of an item: %d %q, %v", status, body, err)
+	}
+	eventually(t, "items at workers", func() bool { return f.runs("j1-0") > 0 })
+	leader := f.storeLeader(t)
+	f.kill(leader)
+	f.start(leader, false)
+	seen := map[int]string{}
+	eventually(t, "all results", func() bool {
+		page, _ := f.read(second, "j1", 0)
+		if page == nil {
+			return false
+		}
+		for position, row := range page.Results {
+			if before := seen[position]; before != "" && before != row.ID {
+				t.Fatalf("position %d was %s, is %s", position, before, row.ID)
+			}
+			seen[position] = row.ID
+		}
+		return len(page.Results) == items
+	})
+	page, _ := f.read(front, "j1", 0)
+	for _, row := range page.Results {
+		var want []string
+		for number := 1; number <= tokens; number++ {
+			want = append(want, emulator.HostedEvent(row.ID, number))
+		}
+		if row.State != "completed" || row.Message != strings.Join(want, "\n") {
+			t.Errorf("%s is %s with %d bytes", row.ID, row.State, len(row.Message))
+		}
+	}
+	f.testEnd(t, front, second)
+}
+
+// testEnd ends a job and checks that it takes no more results, and that hopeless
+// items are given up.
+func (f *hostedFleet) testEnd(t *testing.T, front, second string) {
+	f.behaveAll(func(request *emulator.HostedRequest) emulator.HostedFault {
+		if strings.HasPrefix(request.ID, "j2") {
+			return emulator.HostedFault{Status: http.StatusUnprocessableEntity}
+		}
+		return emulator.HostedFault{}
+	})
+	defer f.behaveAll(nil)
+	eventually(t, "the second job accepted", func() bool {
+		status, _, _, err := f.call(http.MethodPost, front, "/batch/j2", map[string]string{"Request-Id": "j2"}, jobDocument("j2", 2, 5))
+		return err == nil && status == http.StatusAccepted
+	})
+	eventually(t, "hopeless items given up", func() bool {
+		page, _ := f.read(second, "j2", 0)
+		return page != nil && len(page.Results) == 2 && page.Results[0].State == "abandoned"
+	})
+	for i := 0; i < 2; i++ {
+		eventually(t, "the end acknowledged", func() bool {
+			status, _, _, err := f.call(http.MethodDelete, second, "/-/lots/j2", nil, "")
+			return err == nil && status == http.StatusOK
+		})
+	}
+	if page, _ := f.read(front, "j2", 1); page == nil || len(page.Results) != 1 {
+		t.Errorf("after the end the results read %+v", page)
+	}
+}
+
+// storeLeader returns the store that runs the items.
+func (f *hostedFleet) storeLeader(t *testing.T) *hostedMachine {
+	var leader *hostedMachine
+	eventually(t, "a leading store", func() bool {
+		for name, machine := range f.machines {
+			text, _ := os.ReadFile(filepath.Join(machine.folder, "log"))
+			at := bytes.LastIndex(text, []byte("event=running_items leading="))
+			if strings.HasPrefix(name, "store") && at >= 0 && bytes.HasPrefix(text[at:], []byte("event=running_items leading=true")) {
+				leader = machine
+			}
+		}
+		return leader != nil
+	})
+	return leader
+}
+
+func (f *hostedFleet) testInForce(t *testing.T, front, second string) {
+	added := fmt.Sprintf(`,{"name":"added","host":%q,"pathPrefix":"/added/","routeKind":"safe","timeoutMs":20000,"service":%q,"maxAttempts":1}`, hostedHost, hostedService)
+	eventually(t, "the change", func() bool { return f.put("core-1", f.configuration(20, added)) == http.StatusOK })
+	for _, address := range []string{front, second} {
+		eventually(t, "the added route", func() bool {
+			status, _, _, err := f.call(http.MethodPost, address, "/added/a", map[string]string{"Request-Id": "c-1", "Token-Count": "1,1"}, "p")
+			return err == nil && status == http.StatusOK
+		})
+	}
+}
+
+// testLeaving lists a worker as draining and checks that it gets nothing new once
+// that is known.
+func (f *hostedFleet) testLeaving(t *testing.T, front string) {
+	leaving := f.workers[0]
+	leaving.Leave()
+	number := 0
+	ask := func() {
+		number++
+		_, _, _, _ = f.call(http.MethodPost, front, "/stream/a", map[string]string{"Request-Id": fmt.Sprintf("l-%d", number), "Token-Count": "1,1"}, "p")
+	}
+	eventually(t, "an end of requests to the leaving worker", func() bool {
+		before := len(leaving.Seen())
+		for i := 0; i < 12; i++ {
+			ask()
+		}
+		return len(leaving.Seen()) == before
+	})
+	before := len(leaving.Seen())
+	for i := 0; i < 40; i++ {
+		ask()
+	}
+	if after := len(leaving.Seen()); after != before {
+		t.Errorf("%d requests went to a leaving worker", after-before)
+	}
+}
+
+// testStop stops an edge while streams run through it: none is cut, and it ends
+// as planned.
+func (f *hostedFleet) testStop(t *testing.T) {
+	machine := f.machines["front-22"]
+	address := f.address(machine, portFront)
+	var streams sync.WaitGroup
+	for i := 0; i < 4; i++ {
+		streams.Add(1)
+		go func() {
+			defer streams.Done()
+			id := fmt.Sprintf("s-%d", i)
+			status, _, body, err := f.call(http.MethodPost, address, "/once/a", map[string]string{"Request-Id": id, "Token-Count": "10,200"}, "p")
+			if err != nil || status != http.StatusOK || body != events(id, 1, 200) {
+				t.Errorf("%s: %d, %v, %d bytes", id, status, err, len(body))
+			}
+		}()
+	}
+	eventually(t, "running streams", func() bool { return f.runs("s-0")+f.runs("s-1")+f.runs("s-2")+f.runs("s-3") == 4 })
+	_ = machine.command.Process.Signal(syscall.SIGTERM)
+	eventually(t, "not ready", func() bool {
+		status, _, _, err := f.call(http.MethodGet, f.address(machine, portReady), "/-/ready", nil, "")
+		return err != nil || status == http.StatusServiceUnavailable
+	})
+	streams.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), hostedWait)
+	defer cancel()
+	select {
+	case err := <-machine.exited:
+		if err != nil {
+			t.Errorf("it ended with %v", err)
+		}
+	case <-ctx.Done():
+		t.Error("it did not end")
+	}
+}
