--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -20,6 +20,7 @@
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/fleetstate"
+	"github.com/sedgemast/sedgemast/internal/fleetview"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/rpc"
@@ -58,7 +59,7 @@
 
 	// mutex guards what follows.
 	mutex   sync.Mutex
-	view    *view
+	view    *fleetview.View
 	changed chan struct{}
 }
 
@@ -145,12 +146,12 @@
 
 // readLeader calls read with the leader's view, if this process leads; it may
 // be called from any goroutine. read must not call notify.
-func (c *Coordinator) readLeader(read func(now time.Time, v *view)) error {
+func (c *Coordinator) readLeader(read func(now time.Time, v *fleetview.View)) error {
 	return c.host.Read(fleetGroup, func(term uint64, _ storage.Reader) error {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		if c.view == nil || c.view.term != term {
-			c.view = newView(term)
+		if c.view == nil || c.view.Term != term {
+			c.view = fleetview.New(term)
 			logging.Info(c.logger, "leading", "term", term)
 		}
 		read(time.Now(), c.view)
@@ -168,16 +169,16 @@
 		}
 		var coordinators []string
 		for i := range processes {
-			if processes[i].SilentMillis <= processFresh.Milliseconds() {
+			if processes[i].SilentMillis <= fleetview.ProcessFresh.Milliseconds() {
 				coordinators = append(coordinators, processes[i].Hello.Replica.Address)
 			}
 		}
 		changed := false
 		var form []wire.Replica
-		err = c.readLeader(func(now time.Time, v *view) {
-			changed = v.refresh(now, coordinators, c.machine.Initial(), c.machine.Retiring())
+		err = c.readLeader(func(now time.Time, v *fleetview.View) {
+			changed = v.Refresh(now, coordinators, c.machine.Initial(), c.machine.Retiring())
 			if len(c.machine.Initial()) == 0 {
-				form = v.firstVoters(now, c.settings.Tolerate)
+				form = v.FirstVoters(now, c.settings.Tolerate)
 			}
 		})
 		if err != nil {
@@ -197,7 +198,7 @@
 func (c *Coordinator) pollLoop(ctx context.Context) {
 	failing := false
 	every(ctx, c.settings.PollInterval.Std(), func() {
-		if c.readLeader(func(time.Time, *view) {}) != nil {
+		if c.readLeader(func(time.Time, *fleetview.View) {}) != nil {
 			return
 		}
 		workers, err := c.list.Workers(ctx)
@@ -210,7 +211,7 @@
 		}
 		changed := false
 		// An error means that another process leads now; it reads the list itself.
-		_ = c.readLeader(func(_ time.Time, v *view) { changed = v.listed(workers) })
+		_ = c.readLeader(func(_ time.Time, v *fleetview.View) { changed = v.SetWorkers(workers) })
 		if changed {
 			logging.Info(c.logger, "workers_changed", "workers", len(workers))
 			c.notify()
--- a/internal/coordinator/operate.go
+++ b/internal/coordinator/operate.go
@@ -7,6 +7,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/fleetview"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/routetable"
@@ -57,10 +58,10 @@
 		response := &wire.WatchResponse{}
 		var changed chan struct{}
 		var emptied []string
-		err := c.readLeader(func(now time.Time, v *view) {
+		err := c.readLeader(func(now time.Time, v *fleetview.View) {
 			if first {
-				v.heard(now, &request.Process)
-				emptied = v.emptied(request, c.pendingRetirements())
+				v.Heard(now, &request.Process)
+				emptied = v.Emptied(request, c.pendingRetirements())
 			}
 			c.news(v, request, response)
 			changed = c.changed
@@ -83,16 +84,16 @@
 	}
 }
 
-func (c *Coordinator) news(v *view, request *wire.WatchRequest, response *wire.WatchResponse) {
+func (c *Coordinator) news(v *fleetview.View, request *wire.WatchRequest, response *wire.WatchResponse) {
 	routes := c.machine.Routes()
 	response.Version = routes.Version
 	if routes.Document != nil && routes.Version != request.Version {
 		response.Document = routes.Document
 	}
-	response.Term, response.View = v.term, v.number
-	if v.number > 0 && (request.Term != v.term || request.View != v.number) {
+	response.Term, response.View = v.Term, v.Number
+	if v.Number > 0 && (request.Term != v.Term || request.View != v.Number) {
 		// The answer is encoded after the lock is gone.
-		fleet := v.current
+		fleet := v.Current
 		response.Fleet = &fleet
 	}
 }
@@ -147,7 +148,7 @@
 
 func (c *Coordinator) sourceHere(context.Context) (*wire.RouteSource, error) {
 	source := &wire.RouteSource{}
-	err := c.readLeader(func(time.Time, *view) {
+	err := c.readLeader(func(time.Time, *fleetview.View) {
 		routes := c.machine.Routes()
 		source.Version, source.Source = routes.Version, routes.Source
 	})
@@ -172,13 +173,13 @@
 
 func (c *Coordinator) retireHere(ctx context.Context, request *wire.RetireStore) (*wire.FleetResult, error) {
 	var refusal error
-	err := c.readLeader(func(now time.Time, v *view) {
+	err := c.readLeader(func(now time.Time, v *fleetview.View) {
 		if asked, _ := c.machine.Retirement(request.Name); asked {
 			return
 		}
-		remaining := v.remaining(now, request.Name, c.machine.Retiring())
+		remaining := v.Remaining(now, request.Name, c.machine.Retiring())
 		switch {
-		case !v.knows(request.Name):
+		case !v.Knows(request.Name):
 			refusal = failure.New(failure.NotFound, "check the name", "there is no store %q", request.Name)
 		case remaining < 2*c.settings.Tolerate+1:
 			refusal = failure.New(failure.Conflict, "add a store first", "only %d stores would be left", remaining)
@@ -205,7 +206,7 @@
 func (c *Coordinator) retirementHere(_ context.Context, request *wire.RetireStore) (*wire.Retirement, error) {
 	retirement := &wire.Retirement{Name: request.Name}
 	asked := false
-	err := c.readLeader(func(time.Time, *view) { asked, retirement.Done = c.machine.Retirement(request.Name) })
+	err := c.readLeader(func(time.Time, *fleetview.View) { asked, retirement.Done = c.machine.Retirement(request.Name) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coordinator/view.go
+++ b/internal/fleetview/view.go
@@ -1,4 +1,8 @@
-package coordinator
+// Package fleetview is what the leader of the fleet group has seen of processes
+// and workers in its term, and what follows from it: who the first voters of the
+// store group are, and which stores hold nothing any more. It is pure and soft: a
+// new leader learns it from the next calls.
+package fleetview
 
 import (
 	"slices"
@@ -9,20 +13,20 @@
 )
 
 const (
-	// processFresh is how long a process counts as living after its last call.
-	processFresh = 3 * time.Second
+	// ProcessFresh is how long a process counts as living after its last call.
+	ProcessFresh = 3 * time.Second
 	// settleTime is how long no new store must have come before the store
 	// group forms, and patientTime the same where stores are fewer than wanted.
 	settleTime  = 500 * time.Millisecond
 	patientTime = 4 * time.Second
 )
 
-// view is what the leader of one term has seen of processes and workers. It is
-// soft: a new leader learns it from the next calls. It is pure.
-type view struct {
-	term      uint64
-	number    uint64
-	current   wire.FleetView
+// View is what the leader of one term has seen.
+type View struct {
+	// Term is the leader's term, Number grows with every change of Current.
+	Term      uint64
+	Number    uint64
+	Current   wire.FleetView
 	processes map[string]*process
 	// lastNew is when a store was first heard of.
 	lastNew time.Time
@@ -34,12 +38,13 @@
 	at     time.Time
 }
 
-func newView(term uint64) *view {
-	return &view{term: term, processes: map[string]*process{}}
+// New begins a term.
+func New(term uint64) *View {
+	return &View{Term: term, processes: map[string]*process{}}
 }
 
-// heard takes in a process's report on itself.
-func (v *view) heard(now time.Time, report *wire.ProcessReport) {
+// Heard takes in a process's report on itself.
+func (v *View) Heard(now time.Time, report *wire.ProcessReport) {
 	known := v.processes[report.Name]
 	if known == nil && report.Kind == wire.ProcessStore {
 		v.lastNew = now
@@ -48,10 +53,10 @@
 }
 
 // stores returns the living stores in the order of their names.
-func (v *view) stores(now time.Time) []*wire.ProcessReport {
+func (v *View) stores(now time.Time) []*wire.ProcessReport {
 	var stores []*wire.ProcessReport
 	for _, known := range v.processes {
-		if known.report.Kind == wire.ProcessStore && now.Sub(known.at) <= processFresh {
+		if known.report.Kind == wire.ProcessStore && now.Sub(known.at) <= ProcessFresh {
 			stores = append(stores, &known.report)
 		}
 	}
@@ -59,11 +64,11 @@
 	return stores
 }
 
-// refresh makes the view anew and reports whether it differs.
-func (v *view) refresh(now time.Time, coordinators []string, initial []wire.Replica, retiring []string) bool {
+// Refresh makes the view anew and reports whether it differs.
+func (v *View) Refresh(now time.Time, coordinators []string, initial []wire.Replica, retiring []string) bool {
 	next := wire.FleetView{
-		Listed:       v.current.Listed,
-		Workers:      v.current.Workers,
+		Listed:       v.Current.Listed,
+		Workers:      v.Current.Workers,
 		Coordinators: coordinators,
 		Initial:      initial,
 		Retiring:     retiring,
@@ -72,36 +77,36 @@
 		next.Stores = append(next.Stores, store.Replica.Address)
 	}
 	for _, known := range v.processes {
-		if known.report.Kind == wire.ProcessEdge && now.Sub(known.at) <= processFresh {
+		if known.report.Kind == wire.ProcessEdge && now.Sub(known.at) <= ProcessFresh {
 			next.Edges++
 		}
 	}
-	same := slices.Equal(next.Coordinators, v.current.Coordinators) &&
-		slices.Equal(next.Stores, v.current.Stores) && next.Edges == v.current.Edges &&
-		slices.Equal(next.Initial, v.current.Initial) && slices.Equal(next.Retiring, v.current.Retiring)
-	if same && v.number > 0 {
+	same := slices.Equal(next.Coordinators, v.Current.Coordinators) &&
+		slices.Equal(next.Stores, v.Current.Stores) && next.Edges == v.Current.Edges &&
+		slices.Equal(next.Initial, v.Current.Initial) && slices.Equal(next.Retiring, v.Current.Retiring)
+	if same && v.Number > 0 {
 		return false
 	}
-	v.current = next
-	v.number++
+	v.Current = next
+	v.Number++
 	return true
 }
 
-// listed takes in the platform's list and reports whether it differs.
-func (v *view) listed(workers []wire.PoolWorker) bool {
+// SetWorkers takes in the platform's list and reports whether it differs.
+func (v *View) SetWorkers(workers []wire.PoolWorker) bool {
 	sort.Slice(workers, func(a, b int) bool { return workers[a].ID < workers[b].ID })
-	if v.current.Listed && slices.Equal(workers, v.current.Workers) {
+	if v.Current.Listed && slices.Equal(workers, v.Current.Workers) {
 		return false
 	}
-	v.current.Listed = true
-	v.current.Workers = workers
-	v.number++
+	v.Current.Listed = true
+	v.Current.Workers = workers
+	v.Number++
 	return true
 }
 
-// firstVoters returns the voters that the store group is to form with, once it
+// FirstVoters returns the voters that the store group is to form with, once it
 // may: 2 x tolerate + 1 of the stores, spread over the zones.
-func (v *view) firstVoters(now time.Time, tolerate int) []wire.Replica {
+func (v *View) FirstVoters(now time.Time, tolerate int) []wire.Replica {
 	stores := v.stores(now)
 	wanted := 2*tolerate + 1
 	quiet := now.Sub(v.lastNew)
@@ -124,9 +129,9 @@
 	return voters
 }
 
-// remaining counts the living stores that are not to be emptied, without the
+// Remaining counts the living stores that are not to be emptied, without the
 // named one.
-func (v *view) remaining(now time.Time, name string, retiring []string) int {
+func (v *View) Remaining(now time.Time, name string, retiring []string) int {
 	count := 0
 	for _, store := range v.stores(now) {
 		if store.Name != name && !slices.Contains(retiring, store.Name) {
@@ -136,17 +141,17 @@
 	return count
 }
 
-// knows reports whether a store of that name has been heard.
-func (v *view) knows(name string) bool {
+// Knows reports whether a store of that name has been heard.
+func (v *View) Knows(name string) bool {
 	known := v.processes[name]
 	return known != nil && known.report.Kind == wire.ProcessStore
 }
 
-// emptied returns the stores among the retiring ones that hold nothing any more,
+// Emptied returns the stores among the retiring ones that hold nothing any more,
 // by the report of the store group's leader. It counts only if that leader knows
 // this view, and so what is to retire.
-func (v *view) emptied(request *wire.WatchRequest, pending []string) []string {
-	if !request.Process.Leads || request.Term != v.term || request.View != v.number {
+func (v *View) Emptied(request *wire.WatchRequest, pending []string) []string {
+	if !request.Process.Leads || request.Term != v.Term || request.View != v.Number {
 		return nil
 	}
 	var names []string
--- a/internal/coordinator/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -1,4 +1,4 @@
-package coordinator
+package fleetview
 
 import (
 	"testing"
@@ -14,62 +14,62 @@
 }
 
 func TestFirstVotersAreSpreadAndWaited(t *testing.T) {
-	v := newView(1)
+	v := New(1)
 	for i, row := range []struct{ name, zone string }{{"a", "z1"}, {"b", "z1"}, {"c", "z2"}, {"d", "z3"}} {
-		v.heard(start, store(row.name, row.zone, uint64(i+1)))
+		v.Heard(start, store(row.name, row.zone, uint64(i+1)))
 	}
-	if voters := v.firstVoters(start.Add(settleTime/2), 1); voters != nil {
+	if voters := v.FirstVoters(start.Add(settleTime/2), 1); voters != nil {
 		t.Errorf("the group forms while stores still come: %+v", voters)
 	}
-	voters := v.firstVoters(start.Add(settleTime), 1)
+	voters := v.FirstVoters(start.Add(settleTime), 1)
 	if len(voters) != 3 || voters[0].Name != "a" || voters[1].Name != "c" || voters[2].Name != "d" {
 		t.Errorf("voters %+v", voters)
 	}
 }
 
 func TestFewStoresFormLate(t *testing.T) {
-	v := newView(1)
-	v.heard(start, store("a", "z1", 1))
-	v.heard(start, store("b", "z1", 2))
-	if voters := v.firstVoters(start.Add(settleTime), 1); voters != nil {
+	v := New(1)
+	v.Heard(start, store("a", "z1", 1))
+	v.Heard(start, store("b", "z1", 2))
+	if voters := v.FirstVoters(start.Add(settleTime), 1); voters != nil {
 		t.Errorf("two of three wanted stores form at once: %+v", voters)
 	}
-	v.heard(start.Add(patientTime), store("a", "z1", 1))
-	v.heard(start.Add(patientTime), store("b", "z1", 2))
-	if voters := v.firstVoters(start.Add(patientTime), 1); len(voters) != 2 {
+	v.Heard(start.Add(patientTime), store("a", "z1", 1))
+	v.Heard(start.Add(patientTime), store("b", "z1", 2))
+	if voters := v.FirstVoters(start.Add(patientTime), 1); len(voters) != 2 {
 		t.Errorf("voters %+v", voters)
 	}
 }
 
 func TestViewChangesWhenTheFleetDoes(t *testing.T) {
-	v := newView(1)
-	if !v.refresh(start, []string{"c:1"}, nil, nil) {
+	v := New(1)
+	if !v.Refresh(start, []string{"c:1"}, nil, nil) {
 		t.Error("the first view is no change")
 	}
-	if v.refresh(start, []string{"c:1"}, nil, nil) {
+	if v.Refresh(start, []string{"c:1"}, nil, nil) {
 		t.Error("the same view is a change")
 	}
-	v.heard(start, store("a", "z1", 1))
-	if !v.refresh(start, []string{"c:1"}, nil, nil) || len(v.current.Stores) != 1 {
-		t.Errorf("a new store is no change: %+v", v.current)
+	v.Heard(start, store("a", "z1", 1))
+	if !v.Refresh(start, []string{"c:1"}, nil, nil) || len(v.Current.Stores) != 1 {
+		t.Errorf("a new store is no change: %+v", v.Current)
 	}
-	if !v.refresh(start.Add(processFresh+1), []string{"c:1"}, nil, nil) || len(v.current.Stores) != 0 {
-		t.Errorf("a silent store is no change: %+v", v.current)
+	if !v.Refresh(start.Add(ProcessFresh+1), []string{"c:1"}, nil, nil) || len(v.Current.Stores) != 0 {
+		t.Errorf("a silent store is no change: %+v", v.Current)
 	}
-	if !v.listed([]wire.PoolWorker{{ID: "w"}}) || v.listed([]wire.PoolWorker{{ID: "w"}}) {
+	if !v.SetWorkers([]wire.PoolWorker{{ID: "w"}}) || v.SetWorkers([]wire.PoolWorker{{ID: "w"}}) {
 		t.Error("the list of workers changes other than the view says")
 	}
 }
 
 func TestRemaining(t *testing.T) {
-	v := newView(1)
+	v := New(1)
 	for i, name := range []string{"a", "b", "c", "d"} {
-		v.heard(start, store(name, "z1", uint64(i)))
+		v.Heard(start, store(name, "z1", uint64(i)))
 	}
-	if got := v.remaining(start, "a", []string{"b"}); got != 2 {
+	if got := v.Remaining(start, "a", []string{"b"}); got != 2 {
 		t.Errorf("%d stores remain, want 2", got)
 	}
-	if !v.knows("a") || v.knows("x") {
+	if !v.Knows("a") || v.Knows("x") {
 		t.Error("stores are not known by name")
 	}
 }
@@ -77,8 +77,8 @@
 // TestEmptiedNeedsTheLeaderToKnow checks that a store counts as emptied only by
 // the report of a leader that knows what is to retire.
 func TestEmptiedNeedsTheLeaderToKnow(t *testing.T) {
-	v := newView(5)
-	v.refresh(start, nil, nil, []string{"a"})
+	v := New(5)
+	v.Refresh(start, nil, nil, []string{"a"})
 	request := func(term, view uint64, leads bool, members ...string) *wire.WatchRequest {
 		return &wire.WatchRequest{Term: term, View: view, Process: wire.ProcessReport{Kind: wire.ProcessStore, Name: "b", Leads: leads, Members: members}}
 	}
@@ -94,7 +94,7 @@
 		{"gone", request(5, 1, true, "b"), 1},
 	}
 	for _, test := range cases {
-		if got := v.emptied(test.request, []string{"a"}); len(got) != test.want {
+		if got := v.Emptied(test.request, []string{"a"}); len(got) != test.want {
 			t.Errorf("%s: %v", test.name, got)
 		}
 	}
