A simulator of coordinators and stores by seed, on the cores that the daemons run

Faults: kill, power, power of all, freeze, cuts one and two ways, a lost disk with and without the power of all others, a member that missed what was acknowledged while another loses its disk, replacement at a new address, added stores, emptied stores. Checks: configuration never older than acknowledged and never other content; jobs, positions, texts and bodies; the groups answer at the end.

--- a/cmd/sedgemast-lab/main.go
+++ b/cmd/sedgemast-lab/main.go
@@ -11,16 +11,17 @@
 
 // arguments is the command line.
 type arguments struct {
-	Engine      *engineCommand        `arg:"subcommand:engine" help:"run an emulated engine"`
-	Platform    *platformCommand      `arg:"subcommand:platform" help:"run the emulated platform: list of workers and weight store"`
-	Load        *loadCommand          `arg:"subcommand:load" help:"send online requests and a batch job, and check every answer"`
-	JobFile     *jobFileCommand       `arg:"subcommand:job-file" help:"write a job's file"`
-	Simulate    *simulateCommand      `arg:"subcommand:simulate" help:"run the fleet with faults in virtual time, by seed, and check the promises"`
-	Workers     *hollowWorkersCommand `arg:"subcommand:hollow-workers" help:"serve hollow workers and the platform's list of them"`
-	Scale       *scaleCommand         `arg:"subcommand:scale" help:"measure a fleet of hollow daemons beside real processes"`
-	Experiment  *experimentCommand    `arg:"subcommand:experiment" help:"measure ways of sharing the fleet side by side, in virtual time"`
-	CheckRecord *checkRecordCommand   `arg:"subcommand:check-record" help:"check the promises over the logs of a real run"`
-	Prove       *proveCommand         `arg:"subcommand:prove" help:"show that every promise holds under its faults, and that its check turns red without its mechanism"`
+	Engine        *engineCommand        `arg:"subcommand:engine" help:"run an emulated engine"`
+	Platform      *platformCommand      `arg:"subcommand:platform" help:"run the emulated platform: list of workers and weight store"`
+	Load          *loadCommand          `arg:"subcommand:load" help:"send online requests and a batch job, and check every answer"`
+	JobFile       *jobFileCommand       `arg:"subcommand:job-file" help:"write a job's file"`
+	SimulateFleet *simulateFleetCommand `arg:"subcommand:simulate-fleet" help:"run coordinators and stores with faults in virtual time, by seed, and check the promises"`
+	Simulate      *simulateCommand      `arg:"subcommand:simulate" help:"run the fleet with faults in virtual time, by seed, and check the promises"`
+	Workers       *hollowWorkersCommand `arg:"subcommand:hollow-workers" help:"serve hollow workers and the platform's list of them"`
+	Scale         *scaleCommand         `arg:"subcommand:scale" help:"measure a fleet of hollow daemons beside real processes"`
+	Experiment    *experimentCommand    `arg:"subcommand:experiment" help:"measure ways of sharing the fleet side by side, in virtual time"`
+	CheckRecord   *checkRecordCommand   `arg:"subcommand:check-record" help:"check the promises over the logs of a real run"`
+	Prove         *proveCommand         `arg:"subcommand:prove" help:"show that every promise holds under its faults, and that its check turns red without its mechanism"`
 }
 
 // Description implements arg.Described.
@@ -43,6 +44,8 @@
 		command.Exit(runLoad(args.Load))
 	case args.JobFile != nil:
 		command.Exit(runJobFile(args.JobFile))
+	case args.SimulateFleet != nil:
+		command.Exit(runSimulateFleet(args.SimulateFleet))
 	case args.Simulate != nil:
 		command.Exit(runSimulate(args.Simulate))
 	case args.Workers != nil:
--- /dev/null
+++ b/internal/fleetsim/fleetsim_test.go
@@ -0,0 +1,55 @@
+package fleetsim
+
+import (
+	"testing"
+)
+
+// seeds is how many seeds CI runs; `sedgemast-lab simulate-fleet` runs others.
+const seeds = 40
+
+func TestSeeds(t *testing.T) {
+	for seed := uint64(1); seed <= seeds; seed++ {
+		if world, violations := Run(seed, MutationNone); len(violations) > 0 {
+			t.Fatalf("seed %d: %v\n%v", seed, violations, world.Log)
+		}
+	}
+}
+
+// TestSameSeedSameRun checks that a seed can be replayed.
+func TestSameSeedSameRun(t *testing.T) {
+	first, _ := Run(3, MutationNone)
+	second, _ := Run(3, MutationNone)
+	if first.sequence != second.sequence || first.ledger.acknowledged != second.ledger.acknowledged || len(first.ledger.names) != len(second.ledger.names) {
+		t.Errorf("%d and %d events", first.sequence, second.sequence)
+	}
+}
+
+// TestSomethingHappens checks that runs do what they are for.
+func TestSomethingHappens(t *testing.T) {
+	world, _ := Run(1, MutationNone)
+	accepted, listed := 0, 0
+	for _, known := range world.ledger.jobs {
+		if known.accepted {
+			accepted++
+		}
+		listed += len(known.results)
+	}
+	if world.ledger.acknowledged < 10 || accepted < 10 || listed < 20 || len(world.Log) < 10 {
+		t.Errorf("version %d, %d jobs accepted, %d results, %d faults", world.ledger.acknowledged, accepted, listed, len(world.Log))
+	}
+}
+
+// TestMutationsAreSeen takes each mechanism away: some seed must turn red.
+func TestMutationsAreSeen(t *testing.T) {
+	for _, mutation := range Mutations {
+		t.Run(string(mutation), func(t *testing.T) {
+			for seed := uint64(1); seed <= 4*seeds; seed++ {
+				if _, violations := Run(seed, mutation); len(violations) > 0 {
+					t.Logf("seed %d: %s", seed, violations[0])
+					return
+				}
+			}
+			t.Errorf("no seed shows it")
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleetsim/ledger.go
@@ -0,0 +1,314 @@
+package fleetsim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/batchstate"
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/fleetview"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// viewOfFleet shortens the signatures of readers.
+type viewOfFleet = fleetview.View
+
+func newMemory() *storage.Memory { return storage.NewMemory() }
+
+const (
+	actInterval = 60 * time.Millisecond
+	readCheck   = 90 * time.Millisecond
+	itemsPerJob = 3
+	// maxTokens is the quota: few jobs fit at a time.
+	maxTokens = 40
+)
+
+// ledger plays callers, operators and readers, and keeps what they were promised.
+type ledger struct {
+	world      *World
+	violations []string
+	version    uint64
+	// acknowledged is the highest version that an operator was told of.
+	acknowledged uint64
+	jobs         map[string]*promised
+	names        []string
+}
+
+// promised is what callers know of a job.
+type promised struct {
+	accepted bool
+	ended    bool
+	endAsked bool
+	results  []wire.BatchResultRow
+}
+
+func newLedger(w *World) *ledger { return &ledger{world: w, jobs: map[string]*promised{}} }
+
+func (l *ledger) violate(format string, arguments ...any) {
+	if len(l.violations) < 5 {
+		l.violations = append(l.violations, fmt.Sprintf("%.3f s: ", l.world.now.Sub(began).Seconds())+fmt.Sprintf(format, arguments...))
+	}
+}
+
+// begin starts all who use the fleet.
+func (l *ledger) begin() {
+	w := l.world
+	repeat := func(interval time.Duration, action func()) {
+		w.every(interval, func() bool { action(); return true })
+	}
+	repeat(5*actInterval, l.changeConfiguration)
+	repeat(4*actInterval, l.submit)
+	repeat(actInterval, l.work)
+	repeat(20*actInterval, l.end)
+	repeat(readCheck, l.readConfiguration)
+	repeat(readCheck, l.readJobs)
+}
+
+// reachable returns a random living machine of the kind.
+func (l *ledger) reachable(kind kind) *machine {
+	machines := l.world.of(kind)
+	if len(machines) == 0 {
+		return nil
+	}
+	m := machines[l.world.random.IntN(len(machines))]
+	if !m.alive || m.frozen {
+		return nil
+	}
+	return m
+}
+
+func (l *ledger) changeConfiguration() {
+	m := l.reachable(kindCoordinator)
+	if m == nil {
+		return
+	}
+	l.version += uint64(1 + l.world.random.IntN(3))
+	version := l.version
+	if l.world.random.IntN(5) == 0 {
+		// An older change comes once more.
+		version -= min(version, uint64(l.world.random.IntN(4)))
+	}
+	source := []byte(fmt.Sprintf("source %d", version))
+	m.propose(&wire.FleetCommand{Apply: &wire.ApplyRoutes{Version: version, Document: source, Source: source}}, func(_ []byte, err error) {
+		if err == nil {
+			l.acknowledged = max(l.acknowledged, version)
+		}
+	})
+}
+
+// readConfiguration reads at any coordinator: what is answered must not be older
+// than what was acknowledged before.
+func (l *ledger) readConfiguration() {
+	if m := l.reachable(kindCoordinator); m != nil {
+		m.lead(func(*viewOfFleet) { l.checkConfiguration(m) })
+	}
+}
+
+func (l *ledger) checkConfiguration(m *machine) {
+	routes := m.fleet.Routes()
+	if routes.Version < l.acknowledged {
+		l.violate("%s reads version %d after %d was acknowledged", m.name, routes.Version, l.acknowledged)
+	}
+	if routes.Source != nil && string(routes.Source) != fmt.Sprintf("source %d", routes.Version) {
+		l.violate("%s reads %q under version %d", m.name, routes.Source, routes.Version)
+	}
+}
+
+func (l *ledger) submit() {
+	m := l.reachable(kindStore)
+	if m == nil {
+		return
+	}
+	id := fmt.Sprintf("job-%d", len(l.names))
+	if len(l.names) > 0 && l.world.random.IntN(4) == 0 {
+		id = l.names[l.world.random.IntN(len(l.names))]
+	}
+	known := l.jobs[id]
+	if known == nil {
+		known = &promised{}
+		l.jobs[id] = known
+		l.names = append(l.names, id)
+	}
+	submit := &wire.SubmitBatch{ID: id, Route: "r", Host: "h", Limit: maxTokens}
+	for i := 0; i < itemsPerJob; i++ {
+		submit.Items = append(submit.Items, wire.BatchItem{ID: fmt.Sprintf("%s-%d", id, i), Path: "/", Body: []byte(id), Tokens: 1})
+	}
+	m.propose(&wire.BatchCommand{Submit: submit}, func(answer []byte, err error) {
+		var result wire.BatchResult
+		if err != nil {
+			return
+		}
+		if _, err := result.UnmarshalMsg(answer); err != nil {
+			l.violate("an answer does not decode: %v", err)
+			return
+		}
+		if result.Failure == nil {
+			known.accepted = true
+		} else if known.accepted && !known.endAsked {
+			l.violate("%s was accepted and is refused: %s", id, result.Failure.Message)
+		}
+	})
+}
+
+// work records progress and results at the leader, as its runner would.
+func (l *ledger) work() {
+	m := l.reachable(kindStore)
+	if m == nil {
+		return
+	}
+	var records []wire.ItemRecord
+	_ = m.node.Read(l.world.now, 0, func(uint64, storage.Reader) error {
+		for _, id := range l.names {
+			if job, err := m.batch.Job(id); err == nil && job.Open() && l.world.random.IntN(3) == 0 {
+				records = append(records, l.recordOf(job))
+			}
+		}
+		return nil
+	})
+	if len(records) > 0 {
+		m.propose(&wire.BatchCommand{Record: &wire.RecordItems{Items: records}}, nil)
+	}
+}
+
+func (l *ledger) recordOf(job *batchstate.Job) wire.ItemRecord {
+	number := l.world.random.IntN(len(job.Items))
+	item := &job.Items[number]
+	record := wire.ItemRecord{Job: job.ID, Item: number, From: item.Events, Events: item.Events + 1, LastEvent: int64(item.Events + 1), Text: fmt.Sprintf("[%s.%d]", item.ID, item.Events+1)}
+	switch l.world.random.IntN(4) {
+	case 0:
+		record.State = wire.ItemCompleted
+	case 1:
+		if l.world.random.IntN(4) == 0 {
+			record.State = wire.ItemAbandoned
+		}
+	}
+	return record
+}
+
+func (l *ledger) end() {
+	m := l.reachable(kindStore)
+	if m == nil || len(l.names) == 0 {
+		return
+	}
+	id := l.names[l.world.random.IntN(len(l.names))]
+	known := l.jobs[id]
+	known.endAsked = true
+	m.propose(&wire.BatchCommand{End: &wire.BatchName{ID: id}}, func(answer []byte, err error) {
+		var result wire.BatchResult
+		if err != nil {
+			return
+		}
+		if _, err := result.UnmarshalMsg(answer); err == nil && result.Failure == nil {
+			known.ended = true
+		}
+	})
+}
+
+// readJobs reads all jobs at any store that answers reads.
+func (l *ledger) readJobs() {
+	if m := l.reachable(kindStore); m != nil {
+		_ = m.node.Read(l.world.now, 0, func(_ uint64, reader storage.Reader) error {
+			l.checkJobs(m, reader)
+			return nil
+		})
+	}
+}
+
+func (l *ledger) checkJobs(m *machine, reader storage.Reader) {
+	for _, id := range l.names {
+		known := l.jobs[id]
+		read, err := m.batch.Read(reader, id, 0, 1<<20)
+		if failure.Is(err, failure.NotFound) {
+			if known.accepted || len(known.results) > 0 {
+				l.violate("%s has lost %s", m.name, id)
+			}
+			continue
+		}
+		if err != nil {
+			l.violate("%s can't read %s: %v", m.name, id, err)
+			continue
+		}
+		l.checkResults(m, id, known, read.Results)
+		l.checkBodies(m, reader, id)
+	}
+}
+
+func (l *ledger) checkResults(m *machine, id string, known *promised, results []wire.BatchResultRow) {
+	if len(results) < len(known.results) {
+		l.violate("%s lists %d results of %s, %d were read before", m.name, len(results), id, len(known.results))
+		return
+	}
+	if known.ended && len(results) > len(known.results) && len(known.results) > 0 && l.jobs[id].ended {
+		// What was committed before the end may be read after it for the first
+		// time; it must not grow again later, which the next read shows.
+		known.results = results
+	}
+	items := map[string]bool{}
+	for position, row := range results {
+		if position < len(known.results) && known.results[position] != row {
+			l.violate("position %d of %s was %+v, is %+v", position, id, known.results[position], row)
+		}
+		if items[row.ID] {
+			l.violate("%s stands twice in %s", row.ID, id)
+		}
+		items[row.ID] = true
+		if row.State == wire.ItemCompleted {
+			l.checkText(row)
+		}
+	}
+	known.results = results
+}
+
+// checkText checks that no event is missing or stands twice.
+func (l *ledger) checkText(row wire.BatchResultRow) {
+	want := ""
+	for number := 1; len(want) < len(row.Text); number++ {
+		want += fmt.Sprintf("[%s.%d]", row.ID, number)
+	}
+	if row.Text != want || row.Text == "" {
+		l.violate("%s has the text %q", row.ID, row.Text)
+	}
+}
+
+func (l *ledger) checkBodies(m *machine, reader storage.Reader, id string) {
+	job, err := m.batch.Job(id)
+	if err != nil || job.Ended {
+		return
+	}
+	for number := range job.Items {
+		if job.Items[number].State != wire.ItemWaiting {
+			continue
+		}
+		content, err := m.batch.Content(reader, id, number)
+		if err != nil || string(content.Body) != id {
+			l.violate("%s has lost the body of %s-%d: %v", m.name, id, number, err)
+		}
+	}
+}
+
+// finish checks that after everything was mended all groups answer and hold what
+// was promised.
+func (l *ledger) finish() {
+	if !l.answers(kindCoordinator, func(m *machine, _ storage.Reader) { l.checkConfiguration(m) }) {
+		l.violate("no coordinator answers reads at the end")
+	}
+	if !l.answers(kindStore, l.checkJobs) {
+		l.violate("no store answers reads at the end")
+	}
+}
+
+func (l *ledger) answers(kind kind, check func(m *machine, reader storage.Reader)) bool {
+	answered := false
+	for _, m := range l.world.of(kind) {
+		if !m.alive {
+			continue
+		}
+		err := m.node.Read(l.world.now, 0, func(_ uint64, reader storage.Reader) error {
+			check(m, reader)
+			return nil
+		})
+		answered = answered || err == nil
+	}
+	return answered
+}
--- /dev/null
+++ b/internal/fleetsim/machine.go
@@ -0,0 +1,309 @@
+package fleetsim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/batchstate"
+	"github.com/sedgemast/sedgemast/internal/fleetstate"
+	"github.com/sedgemast/sedgemast/internal/fleetview"
+	"github.com/sedgemast/sedgemast/internal/replication"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+type kind uint8
+
+const (
+	kindCoordinator kind = iota
+	kindStore
+)
+
+const (
+	tickInterval    = 10 * time.Millisecond
+	helloInterval   = 200 * time.Millisecond
+	watchInterval   = 150 * time.Millisecond
+	electionTimeout = 500 * time.Millisecond
+	replaceAfter    = 1500 * time.Millisecond
+	// logBytes is small, so that replicas that were away need snapshots.
+	logBytes = 8 << 10
+)
+
+// machine is a machine with one process and one disk.
+type machine struct {
+	world *World
+	name  string
+	kind  kind
+	disk  *storage.Memory
+	// life counts the starts of the process: what belongs to an earlier life is
+	// dropped.
+	life    int
+	alive   bool
+	gone    bool
+	frozen  bool
+	backlog []func()
+	// cut names the machines to which nothing goes from here.
+	cut map[string]bool
+
+	node  *replication.Node
+	fleet *fleetstate.Machine
+	batch *batchstate.Machine
+	view  *fleetview.View
+	// known is what a store knows of the fleet.
+	knownTerm, knownView uint64
+}
+
+// add starts a new machine.
+func (w *World) add(kind kind, bootstrap bool) *machine {
+	prefix := map[bool]string{true: "core", false: "store"}[kind == kindCoordinator]
+	m := &machine{world: w, kind: kind, name: fmt.Sprintf("%s-%d", prefix, len(w.machines)+1), disk: storage.NewMemory(), cut: map[string]bool{}}
+	w.machines = append(w.machines, m)
+	m.start(bootstrap)
+	return m
+}
+
+func (w *World) of(kind kind) []*machine {
+	var found []*machine
+	for _, m := range w.machines {
+		if m.kind == kind && !m.gone {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+func (w *World) machineAt(address string) *machine {
+	for _, m := range w.machines {
+		if m.name == address {
+			return m
+		}
+	}
+	return nil
+}
+
+func (w *World) seeds() []string {
+	var seeds []string
+	for _, m := range w.machines {
+		if m.kind == kindCoordinator && len(seeds) < 3 {
+			seeds = append(seeds, m.name)
+		}
+	}
+	return seeds
+}
+
+// start begins a life of the process on its disk.
+func (m *machine) start(bootstrap bool) {
+	w := m.world
+	m.life++
+	m.alive, m.frozen, m.backlog = true, false, nil
+	m.knownTerm, m.knownView, m.view = 0, 0, nil
+	options := replication.Options{
+		Store:             m.mutatedStore(),
+		Name:              m.name,
+		Address:           m.name,
+		NewID:             m.newIdentity,
+		ElectionTimeout:   electionTimeout,
+		HeartbeatInterval: electionTimeout / 5,
+		ReplaceAfter:      replaceAfter,
+		MinVoters:         2*tolerate + 1,
+		LogBytes:          logBytes,
+		Random:            w.random,
+		Send:              m.send,
+	}
+	if m.kind == kindCoordinator {
+		m.fleet = fleetstate.New()
+		options.Machines = []replication.StateMachine{w.mutation.machine(m.fleet)}
+		options.Formation, options.Bootstrap = replication.FormBySeeds, bootstrap
+		options.Peers, options.Voters = w.seeds(), 9
+		if len(options.Peers) < 3 {
+			options.Peers = []string{"core-1", "core-2", "core-3"}
+		}
+	} else {
+		m.batch = batchstate.New()
+		options.Machines = []replication.StateMachine{w.mutation.machine(m.batch)}
+		options.Formation, options.Voters = replication.FormByOrder, 2*tolerate+1
+	}
+	node, err := replication.Open(options, w.now)
+	if err != nil {
+		w.ledger.violate("%s does not start on its disk: %v", m.name, err)
+		m.alive = false
+		return
+	}
+	m.node = node
+	life := m.life
+	running := func(action func()) func() bool {
+		return func() bool {
+			if m.life != life || !m.alive {
+				return false
+			}
+			if !m.frozen {
+				action()
+			}
+			return true
+		}
+	}
+	w.every(tickInterval, running(func() { m.drive(func() { m.node.Tick(w.now) }) }))
+	w.every(helloInterval, running(m.introduce))
+	w.every(watchInterval, running(m.watch))
+}
+
+func (m *machine) newIdentity() uint64 {
+	if m.world.mutation == MutationKeepIdentity {
+		return uint64(slices.Index(m.world.machines, m)) + 1
+	}
+	m.world.identity++
+	return 1000 + m.world.identity
+}
+
+// drive runs something on the node and carries out what follows.
+func (m *machine) drive(action func()) {
+	action()
+	m.node.Flush(m.world.now)
+}
+
+// transmit hands something to another machine after a while, unless a cut, a
+// death or bad luck is in the way. A frozen machine gets it when it wakes.
+func (m *machine) transmit(to *machine, action func()) {
+	w := m.world
+	if to == nil || !m.alive || m.cut[to.name] || w.random.IntN(500) == 0 {
+		return
+	}
+	life := to.life
+	w.after(w.between(200*time.Microsecond, 3*time.Millisecond), func() {
+		if to.life != life || !to.alive || m.cut[to.name] {
+			return
+		}
+		if to.frozen {
+			to.backlog = append(to.backlog, action)
+			return
+		}
+		action()
+	})
+}
+
+func (m *machine) send(address string, message wire.PeerMessage) {
+	to := m.world.machineAt(address)
+	m.transmit(to, func() { to.drive(func() { to.node.Receive(m.world.now, &message) }) })
+}
+
+// introduce says hello to all processes that this one knows of.
+func (m *machine) introduce() {
+	for _, address := range m.node.Peers(m.world.now) {
+		to := m.world.machineAt(address)
+		if to == nil || to == m || to.kind != m.kind {
+			continue
+		}
+		hello := m.node.Hello()
+		m.transmit(to, func() {
+			to.drive(func() { to.node.Hear(m.world.now, &hello) })
+			answer := to.node.Hello()
+			to.transmit(m, func() { m.drive(func() { m.node.Hear(m.world.now, &answer) }) })
+		})
+	}
+}
+
+// lead calls read with the view, if this coordinator leads.
+func (m *machine) lead(read func(v *fleetview.View)) {
+	_ = m.node.Read(m.world.now, 0, func(term uint64, _ storage.Reader) error {
+		if m.view == nil || m.view.Term != term {
+			m.view = fleetview.New(term)
+		}
+		read(m.view)
+		return nil
+	})
+}
+
+// watch is a store's question to the coordinators, or a leading coordinator's
+// look at its view.
+func (m *machine) watch() {
+	if m.kind == kindCoordinator {
+		m.refresh()
+		return
+	}
+	statuses := m.node.Statuses(m.world.now)
+	status := &statuses[0]
+	request := &wire.WatchRequest{Term: m.knownTerm, View: m.knownView, Process: wire.ProcessReport{
+		Kind: wire.ProcessStore, Name: m.name, Zone: m.name, Replica: m.node.Hello().Replica,
+		Leads: status.Leader == m.node.ID() && status.Settled,
+	}}
+	for _, member := range append(append(status.Membership.Voters, status.Membership.Outgoing...), status.Membership.Learners...) {
+		request.Process.Members = append(request.Process.Members, member.Name)
+	}
+	for _, core := range m.world.of(kindCoordinator) {
+		m.transmit(core, func() { core.answerWatch(m, request) })
+	}
+}
+
+func (m *machine) answerWatch(store *machine, request *wire.WatchRequest) {
+	w := m.world
+	var emptied []string
+	var answer *wire.FleetView
+	var term, number uint64
+	m.lead(func(v *fleetview.View) {
+		v.Heard(w.now, &request.Process)
+		var pending []string
+		for _, name := range m.fleet.Retiring() {
+			if _, done := m.fleet.Retirement(name); !done {
+				pending = append(pending, name)
+			}
+		}
+		emptied = v.Emptied(request, pending)
+		if v.Number > 0 && (request.Term != v.Term || request.View != v.Number) {
+			fleet := v.Current
+			answer, term, number = &fleet, v.Term, v.Number
+		}
+	})
+	for _, name := range emptied {
+		m.propose(&wire.FleetCommand{Retired: &wire.RetireStore{Name: name}}, nil)
+	}
+	if answer == nil {
+		return
+	}
+	m.transmit(store, func() {
+		store.knownTerm, store.knownView = term, number
+		store.drive(func() {
+			store.node.AddPeers(w.now, answer.Stores)
+			store.node.SetRetiring(answer.Retiring)
+			store.node.Form(w.now, answer.Initial)
+		})
+	})
+}
+
+func (m *machine) refresh() {
+	var form []wire.Replica
+	m.lead(func(v *fleetview.View) {
+		v.Refresh(m.world.now, nil, m.fleet.Initial(), m.fleet.Retiring())
+		if len(m.fleet.Initial()) == 0 {
+			form = v.FirstVoters(m.world.now, tolerate)
+		}
+	})
+	if len(form) > 0 {
+		m.propose(&wire.FleetCommand{Form: &wire.FormStores{Voters: form}}, nil)
+	}
+}
+
+// propose commits a command here, if this machine leads; done is called once
+// unless the machine dies first.
+func (m *machine) propose(command interface {
+	MarshalMsg([]byte) ([]byte, error)
+}, done replication.Done) {
+	encoded, err := command.MarshalMsg(nil)
+	if err != nil {
+		panic(err)
+	}
+	if done == nil {
+		done = func([]byte, error) {}
+	}
+	life := m.life
+	// What follows must not enter the node while it flushes.
+	m.drive(func() {
+		m.node.Propose(0, encoded, func(answer []byte, err error) {
+			m.world.after(0, func() {
+				if m.life == life {
+					done(answer, err)
+				}
+			})
+		})
+	})
+}
--- /dev/null
+++ b/internal/fleetsim/mutation.go
@@ -0,0 +1,125 @@
+package fleetsim
+
+import (
+	"github.com/sedgemast/sedgemast/internal/fleetview"
+	"github.com/sedgemast/sedgemast/internal/replication"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// Mutation takes one mechanism away, so that a test can see the checks turn red.
+type Mutation string
+
+const (
+	// MutationNone takes nothing away.
+	MutationNone Mutation = ""
+	// MutationForgetSync makes disks claim to sync and not do it.
+	MutationForgetSync Mutation = "forget_sync"
+	// MutationKeepIdentity lets an emptied disk answer as the one before.
+	MutationKeepIdentity Mutation = "keep_identity"
+	// MutationAnyVersion puts older configurations in force.
+	MutationAnyVersion Mutation = "any_version"
+	// MutationGaps joins an item's parts whatever came before.
+	MutationGaps Mutation = "join_with_gaps"
+	// MutationLoseBodies forgets the requests of accepted items.
+	MutationLoseBodies Mutation = "lose_bodies"
+)
+
+// Mutations lists all that take something away.
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationLoseBodies}
+
+// mutatedStore returns the machine's disk, or one that lies.
+func (m *machine) mutatedStore() storage.Store {
+	if m.world.mutation == MutationForgetSync {
+		return lyingStore{m.disk}
+	}
+	return m.disk
+}
+
+// lyingStore never syncs.
+type lyingStore struct{ *storage.Memory }
+
+// Commit implements storage.Store.
+func (l lyingStore) Commit(mutations []storage.Mutation, _ bool) error {
+	return l.Memory.Commit(mutations, false)
+}
+
+// machine returns the state machine, or a mutated one.
+func (m Mutation) machine(whole replication.StateMachine) replication.StateMachine {
+	switch m {
+	case MutationAnyVersion, MutationGaps, MutationLoseBodies:
+		return &mutated{StateMachine: whole, mutation: m}
+	}
+	return whole
+}
+
+// mutated changes the commands of a state machine or what it stores.
+type mutated struct {
+	replication.StateMachine
+	mutation Mutation
+	highest  uint64
+}
+
+// Apply implements replication.StateMachine.
+func (m *mutated) Apply(command []byte) ([]byte, []storage.Mutation) {
+	switch m.mutation {
+	case MutationAnyVersion:
+		return m.StateMachine.Apply(m.anyVersion(command))
+	case MutationGaps:
+		return m.StateMachine.Apply(withGaps(command))
+	}
+	answer, mutations := m.StateMachine.Apply(command)
+	var batch wire.BatchCommand
+	if _, err := batch.UnmarshalMsg(command); err != nil || batch.Submit == nil {
+		return answer, mutations
+	}
+	return answer, mutations[min(1, len(mutations)):]
+}
+
+// anyVersion gives every configuration a version above the last one.
+func (m *mutated) anyVersion(command []byte) []byte {
+	var fleet wire.FleetCommand
+	if _, err := fleet.UnmarshalMsg(command); err != nil || fleet.Apply == nil {
+		return command
+	}
+	m.highest = max(m.highest+1, fleet.Apply.Version)
+	fleet.Apply.Version = m.highest
+	return encode(&fleet)
+}
+
+// withGaps drops the first part of an item's text.
+func withGaps(command []byte) []byte {
+	var batch wire.BatchCommand
+	if _, err := batch.UnmarshalMsg(command); err != nil || batch.Record == nil {
+		return command
+	}
+	for i := range batch.Record.Items {
+		if record := &batch.Record.Items[i]; record.From == 0 && record.State == wire.ItemWaiting {
+			record.Text = ""
+		}
+	}
+	return encode(&batch)
+}
+
+func encode(message interface {
+	MarshalMsg([]byte) ([]byte, error)
+}) []byte {
+	data, err := message.MarshalMsg(nil)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// proposeRetire asks this coordinator for a store to be emptied, as the daemon
+// does: only where enough are left.
+func (m *machine) proposeRetire(name string) {
+	refused := true
+	m.lead(func(v *fleetview.View) {
+		asked, _ := m.fleet.Retirement(name)
+		refused = asked || !v.Knows(name) || v.Remaining(m.world.now, name, m.fleet.Retiring()) < 2*tolerate+1
+	})
+	if !refused {
+		m.propose(&wire.FleetCommand{Retire: &wire.RetireStore{Name: name}}, nil)
+	}
+}
--- /dev/null
+++ b/internal/fleetsim/world.go
@@ -0,0 +1,126 @@
+// Package fleetsim runs coordinators and stores in virtual time, by seed, with the
+// cores that the daemons run: replication over storage that loses what was not
+// synced, fleetstate, fleetview and batchstate. Machines are killed, lose power or
+// their disks, freeze, are cut off, replaced and added; callers, operators and
+// readers check what was promised to them.
+package fleetsim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// World is one run.
+type World struct {
+	random   *rand.Rand
+	mutation Mutation
+	now      time.Time
+	events   eventQueue
+	sequence uint64
+	machines []*machine
+	ledger   *ledger
+	identity uint64
+	// lossSafeAt is when a further disk may be lost.
+	lossSafeAt time.Time
+	healed     bool
+	// Log holds the faults and what was done, for a failing seed.
+	Log []string
+}
+
+// event is something that happens at a moment.
+type event struct {
+	at       time.Time
+	sequence uint64
+	action   func()
+}
+
+type eventQueue []*event
+
+func (q eventQueue) Len() int { return len(q) }
+
+func (q eventQueue) Less(a, b int) bool {
+	if !q[a].at.Equal(q[b].at) {
+		return q[a].at.Before(q[b].at)
+	}
+	return q[a].sequence < q[b].sequence
+}
+
+func (q eventQueue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
+
+// Push implements heap.Interface.
+func (q *eventQueue) Push(added any) { *q = append(*q, added.(*event)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	popped := (*q)[last]
+	*q = (*q)[:last]
+	return popped
+}
+
+func (w *World) after(wait time.Duration, action func()) {
+	w.sequence++
+	heap.Push(&w.events, &event{at: w.now.Add(wait), sequence: w.sequence, action: action})
+}
+
+// every repeats an action until it returns false.
+func (w *World) every(interval time.Duration, action func() bool) {
+	w.after(interval, func() {
+		if action() {
+			w.every(interval, action)
+		}
+	})
+}
+
+// between returns a random time.
+func (w *World) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(w.random.Int64N(int64(most-least)))
+}
+
+func (w *World) log(format string, arguments ...any) {
+	w.Log = append(w.Log, fmt.Sprintf("%8.3f ", w.now.Sub(began).Seconds())+fmt.Sprintf(format, arguments...))
+}
+
+var began = time.Unix(1_000_000, 0)
+
+const (
+	coordinators = 5
+	stores       = 3
+	tolerate     = 1
+	// faultsUntil is when the last fault begins, healAt when all is mended, and
+	// endAt when the promises are checked for the last time.
+	faultsFrom  = 3 * time.Second
+	faultsUntil = 32 * time.Second
+	healAt      = 36 * time.Second
+	endAt       = 50 * time.Second
+)
+
+// Run runs a seed and returns the violations found.
+func Run(seed uint64, mutation Mutation) (*World, []string) {
+	w := &World{random: rand.New(rand.NewPCG(seed, 7)), mutation: mutation, now: began}
+	w.ledger = newLedger(w)
+	for i := 1; i <= coordinators; i++ {
+		w.add(kindCoordinator, true)
+	}
+	for i := 1; i <= stores; i++ {
+		w.add(kindStore, true)
+	}
+	w.lossSafeAt = began.Add(faultsFrom)
+	w.ledger.begin()
+	w.beginFaults()
+	w.after(healAt, w.heal)
+	end := began.Add(endAt)
+	for w.events.Len() > 0 {
+		next := heap.Pop(&w.events).(*event)
+		if next.at.After(end) {
+			break
+		}
+		w.now = next.at
+		next.action()
+	}
+	w.now = end
+	w.ledger.finish()
+	return w, w.ledger.violations
+}
