--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -15,6 +15,10 @@
 	tickInterval  = 10 * time.Millisecond
 	helloInterval = 200 * time.Millisecond
 	helloTimeout  = time.Second
+	// seldomHelloInterval follows acquaintedAfter exchanges without a failure; it
+	// must stay well below helloFresh.
+	seldomHelloInterval = 800 * time.Millisecond
+	acquaintedAfter     = 15
 	// maxEvents bounds the events between two flushes, and so the size of one
 	// sync.
 	maxEvents = 1024
@@ -145,31 +149,43 @@
 	}
 }
 
-// introduce says hello to a peer again and again.
+// introduce says hello to a peer again and again: often while either is new to
+// the other, and seldom once they have known each other for a while.
 func (h *Host) introduce(ctx context.Context, peer string) {
 	defer h.loops.Done()
+	acquainted := 0
 	for ctx.Err() == nil {
-		h.exchangeHello(ctx, peer)
+		if h.exchangeHello(ctx, peer) {
+			acquainted++
+		} else {
+			acquainted = 0
+		}
+		interval := helloInterval
+		if acquainted > acquaintedAfter {
+			interval = seldomHelloInterval
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(helloInterval):
+		case <-time.After(interval):
 		}
 	}
 }
 
-func (h *Host) exchangeHello(ctx context.Context, peer string) {
+// exchangeHello reports whether both belong to a cluster.
+func (h *Host) exchangeHello(ctx context.Context, peer string) bool {
 	own, err := ask(ctx, h, func(time.Time) wire.Hello { return h.node.Hello() })
 	if err != nil {
-		return
+		return false
 	}
 	callContext, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	answer, err := h.transport.Hello(callContext, peer, &own)
 	if err != nil {
-		return
+		return false
 	}
 	// An error means that the host is closing.
 	_ = h.enter(ctx, func(now time.Time) { h.node.Hear(now, answer) })
+	return own.Formed && answer.Formed
 }
 
 // Hello answers the introduction of another process.
