Simulator: a further disk goes only once the one before has been made good

Traced: a second disk was taken while faults on the two remaining voters had kept them from meeting long enough to replace the first (15 s and 7 s after it); with one voter of three left no design answers. Ruled out: the repair itself (the learner was caught up, the change proposed within a second of each leader's term). The check that every lost disk has been replaced at the end is new.

--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -2,6 +2,9 @@
 
 import (
 	"time"
+
+	"github.com/sedgemast/sedgemast/internal/consensus"
+	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
 // catchUp is how long a lost disk counts as lost after its machine is back.
@@ -125,7 +128,36 @@
 }
 
 // mayLose reports whether one more disk may go: the one before has been made good.
-func (w *World) mayLose() bool { return !w.now.Before(w.lossSafeAt) }
+// Where other faults kept a majority from meeting since, time alone does not do
+// that, and a further loss would be one more than is to be borne.
+func (w *World) mayLose() bool {
+	return !w.now.Before(w.lossSafeAt) && w.repaired(kindCoordinator) && w.repaired(kindStore)
+}
+
+// repaired reports whether some group of the kind has settled on voters whose
+// disks are all there.
+func (w *World) repaired(kind kind) bool {
+	identities := map[uint64]bool{}
+	for _, m := range w.of(kind) {
+		identities[m.node.ID()] = true
+	}
+	for _, m := range w.of(kind) {
+		status := m.node.Statuses(w.now)[0]
+		if m.alive && status.Role == consensus.Leader && status.Settled && allThere(status.Membership.Voters, identities) {
+			return true
+		}
+	}
+	return false
+}
+
+func allThere(voters []wire.Replica, identities map[uint64]bool) bool {
+	for _, voter := range voters {
+		if !identities[voter.ID] {
+			return false
+		}
+	}
+	return len(voters) > 0
+}
 
 // wipe loses a disk; the machine comes back at its address. At times all others
 // lose power with it.
--- a/internal/fleetsim/ledger.go
+++ b/internal/fleetsim/ledger.go
@@ -287,9 +287,14 @@
 	}
 }
 
-// finish checks that after everything was mended all groups answer and hold what
-// was promised.
+// finish checks that after everything was mended all groups answer, hold what was
+// promised, and have replaced every disk that was lost.
 func (l *ledger) finish() {
+	for _, kind := range []kind{kindCoordinator, kindStore} {
+		if !l.world.repaired(kind) {
+			l.violate("a group still counts on a disk that is gone")
+		}
+	}
 	if !l.answers(kindCoordinator, func(m *machine, _ storage.Reader) { l.checkConfiguration(m) }) {
 		l.violate("no coordinator answers reads at the end")
 	}
