After all were killed: the list is read when leadership begins, elections after 0.4 s, callers told when to come back

A caller that came again after 0.15 s was refused again. Change: the list is read within 25 ms of leading; election timeout 0.5 -> 0.4 s; a process without a configuration names the time that is left until it has probably one.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -35,6 +35,8 @@
 	// maxVoters bounds the group; further coordinators are spares.
 	maxVoters       = 9
 	refreshInterval = 100 * time.Millisecond
+	// leadInterval is the time between looks whether this process leads now.
+	leadInterval    = 25 * time.Millisecond
 	handOverTimeout = 2 * time.Second
 	// heartbeatsPerTimeout is how many heartbeats a leader sends within the
 	// shortest election timeout.
@@ -194,13 +196,22 @@
 	})
 }
 
-// pollLoop reads the platform's list while this process leads.
+// pollLoop reads the platform's list while this process leads: at once when it
+// begins to, because nobody is served before, and then at intervals.
 func (c *Coordinator) pollLoop(ctx context.Context) {
 	failing := false
-	every(ctx, c.settings.PollInterval.Std(), func() {
-		if c.readLeader(func(time.Time, *fleetview.View) {}) != nil {
+	var term uint64
+	var due time.Time
+	every(ctx, leadInterval, func() {
+		began := uint64(0)
+		if c.readLeader(func(_ time.Time, v *fleetview.View) { began = v.Term }) != nil {
 			return
 		}
+		now := time.Now()
+		if began == term && now.Before(due) {
+			return
+		}
+		term, due = began, now.Add(c.settings.PollInterval.Std())
 		workers, err := c.list.Workers(ctx)
 		if (err != nil) != failing {
 			failing = err != nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,6 +35,7 @@
 	workers  *balance.Table
 	upstream *upstream.Client
 	metrics  *metrics
+	started  time.Time
 
 	// Stores hands jobs to the stores.
 	Stores *storeclient.Client
@@ -55,6 +56,7 @@
 		upstream: upstream.NewClient(names),
 		metrics:  newMetrics(d.Registry),
 		splitter: routetable.NewSplitter(),
+		started:  time.Now(),
 	}
 	e.watcher = fleetwatch.New(d.Logger, config.Seeds, e.report)
 	e.watcher.OnChange(e.adopt)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -19,6 +19,9 @@
 	// shortRetry is when to come back where nothing stands in the way but a
 	// moment's load.
 	shortRetry = 150 * time.Millisecond
+	// learnTime is how long a new process takes to learn the configuration where
+	// the coordinators start at the same time.
+	learnTime = 1200 * time.Millisecond
 	// writeMargin is how long after the deadline a caller may take to read.
 	writeMargin = time.Second
 )
@@ -29,7 +32,7 @@
 	e.closeWhenStopping(writer)
 	table := e.Table()
 	if table == nil {
-		e.Refuse(writer, request, noConfiguration())
+		e.Refuse(writer, request, noConfiguration(arrived.Sub(e.started)))
 		return
 	}
 	route := table.Match(request.Host, request.URL.Path)
@@ -58,8 +61,12 @@
 	}
 }
 
-func noConfiguration() error {
-	return failure.New(failure.NotRun, "try again", "no configuration is known here yet").WithRetryAfter(shortRetry)
+// noConfiguration refuses a request to a process that has not heard a coordinator
+// in the given time since its start, and says when it will probably have: where
+// all began at once, an election comes first.
+func noConfiguration(age time.Duration) error {
+	retry := max(learnTime-age, shortRetry)
+	return failure.New(failure.NotRun, "try again", "no configuration is known here yet").WithRetryAfter(retry)
 }
 
 // closeWhenStopping tells the caller to take another connection.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -36,7 +36,7 @@
 	return Replication{
 		DataFolder:      "data",
 		Tolerate:        1,
-		ElectionTimeout: Duration(500 * time.Millisecond),
+		ElectionTimeout: Duration(400 * time.Millisecond),
 		ReplaceAfter:    Duration(1500 * time.Millisecond),
 		LogBytes:        4 << 20,
 	}
