--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -17,7 +17,7 @@
 	defaultMemory = 100_000
 	// zoneCost is what another zone costs, in parts of a slot: enough to decide
 	// between workers of equal load, and no more.
-	zoneCost = 0.5
+	zoneCost = 2.0
 	// batchCost is what an item of a job costs an online request, in slots: it
 	// gives way, but not at once and not for nothing.
 	batchCost = 0.9
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -63,6 +63,10 @@
 	runTime   batchplan.RunTime
 	leading   bool
 	forgetDue time.Time
+	// draining holds, once the store is about to stop, whom to tell that no item
+	// runs any more.
+	draining chan chan struct{}
+	drained  chan struct{}
 }
 
 // sighting is what this leader has seen of a job since it leads: ages go by its
@@ -105,8 +109,11 @@
 			r.end(ended)
 		case end := <-r.recorded:
 			r.takeRecorded(end)
+		case r.drained = <-r.draining:
+			r.stopAll()
 		}
 		r.drainEvents()
+		r.tellDrained()
 		r.look(ctx, time.Now())
 	}
 }
@@ -124,6 +131,24 @@
 	}
 }
 
+// drain stops all items and waits until what they have is on its way to the log,
+// so that the next leader goes on from there.
+func (r *runner) drain(ctx context.Context) {
+	done := make(chan struct{})
+	r.draining <- done
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (r *runner) tellDrained() {
+	if r.drained != nil && len(r.running) == 0 && len(r.records) == 0 {
+		close(r.drained)
+		r.drained = make(chan struct{})
+	}
+}
+
 // recordEnd says how the writing of an item's news ended.
 type recordEnd struct {
 	key itemKey
@@ -234,7 +259,7 @@
 	table := r.store.watcher.Current().Table
 	jobs := r.order(now, table)
 	r.yield(now)
-	if table == nil {
+	if table == nil || r.drained != nil {
 		return nil
 	}
 	var starts []*task
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -226,9 +226,15 @@
 	}
 }
 
-// handOver is a step of the planned stop: other processes lead before this one
-// goes.
+// drainTimeout bounds the stop of the items that run here.
+const drainTimeout = 500 * time.Millisecond
+
+// handOver is a step of the planned stop: items stop where they are, and other
+// processes lead before this one goes.
 func (s *Store) handOver(ctx context.Context) {
+	drainContext, cancelDrain := context.WithTimeout(ctx, drainTimeout)
+	s.runner.drain(drainContext)
+	cancelDrain()
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	s.host.HandOver(ctx)
