--- a/internal/batchstate/keys.go
+++ b/internal/batchstate/keys.go
@@ -11,9 +11,6 @@
 	sectionResult   = 'r'
 )
 
-// numberBytes is the length of the number at the end of a key.
-const numberBytes = 4
-
 func prefix(section byte, id string) []byte {
 	return append(append([]byte{section}, id...), 0)
 }
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -16,7 +16,6 @@
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/batchstate"
 	"github.com/sedgemast/sedgemast/internal/consensus"
-	"github.com/sedgemast/sedgemast/internal/coordinator"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
@@ -107,13 +106,13 @@
 	voters := 2*s.settings.Tolerate + 1
 	return replication.Options{
 		Store:             s.store,
-		Machines:          []replication.StateMachine{&notifying{StateMachine: s.machine, notify: s.notify}},
+		Machines:          []replication.StateMachine{&replication.Notifying{StateMachine: s.machine, Notify: s.notify}},
 		Name:              s.settings.Name,
 		Address:           s.daemon.Address(),
 		Voters:            voters,
 		MinVoters:         voters,
 		Formation:         replication.FormByOrder,
-		NewID:             coordinator.NewIdentity,
+		NewID:             replication.NewIdentity,
 		ElectionTimeout:   s.settings.ElectionTimeout.Std(),
 		HeartbeatInterval: s.settings.ElectionTimeout.Std() / heartbeatsPerTimeout,
 		ReplaceAfter:      s.settings.ReplaceAfter.Std(),
@@ -122,18 +121,6 @@
 	}
 }
 
-// notifying tells of every applied command.
-type notifying struct {
-	replication.StateMachine
-	notify func()
-}
-
-// Apply implements replication.StateMachine.
-func (n *notifying) Apply(command []byte) ([]byte, []storage.Mutation) {
-	defer n.notify()
-	return n.StateMachine.Apply(command)
-}
-
 // notify wakes the calls and loops that wait for a change.
 func (s *Store) notify() {
 	s.mutex.Lock()
@@ -160,13 +147,7 @@
 
 // adopt takes in a new snapshot of the fleet.
 func (s *Store) adopt(snapshot *fleetwatch.Snapshot) {
-	memory := map[string]int64{}
-	if snapshot.Table != nil {
-		for _, pool := range snapshot.Table.Configuration.Pools {
-			memory[pool.Name] = pool.MemoryTokens
-		}
-	}
-	s.workers.Update(snapshot.Fleet.Workers, memory)
+	s.workers.Update(snapshot.Fleet.Workers, snapshot.Table.Memory())
 	s.upstream.Forget(s.workers.Knows)
 	ctx := s.daemon.Context()
 	err := s.host.AddPeers(ctx, snapshot.Fleet.Stores)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,8 +7,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	mathrand "math/rand/v2"
 	"sync"
 	"time"
@@ -115,7 +113,7 @@
 		Address:           c.daemon.Address(),
 		Peers:             peers,
 		Voters:            c.settings.Voters,
-		NewID:             newIdentity,
+		NewID:             replication.NewIdentity,
 		ElectionTimeout:   c.settings.ElectionTimeout.Std(),
 		HeartbeatInterval: c.settings.ElectionTimeout.Std() / heartbeatsPerTimeout,
 		ReplaceAfter:      c.settings.ReplaceAfter.Std(),
@@ -128,15 +126,6 @@
 // election timeout.
 const heartbeatsPerTimeout = 5
 
-// newIdentity returns the identity of an empty data folder. It must never be
-// given twice, hence the system's source of randomness.
-func newIdentity() uint64 {
-	var identity [8]byte
-	// Read never fails, by its documentation.
-	_, _ = rand.Read(identity[:])
-	return binary.BigEndian.Uint64(identity[:]) | 1
-}
-
 func (c *Control) policy() coordination.Policy {
 	return coordination.Policy{
 		DaemonLease:   c.settings.DaemonLease.Std(),
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	mathrand "math/rand/v2"
 	"strings"
 	"sync"
@@ -100,7 +98,7 @@
 	now := uint64(time.Now().UnixNano())
 	return replication.Options{
 		Store:             c.store,
-		Machines:          []replication.StateMachine{&notifying{StateMachine: c.machine, notify: c.notify}},
+		Machines:          []replication.StateMachine{&replication.Notifying{StateMachine: c.machine, Notify: c.notify}},
 		Name:              c.settings.Name,
 		Address:           c.daemon.Address(),
 		Peers:             c.settings.Seeds,
@@ -108,7 +106,7 @@
 		MinVoters:         2*c.settings.Tolerate + 1,
 		Formation:         replication.FormBySeeds,
 		Bootstrap:         c.settings.Bootstrap,
-		NewID:             NewIdentity,
+		NewID:             replication.NewIdentity,
 		ElectionTimeout:   c.settings.ElectionTimeout.Std(),
 		HeartbeatInterval: c.settings.ElectionTimeout.Std() / heartbeatsPerTimeout,
 		ReplaceAfter:      c.settings.ReplaceAfter.Std(),
@@ -117,27 +115,6 @@
 	}
 }
 
-// NewIdentity returns the identity of an empty data folder. It must never be
-// given twice, hence the system's source of randomness.
-func NewIdentity() uint64 {
-	var identity [8]byte
-	// Read never fails, by its documentation.
-	_, _ = rand.Read(identity[:])
-	return binary.BigEndian.Uint64(identity[:]) | 1
-}
-
-// notifying tells of every applied command.
-type notifying struct {
-	replication.StateMachine
-	notify func()
-}
-
-// Apply implements replication.StateMachine.
-func (n *notifying) Apply(command []byte) ([]byte, []storage.Mutation) {
-	defer n.notify()
-	return n.StateMachine.Apply(command)
-}
-
 // notify wakes the calls that wait for news.
 func (c *Coordinator) notify() {
 	c.mutex.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,13 +91,7 @@
 // configuration and a list of workers; it stays so when the coordinators can't
 // be reached.
 func (e *Edge) adopt(snapshot *fleetwatch.Snapshot) {
-	memory := map[string]int64{}
-	if snapshot.Table != nil {
-		for _, pool := range snapshot.Table.Configuration.Pools {
-			memory[pool.Name] = pool.MemoryTokens
-		}
-	}
-	e.workers.Update(snapshot.Fleet.Workers, memory)
+	e.workers.Update(snapshot.Fleet.Workers, snapshot.Table.Memory())
 	e.upstream.Forget(e.workers.Knows)
 	if snapshot.Table != nil && snapshot.Fleet.Listed && !e.daemon.Stopping() && !e.daemon.Ready() {
 		logging.Info(e.logger, "ready", "version", snapshot.Table.Configuration.Version)
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -55,6 +55,21 @@
 // Pool returns the pool with the name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
+// Memory returns how many tokens a worker of each pool holds, where that is told.
+// Without a configuration nothing is.
+func (t *Table) Memory() map[string]int64 {
+	memory := map[string]int64{}
+	if t == nil {
+		return memory
+	}
+	for name, pool := range t.pools {
+		if pool.MemoryTokens > 0 {
+			memory[name] = pool.MemoryTokens
+		}
+	}
+	return memory
+}
+
 // hostName returns a Host header without port, in lower case.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- /dev/null
+++ b/test/hosted_fleet_test.go
@@ -0,0 +1,219 @@
+package test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/emulator"
+)
+
+const (
+	hostedService = "s1"
+	hostedHost    = "h.example"
+	// hostedWait bounds what a test waits for; nothing is judged by it.
+	hostedWait = 60 * time.Second
+)
+
+// hostedMachine is a process on an address of its own.
+type hostedMachine struct {
+	name    string
+	ip      string
+	role    string
+	folder  string
+	command *exec.Cmd
+	exited  chan error
+}
+
+// hostedFleet is a fleet as the users' platform runs it, on loopback addresses.
+type hostedFleet struct {
+	t        *testing.T
+	binary   string
+	port     int
+	list     *emulator.HostedList
+	workers  []*emulator.HostedWorker
+	machines map[string]*hostedMachine
+}
+
+// Ports behind the first one.
+const (
+	portControl = 1
+	portFront   = 2
+	portReady   = 3
+)
+
+func newHostedFleet(t *testing.T) *hostedFleet {
+	t.Helper()
+	folder := t.TempDir()
+	output, err := exec.Command("go", "build", "-o", folder+"/", "../platform/sedgemast-hosted").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	f := &hostedFleet{t: t, binary: filepath.Join(folder, "sedgemast-hosted"), port: freePorts(t), machines: map[string]*hostedMachine{}}
+	for i := 1; i <= 3; i++ {
+		worker := emulator.NewHostedWorker(fmt.Sprintf("w-%d", i), 8, 5*time.Millisecond)
+		t.Cleanup(worker.Close)
+		f.workers = append(f.workers, worker)
+	}
+	f.list = emulator.NewHostedList(hostedService, f.workers...)
+	t.Cleanup(f.list.Close)
+	for i := 1; i <= 3; i++ {
+		f.add("core", "coordinator", i)
+		f.add("store", "store", i+10)
+	}
+	for i := 1; i <= 2; i++ {
+		f.add("front", "edge", i+20)
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+// freePorts returns the first of a few ports that are probably free on all
+// loopback addresses.
+func freePorts(t *testing.T) int {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	port := listener.Addr().(*net.TCPAddr).Port
+	if port > 65000 {
+		port -= 1000
+	}
+	return port
+}
+
+func (f *hostedFleet) add(class, role string, number int) {
+	machine := &hostedMachine{name: fmt.Sprintf("%s-%d", class, number), ip: fmt.Sprintf("127.0.77.%d", number), role: role, folder: f.t.TempDir()}
+	f.machines[machine.name] = machine
+	f.start(machine, true)
+}
+
+func (f *hostedFleet) address(machine *hostedMachine, port int) string {
+	return fmt.Sprintf("%s:%d", machine.ip, f.port+port)
+}
+
+func (f *hostedFleet) start(machine *hostedMachine, bootstrap bool) {
+	var seeds []string
+	for i := 1; i <= 3; i++ {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("127.0.77.%d:%d", i, f.port+portControl)))
+	}
+	text := fmt.Sprintf(`node = %q
+ip = %q
+zone = "zone-a"
+portRange = [%d,%d]
+seeds = [%s]
+bootstrap = %t
+dataDir = %q
+[listen]
+control = %q
+front = %q
+ready = %q
+[limits]
+cores = 1
+memoryMb = 300
+[tolerate]
+machines = 1
+[bounds]
+graceS = 8
+statusS = 120
+[cloud]
+address = %q
+`, machine.name, machine.ip, f.port, f.port, strings.Join(seeds, ","), bootstrap, machine.folder+"/data",
+		f.address(machine, portControl), f.address(machine, portFront), f.address(machine, portReady), f.list.Address())
+	boot := filepath.Join(machine.folder, "settings.toml")
+	writeFile(f.t, boot, text)
+	log, err := os.OpenFile(filepath.Join(machine.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	machine.command = exec.Command(f.binary, machine.role)
+	machine.command.Env = append(os.Environ(), "SEDGEMAST_BOOT="+boot)
+	machine.command.Stdout, machine.command.Stderr = log, log
+	if err := machine.command.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	exited := make(chan error, 1)
+	machine.exited = exited
+	go func(command *exec.Cmd) {
+		exited <- command.Wait()
+		_ = log.Close()
+	}(machine.command)
+}
+
+func (f *hostedFleet) kill(machine *hostedMachine) {
+	_ = machine.command.Process.Kill()
+	<-machine.exited
+}
+
+func (f *hostedFleet) stopAll() {
+	for _, machine := range f.machines {
+		if machine.command.ProcessState == nil {
+			_ = machine.command.Process.Kill()
+			select {
+			case <-machine.exited:
+			case <-time.After(hostedWait):
+			}
+		}
+		if f.t.Failed() {
+			text, _ := os.ReadFile(filepath.Join(machine.folder, "log"))
+			f.t.Logf("log of %s:\n%s", machine.name, text[max(0, len(text)-3000):])
+		}
+	}
+}
+
+// eventually repeats a check until it holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(hostedWait); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s did not come about", what)
+}
+
+var hostedClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hostedWait}
+
+// call makes one call and returns the status, headers and body.
+func (f *hostedFleet) call(method, address, target string, headers map[string]string, body string) (int, http.Header, string, error) {
+	request, err := http.NewRequest(method, "http://"+address+target, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = hostedHost
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := hostedClient.Do(request)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(text), err
+}
+
+func (f *hostedFleet) configuration(version int, more string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[
+ {"name":"stream","host":%q,"pathPrefix":"/stream/","routeKind":"streaming","timeoutMs":20000,"goalMs":2000,"gapGoalMs":2000,"service":%q,"maxAttempts":3,"resumable":true},
+ {"name":"once","host":%q,"pathPrefix":"/once/","routeKind":"streaming","timeoutMs":20000,"goalMs":2000,"gapGoalMs":2000,"service":%q,"maxAttempts":3},
+ {"name":"batch","host":%q,"pathPrefix":"/batch/","routeKind":"batch","timeoutMs":30000,"goalMs":400,"runGoalMs":20000,"retainS":60,"maxQueuedTokens":100000,"service":%q,"maxAttempts":3}%s],
+ "services":[{"name":%q,"maxConns":100,"engine":{"slots":8,"kvCapacityTokens":100000}}],"limits":{"maxBodyBytes":1000000}}`,
+		version, hostedHost, hostedService, hostedHost, hostedService, hostedHost, hostedService, more, hostedService)
+}
+
+func (f *hostedFleet) put(core, document string) int {
+	status, _, _, err := f.call(http.MethodPut, f.address(f.machines[core], portControl), "/-/config", nil, document)
+	if err != nil {
+		return 0
+	}
+	return status
+}
