--- a/internal/batchstate/machine.go
+++ b/internal/batchstate/machine.go
@@ -13,6 +13,8 @@
 package batchstate
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"github.com/tinylib/msgp/msgp"
 
@@ -122,6 +124,10 @@
 	m.mutations = append(m.mutations, storage.Mutation{Key: prefix, DeletePrefix: true})
 }
 
+// quotaRetry is when a job that does not fit may come again: items end all the
+// time.
+const quotaRetry = time.Second
+
 // Fits returns the refusal of a job that does not fit the route's quota now, or
 // nil.
 func (m *Machine) Fits(job *wire.SubmitBatch) error {
@@ -133,7 +139,7 @@
 		tokens += job.Items[i].Tokens
 	}
 	if waiting := m.waiting[job.Route]; waiting+tokens > job.Limit {
-		return failure.New(failure.OverLimit, "send it again when fewer tokens wait", "%d tokens wait on route %s, and %d more than %d may", waiting, job.Route, tokens, job.Limit)
+		return failure.New(failure.OverLimit, "send it again when fewer tokens wait", "%d tokens wait on route %s, and %d more than %d may", waiting, job.Route, tokens, job.Limit).WithRetryAfter(quotaRetry)
 	}
 	return nil
 }
--- a/internal/batchstate/machine_test.go
+++ b/internal/batchstate/machine_test.go
@@ -52,7 +52,7 @@
 func TestQuotaCountsWhatWaits(t *testing.T) {
 	machine, store := New(), storage.NewMemory()
 	mustApply(t, machine, store, job("a", 2, 40, 100))
-	if refused := mustApply(t, machine, store, job("b", 1, 21, 100)); refused.Failure == nil || failure.Kind(refused.Failure.Kind) != failure.OverLimit {
+	if refused := mustApply(t, machine, store, job("b", 1, 21, 100)); refused.Failure == nil || failure.Kind(refused.Failure.Kind) != failure.OverLimit || refused.Failure.RetryAfterMillis == 0 {
 		t.Fatalf("a job over the quota got %+v", refused)
 	}
 	if again := mustApply(t, machine, store, job("a", 2, 40, 100)); again.Failure != nil || !again.Repeated {
--- a/internal/batchstore/handlers.go
+++ b/internal/batchstore/handlers.go
@@ -43,6 +43,7 @@
 	if err == nil && !repeated {
 		result, err = s.propose(ctx, &wire.BatchCommand{Submit: job})
 	}
+	s.metrics.jobs.WithLabelValues(submitOutcome(err)).Inc()
 	logging.Info(s.logger, "job_submitted", "job", job.ID, "route", job.Route, "items", len(job.Items), "limit", job.Limit, "repeated", repeated, "error", err)
 	if err != nil {
 		return nil, err
@@ -50,6 +51,14 @@
 	return result, nil
 }
 
+// submitOutcome names how the handing in of a job ended.
+func submitOutcome(err error) string {
+	if err == nil {
+		return "accepted"
+	}
+	return failure.KindOf(err).String()
+}
+
 func (s *Store) results(ctx context.Context, request *wire.BatchReadRequest) (msgp.Marshaler, error) {
 	timeout := time.NewTimer(time.Duration(request.WaitMillis) * time.Millisecond)
 	defer timeout.Stop()
--- /dev/null
+++ b/internal/batchstore/metrics.go
@@ -0,0 +1,35 @@
+package batchstore
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are what the process counts.
+type metrics struct {
+	jobs     *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	runTime  prometheus.Histogram
+}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	m := &metrics{
+		jobs:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "store_jobs_total", Help: "Jobs handed in, by outcome."}, []string{"outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "store_item_attempts_total", Help: "Attempts at items, by how they ended."}, []string{"outcome"}),
+		runTime:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "store_item_seconds", Help: "How long attempts took.", Buckets: []float64{.1, .3, 1, 2, 3, 5, 7, 10, 15, 20, 30}}),
+	}
+	registry.MustRegister(m.jobs, m.attempts, m.runTime)
+	return m
+}
+
+// outcomeOf names how an attempt at an item ended.
+func (t *task) outcomeOf(err error) string {
+	switch {
+	case t.finished:
+		return "finished"
+	case t.context.Err() != nil:
+		return "stopped"
+	case err != nil:
+		return "failed"
+	}
+	return "not_recorded"
+}
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -52,6 +52,7 @@
 	dialect  *dialect.Dialect
 	identity wire.Hello
 	runner   *runner
+	metrics  *metrics
 	hub      *loadshare.Hub
 
 	// mutex guards what follows.
@@ -78,6 +79,7 @@
 		upstream: upstream.NewClient(names),
 		dialect:  names,
 		hub:      loadshare.NewHub(),
+		metrics:  newMetrics(d.Registry),
 		changed:  make(chan struct{}),
 	}
 	s.runner = newRunner(s)
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -97,6 +97,8 @@
 	if t.rest == 0 && !t.finished {
 		t.rest = failedPause
 	}
+	t.runner.store.metrics.attempts.WithLabelValues(t.outcomeOf(err)).Inc()
+	t.runner.store.metrics.runTime.Observe(t.ran.Seconds())
 	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.lease.Endpoint.ID, "from_event", before, "events", t.carry.events, "failures", t.failures, "state", t.state, "yielded", t.context.Err() != nil, "ms", time.Since(t.started).Milliseconds(), "error", err)
 	t.runner.ended <- t
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/consensus"
@@ -56,6 +57,8 @@
 	client   *rpc.Client
 	machine  *fleetstate.Machine
 	list     WorkerList
+	changes  prometheus.Counter
+	watches  prometheus.Counter
 
 	// mutex guards what follows.
 	mutex   sync.Mutex
@@ -77,12 +80,15 @@
 		client:   rpc.NewClient(),
 		machine:  fleetstate.New(),
 		list:     list,
+		changes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "coordinator_configurations_total", Help: "Configurations committed here."}),
+		watches:  prometheus.NewCounter(prometheus.CounterOpts{Name: "coordinator_watches_total", Help: "Watches answered as leader."}),
 		changed:  make(chan struct{}),
 	}
 	c.host, err = replication.NewHost(c.replicationOptions(), replication.NewPeerTransport())
 	if err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
+	d.Registry.MustRegister(c.changes, c.watches)
 	c.register()
 	d.BeforeStop(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
--- a/internal/coordinator/operate.go
+++ b/internal/coordinator/operate.go
@@ -69,6 +69,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if first {
+			c.watches.Inc()
+		}
 		first = false
 		c.noteEmptied(ctx, emptied)
 		if response.Document != nil || response.Fleet != nil {
@@ -137,6 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.changes.Inc()
 	logging.Info(c.logger, "configuration_committed", "version", request.Version, "in_force", result.Version, "changed", result.Changed)
 	return result, nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -141,7 +141,7 @@
 	if !d.options.Embedded {
 		d.Registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	}
-	d.Server.Handle("/metrics", promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{}))
+	d.Server.Handle("/metrics", d.MetricsHandler())
 	d.Server.HandleFunc("/healthz", func(writer http.ResponseWriter, _ *http.Request) {
 		writeState(writer, true)
 	})
@@ -152,6 +152,11 @@
 	d.Server.HandlePrefix("/debug/pprof/", http.HandlerFunc(pprof.Index))
 }
 
+// MetricsHandler answers with the process's metrics.
+func (d *Daemon) MetricsHandler() http.Handler {
+	return promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{})
+}
+
 func writeState(writer http.ResponseWriter, good bool) {
 	if !good {
 		writer.WriteHeader(http.StatusServiceUnavailable)
