--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,294 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/coordinator"
+	"github.com/sedgemast/sedgemast/internal/daemon"
+	"github.com/sedgemast/sedgemast/internal/dialect"
+	"github.com/sedgemast/sedgemast/internal/emulator"
+	"github.com/sedgemast/sedgemast/internal/routetable"
+	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/settings"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// patience bounds what a test waits for; nothing is judged by it.
+const patience = 30 * time.Second
+
+// router lets a ServeMux take rpc's handlers.
+type router struct{ *http.ServeMux }
+
+// HandleFunc implements rpc.Router.
+func (r router) HandleFunc(path string, handler http.HandlerFunc) { r.Handle(path, handler) }
+
+// standInNames are the names that the stand-in workers know.
+func standInNames() *dialect.Dialect {
+	names := dialect.Own()
+	names.RequestID, names.Deadline, names.ExpectWorker = "Request-Id", "Deadline-Ms", "Expect-Instance"
+	names.NotRun, names.Tokens = "Not-Run", "Token-Count"
+	return names
+}
+
+// startCoordinator answers watches with a configuration and the workers.
+func startCoordinator(tb testing.TB, configuration *routetable.Configuration, workers []wire.PoolWorker) string {
+	tb.Helper()
+	document, err := configuration.Encode()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	mux := router{http.NewServeMux()}
+	rpc.Handle(mux, coordinator.MethodWatch, func(ctx context.Context, request *wire.WatchRequest) (msgp.Marshaler, error) {
+		response := &wire.WatchResponse{Version: configuration.Version, Term: 1, View: 1}
+		if request.Version == configuration.Version && request.View == 1 {
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Duration(request.WaitMillis) * time.Millisecond):
+			}
+			return response, nil
+		}
+		response.Document = document
+		response.Fleet = &wire.FleetView{Listed: true, Workers: workers}
+		return response, nil
+	})
+	server := httptest.NewServer(mux)
+	tb.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// startEdge runs an edge before the workers, each the only one of its pool or all
+// in pool p.
+func startEdge(tb testing.TB, route routetable.Route, workers ...*emulator.HostedWorker) (*httptest.Server, *Edge) {
+	tb.Helper()
+	configuration := &routetable.Configuration{Version: 1, Routes: []routetable.Route{route}}
+	var listed []wire.PoolWorker
+	for i, worker := range workers {
+		pool := route.Parts[min(i, len(route.Parts)-1)].Pool
+		listed = append(listed, wire.PoolWorker{ID: worker.ID, Pool: pool, Address: worker.Address(), Slots: worker.Slots})
+	}
+	for _, part := range route.Parts {
+		configuration.Pools = append(configuration.Pools, routetable.Pool{Name: part.Pool})
+	}
+	if err := configuration.Check(); err != nil {
+		tb.Fatal(err)
+	}
+	e := newEdge(tb, startCoordinator(tb, configuration, listed))
+	for end := time.Now().Add(patience); !e.daemon.Ready(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			tb.Fatal("the edge does not become ready")
+		}
+	}
+	server := httptest.NewServer(e)
+	tb.Cleanup(server.Close)
+	return server, e
+}
+
+func newEdge(tb testing.TB, seed string) *Edge {
+	tb.Helper()
+	d, err := daemon.New(daemon.Options{Role: "edge", Name: "edge-1", Listen: "127.0.0.1:0", Embedded: true})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = d.Kill() })
+	config := settings.DefaultEdge()
+	config.Seeds = []string{seed}
+	return New(d, config, standInNames())
+}
+
+func startWorkers(tb testing.TB, count int) []*emulator.HostedWorker {
+	tb.Helper()
+	var workers []*emulator.HostedWorker
+	for i := 0; i < count; i++ {
+		worker := emulator.NewHostedWorker(fmt.Sprintf("w-%d", i), 8, 0)
+		tb.Cleanup(worker.Close)
+		workers = append(workers, worker)
+	}
+	return workers
+}
+
+func stream(resumable bool, attempts int) routetable.Route {
+	return routetable.Route{
+		Name: "r", Host: "h.example", PathPrefix: "/", Kind: routetable.KindStream, Resumable: resumable,
+		TimeoutMillis: patience.Milliseconds(), GoalMillis: 50, GapGoalMillis: 50, MaxAttempts: attempts,
+		Parts: []routetable.PoolWeight{{Pool: "p", Weight: 1}},
+	}
+}
+
+// send sends a request for so many events and returns status, body and error.
+func send(ctx context.Context, tb testing.TB, server *httptest.Server, id string, events int, deadline time.Duration) (int, http.Header, string, error) {
+	tb.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/a", strings.NewReader("prompt"))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	request.Host = "h.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Token-Count", "10,"+strconv.Itoa(events))
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	response, err := server.Client().Do(request)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(body), err
+}
+
+func behaveAll(workers []*emulator.HostedWorker, fault emulator.HostedFault) {
+	for _, worker := range workers {
+		worker.Behave(func(*emulator.HostedRequest) emulator.HostedFault { return fault })
+	}
+}
+
+func runs(workers []*emulator.HostedWorker) (count int) {
+	for _, worker := range workers {
+		count += len(worker.Seen())
+	}
+	return count
+}
+
+// TestAttemptsAreBounded breaks every run: no more workers than the route allows
+// get the request, and one where it may not run again.
+func TestAttemptsAreBounded(t *testing.T) {
+	for _, test := range []struct {
+		resumable bool
+		attempts  int
+		want      int
+	}{{true, 1, 1}, {true, 2, 2}, {true, 3, 3}, {false, 3, 1}} {
+		workers := startWorkers(t, 5)
+		server, _ := startEdge(t, stream(test.resumable, test.attempts), workers...)
+		behaveAll(workers, emulator.HostedFault{Status: http.StatusInternalServerError})
+		status, _, _, err := send(context.Background(), t, server, "a", 3, patience)
+		if err != nil || status < http.StatusInternalServerError || runs(workers) != test.want {
+			t.Errorf("%+v: status %d, %v, %d runs", test, status, err, runs(workers))
+		}
+	}
+}
+
+// TestRefusalsAreTruthful lets all workers refuse: the answer promises that
+// nothing ran and says when to come back.
+func TestRefusalsAreTruthful(t *testing.T) {
+	workers := startWorkers(t, 3)
+	server, _ := startEdge(t, stream(false, 3), workers...)
+	behaveAll(workers, emulator.HostedFault{NotRun: true})
+	status, header, _, err := send(context.Background(), t, server, "a", 3, patience)
+	if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" || runs(workers) != 0 {
+		t.Errorf("status %d, Retry-After %q, %v, %d runs", status, header.Get("Retry-After"), err, runs(workers))
+	}
+}
+
+// TestSilentWorkerIsLeft hangs the first worker of a stream that may be resumed:
+// another takes over, and the first sees its caller leave.
+func TestSilentWorkerIsLeft(t *testing.T) {
+	workers := startWorkers(t, 2)
+	server, _ := startEdge(t, stream(true, 2), workers...)
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	for _, worker := range workers {
+		worker.Behave(func(*emulator.HostedRequest) emulator.HostedFault {
+			select {
+			case <-first:
+				return emulator.HostedFault{Hang: true}
+			default:
+				return emulator.HostedFault{}
+			}
+		})
+	}
+	status, _, body, err := send(context.Background(), t, server, "a", 3, patience)
+	if err != nil || status != http.StatusOK || strings.Count(body, "data:") != 3 {
+		t.Fatalf("status %d, %v: %q", status, err, body)
+	}
+	await(t, "the silent worker's caller leaving", func() bool { return workers[0].Left()+workers[1].Left() == 1 })
+}
+
+// TestDeadlineIsAnswered hangs the only worker: the caller gets its final answer
+// at its deadline, and the worker's run is ended.
+func TestDeadlineIsAnswered(t *testing.T) {
+	workers := startWorkers(t, 1)
+	server, _ := startEdge(t, stream(false, 1), workers...)
+	behaveAll(workers, emulator.HostedFault{Hang: true})
+	status, _, _, err := send(context.Background(), t, server, "a", 3, 200*time.Millisecond)
+	if err != nil || status != http.StatusGatewayTimeout {
+		t.Errorf("status %d, %v", status, err)
+	}
+	await(t, "the end of the run", func() bool { return workers[0].Left() == 1 })
+}
+
+// TestCallerGone ends the caller's request: the worker's run ends too.
+func TestCallerGone(t *testing.T) {
+	workers := startWorkers(t, 1)
+	server, _ := startEdge(t, stream(false, 1), workers...)
+	behaveAll(workers, emulator.HostedFault{Hang: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		await(t, "the run", func() bool { return runs(workers) == 1 })
+		cancel()
+	}()
+	if status, _, _, err := send(ctx, t, server, "a", 3, patience); err == nil {
+		t.Errorf("status %d for a caller that has gone", status)
+	}
+	await(t, "the end of the run", func() bool { return workers[0].Left() == 1 })
+}
+
+// TestPartsGetTheirWeight splits requests 90 to 10.
+func TestPartsGetTheirWeight(t *testing.T) {
+	workers := startWorkers(t, 2)
+	route := stream(false, 1)
+	route.Parts = []routetable.PoolWeight{{Pool: "p", Weight: 90}, {Pool: "q", Weight: 10}}
+	server, _ := startEdge(t, route, workers...)
+	for i := 0; i < 100; i++ {
+		if status, _, _, err := send(context.Background(), t, server, strconv.Itoa(i), 1, patience); err != nil || status != http.StatusOK {
+			t.Fatalf("status %d, %v", status, err)
+		}
+	}
+	if first, second := len(workers[0].Seen()), len(workers[1].Seen()); first != 90 || second != 10 {
+		t.Errorf("%d and %d of 100", first, second)
+	}
+}
+
+// TestNothingIsServedWithoutConfiguration starts an edge that reaches nobody.
+func TestNothingIsServedWithoutConfiguration(t *testing.T) {
+	e := newEdge(t, "127.0.0.1:1")
+	server := httptest.NewServer(e)
+	defer server.Close()
+	status, header, _, err := send(context.Background(), t, server, "a", 1, patience)
+	if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" || e.daemon.Ready() {
+		t.Errorf("status %d, Retry-After %q, %v, ready %t", status, header.Get("Retry-After"), err, e.daemon.Ready())
+	}
+}
+
+func await(tb testing.TB, what string, holds func() bool) {
+	tb.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			tb.Errorf("%s did not come about", what)
+			return
+		}
+	}
+}
+
+// BenchmarkRelay passes streams of 100 events through an edge and reports the
+// time, allocations and bytes per event, those of the worker and the caller in
+// this process included.
+func BenchmarkRelay(b *testing.B) {
+	const events = 100
+	workers := startWorkers(b, 1)
+	server, _ := startEdge(b, stream(false, 1), workers...)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := 0; i < b.N; i += events {
+		if status, _, _, err := send(context.Background(), b, server, strconv.Itoa(i), events, patience); err != nil || status != http.StatusOK {
+			b.Fatalf("status %d, %v", status, err)
+		}
+	}
+}
--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -27,6 +27,7 @@
 	seen    []HostedRequest
 	behave  func(request *HostedRequest) HostedFault
 	leaving bool
+	left    int
 }
 
 // HostedRequest is a request as the worker got it.
@@ -48,6 +49,8 @@
 	Status int
 	// BreakAfter, where it is set, breaks the connection after so many events.
 	BreakAfter int
+	// Hang sends nothing until the caller has left.
+	Hang bool
 }
 
 // NewHostedWorker starts a worker; Close ends it.
@@ -84,6 +87,19 @@
 	return append([]HostedRequest(nil), w.seen...)
 }
 
+// Left returns how many callers left before their answer was whole.
+func (w *HostedWorker) Left() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.left
+}
+
+func (w *HostedWorker) callerLeft() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.left++
+}
+
 // admit takes a request in and returns how the worker misbehaves at it.
 func (w *HostedWorker) admit(request *HostedRequest) HostedFault {
 	w.mutex.Lock()
@@ -140,6 +156,11 @@
 		writer.WriteHeader(fault.Status)
 		return
 	}
+	if fault.Hang {
+		<-httpRequest.Context().Done()
+		w.callerLeft()
+		return
+	}
 	w.stream(writer, httpRequest, request, fault)
 }
 
@@ -156,6 +177,7 @@
 	for sent, number := 0, request.LastEvent+1; number <= count; number++ {
 		select {
 		case <-httpRequest.Context().Done():
+			w.callerLeft()
 			return
 		case <-time.After(w.Pause):
 		}
