--- /dev/null
+++ b/internal/loadshare/loadshare_test.go
@@ -0,0 +1,107 @@
+package loadshare
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+func report(source uint32, worker uint32, online uint16) *wire.LoadReport {
+	return &wire.LoadReport{Source: source, Workers: []wire.WorkerLoad{{Worker: worker, Online: online, Unread: 10}}}
+}
+
+func TestHubAddsUp(t *testing.T) {
+	hub := NewHub()
+	hub.Take(start, report(1, 7, 3))
+	hub.Take(start, report(2, 7, 4))
+	hub.Take(start, report(2, 7, 5))
+	hub.Take(start, report(3, 8, 1))
+	others := hub.Others(start, 1)
+	if len(others) != 2 || others[0].Worker != 7 || others[0].Online != 5 || others[1].Online != 1 {
+		t.Errorf("others of 1: %+v", others)
+	}
+	if all := hub.Others(start, 0); all[0].Online != 8 || all[0].Unread != 20 {
+		t.Errorf("all: %+v", all)
+	}
+}
+
+func TestOldReportsDoNotCount(t *testing.T) {
+	hub := NewHub()
+	hub.Take(start, report(1, 7, 3))
+	late := start.Add(Fresh + 1)
+	if others := hub.Others(late, 2); len(others) != 0 || hub.Sources(late) != 0 {
+		t.Errorf("others %+v", others)
+	}
+	hub.Take(late, report(2, 7, 1))
+	if len(hub.sources) != 1 {
+		t.Errorf("%d reports are kept", len(hub.sources))
+	}
+}
+
+// TestReporterFindsTheHub lets the first of two stores be silent: the reporter
+// goes on to the one that answers and learns what the others have.
+func TestReporterFindsTheHub(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	silent, answering := freeUDP(t), freeUDP(t)
+	var running sync.WaitGroup
+	serve := func(address string, answer func(*wire.LoadReport) *wire.LoadReport) {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			if err := Serve(ctx, address, answer); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	serve(silent, func(*wire.LoadReport) *wire.LoadReport { return nil })
+	serve(answering, func(told *wire.LoadReport) *wire.LoadReport {
+		return &wire.LoadReport{Workers: []wire.WorkerLoad{{Worker: told.Workers[0].Worker, Online: 42}}}
+	})
+	learned := make(chan wire.WorkerLoad, 1000)
+	running.Add(1)
+	go func() {
+		defer running.Done()
+		err := Report(ctx, func() []string { return []string{silent, answering} },
+			func() *wire.LoadReport { return report(1, 7, 3) },
+			func(_ time.Time, others []wire.WorkerLoad) { learned <- others[0] })
+		if err != nil {
+			t.Error(err)
+		}
+	}()
+	if load := <-learned; load.Worker != 7 || load.Online != 42 {
+		t.Errorf("learned %+v", load)
+	}
+	cancel()
+	running.Wait()
+}
+
+func freeUDP(t *testing.T) string {
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	return socket.LocalAddr().String()
+}
+
+// FuzzReport checks that no datagram makes the decoder fail but with an error.
+func FuzzReport(f *testing.F) {
+	encoded, err := report(1, 7, 3).MarshalMsg(nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Fuzz(func(_ *testing.T, datagram []byte) {
+		var decoded wire.LoadReport
+		if _, err := decoded.UnmarshalMsg(datagram); err == nil {
+			NewHub().Take(start, &decoded)
+		}
+	})
+}
