One reading of the leader that a refusal names, one constraint for decodable messages

Found on a last reading: coordinator, watcher and store client each cut the leader out of a refusal (consensus.LeaderOf now), two of them declared rpc's constraint again (rpc.Decodable now), and a wrapper in the edge only called another. No change of behaviour meant.

--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -282,6 +283,15 @@
 // LeaderField is the prefix of the failure field that names the leader.
 const LeaderField = "leader="
 
+// LeaderOf returns the address of the leader that a refusal names, or nothing.
+func LeaderOf(err error) string {
+	address, named := strings.CutPrefix(failure.From(err).Field, LeaderField)
+	if !named {
+		return ""
+	}
+	return address
+}
+
 func (r *Replica) notLeader() error {
 	refusal := failure.New(failure.NotRun, "ask the leader", "this replica of group %d does not lead", r.config.Group)
 	for _, member := range Members(&r.membership) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	mathrand "math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -243,21 +242,6 @@
 	return result, result.Failure.Err()
 }
 
-// leaderOf returns the address of the leader that a refusal names, or nothing.
-func leaderOf(err error) string {
-	address, found := strings.CutPrefix(failure.From(err).Field, consensus.LeaderField)
-	if !found {
-		return ""
-	}
-	return address
-}
-
-// decodable is a pointer to T that decodes itself.
-type decodable[T any] interface {
-	*T
-	msgp.Unmarshaler
-}
-
 const (
 	// leadPause is the time between two tries to reach the leader.
 	leadPause = 40 * time.Millisecond
@@ -268,14 +252,14 @@
 // atLeader runs a call here, if this process leads, or else at the leader. While
 // there is none it tries again for a moment. Only refusals are repeated: a call
 // whose outcome is unknown is not.
-func atLeader[Response any, Pointer decodable[Response]](ctx context.Context, c *Coordinator, method string, request msgp.Marshaler, local func(context.Context) (*Response, error)) (*Response, error) {
+func atLeader[Response any, Pointer rpc.Decodable[Response]](ctx context.Context, c *Coordinator, method string, request msgp.Marshaler, local func(context.Context) (*Response, error)) (*Response, error) {
 	deadline := time.Now().Add(leadPatience)
 	for {
 		response, err := local(ctx)
 		if err == nil {
 			return response, nil
 		}
-		if leader := leaderOf(err); leader != "" && leader != c.daemon.Address() {
+		if leader := consensus.LeaderOf(err); leader != "" && leader != c.daemon.Address() {
 			callContext, cancel := context.WithDeadline(ctx, deadline.Add(leadPatience))
 			response, err = rpc.Call[Response, Pointer](callContext, c.client, leader, method, request)
 			cancel()
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -244,19 +244,15 @@
 
 // headBy returns until when a worker may keep silent before its answer.
 func (c *call) headBy() time.Time {
-	if !c.mayMoveAfterThis() {
+	if !c.mayMove() {
 		return c.deadline
 	}
 	return c.earlier(max(firstPatience*c.route.Goal(), minPatience))
 }
 
-// mayMoveAfterThis reports whether there is an attempt left after the present
-// one.
-func (c *call) mayMoveAfterThis() bool { return c.mayMove() }
-
 // gapBy returns until when a worker may keep silent within a stream.
 func (c *call) gapBy() time.Time {
-	if !c.mayMoveAfterThis() {
+	if !c.mayMove() {
 		return c.deadline
 	}
 	return c.earlier(max(gapPatience*c.route.GapGoal(), minPatience))
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -12,12 +12,10 @@
 
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/coordinator"
-	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/wire"
-	"strings"
 )
 
 const (
@@ -103,7 +101,7 @@
 			continue
 		}
 		w.lost(target, err)
-		target, _ = strings.CutPrefix(leaderField(err), consensus.LeaderField)
+		target = consensus.LeaderOf(err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryPause):
@@ -111,15 +109,6 @@
 	}
 }
 
-// leaderField returns the part of a refusal that names the leader, or nothing.
-func leaderField(err error) string {
-	field := failure.From(err).Field
-	if !strings.HasPrefix(field, consensus.LeaderField) {
-		return ""
-	}
-	return field
-}
-
 func (w *Watcher) lost(target string, err error) {
 	if w.reached {
 		w.reached = false
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -110,7 +110,7 @@
 // failure is NotRun when no connection was made, so that no byte of the
 // request can have left; the peer's own typed failure when it answered with
 // one; and OutcomeUnknown otherwise.
-func Call[Response any, Pointer decodable[Response]](ctx context.Context, client *Client, address, method string, request msgp.Marshaler) (*Response, error) {
+func Call[Response any, Pointer Decodable[Response]](ctx context.Context, client *Client, address, method string, request msgp.Marshaler) (*Response, error) {
 	httpResponse, err := client.Open(ctx, address, method, request, false)
 	if err != nil {
 		return nil, err
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -31,14 +31,14 @@
 	HandleFunc(path string, handler http.HandlerFunc)
 }
 
-// decodable is a pointer to T that decodes itself.
-type decodable[T any] interface {
+// Decodable is a pointer to T that decodes itself.
+type Decodable[T any] interface {
 	*T
 	msgp.Unmarshaler
 }
 
 // Handle registers a call handler under the method name.
-func Handle[Request any, Pointer decodable[Request]](router Router, method string, handler func(context.Context, *Request) (msgp.Marshaler, error)) {
+func Handle[Request any, Pointer Decodable[Request]](router Router, method string, handler func(context.Context, *Request) (msgp.Marshaler, error)) {
 	router.HandleFunc(PathPrefix+method, func(writer http.ResponseWriter, httpRequest *http.Request) {
 		var request Request
 		if err := ReadMessage(httpRequest.Body, Pointer(&request)); err != nil {
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -54,7 +54,7 @@
 // HandleStream registers a call handler whose answer is a stream of frames. An
 // error returned before the first frame is answered as a plain failure; later
 // ones break the stream off without an end.
-func HandleStream[Request any, Pointer decodable[Request]](router Router, method string, handler func(context.Context, *Request, *FrameWriter) error) {
+func HandleStream[Request any, Pointer Decodable[Request]](router Router, method string, handler func(context.Context, *Request, *FrameWriter) error) {
 	router.HandleFunc(PathPrefix+method, func(writer http.ResponseWriter, httpRequest *http.Request) {
 		var request Request
 		if err := ReadMessage(httpRequest.Body, Pointer(&request)); err != nil {
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -68,24 +67,18 @@
 		c.leader = address
 		return
 	}
-	leader, named := strings.CutPrefix(failure.From(err).Field, consensus.LeaderField)
+	leader := consensus.LeaderOf(err)
 	switch {
-	case named:
+	case leader != "":
 		c.leader = leader
 	case c.leader == address:
 		c.leader = ""
 	}
 }
 
-// decodable is a pointer to T that decodes itself.
-type decodable[T any] interface {
-	*T
-	msgp.Unmarshaler
-}
-
 // call asks the leader until ctx ends. Where any try may have been carried out
 // and none was answered, the failure is OutcomeUnknown.
-func call[Response any, Pointer decodable[Response]](ctx context.Context, c *Client, method string, request msgp.Marshaler, hold time.Duration) (*Response, error) {
+func call[Response any, Pointer rpc.Decodable[Response]](ctx context.Context, c *Client, method string, request msgp.Marshaler, hold time.Duration) (*Response, error) {
 	unknown := false
 	for {
 		address := c.target()
