Internal calls compress long bodies and leave out heads that nobody reads

Ruled out: the requests themselves (about 5 MB, mostly within a zone). A body that would grow beyond 32 MB is refused (test).

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -117,7 +117,7 @@
 	}
 	defer httpResponse.Body.Close()
 	response := new(Response)
-	if err := ReadMessage(httpResponse.Body, Pointer(response)); err != nil {
+	if err := ReadMessage(httpResponse.Header, httpResponse.Body, Pointer(response)); err != nil {
 		return nil, failure.Wrap(err, failure.OutcomeUnknown, "ask again for the state", "the answer of %s was cut", address)
 	}
 	return response, nil
@@ -128,7 +128,7 @@
 // a connection which the peer closed while idle can't leave its outcome
 // unknown. The failures are those of Call.
 func (c *Client) Open(ctx context.Context, address, method string, request msgp.Marshaler, fresh bool) (*http.Response, error) {
-	body, err := request.MarshalMsg(nil)
+	body, encoding, err := encodeBody(request)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, "report this", "the request does not encode")
 	}
@@ -143,6 +143,11 @@
 	// Without GetBody net/http never sends the body a second time by itself.
 	httpRequest.GetBody = nil
 	httpRequest.Header.Set("Content-Type", ContentType)
+	if encoding != "" {
+		httpRequest.Header.Set(encodingHeader, encoding)
+	}
+	// Without this net/http names itself in every call.
+	httpRequest.Header["User-Agent"] = nil
 	httpClient := c.pooled
 	if fresh {
 		httpClient = c.fresh
@@ -188,7 +193,7 @@
 		return failure.New(failure.OutcomeUnknown, "check that the address is a peer's", "%s answered with status %d", address, httpResponse.StatusCode)
 	}
 	var told wire.Failure
-	if err := ReadMessage(httpResponse.Body, &told); err != nil {
+	if err := ReadMessage(httpResponse.Header, httpResponse.Body, &told); err != nil {
 		return failure.Wrap(err, failure.OutcomeUnknown, "ask again for the state", "the answer of %s was cut", address)
 	}
 	return told.Err()
--- /dev/null
+++ b/internal/rpc/compress.go
@@ -0,0 +1,86 @@
+package rpc
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
+)
+
+const (
+	encodingHeader = "Content-Encoding"
+	encodingZstd   = "zstd"
+	// minCompressed is the size, in bytes, from which a body is compressed:
+	// below it the time costs more than the bytes.
+	minCompressed = 512
+	// compressWindow bounds the memory of an encoder, in bytes.
+	compressWindow = 128 << 10
+)
+
+// encoder and decoder are made when they are first used: most processes of the
+// embedded fleet never need them.
+var (
+	encoder = sync.OnceValues(func() (*zstd.Encoder, error) {
+		return zstd.NewWriter(nil,
+			zstd.WithEncoderLevel(zstd.SpeedFastest),
+			zstd.WithEncoderConcurrency(1),
+			zstd.WithWindowSize(compressWindow),
+			zstd.WithLowerEncoderMem(true),
+		)
+	})
+	decoder = sync.OnceValues(func() (*zstd.Decoder, error) {
+		return zstd.NewReader(nil,
+			zstd.WithDecoderConcurrency(1),
+			zstd.WithDecoderMaxMemory(MaxBodyBytes),
+			zstd.WithDecoderLowmem(true),
+		)
+	})
+)
+
+// encodeBody encodes a message and compresses it where that makes it shorter. It
+// returns the body and its Content-Encoding, empty for none.
+func encodeBody(message msgp.Marshaler) (body []byte, encoding string, err error) {
+	body, err = message.MarshalMsg(nil)
+	if err != nil || len(body) < minCompressed {
+		return body, "", err
+	}
+	e, err := encoder()
+	if err != nil {
+		return nil, "", err
+	}
+	if short := e.EncodeAll(body, nil); len(short) < len(body) {
+		return short, encodingZstd, nil
+	}
+	return body, "", nil
+}
+
+// readBody reads a whole body of at most MaxBodyBytes and undoes its
+// compression.
+func readBody(header http.Header, body io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, MaxBodyBytes+1))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.BadRequest, "send the whole body", "the body could not be read")
+	}
+	if len(data) > MaxBodyBytes {
+		return nil, failure.New(failure.BadRequest, "send smaller messages", "the body is longer than %d bytes", MaxBodyBytes)
+	}
+	switch encoding := header.Get(encodingHeader); encoding {
+	case "":
+		return data, nil
+	case encodingZstd:
+		d, err := decoder()
+		if err != nil {
+			return nil, failure.Wrap(err, failure.Internal, "report this", "no decoder could be made")
+		}
+		if data, err = d.DecodeAll(data, nil); err != nil {
+			return nil, failure.Wrap(err, failure.BadRequest, "send the body whole and at most 32 MB long", "the body does not decompress")
+		}
+		return data, nil
+	default:
+		return nil, failure.New(failure.BadRequest, "use zstd or none", "the body has the unknown encoding %q", encoding)
+	}
+}
--- /dev/null
+++ b/internal/rpc/compress_test.go
@@ -0,0 +1,73 @@
+package rpc
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// router lets a ServeMux take the package's handlers.
+type router struct{ *http.ServeMux }
+
+// HandleFunc implements Router.
+func (r router) HandleFunc(path string, handler http.HandlerFunc) { r.Handle(path, handler) }
+
+// TestLongBodiesTravelCompressed sends bodies there and back, and looks at how
+// many bytes that took.
+func TestLongBodiesTravelCompressed(t *testing.T) {
+	mux := router{http.NewServeMux()}
+	Handle(mux, "echo", func(_ context.Context, body *wire.ItemBody) (msgp.Marshaler, error) { return body, nil })
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	for name, test := range map[string]struct {
+		body []byte
+		most uint64
+	}{
+		"empty": {nil, 400},
+		"short": {[]byte("a few words"), 400},
+		"long":  {[]byte(strings.Repeat("0123456789abcdef", 16<<10)), 4000},
+	} {
+		c := NewClient()
+		answer, err := Call[wire.ItemBody](context.Background(), c, server.Listener.Addr().String(), "echo", &wire.ItemBody{Body: test.body})
+		if err != nil || !bytes.Equal(answer.Body, test.body) {
+			t.Errorf("%s: %d of %d bytes came back, %v", name, len(answer.Body), len(test.body), err)
+		}
+		if moved := c.Traffic(); moved.SentBytes > test.most || moved.ReceivedBytes > test.most {
+			t.Errorf("%s: %d bytes sent, %d received", name, moved.SentBytes, moved.ReceivedBytes)
+		}
+		c.Close()
+	}
+}
+
+// TestWrongEncodings checks that a body that does not decompress, or that would
+// become too long, is refused and does not take the process along.
+func TestWrongEncodings(t *testing.T) {
+	e, err := encoder()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, test := range map[string]struct {
+		encoding string
+		body     []byte
+	}{
+		"unknown encoding":     {"br", []byte{0xc0}},
+		"not compressed":       {encodingZstd, []byte("plain")},
+		"cut short":            {encodingZstd, e.EncodeAll(make([]byte, 4096), nil)[:9]},
+		"longer than allowed":  {encodingZstd, e.EncodeAll(make([]byte, MaxBodyBytes+1), nil)},
+		"no message within":    {encodingZstd, e.EncodeAll([]byte{0xc1}, nil)},
+		"two messages, no end": {encodingZstd, e.EncodeAll([]byte{0x80, 0x80}, nil)},
+	} {
+		err := ReadMessage(http.Header{encodingHeader: {test.encoding}}, bytes.NewReader(test.body), &wire.Empty{})
+		if !failure.Is(err, failure.BadRequest) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -41,7 +41,7 @@
 func Handle[Request any, Pointer Decodable[Request]](router Router, method string, handler func(context.Context, *Request) (msgp.Marshaler, error)) {
 	router.HandleFunc(PathPrefix+method, func(writer http.ResponseWriter, httpRequest *http.Request) {
 		var request Request
-		if err := ReadMessage(httpRequest.Body, Pointer(&request)); err != nil {
+		if err := ReadMessage(httpRequest.Header, httpRequest.Body, Pointer(&request)); err != nil {
 			WriteFailure(writer, err)
 			return
 		}
@@ -50,26 +50,27 @@
 			WriteFailure(writer, err)
 			return
 		}
-		body, err := response.MarshalMsg(nil)
+		body, encoding, err := encodeBody(response)
 		if err != nil {
 			WriteFailure(writer, err)
 			return
 		}
-		writer.Header().Set("Content-Type", ContentType)
+		setHeader(writer.Header())
+		if encoding != "" {
+			writer.Header().Set(encodingHeader, encoding)
+		}
 		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		// A failed write means that the peer has gone; its call fails there.
 		_, _ = writer.Write(body)
 	})
 }
 
-// ReadMessage decodes one whole body of at most MaxBodyBytes.
-func ReadMessage(body io.Reader, message msgp.Unmarshaler) error {
-	data, err := io.ReadAll(io.LimitReader(body, MaxBodyBytes+1))
+// ReadMessage decodes one whole body of at most MaxBodyBytes, which came with the
+// header.
+func ReadMessage(header http.Header, body io.Reader, message msgp.Unmarshaler) error {
+	data, err := readBody(header, body)
 	if err != nil {
-		return failure.Wrap(err, failure.BadRequest, "send the whole body", "the body could not be read")
-	}
-	if len(data) > MaxBodyBytes {
-		return failure.New(failure.BadRequest, "send smaller messages", "the body is longer than %d bytes", MaxBodyBytes)
+		return err
 	}
 	rest, err := message.UnmarshalMsg(data)
 	if err != nil {
@@ -81,6 +82,13 @@
 	return nil
 }
 
+// setHeader sets what answers have in common. The time of day is left out: nobody
+// reads it, and it travels with every answer.
+func setHeader(header http.Header) {
+	header.Set("Content-Type", ContentType)
+	header["Date"] = nil
+}
+
 // WriteFailure answers a call with a typed failure.
 func WriteFailure(writer http.ResponseWriter, err error) {
 	body, marshalErr := wire.NewFailure(err).MarshalMsg(nil)
@@ -88,7 +96,7 @@
 		http.Error(writer, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	writer.Header().Set("Content-Type", ContentType)
+	setHeader(writer.Header())
 	writer.Header().Set(failureHeader, failure.KindOf(err).String())
 	writer.WriteHeader(failure.KindOf(err).HTTPStatus())
 	_, _ = writer.Write(body)
