Reads of jobs are answered by a store of the caller's own zone

Ruled out: reading whatever a replica has; that it has nothing proves nothing, and a position that was read somewhere must be there everywhere a second later. Change: every replica answers with what it has, which is committed and stays; before it says that it has nothing it asks the leader for its index and catches up. An edge stays with one store of its zone and passes it over for 3 s once it does not answer.

--- a/internal/batchstore/handlers.go
+++ b/internal/batchstore/handlers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
@@ -15,6 +14,9 @@
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
+// methodIndex asks the leader how far it has come.
+const methodIndex = "batch_index"
+
 func (s *Store) register() {
 	server := s.daemon.Server
 	rpc.Handle(server, replication.MethodHello, func(ctx context.Context, hello *wire.Hello) (msgp.Marshaler, error) {
@@ -27,6 +29,7 @@
 	rpc.Handle(server, storeclient.MethodRead, s.results)
 	rpc.Handle(server, storeclient.MethodBody, s.body)
 	rpc.Handle(server, storeclient.MethodEnd, s.end)
+	rpc.Handle(server, methodIndex, s.index)
 }
 
 func (s *Store) submit(ctx context.Context, job *wire.SubmitBatch) (msgp.Marshaler, error) {
@@ -59,53 +62,6 @@
 	return failure.KindOf(err).String()
 }
 
-func (s *Store) results(ctx context.Context, request *wire.BatchReadRequest) (msgp.Marshaler, error) {
-	timeout := time.NewTimer(time.Duration(request.WaitMillis) * time.Millisecond)
-	defer timeout.Stop()
-	for {
-		changed := s.changes()
-		var response *wire.BatchReadResponse
-		err := s.read(func(reader storage.Reader) (err error) {
-			response, err = s.machine.Read(reader, request.ID, request.Since, request.MaxBytes)
-			return err
-		})
-		if err != nil {
-			return nil, err
-		}
-		if len(response.Results) > 0 || request.Since >= response.Total || request.WaitMillis <= 0 {
-			return response, nil
-		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			return response, nil
-		case <-ctx.Done():
-			return response, nil
-		}
-	}
-}
-
-func (s *Store) body(_ context.Context, request *wire.ItemBodyRequest) (msgp.Marshaler, error) {
-	response := &wire.ItemBody{}
-	err := s.read(func(reader storage.Reader) error {
-		job, err := s.machine.Job(request.Job)
-		if err != nil {
-			return err
-		}
-		number, found := job.Find(request.Item)
-		if !found || job.Items[number].State != wire.ItemWaiting {
-			return failure.New(failure.NotFound, "check the id, or read the result", "job %q has no item %q without a result", request.Job, request.Item)
-		}
-		content, err := s.machine.Content(reader, request.Job, number)
-		response.Body = content.Body
-		return err
-	})
-	if err != nil {
-		return nil, err
-	}
-	return response, nil
-}
-
 func (s *Store) end(ctx context.Context, request *wire.BatchName) (msgp.Marshaler, error) {
 	result, err := s.propose(ctx, &wire.BatchCommand{End: request})
 	logging.Info(s.logger, "job_ended", "job", request.ID, "error", err)
--- /dev/null
+++ b/internal/batchstore/reads.go
@@ -0,0 +1,128 @@
+package batchstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/batchstate"
+	"github.com/sedgemast/sedgemast/internal/consensus"
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// Reads are answered by every replica. What a replica has is committed, and a
+// result stays at its position, so what it has is right however old its state is.
+// That it has nothing says nothing by itself: before it says so, it asks the
+// leader how far it must have come, and catches up to there.
+
+// catchUpTime bounds that question and the catching up.
+const catchUpTime = 400 * time.Millisecond
+
+// results answers with results from a position on. Where there are none it waits.
+func (s *Store) results(ctx context.Context, request *wire.BatchReadRequest) (msgp.Marshaler, error) {
+	response, err := s.resultsHere(request)
+	if err == nil && len(response.Results) > 0 {
+		return response, nil
+	}
+	if err := s.catchUp(ctx); err != nil {
+		return nil, err
+	}
+	timeout := time.NewTimer(time.Duration(request.WaitMillis) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		changed := s.changes()
+		response, err := s.resultsHere(request)
+		if err != nil {
+			return nil, err
+		}
+		if len(response.Results) > 0 || request.Since >= response.Total || request.WaitMillis <= 0 {
+			return response, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return response, nil
+		case <-ctx.Done():
+			return response, nil
+		}
+	}
+}
+
+func (s *Store) resultsHere(request *wire.BatchReadRequest) (response *wire.BatchReadResponse, err error) {
+	err = s.host.ReadReplica(batchGroup, func(_ uint64, reader storage.Reader) error {
+		response, err = s.machine.Read(reader, request.ID, request.Since, request.MaxBytes)
+		return err
+	})
+	return response, err
+}
+
+// body answers with the body of an item without a result.
+func (s *Store) body(ctx context.Context, request *wire.ItemBodyRequest) (msgp.Marshaler, error) {
+	if body, err := s.bodyHere(request); err == nil {
+		return body, nil
+	}
+	if err := s.catchUp(ctx); err != nil {
+		return nil, err
+	}
+	return s.bodyHere(request)
+}
+
+func (s *Store) bodyHere(request *wire.ItemBodyRequest) (*wire.ItemBody, error) {
+	body := &wire.ItemBody{}
+	err := s.host.ReadReplica(batchGroup, func(_ uint64, reader storage.Reader) error {
+		job, err := s.machine.Job(request.Job)
+		if err != nil {
+			return err
+		}
+		number, found := job.Find(request.Item)
+		if !found || job.Items[number].State != wire.ItemWaiting {
+			return failure.New(failure.NotFound, "check the id, or read the result", "job %q has no item %q without a result", request.Job, request.Item)
+		}
+		return s.loadBody(reader, job, number, body)
+	})
+	return body, err
+}
+
+func (s *Store) loadBody(reader storage.Reader, job *batchstate.Job, number int, body *wire.ItemBody) error {
+	content, err := s.machine.Content(reader, job.ID, number)
+	if err != nil {
+		return err
+	}
+	body.Body = content.Body
+	return nil
+}
+
+// catchUp returns once the state here holds all that was acknowledged before the
+// call. It fails with NotRun where no leader can be asked, or where this replica
+// does not come so far.
+func (s *Store) catchUp(ctx context.Context) error {
+	_, err := s.host.ReadIndex(batchGroup)
+	if err == nil {
+		return nil
+	}
+	leader := consensus.LeaderOf(err)
+	if leader == "" || leader == s.daemon.Address() {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTime)
+	defer cancel()
+	reached, err := rpc.Call[wire.ReplicaIndex](ctx, s.client, leader, methodIndex, &wire.Empty{})
+	if err != nil {
+		// A question leaves nothing behind: any failure means try elsewhere.
+		return failure.Wrap(err, failure.NotRun, "ask another store", "the leader %s does not say how far it has come", leader)
+	}
+	return s.host.AwaitApplied(ctx, batchGroup, reached.Index)
+}
+
+// index answers how far another replica must have come to know all.
+func (s *Store) index(context.Context, *wire.Empty) (msgp.Marshaler, error) {
+	index, err := s.host.ReadIndex(batchGroup)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ReplicaIndex{Index: index}, nil
+}
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -1,7 +1,7 @@
 // Package batchstore is the daemon that keeps batch jobs. All stores hold the
-// batch group's log; its leader also runs the items, because it has their whole
-// state at hand. What is accepted, recorded and read goes through the log or
-// through the leader's lease.
+// batch group's log and answer reads; its leader also runs the items, because it
+// has their whole state at hand. What is accepted and recorded goes through the
+// log.
 package batchstore
 
 import (
@@ -22,6 +22,7 @@
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/replication"
+	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/settings"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/upstream"
@@ -54,6 +55,7 @@
 	runner   *runner
 	metrics  *metrics
 	hub      *loadshare.Hub
+	client   *rpc.Client
 
 	// mutex guards what follows.
 	mutex   sync.Mutex
@@ -79,6 +81,7 @@
 		upstream: upstream.NewClient(names),
 		dialect:  names,
 		hub:      loadshare.NewHub(),
+		client:   rpc.NewClient(),
 		metrics:  newMetrics(d.Registry),
 		changed:  make(chan struct{}),
 	}
@@ -152,7 +155,7 @@
 	s.workers.Update(snapshot.Fleet.Workers, snapshot.Table.Memory())
 	s.upstream.Forget(s.workers.Knows)
 	ctx := s.daemon.Context()
-	err := s.host.AddPeers(ctx, snapshot.Fleet.Stores)
+	err := s.host.AddPeers(ctx, snapshot.Fleet.StoreAddresses())
 	err = errors.CombineErrors(err, s.host.SetRetiring(ctx, snapshot.Fleet.Retiring))
 	err = errors.CombineErrors(err, s.host.Form(ctx, snapshot.Fleet.Initial))
 	if err != nil && ctx.Err() == nil {
@@ -249,5 +252,6 @@
 // stopped.
 func (s *Store) Close() error {
 	s.host.Close()
+	s.client.Close()
 	return s.store.Close()
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -60,7 +60,7 @@
 	}
 	e.watcher = fleetwatch.New(d.Logger, config.Seeds, e.report)
 	e.watcher.OnChange(e.adopt)
-	e.Stores = storeclient.New(func() []string { return e.watcher.Current().Fleet.Stores })
+	e.Stores = storeclient.New(config.Zone, func() []wire.StoreAddress { return e.watcher.Current().Fleet.Stores })
 	d.Go(e.watcher.Run)
 	d.Go(e.shareLoads)
 	d.BeforeStop(e.drain)
@@ -72,7 +72,7 @@
 func (e *Edge) shareLoads(ctx context.Context) {
 	source := loadshare.Hash(e.settings.Name)
 	err := loadshare.Report(ctx,
-		func() []string { return e.watcher.Current().Fleet.Stores },
+		func() []string { return e.watcher.Current().Fleet.StoreAddresses() },
 		func() *wire.LoadReport { return &wire.LoadReport{Source: source, Workers: e.workers.Loads()} },
 		e.workers.SetOthers)
 	if err != nil {
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -263,7 +263,7 @@
 	m.transmit(store, func() {
 		store.knownTerm, store.knownView = term, number
 		store.drive(func() {
-			store.node.AddPeers(w.now, answer.Stores)
+			store.node.AddPeers(w.now, answer.StoreAddresses())
 			store.node.SetRetiring(answer.Retiring)
 			store.node.Form(w.now, answer.Initial)
 		})
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -74,7 +74,7 @@
 		Retiring:     retiring,
 	}
 	for _, store := range v.stores(now) {
-		next.Stores = append(next.Stores, store.Replica.Address)
+		next.Stores = append(next.Stores, wire.StoreAddress{Address: store.Replica.Address, Zone: store.Zone})
 	}
 	for _, known := range v.processes {
 		if known.report.Kind == wire.ProcessEdge && now.Sub(known.at) <= ProcessFresh {
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -41,6 +41,9 @@
 	mutex sync.RWMutex
 	// leadership is what readers outside the node's loop go by.
 	leadership atomic.Pointer[leadership]
+	// applied is the index of the last entry in the machine's state; it changes
+	// under the mutex only.
+	applied atomic.Uint64
 }
 
 // waiter is a proposal whose entry is on its way.
@@ -72,6 +75,7 @@
 		return nil, err
 	}
 	g.replica = consensus.New(n.consensusConfig(number), restored, now)
+	g.applied.Store(restored.Applied)
 	g.publish(now)
 	return g, nil
 }
@@ -170,6 +174,13 @@
 	return batch, answers
 }
 
+// noteApplied takes in that the entries are in the state.
+func (g *group) noteApplied(entries []wire.LogEntry) {
+	if len(entries) > 0 {
+		g.applied.Store(entries[len(entries)-1].Index)
+	}
+}
+
 func (w waiter) answer(entry *wire.LogEntry, answer []byte) answered {
 	if entry.Term != w.term {
 		refusal := failure.New(failure.NotRun, "send it again", "another leader's entry took the command's place")
--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -7,7 +7,6 @@
 
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/failure"
-	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -249,11 +248,6 @@
 	}
 }
 
-// Read calls read as Node.Read does; it may be called from any goroutine.
-func (h *Host) Read(number int, read func(term uint64, reader storage.Reader) error) error {
-	return h.node.Read(time.Now(), number, read)
-}
-
 // Statuses returns the state of every replica.
 func (h *Host) Statuses(ctx context.Context) ([]consensus.Status, error) {
 	return ask(ctx, h, h.node.Statuses)
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -7,7 +7,6 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/consensus"
-	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -139,11 +138,11 @@
 
 // Propose appends a command to the group's log; done is called once.
 func (n *Node) Propose(number int, command []byte, done Done) {
-	if number < 0 || number >= len(n.groups) {
-		done(nil, unknownGroup(number))
+	g, err := n.group(number)
+	if err != nil {
+		done(nil, err)
 		return
 	}
-	g := n.groups[number]
 	index, term, err := g.replica.Propose(command)
 	if err != nil {
 		done(nil, err)
@@ -152,10 +151,6 @@
 	g.waiting[index] = waiter{term: term, done: done}
 }
 
-func unknownGroup(number int) error {
-	return failure.New(failure.NotFound, "check the id", "there is no group %d", number)
-}
-
 // TransferAll hands leadership of every group to another process, and reports
 // whether this one leads none any more.
 func (n *Node) TransferAll(now time.Time) bool {
@@ -168,28 +163,6 @@
 	return done
 }
 
-// Read calls read while the group's state does not change. It fails with NotRun
-// unless this replica leads the group and holds its lease; the term that it
-// leads in is handed to read.
-func (n *Node) Read(now time.Time, number int, read func(term uint64, reader storage.Reader) error) error {
-	if number < 0 || number >= len(n.groups) {
-		return unknownGroup(number)
-	}
-	g := n.groups[number]
-	// The lease is checked after the request has come: what is read below was
-	// the newest state at this moment or later.
-	current := g.leadership.Load()
-	if current.refusal != nil {
-		return current.refusal
-	}
-	if !now.Before(current.leaseUntil) {
-		return failure.New(failure.NotRun, "try again", "the leader of group %d has not heard a majority lately", number)
-	}
-	g.mutex.RLock()
-	defer g.mutex.RUnlock()
-	return read(current.term, n.reader(g))
-}
-
 // Statuses returns the state of every replica.
 func (n *Node) Statuses(now time.Time) []consensus.Status {
 	statuses := make([]consensus.Status, 0, len(n.groups))
@@ -269,6 +242,7 @@
 		if len(batch) > 0 {
 			n.commit(batch, false)
 		}
+		g.noteApplied(ready.Committed)
 		g.mutex.Unlock()
 		g.replica.Advance(now, ready)
 		for _, ended := range answers {
--- a/internal/replication/snapshot.go
+++ b/internal/replication/snapshot.go
@@ -205,5 +205,6 @@
 	if err := g.machine.Restore(n.reader(g)); err != nil {
 		panic(errors.Wrapf(err, "the snapshot of group %d does not restore", g.number))
 	}
+	g.applied.Store(base.Index)
 	g.replica.InstallSnapshot(now, message.From, base)
 }
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -1,6 +1,6 @@
-// Package storeclient hands jobs to the leader of the store group. Every call may
-// be repeated without harm, so it goes on to the next leader until its time is
-// over.
+// Package storeclient hands jobs to the leader of the store group, and reads from
+// a store nearby. Every call may be repeated without harm, so it goes on to the
+// next leader until its time is over.
 package storeclient
 
 import (
@@ -33,15 +33,20 @@
 // Client calls the stores.
 type Client struct {
 	client *rpc.Client
-	stores func() []string
+	stores func() []wire.StoreAddress
+	near   near
 	mutex  sync.Mutex
 	leader string
 	next   int
 }
 
-// New returns a client; stores lists the addresses of the stores known.
-func New(stores func() []string) *Client {
-	return &Client{client: rpc.NewClient(), stores: stores}
+// New returns a client for a process in the zone; stores lists the stores known.
+func New(zone string, stores func() []wire.StoreAddress) *Client {
+	return &Client{
+		client: rpc.NewClient(),
+		stores: stores,
+		near:   near{zone: zone, shunned: map[string]time.Time{}},
+	}
 }
 
 // target returns whom to ask.
@@ -56,7 +61,7 @@
 		return ""
 	}
 	c.next++
-	return stores[c.next%len(stores)]
+	return stores[c.next%len(stores)].Address
 }
 
 // learn takes in how a call to the address ended.
@@ -116,14 +121,32 @@
 	return call[wire.BatchResult](ctx, c, MethodSubmit, job, 0)
 }
 
+// read asks a store nearby, and the leader where that one does not answer.
+func read[Response any, Pointer rpc.Decodable[Response]](ctx context.Context, c *Client, method string, request msgp.Marshaler, hold time.Duration) (*Response, error) {
+	address := c.near.pick(time.Now(), c.stores())
+	if address == "" {
+		return call[Response, Pointer](ctx, c, method, request, hold)
+	}
+	attempt, cancel := context.WithTimeout(ctx, attemptTime+hold)
+	defer cancel()
+	response, err := rpc.Call[Response, Pointer](attempt, c.client, address, method, request)
+	if err == nil || !failure.Is(err, failure.NotRun) && !failure.Is(err, failure.OutcomeUnknown) {
+		return response, err
+	}
+	if ctx.Err() == nil {
+		c.near.shun(time.Now(), address)
+	}
+	return call[Response, Pointer](ctx, c, method, request, hold)
+}
+
 // Read reads results.
 func (c *Client) Read(ctx context.Context, request *wire.BatchReadRequest) (*wire.BatchReadResponse, error) {
-	return call[wire.BatchReadResponse](ctx, c, MethodRead, request, time.Duration(request.WaitMillis)*time.Millisecond)
+	return read[wire.BatchReadResponse](ctx, c, MethodRead, request, time.Duration(request.WaitMillis)*time.Millisecond)
 }
 
 // Body reads the body of an item without a result.
 func (c *Client) Body(ctx context.Context, request *wire.ItemBodyRequest) (*wire.ItemBody, error) {
-	return call[wire.ItemBody](ctx, c, MethodBody, request, 0)
+	return read[wire.ItemBody](ctx, c, MethodBody, request, 0)
 }
 
 // End ends a job.
--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -36,12 +36,25 @@
 		s.asked.Add(1)
 		return answer(s)
 	})
+	rpc.Handle(mux, MethodBody, func(context.Context, *wire.ItemBodyRequest) (msgp.Marshaler, error) {
+		s.asked.Add(1)
+		return answer(s)
+	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	s.address = server.Listener.Addr().String()
 	return s
 }
 
+// at lists stores at the addresses, all in the zone.
+func at(zone string, addresses ...string) func() []wire.StoreAddress {
+	var stores []wire.StoreAddress
+	for _, address := range addresses {
+		stores = append(stores, wire.StoreAddress{Address: address, Zone: zone})
+	}
+	return func() []wire.StoreAddress { return stores }
+}
+
 func notLeader(leader string) error {
 	return failure.New(failure.NotRun, "ask the leader", "it does not lead").WithField(consensus.LeaderField + leader)
 }
@@ -49,7 +62,7 @@
 func TestClientFollowsToTheLeaderAndStays(t *testing.T) {
 	leader := startStore(t, func(*store) (msgp.Marshaler, error) { return &wire.BatchResult{}, nil })
 	follower := startStore(t, func(*store) (msgp.Marshaler, error) { return nil, notLeader(leader.address) })
-	client := New(func() []string { return []string{follower.address} })
+	client := New("z", at("y", follower.address))
 	for i := 0; i < 3; i++ {
 		if _, err := client.End(context.Background(), "j"); err != nil {
 			t.Fatal(err)
@@ -87,10 +100,67 @@
 		{"an answer of its own", []string{definite.address}, failure.NotFound},
 	} {
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-		_, err := New(func() []string { return test.stores }).End(ctx, "j")
+		_, err := New("z", at("y", test.stores...)).End(ctx, "j")
 		cancel()
 		if failure.KindOf(err) != test.want {
 			t.Errorf("%s: %v", test.name, err)
 		}
 	}
 }
+
+// TestReadsStayNearby checks that reads go to a store of the client's own zone,
+// that a definite answer of it counts, and that the leader is asked instead for a
+// while once it gives none.
+func TestReadsStayNearby(t *testing.T) {
+	answer := func(*store) (msgp.Marshaler, error) { return &wire.ItemBody{Body: []byte("b")}, nil }
+	leader := startStore(t, answer)
+	for name, test := range map[string]struct {
+		nearby              func(*store) (msgp.Marshaler, error)
+		fails               bool
+		askedNear, askedFar int64
+	}{
+		"it answers":       {answer, false, 3, 0},
+		"it knows no such": {func(*store) (msgp.Marshaler, error) { return nil, failure.New(failure.NotFound, "check the id", "no") }, true, 3, 0},
+		"it can't be sure": {func(*store) (msgp.Marshaler, error) { return nil, failure.New(failure.NotRun, "ask another", "behind") }, false, 1, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nearby := startStore(t, test.nearby)
+			before := leader.asked.Load()
+			stores := append(at("z", nearby.address)(), at("y", leader.address)()...)
+			client := New("z", func() []wire.StoreAddress { return stores })
+			client.leader = leader.address
+			for i := 0; i < 3; i++ {
+				_, err := client.Body(context.Background(), &wire.ItemBodyRequest{Job: "j", Item: "i"})
+				if failure.Is(err, failure.NotFound) != test.fails || err != nil && !test.fails {
+					t.Fatal(err)
+				}
+			}
+			if far := leader.asked.Load() - before; nearby.asked.Load() != test.askedNear || far != test.askedFar {
+				t.Errorf("the store nearby was asked %d times, the leader %d", nearby.asked.Load(), far)
+			}
+		})
+	}
+}
+
+// TestNearPick checks that the choice stays while the store is listed, and comes
+// back to it once it has been passed over for a while.
+func TestNearPick(t *testing.T) {
+	n := near{zone: "z", shunned: map[string]time.Time{}}
+	stores := append(at("y", "far")(), at("z", "a", "b")()...)
+	start := time.Unix(1000, 0)
+	first := n.pick(start, stores)
+	for i := 0; i < 10; i++ {
+		if again := n.pick(start, stores); again != first || again == "far" || again == "" {
+			t.Fatalf("%q after %q", again, first)
+		}
+	}
+	n.shun(start, first)
+	second := n.pick(start, stores)
+	n.shun(start, second)
+	if second == first || second == "" || n.pick(start, stores) != "" {
+		t.Errorf("%q and %q were passed over", first, second)
+	}
+	if n.pick(start.Add(shunTime), stores) == "" {
+		t.Error("stores are passed over for ever")
+	}
+}
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -139,3 +139,8 @@
 type ItemBody struct {
 	Body []byte `msg:"body,limit=33554432"`
 }
+
+// ReplicaIndex says how far a replica has come in its group's log.
+type ReplicaIndex struct {
+	Index uint64 `msg:"index"`
+}
--- a/internal/wire/batch_gen.go
+++ b/internal/wire/batch_gen.go
@@ -3650,6 +3650,117 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ReplicaIndex) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z38816a7flimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "index":
+			z.Index, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ReplicaIndex) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "index"
+	err = en.Append(0x81, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Index)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ReplicaIndex) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "index"
+	o = append(o, 0x81, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
+	o = msgp.AppendUint64(o, z.Index)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReplicaIndex) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z38816a7flimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "index":
+			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReplicaIndex) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *SubmitBatch) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -93,7 +93,8 @@
 	Listed       bool         `msg:"listed"`
 	Workers      []PoolWorker `msg:"workers"`
 	Coordinators []string     `msg:"coordinators"`
-	Stores       []string     `msg:"stores"`
+	// Stores lists the living stores in the order of their names.
+	Stores []StoreAddress `msg:"stores"`
 	// Edges counts the processes that serve callers.
 	Edges int `msg:"edges"`
 	// Initial lists the first voters of the store group.
@@ -102,15 +103,34 @@
 	Retiring []string `msg:"retiring"`
 }
 
+// StoreAddress says where a store is.
+//
+//msgp:tuple StoreAddress
+type StoreAddress struct {
+	Address string
+	Zone    string
+}
+
+// StoreAddresses returns where the stores are reached.
+func (v *FleetView) StoreAddresses() []string {
+	addresses := make([]string, 0, len(v.Stores))
+	for _, store := range v.Stores {
+		addresses = append(addresses, store.Address)
+	}
+	return addresses
+}
+
 // PoolWorker is one worker of a pool.
+//
+//msgp:tuple PoolWorker
 type PoolWorker struct {
 	// ID names one incarnation of the worker.
-	ID      string `msg:"id"`
-	Pool    string `msg:"pool"`
-	Address string `msg:"address"`
-	Zone    string `msg:"zone"`
-	Slots   int    `msg:"slots"`
-	Leaving bool   `msg:"leaving"`
+	ID      string
+	Pool    string
+	Address string
+	Zone    string
+	Slots   int
+	Leaving bool
 }
 
 // RouteSource asks for the configuration as it was sent.
--- a/internal/wire/fleet_gen.go
+++ b/internal/wire/fleet_gen.go
@@ -1240,14 +1240,33 @@
 			if cap(z.Stores) >= int(zb0004) {
 				z.Stores = (z.Stores)[:zb0004]
 			} else {
-				z.Stores = make([]string, zb0004)
+				z.Stores = make([]StoreAddress, zb0004)
 			}
 			for za0003 := range z.Stores {
-				z.Stores[za0003], err = dc.ReadString()
+				var zb0005 uint32
+				zb0005, err = dc.ReadArrayHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Stores", za0003)
 					return
 				}
+				if zb0005 > z6071ab3flimitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0005 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+					return
+				}
+				z.Stores[za0003].Address, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Stores", za0003, "Address")
+					return
+				}
+				z.Stores[za0003].Zone, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Stores", za0003, "Zone")
+					return
+				}
 			}
 		case "edges":
 			z.Edges, err = dc.ReadInt()
@@ -1256,20 +1275,20 @@
 				return
 			}
 		case "initial":
-			var zb0005 uint32
-			zb0005, err = dc.ReadArrayHeader()
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Initial")
 				return
 			}
-			if zb0005 > z6071ab3flimitArrays {
+			if zb0006 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Initial) >= int(zb0005) {
-				z.Initial = (z.Initial)[:zb0005]
+			if cap(z.Initial) >= int(zb0006) {
+				z.Initial = (z.Initial)[:zb0006]
 			} else {
-				z.Initial = make([]Replica, zb0005)
+				z.Initial = make([]Replica, zb0006)
 			}
 			for za0004 := range z.Initial {
 				err = z.Initial[za0004].DecodeMsg(dc)
@@ -1279,20 +1298,20 @@
 				}
 			}
 		case "retiring":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
+			var zb0007 uint32
+			zb0007, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Retiring")
 				return
 			}
-			if zb0006 > z6071ab3flimitArrays {
+			if zb0007 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Retiring) >= int(zb0006) {
-				z.Retiring = (z.Retiring)[:zb0006]
+			if cap(z.Retiring) >= int(zb0007) {
+				z.Retiring = (z.Retiring)[:zb0007]
 			} else {
-				z.Retiring = make([]string, zb0006)
+				z.Retiring = make([]string, zb0007)
 			}
 			for za0005 := range z.Retiring {
 				z.Retiring[za0005], err = dc.ReadString()
@@ -1370,9 +1389,19 @@
 		return
 	}
 	for za0003 := range z.Stores {
-		err = en.WriteString(z.Stores[za0003])
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Stores[za0003].Address)
 		if err != nil {
-			err = msgp.WrapError(err, "Stores", za0003)
+			err = msgp.WrapError(err, "Stores", za0003, "Address")
+			return
+		}
+		err = en.WriteString(z.Stores[za0003].Zone)
+		if err != nil {
+			err = msgp.WrapError(err, "Stores", za0003, "Zone")
 			return
 		}
 	}
@@ -1450,7 +1479,10 @@
 	o = append(o, 0xa6, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Stores)))
 	for za0003 := range z.Stores {
-		o = msgp.AppendString(o, z.Stores[za0003])
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Stores[za0003].Address)
+		o = msgp.AppendString(o, z.Stores[za0003].Zone)
 	}
 	// string "edges"
 	o = append(o, 0xa5, 0x65, 0x64, 0x67, 0x65, 0x73)
@@ -1562,14 +1594,29 @@
 			if cap(z.Stores) >= int(zb0004) {
 				z.Stores = (z.Stores)[:zb0004]
 			} else {
-				z.Stores = make([]string, zb0004)
+				z.Stores = make([]StoreAddress, zb0004)
 			}
 			for za0003 := range z.Stores {
-				z.Stores[za0003], bts, err = msgp.ReadStringBytes(bts)
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Stores", za0003)
 					return
 				}
+				if zb0005 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+					return
+				}
+				z.Stores[za0003].Address, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Stores", za0003, "Address")
+					return
+				}
+				z.Stores[za0003].Zone, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Stores", za0003, "Zone")
+					return
+				}
 			}
 		case "edges":
 			z.Edges, bts, err = msgp.ReadIntBytes(bts)
@@ -1578,20 +1625,20 @@
 				return
 			}
 		case "initial":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Initial")
 				return
 			}
-			if zb0005 > z6071ab3flimitArrays {
+			if zb0006 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Initial) >= int(zb0005) {
-				z.Initial = (z.Initial)[:zb0005]
+			if cap(z.Initial) >= int(zb0006) {
+				z.Initial = (z.Initial)[:zb0006]
 			} else {
-				z.Initial = make([]Replica, zb0005)
+				z.Initial = make([]Replica, zb0006)
 			}
 			for za0004 := range z.Initial {
 				bts, err = z.Initial[za0004].UnmarshalMsg(bts)
@@ -1601,20 +1648,20 @@
 				}
 			}
 		case "retiring":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Retiring")
 				return
 			}
-			if zb0006 > z6071ab3flimitArrays {
+			if zb0007 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Retiring) >= int(zb0006) {
-				z.Retiring = (z.Retiring)[:zb0006]
+			if cap(z.Retiring) >= int(zb0007) {
+				z.Retiring = (z.Retiring)[:zb0007]
 			} else {
-				z.Retiring = make([]string, zb0006)
+				z.Retiring = make([]string, zb0007)
 			}
 			for za0005 := range z.Retiring {
 				z.Retiring[za0005], bts, err = msgp.ReadStringBytes(bts)
@@ -1647,7 +1694,7 @@
 	}
 	s += 7 + msgp.ArrayHeaderSize
 	for za0003 := range z.Stores {
-		s += msgp.StringPrefixSize + len(z.Stores[za0003])
+		s += 1 + msgp.StringPrefixSize + len(z.Stores[za0003].Address) + msgp.StringPrefixSize + len(z.Stores[za0003].Zone)
 	}
 	s += 6 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
 	for za0004 := range z.Initial {
@@ -1824,129 +1871,83 @@
 
 // DecodeMsg implements msgp.Decodable
 func (z *PoolWorker) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z6071ab3flimitMaps {
+	if zb0001 > z6071ab3flimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "id":
-			z.ID, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "pool":
-			z.Pool, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Pool")
-				return
-			}
-		case "address":
-			z.Address, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "zone":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "slots":
-			z.Slots, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Slots")
-				return
-			}
-		case "leaving":
-			z.Leaving, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
 	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *PoolWorker) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "id"
-	err = en.Append(0x86, 0xa2, 0x69, 0x64)
+	z.ID, err = dc.ReadString()
 	if err != nil {
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	err = en.WriteString(z.ID)
+	z.Pool, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "ID")
+		err = msgp.WrapError(err, "Pool")
 		return
 	}
-	// write "pool"
-	err = en.Append(0xa4, 0x70, 0x6f, 0x6f, 0x6c)
+	z.Address, err = dc.ReadString()
 	if err != nil {
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	err = en.WriteString(z.Pool)
+	z.Zone, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Pool")
+		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	// write "address"
-	err = en.Append(0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	z.Slots, err = dc.ReadInt()
 	if err != nil {
+		err = msgp.WrapError(err, "Slots")
 		return
 	}
-	err = en.WriteString(z.Address)
+	z.Leaving, err = dc.ReadBool()
 	if err != nil {
-		err = msgp.WrapError(err, "Address")
+		err = msgp.WrapError(err, "Leaving")
 		return
 	}
-	// write "zone"
-	err = en.Append(0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PoolWorker) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Zone)
+	err = en.WriteString(z.ID)
 	if err != nil {
-		err = msgp.WrapError(err, "Zone")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	// write "slots"
-	err = en.Append(0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	err = en.WriteString(z.Pool)
 	if err != nil {
+		err = msgp.WrapError(err, "Pool")
 		return
 	}
-	err = en.WriteInt(z.Slots)
+	err = en.WriteString(z.Address)
 	if err != nil {
-		err = msgp.WrapError(err, "Slots")
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	// write "leaving"
-	err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	err = en.WriteInt(z.Slots)
 	if err != nil {
+		err = msgp.WrapError(err, "Slots")
 		return
 	}
 	err = en.WriteBool(z.Leaving)
@@ -1960,93 +1961,58 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PoolWorker) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "id"
-	o = append(o, 0x86, 0xa2, 0x69, 0x64)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.ID)
-	// string "pool"
-	o = append(o, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
 	o = msgp.AppendString(o, z.Pool)
-	// string "address"
-	o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.Address)
-	// string "zone"
-	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
 	o = msgp.AppendString(o, z.Zone)
-	// string "slots"
-	o = append(o, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
 	o = msgp.AppendInt(o, z.Slots)
-	// string "leaving"
-	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
 	o = msgp.AppendBool(o, z.Leaving)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *PoolWorker) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z6071ab3flimitMaps {
-		err = msgp.ErrLimitExceeded
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "id":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "pool":
-			z.Pool, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Pool")
-				return
-			}
-		case "address":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "zone":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "slots":
-			z.Slots, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Slots")
-				return
-			}
-		case "leaving":
-			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Pool, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pool")
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.Zone, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	z.Slots, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
 	}
 	o = bts
 	return
@@ -2054,7 +2020,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PoolWorker) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 5 + msgp.StringPrefixSize + len(z.Pool) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 6 + msgp.IntSize + 8 + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Pool) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.IntSize + msgp.BoolSize
 	return
 }
 
@@ -2832,6 +2798,97 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *StoreAddress) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z6071ab3flimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Address, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.Zone, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StoreAddress) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StoreAddress) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendString(o, z.Zone)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StoreAddress) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.Zone, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StoreAddress) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *WatchRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
