Parts of two runs of an item are never joined; small disks hold the large site's jobs

Change: every record names its chain of runs and says whether it opens it; the state takes a record only of the chain that brought the text there, or one that opens a chain from exactly there, and tells the runner what it dropped. Items run on for 0.3 s after a lease lapsed in the same term. News gather for 25 ms, answers to items are read each 80 ms, items are looked for by the clock. Memtables of 1 MB, compressed tables, a log of a thirty-second of the disk. TestChainsDoNotMix was red before.

--- a/internal/batchstate/machine.go
+++ b/internal/batchstate/machine.go
@@ -8,6 +8,8 @@
 //   - an item has at most one result, the first that was committed, at one
 //     position, and a position holds one result for good;
 //   - an ended job takes no result;
+//   - a text goes from one chain of runs to another only where the second began
+//     from the last event of the first that is in the text;
 //   - the waiting tokens of a route are the sum over the items of its open jobs
 //     without a result.
 package batchstate
@@ -58,6 +60,8 @@
 	Events    int
 	LastEvent int64
 	Text      string
+	// Chain is the chain of runs that the text comes from.
+	Chain uint64
 }
 
 // Open reports whether the job still takes results.
@@ -94,7 +98,9 @@
 		return m.submit(command.Submit, result)
 	case command.Record != nil:
 		for i := range command.Record.Items {
-			m.record(&command.Record.Items[i])
+			if !m.record(&command.Record.Items[i]) {
+				result.Dropped = append(result.Dropped, i)
+			}
 		}
 	case command.End != nil:
 		return m.end(command.End.ID)
@@ -176,32 +182,42 @@
 	j.Items = append(j.Items, Item{ID: id, Tokens: tokens})
 }
 
-// record takes in the news of one item; news that come too late are dropped.
-func (m *Machine) record(news *wire.ItemRecord) {
+// record takes in the news of one item and reports whether they were: news that
+// come too late, or that don't follow on what there is, are dropped.
+func (m *Machine) record(news *wire.ItemRecord) bool {
 	job := m.jobs[news.Job]
 	if job == nil || job.Ended || news.Item < 0 || news.Item >= len(job.Items) {
-		return
+		return false
 	}
 	item := &job.Items[news.Item]
 	if item.State != wire.ItemWaiting {
-		return
+		return false
 	}
 	item.Failures = max(item.Failures, news.Failures)
-	if news.State != wire.ItemAbandoned && news.From != item.Events {
-		// A part before this one was lost with an earlier leader: the item goes
-		// on from what there is.
-		return
-	}
-	if news.State == wire.ItemWaiting {
+	switch {
+	case news.State == wire.ItemAbandoned:
+		m.finish(job, item, news)
+	case !item.follows(news):
+		return false
+	case news.State == wire.ItemWaiting:
 		item.add(news)
 		m.put(progressKey(job.ID, news.Item, news.From), news)
-		return
+	default:
+		m.finish(job, item, news)
 	}
-	m.finish(job, item, news)
+	return true
+}
+
+// follows reports whether the news go on where the item stands: from its last
+// event, and either in the chain of runs that brought it there or in a new one
+// that began from there. Equal events alone prove nothing, because the news of
+// two chains may cross each other.
+func (i *Item) follows(news *wire.ItemRecord) bool {
+	return news.From == i.Events && (news.Opens || news.Chain == i.Chain)
 }
 
 func (i *Item) add(news *wire.ItemRecord) {
-	i.Events, i.LastEvent = news.Events, news.LastEvent
+	i.Events, i.LastEvent, i.Chain = news.Events, news.LastEvent, news.Chain
 	i.Text += news.Text
 }
 
--- a/internal/batchstate/machine_test.go
+++ b/internal/batchstate/machine_test.go
@@ -120,6 +120,54 @@
 	}
 }
 
+// TestChainsDoNotMix brings about what a leader does that loses its lease for a
+// moment: it starts an item again from the log while news of its run before are
+// still on their way. The parts of the two runs must not be joined, also where
+// their events fit.
+func TestChainsDoNotMix(t *testing.T) {
+	machine, store := New(), storage.NewMemory()
+	mustApply(t, machine, store, job("a", 1, 1, 0))
+	record := func(chain uint64, opens bool, from, events int, state wire.ItemState) bool {
+		result := mustApply(t, machine, store, &wire.BatchCommand{Record: &wire.RecordItems{Items: []wire.ItemRecord{{
+			Job: "a", From: from, Events: events, LastEvent: int64(events), State: state,
+			Text: fmt.Sprintf("[%d:%d-%d]", chain, from, events), Chain: chain, Opens: opens,
+		}}}})
+		return len(result.Dropped) == 0
+	}
+	for _, step := range []struct {
+		name   string
+		chain  uint64
+		opens  bool
+		from   int
+		events int
+		taken  bool
+	}{
+		{"the first run", 1, true, 0, 10, true},
+		{"its news on their way", 1, false, 10, 20, true},
+		{"the second run from the log as it was before", 2, true, 10, 20, false},
+		{"what follows it, which would fit", 2, false, 20, 30, false},
+		{"a third run from the log as it is", 3, true, 20, 25, true},
+		{"a late part of the first run", 1, false, 25, 30, false},
+		{"the third goes on", 3, false, 25, 30, true},
+	} {
+		if taken := record(step.chain, step.opens, step.from, step.events, wire.ItemWaiting); taken != step.taken {
+			t.Errorf("%s: taken %t", step.name, taken)
+		}
+		restored := New()
+		if err := restored.Restore(store); err != nil {
+			t.Fatal(err)
+		}
+		machine = restored
+	}
+	if record(2, false, 30, 40, wire.ItemCompleted) || !record(3, false, 30, 40, wire.ItemCompleted) || record(3, false, 30, 40, wire.ItemCompleted) {
+		t.Error("the wrong run ended the item")
+	}
+	read, err := machine.Read(store, "a", 0, 1<<20)
+	if err != nil || len(read.Results) != 1 || read.Results[0].Text != "[1:0-10][1:10-20][3:20-25][3:25-30][3:30-40]" {
+		t.Errorf("%+v, %v", read, err)
+	}
+}
+
 // model is what a reader has seen of the jobs.
 type model struct {
 	positions map[string][]wire.BatchResultRow
--- a/internal/batchstore/record.go
+++ b/internal/batchstore/record.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	// gatherTime is how long news wait for others to share a log entry.
-	gatherTime = 4 * time.Millisecond
+	// gatherTime is how long news wait for others to share a log entry. Callers
+	// look for results twice a second; each entry costs a sync and calls to all
+	// replicas.
+	gatherTime = 25 * time.Millisecond
 	// maxRecords and maxRecordBytes bound one entry.
-	maxRecords     = 256
+	maxRecords     = 1024
 	maxRecordBytes = 1 << 20
 	recordPause    = 50 * time.Millisecond
 	// recordTries bounds how often news are written again; after that the
@@ -51,12 +53,18 @@
 }
 
 func (r *runner) write(ctx context.Context, records []wire.ItemRecord) {
-	failed := true
+	failed := make([]bool, len(records))
+	for i := range failed {
+		failed[i] = true
+	}
 	defer func() { r.tellRecorded(ctx, records, failed) }()
 	for try := 0; try < recordTries && ctx.Err() == nil; try++ {
-		_, err := r.store.propose(ctx, &wire.BatchCommand{Record: &wire.RecordItems{Items: records}})
+		result, err := r.store.propose(ctx, &wire.BatchCommand{Record: &wire.RecordItems{Items: records}})
 		if err == nil {
-			failed = false
+			clear(failed)
+			for _, dropped := range result.Dropped {
+				failed[dropped] = true
+			}
 			return
 		}
 		logging.Warn(r.store.logger, "record_failed", "records", len(records), "error", err)
@@ -68,14 +76,15 @@
 	}
 }
 
-func (r *runner) tellRecorded(ctx context.Context, records []wire.ItemRecord, failed bool) {
+func (r *runner) tellRecorded(ctx context.Context, records []wire.ItemRecord, failed []bool) {
 	for i := range records {
 		end := recordEnd{
 			key:    itemKey{records[i].Job, records[i].Item},
+			chain:  records[i].Chain,
 			final:  records[i].State != wire.ItemWaiting,
-			failed: failed,
+			failed: failed[i],
 		}
-		if !end.final && !failed {
+		if !end.final && !end.failed {
 			continue
 		}
 		select {
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/sedgemast/sedgemast/internal/batchstate"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -32,6 +34,10 @@
 	// leastRun is how long an item runs at least before it gives way, so that the
 	// reading of its prompt was not for nothing.
 	leastRun = time.Second
+	// lapseTime is how long items run on after the lease is over. A leader that is
+	// only slow hears its majority again soon; what runs meanwhile is recorded
+	// through the log, or not at all.
+	lapseTime = 300 * time.Millisecond
 	// notRunPause is how long an item rests after a worker would not take it.
 	notRunPause = 100 * time.Millisecond
 )
@@ -57,11 +63,15 @@
 	ended     chan *task
 	records   chan wire.ItemRecord
 	// pending holds items whose result is on its way to the log.
-	pending   map[itemKey]bool
-	recorded  chan recordEnd
-	splitter  *routetable.Splitter
-	runTime   batchplan.RunTime
-	leading   bool
+	pending  map[itemKey]bool
+	recorded chan recordEnd
+	splitter *routetable.Splitter
+	runTime  batchplan.RunTime
+	leading  bool
+	// term is the term that this store led in last, ledAt when it held its
+	// lease last.
+	term      uint64
+	ledAt     time.Time
 	forgetDue time.Time
 	// draining holds, once the store is about to stop, whom to tell that no item
 	// runs any more.
@@ -105,6 +115,8 @@
 			r.stopAll()
 			return
 		case <-ticker.C:
+			r.drainEvents()
+			r.look(ctx, time.Now())
 		case ended := <-r.ended:
 			r.end(ended)
 		case end := <-r.recorded:
@@ -112,9 +124,7 @@
 		case r.drained = <-r.draining:
 			r.stopAll()
 		}
-		r.drainEvents()
 		r.tellDrained()
-		r.look(ctx, time.Now())
 	}
 }
 
@@ -151,14 +161,15 @@
 
 // recordEnd says how the writing of an item's news ended.
 type recordEnd struct {
-	key itemKey
-	// final is set for a result.
+	key   itemKey
+	chain uint64
+	// final is set for a result, failed where the log did not take the news.
 	final  bool
 	failed bool
 }
 
-// takeRecorded takes in that news are written, or are not: then what was carried
-// does not follow on the log any more.
+// takeRecorded takes in that news are written, or are not: then nothing more of
+// their chain follows on the log.
 func (r *runner) takeRecorded(end recordEnd) {
 	if end.final {
 		delete(r.pending, end.key)
@@ -166,8 +177,10 @@
 	if !end.failed {
 		return
 	}
-	delete(r.carried, end.key)
-	if running := r.running[end.key]; running != nil {
+	if r.carried[end.key].chain == end.chain {
+		delete(r.carried, end.key)
+	}
+	if running := r.running[end.key]; running != nil && running.chain == end.chain {
 		running.cancel()
 		running.unusable = true
 	}
@@ -205,13 +218,15 @@
 // look starts what may be started and stops what must not go on.
 func (r *runner) look(ctx context.Context, now time.Time) {
 	var starts []*task
-	err := r.store.read(func(reader storage.Reader) error {
-		r.lead()
+	err := r.store.host.Read(batchGroup, func(term uint64, reader storage.Reader) error {
+		r.lead(now, term)
 		starts = r.plan(ctx, now, reader)
 		return nil
 	})
 	if err != nil {
-		r.unlead()
+		if !replication.Lapsed(err) || now.Sub(r.ledAt) > lapseTime {
+			r.unlead()
+		}
 		return
 	}
 	for _, task := range starts {
@@ -223,10 +238,15 @@
 	}
 }
 
-func (r *runner) lead() {
+// lead takes in that this store leads in the term.
+func (r *runner) lead(now time.Time, term uint64) {
+	if term != r.term {
+		r.unlead()
+	}
+	r.term, r.ledAt = term, now
 	if !r.leading {
 		r.leading = true
-		logging.Info(r.store.logger, "running_items", "leading", true)
+		logging.Info(r.store.logger, "running_items", "leading", true, "term", term)
 	}
 }
 
@@ -236,7 +256,7 @@
 		return
 	}
 	r.leading = false
-	logging.Info(r.store.logger, "running_items", "leading", false, "stopped", len(r.running))
+	logging.Info(r.store.logger, "running_items", "leading", false, "term", r.term, "stopped", len(r.running))
 	for _, task := range r.running {
 		task.unusable = true
 	}
@@ -367,6 +387,7 @@
 
 func (r *runner) prepare(ctx context.Context, key itemKey, job *batchstate.Job, route *routetable.Route, content *wire.ItemContent, lease *balance.Lease) *task {
 	itemContext, cancel := context.WithCancel(ctx)
+	from := r.carryOf(key, &job.Items[key.item])
 	started := &task{
 		runner:   r,
 		key:      key,
@@ -374,7 +395,8 @@
 		host:     job.Host,
 		route:    route,
 		content:  content,
-		carry:    r.carryOf(key, &job.Items[key.item]),
+		chain:    from.chain,
+		carry:    from,
 		failures: job.Items[key.item].Failures,
 		lease:    lease,
 		started:  time.Now(),
@@ -392,7 +414,7 @@
 	if found && carried.noted >= item.Events {
 		return carried
 	}
-	return carry{events: item.Events, lastEvent: item.LastEvent, noted: item.Events}
+	return carry{events: item.Events, lastEvent: item.LastEvent, noted: item.Events, chain: rand.Uint64()}
 }
 
 // yield stops items that stand in the way of online requests. They go on
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -24,6 +24,8 @@
 	// progressInterval is the time between two notes of an item's progress.
 	progressInterval = 600 * time.Millisecond
 	readBufferBytes  = 8 << 10
+	// readPause is the time between two readings of an answer.
+	readPause = 80 * time.Millisecond
 	// failedPause is how long an item rests after an attempt that failed.
 	failedPause = 50 * time.Millisecond
 )
@@ -37,9 +39,15 @@
 	// text is that of the events after the first noted ones, which the log has.
 	text  string
 	noted int
+	// chain names this run and those before it here, opened is set once the
+	// log was handed its first record.
+	chain  uint64
+	opened bool
 }
 
 // task is one attempt at an item, from where it had come before.
+//
+// Its goroutine owns carry; the runner's loop may read chain, which stays.
 type task struct {
 	runner   *runner
 	key      itemKey
@@ -47,6 +55,7 @@
 	host     string
 	route    *routetable.Route
 	content  *wire.ItemContent
+	chain    uint64
 	carry    carry
 	failures int
 	lease    *balance.Lease
@@ -130,9 +139,11 @@
 		Events:    t.carry.events,
 		LastEvent: t.carry.lastEvent,
 		Failures:  t.failures,
+		Chain:     t.carry.chain,
+		Opens:     !t.carry.opened,
 	})
 	if taken {
-		t.carry.noted, t.carry.text = t.carry.events, ""
+		t.carry.noted, t.carry.text, t.carry.opened = t.carry.events, "", true
 	}
 	return taken
 }
@@ -215,6 +226,7 @@
 		if err := response.SetReadDeadline(time.Now().Add(silence)); err != nil {
 			return err
 		}
+		t.pace()
 		count, err := response.Read(buffer)
 		if orderErr := t.take(parser.Feed(buffer[:count])); orderErr != nil {
 			return orderErr
@@ -239,6 +251,19 @@
 	}
 }
 
+// pace waits until more events have gathered: nobody waits for one of them, and
+// each reading costs processor time, whatever it brings. The first event is not
+// waited for, because it says that the prompt has been read.
+func (t *task) pace() {
+	if t.carry.events == 0 {
+		return
+	}
+	select {
+	case <-t.context.Done():
+	case <-time.After(readPause):
+	}
+}
+
 func (t *task) take(events []upstream.Event) error {
 	if len(events) == 0 {
 		return nil
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -115,7 +115,7 @@
 		ElectionTimeout:   c.settings.ElectionTimeout.Std(),
 		HeartbeatInterval: c.settings.ElectionTimeout.Std() / heartbeatsPerTimeout,
 		ReplaceAfter:      c.settings.ReplaceAfter.Std(),
-		LogBytes:          c.settings.LogBytes,
+		LogBytes:          c.settings.KeptLogBytes(),
 		Random:            mathrand.New(mathrand.NewPCG(now, now)),
 	}
 }
--- a/internal/replication/reads.go
+++ b/internal/replication/reads.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/storage"
 )
@@ -11,6 +13,13 @@
 // readPoll is the time between looks whether a replica has come far enough.
 const readPoll = 5 * time.Millisecond
 
+// errLapsed marks the refusals of a leader whose lease is over.
+var errLapsed = errors.New("the lease is over")
+
+// Lapsed reports whether a refusal says that a leader's lease is over. It may still
+// lead, and hear a majority again in a moment.
+func Lapsed(err error) bool { return errors.Is(err, errLapsed) }
+
 // Read calls read while the group's state does not change. It fails with NotRun
 // unless this replica leads the group and holds its lease; the term that it
 // leads in is handed to read.
@@ -71,7 +80,7 @@
 		return 0, current.refusal
 	}
 	if !now.Before(current.leaseUntil) {
-		return 0, failure.New(failure.NotRun, "try again", "the leader of group %d has not heard a majority lately", g.number)
+		return 0, failure.Wrap(errLapsed, failure.NotRun, "try again", "the leader of group %d has not heard a majority lately", g.number)
 	}
 	return current.term, nil
 }
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -28,8 +28,25 @@
 	// ReplaceAfter is how long a voter may be silent before a spare takes its
 	// place.
 	ReplaceAfter Duration `json:"replace_after"`
-	// LogBytes is how much of the log is kept for slow replicas.
+	// LogBytes is how much of the log is kept for slow replicas, at most.
 	LogBytes int `json:"log_bytes"`
+	// DiskMB is the size of the disk, zero where it is not known.
+	DiskMB int `json:"disk_mb"`
+}
+
+const (
+	bytesPerMB = 1 << 20
+	// logParts is the part of a disk that the log may take: one in so many. It
+	// grows to twice that before its oldest part goes.
+	logParts = 32
+)
+
+// KeptLogBytes returns how much of the log is kept on this disk.
+func (r *Replication) KeptLogBytes() int {
+	if r.DiskMB == 0 {
+		return r.LogBytes
+	}
+	return min(r.LogBytes, r.DiskMB*bytesPerMB/logParts)
 }
 
 func defaultReplication() Replication {
@@ -50,6 +67,7 @@
 	checker.Between("election_timeout", r.ElectionTimeout, 50*time.Millisecond, 10*time.Second)
 	checker.Between("replace_after", r.ReplaceAfter, 100*time.Millisecond, time.Hour)
 	checker.Range("log_bytes", r.LogBytes, 64<<10, 1<<30)
+	checker.Range("disk_mb", r.DiskMB, 0, 1<<30)
 }
 
 // DefaultCoordinator returns a coordinator's defaults.
--- a/internal/storage/pebble.go
+++ b/internal/storage/pebble.go
@@ -3,14 +3,27 @@
 import (
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/sstable"
 	"github.com/cockroachdb/pebble/v2/vfs"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
 )
 
+// Disks may be small: what a store holds beside its data is bounded by these. A
+// logged write stands in the write-ahead log until its memtable is flushed, in two
+// memtables at most and in one log more that is kept for reuse; then in level 0,
+// and twice for the length of a compaction, of which one runs at a time.
 const (
 	cacheBytes    = 8 << 20
-	memtableBytes = 8 << 20
+	memtableBytes = 1 << 20
+	// baseBytes is the size of the first level below level 0, fileBytes that of
+	// its files; both grow from level to level.
+	baseBytes = 4 << 20
+	fileBytes = 512 << 10
+	// flushedTables is how many tables of level 0 start a compaction.
+	flushedTables = 2
+	// openFiles bounds the descriptors.
+	openFiles = 500
 )
 
 // Pebble is a Store on disk.
@@ -31,12 +44,21 @@
 // OpenPebble opens the store in folder, which it makes if it is not there.
 func OpenPebble(folder string, files vfs.FS) (*Pebble, error) {
 	cache := pebble.NewCache(cacheBytes)
-	database, err := pebble.Open(folder, &pebble.Options{
+	options := &pebble.Options{
 		FS:           files,
 		Cache:        cache,
 		MemTableSize: memtableBytes,
 		Logger:       quietLogger{},
-	})
+
+		L0CompactionThreshold: flushedTables,
+		LBaseMaxBytes:         baseBytes,
+		MaxOpenFiles:          openFiles,
+	}
+	options.TargetFileSizes[0] = fileBytes
+	for i := range options.Levels {
+		options.Levels[i].Compression = func() *sstable.CompressionProfile { return sstable.ZstdCompression }
+	}
+	database, err := pebble.Open(folder, options)
 	if err != nil {
 		cache.Unref()
 		return nil, failure.Wrap(err, failure.Internal, "check that the folder is writable and used by no other process", "the store in %q does not open", folder)
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -68,6 +68,11 @@
 	LastEvent int64  `msg:"last_event"`
 	// Failures counts the attempts that failed.
 	Failures int `msg:"failures"`
+	// Chain names the runs that were made one after another in one place, each
+	// from where the one before had come. Opens is set in the first record of a
+	// chain, which goes on from what the log has.
+	Chain uint64 `msg:"chain"`
+	Opens bool   `msg:"opens"`
 }
 
 // BatchName names a job.
@@ -80,6 +85,9 @@
 	Failure *Failure `msg:"failure"`
 	// Repeated is set where a job had been accepted before.
 	Repeated bool `msg:"repeated"`
+	// Dropped lists, by number, the records of the command that were not taken
+	// in: they don't follow on what the log has, or come too late.
+	Dropped []int `msg:"dropped"`
 }
 
 // BatchMeta is the stored record of a job.
--- a/internal/wire/batch_gen.go
+++ b/internal/wire/batch_gen.go
@@ -2121,6 +2121,29 @@
 				err = msgp.WrapError(err, "Repeated")
 				return
 			}
+		case "dropped":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Dropped")
+				return
+			}
+			if zb0002 > z38816a7flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Dropped) >= int(zb0002) {
+				z.Dropped = (z.Dropped)[:zb0002]
+			} else {
+				z.Dropped = make([]int, zb0002)
+			}
+			for za0001 := range z.Dropped {
+				z.Dropped[za0001], err = dc.ReadInt()
+				if err != nil {
+					err = msgp.WrapError(err, "Dropped", za0001)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2134,9 +2157,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *BatchResult) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "failure"
-	err = en.Append(0x82, 0xa7, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65)
+	err = en.Append(0x83, 0xa7, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65)
 	if err != nil {
 		return
 	}
@@ -2162,15 +2185,32 @@
 		err = msgp.WrapError(err, "Repeated")
 		return
 	}
+	// write "dropped"
+	err = en.Append(0xa7, 0x64, 0x72, 0x6f, 0x70, 0x70, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Dropped)))
+	if err != nil {
+		err = msgp.WrapError(err, "Dropped")
+		return
+	}
+	for za0001 := range z.Dropped {
+		err = en.WriteInt(z.Dropped[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Dropped", za0001)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *BatchResult) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "failure"
-	o = append(o, 0x82, 0xa7, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65)
+	o = append(o, 0x83, 0xa7, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65)
 	if z.Failure == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -2183,6 +2223,12 @@
 	// string "repeated"
 	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x65, 0x61, 0x74, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Repeated)
+	// string "dropped"
+	o = append(o, 0xa7, 0x64, 0x72, 0x6f, 0x70, 0x70, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Dropped)))
+	for za0001 := range z.Dropped {
+		o = msgp.AppendInt(o, z.Dropped[za0001])
+	}
 	return
 }
 
@@ -2231,6 +2277,29 @@
 				err = msgp.WrapError(err, "Repeated")
 				return
 			}
+		case "dropped":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Dropped")
+				return
+			}
+			if zb0002 > z38816a7flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Dropped) >= int(zb0002) {
+				z.Dropped = (z.Dropped)[:zb0002]
+			} else {
+				z.Dropped = make([]int, zb0002)
+			}
+			for za0001 := range z.Dropped {
+				z.Dropped[za0001], bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Dropped", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2251,7 +2320,7 @@
 	} else {
 		s += z.Failure.Msgsize()
 	}
-	s += 9 + msgp.BoolSize
+	s += 9 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize + (len(z.Dropped) * (msgp.IntSize))
 	return
 }
 
@@ -3216,6 +3285,18 @@
 				err = msgp.WrapError(err, "Failures")
 				return
 			}
+		case "chain":
+			z.Chain, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Chain")
+				return
+			}
+		case "opens":
+			z.Opens, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Opens")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3229,9 +3310,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ItemRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
+	// map header, size 10
 	// write "job"
-	err = en.Append(0x88, 0xa3, 0x6a, 0x6f, 0x62)
+	err = en.Append(0x8a, 0xa3, 0x6a, 0x6f, 0x62)
 	if err != nil {
 		return
 	}
@@ -3310,15 +3391,35 @@
 		err = msgp.WrapError(err, "Failures")
 		return
 	}
+	// write "chain"
+	err = en.Append(0xa5, 0x63, 0x68, 0x61, 0x69, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Chain)
+	if err != nil {
+		err = msgp.WrapError(err, "Chain")
+		return
+	}
+	// write "opens"
+	err = en.Append(0xa5, 0x6f, 0x70, 0x65, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Opens)
+	if err != nil {
+		err = msgp.WrapError(err, "Opens")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ItemRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 10
 	// string "job"
-	o = append(o, 0x88, 0xa3, 0x6a, 0x6f, 0x62)
+	o = append(o, 0x8a, 0xa3, 0x6a, 0x6f, 0x62)
 	o = msgp.AppendString(o, z.Job)
 	// string "item"
 	o = append(o, 0xa4, 0x69, 0x74, 0x65, 0x6d)
@@ -3341,6 +3442,12 @@
 	// string "failures"
 	o = append(o, 0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
 	o = msgp.AppendInt(o, z.Failures)
+	// string "chain"
+	o = append(o, 0xa5, 0x63, 0x68, 0x61, 0x69, 0x6e)
+	o = msgp.AppendUint64(o, z.Chain)
+	// string "opens"
+	o = append(o, 0xa5, 0x6f, 0x70, 0x65, 0x6e, 0x73)
+	o = msgp.AppendBool(o, z.Opens)
 	return
 }
 
@@ -3418,6 +3525,18 @@
 				err = msgp.WrapError(err, "Failures")
 				return
 			}
+		case "chain":
+			z.Chain, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Chain")
+				return
+			}
+		case "opens":
+			z.Opens, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Opens")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3432,7 +3551,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ItemRecord) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 5 + msgp.IntSize + 6 + msgp.Uint8Size + 5 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Text) + 7 + msgp.IntSize + 11 + msgp.Int64Size + 9 + msgp.IntSize
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 5 + msgp.IntSize + 6 + msgp.Uint8Size + 5 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Text) + 7 + msgp.IntSize + 11 + msgp.Int64Size + 9 + msgp.IntSize + 6 + msgp.Uint64Size + 6 + msgp.BoolSize
 	return
 }
 
