What runs at workers and nobody answers for counts as their load

Change: what a worker says of itself in its answers goes to the hub, which compares it with the sum of all reports; the least excess of four answers within a second counts as load for all.

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -31,10 +31,11 @@
 	memory := t.memoryOf(demand.Pool)
 	cost := float64(candidate.inFlight)
 	unread := float64(candidate.unread)
-	if others, known := candidate.told(now); known {
+	if others, known := candidate.toldByOthers(now); known {
 		cost += float64(others.Online) + batchCost*float64(others.Batch)
 		unread += float64(others.Unread)
 	}
+	cost += float64(candidate.orphaned(now))
 	cost += slots * unread / (float64(memory) * unreadShare)
 	if candidate.listed.Zone != t.zone {
 		cost += zoneCost
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -23,13 +23,14 @@
 	batchUnreadParts = 64
 )
 
-// Loads returns what this process has at each worker where it has anything.
+// Loads returns what this process has at each worker, and what workers have said
+// of themselves since the last call.
 func (t *Table) Loads() []wire.WorkerLoad {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var loads []wire.WorkerLoad
 	for id, known := range t.workers {
-		if known.inFlight == 0 {
+		if known.inFlight == 0 && known.told == 0 {
 			continue
 		}
 		loads = append(loads, wire.WorkerLoad{
@@ -37,7 +38,9 @@
 			Online: uint16(min(known.inFlight-known.batch, math.MaxUint16)),
 			Batch:  uint16(min(known.batch, math.MaxUint16)),
 			Unread: uint32(min(max(known.unread, 0), math.MaxUint32)),
+			Told:   uint16(min(known.told, math.MaxUint16)),
 		})
+		known.told = 0
 	}
 	return loads
 }
@@ -57,14 +60,14 @@
 	}
 }
 
-// told returns what others have at the worker, if that is known.
-func (w *worker) told(now time.Time) (wire.WorkerLoad, bool) {
+// toldByOthers returns what others have at the worker, if that is known.
+func (w *worker) toldByOthers(now time.Time) (wire.WorkerLoad, bool) {
 	return w.others, !w.othersAt.IsZero() && now.Sub(w.othersAt) <= loadshare.Fresh
 }
 
 // admitsBatch reports whether one more batch item fits.
 func (w *worker) admitsBatch(now time.Time, share int, urgent bool, memory int64) bool {
-	others, known := w.told(now)
+	others, known := w.toldByOthers(now)
 	if w.unread+int64(others.Unread) > memory/batchUnreadParts {
 		return false
 	}
@@ -76,7 +79,7 @@
 	if urgent {
 		reserve = 0
 	}
-	return w.batch+int(others.Online)+int(others.Batch)+reserve < w.listed.Slots
+	return w.batch+int(others.Online)+int(others.Batch)+w.orphaned(now)+reserve < w.listed.Slots
 }
 
 // Overfull returns, by worker, how many batch items of this process stand in the
@@ -86,7 +89,7 @@
 	defer t.mutex.Unlock()
 	var overfull map[string]int
 	for id, known := range t.workers {
-		others, fresh := known.told(now)
+		others, fresh := known.toldByOthers(now)
 		over := known.batch + int(others.Online) - known.listed.Slots - max(known.listed.Slots/patientParts, 1)
 		if !fresh || over <= 0 || known.batch == 0 {
 			continue
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -34,6 +34,9 @@
 	// parts holds the prompt parts read here, with the number of the last use.
 	parts map[string]uint64
 	uses  uint64
+	// told is one more than the requests that the worker said it has, until
+	// that has been passed on.
+	told int
 }
 
 // usable reports whether new requests may go to the worker.
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -38,6 +38,10 @@
 	// only slow hears its majority again soon; what runs meanwhile is recorded
 	// through the log, or not at all.
 	lapseTime = 300 * time.Millisecond
+	// loadsTime is how long a new leader listens before it starts items,
+	// loadsPatience the longest that it waits for edges to be heard.
+	loadsTime     = 400 * time.Millisecond
+	loadsPatience = 1200 * time.Millisecond
 	// notRunPause is how long an item rests after a worker would not take it.
 	notRunPause = 100 * time.Millisecond
 )
@@ -71,6 +75,7 @@
 	// term is the term that this store led in last, ledAt when it held its
 	// lease last.
 	term      uint64
+	leadSince time.Time
 	ledAt     time.Time
 	forgetDue time.Time
 	// draining holds, once the store is about to stop, whom to tell that no item
@@ -245,7 +250,7 @@
 	}
 	r.term, r.ledAt = term, now
 	if !r.leading {
-		r.leading = true
+		r.leading, r.leadSince = true, now
 		logging.Info(r.store.logger, "running_items", "leading", true, "term", term)
 	}
 }
@@ -279,7 +284,7 @@
 	table := r.store.watcher.Current().Table
 	jobs := r.order(now, table)
 	r.yield(now)
-	if table == nil || r.drained != nil {
+	if table == nil || r.drained != nil || !r.knowsLoads(now) {
 		return nil
 	}
 	var starts []*task
@@ -301,6 +306,16 @@
 	return starts
 }
 
+// knowsLoads reports whether this leader knows what runs at the workers. A new one
+// that started all items at once would put them beside those that the last leader
+// left behind; so it waits until most edges tell it what they have, and until the
+// workers' own counts have shown what nobody has. It does not wait for ever.
+func (r *runner) knowsLoads(now time.Time) bool {
+	led := now.Sub(r.leadSince)
+	edges := int64(r.store.watcher.Current().Fleet.Edges)
+	return led > loadsPatience || led > loadsTime && 2*r.store.reporting.Load() >= edges
+}
+
 // order returns the open jobs in the order in which their items run, and notes
 // their urgency.
 func (r *runner) order(now time.Time, table *routetable.Table) []batchplan.Job {
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -8,6 +8,7 @@
 	"context"
 	mathrand "math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,6 +57,8 @@
 	metrics  *metrics
 	hub      *loadshare.Hub
 	client   *rpc.Client
+	// reporting counts the processes that tell this one their loads.
+	reporting atomic.Int64
 
 	// mutex guards what follows.
 	mutex   sync.Mutex
@@ -205,6 +208,7 @@
 		s.hub.Take(now, report)
 		s.hub.Take(now, &wire.LoadReport{Workers: s.workers.Loads()})
 		s.workers.SetOthers(now, s.hub.Others(now, 0))
+		s.reporting.Store(int64(s.hub.Sources(now)) - 1)
 		return &wire.LoadReport{Workers: s.hub.Others(now, report.Source)}
 	})
 	if err != nil {
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
@@ -169,6 +170,9 @@
 		return err
 	}
 	defer response.Close()
+	if running, waiting, told := dialect.Load(response.Header.Get(store.dialect.Load)); told {
+		t.lease.Told(running, waiting)
+	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		t.lease.Refuse()
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -87,6 +87,19 @@
 	return min(longest, time.Duration(millis)*time.Millisecond)
 }
 
+// Load reads what a worker tells of itself: the requests that it runs and those
+// that wait. It reports whether it tells anything.
+func Load(value string) (running, waiting int, told bool) {
+	first, rest, found := strings.Cut(value, ",")
+	second, _, _ := strings.Cut(rest, ",")
+	running, err := strconv.Atoi(strings.TrimSpace(first))
+	if err != nil || !found || running < 0 {
+		return 0, 0, false
+	}
+	waiting, err = strconv.Atoi(strings.TrimSpace(second))
+	return running, waiting, err == nil && waiting >= 0
+}
+
 // hopByHop are headers that pertain to one connection only (RFC 9110, 7.6.1).
 var hopByHop = map[string]bool{
 	"Connection":          true,
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -208,6 +208,9 @@
 		return c.sendFailed(lease, err)
 	}
 	defer response.Close()
+	if running, waiting, told := dialect.Load(response.Header.Get(c.edge.dialect.Load)); told {
+		lease.Told(running, waiting)
+	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		lease.Refuse()
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -4,6 +4,7 @@
 package loadshare
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -25,6 +26,8 @@
 // Hub adds the reports up. It is pure and not safe for concurrent use.
 type Hub struct {
 	sources map[uint32]*source
+	// orphans holds an estimate of each worker that tells its load.
+	orphans map[uint32]*orphans
 }
 
 // source is the last report of a process.
@@ -34,7 +37,9 @@
 }
 
 // NewHub returns an empty hub.
-func NewHub() *Hub { return &Hub{sources: map[uint32]*source{}} }
+func NewHub() *Hub {
+	return &Hub{sources: map[uint32]*source{}, orphans: map[uint32]*orphans{}}
+}
 
 // Take takes in a report.
 func (h *Hub) Take(now time.Time, report *wire.LoadReport) {
@@ -44,6 +49,45 @@
 			delete(h.sources, name)
 		}
 	}
+	h.compare(now, report)
+}
+
+// compare takes in what workers have told the reporting process.
+func (h *Hub) compare(now time.Time, report *wire.LoadReport) {
+	for i := range report.Workers {
+		load := &report.Workers[i]
+		if load.Told == 0 {
+			continue
+		}
+		known := h.sum(now, load.Worker)
+		estimate := h.orphans[load.Worker]
+		if estimate == nil {
+			estimate = &orphans{}
+			h.orphans[load.Worker] = estimate
+		}
+		estimate.take(now, int(load.Told)-1-int(known.Online)-int(known.Batch))
+	}
+	for worker, estimate := range h.orphans {
+		if estimate.stale(now) {
+			delete(h.orphans, worker)
+		}
+	}
+}
+
+// sum adds up what all processes have at the worker.
+func (h *Hub) sum(now time.Time, worker uint32) wire.WorkerLoad {
+	var sum wire.WorkerLoad
+	for _, known := range h.sources {
+		if now.Sub(known.at) > Fresh {
+			continue
+		}
+		for _, load := range known.workers {
+			if load.Worker == worker {
+				sum = add(sum, load)
+			}
+		}
+	}
+	return sum
 }
 
 // Others returns the sums over all processes but one, in the order of the
@@ -58,6 +102,13 @@
 			sums[load.Worker] = add(sums[load.Worker], load)
 		}
 	}
+	for worker, estimate := range h.orphans {
+		if count := estimate.count(now); count > 0 {
+			load := sums[worker]
+			load.Worker, load.Orphans = worker, uint16(min(count, math.MaxUint16))
+			sums[worker] = load
+		}
+	}
 	loads := make([]wire.WorkerLoad, 0, len(sums))
 	for _, load := range sums {
 		loads = append(loads, load)
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -31,6 +31,66 @@
 	}
 }
 
+// told is a report of a process that has one request at worker 7 and was told by
+// it that it has so many.
+func told(source uint32, count uint16) *wire.LoadReport {
+	return &wire.LoadReport{Source: source, Workers: []wire.WorkerLoad{{Worker: 7, Online: 1, Told: count + 1}}}
+}
+
+// orphansOf returns the estimate that a process is told of worker 7.
+func orphansOf(hub *Hub, now time.Time) int {
+	for _, load := range hub.Others(now, 1) {
+		if load.Worker == 7 {
+			return int(load.Orphans)
+		}
+	}
+	return 0
+}
+
+// TestOrphansAreSeenAndForgotten lets a worker tell two processes of five requests
+// more than anybody has. They count from the fourth answer on, and no longer once
+// the worker tells of them no more, or tells nothing.
+func TestOrphansAreSeenAndForgotten(t *testing.T) {
+	hub, now := NewHub(), start
+	hub.Take(now, told(1, 2))
+	hub.Take(now, told(2, 2))
+	if got := orphansOf(hub, now); got != 0 {
+		t.Fatalf("%d orphans where all is known", got)
+	}
+	for i := range toldSamples {
+		if got := orphansOf(hub, now); got != 0 {
+			t.Errorf("%d orphans after %d answers", got, i)
+		}
+		now = now.Add(20 * time.Millisecond)
+		hub.Take(now, told(uint32(1+i%2), 7))
+	}
+	if got := orphansOf(hub, now); got != 5 {
+		t.Errorf("%d orphans, want 5", got)
+	}
+	if got := orphansOf(hub, now.Add(toldFresh+1)); got != 0 {
+		t.Errorf("%d orphans by answers of long ago", got)
+	}
+	hub.Take(now, told(1, 2))
+	if got := orphansOf(hub, now); got != 0 {
+		t.Errorf("%d orphans after the worker told of none", got)
+	}
+	hub.Take(now.Add(2*toldFresh), report(1, 7, 1))
+	if len(hub.orphans) != 0 {
+		t.Error("estimates are kept for ever")
+	}
+}
+
+// TestNoiseIsNoOrphan checks that differences that come and go count for nothing.
+func TestNoiseIsNoOrphan(t *testing.T) {
+	hub := NewHub()
+	for _, count := range []uint16{9, 1, 9, 9, 1, 9, 0} {
+		hub.Take(start, told(1, count))
+		if got := orphansOf(hub, start); got != 0 {
+			t.Errorf("%d orphans by noise", got)
+		}
+	}
+}
+
 func TestOldReportsDoNotCount(t *testing.T) {
 	hub := NewHub()
 	hub.Take(start, report(1, 7, 3))
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -21,4 +21,10 @@
 	Batch  uint16
 	// Unread counts prompt tokens that are still to be read.
 	Unread uint32
+	// Told is set in reports to the hub: one more than the requests that the
+	// worker said it has, where it has said so since the last report.
+	Told uint16
+	// Orphans is set by the hub: how many requests the worker seems to have
+	// that no living process answers for.
+	Orphans uint16
 }
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -144,8 +144,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Worker, err = dc.ReadUint32()
@@ -168,13 +168,23 @@
 		err = msgp.WrapError(err, "Unread")
 		return
 	}
+	z.Told, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Told")
+		return
+	}
+	z.Orphans, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Orphans")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *WorkerLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -198,18 +208,30 @@
 		err = msgp.WrapError(err, "Unread")
 		return
 	}
+	err = en.WriteUint16(z.Told)
+	if err != nil {
+		err = msgp.WrapError(err, "Told")
+		return
+	}
+	err = en.WriteUint16(z.Orphans)
+	if err != nil {
+		err = msgp.WrapError(err, "Orphans")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint32(o, z.Worker)
 	o = msgp.AppendUint16(o, z.Online)
 	o = msgp.AppendUint16(o, z.Batch)
 	o = msgp.AppendUint32(o, z.Unread)
+	o = msgp.AppendUint16(o, z.Told)
+	o = msgp.AppendUint16(o, z.Orphans)
 	return
 }
 
@@ -221,8 +243,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Worker, bts, err = msgp.ReadUint32Bytes(bts)
@@ -245,12 +267,22 @@
 		err = msgp.WrapError(err, "Unread")
 		return
 	}
+	z.Told, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Told")
+		return
+	}
+	z.Orphans, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Orphans")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerLoad) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size
+	s = 1 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size
 	return
 }
