Edges, coordinators and stores run from the product's own program and interface

Change: sedgemast edge, coordinator and store with settings and flags of their own; calls on jobs at an edge, on routes and stores at a coordinator; workers of pools in the product's list.

--- a/cmd/sedgemast/main.go
+++ b/cmd/sedgemast/main.go
@@ -1,5 +1,5 @@
-// Sedgemast is the program of every daemon: gateway, dispatcher and control,
-// and of the embedded fleet for newcomers.
+// Sedgemast is the program of every daemon: gateway, dispatcher and control; edge,
+// coordinator and store; and of the embedded fleet for newcomers.
 //
 // Exit codes: 0 done or stopped as planned, 1 failed, 2 wrong flags or settings.
 package main
@@ -36,10 +36,13 @@
 
 // arguments is the command line.
 type arguments struct {
-	Gateway    *gatewayCommand    `arg:"subcommand:gateway" help:"serve callers and operators"`
-	Dispatcher *dispatcherCommand `arg:"subcommand:dispatcher" help:"own workers and run requests on them"`
-	Control    *controlCommand    `arg:"subcommand:control" help:"keep configuration, jobs and leases"`
-	Dev        *devCommand        `arg:"subcommand:dev" help:"run a whole fleet with emulated engines in this process"`
+	Gateway     *gatewayCommand     `arg:"subcommand:gateway" help:"serve callers and operators"`
+	Dispatcher  *dispatcherCommand  `arg:"subcommand:dispatcher" help:"own workers and run requests on them"`
+	Control     *controlCommand     `arg:"subcommand:control" help:"keep configuration, jobs and leases"`
+	Edge        *edgeCommand        `arg:"subcommand:edge" help:"take opaque requests straight to workers, and jobs to the stores"`
+	Coordinator *coordinatorCommand `arg:"subcommand:coordinator" help:"keep the configuration of routes and the view of the fleet"`
+	Store       *storeCommand       `arg:"subcommand:store" help:"keep jobs of opaque items and run them"`
+	Dev         *devCommand         `arg:"subcommand:dev" help:"run a whole fleet with emulated engines in this process"`
 }
 
 // Description implements arg.Described.
@@ -60,6 +63,12 @@
 		command.Exit(runDispatcher(args.Dispatcher))
 	case args.Control != nil:
 		command.Exit(runControl(args.Control))
+	case args.Edge != nil:
+		command.Exit(runEdge(args.Edge))
+	case args.Coordinator != nil:
+		command.Exit(runCoordinator(args.Coordinator))
+	case args.Store != nil:
+		command.Exit(runStore(args.Store))
 	case args.Dev != nil:
 		command.Exit(runDev(args.Dev))
 	}
--- a/cmd/sedgemastctl/commands.go
+++ b/cmd/sedgemastctl/commands.go
@@ -212,8 +212,14 @@
 		target = settings.DefaultControl()
 	case "engine":
 		target = settings.DefaultEngine()
+	case "edge":
+		target = settings.DefaultEdge()
+	case "coordinator":
+		target = settings.DefaultCoordinator()
+	case "store":
+		target = settings.DefaultStore()
 	default:
-		return failure.New(failure.BadRequest, "use gateway, dispatcher, control or engine", "%q is not a role", flags.Role).WithField("role")
+		return failure.New(failure.BadRequest, "use gateway, dispatcher, control, engine, edge, coordinator or store", "%q is not a role", flags.Role).WithField("role")
 	}
 	if err := settings.Load(flags.File, target, nil); err != nil {
 		return err
--- a/cmd/sedgemastctl/main.go
+++ b/cmd/sedgemastctl/main.go
@@ -66,7 +66,7 @@
 }
 
 type checkSettingsCommand struct {
-	Role string `arg:"positional,required" help:"gateway, dispatcher, control or engine"`
+	Role string `arg:"positional,required" help:"gateway, dispatcher, control, engine, edge, coordinator or store"`
 	File string `arg:"positional,required" help:"settings file (YAML)"`
 }
 
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -36,7 +36,11 @@
 func (c *Control) listWorkers(listed []workerlist.Worker) {
 	rows := make([]membership.ListedWorker, 0, len(listed))
 	for _, row := range listed {
-		rows = append(rows, membership.ListedWorker(row))
+		if row.Pool != "" {
+			// Workers of pools take opaque requests; they are the edges'.
+			continue
+		}
+		rows = append(rows, membership.ListedWorker{ID: row.ID, Address: row.Address, Zone: row.Zone, Incarnation: row.Incarnation, Leaving: row.Leaving})
 	}
 	// An error means that another process leads now; it reads the list itself.
 	_ = c.readMeta(func(now time.Time, leader *coordination.Meta, _ *metastate.Machine) error {
--- /dev/null
+++ b/internal/edge/api.go
@@ -0,0 +1,148 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/httpapi"
+	"github.com/sedgemast/sedgemast/internal/routetable"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// PathJobs begins the paths of the calls on jobs that were handed in:
+//
+//	GET    ID/results?since=POSITION&wait_ms=MILLISECONDS   -> JobPage
+//	GET    ID/items/ITEM                                    -> the item's body
+//	DELETE ID                                               -> the job is ended
+//
+// A job is handed in by a POST of a JobDocument below the prefix of a batch route,
+// with its id in the header for request ids.
+const PathJobs = "/sedgemast/v1/jobs/"
+
+// JobDocument is a job as callers send it.
+type JobDocument struct {
+	Items []JobItem `json:"items"`
+}
+
+// JobItem is one request of a job.
+type JobItem struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	// Body is base64 in JSON.
+	Body []byte `json:"body"`
+	// Tokens counts those of the prompt and the most out.
+	Tokens int64 `json:"tokens"`
+}
+
+// JobPage holds results from a position on.
+type JobPage struct {
+	// Total counts the job's items, Next is the position after the last result.
+	Total   int         `json:"total"`
+	Next    int         `json:"next"`
+	Results []JobResult `json:"results"`
+}
+
+// JobResult is the result at a position: State is completed or abandoned.
+type JobResult struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+	Text  string `json:"text"`
+}
+
+// API serves callers in the product's own interface.
+type API struct{ Edge *Edge }
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	var err error
+	if rest, ok := strings.CutPrefix(request.URL.Path, PathJobs); ok {
+		err = a.serveJob(writer, request, rest)
+	} else {
+		table := a.Edge.Table()
+		route := table.MatchBatch(request.Method, request.Host, request.URL.Path)
+		if route == nil {
+			a.Edge.ServeHTTP(writer, request)
+			return
+		}
+		if err = a.submit(request, table, route); err == nil {
+			writer.WriteHeader(http.StatusAccepted)
+		}
+	}
+	if err != nil {
+		a.Edge.Refuse(writer, request, err)
+	}
+}
+
+func (a *API) submit(request *http.Request, table *routetable.Table, route *routetable.Route) error {
+	body, err := httpapi.ReadBody(request, table.Configuration.Limits.MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	document := &JobDocument{}
+	if err := json.Unmarshal(body, document); err != nil {
+		return failure.Wrap(err, failure.BadRequest, "send the whole job as JSON", "the job can't be read")
+	}
+	return a.Edge.SubmitJob(request.Context(), route, document.Job(request.Header.Get(a.Edge.dialect.RequestID), request.Host))
+}
+
+// Job returns the job that the document describes.
+func (d *JobDocument) Job(id, host string) *wire.SubmitBatch {
+	job := &wire.SubmitBatch{ID: id, Host: host}
+	for i := range d.Items {
+		item := &d.Items[i]
+		fields := make([]wire.HeaderField, 0, len(item.Headers))
+		for name, value := range item.Headers {
+			fields = append(fields, wire.HeaderField{Name: name, Value: value})
+		}
+		job.Items = append(job.Items, wire.BatchItem{ID: item.ID, Path: item.Path, Headers: fields, Body: item.Body, Tokens: item.Tokens})
+	}
+	return job
+}
+
+func (a *API) serveJob(writer http.ResponseWriter, request *http.Request, rest string) error {
+	id, part, _ := strings.Cut(rest, "/")
+	item, isItem := strings.CutPrefix(part, "items/")
+	switch {
+	case part == "" && request.Method == http.MethodDelete:
+		return a.Edge.EndJob(request.Context(), id)
+	case part == "results" && request.Method == http.MethodGet:
+		return a.results(writer, request, id)
+	case isItem && request.Method == http.MethodGet:
+		body, err := a.Edge.ItemBody(request.Context(), id, item)
+		if err != nil {
+			return err
+		}
+		httpapi.WriteBody(writer, "application/octet-stream", body)
+		return nil
+	}
+	return failure.New(failure.NotFound, "check method and path", "there is no %s %s", request.Method, request.URL.Path)
+}
+
+func (a *API) results(writer http.ResponseWriter, request *http.Request, id string) error {
+	since, err := httpapi.Count(request.URL.Query().Get("since"), "since")
+	if err != nil {
+		return err
+	}
+	wait, err := httpapi.Count(request.URL.Query().Get("wait_ms"), "wait_ms")
+	if err != nil {
+		return err
+	}
+	response, err := a.Edge.ReadJob(request.Context(), id, since, time.Duration(wait)*time.Millisecond)
+	if err != nil {
+		return err
+	}
+	page := JobPage{Total: response.Total, Next: since + len(response.Results), Results: []JobResult{}}
+	for _, row := range response.Results {
+		page.Results = append(page.Results, JobResult{ID: row.ID, State: row.State.String(), Text: row.Text})
+	}
+	body, err := json.Marshal(page)
+	if err != nil {
+		return err
+	}
+	httpapi.WriteBody(writer, "application/json", body)
+	return nil
+}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -9,6 +9,7 @@
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/httpapi"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/upstream"
@@ -160,7 +161,7 @@
 }
 
 func (c *call) refuse(err *failure.Error) {
-	WriteFailure(c.writer, err.Kind.HTTPStatus(), err)
+	httpapi.WriteFailure(c.writer, err.Kind.HTTPStatus(), err)
 	c.finish(err.Kind.String(), c.lastErr)
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -17,6 +17,7 @@
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/emulator"
+	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/settings"
@@ -267,6 +268,28 @@
 	}
 }
 
+// TestFreezeHasABound lets the coordinator of an edge fall silent: the edge goes on
+// for as long as its settings allow, and then refuses, saying when to come back.
+func TestFreezeHasABound(t *testing.T) {
+	workers := startWorkers(t, 1)
+	server, e := startEdge(t, stream(false, 1), workers...)
+	e.settings.FreezeTime = settings.Duration(time.Hour)
+	if status, _, _, err := send(context.Background(), t, server, "a", 1, patience); err != nil || status != http.StatusOK {
+		t.Fatalf("status %d, %v", status, err)
+	}
+	now := e.watcher.Current().Heard.Add(time.Hour)
+	if err := e.frozen(now); err != nil {
+		t.Error(err)
+	}
+	if err := e.frozen(now.Add(time.Minute)); !failure.Is(err, failure.NotRun) || failure.From(err).RetryAfter == 0 {
+		t.Errorf("after the bound: %v", err)
+	}
+	e.settings.FreezeTime = 0
+	if err := e.frozen(now.Add(time.Minute)); err != nil {
+		t.Errorf("without a bound: %v", err)
+	}
+}
+
 func await(tb testing.TB, what string, holds func() bool) {
 	tb.Helper()
 	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/sedgemast/sedgemast/internal/dialect"
 )
 
 // HostedWorker is a stand-in for a model worker of the users' platform: it
@@ -20,6 +22,9 @@
 	Slots int
 	// Pause is the time between two events.
 	Pause time.Duration
+	// Names are the headers that it knows; those of the users' platform unless
+	// they are set before the first request.
+	Names *dialect.Dialect
 
 	server  *httptest.Server
 	mutex   sync.Mutex
@@ -55,11 +60,24 @@
 
 // NewHostedWorker starts a worker; Close ends it.
 func NewHostedWorker(id string, slots int, pause time.Duration) *HostedWorker {
-	w := &HostedWorker{ID: id, Slots: slots, Pause: pause}
+	w := &HostedWorker{ID: id, Slots: slots, Pause: pause, Names: platformNames()}
 	w.server = httptest.NewServer(http.HandlerFunc(w.serve))
 	return w
 }
 
+// platformNames are the names of the users' platform, as far as the stand-in
+// knows them.
+func platformNames() *dialect.Dialect {
+	return &dialect.Dialect{
+		RequestID:    "Request-Id",
+		ExpectWorker: "Expect-Instance",
+		NotRun:       "Not-Run",
+		LastEvent:    "Last-Event-Id",
+		Load:         "Server-Load",
+		Tokens:       "Token-Count",
+	}
+}
+
 // Close ends the worker.
 func (w *HostedWorker) Close() { w.server.Close() }
 
@@ -120,8 +138,8 @@
 
 func (w *HostedWorker) serve(writer http.ResponseWriter, httpRequest *http.Request) {
 	header := httpRequest.Header
-	writer.Header().Set("Request-Id", header.Get("Request-Id"))
-	if expected := header.Get("Expect-Instance"); expected != "" && expected != w.ID {
+	writer.Header().Set(w.Names.RequestID, header.Get(w.Names.RequestID))
+	if expected := header.Get(w.Names.ExpectWorker); expected != "" && expected != w.ID {
 		writer.Header().Set("Instance", w.ID)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -130,9 +148,9 @@
 	if err != nil {
 		return
 	}
-	last, _ := strconv.Atoi(header.Get("Last-Event-Id"))
+	last, _ := strconv.Atoi(header.Get(w.Names.LastEvent))
 	request := &HostedRequest{
-		ID:        header.Get("Request-Id"),
+		ID:        header.Get(w.Names.RequestID),
 		Method:    httpRequest.Method,
 		Target:    httpRequest.RequestURI,
 		Host:      httpRequest.Host,
@@ -142,15 +160,12 @@
 	}
 	fault := w.admit(request)
 	if fault.NotRun {
-		writer.Header().Set("Not-Run", "1")
+		writer.Header().Set(w.Names.NotRun, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer func() {
-		w.mutex.Lock()
-		defer w.mutex.Unlock()
-		w.running--
-	}()
+	defer w.release()
+	writer.Header().Set(w.Names.Load, w.load())
 	writer.Header().Set("Server-Seal", w.ID+"."+request.ID)
 	if fault.Status != 0 {
 		writer.WriteHeader(fault.Status)
@@ -164,6 +179,19 @@
 	w.stream(writer, httpRequest, request, fault)
 }
 
+func (w *HostedWorker) release() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.running--
+}
+
+// load returns what the worker tells of itself.
+func (w *HostedWorker) load() string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return fmt.Sprintf("%d,0,%d", w.running, w.Slots)
+}
+
 // HostedEvent returns the data of a request's event, so that a test can tell
 // what the whole text must be.
 func HostedEvent(id string, number int) string { return fmt.Sprintf("%s-%d", id, number) }
@@ -171,7 +199,7 @@
 // stream sends the events after the last one that the caller has.
 func (w *HostedWorker) stream(writer http.ResponseWriter, httpRequest *http.Request, request *HostedRequest, fault HostedFault) {
 	writer.Header().Set("Content-Type", "text/event-stream")
-	_, out, _ := strings.Cut(request.Header.Get("Token-Count"), ",")
+	_, out, _ := strings.Cut(request.Header.Get(w.Names.Tokens), ",")
 	count, _ := strconv.Atoi(out)
 	flusher, _ := writer.(http.Flusher)
 	for sent, number := 0, request.LastEvent+1; number <= count; number++ {
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sort"
 	"strings"
 )
@@ -44,6 +45,18 @@
 	return nil
 }
 
+// MatchBatch returns the batch route that a job sent to the host and path belongs
+// to, or nil. A nil table has none.
+func (t *Table) MatchBatch(method, host, path string) *Route {
+	if t == nil || method != http.MethodPost {
+		return nil
+	}
+	if route := t.Match(host, path); route != nil && route.Kind == KindBatch {
+		return route
+	}
+	return nil
+}
+
 // Named returns the route with the name, or one without goals.
 func (t *Table) Named(name string) *Route {
 	if route := t.names[name]; route != nil {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -12,7 +12,11 @@
 	Seeds []string `json:"seeds"`
 	// Bootstrap is set at the first start of the whole system only.
 	Bootstrap bool `json:"bootstrap"`
-	// PollInterval is the time between readings of the platform's list.
+	// Operators is the IP:port at which operators are served, empty for none.
+	Operators string `json:"operators"`
+	// Platform is the address of the platform's list of workers.
+	Platform string `json:"platform"`
+	// PollInterval is the time between readings of that list.
 	PollInterval Duration `json:"poll_interval"`
 }
 
@@ -85,6 +89,12 @@
 	c.Process.check(checker)
 	c.Replication.check(checker)
 	checker.Addresses("seeds", c.Seeds)
+	if c.Operators != "" {
+		checker.Listen("operators", c.Operators)
+	}
+	if c.Platform != "" {
+		checker.Address("platform", c.Platform)
+	}
 	checker.Between("poll_interval", c.PollInterval, 10*time.Millisecond, time.Minute)
 }
 
@@ -128,6 +138,11 @@
 	Process
 	// Seeds are the addresses of a few coordinators.
 	Seeds []string `json:"seeds"`
+	// Callers is the IP:port at which callers are served, empty for none.
+	Callers string `json:"callers"`
+	// FreezeTime is how long an edge goes on with the configuration that it has
+	// while it reaches no coordinator; zero means without end.
+	FreezeTime Duration `json:"freeze_time"`
 	// UnreadyTime is how long an edge that is told to stop goes on taking
 	// requests, so that callers can be led elsewhere.
 	UnreadyTime Duration `json:"unready_time"`
@@ -146,5 +161,9 @@
 func (e *Edge) Check(checker *Checker) {
 	e.Process.check(checker)
 	checker.Addresses("seeds", e.Seeds)
+	if e.Callers != "" {
+		checker.Listen("callers", e.Callers)
+	}
+	checker.Between("freeze_time", e.FreezeTime, 0, 24*time.Hour)
 	checker.Between("unready_time", e.UnreadyTime, 0, time.Minute)
 }
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -49,6 +49,15 @@
 	ItemAbandoned
 )
 
+// String returns the state as callers and logs see it.
+func (s ItemState) String() string {
+	names := [...]string{"waiting", "completed", "abandoned"}
+	if int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
 // RecordItems records progress and results, several at a time.
 type RecordItems struct {
 	Items []ItemRecord `msg:"items"`
--- a/internal/workerlist/client.go
+++ b/internal/workerlist/client.go
@@ -28,6 +28,10 @@
 	// Incarnation grows whenever the machine under this id is replaced.
 	Incarnation uint64 `json:"incarnation"`
 	Leaving     bool   `json:"leaving"`
+	// Pool and Slots are those of workers for opaque requests: the pool that a
+	// worker belongs to, and how many requests it runs at once.
+	Pool  string `json:"pool,omitempty"`
+	Slots int    `json:"slots,omitempty"`
 }
 
 // List is the answer of the platform.
