--- a/internal/fleetsim/ledger.go
+++ b/internal/fleetsim/ledger.go
@@ -32,6 +32,7 @@
 	// acknowledged is the highest version that an operator was told of.
 	acknowledged uint64
 	jobs         map[string]*promised
+	chains       *chains
 	names        []string
 }
 
@@ -43,7 +44,9 @@
 	results  []wire.BatchResultRow
 }
 
-func newLedger(w *World) *ledger { return &ledger{world: w, jobs: map[string]*promised{}} }
+func newLedger(w *World) *ledger {
+	return &ledger{world: w, jobs: map[string]*promised{}, chains: newChains()}
+}
 
 func (l *ledger) violate(format string, arguments ...any) {
 	if len(l.violations) < 5 {
@@ -174,7 +177,8 @@
 func (l *ledger) recordOf(job *batchstate.Job) wire.ItemRecord {
 	number := l.world.random.IntN(len(job.Items))
 	item := &job.Items[number]
-	record := wire.ItemRecord{Job: job.ID, Item: number, From: item.Events, Events: item.Events + 1, LastEvent: int64(item.Events + 1), Text: fmt.Sprintf("[%s.%d]", item.ID, item.Events+1)}
+	random := l.world.random
+	record := l.chains.pick(item, random.IntN(4) == 0, random.IntN(maxChains)).next(job.ID, number, item.ID)
 	switch l.world.random.IntN(4) {
 	case 0:
 		record.State = wire.ItemCompleted
@@ -260,14 +264,11 @@
 	known.results = results
 }
 
-// checkText checks that no event is missing or stands twice.
+// checkText checks that no event is missing or stands twice, and that each run
+// began where the one before it in the text ends.
 func (l *ledger) checkText(row wire.BatchResultRow) {
-	want := ""
-	for number := 1; len(want) < len(row.Text); number++ {
-		want += fmt.Sprintf("[%s.%d]", row.ID, number)
-	}
-	if row.Text != want || row.Text == "" {
-		l.violate("%s has the text %q", row.ID, row.Text)
+	if fault := l.chains.fault(row.ID, row.Text); fault != "" {
+		l.violate("%s has the text %q: %s", row.ID, row.Text, fault)
 	}
 }
 
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -21,12 +21,15 @@
 	MutationAnyVersion Mutation = "any_version"
 	// MutationGaps joins an item's parts whatever came before.
 	MutationGaps Mutation = "join_with_gaps"
+	// MutationMixChains joins the parts of different chains of runs where their
+	// events fit.
+	MutationMixChains Mutation = "mix_chains"
 	// MutationLoseBodies forgets the requests of accepted items.
 	MutationLoseBodies Mutation = "lose_bodies"
 )
 
 // Mutations lists all that take something away.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationLoseBodies}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies}
 
 // mutatedStore returns the machine's disk, or one that lies.
 func (m *machine) mutatedStore() storage.Store {
@@ -47,7 +50,7 @@
 // machine returns the state machine, or a mutated one.
 func (m Mutation) machine(whole replication.StateMachine) replication.StateMachine {
 	switch m {
-	case MutationAnyVersion, MutationGaps, MutationLoseBodies:
+	case MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies:
 		return &mutated{StateMachine: whole, mutation: m}
 	}
 	return whole
@@ -66,7 +69,13 @@
 	case MutationAnyVersion:
 		return m.StateMachine.Apply(m.anyVersion(command))
 	case MutationGaps:
-		return m.StateMachine.Apply(withGaps(command))
+		return m.StateMachine.Apply(withRecords(command, func(record *wire.ItemRecord) {
+			if record.From == 0 && record.State == wire.ItemWaiting {
+				record.Text = ""
+			}
+		}))
+	case MutationMixChains:
+		return m.StateMachine.Apply(withRecords(command, func(record *wire.ItemRecord) { record.Opens = true }))
 	}
 	answer, mutations := m.StateMachine.Apply(command)
 	var batch wire.BatchCommand
@@ -87,16 +96,14 @@
 	return encode(&fleet)
 }
 
-// withGaps drops the first part of an item's text.
-func withGaps(command []byte) []byte {
+// withRecords changes the news of items in a command.
+func withRecords(command []byte, change func(record *wire.ItemRecord)) []byte {
 	var batch wire.BatchCommand
 	if _, err := batch.UnmarshalMsg(command); err != nil || batch.Record == nil {
 		return command
 	}
 	for i := range batch.Record.Items {
-		if record := &batch.Record.Items[i]; record.From == 0 && record.State == wire.ItemWaiting {
-			record.Text = ""
-		}
+		change(&batch.Record.Items[i])
 	}
 	return encode(&batch)
 }
