--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -19,6 +19,8 @@
 	pools   map[string][]*worker
 	// memory is how many tokens a worker of a pool holds.
 	memory map[string]int64
+	// acquired counts the leases ever given.
+	acquired uint64
 }
 
 // NewTable returns an empty table of a process in the zone.
@@ -49,6 +51,13 @@
 	t.workers = workers
 }
 
+// Acquired returns how many leases have been given so far.
+func (t *Table) Acquired() uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.acquired
+}
+
 // Knows reports whether the worker is listed.
 func (t *Table) Knows(id string) bool {
 	t.mutex.Lock()
@@ -116,6 +125,7 @@
 		batch:    demand.Batch,
 		unread:   demand.PromptTokens - cachedTokens(chosen, demand.Parts),
 	}
+	t.acquired++
 	chosen.inFlight++
 	chosen.unread += lease.unread
 	if demand.Batch {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -71,10 +71,16 @@
 // the others have.
 func (e *Edge) shareLoads(ctx context.Context) {
 	source := loadshare.Hash(e.settings.Name)
-	err := loadshare.Report(ctx,
-		func() []string { return e.watcher.Current().Fleet.StoreAddresses() },
-		func() *wire.LoadReport { return &wire.LoadReport{Source: source, Workers: e.workers.Loads()} },
-		e.workers.SetOthers)
+	var rate loadshare.Rate
+	err := loadshare.Report(ctx, &loadshare.Reporter{
+		Hubs:  func() []string { return e.watcher.Current().Fleet.StoreAddresses() },
+		Own:   func() *wire.LoadReport { return &wire.LoadReport{Source: source, Workers: e.workers.Loads()} },
+		Learn: e.workers.SetOthers,
+		Pause: func() time.Duration {
+			fleet := &e.watcher.Current().Fleet
+			return loadshare.Pause(rate.Add(time.Now(), e.workers.Acquired()), fleet.Edges, len(fleet.Workers))
+		},
+	})
 	if err != nil {
 		logging.Warn(e.logger, "loads_not_shared", "error", err)
 	}
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -49,11 +49,22 @@
 }
 
 // silence is how long a hub may be silent before another is asked.
-const silence = 4 * Interval
+const silence = 2*MaxInterval + Interval
 
-// Report tells a hub what own returns, again and again, and hands its answers to
-// learn. It looks for a hub among the addresses that hubs returns.
-func Report(ctx context.Context, hubs func() []string, own func() *wire.LoadReport, learn func(now time.Time, others []wire.WorkerLoad)) error {
+// Reporter is what a process tells a hub and learns from it.
+type Reporter struct {
+	// Hubs returns the addresses among which a hub is looked for.
+	Hubs func() []string
+	// Own returns what this process has.
+	Own func() *wire.LoadReport
+	// Learn takes in what the others have.
+	Learn func(now time.Time, others []wire.WorkerLoad)
+	// Pause returns the time to the next report, see Pause.
+	Pause func() time.Duration
+}
+
+// Report tells a hub what this process has, again and again, until ctx ends.
+func Report(ctx context.Context, p *Reporter) error {
 	socket, err := net.ListenUDP("udp", &net.UDPAddr{})
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "free descriptors", "loads can't be told")
@@ -61,16 +72,17 @@
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
 	r := &reporter{socket: socket, began: time.Now()}
-	go r.receive(ctx, learn)
-	ticker := time.NewTicker(Interval)
-	defer ticker.Stop()
+	go r.receive(ctx, p.Learn)
+	timer := time.NewTimer(Interval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		r.send(hubs(), own())
+		r.send(p.Hubs(), p.Own())
+		timer.Reset(p.Pause())
 	}
 }
 
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// Interval is the time between two reports of a process.
-	Interval = 50 * time.Millisecond
+	// Interval is the shortest time between two reports of a process,
+	// MaxInterval the longest; two in a row may be lost within Fresh.
+	Interval    = 50 * time.Millisecond
+	MaxInterval = 125 * time.Millisecond
 	// Fresh is how long a report counts.
 	Fresh = 400 * time.Millisecond
 )
@@ -23,6 +25,19 @@
 // Hash returns the short name of a worker or process.
 func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
+// Pause returns the time between two reports of a process that sends so many
+// requests a second, one of so many processes before so many workers: as long as it
+// takes all of them together to send one request to each worker. What is told is
+// then wrong by about one request, whatever the size of the fleet.
+func Pause(perSecond float64, processes, workers int) time.Duration {
+	together := perSecond * float64(max(processes, 1))
+	if together <= 0 {
+		return MaxInterval
+	}
+	pause := time.Duration(float64(workers) / together * float64(time.Second))
+	return min(max(pause, Interval), MaxInterval)
+}
+
 // Hub adds the reports up. It is pure and not safe for concurrent use.
 type Hub struct {
 	sources map[uint32]*source
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -91,6 +91,43 @@
 	}
 }
 
+func TestPauseFollowsTheLoad(t *testing.T) {
+	for _, test := range []struct {
+		perSecond          float64
+		processes, workers int
+		want               time.Duration
+	}{
+		{0, 8, 12, MaxInterval},
+		{5, 8, 12, MaxInterval},
+		{33, 8, 12, Interval},
+		{10, 50, 50, 100 * time.Millisecond},
+		{10, 0, 1, 100 * time.Millisecond},
+		{1000, 500, 0, Interval},
+	} {
+		if got := Pause(test.perSecond, test.processes, test.workers); got != test.want {
+			t.Errorf("%+v: %s", test, got)
+		}
+	}
+}
+
+func TestRateFollowsTheCount(t *testing.T) {
+	var rate Rate
+	now, count := start, uint64(5)
+	if got := rate.Add(now, count); got != 0 {
+		t.Errorf("a rate of %f by one count", got)
+	}
+	for range 40 {
+		now, count = now.Add(50*time.Millisecond), count+2
+		rate.Add(now, count)
+	}
+	if got := rate.Add(now, count); got < 39 || got > 41 {
+		t.Errorf("a rate of %f, want 40", got)
+	}
+	if got := rate.Add(now.Add(time.Second), count); got != 0 {
+		t.Errorf("a rate of %f after a second of nothing", got)
+	}
+}
+
 func TestOldReportsDoNotCount(t *testing.T) {
 	hub := NewHub()
 	hub.Take(start, report(1, 7, 3))
@@ -128,9 +165,12 @@
 	running.Add(1)
 	go func() {
 		defer running.Done()
-		err := Report(ctx, func() []string { return []string{silent, answering} },
-			func() *wire.LoadReport { return report(1, 7, 3) },
-			func(_ time.Time, others []wire.WorkerLoad) { learned <- others[0] })
+		err := Report(ctx, &Reporter{
+			Hubs:  func() []string { return []string{silent, answering} },
+			Own:   func() *wire.LoadReport { return report(1, 7, 3) },
+			Learn: func(_ time.Time, others []wire.WorkerLoad) { learned <- others[0] },
+			Pause: func() time.Duration { return Interval },
+		})
 		if err != nil {
 			t.Error(err)
 		}
