Items give way by what each has left to do

Change: what is left of an item is estimated from its events; it gives way while it would still be in time after 3 s of waiting, and counts as overdue by its own rest.

--- a/internal/batchplan/batchplan.go
+++ b/internal/batchplan/batchplan.go
@@ -1,92 +1,112 @@
 // Package batchplan says in which order the items of jobs run, and which of them
 // give way to online requests. It is pure.
 //
-// The order is by due time among the jobs that can still be done in time; the
-// others come after them, in the same order. So an overload makes some jobs late
-// rather than all of them, and what is late runs as soon as there is room.
+// The order is by due time among the items that can still be done in time; the
+// others come after them, in the same order. So an overload makes some items late
+// rather than all of them, and what is late runs as soon as there is room. An item
+// gives way while it would still be done in time if it waited for a while.
 package batchplan
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
-// Urgency says how near a job's due time is.
+// Urgency says how near an item's due time is.
 type Urgency uint8
 
 const (
-	// Patient jobs have time to spare: their items give way to online requests.
+	// Patient items have time to spare: they give way to online requests.
 	Patient Urgency = iota
-	// Urgent jobs are done in time only if they go on now.
+	// Urgent items are done in time only if they go on now.
 	Urgent
-	// Overdue jobs can't be done in time any more.
+	// Overdue items can't be done in time any more.
 	Overdue
 )
 
-// Shares of a run's time, in hundredths: a job is urgent while less than
-// urgentShare of it is left until its due time, and overdue with less than
-// overdueShare.
 const (
-	urgentShare  = 200
+	// spareTime is what an item that gives way may lose by it: it waits until a
+	// burst is over, and its prompt is read again.
+	spareTime = 3 * time.Second
+	// overdueShare is the part, in hundredths, of the time that an item still
+	// takes, below which it is not worth the try: estimates err.
 	overdueShare = 70
 	hundredths   = 100
 )
 
-// Classify returns the urgency of a job of the given age, whose results are due
-// at the age due (zero for never), where one item takes run.
-func Classify(age, due, run time.Duration) Urgency {
+// Classify returns the urgency of an item of the given age, whose result is due at
+// the age due (zero for never) and which takes remaining until its end.
+func Classify(age, due, remaining time.Duration) Urgency {
 	left := due - age
 	switch {
-	case due <= 0 || left > run*urgentShare/hundredths:
+	case due <= 0 || left > remaining+spareTime:
 		return Patient
-	case left > run*overdueShare/hundredths:
+	case left > remaining*overdueShare/hundredths:
 		return Urgent
 	}
 	return Overdue
 }
 
-// Job is a job as the order sees it.
-type Job struct {
-	ID string
+// Item is an item as the order sees it.
+type Item struct {
+	Job    string
+	Number int
 	// Order numbers jobs as they were accepted.
 	Order   uint64
 	Urgency Urgency
 }
 
-// Sort puts jobs in the order in which their items run.
-func Sort(jobs []Job) {
-	sort.Slice(jobs, func(a, b int) bool {
-		first, second := jobs[a].Urgency == Overdue, jobs[b].Urgency == Overdue
-		if first != second {
-			return second
+// Sort puts items in the order in which they run.
+func Sort(items []Item) {
+	slices.SortFunc(items, func(a, b Item) int {
+		if a.overdue() != b.overdue() {
+			return boolOrder(a.overdue())
 		}
-		return jobs[a].Order < jobs[b].Order
+		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Number, b.Number))
 	})
 }
 
-// YieldsBefore reports whether an item of the first job gives way before one of
-// the second: overdue ones first, then those of later jobs.
-func YieldsBefore(first, second Job) bool {
-	if (first.Urgency == Overdue) != (second.Urgency == Overdue) {
-		return first.Urgency == Overdue
+// boolOrder puts what is set last.
+func boolOrder(set bool) int {
+	if set {
+		return 1
+	}
+	return -1
+}
+
+func (i Item) overdue() bool { return i.Urgency == Overdue }
+
+// YieldsBefore reports whether the first item gives way before the second:
+// overdue ones first, then those of later jobs.
+func YieldsBefore(first, second Item) bool {
+	if first.overdue() != second.overdue() {
+		return first.overdue()
 	}
 	return first.Order > second.Order
 }
 
-// Yields reports whether items of the job give way to online requests at all.
-func (j Job) Yields() bool { return j.Urgency != Urgent }
+// Yields reports whether the item gives way to online requests at all.
+func (i Item) Yields() bool { return i.Urgency != Urgent }
 
-// RunTime is a running mean of how long items run.
-type RunTime struct{ mean time.Duration }
+// RunTime is a running mean of how long items run and how many events they have.
+// The zero value is ready for use.
+type RunTime struct {
+	mean   time.Duration
+	events float64
+}
 
 const (
 	// firstRunTime stands in before any item has run.
 	firstRunTime = 2 * time.Second
 	// weight is the part of a new value in the mean: one in so many.
 	weight = 16
+	// leastLeft is the part of a run, one in so many, that is always taken to
+	// be left: items are of different lengths.
+	leastLeft = 6
 )
 
-// Mean returns the mean.
+// Mean returns how long a whole run takes.
 func (r *RunTime) Mean() time.Duration {
 	if r.mean == 0 {
 		return firstRunTime
@@ -94,5 +114,20 @@
 	return r.mean
 }
 
-// Add takes in how long an item ran that was never stopped.
-func (r *RunTime) Add(run time.Duration) { r.mean = r.Mean() + (run-r.Mean())/weight }
+// Add takes in how long an item ran that was never stopped, and its events.
+func (r *RunTime) Add(run time.Duration, events int) {
+	r.mean = r.Mean() + (run-r.Mean())/weight
+	if r.events == 0 {
+		r.events = float64(events)
+	}
+	r.events += (float64(events) - r.events) / weight
+}
+
+// Remaining returns how long an item takes that has so many events.
+func (r *RunTime) Remaining(events int) time.Duration {
+	if r.events == 0 {
+		return r.Mean()
+	}
+	left := max(1-float64(events)/r.events, 1.0/leastLeft)
+	return time.Duration(left * float64(r.Mean()))
+}
--- a/internal/batchplan/batchplan_test.go
+++ b/internal/batchplan/batchplan_test.go
@@ -11,44 +11,47 @@
 )
 
 func TestClassify(t *testing.T) {
-	const due, run = 20 * time.Second, 5 * time.Second
+	const due = 20 * time.Second
 	cases := []struct {
-		age  time.Duration
-		due  time.Duration
-		want Urgency
+		age       time.Duration
+		due       time.Duration
+		remaining time.Duration
+		want      Urgency
 	}{
-		{0, due, Patient},
-		{9 * time.Second, due, Patient},
-		{11 * time.Second, due, Urgent},
-		{16 * time.Second, due, Urgent},
-		{17 * time.Second, due, Overdue},
-		{30 * time.Second, due, Overdue},
-		{30 * time.Second, 0, Patient},
+		{0, due, 5 * time.Second, Patient},
+		{11 * time.Second, due, 5 * time.Second, Patient},
+		{13 * time.Second, due, 5 * time.Second, Urgent},
+		{13 * time.Second, due, 2 * time.Second, Patient},
+		{16 * time.Second, due, 5 * time.Second, Urgent},
+		{17 * time.Second, due, 5 * time.Second, Overdue},
+		{18 * time.Second, due, time.Second, Urgent},
+		{30 * time.Second, due, time.Second, Overdue},
+		{30 * time.Second, 0, 5 * time.Second, Patient},
 	}
 	for _, test := range cases {
-		if got := Classify(test.age, test.due, run); got != test.want {
-			t.Errorf("age %s of %s: %d, want %d", test.age, test.due, got, test.want)
+		if got := Classify(test.age, test.due, test.remaining); got != test.want {
+			t.Errorf("age %s of %s, %s left: %d, want %d", test.age, test.due, test.remaining, got, test.want)
 		}
 	}
 }
 
-// TestOrder checks that jobs that can be in time come in the order of their due
+// TestOrder checks that items that can be in time come in the order of their due
 // times before all others, and that the order of yielding is its reverse within
 // each kind.
 func TestOrder(t *testing.T) {
 	proptest.Run(t, "order", func(random *rand.Rand) error {
-		jobs := make([]Job, 1+random.Intn(20))
-		for i := range jobs {
-			jobs[i] = Job{Order: uint64(i), Urgency: Urgency(random.Intn(3))}
+		items := make([]Item, 1+random.Intn(20))
+		for i := range items {
+			items[i] = Item{Order: uint64(i / 2), Number: i % 2, Urgency: Urgency(random.Intn(3))}
 		}
-		random.Shuffle(len(jobs), func(a, b int) { jobs[a], jobs[b] = jobs[b], jobs[a] })
-		Sort(jobs)
-		for i := 1; i < len(jobs); i++ {
-			before, after := jobs[i-1], jobs[i]
+		random.Shuffle(len(items), func(a, b int) { items[a], items[b] = items[b], items[a] })
+		Sort(items)
+		for i := 1; i < len(items); i++ {
+			before, after := items[i-1], items[i]
 			if before.Urgency == Overdue && after.Urgency != Overdue {
 				return errors.Newf("%+v stands before %+v", before, after)
 			}
-			if (before.Urgency == Overdue) == (after.Urgency == Overdue) && before.Order > after.Order {
+			if before.overdue() == after.overdue() && (before.Order > after.Order || before.Order == after.Order && before.Number > after.Number) {
 				return errors.Newf("%+v stands before %+v", before, after)
 			}
 			if YieldsBefore(before, after) {
@@ -61,10 +64,18 @@
 
 func TestRunTime(t *testing.T) {
 	var run RunTime
+	if run.Remaining(10) != firstRunTime {
+		t.Errorf("%s left before anything has run", run.Remaining(10))
+	}
 	for i := 0; i < 200; i++ {
-		run.Add(7 * time.Second)
+		run.Add(7*time.Second, 140)
 	}
 	if off := run.Mean() - 7*time.Second; off < -time.Second/10 || off > time.Second/10 {
 		t.Errorf("mean %s", run.Mean())
 	}
+	for events, want := range map[int]time.Duration{0: 7 * time.Second, 70: 3500 * time.Millisecond, 140: 7 * time.Second / leastLeft, 500: 7 * time.Second / leastLeft} {
+		if off := run.Remaining(events) - want; off < -time.Second/10 || off > time.Second/10 {
+			t.Errorf("%s left after %d events, want %s", run.Remaining(events), events, want)
+		}
+	}
 }
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -89,7 +89,6 @@
 type sighting struct {
 	first     time.Time
 	routeGone time.Time
-	plan      batchplan.Job
 }
 
 const queueLength = 4096
@@ -205,7 +204,7 @@
 	case ended.finished:
 		r.pending[ended.key] = true
 		if ended.ranWhole {
-			r.runTime.Add(ended.ran)
+			r.runTime.Add(ended.ran, ended.carry.events)
 		}
 	case ended.yielded:
 		r.resting[ended.key] = time.Now().Add(yieldPause)
@@ -282,25 +281,23 @@
 		}
 	}
 	table := r.store.watcher.Current().Table
-	jobs := r.order(now, table)
-	r.yield(now)
+	items := r.order(now, table)
+	r.yield(now, table)
 	if table == nil || r.drained != nil || !r.knowsLoads(now) {
 		return nil
 	}
 	var starts []*task
 	full := map[string]bool{}
-	for _, planned := range jobs {
-		job, err := machine.Job(planned.ID)
+	for _, planned := range items {
+		if len(starts) >= maxStarts {
+			return starts
+		}
+		job, err := machine.Job(planned.Job)
 		if err != nil {
 			continue
 		}
-		for number := range job.Items {
-			if len(starts) >= maxStarts {
-				return starts
-			}
-			if task := r.consider(ctx, now, reader, table, job, number, full); task != nil {
-				starts = append(starts, task)
-			}
+		if task := r.consider(ctx, now, reader, table, job, planned, full); task != nil {
+			starts = append(starts, task)
 		}
 	}
 	return starts
@@ -316,23 +313,35 @@
 	return led > loadsPatience || led > loadsTime && 2*r.store.reporting.Load() >= edges
 }
 
-// order returns the open jobs in the order in which their items run, and notes
-// their urgency.
-func (r *runner) order(now time.Time, table *routetable.Table) []batchplan.Job {
-	var jobs []batchplan.Job
+// order returns the items that wait to run, in the order in which they do.
+func (r *runner) order(now time.Time, table *routetable.Table) []batchplan.Item {
+	var items []batchplan.Item
 	r.store.machine.Jobs(func(job *batchstate.Job) {
-		seen := r.seen[job.ID]
-		if seen == nil {
-			seen = &sighting{first: now}
-			r.seen[job.ID] = seen
+		if r.seen[job.ID] == nil {
+			r.seen[job.ID] = &sighting{first: now}
+		}
+		if !job.Open() {
+			return
 		}
-		seen.plan = batchplan.Job{ID: job.ID, Order: job.Order, Urgency: batchplan.Classify(now.Sub(seen.first), dueOf(table, job), r.runTime.Mean())}
-		if job.Open() {
-			jobs = append(jobs, seen.plan)
+		for number := range job.Items {
+			key := itemKey{job.ID, number}
+			if job.Items[number].State == wire.ItemWaiting && r.running[key] == nil && !r.pending[key] && !r.rests(now, key) {
+				items = append(items, r.planOf(now, table, job, number))
+			}
 		}
 	})
-	batchplan.Sort(jobs)
-	return jobs
+	batchplan.Sort(items)
+	return items
+}
+
+// planOf returns an item as the order sees it.
+func (r *runner) planOf(now time.Time, table *routetable.Table, job *batchstate.Job, number int) batchplan.Item {
+	planned := batchplan.Item{Job: job.ID, Number: number, Order: job.Order}
+	if seen := r.seen[job.ID]; seen != nil {
+		remaining := r.runTime.Remaining(job.Items[number].Events)
+		planned.Urgency = batchplan.Classify(now.Sub(seen.first), dueOf(table, job), remaining)
+	}
+	return planned
 }
 
 // dueOf returns the age at which a job's results are due, or zero.
@@ -345,13 +354,11 @@
 
 // consider returns a task for the item if it can run now. full names pools, with
 // the urgency, that have no room left at this look.
-func (r *runner) consider(ctx context.Context, now time.Time, reader storage.Reader, table *routetable.Table, job *batchstate.Job, number int, full map[string]bool) *task {
+func (r *runner) consider(ctx context.Context, now time.Time, reader storage.Reader, table *routetable.Table, job *batchstate.Job, planned batchplan.Item, full map[string]bool) *task {
+	number := planned.Number
 	key := itemKey{job.ID, number}
-	if job.Items[number].State != wire.ItemWaiting || r.running[key] != nil || r.pending[key] || r.rests(now, key) {
-		return nil
-	}
 	seen := r.seen[job.ID]
-	urgent := seen.plan.Urgency == batchplan.Urgent
+	urgent := planned.Urgency == batchplan.Urgent
 	place := job.Route
 	if urgent {
 		place += " urgent"
@@ -432,36 +439,40 @@
 	return carry{events: item.Events, lastEvent: item.LastEvent, noted: item.Events, chain: rand.Uint64()}
 }
 
+// yielding is a task that may give way, and its place in the order.
+type yielding struct {
+	task *task
+	plan batchplan.Item
+}
+
 // yield stops items that stand in the way of online requests. They go on
 // elsewhere from where they are.
-func (r *runner) yield(now time.Time) {
+func (r *runner) yield(now time.Time, table *routetable.Table) {
 	overfull := r.store.workers.Overfull(now)
 	if len(overfull) == 0 {
 		return
 	}
-	tasks := make([]*task, 0, len(r.running))
-	for _, task := range r.running {
-		if overfull[task.lease.Endpoint.ID] > 0 && task.mayYield(now) && r.planOf(task).Yields() {
-			tasks = append(tasks, task)
+	candidates := make([]yielding, 0, len(r.running))
+	for key, running := range r.running {
+		if overfull[running.lease.Endpoint.ID] == 0 || !running.mayYield(now) {
+			continue
+		}
+		if job, err := r.store.machine.Job(key.job); err == nil {
+			if plan := r.planOf(now, table, job, key.item); plan.Yields() {
+				candidates = append(candidates, yielding{running, plan})
+			}
 		}
 	}
-	sort.Slice(tasks, func(a, b int) bool { return batchplan.YieldsBefore(r.planOf(tasks[a]), r.planOf(tasks[b])) })
-	for _, task := range tasks {
-		id := task.lease.Endpoint.ID
-		if overfull[id] == 0 || now.Sub(r.yieldedAt[id]) < yieldEffect {
+	sort.Slice(candidates, func(a, b int) bool { return batchplan.YieldsBefore(candidates[a].plan, candidates[b].plan) })
+	for _, candidate := range candidates {
+		id := candidate.task.lease.Endpoint.ID
+		if now.Sub(r.yieldedAt[id]) < yieldEffect {
 			continue
 		}
 		r.yieldedAt[id] = now
-		task.yielded = true
-		task.cancel()
-	}
-}
-
-func (r *runner) planOf(task *task) batchplan.Job {
-	if seen := r.seen[task.key.job]; seen != nil {
-		return seen.plan
+		candidate.task.yielded = true
+		candidate.task.cancel()
 	}
-	return batchplan.Job{}
 }
 
 // routeGone gives an item up once its route has been gone for a while.
