--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -15,7 +15,7 @@
 	// patientParts says how many requests more than slots a worker may have
 	// before batch items are stopped, because an online request ends soon: one
 	// for so many slots.
-	patientParts = 4
+	patientParts = 8
 	// batchUnreadParts says how many prompt tokens may wait to be read at a
 	// worker when a batch item is added: one for so many of its memory. Items
 	// that start all at once, as after the loss of a store, would hold back the
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -30,7 +30,7 @@
 	yieldPause = time.Second
 	// yieldEffect is the time between two items that give way at one worker: the
 	// load that is told then shows what the first has brought.
-	yieldEffect = 100 * time.Millisecond
+	yieldEffect = 60 * time.Millisecond
 	// leastRun is how long an item runs at least before it gives way, so that the
 	// reading of its prompt was not for nothing.
 	leastRun = time.Second
