Failing workers are avoided by all; a request steps over many dead ones

Ruled out: missing configurations (the edges' lines say 'no connection to worker'). Change: reports to the hub carry answers and failures of each worker; the hub calls a worker failing from two recent failures on, if they are a fifth of its answers, for some five seconds; unless most of the pool fails nobody sends it requests. A failure seen here counts at once. Up to ten dead ports are stepped over, within 1.2 s. The hub keeps its sums as reports come: a report costs its own rows, not those of all. TestDeadWorkersAreSteppedOver was red before.

--- /dev/null
+++ b/internal/balance/answers.go
@@ -0,0 +1,61 @@
+package balance
+
+import "time"
+
+// noiseParts is the part of a worker's slots, one in so many, by which what it
+// tells and what is known of it may differ by chance: requests on their way,
+// reports a moment old.
+const noiseParts = 8
+
+// Told takes in what the worker says that it has, in the head of an answer. It is
+// passed on with the next report of loads.
+func (l *Lease) Told(running, waiting int) {
+	l.table.mutex.Lock()
+	defer l.table.mutex.Unlock()
+	l.worker.told = running + waiting + 1
+}
+
+// orphaned returns how many requests the worker has that no living process answers
+// for, as far as the hub knows.
+func (w *worker) orphaned(now time.Time) int {
+	others, known := w.toldByOthers(now)
+	if !known || int(others.Orphans) <= max(w.listed.Slots/noiseParts, 1) {
+		return 0
+	}
+	return int(others.Orphans)
+}
+
+// Answered takes in how a request at the worker ended: well, or by a failure of the
+// worker itself. Refusals that ran nothing are neither.
+func (l *Lease) Answered(now time.Time, well bool) {
+	l.table.mutex.Lock()
+	defer l.table.mutex.Unlock()
+	if well {
+		l.worker.answered++
+		return
+	}
+	l.worker.failed++
+	l.worker.suspectUntil = now.Add(suspectTime)
+}
+
+// failing reports whether other processes, too, find that the worker fails.
+func (w *worker) failing(now time.Time) bool {
+	others, known := w.toldByOthers(now)
+	return known && others.Failing
+}
+
+// mostFail reports whether more than half of the pool's workers fail. Then none is
+// avoided: the cause lies elsewhere, or there is nowhere better.
+func (t *Table) mostFail(now time.Time, pool string) bool {
+	failing, usable := 0, 0
+	for _, candidate := range t.pools[pool] {
+		if !candidate.usable() {
+			continue
+		}
+		usable++
+		if candidate.failing(now) {
+			failing++
+		}
+	}
+	return 2*failing > usable
+}
--- a/internal/balance/orphans_test.go
+++ b/internal/balance/answers_test.go
@@ -28,6 +28,47 @@
 	}
 }
 
+// TestFailingWorkersAreAvoided checks that no request goes to a worker that the
+// hub calls failing while others are there, unless most of the pool fails; and
+// that a failure seen here counts at once.
+func TestFailingWorkersAreAvoided(t *testing.T) {
+	table := tableOf(listed("a", "z1"), listed("b", "z2"), listed("c", "z2"))
+	say := func(failing ...string) {
+		var loads []wire.WorkerLoad
+		for _, id := range failing {
+			loads = append(loads, wire.WorkerLoad{Worker: loadshare.Hash(id), Failing: true})
+		}
+		table.SetOthers(start, loads)
+	}
+	takes := func() string {
+		lease := table.Acquire(start, &Demand{Pool: "p"})
+		defer lease.Release()
+		return lease.Endpoint.ID
+	}
+	say()
+	if takes() != "a" {
+		t.Fatal("the worker of the zone is not taken")
+	}
+	say("a")
+	if takes() == "a" {
+		t.Error("a failing worker got a request")
+	}
+	say("a", "b")
+	if takes() != "a" {
+		t.Error("most of the pool fails, and still some are avoided")
+	}
+	say()
+	lease := table.Acquire(start, &Demand{Pool: "p"})
+	lease.Answered(start, false)
+	lease.Release()
+	if takes() == "a" {
+		t.Error("a worker that has just failed got the next request")
+	}
+	if loads := table.Loads(); len(loads) != 1 || loads[0].Failed != 1 || loads[0].Answered != 0 {
+		t.Errorf("reported %+v", loads)
+	}
+}
+
 // TestToldIsPassedOnOnce checks that what a worker says of itself is in the next
 // report, and only there.
 func TestToldIsPassedOnOnce(t *testing.T) {
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -30,7 +30,7 @@
 	defer t.mutex.Unlock()
 	var loads []wire.WorkerLoad
 	for id, known := range t.workers {
-		if known.inFlight == 0 && known.told == 0 {
+		if known.inFlight == 0 && known.told == 0 && known.answered == 0 && known.failed == 0 {
 			continue
 		}
 		loads = append(loads, wire.WorkerLoad{
@@ -39,8 +39,11 @@
 			Batch:  uint16(min(known.batch, math.MaxUint16)),
 			Unread: uint32(min(max(known.unread, 0), math.MaxUint32)),
 			Told:   uint16(min(known.told, math.MaxUint16)),
+
+			Answered: uint16(min(known.answered, math.MaxUint16)),
+			Failed:   uint16(min(known.failed, math.MaxUint16)),
 		})
-		known.told = 0
+		known.told, known.answered, known.failed = 0, 0, 0
 	}
 	return loads
 }
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -139,8 +139,9 @@
 func (t *Table) choose(now time.Time, demand *Demand, suspects bool) *worker {
 	var best *worker
 	bestCost, equals := 0.0, 0
+	avoid := !suspects && !t.mostFail(now, demand.Pool)
 	for _, candidate := range t.pools[demand.Pool] {
-		if !t.admits(now, candidate, demand, suspects) {
+		if !t.admits(now, candidate, demand, suspects) || avoid && candidate.failing(now) {
 			continue
 		}
 		cost := t.cost(now, candidate, demand)
@@ -201,6 +202,7 @@
 	l.table.mutex.Lock()
 	defer l.table.mutex.Unlock()
 	l.worker.suspectUntil = now.Add(suspectTime)
+	l.worker.failed++
 }
 
 // Refuse takes in that the incarnation is no longer at the address, or leaves.
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -37,6 +37,9 @@
 	// told is one more than the requests that the worker said it has, until
 	// that has been passed on.
 	told int
+	// answered and failed count answers until they have been passed on.
+	answered int
+	failed   int
 }
 
 // usable reports whether new requests may go to the worker.
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// maxDials bounds the workers to which no connection came about.
-	maxDials = 3
+	// maxDials bounds the workers to which no connection came about, and
+	// maxDialTime the time that this took: a dead port answers at once, a dark
+	// machine not at all.
+	maxDials    = 10
+	maxDialTime = 1200 * time.Millisecond
 	// firstPatience and gapPatience are how many times the goals of a stream a
 	// silent worker is waited for while another may be tried.
 	firstPatience = 3
@@ -42,6 +45,7 @@
 	deadline   time.Time
 	attempts   int
 	dials      int
+	dialTime   time.Duration
 	worker     string
 	// started is set once the head of the answer has been written, broken once
 	// that answer can't be ended as it should.
@@ -132,7 +136,7 @@
 func (o outcome) String() string { return [...]string{"delivered", "not_run", "failed"}[o] }
 
 func (c *call) mayTry() bool {
-	return c.context.Err() == nil && c.attempts < max(c.route.MaxAttempts, 1) && c.dials < maxDials
+	return c.context.Err() == nil && c.attempts < max(c.route.MaxAttempts, 1) && c.dials < maxDials && c.dialTime < maxDialTime
 }
 
 // mayMove reports whether another worker could take over.
@@ -204,20 +208,25 @@
 	request := c.request
 	request.Headers = c.headers(lease)
 	c.attempts++
+	sentAt := time.Now()
 	response, err := c.edge.upstream.Send(c.context, lease.Endpoint, &request, c.headBy())
 	if err != nil {
-		return c.sendFailed(lease, err)
+		return c.sendFailed(lease, err, time.Since(sentAt))
 	}
 	defer response.Close()
 	if running, waiting, told := dialect.Load(response.Header.Get(c.edge.dialect.Load)); told {
 		lease.Told(running, waiting)
 	}
+	notRunHere := response.Status == http.StatusMisdirectedRequest || response.Header.Get(c.edge.dialect.NotRun) != ""
+	if !notRunHere {
+		lease.Answered(time.Now(), response.Status < http.StatusInternalServerError)
+	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		lease.Refuse()
 		c.lastErr = failure.New(failure.NotRun, "", "another worker has the address")
 		return c.passOver(response, notRun)
-	case response.Header.Get(c.edge.dialect.NotRun) != "":
+	case notRunHere:
 		c.lastErr = failure.New(failure.NotRun, "", "the worker answered %d and did not run it", response.Status)
 		return c.passOver(response, notRun)
 	case response.Status >= http.StatusInternalServerError && (c.started || c.mayMove()):
@@ -232,7 +241,7 @@
 	return c.relayWhole(lease, response)
 }
 
-func (c *call) sendFailed(lease *balance.Lease, err error) outcome {
+func (c *call) sendFailed(lease *balance.Lease, err error, took time.Duration) outcome {
 	c.lastErr = err
 	if c.context.Err() == nil {
 		lease.Suspect(time.Now())
@@ -241,6 +250,7 @@
 		// Nothing was sent: this worker does not count as an attempt.
 		c.attempts--
 		c.dials++
+		c.dialTime += took
 		return notRun
 	}
 	return failed
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -268,6 +268,20 @@
 	}
 }
 
+// TestDeadWorkersAreSteppedOver: most workers of the pool are gone, though they
+// are listed still; the request reaches the one that lives.
+func TestDeadWorkersAreSteppedOver(t *testing.T) {
+	workers := startWorkers(t, 7)
+	server, _ := startEdge(t, stream(false, 1), workers...)
+	for _, worker := range workers[1:] {
+		worker.Close()
+	}
+	status, _, _, err := send(context.Background(), t, server, "a", 1, patience)
+	if err != nil || status != http.StatusOK || len(workers[0].Seen()) != 1 {
+		t.Errorf("status %d, %v", status, err)
+	}
+}
+
 // TestFreezeHasABound lets the coordinator of an edge fall silent: the edge goes on
 // for as long as its settings allow, and then refuses, saying when to come back.
 func TestFreezeHasABound(t *testing.T) {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -75,7 +76,7 @@
 		t.Errorf("%d orphans after the worker told of none", got)
 	}
 	hub.Take(now.Add(2*toldFresh), report(1, 7, 1))
-	if len(hub.orphans) != 0 {
+	if len(hub.watched) != 0 {
 		t.Error("estimates are kept for ever")
 	}
 }
@@ -128,6 +129,87 @@
 	}
 }
 
+// answers is a report of how worker 7 answered a process.
+func answers(source uint32, answered, failed uint16) *wire.LoadReport {
+	return &wire.LoadReport{Source: source, Workers: []wire.WorkerLoad{{Worker: 7, Answered: answered, Failed: failed}}}
+}
+
+// TestFailingWorkersAreTold lets two processes see one failure each of a worker:
+// all are told to avoid it, and may try it again after some seconds.
+func TestFailingWorkersAreTold(t *testing.T) {
+	failing := func(hub *Hub, now time.Time) bool {
+		for _, load := range hub.Others(now, 9) {
+			if load.Worker == 7 {
+				return load.Failing
+			}
+		}
+		return false
+	}
+	hub, now := NewHub(), start
+	hub.Take(now, answers(1, 2, 1))
+	if failing(hub, now) {
+		t.Error("one failure makes a failing worker")
+	}
+	hub.Take(now, answers(2, 0, 1))
+	if !failing(hub, now) {
+		t.Fatal("two failures of four answers don't")
+	}
+	if now = now.Add(3 * time.Second); !failing(hub, now) {
+		t.Error("it is tried again at once")
+	}
+	if now = now.Add(4 * time.Second); failing(hub, now) {
+		t.Error("it is never tried again")
+	}
+	hub.Take(now, answers(1, 50, 3))
+	if failing(hub, now) {
+		t.Error("a few failures of many answers make a failing worker")
+	}
+	if now = now.Add(time.Minute); failing(hub, now) || len(hub.watched) != 0 {
+		t.Error("it is remembered for ever")
+	}
+}
+
+// TestTotalsFollowTheReports checks with random reports that the sums that are
+// kept are those that a count of all reports gives.
+func TestTotalsFollowTheReports(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	hub, now := NewHub(), start
+	last := map[uint32]*wire.LoadReport{}
+	at := map[uint32]time.Time{}
+	for step := range 2000 {
+		now = now.Add(time.Duration(random.IntN(int(2 * expireInterval))))
+		source := uint32(1 + random.IntN(5))
+		report := &wire.LoadReport{Source: source}
+		for worker := range uint32(4) {
+			if random.IntN(2) == 0 {
+				report.Workers = append(report.Workers, wire.WorkerLoad{Worker: worker, Online: uint16(random.IntN(9)), Batch: uint16(random.IntN(9))})
+			}
+		}
+		hub.Take(now, report)
+		last[source], at[source] = report, now
+		except := uint32(random.IntN(6))
+		want := map[uint32]int{}
+		for name, known := range last {
+			for _, load := range known.Workers {
+				// Reports expire a little late.
+				if name != except && now.Sub(at[name]) <= Fresh {
+					want[load.Worker] += int(load.Online) + int(load.Batch)
+				}
+			}
+		}
+		hub.expireDue = time.Time{}
+		got := map[uint32]int{}
+		for _, load := range hub.Others(now, except) {
+			got[load.Worker] = int(load.Online) + int(load.Batch)
+		}
+		for worker := range uint32(4) {
+			if got[worker] != want[worker] {
+				t.Fatalf("step %d: worker %d has %d, want %d", step, worker, got[worker], want[worker])
+			}
+		}
+	}
+}
+
 func TestOldReportsDoNotCount(t *testing.T) {
 	hub := NewHub()
 	hub.Take(start, report(1, 7, 3))
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -24,7 +24,14 @@
 	// Told is set in reports to the hub: one more than the requests that the
 	// worker said it has, where it has said so since the last report.
 	Told uint16
+	// Answered and Failed are set in reports to the hub: how many requests the
+	// worker has answered since the last one, and how many it failed or was
+	// silent at.
+	Answered uint16
+	Failed   uint16
 	// Orphans is set by the hub: how many requests the worker seems to have
 	// that no living process answers for.
 	Orphans uint16
+	// Failing is set by the hub where the worker fails too many requests.
+	Failing bool
 }
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -144,8 +144,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Worker, err = dc.ReadUint32()
@@ -173,18 +173,33 @@
 		err = msgp.WrapError(err, "Told")
 		return
 	}
+	z.Answered, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Answered")
+		return
+	}
+	z.Failed, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Failed")
+		return
+	}
 	z.Orphans, err = dc.ReadUint16()
 	if err != nil {
 		err = msgp.WrapError(err, "Orphans")
 		return
 	}
+	z.Failing, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Failing")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *WorkerLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 6
-	err = en.Append(0x96)
+	// array header, size 9
+	err = en.Append(0x99)
 	if err != nil {
 		return
 	}
@@ -213,25 +228,43 @@
 		err = msgp.WrapError(err, "Told")
 		return
 	}
+	err = en.WriteUint16(z.Answered)
+	if err != nil {
+		err = msgp.WrapError(err, "Answered")
+		return
+	}
+	err = en.WriteUint16(z.Failed)
+	if err != nil {
+		err = msgp.WrapError(err, "Failed")
+		return
+	}
 	err = en.WriteUint16(z.Orphans)
 	if err != nil {
 		err = msgp.WrapError(err, "Orphans")
 		return
 	}
+	err = en.WriteBool(z.Failing)
+	if err != nil {
+		err = msgp.WrapError(err, "Failing")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint32(o, z.Worker)
 	o = msgp.AppendUint16(o, z.Online)
 	o = msgp.AppendUint16(o, z.Batch)
 	o = msgp.AppendUint32(o, z.Unread)
 	o = msgp.AppendUint16(o, z.Told)
+	o = msgp.AppendUint16(o, z.Answered)
+	o = msgp.AppendUint16(o, z.Failed)
 	o = msgp.AppendUint16(o, z.Orphans)
+	o = msgp.AppendBool(o, z.Failing)
 	return
 }
 
@@ -243,8 +276,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Worker, bts, err = msgp.ReadUint32Bytes(bts)
@@ -272,17 +305,32 @@
 		err = msgp.WrapError(err, "Told")
 		return
 	}
+	z.Answered, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Answered")
+		return
+	}
+	z.Failed, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Failed")
+		return
+	}
 	z.Orphans, bts, err = msgp.ReadUint16Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Orphans")
 		return
 	}
+	z.Failing, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Failing")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerLoad) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size
+	s = 1 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
 	return
 }
