--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -185,7 +185,7 @@
 // readyLoop makes the process ready once it belongs to a cluster whose leaders
 // it knows.
 func (c *Control) readyLoop(ctx context.Context) {
-	every(ctx, readyInterval, func() {
+	daemon.Every(ctx, readyInterval, func() {
 		statuses, err := c.host.Statuses(ctx)
 		if err != nil {
 			return
@@ -201,17 +201,17 @@
 }
 
 func (c *Control) planLoop(ctx context.Context) {
-	every(ctx, planInterval, func() { c.plan(ctx) })
+	daemon.Every(ctx, planInterval, func() { c.plan(ctx) })
 }
 
 func (c *Control) expireLoop(ctx context.Context) {
-	every(ctx, expireInterval, func() { c.expireJobs(ctx) })
+	daemon.Every(ctx, expireInterval, func() { c.expireJobs(ctx) })
 }
 
 func (c *Control) platformLoop(ctx context.Context) {
 	client := workerlist.NewClient(c.settings.Platform)
 	failing := false
-	every(ctx, c.settings.PlatformInterval.Std(), func() {
+	daemon.Every(ctx, c.settings.PlatformInterval.Std(), func() {
 		if !c.leadsMeta() {
 			return
 		}
@@ -228,19 +228,6 @@
 	})
 }
 
-func every(ctx context.Context, interval time.Duration, action func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		action()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // propose commits a command to a group and decodes the answer.
 func propose[Result any, Pointer interface {
 	*Result
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -146,7 +146,7 @@
 // refreshLoop keeps the leader's view up to date and carries out what follows
 // from it.
 func (c *Coordinator) refreshLoop(ctx context.Context) {
-	every(ctx, refreshInterval, func() {
+	daemon.Every(ctx, refreshInterval, func() {
 		processes, err := c.host.Processes(ctx)
 		if err != nil {
 			return
@@ -184,7 +184,7 @@
 	failing := false
 	var term uint64
 	var due time.Time
-	every(ctx, leadInterval, func() {
+	daemon.Every(ctx, leadInterval, func() {
 		began := uint64(0)
 		if c.readLeader(func(_ time.Time, v *fleetview.View) { began = v.Term }) != nil {
 			return
@@ -212,19 +212,6 @@
 	})
 }
 
-func every(ctx context.Context, interval time.Duration, action func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		action()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // propose commits a command on this process, if it leads.
 func (c *Coordinator) propose(ctx context.Context, command *wire.FleetCommand) (*wire.FleetResult, error) {
 	encoded, err := command.MarshalMsg(nil)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -255,3 +255,17 @@
 	d.cancel()
 	return d.Server.Close()
 }
+
+// Every calls action at once and then at the interval, until ctx ends.
+func Every(ctx context.Context, interval time.Duration, action func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		action()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -20,6 +20,7 @@
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/rpc/rpctest"
 	"github.com/sedgemast/sedgemast/internal/settings"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -27,12 +28,6 @@
 // patience bounds what a test waits for; nothing is judged by it.
 const patience = 30 * time.Second
 
-// router lets a ServeMux take rpc's handlers.
-type router struct{ *http.ServeMux }
-
-// HandleFunc implements rpc.Router.
-func (r router) HandleFunc(path string, handler http.HandlerFunc) { r.Handle(path, handler) }
-
 // standInNames are the names that the stand-in workers know.
 func standInNames() *dialect.Dialect {
 	names := dialect.Own()
@@ -48,7 +43,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	mux := router{http.NewServeMux()}
+	mux := rpctest.NewMux()
 	rpc.Handle(mux, coordinator.MethodWatch, func(ctx context.Context, request *wire.WatchRequest) (msgp.Marshaler, error) {
 		response := &wire.WatchResponse{Version: configuration.Version, Term: 1, View: 1}
 		if request.Version == configuration.Version && request.View == 1 {
--- a/internal/rpc/compress_test.go
+++ b/internal/rpc/compress_test.go
@@ -11,19 +11,14 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/rpc/rpctest"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
-// router lets a ServeMux take the package's handlers.
-type router struct{ *http.ServeMux }
-
-// HandleFunc implements Router.
-func (r router) HandleFunc(path string, handler http.HandlerFunc) { r.Handle(path, handler) }
-
 // TestLongBodiesTravelCompressed sends bodies there and back, and looks at how
 // many bytes that took.
 func TestLongBodiesTravelCompressed(t *testing.T) {
-	mux := router{http.NewServeMux()}
+	mux := rpctest.NewMux()
 	Handle(mux, "echo", func(_ context.Context, body *wire.ItemBody) (msgp.Marshaler, error) { return body, nil })
 	server := httptest.NewServer(mux)
 	defer server.Close()
--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
@@ -13,15 +12,10 @@
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/rpc/rpctest"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
-// router lets a ServeMux take rpc's handlers.
-type router struct{ *http.ServeMux }
-
-// HandleFunc implements rpc.Router.
-func (r router) HandleFunc(path string, handler http.HandlerFunc) { r.Handle(path, handler) }
-
 // store is a stand-in that answers the ends of jobs.
 type store struct {
 	address string
@@ -31,7 +25,7 @@
 func startStore(t *testing.T, answer func(*store) (msgp.Marshaler, error)) *store {
 	t.Helper()
 	s := &store{}
-	mux := router{http.NewServeMux()}
+	mux := rpctest.NewMux()
 	rpc.Handle(mux, MethodEnd, func(context.Context, *wire.BatchName) (msgp.Marshaler, error) {
 		s.asked.Add(1)
 		return answer(s)
