Items stop at once and whatever their urgency where online requests wait for them

Change: the stops at a worker are as many as it takes that what waits there comes to run within a quarter of the tightest goal of the pool's routes. How long that takes follows from how long online requests hold a slot, by Little's law from the shared loads, and how many of the slots they hold. All stops at once; items rest 0.2 s, not 1 s, and run 0.3 s at least, not 1 s.

--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/batchplan"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -12,10 +13,6 @@
 	// reserveParts says how many slots batch items leave free beside the online
 	// requests at a worker: one in so many.
 	reserveParts = 8
-	// patientParts says how many requests more than slots a worker may have
-	// before batch items are stopped, because an online request ends soon: one
-	// for so many slots.
-	patientParts = 8
 	// batchUnreadParts says how many prompt tokens may wait to be read at a
 	// worker when a batch item is added: one for so many of its memory. Items
 	// that start all at once, as after the loss of a store, would hold back the
@@ -30,7 +27,7 @@
 	defer t.mutex.Unlock()
 	var loads []wire.WorkerLoad
 	for id, known := range t.workers {
-		if known.inFlight == 0 && known.told == 0 && known.answered == 0 && known.failed == 0 {
+		if known.inFlight == 0 && known.told == 0 && known.answered == 0 && known.failed == 0 && known.steps == 0 {
 			continue
 		}
 		loads = append(loads, wire.WorkerLoad{
@@ -42,8 +39,12 @@
 
 			Answered: uint16(min(known.answered, math.MaxUint16)),
 			Failed:   uint16(min(known.failed, math.MaxUint16)),
+
+			Steps:      uint16(min(known.steps, math.MaxUint16)),
+			StepMicros: uint32(min(known.stepTime.Microseconds(), math.MaxUint32)),
 		})
 		known.told, known.answered, known.failed = 0, 0, 0
+		known.steps, known.stepTime = 0, 0
 	}
 	return loads
 }
@@ -61,6 +62,7 @@
 		known.others = byHash[loadshare.Hash(id)]
 		known.othersAt = now
 	}
+	t.learn(now)
 }
 
 // toldByOthers returns what others have at the worker, if that is known.
@@ -85,22 +87,28 @@
 	return w.batch+int(others.Online)+int(others.Batch)+w.orphaned(now)+reserve < w.listed.Slots
 }
 
-// Overfull returns, by worker, how many batch items of this process stand in the
-// way of online requests.
-func (t *Table) Overfull(now time.Time) map[string]int {
+// Shed returns, by worker, how many batch items of this process are to stop so
+// that online requests don't wait behind them for longer than patience, which is
+// asked for each pool. Items that are stopping already don't count.
+func (t *Table) Shed(now time.Time, patience func(pool string) time.Duration) map[string]int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var overfull map[string]int
+	var shed map[string]int
 	for id, known := range t.workers {
 		others, fresh := known.toldByOthers(now)
-		over := known.batch + int(others.Online) - known.listed.Slots - max(known.listed.Slots/patientParts, 1)
-		if !fresh || over <= 0 || known.batch == 0 {
+		staying := known.batch - known.stopping
+		if !fresh || staying <= 0 || staying+int(others.Online) <= known.listed.Slots {
+			continue
+		}
+		pool := known.listed.Pool
+		stops := batchplan.Stops(batchplan.Place{Slots: known.listed.Slots, Online: int(others.Online), Batch: staying}, t.holds[pool], patience(pool))
+		if stops == 0 {
 			continue
 		}
-		if overfull == nil {
-			overfull = map[string]int{}
+		if shed == nil {
+			shed = map[string]int{}
 		}
-		overfull[id] = min(over, known.batch)
+		shed[id] = stops
 	}
-	return overfull
+	return shed
 }
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -19,6 +19,8 @@
 	pools   map[string][]*worker
 	// memory is how many tokens a worker of a pool holds.
 	memory map[string]int64
+	// holds is how long an online request holds a slot in each pool, as learnt.
+	holds map[string]time.Duration
 	// acquired counts the leases ever given.
 	acquired uint64
 }
@@ -103,6 +105,7 @@
 	unread   int64
 	batch    bool
 	begun    bool
+	stopping bool
 	released bool
 }
 
@@ -195,6 +198,20 @@
 	if l.batch {
 		l.worker.batch--
 	}
+	if l.stopping {
+		l.worker.stopping--
+	}
+}
+
+// Stopping takes in that the request is about to give its place back.
+func (l *Lease) Stopping() {
+	l.table.mutex.Lock()
+	defer l.table.mutex.Unlock()
+	if l.released || l.stopping {
+		return
+	}
+	l.stopping = true
+	l.worker.stopping++
 }
 
 // Suspect takes in that the worker gave no answer.
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -24,6 +24,8 @@
 	inFlight int
 	batch    int
 	unread   int64
+	// stopping counts the requests that are about to end.
+	stopping int
 	// refused is set once the worker said that it is another one, or leaving;
 	// that holds for its incarnation.
 	refused bool
@@ -40,6 +42,14 @@
 	// answered and failed count answers until they have been passed on.
 	answered int
 	failed   int
+	// steps counts times between events, and stepTime is their sum, until they
+	// have been passed on.
+	steps    int
+	stepTime time.Duration
+	// slow is how many times as long as in the middle of its pool an event takes
+	// here, 1 where that makes no difference; slowAt is when that was known.
+	slow   float64
+	slowAt time.Time
 }
 
 // usable reports whether new requests may go to the worker.
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -39,10 +39,8 @@
 	carried map[itemKey]carry
 	resting map[itemKey]time.Time
 	seen    map[string]*sighting
-	// yieldedAt is when an item last gave way at a worker.
-	yieldedAt map[string]time.Time
-	ended     chan *task
-	records   chan wire.ItemRecord
+	ended   chan *task
+	records chan wire.ItemRecord
 	// pending holds items whose result is on its way to the log.
 	pending  map[itemKey]bool
 	recorded chan recordEnd
@@ -72,17 +70,16 @@
 
 func newRunner(s *Store) *runner {
 	return &runner{
-		store:     s,
-		splitter:  routetable.NewSplitter(),
-		running:   map[itemKey]*task{},
-		carried:   map[itemKey]carry{},
-		resting:   map[itemKey]time.Time{},
-		seen:      map[string]*sighting{},
-		yieldedAt: map[string]time.Time{},
-		pending:   map[itemKey]bool{},
-		ended:     make(chan *task, queueLength),
-		records:   make(chan wire.ItemRecord, queueLength),
-		recorded:  make(chan recordEnd, queueLength),
+		store:    s,
+		splitter: routetable.NewSplitter(),
+		running:  map[itemKey]*task{},
+		carried:  map[itemKey]carry{},
+		resting:  map[itemKey]time.Time{},
+		seen:     map[string]*sighting{},
+		pending:  map[itemKey]bool{},
+		ended:    make(chan *task, queueLength),
+		records:  make(chan wire.ItemRecord, queueLength),
+		recorded: make(chan recordEnd, queueLength),
 	}
 }
 
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -64,6 +64,8 @@
 	cancel   context.CancelFunc
 	started  time.Time
 	notedAt  time.Time
+	// pacedAt is when the last events came.
+	pacedAt time.Time
 	// yielded is set by the runner where the item gives way to online requests,
 	// unusable where its carry does not follow on the log.
 	yielded  bool
@@ -273,6 +275,7 @@
 		return nil
 	}
 	t.lease.Begun()
+	t.pacing(len(events))
 	var text strings.Builder
 	text.WriteString(t.carry.text)
 	defer func() { t.carry.text = text.String() }()
@@ -294,6 +297,15 @@
 	return nil
 }
 
+// pacing takes in that so many events came since the last ones.
+func (t *task) pacing(events int) {
+	now := time.Now()
+	if !t.pacedAt.IsZero() {
+		t.lease.Paced(events, now.Sub(t.pacedAt))
+	}
+	t.pacedAt = now
+}
+
 func headerOf(headers []wire.HeaderField, name string) string {
 	for _, field := range headers {
 		if http.CanonicalHeaderKey(field.Name) == name {
--- a/internal/batchstore/yield.go
+++ b/internal/batchstore/yield.go
@@ -10,13 +10,13 @@
 
 const (
 	// yieldPause is how long an item rests that gave way to online requests.
-	yieldPause = time.Second
-	// yieldEffect is the time between two items that give way at one worker: the
-	// load that is told then shows what the first has brought.
-	yieldEffect = 60 * time.Millisecond
+	yieldPause = 200 * time.Millisecond
+	// patienceParts is the part, one in so many, of the tightest goal of a pool's
+	// routes that an online request may wait for an item.
+	patienceParts = 4
 	// leastRun is how long an item runs at least before it gives way, so that the
 	// reading of its prompt was not for nothing.
-	leastRun = time.Second
+	leastRun = 300 * time.Millisecond
 )
 
 // yielding is a task that may give way, and its place in the order.
@@ -26,31 +26,30 @@
 }
 
 // yield stops items that stand in the way of online requests. They go on
-// elsewhere from where they are.
+// elsewhere, or later, from where they are.
 func (r *runner) yield(now time.Time, table *routetable.Table) {
-	overfull := r.store.workers.Overfull(now)
-	if len(overfull) == 0 {
+	shed := r.store.workers.Shed(now, func(pool string) time.Duration { return table.TightestGoal(pool) / patienceParts })
+	if len(shed) == 0 {
 		return
 	}
 	candidates := make([]yielding, 0, len(r.running))
 	for key, running := range r.running {
-		if overfull[running.lease.Endpoint.ID] == 0 || !running.mayYield(now) {
+		if shed[running.lease.Endpoint.ID] == 0 || !running.mayYield(now) {
 			continue
 		}
 		if job, err := r.store.machine.Job(key.job); err == nil {
-			if plan := r.planOf(now, table, job, key.item); plan.Yields() {
-				candidates = append(candidates, yielding{running, plan})
-			}
+			candidates = append(candidates, yielding{running, r.planOf(now, table, job, key.item)})
 		}
 	}
 	sort.Slice(candidates, func(a, b int) bool { return batchplan.YieldsBefore(candidates[a].plan, candidates[b].plan) })
 	for _, candidate := range candidates {
 		id := candidate.task.lease.Endpoint.ID
-		if now.Sub(r.yieldedAt[id]) < yieldEffect {
+		if shed[id] == 0 {
 			continue
 		}
-		r.yieldedAt[id] = now
+		shed[id]--
 		candidate.task.yielded = true
+		candidate.task.lease.Stopping()
 		candidate.task.cancel()
 	}
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -49,11 +49,14 @@
 	worker     string
 	// started is set once the head of the answer has been written, broken once
 	// that answer can't be ended as it should.
-	started   bool
-	broken    bool
-	firstAt   time.Time
-	lastEvent int64
-	hasEvent  bool
+	started bool
+	broken  bool
+	firstAt time.Time
+	// pacedAt is when the last events came from the worker of pacedLease.
+	pacedLease *balance.Lease
+	pacedAt    time.Time
+	lastEvent  int64
+	hasEvent   bool
 	// mayHaveRun is set once a worker may have begun.
 	mayHaveRun bool
 	lastErr    error
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -82,6 +82,7 @@
 		return nil
 	}
 	lease.Begun()
+	c.pace(lease, len(events))
 	written := false
 	for i := range events {
 		event := &events[i]
@@ -108,6 +109,16 @@
 	return c.controller.Flush()
 }
 
+// pace takes in that so many events came now. What came before the first one,
+// and all that comes with it, says nothing of the time between events.
+func (c *call) pace(lease *balance.Lease, events int) {
+	now := time.Now()
+	if c.pacedLease == lease {
+		lease.Paced(events, now.Sub(c.pacedAt))
+	}
+	c.pacedLease, c.pacedAt = lease, now
+}
+
 // endStream ends the answer. What is left over is no whole event; it belongs to
 // the worker's body all the same.
 func (c *call) endStream(response *upstream.Response, parser *upstream.EventParser) outcome {
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -58,6 +58,7 @@
 type watched struct {
 	orphans orphans
 	health  health
+	pace    pace
 }
 
 // NewHub returns an empty hub.
@@ -103,7 +104,7 @@
 		}
 	}
 	for worker, known := range h.watched {
-		if known.orphans.stale(now) && known.health.stale(now) {
+		if known.orphans.stale(now) && known.health.stale(now) && known.pace.stale(now) {
 			delete(h.watched, worker)
 		}
 	}
@@ -113,7 +114,7 @@
 func (h *Hub) watch(now time.Time, report *wire.LoadReport) {
 	for i := range report.Workers {
 		load := &report.Workers[i]
-		if load.Told == 0 && load.Answered == 0 && load.Failed == 0 {
+		if load.Told == 0 && load.Answered == 0 && load.Failed == 0 && load.Steps == 0 {
 			continue
 		}
 		known := h.watched[load.Worker]
@@ -122,6 +123,7 @@
 			h.watched[load.Worker] = known
 		}
 		known.health.take(now, int(load.Answered), int(load.Failed))
+		known.pace.take(now, load)
 		if load.Told > 0 {
 			sum := h.totals[load.Worker]
 			known.orphans.take(now, int(load.Told)-1-sum.online-sum.batch)
@@ -148,6 +150,8 @@
 		load.Worker = worker
 		load.Orphans = clamp16(known.orphans.count(now))
 		load.Failing = known.health.failing(now)
+		load.Step = known.pace.step(now)
+		load.Rate = known.pace.rate(now)
 		loads[worker] = load
 	}
 	return listed(loads)
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"time"
 )
 
 // Table finds the route of a request.
@@ -14,16 +15,19 @@
 	hosts         map[string][]*Route
 	names         map[string]*Route
 	pools         map[string]*Pool
+	// tightest holds the shortest goal of each pool's online routes.
+	tightest map[string]time.Duration
 }
 
 // NewTable prepares a checked configuration for look-ups.
 func NewTable(configuration *Configuration) *Table {
-	table := &Table{Configuration: configuration, hosts: map[string][]*Route{}, names: map[string]*Route{}, pools: map[string]*Pool{}}
+	table := &Table{Configuration: configuration, hosts: map[string][]*Route{}, names: map[string]*Route{}, pools: map[string]*Pool{}, tightest: map[string]time.Duration{}}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
 		host := strings.ToLower(route.Host)
 		table.hosts[host] = append(table.hosts[host], route)
 		table.names[route.Name] = route
+		table.noteGoal(route)
 	}
 	for _, routes := range table.hosts {
 		sort.SliceStable(routes, func(a, b int) bool { return len(routes[a].PathPrefix) > len(routes[b].PathPrefix) })
@@ -34,6 +38,28 @@
 	return table
 }
 
+// noteGoal takes in the goal of an online route.
+func (t *Table) noteGoal(route *Route) {
+	if route.Kind == KindBatch || route.GoalMillis <= 0 {
+		return
+	}
+	for _, part := range route.Parts {
+		known := t.tightest[part.Pool]
+		if part.Weight > 0 && (known == 0 || route.Goal() < known) {
+			t.tightest[part.Pool] = route.Goal()
+		}
+	}
+}
+
+// TightestGoal returns the shortest goal of the online routes that lead to the
+// pool, zero if there is none. A nil table has none.
+func (t *Table) TightestGoal(pool string) time.Duration {
+	if t == nil {
+		return 0
+	}
+	return t.tightest[pool]
+}
+
 // Match returns the route of the host whose prefix begins the path and is
 // longest, or nil.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -29,6 +29,16 @@
 	// silent at.
 	Answered uint16
 	Failed   uint16
+	// Steps and StepMicros are set in reports to the hub: how many times between
+	// events the sender has seen at the worker since the last one, and their sum.
+	Steps      uint16
+	StepMicros uint32
+	// Step is set by the hub: the worker's mean time between events, in
+	// microseconds; zero means unknown.
+	Step uint32
+	// Rate is set by the hub: how many online requests the worker answers in ten
+	// seconds.
+	Rate uint16
 	// Orphans is set by the hub: how many requests the worker seems to have
 	// that no living process answers for.
 	Orphans uint16
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -144,8 +144,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
 		return
 	}
 	z.Worker, err = dc.ReadUint32()
@@ -183,6 +183,26 @@
 		err = msgp.WrapError(err, "Failed")
 		return
 	}
+	z.Steps, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Steps")
+		return
+	}
+	z.StepMicros, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "StepMicros")
+		return
+	}
+	z.Step, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Rate, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
 	z.Orphans, err = dc.ReadUint16()
 	if err != nil {
 		err = msgp.WrapError(err, "Orphans")
@@ -198,8 +218,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *WorkerLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 9
-	err = en.Append(0x99)
+	// array header, size 13
+	err = en.Append(0x9d)
 	if err != nil {
 		return
 	}
@@ -238,6 +258,26 @@
 		err = msgp.WrapError(err, "Failed")
 		return
 	}
+	err = en.WriteUint16(z.Steps)
+	if err != nil {
+		err = msgp.WrapError(err, "Steps")
+		return
+	}
+	err = en.WriteUint32(z.StepMicros)
+	if err != nil {
+		err = msgp.WrapError(err, "StepMicros")
+		return
+	}
+	err = en.WriteUint32(z.Step)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	err = en.WriteUint16(z.Rate)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
 	err = en.WriteUint16(z.Orphans)
 	if err != nil {
 		err = msgp.WrapError(err, "Orphans")
@@ -254,8 +294,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 13
+	o = append(o, 0x9d)
 	o = msgp.AppendUint32(o, z.Worker)
 	o = msgp.AppendUint16(o, z.Online)
 	o = msgp.AppendUint16(o, z.Batch)
@@ -263,6 +303,10 @@
 	o = msgp.AppendUint16(o, z.Told)
 	o = msgp.AppendUint16(o, z.Answered)
 	o = msgp.AppendUint16(o, z.Failed)
+	o = msgp.AppendUint16(o, z.Steps)
+	o = msgp.AppendUint32(o, z.StepMicros)
+	o = msgp.AppendUint32(o, z.Step)
+	o = msgp.AppendUint16(o, z.Rate)
 	o = msgp.AppendUint16(o, z.Orphans)
 	o = msgp.AppendBool(o, z.Failing)
 	return
@@ -276,8 +320,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
 		return
 	}
 	z.Worker, bts, err = msgp.ReadUint32Bytes(bts)
@@ -315,6 +359,26 @@
 		err = msgp.WrapError(err, "Failed")
 		return
 	}
+	z.Steps, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Steps")
+		return
+	}
+	z.StepMicros, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StepMicros")
+		return
+	}
+	z.Step, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Rate, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
 	z.Orphans, bts, err = msgp.ReadUint16Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Orphans")
@@ -331,6 +395,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerLoad) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
+	s = 1 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
 	return
 }
