Slow workers weigh by how slow they are; requests that would be late come back later

Cause: the choice of a worker knew counts only, so a worker six times slower got as many requests as another and made all of them late.

Cause: at a peak more requests come than all workers have slots for, each waits behind those before it, and all of the later ones are late, while a moment later there is room. Change: a request whose first event is predicted past nine tenths of its goal (wait by Little's law from the shared loads, reading by what was seen of the route) is refused at once as not run, once, with a time to come back of a sixth to a third of what it has left.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,57 @@
+// Package admission decides whether an online request is taken in or told at once
+// to come back. It is pure: times and randomness come from the caller.
+//
+// A request that is taken in while all workers are full waits, and what waits too
+// long is late; the same request told to come back finds room later and is in time
+// then. So a request is refused where its first event is predicted to miss its goal,
+// once, and only if its caller has the time to come back.
+package admission
+
+import "time"
+
+const (
+	// goalPart is the part of the goal, in hundredths, up to which a prediction
+	// counts as in time: predictions err.
+	goalPart = 90
+	hundreds = 100
+	// comebackParts is the part of a caller's time, one in so many, that it is
+	// asked to wait at most.
+	comebackParts = 3
+	// LeastComeback is the shortest time after which a caller is asked to come
+	// back. A caller who has that much less than others has come back already.
+	LeastComeback = 250 * time.Millisecond
+)
+
+// Request is an online request before it is sent to a worker.
+type Request struct {
+	// Left is how long its caller still waits, Longest how long callers of the
+	// route wait when they ask first.
+	Left    time.Duration
+	Longest time.Duration
+	// Goal is the time to the first event that is aimed at.
+	Goal time.Duration
+	// Begin is how long the first event takes at the chosen worker once the
+	// request runs there, zero if unknown, and Wait how long it waits before.
+	Begin time.Duration
+	Wait  time.Duration
+}
+
+// Decide returns after which time the caller is to come back, or zero if the request
+// is taken in. random is from 0 to 1; it spreads those who come back.
+func Decide(request *Request, random float64) time.Duration {
+	if request.Wait <= 0 || request.Begin <= 0 || request.Goal <= 0 {
+		return 0
+	}
+	if request.Begin+request.Wait <= request.Goal*goalPart/hundreds {
+		return 0
+	}
+	if request.Left <= request.Longest-LeastComeback {
+		return 0
+	}
+	latest := request.Left / comebackParts
+	earliest := max(latest/2, LeastComeback)
+	if latest < earliest {
+		return 0
+	}
+	return earliest + time.Duration(random*float64(latest-earliest))
+}
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,88 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/proptest"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+const ms = time.Millisecond
+
+// TestDecisions compares a table of decisions with testdata/decisions.txt.
+func TestDecisions(t *testing.T) {
+	var trace strings.Builder
+	for _, left := range []time.Duration{5000 * ms, 4800 * ms, 4700 * ms, 600 * ms} {
+		for _, wait := range []time.Duration{0, 100 * ms, 190 * ms, 200 * ms, 900 * ms} {
+			request := Request{Left: left, Longest: 5000 * ms, Goal: 300 * ms, Begin: 80 * ms, Wait: wait}
+			fmt.Fprintf(&trace, "left %s, begin %s, wait %s of goal %s: come back after %s to %s\n", left, request.Begin, wait, request.Goal, Decide(&request, 0), Decide(&request, 1))
+		}
+	}
+	golden := filepath.Join("testdata", "decisions.txt")
+	if *update {
+		if err := os.WriteFile(golden, []byte(trace.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if trace.String() != string(want) {
+		t.Errorf("decisions differ from %s:\n%s", golden, trace.String())
+	}
+}
+
+// TestRefusalsLeaveTimeToComeBack checks with random requests that none is refused
+// that is predicted to be in time, that has come back already, or that waits for a
+// cause that is not known; and that whoever is refused has time left when it
+// comes back.
+func TestRefusalsLeaveTimeToComeBack(t *testing.T) {
+	proptest.Run(t, "refusals", func(random *rand.Rand) error {
+		some := func(most int) time.Duration { return time.Duration(random.Intn(most)) * ms }
+		request := Request{Left: some(6000), Longest: some(6000), Goal: some(2000), Begin: some(1000), Wait: some(3000)}
+		comeback := Decide(&request, random.Float64())
+		switch {
+		case comeback == 0:
+			return nil
+		case request.Wait == 0 || request.Begin == 0 || request.Begin+request.Wait <= request.Goal*goalPart/hundreds:
+			return errors.Newf("%+v is refused though it may be in time", request)
+		case request.Left <= request.Longest-LeastComeback:
+			return errors.Newf("%+v is refused a second time", request)
+		case comeback < LeastComeback || comeback > request.Left/comebackParts:
+			return errors.Newf("%+v is to come back after %s", request, comeback)
+		}
+		return nil
+	})
+}
+
+func TestRouteLearns(t *testing.T) {
+	var route Route
+	if route.Begin() != 0 || route.Longest() != 0 {
+		t.Error("something is known before anything was seen")
+	}
+	for range 100 {
+		route.Arrived(4000 * ms)
+		route.Arrived(3000 * ms)
+		route.Began(80 * ms)
+	}
+	if route.Begin() != 80*ms || route.Longest() < 3900*ms {
+		t.Errorf("begin %s, longest %s", route.Begin(), route.Longest())
+	}
+	for range 8 * longestWeight {
+		route.Arrived(2000 * ms)
+	}
+	if route.Longest() > 2100*ms {
+		t.Errorf("after the time allowed was cut: %s", route.Longest())
+	}
+}
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -37,6 +37,9 @@
 	}
 	cost += float64(candidate.orphaned(now))
 	cost += slots * unread / (float64(memory) * unreadShare)
+	// All that is there takes so many times as long, and so does the request.
+	slow := candidate.slowness(now)
+	cost = slow*(cost+slots) - slots
 	if candidate.listed.Zone != t.zone {
 		cost += zoneCost
 	}
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -82,3 +82,20 @@
 	}
 	return min(time.Duration(float64(online)/float64(rate)*float64(10*time.Second)), maxHold)
 }
+
+// waitAt predicts how long one more online request would wait for a slot at the
+// worker. Items of jobs don't count: they give way.
+func (t *Table) waitAt(now time.Time, candidate *worker) time.Duration {
+	others, known := candidate.toldByOthers(now)
+	slots := max(candidate.listed.Slots, 1)
+	online := candidate.inFlight - candidate.batch + candidate.orphaned(now)
+	if known {
+		online += int(others.Online)
+	}
+	over := online + 1 - slots
+	if over <= 0 {
+		return 0
+	}
+	wait := float64(t.holds[candidate.listed.Pool]) * float64(over) / float64(slots)
+	return time.Duration(wait * candidate.slowness(now))
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -100,6 +100,10 @@
 type Lease struct {
 	Endpoint upstream.Endpoint
 	Zone     string
+	// Wait is how long the request is predicted to wait for a slot, Slow how many
+	// times as long as elsewhere the worker takes.
+	Wait     time.Duration
+	Slow     float64
 	table    *Table
 	worker   *worker
 	unread   int64
@@ -121,6 +125,8 @@
 		return nil
 	}
 	lease := &Lease{
+		Wait:     t.waitAt(now, chosen),
+		Slow:     chosen.slowness(now),
 		Endpoint: upstream.Endpoint{ID: chosen.listed.ID, Address: chosen.listed.Address},
 		Zone:     chosen.listed.Zone,
 		table:    t,
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -110,12 +110,17 @@
 
 // run makes attempts until the caller has an answer.
 func (c *call) run() {
+	c.arrive()
 	for c.mayTry() {
 		lease := c.edge.workers.Acquire(time.Now(), &c.demand)
 		if lease == nil {
 			c.lastErr = failure.New(failure.NotRun, "try again", "pool %q has no worker for the request", c.demand.Pool)
 			break
 		}
+		if c.tooLate(lease) {
+			lease.Release()
+			return
+		}
 		result := c.attempt(lease)
 		lease.Release()
 		c.edge.metrics.attempts.WithLabelValues(result.String()).Inc()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/sedgemast/sedgemast/internal/admission"
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
@@ -42,6 +43,8 @@
 
 	mutex    sync.Mutex
 	splitter *routetable.Splitter
+	// observed holds what is known of each route's requests, by name.
+	observed map[string]*admission.Route
 }
 
 // New prepares the process; d.Run serves it.
@@ -56,6 +59,7 @@
 		upstream: upstream.NewClient(names),
 		metrics:  newMetrics(d.Registry),
 		splitter: routetable.NewSplitter(),
+		observed: map[string]*admission.Route{},
 		started:  time.Now(),
 	}
 	e.watcher = fleetwatch.New(d.Logger, config.Seeds, e.report)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -94,6 +94,9 @@
 				return failure.New(failure.OutcomeUnknown, "", "event %d came after event %d", event.ID, c.lastEvent)
 			}
 		}
+		if !c.started {
+			c.began(lease)
+		}
 		c.begin(response, -1)
 		if _, err := c.writer.Write(event.Raw); err != nil {
 			return err
