Three store groups; fewer workers are compared the more requests are unseen

Change: an edge compares a part of the workers, drawn by lot, the smaller the more requests of others can have come unseen (rate by the shared answers x age of the news), two at least.

Chosen: three, 15 s.

--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/sedgemast/sedgemast/internal/loadshare"
 )
 
 const (
@@ -13,6 +15,12 @@
 	// slowMemory is how long a slow worker is remembered as one when nothing is
 	// heard of it: one that is avoided makes no events.
 	slowMemory = 3 * time.Second
+	// rateSeconds is the span of time that rates are told for.
+	rateSeconds = 10
+	// unseenParts is how many unseen requests halve the workers that are compared,
+	// leastCompared how many are compared at least.
+	unseenParts   = 4.0
+	leastCompared = 2
 	// leastRate is how many online requests a pool must answer in ten seconds for
 	// its hold to be known.
 	leastRate = 10
@@ -31,8 +39,10 @@
 // learn finds the slow workers and the hold of each pool from what was told.
 func (t *Table) learn(now time.Time) {
 	t.holds = make(map[string]time.Duration, len(t.pools))
+	t.rates = make(map[string]float64, len(t.pools))
 	for pool, workers := range t.pools {
 		t.holds[pool] = holdOf(workers)
+		t.rates[pool] = float64(rateOf(workers)) / rateSeconds
 		learnSlow(now, workers)
 	}
 }
@@ -72,15 +82,37 @@
 // holdOf returns how long an online request holds a slot, zero if unknown: by
 // Little's law, what is in flight over what is answered in a time.
 func holdOf(workers []*worker) time.Duration {
-	online, rate := 0, 0
+	online, rate := 0, rateOf(workers)
 	for _, candidate := range workers {
 		online += candidate.inFlight - candidate.batch + int(candidate.others.Online)
-		rate += int(candidate.others.Rate)
 	}
 	if rate < leastRate {
 		return 0
 	}
-	return min(time.Duration(float64(online)/float64(rate)*float64(10*time.Second)), maxHold)
+	return min(time.Duration(float64(online)/float64(rate)*float64(rateSeconds*time.Second)), maxHold)
+}
+
+// rateOf returns how many online requests the workers answer in ten seconds.
+func rateOf(workers []*worker) int {
+	rate := 0
+	for _, candidate := range workers {
+		rate += int(candidate.others.Rate)
+	}
+	return rate
+}
+
+// unseen estimates how many requests have come to the pool that others have not told
+// of yet: those since the last news, which were a report's interval old by then.
+func (t *Table) unseen(now time.Time, pool string) float64 {
+	workers := t.pools[pool]
+	if len(workers) == 0 {
+		return 0
+	}
+	age := now.Sub(workers[0].othersAt)
+	if workers[0].othersAt.IsZero() || age > loadshare.Fresh {
+		return 0
+	}
+	return t.rates[pool] * (age + loadshare.Interval).Seconds()
 }
 
 // waitAt predicts how long one more online request would wait for a slot at the
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -21,6 +22,11 @@
 	memory map[string]int64
 	// holds is how long an online request holds a slot in each pool, as learnt.
 	holds map[string]time.Duration
+	// rates is how many online requests all processes together send to each pool in
+	// a second, as learnt.
+	rates map[string]float64
+	// fit is scratch space of choose.
+	fit []*worker
 	// acquired counts the leases ever given.
 	acquired uint64
 }
@@ -143,15 +149,42 @@
 	return lease
 }
 
-// choose takes the best worker; suspects count only if allowed.
+// choose takes the best of some workers; suspects count only if allowed.
 func (t *Table) choose(now time.Time, demand *Demand, suspects bool) *worker {
-	var best *worker
-	bestCost, equals := 0.0, 0
 	avoid := !suspects && !t.mostFail(now, demand.Pool)
+	fit := t.fit[:0]
 	for _, candidate := range t.pools[demand.Pool] {
-		if !t.admits(now, candidate, demand, suspects) || avoid && candidate.failing(now) {
-			continue
+		if t.admits(now, candidate, demand, suspects) && !(avoid && candidate.failing(now)) {
+			fit = append(fit, candidate)
 		}
+	}
+	t.fit = fit
+	return t.best(now, demand, fit[:t.sample(now, demand, fit)])
+}
+
+// sample brings so many workers, drawn by lot, to the front as are to be compared, and
+// returns how many. Where many requests of other processes have come since these told
+// their loads, the worker that looks best looks so to all of them: if each took the
+// best of all, they would crowd it. The more may have come, the fewer are compared.
+func (t *Table) sample(now time.Time, demand *Demand, fit []*worker) int {
+	unseen := t.unseen(now, demand.Pool)
+	count := int(math.Ceil(float64(len(fit)) / (1 + unseen/unseenParts)))
+	if demand.Batch || count >= len(fit) {
+		return len(fit)
+	}
+	count = min(max(count, leastCompared), len(fit))
+	for i := range count {
+		other := i + t.random.IntN(len(fit)-i)
+		fit[i], fit[other] = fit[other], fit[i]
+	}
+	return count
+}
+
+// best returns the worker of the least cost, by lot among equals.
+func (t *Table) best(now time.Time, demand *Demand, fit []*worker) *worker {
+	var best *worker
+	bestCost, equals := 0.0, 0
+	for _, candidate := range fit {
 		cost := t.cost(now, candidate, demand)
 		switch {
 		case best == nil || cost < bestCost-tieMargin:
--- a/internal/batchplan/batchplan.go
+++ b/internal/batchplan/batchplan.go
@@ -17,7 +17,7 @@
 	// without a stop, below which it is not worth the try. It is more than all of it:
 	// where items are late at all, they are also stopped now and then, and slowed down
 	// by the prompts of others.
-	overdueShare = 150
+	overdueShare = 110
 	hundredths   = 100
 )
 
--- a/internal/batchstore/spread.go
+++ b/internal/batchstore/spread.go
@@ -12,10 +12,10 @@
 
 const (
 	// spreadInterval is the time between two looks at who leads what, spreadAfter
-	// how long an uneven spread must last before a group is handed over: a store
-	// that has just come back may go again.
+	// how long an uneven spread must last before a group is handed over: its items
+	// stop for that, and a store that has just come back may go again.
 	spreadInterval = 500 * time.Millisecond
-	spreadAfter    = 2 * time.Second
+	spreadAfter    = 15 * time.Second
 	// readySilence and readyBehind are how lately a replica must have answered, and
 	// how few entries it may lack, to take a group over.
 	readySilence = 300 * time.Millisecond
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,7 +15,7 @@
 
 // Groups is the number of store groups. It can't change once stores have formed:
 // a job's group follows from it.
-const Groups = 6
+const Groups = 3
 
 // GroupOf returns the number of the group that keeps the job.
 func GroupOf(job string) int { return int(xxhash.Sum64String(job) % Groups) }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -16,8 +16,9 @@
 	for i := range 6000 {
 		counts[GroupOf(fmt.Sprintf("%x", i))]++
 	}
+	const even = 6000 / Groups
 	for group, count := range counts {
-		if count < 850 || count > 1150 {
+		if count < even*85/100 || count > even*115/100 {
 			t.Errorf("group %d has %d of 6000 jobs", group, count)
 		}
 	}
