Bytes by kind of message and zone are counted at every process

Change: package traffic, a counter by kind and by the other's zone, on the metrics page and in one log line each ten seconds. Only the process that asks counts an exchange, so the sum over all processes counts each byte once.

--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -132,7 +132,8 @@
 func (s *Store) tellLoads(ctx context.Context) {
 	source := loadshare.Hash(s.settings.Name)
 	err := loadshare.Report(ctx, &loadshare.Reporter{
-		Hubs: func() []string { return s.watcher.Current().Fleet.StoreAddresses() },
+		Meter: s.daemon.Traffic,
+		Hubs:  func() []string { return s.watcher.Current().Fleet.StoreAddresses() },
 		Own: func() *wire.LoadReport {
 			led := s.ledGroups()
 			if len(led) == 0 || s.groups[hubGroup].leads() {
--- a/internal/batchstore/runner_test.go
+++ b/internal/batchstore/runner_test.go
@@ -27,7 +27,7 @@
 		logger:  logging.Discard(),
 		loads:   newLoads(),
 		workers: balance.NewTable("z", rand.New(rand.NewPCG(1, 1))),
-		watcher: fleetwatch.New(logging.Discard(), []string{"127.0.0.1:1"}, nil),
+		watcher: fleetwatch.New(logging.Discard(), nil, []string{"127.0.0.1:1"}, nil),
 	}
 	s.workers.Update([]wire.PoolWorker{{ID: "w", Pool: "p", Zone: "z", Slots: slots}}, nil)
 	submit := &wire.SubmitBatch{ID: "j", Route: "r", Host: "h"}
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -83,7 +83,7 @@
 	for number := range placement.Groups {
 		s.groups = append(s.groups, newGroup(s, number))
 	}
-	s.host, err = replication.NewHost(s.replicationOptions(random), replication.NewPeerTransport())
+	s.host, err = replication.NewHost(s.replicationOptions(random), replication.NewPeerTransport(d.Traffic))
 	if err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
@@ -91,8 +91,10 @@
 		return nil, errors.CombineErrors(err, store.Close())
 	}
 	s.status = wire.ProcessReport{Kind: wire.ProcessStore, Name: config.Name, Zone: config.Zone, Replica: s.identity.Replica}
-	s.watcher = fleetwatch.New(d.Logger, config.Seeds, s.report)
+	s.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, s.report)
 	s.watcher.OnChange(s.adopt)
+	s.upstream.Measure(d.Traffic)
+	s.client.Measure(d.Traffic)
 	s.register()
 	d.BeforeStop(s.handOver)
 	d.Go(s.watcher.Run)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -85,7 +85,7 @@
 		c.groups = append(c.groups, group)
 		machines = append(machines, group.machine)
 	}
-	c.host, err = replication.NewHost(c.replicationOptions(machines), replication.NewPeerTransport())
+	c.host, err = replication.NewHost(c.replicationOptions(machines), replication.NewPeerTransport(d.Traffic))
 	if err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -83,7 +83,7 @@
 		watches:  prometheus.NewCounter(prometheus.CounterOpts{Name: "coordinator_watches_total", Help: "Watches answered as leader."}),
 		changed:  make(chan struct{}),
 	}
-	c.host, err = replication.NewHost(c.replicationOptions(), replication.NewPeerTransport())
+	c.host, err = replication.NewHost(c.replicationOptions(), replication.NewPeerTransport(d.Traffic))
 	if err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -24,6 +25,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/traffic"
 )
 
 // Version is the version of the programs; releases set it when linking.
@@ -50,6 +52,8 @@
 	Server *kratoshttp.Server
 	// Registry registers metrics.
 	Registry *prometheus.Registry
+	// Traffic counts what the process exchanges with others.
+	Traffic *traffic.Meter
 	// Logger is the process's logger.
 	Logger logging.Logger
 
@@ -78,6 +82,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		Registry: prometheus.NewRegistry(),
+		Traffic:  traffic.NewMeter(),
 		Logger:   options.Logger,
 		options:  options,
 		listener: listener,
@@ -137,7 +142,7 @@
 }
 
 func (d *Daemon) registerCommon() {
-	d.Registry.MustRegister(collectors.NewGoCollector())
+	d.Registry.MustRegister(collectors.NewGoCollector(), d.Traffic)
 	if !d.options.Embedded {
 		d.Registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	}
@@ -224,6 +229,7 @@
 	if !d.options.Embedded {
 		kratoslog.SetLogger(logging.Kratos(d.Logger))
 	}
+	d.Go(d.logTraffic)
 	logging.Info(d.Logger, "started", "address", d.listener.Addr().String(), "version", Version)
 	err := d.application().Run()
 	d.cancel()
@@ -256,6 +262,26 @@
 	return d.Server.Close()
 }
 
+// trafficInterval is the time between two lines on the traffic: a run's whole course
+// can be read from some ten lines a process.
+const trafficInterval = 10 * time.Second
+
+// logTraffic logs what has been exchanged with others so far, a line at the interval.
+func (d *Daemon) logTraffic(ctx context.Context) {
+	Every(ctx, trafficInterval, func() {
+		rows := d.Traffic.Rows()
+		if len(rows) == 0 {
+			return
+		}
+		pairs := make([]any, 0, 2*len(rows))
+		for i := range rows {
+			row := &rows[i]
+			pairs = append(pairs, string(row.Kind)+"@"+row.Zone, fmt.Sprintf("%d:%d:%d", row.Exchanges, row.Sent, row.Received))
+		}
+		logging.Info(d.Logger, "traffic", pairs...)
+	})
+}
+
 // Every calls action at once and then at the interval, until ctx ends.
 func Every(ctx context.Context, interval time.Duration, action func()) {
 	ticker := time.NewTicker(interval)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -62,9 +62,10 @@
 		observed: map[string]*admission.Route{},
 		started:  time.Now(),
 	}
-	e.watcher = fleetwatch.New(d.Logger, config.Seeds, e.report)
+	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.report)
 	e.watcher.OnChange(e.adopt)
-	e.Stores = storeclient.New(config.Zone, func() []wire.StoreAddress { return e.watcher.Current().Fleet.Stores })
+	e.Stores = storeclient.New(d.Traffic, config.Zone, func() []wire.StoreAddress { return e.watcher.Current().Fleet.Stores })
+	e.upstream.Measure(d.Traffic)
 	d.Go(e.watcher.Run)
 	d.Go(e.shareLoads)
 	d.BeforeStop(e.drain)
@@ -77,6 +78,7 @@
 	source := loadshare.Hash(e.settings.Name)
 	var rate loadshare.Rate
 	err := loadshare.Report(ctx, &loadshare.Reporter{
+		Meter: e.daemon.Traffic,
 		Hubs:  func() []string { return e.watcher.Current().Fleet.StoreAddresses() },
 		Own:   func() *wire.LoadReport { return &wire.LoadReport{Source: source, Workers: e.workers.Loads()} },
 		Learn: func(now time.Time, answer *wire.LoadReport) { e.workers.SetOthers(now, answer.Workers) },
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -15,6 +15,7 @@
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -40,6 +41,7 @@
 type Watcher struct {
 	logger  logging.Logger
 	client  *rpc.Client
+	meter   *traffic.Meter
 	report  func() wire.ProcessReport
 	current atomic.Pointer[Snapshot]
 	// reached is set while a leader answers.
@@ -52,9 +54,12 @@
 	listeners []func(*Snapshot)
 }
 
-// New returns a watcher; Run runs it. report tells what this process is.
-func New(logger logging.Logger, seeds []string, report func() wire.ProcessReport) *Watcher {
-	w := &Watcher{logger: logger, client: rpc.NewClient(), report: report, seeds: seeds}
+// New returns a watcher; Run runs it. report tells what this process is. The meter,
+// which may be nil, counts the calls and is told the zones of what the fleet has.
+func New(logger logging.Logger, meter *traffic.Meter, seeds []string, report func() wire.ProcessReport) *Watcher {
+	client := rpc.NewClient()
+	client.Measure(meter)
+	w := &Watcher{logger: logger, meter: meter, client: client, report: report, seeds: seeds}
 	w.current.Store(&Snapshot{})
 	return w
 }
@@ -172,6 +177,7 @@
 			after.Fleet.Stores = stores
 		}
 		changed = true
+		w.meter.SetZones(zonesOf(&after.Fleet))
 		logging.Info(w.logger, "fleet_view", "term", response.Term, "view", response.View, "workers", len(after.Fleet.Workers), "stores", len(after.Fleet.Stores), "edges", after.Fleet.Edges)
 	}
 	w.current.Store(&after)
@@ -182,3 +188,15 @@
 	}
 	return nil
 }
+
+// zonesOf returns the zones of stores and workers by their addresses.
+func zonesOf(fleet *wire.FleetView) map[string]string {
+	zones := make(map[string]string, len(fleet.Stores)+len(fleet.Workers))
+	for i := range fleet.Stores {
+		zones[fleet.Stores[i].Address] = fleet.Stores[i].Zone
+	}
+	for i := range fleet.Workers {
+		zones[fleet.Workers[i].Address] = fleet.Workers[i].Zone
+	}
+	return zones
+}
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -61,6 +62,8 @@
 	Learn func(now time.Time, answer *wire.LoadReport)
 	// Pause returns the time to the next report, see Pause.
 	Pause func() time.Duration
+	// Meter counts the exchanges; it may be nil.
+	Meter *traffic.Meter
 }
 
 // Report tells a hub what this process has, again and again, until ctx ends.
@@ -71,7 +74,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
-	r := &reporter{socket: socket, began: time.Now()}
+	r := &reporter{socket: socket, began: time.Now(), meter: p.Meter}
 	go r.receive(ctx, p.Learn)
 	timer := time.NewTimer(Interval)
 	defer timer.Stop()
@@ -91,6 +94,7 @@
 // reporter sends reports to one hub while it answers.
 type reporter struct {
 	socket *net.UDPConn
+	meter  *traffic.Meter
 	next   int
 	target string
 	// since is when the target was chosen, heard when a hub last answered, in
@@ -124,15 +128,17 @@
 	}
 	// A lost report is made good by the next.
 	_, _ = r.socket.WriteToUDP(encoded, address)
+	r.meter.Add(traffic.Loads, r.target, len(encoded), 0)
 }
 
 func (r *reporter) receive(ctx context.Context, learn func(now time.Time, answer *wire.LoadReport)) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		count, _, err := r.socket.ReadFromUDPAddrPort(buffer)
+		count, sender, err := r.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			continue
 		}
+		r.meter.Received(traffic.Loads, sender.String(), count)
 		report := &wire.LoadReport{}
 		if _, err := report.UnmarshalMsg(buffer[:count]); err != nil {
 			continue
--- a/internal/replication/transport.go
+++ b/internal/replication/transport.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -37,10 +38,13 @@
 	senders sync.WaitGroup
 }
 
-// NewPeerTransport returns a transport without connections.
-func NewPeerTransport() *PeerTransport {
+// NewPeerTransport returns a transport without connections. The meter, which may be
+// nil, counts what it sends.
+func NewPeerTransport(meter *traffic.Meter) *PeerTransport {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &PeerTransport{client: rpc.NewClient(), context: ctx, cancel: cancel, queues: map[string]chan wire.PeerMessage{}}
+	client := rpc.NewClient()
+	client.Measure(meter)
+	return &PeerTransport{client: client, context: ctx, cancel: cancel, queues: map[string]chan wire.PeerMessage{}}
 }
 
 // Send implements Transport.
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -13,6 +14,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -26,12 +28,17 @@
 type Client struct {
 	pooled  *http.Client
 	fresh   *http.Client
-	traffic *traffic
+	traffic *connectionBytes
+	meter   *traffic.Meter
 }
 
+// Measure makes the client count its calls by method in the meter. It must be called
+// before the first call.
+func (c *Client) Measure(meter *traffic.Meter) { c.meter = meter }
+
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
-	counted := &traffic{}
+	counted := &connectionBytes{}
 	return &Client{
 		pooled:  &http.Client{Transport: newTransport(false, counted)},
 		fresh:   &http.Client{Transport: newTransport(true, counted)},
@@ -55,8 +62,8 @@
 	}
 }
 
-// traffic counts calls and the bytes on connections.
-type traffic struct {
+// connectionBytes counts calls and the bytes on connections.
+type connectionBytes struct {
 	calls    atomic.Uint64
 	sent     atomic.Uint64
 	received atomic.Uint64
@@ -65,7 +72,7 @@
 // countedConnection counts the bytes that pass through a connection.
 type countedConnection struct {
 	net.Conn
-	traffic *traffic
+	traffic *connectionBytes
 }
 
 // Read implements net.Conn.
@@ -82,7 +89,7 @@
 	return count, err
 }
 
-func newTransport(fresh bool, counted *traffic) *http.Transport {
+func newTransport(fresh bool, counted *connectionBytes) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -100,6 +107,36 @@
 	}
 }
 
+const (
+	// requestHeadBytes and answerHeadBytes are how long the heads of a call are that
+	// net/http writes, without the method's name, to within some ten bytes.
+	requestHeadBytes = 140
+	answerHeadBytes  = 130
+)
+
+// meteredBody counts what is read of an answer's body, and tells it once at the end.
+type meteredBody struct {
+	io.ReadCloser
+	count int
+	done  func(received int)
+}
+
+// Read implements io.Reader.
+func (b *meteredBody) Read(buffer []byte) (int, error) {
+	count, err := b.ReadCloser.Read(buffer)
+	b.count += count
+	return count, err
+}
+
+// Close implements io.Closer.
+func (b *meteredBody) Close() error {
+	if b.done != nil {
+		b.done(b.count)
+		b.done = nil
+	}
+	return b.ReadCloser.Close()
+}
+
 // Close drops the idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
@@ -153,9 +190,14 @@
 		httpClient = c.fresh
 	}
 	httpResponse, err := httpClient.Do(httpRequest)
+	sent := requestHeadBytes + len(method) + len(body)
 	if err != nil {
+		c.meter.Add(traffic.Kind(method), address, sent, 0)
 		return nil, transportFailure(err, address, connected.Load())
 	}
+	httpResponse.Body = &meteredBody{ReadCloser: httpResponse.Body, done: func(received int) {
+		c.meter.Add(traffic.Kind(method), address, sent, answerHeadBytes+received)
+	}}
 	if httpResponse.StatusCode == http.StatusOK {
 		return httpResponse, nil
 	}
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -14,6 +14,7 @@
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/placement"
 	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -42,10 +43,13 @@
 	next    int
 }
 
-// New returns a client for a process in the zone; stores lists the stores known.
-func New(zone string, stores func() []wire.StoreAddress) *Client {
+// New returns a client for a process in the zone; stores lists the stores known. The
+// meter, which may be nil, counts the calls.
+func New(meter *traffic.Meter, zone string, stores func() []wire.StoreAddress) *Client {
+	client := rpc.NewClient()
+	client.Measure(meter)
 	return &Client{
-		client: rpc.NewClient(),
+		client: client,
 		stores: stores,
 		near:   near{zone: zone, shunned: map[string]time.Time{}},
 	}
--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -57,7 +57,7 @@
 func TestClientFollowsToTheLeaderAndStays(t *testing.T) {
 	leader := startStore(t, func(*store) (msgp.Marshaler, error) { return &wire.BatchResult{}, nil })
 	follower := startStore(t, func(*store) (msgp.Marshaler, error) { return nil, notLeader(leader.address) })
-	client := New("z", at("y", follower.address))
+	client := New(nil, "z", at("y", follower.address))
 	for i := 0; i < 3; i++ {
 		if _, err := client.End(context.Background(), "j"); err != nil {
 			t.Fatal(err)
@@ -95,7 +95,7 @@
 		{"an answer of its own", []string{definite.address}, failure.NotFound},
 	} {
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-		_, err := New("z", at("y", test.stores...)).End(ctx, "j")
+		_, err := New(nil, "z", at("y", test.stores...)).End(ctx, "j")
 		cancel()
 		if failure.KindOf(err) != test.want {
 			t.Errorf("%s: %v", test.name, err)
@@ -122,7 +122,7 @@
 			nearby := startStore(t, test.nearby)
 			before := leader.asked.Load()
 			stores := append(at("z", nearby.address)(), at("y", leader.address)()...)
-			client := New("z", func() []wire.StoreAddress { return stores })
+			client := New(nil, "z", func() []wire.StoreAddress { return stores })
 			client.leaders[placement.GroupOf("j")] = leader.address
 			for i := 0; i < 3; i++ {
 				_, err := client.Body(context.Background(), &wire.ItemBodyRequest{Job: "j", Item: "i"})
--- /dev/null
+++ b/internal/traffic/traffic.go
@@ -0,0 +1,154 @@
+// Package traffic counts the bytes that a process exchanges with others, by kind of
+// message and by the other's zone. Only the process that asks counts an exchange, so
+// that the sum over all processes counts each byte once.
+package traffic
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Kind names what messages are for.
+type Kind string
+
+// Kinds of messages that are no internal calls; calls count under their method.
+const (
+	// Loads are reports of loads and their answers, to a hub or between hubs.
+	Loads Kind = "loads"
+	// Requests are what callers sent to workers, and the answers.
+	Requests Kind = "requests"
+)
+
+// Unknown is the zone of a process that no view of the fleet names.
+const Unknown = "unknown"
+
+// flow is one row of a meter.
+type flow struct {
+	kind Kind
+	zone string
+}
+
+// counter counts one flow. Its fields may be changed by any goroutine.
+type counter struct {
+	exchanges atomic.Uint64
+	sent      atomic.Uint64
+	received  atomic.Uint64
+}
+
+// Meter counts the exchanges of a process. A nil Meter counts nothing. It is safe
+// for concurrent use.
+type Meter struct {
+	mutex    sync.RWMutex
+	zones    map[string]string
+	counters map[flow]*counter
+}
+
+// NewMeter returns a meter that knows no zones.
+func NewMeter() *Meter {
+	return &Meter{counters: map[flow]*counter{}}
+}
+
+// SetZones replaces what is known of the zones of addresses (IP:port).
+func (m *Meter) SetZones(zones map[string]string) {
+	if m == nil {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.zones = zones
+}
+
+// Add counts an exchange with the process at an address: bytes sent and received.
+func (m *Meter) Add(kind Kind, address string, sent, received int) {
+	if m == nil {
+		return
+	}
+	c := m.counterOf(kind, address)
+	c.exchanges.Add(1)
+	c.sent.Add(uint64(sent))
+	c.received.Add(uint64(received))
+}
+
+// Received counts bytes that came for an exchange counted before.
+func (m *Meter) Received(kind Kind, address string, received int) {
+	if m == nil {
+		return
+	}
+	m.counterOf(kind, address).received.Add(uint64(received))
+}
+
+func (m *Meter) counterOf(kind Kind, address string) *counter {
+	m.mutex.RLock()
+	key := m.flowOf(kind, address)
+	known := m.counters[key]
+	m.mutex.RUnlock()
+	if known != nil {
+		return known
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if known = m.counters[key]; known == nil {
+		known = &counter{}
+		m.counters[key] = known
+	}
+	return known
+}
+
+func (m *Meter) flowOf(kind Kind, address string) flow {
+	zone, known := m.zones[address]
+	if !known {
+		zone = Unknown
+	}
+	return flow{kind: kind, zone: zone}
+}
+
+// Row is what has been counted of one kind with one zone.
+type Row struct {
+	Kind      Kind
+	Zone      string
+	Exchanges uint64
+	Sent      uint64
+	Received  uint64
+}
+
+// Rows returns what has been counted so far, in the order of kinds and zones.
+func (m *Meter) Rows() []Row {
+	if m == nil {
+		return nil
+	}
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	rows := make([]Row, 0, len(m.counters))
+	for key, c := range m.counters {
+		rows = append(rows, Row{Kind: key.kind, Zone: key.zone, Exchanges: c.exchanges.Load(), Sent: c.sent.Load(), Received: c.received.Load()})
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Zone, b.Zone)) })
+	return rows
+}
+
+var (
+	labels    = []string{"kind", "zone"}
+	exchanges = prometheus.NewDesc("peer_exchanges_total", "Exchanges with other processes, by kind of message and the other's zone.", labels, nil)
+	sent      = prometheus.NewDesc("peer_sent_bytes_total", "Bytes sent in them.", labels, nil)
+	received  = prometheus.NewDesc("peer_received_bytes_total", "Bytes received in them.", labels, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (m *Meter) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- exchanges
+	descriptions <- sent
+	descriptions <- received
+}
+
+// Collect implements prometheus.Collector.
+func (m *Meter) Collect(metrics chan<- prometheus.Metric) {
+	for _, row := range m.Rows() {
+		metrics <- prometheus.MustNewConstMetric(exchanges, prometheus.CounterValue, float64(row.Exchanges), string(row.Kind), row.Zone)
+		metrics <- prometheus.MustNewConstMetric(sent, prometheus.CounterValue, float64(row.Sent), string(row.Kind), row.Zone)
+		metrics <- prometheus.MustNewConstMetric(received, prometheus.CounterValue, float64(row.Received), string(row.Kind), row.Zone)
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -61,8 +62,13 @@
 	// Dialed and Reused count connections, under the mutex.
 	dialed uint64
 	reused uint64
+	meter  *traffic.Meter
 }
 
+// Measure makes the client count its requests in the meter. It must be called before
+// the first request.
+func (c *Client) Measure(meter *traffic.Meter) { c.meter = meter }
+
 // NewClient returns a client without connections.
 func NewClient(names *dialect.Dialect) *Client {
 	return &Client{dialect: names, dialer: net.Dialer{Timeout: dialTimeout}, idle: map[string][]*connection{}}
@@ -279,6 +285,8 @@
 // closed, which cancels the request at the worker.
 func (r *Response) Close() {
 	intact := r.release()
+	c := r.connection
+	r.client.meter.Add(traffic.Requests, r.endpoint.Address, int(c.sent.Swap(0)), int(c.received.Swap(0)))
 	if !intact || !r.reusable() {
 		_ = r.connection.Close()
 		return
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -13,6 +14,9 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	// sent and received count the bytes of the present request.
+	sent     atomic.Int64
+	received atomic.Int64
 	// reused is set once it has carried a request.
 	reused bool
 	// idleUntil is when the worker may close it.
@@ -20,7 +24,23 @@
 }
 
 func newConnection(conn net.Conn) *connection {
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	c := &connection{Conn: conn}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.received.Add(int64(count))
+	return count, err
+}
+
+// Write implements net.Conn.
+func (c *connection) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.sent.Add(int64(count))
+	return count, err
 }
 
 // quiet reports whether an idle connection is open and holds no bytes: what came
