Loads go through a hub in each zone; only sums cross zones

Cause: at the large sites one process took the reports of all 246 edges and told each of them the rows of all workers, 8 to 20 times a second, four fifths of that across zones, where bytes are the largest price; its loss blinded all edges.

Ruled out for now: hubs that tell one another directly (hubs^2 flows; the top hub is there anyway, because one planner orders the runners of items), changes only (more state; sums are some rows a zone).

A zone's hub tells the sums to the leader of the hub group and passes on what it is told. Without that leader a zone still knows of itself. The hub's own orders are set by themselves, so others' loads are taken in once per plan.

--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -65,6 +65,17 @@
 	t.learn(now)
 }
 
+// SetOrders takes in the orders of the planner of all items, by the workers' short
+// names, in place of those that came with the loads of others.
+func (t *Table) SetOrders(orders map[uint32]batchroom.Order) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for id, known := range t.workers {
+		order := orders[loadshare.Hash(id)]
+		known.starts, known.stops = order.Start, order.Stop
+	}
+}
+
 // toldByOthers returns what others have at the worker, if that is known.
 func (w *worker) toldByOthers(now time.Time) (wire.WorkerLoad, bool) {
 	return w.others, !w.othersAt.IsZero() && now.Sub(w.othersAt) <= loadshare.Fresh
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -16,26 +16,30 @@
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
-// hubGroup is the group whose leader is the hub of all processes' loads.
+// hubGroup is the group whose leader is the top hub of all processes' loads.
 const hubGroup = 0
 
 const (
 	// patienceParts is the part, one in so many, of the tightest goal of a pool's
 	// routes that an online request may wait for an item.
 	patienceParts = 2
-	// ownInterval is the shortest time between two plans of the hub for itself.
+	// ownInterval is the shortest time between two plans of the top hub for itself.
 	ownInterval = 20 * time.Millisecond
 )
 
 // loads is what this process knows of the others' loads, and of the tokens that wait
 // in the store groups.
 type loads struct {
-	// hub, planner and ownDue are used by the loop that answers reports only.
-	hub     *loadshare.Hub
+	// reporting counts the processes that tell their loads.
+	reporting atomic.Int64
+
+	// hubs guards what follows. zone is the hub for the processes that report here,
+	// top the one for all zones and runners while this process leads the hub group.
+	hubs    sync.Mutex
+	zone    *loadshare.Hub
+	top     *loadshare.Hub
 	planner *batchroom.Planner
 	ownDue  time.Time
-	// reporting counts the processes that tell the hub their loads.
-	reporting atomic.Int64
 
 	// mutex guards the quotas.
 	mutex  sync.Mutex
@@ -43,59 +47,97 @@
 }
 
 func newLoads() *loads {
-	return &loads{hub: loadshare.NewHub(), planner: batchroom.New(), quotas: quota.New(placement.Groups)}
+	return &loads{zone: loadshare.NewHub(), top: loadshare.NewHub(), planner: batchroom.New(), quotas: quota.New(placement.Groups)}
 }
 
-// takeLoads is the hub while this process leads the hub group: it tells each process
-// what the others have, and stores which items they may start and are to stop.
+// takeLoads answers reports of loads. Edges of the zone are told what all others have.
+// While this process leads the hub group, hubs of zones are told what the other zones
+// have, and stores which items they may start and are to stop.
 func (s *Store) takeLoads(ctx context.Context) {
 	err := loadshare.Serve(ctx, s.daemon.Address(), func(report *wire.LoadReport) *wire.LoadReport {
-		if err := s.groups[hubGroup].read(func(storage.Reader) error { return nil }); err != nil {
-			if hub := consensus.LeaderOf(err); hub != "" && hub != s.daemon.Address() {
-				return &wire.LoadReport{Hub: hub}
-			}
-			return nil
-		}
 		now := time.Now()
-		s.takeOwn(now)
-		s.loads.hub.Take(now, report)
-		answer := &wire.LoadReport{Workers: s.loads.hub.Others(now, report.Source), Sources: uint16(s.loads.reporting.Load())}
-		if len(report.Groups) > 0 {
-			s.loads.learn(now, report.Groups)
-			s.loads.learn(now, s.ledGroups())
-			answer.Groups = s.loads.known(now)
-			answer.Workers = s.order(now, report.Source, int(report.Waiting), itemsOf(report), answer.Workers)
+		err := s.groups[hubGroup].read(func(storage.Reader) error { return nil })
+		s.loads.hubs.Lock()
+		defer s.loads.hubs.Unlock()
+		if err == nil {
+			s.takeOwn(now)
+		}
+		switch toTop := report.Sums || len(report.Groups) > 0; {
+		case !toTop:
+			return s.answerZone(now, report)
+		case err == nil:
+			return s.answerTop(now, report)
+		}
+		if hub := consensus.LeaderOf(err); hub != "" && hub != s.daemon.Address() {
+			return &wire.LoadReport{Hub: hub}
 		}
-		return answer
+		return nil
 	})
 	if err != nil {
 		logging.Warn(s.logger, "loads_not_taken", "error", err)
 	}
 }
 
-// ownSource is the name under which the hub takes in its own loads.
+// answerZone takes in the report of an edge. The lock of the hubs is held.
+func (s *Store) answerZone(now time.Time, report *wire.LoadReport) *wire.LoadReport {
+	s.loads.zone.Take(now, report)
+	if report.Left {
+		return nil
+	}
+	return &wire.LoadReport{Workers: s.loads.zone.Others(now, report.Source)}
+}
+
+// answerTop takes in the report of a zone's hub or of a store that runs items. The lock
+// of the hubs is held.
+func (s *Store) answerTop(now time.Time, report *wire.LoadReport) *wire.LoadReport {
+	s.loads.top.Take(now, report)
+	if report.Left {
+		return nil
+	}
+	answer := &wire.LoadReport{Workers: s.loads.top.Others(now, report.Source), Sources: uint16(s.loads.reporting.Load())}
+	if len(report.Groups) > 0 {
+		s.loads.learn(now, report.Groups)
+		s.loads.learn(now, s.ledGroups())
+		answer.Groups = s.loads.known(now)
+		answer.Workers = ordered(answer.Workers, s.order(now, report.Source, int(report.Waiting), itemsOf(report)))
+	}
+	return answer
+}
+
+// ownSource is the name under which the top hub takes in its own loads.
 const ownSource = 0
 
-// takeOwn takes in what this process has, and orders its own runners.
+// zoneSource is the name under which this process tells the sums over its zone.
+func (s *Store) zoneSource() uint32 { return loadshare.Hash(s.settings.Name + "/zone") }
+
+// takeOwn takes in what this process and its zone have, and orders its own runners.
+// The lock of the hubs is held.
 func (s *Store) takeOwn(now time.Time) {
 	if now.Before(s.loads.ownDue) {
 		return
 	}
 	s.loads.ownDue = now.Add(ownInterval)
-	hub := s.loads.hub
-	hub.Take(now, &wire.LoadReport{Source: ownSource, Workers: s.workers.Loads()})
-	s.loads.reporting.Store(int64(hub.Sources(now)) - 1)
-	others := hub.Others(now, ownSource)
-	s.workers.SetOthers(now, others)
-	s.workers.SetOthers(now, s.order(now, ownSource, s.waiting(), s.workers.Items(), others))
+	top, zone := s.loads.top, s.loads.zone
+	top.Take(now, &wire.LoadReport{Source: ownSource, Workers: s.workers.Loads()})
+	if sums := zone.Sums(now, s.zoneSource()); sums != nil {
+		top.Take(now, sums)
+	}
+	zone.SetAbove(now, top.Others(now, s.zoneSource()))
+	s.loads.reporting.Store(int64(top.Sources(now)) - 1)
+	s.workers.SetOthers(now, top.Others(now, ownSource))
+	s.workers.SetOrders(s.order(now, ownSource, s.waiting(), s.workers.Items()))
 }
 
-// order plans for a runner and adds its orders to what it is told of the workers.
-func (s *Store) order(now time.Time, source uint32, waiting int, items map[uint32]int, rows []wire.WorkerLoad) []wire.WorkerLoad {
+// order plans for a runner.
+func (s *Store) order(now time.Time, source uint32, waiting int, items map[uint32]int) map[uint32]batchroom.Order {
 	table := s.watcher.Current().Table
 	places := s.workers.Places(now, func(pool string) time.Duration { return table.TightestGoal(pool) / patienceParts })
 	s.loads.planner.Take(now, source, waiting, items)
-	orders := s.loads.planner.Plan(source, places)
+	return s.loads.planner.Plan(source, places)
+}
+
+// ordered returns the rows with the orders.
+func ordered(rows []wire.WorkerLoad, orders map[uint32]batchroom.Order) []wire.WorkerLoad {
 	for i := range rows {
 		if order, found := orders[rows[i].Worker]; found {
 			rows[i].Start, rows[i].Stop = uint16(order.Start), uint16(order.Stop)
@@ -108,6 +150,32 @@
 	return rows
 }
 
+// tellZone tells the top hub the sums over the zone that reports here, while another
+// process is the top hub.
+func (s *Store) tellZone(ctx context.Context) {
+	err := loadshare.Report(ctx, &loadshare.Reporter{
+		Meter: s.daemon.Traffic,
+		Hubs:  func() []string { return s.watcher.Current().Fleet.StoreAddresses() },
+		Own: func() *wire.LoadReport {
+			if s.groups[hubGroup].leads() {
+				return nil
+			}
+			s.loads.hubs.Lock()
+			defer s.loads.hubs.Unlock()
+			return s.loads.zone.Sums(time.Now(), s.zoneSource())
+		},
+		Learn: func(now time.Time, answer *wire.LoadReport) {
+			s.loads.hubs.Lock()
+			defer s.loads.hubs.Unlock()
+			s.loads.zone.SetAbove(now, answer.Workers)
+		},
+		Pause: func() time.Duration { return loadshare.Interval },
+	})
+	if err != nil {
+		logging.Warn(s.logger, "zone_not_told", "error", err)
+	}
+}
+
 // itemsOf returns the items that run by a report, by worker.
 func itemsOf(report *wire.LoadReport) map[uint32]int {
 	items := make(map[uint32]int, len(report.Workers))
--- a/internal/batchstore/runner_test.go
+++ b/internal/batchstore/runner_test.go
@@ -67,7 +67,7 @@
 func (r *runner) crowd(now time.Time, online int) {
 	rows := []wire.WorkerLoad{{Worker: loadshare.Hash("w"), Online: uint16(online)}}
 	r.store.workers.SetOthers(now, rows)
-	r.store.workers.SetOthers(now, r.store.order(now, ownSource, 0, r.store.workers.Items(), rows))
+	r.store.workers.SetOrders(r.store.order(now, ownSource, 0, r.store.workers.Items()))
 }
 
 func stopped(r *runner) (count int) {
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -101,6 +101,7 @@
 	d.Go(s.statusLoop)
 	d.Go(s.takeLoads)
 	d.Go(s.tellLoads)
+	d.Go(s.tellZone)
 	d.Go(s.spreadLoop)
 	for _, g := range s.groups {
 		d.Go(g.runner.run)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,14 +72,15 @@
 	return e
 }
 
-// shareLoads tells the stores what this process has in flight, and learns what
+// shareLoads tells the hub of the zone what this process has in flight, and learns what
 // the others have.
 func (e *Edge) shareLoads(ctx context.Context) {
 	source := loadshare.Hash(e.settings.Name)
 	var rate loadshare.Rate
 	err := loadshare.Report(ctx, &loadshare.Reporter{
 		Meter: e.daemon.Traffic,
-		Hubs:  func() []string { return e.watcher.Current().Fleet.StoreAddresses() },
+		Hubs:  func() []string { return loadshare.HubOrder(e.settings.Zone, e.watcher.Current().Fleet.Stores) },
+		Home:  true,
 		Own:   func() *wire.LoadReport { return &wire.LoadReport{Source: source, Workers: e.workers.Loads()} },
 		Learn: func(now time.Time, answer *wire.LoadReport) { e.workers.SetOthers(now, answer.Workers) },
 		Pause: func() time.Duration {
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -49,13 +49,13 @@
 	}
 }
 
-// silence is how long a hub may be silent before another is asked.
-const silence = 2*MaxInterval + Interval
-
 // Reporter is what a process tells a hub and learns from it.
 type Reporter struct {
-	// Hubs returns the addresses among which a hub is looked for.
+	// Hubs returns the addresses among which a hub is looked for, the best first.
 	Hubs func() []string
+	// Home is set where the first of them is to be gone back to whenever it answers.
+	// Otherwise the reporter stays with the hub that answers, or that it is referred to.
+	Home bool
 	// Own returns what this process has, or nil if there is nothing to tell.
 	Own func() *wire.LoadReport
 	// Learn takes in the hub's answer, which says what the others have.
@@ -74,7 +74,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
-	r := &reporter{socket: socket, began: time.Now(), meter: p.Meter}
+	r := &reporter{socket: socket, meter: p.Meter, began: time.Now(), chooser: chooser{home: p.Home}}
 	go r.receive(ctx, p.Learn)
 	timer := time.NewTimer(Interval)
 	defer timer.Stop()
@@ -85,7 +85,7 @@
 		case <-timer.C:
 		}
 		if own := p.Own(); own != nil {
-			r.send(p.Hubs(), own)
+			r.report(p.Hubs(), own)
 		}
 		timer.Reset(p.Pause())
 	}
@@ -95,40 +95,42 @@
 type reporter struct {
 	socket *net.UDPConn
 	meter  *traffic.Meter
-	next   int
-	target string
-	// since is when the target was chosen, heard when a hub last answered, in
-	// nanoseconds of the steady clock since began.
-	began time.Time
-	since time.Duration
-	heard atomic.Int64
-	// referred is the hub that another process has named, until it is asked.
-	referred atomic.Pointer[string]
+	began  time.Time
+
+	// mutex guards the chooser.
+	mutex   sync.Mutex
+	chooser chooser
+}
+
+func (r *reporter) choose(hubs []string) (target, left string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.chooser.next(time.Since(r.began), hubs)
 }
 
-func (r *reporter) send(hubs []string, report *wire.LoadReport) {
-	now := time.Since(r.began)
-	if referred := r.referred.Swap(nil); referred != nil && *referred != r.target {
-		r.target, r.since = *referred, now
+func (r *reporter) report(hubs []string, report *wire.LoadReport) {
+	target, left := r.choose(hubs)
+	if left != "" {
+		// The hub that is left would count this process until its report is too old.
+		r.send(left, &wire.LoadReport{Source: report.Source, Sums: report.Sums, Left: true})
 	}
-	if r.target == "" || now-max(r.since, time.Duration(r.heard.Load())) > silence {
-		if len(hubs) == 0 {
-			return
-		}
-		r.next++
-		r.target, r.since = hubs[r.next%len(hubs)], now
+	if target != "" {
+		r.send(target, report)
 	}
+}
+
+// send sends a report. One that is lost is made good by the next.
+func (r *reporter) send(target string, report *wire.LoadReport) {
 	encoded, err := report.MarshalMsg(nil)
 	if err != nil {
 		return
 	}
-	address, err := net.ResolveUDPAddr("udp", r.target)
+	address, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
 		return
 	}
-	// A lost report is made good by the next.
 	_, _ = r.socket.WriteToUDP(encoded, address)
-	r.meter.Add(traffic.Loads, r.target, len(encoded), 0)
+	r.meter.Add(traffic.Loads, target, len(encoded), 0)
 }
 
 func (r *reporter) receive(ctx context.Context, learn func(now time.Time, answer *wire.LoadReport)) {
@@ -143,11 +145,21 @@
 		if _, err := report.UnmarshalMsg(buffer[:count]); err != nil {
 			continue
 		}
-		if report.Hub != "" {
-			r.referred.Store(&report.Hub)
-			continue
+		if r.heard(report.Hub) {
+			learn(time.Now(), report)
 		}
-		r.heard.Store(int64(time.Since(r.began)))
-		learn(time.Now(), report)
 	}
 }
+
+// heard takes in an answer, and reports whether it is one of a hub rather than one
+// that names another.
+func (r *reporter) heard(hub string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if hub != "" {
+		r.chooser.refer(hub)
+		return false
+	}
+	r.chooser.answered(time.Since(r.began))
+	return true
+}
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -1,7 +1,9 @@
 // Package loadshare lets processes that send requests to the same workers know
-// of one another's: each tells a hub what it has in flight and how workers
-// answered, and is told what all others have and which workers do badly. Reports
-// are datagrams; a lost one is made good by the next.
+// of one another's. Each tells the hub of its zone what it has in flight and how
+// workers answered, and is told what all others have and which workers do badly.
+// The hubs of the zones tell the top hub the sums over their zones in the same way,
+// so that only sums cross zones. Reports are datagrams; a lost one is made good by
+// the next.
 package loadshare
 
 import (
@@ -34,14 +36,20 @@
 	// totals are the sums over all sources, kept as reports come and expire.
 	totals map[uint32]total
 	// watched holds what workers showed of themselves.
-	watched   map[uint32]*watched
+	watched map[uint32]*watched
+	// above is what the hub above told at aboveAt: the loads of all who don't
+	// report here, and what it knows of the workers.
+	above     map[uint32]wire.WorkerLoad
+	aboveAt   time.Time
 	expireDue time.Time
 }
 
-// source is the last report of a process.
+// source is the last report of a process, or of a zone's hub.
 type source struct {
 	at      time.Time
 	workers []wire.WorkerLoad
+	// processes is how many processes it speaks for.
+	processes int
 }
 
 // total is what several processes have at a worker.
@@ -59,6 +67,8 @@
 	orphans orphans
 	health  health
 	pace    pace
+	// gathered is what is still to be told to the hub above.
+	gathered gathered
 }
 
 // NewHub returns an empty hub.
@@ -71,13 +81,35 @@
 	h.expire(now)
 	if before := h.sources[report.Source]; before != nil {
 		h.count(before, -1)
+		delete(h.sources, report.Source)
+	}
+	if report.Left {
+		return
+	}
+	taken := &source{at: now, workers: report.Workers, processes: 1}
+	if report.Sums {
+		taken.processes = int(report.Sources)
 	}
-	taken := &source{at: now, workers: report.Workers}
 	h.sources[report.Source] = taken
 	h.count(taken, 1)
 	h.watch(now, report)
 }
 
+// SetAbove takes in what the hub above tells: the sums over all who don't report
+// here, and what is known of the workers over all processes.
+func (h *Hub) SetAbove(now time.Time, rows []wire.WorkerLoad) {
+	h.above = make(map[uint32]wire.WorkerLoad, len(rows))
+	for i := range rows {
+		h.above[rows[i].Worker] = rows[i]
+	}
+	h.aboveAt = now
+}
+
+// knowsAbove reports whether what the hub above told still counts.
+func (h *Hub) knowsAbove(now time.Time) bool {
+	return !h.aboveAt.IsZero() && now.Sub(h.aboveAt) <= Fresh
+}
+
 // count adds a source's report to the totals, or takes it off.
 func (h *Hub) count(s *source, sign int) {
 	for i := range s.workers {
@@ -124,18 +156,29 @@
 		}
 		known.health.take(now, int(load.Answered), int(load.Failed))
 		known.pace.take(now, load)
+		known.gathered.take(load)
 		if load.Told > 0 {
-			sum := h.totals[load.Worker]
-			known.orphans.take(now, int(load.Told)-1-sum.online-sum.batch)
+			known.orphans.take(now, int(load.Told)-1-h.known(now, load.Worker))
 		}
 	}
 }
 
-// Others returns the sums over all processes but one, and what is known of the
-// workers, in the order of the workers' hashes.
+// known returns how many requests anybody is known to have at a worker.
+func (h *Hub) known(now time.Time, worker uint32) int {
+	sum := h.totals[worker]
+	count := sum.online + sum.batch
+	if h.knowsAbove(now) {
+		others := h.above[worker]
+		count += int(others.Online) + int(others.Batch)
+	}
+	return count
+}
+
+// Others returns the sums over all processes but one source, and what is known of
+// the workers, in the order of the workers' hashes.
 func (h *Hub) Others(now time.Time, except uint32) []wire.WorkerLoad {
 	h.expire(now)
-	loads := make(map[uint32]wire.WorkerLoad, len(h.totals))
+	loads := make(map[uint32]wire.WorkerLoad, len(h.totals)+len(h.above))
 	for worker, sum := range h.totals {
 		loads[worker] = sum.load(worker)
 	}
@@ -145,6 +188,28 @@
 			loads[worker] = h.totals[worker].plus(&own.workers[i], -1).load(worker)
 		}
 	}
+	if h.knowsAbove(now) {
+		h.addAbove(loads)
+	} else {
+		h.addWatched(now, loads)
+	}
+	return listed(loads)
+}
+
+// addAbove adds what the hub above told, which knows more of the workers than this
+// one does.
+func (h *Hub) addAbove(loads map[uint32]wire.WorkerLoad) {
+	for worker, others := range h.above {
+		load := loads[worker]
+		others.Online = clamp16(int(others.Online) + int(load.Online))
+		others.Batch = clamp16(int(others.Batch) + int(load.Batch))
+		others.Unread = clamp32(int(others.Unread) + int(load.Unread))
+		loads[worker] = others
+	}
+}
+
+// addWatched adds what workers showed of themselves to those who report here.
+func (h *Hub) addWatched(now time.Time, loads map[uint32]wire.WorkerLoad) {
 	for worker, known := range h.watched {
 		load := loads[worker]
 		load.Worker = worker
@@ -154,7 +219,6 @@
 		load.Rate = known.pace.rate(now)
 		loads[worker] = load
 	}
-	return listed(loads)
 }
 
 // listed returns the loads that say anything, in order.
@@ -174,18 +238,20 @@
 		Worker: worker,
 		Online: clamp16(t.online),
 		Batch:  clamp16(t.batch),
-		Unread: uint32(min(max(t.unread, 0), math.MaxUint32)),
+		Unread: clamp32(t.unread),
 	}
 }
 
 func clamp16(count int) uint16 { return uint16(min(max(count, 0), math.MaxUint16)) }
 
-// Sources returns how many processes report.
+func clamp32(count int) uint32 { return uint32(min(max(count, 0), math.MaxUint32)) }
+
+// Sources returns how many processes report, here or to hubs that report here.
 func (h *Hub) Sources(now time.Time) int {
 	count := 0
 	for _, known := range h.sources {
 		if now.Sub(known.at) <= Fresh {
-			count++
+			count += known.processes
 		}
 	}
 	return count
--- /dev/null
+++ b/internal/loadshare/sums.go
@@ -0,0 +1,59 @@
+package loadshare
+
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// gathered is what processes saw of a worker since a zone's hub last told the hub
+// above. The zero value is ready for use.
+type gathered struct {
+	// told is one more than the least count that the worker told of itself; zero
+	// means that it told none.
+	told     uint16
+	answered int
+	failed   int
+	steps    int
+	micros   int
+}
+
+// take takes in a row of a report.
+func (g *gathered) take(load *wire.WorkerLoad) {
+	if load.Told > 0 && (g.told == 0 || load.Told < g.told) {
+		g.told = load.Told
+	}
+	g.answered += int(load.Answered)
+	g.failed += int(load.Failed)
+	g.steps += int(load.Steps)
+	g.micros += int(load.StepMicros)
+}
+
+// Sums returns the sums over all who report here, and what they saw of the workers
+// since the last call, as one report under the name. It returns nil while nobody
+// reports and nothing was seen.
+func (h *Hub) Sums(now time.Time, name uint32) *wire.LoadReport {
+	h.expire(now)
+	loads := make(map[uint32]wire.WorkerLoad, len(h.totals))
+	for worker, sum := range h.totals {
+		loads[worker] = sum.load(worker)
+	}
+	for worker, known := range h.watched {
+		if known.gathered == (gathered{}) {
+			continue
+		}
+		load := loads[worker]
+		load.Worker = worker
+		load.Told = known.gathered.told
+		load.Answered = clamp16(known.gathered.answered)
+		load.Failed = clamp16(known.gathered.failed)
+		load.Steps = clamp16(known.gathered.steps)
+		load.StepMicros = clamp32(known.gathered.micros)
+		loads[worker] = load
+		known.gathered = gathered{}
+	}
+	if len(h.sources) == 0 && len(loads) == 0 {
+		return nil
+	}
+	return &wire.LoadReport{Source: name, Workers: listed(loads), Sources: clamp16(h.Sources(now)), Sums: true}
+}
--- /dev/null
+++ b/internal/loadshare/sums_test.go
@@ -0,0 +1,157 @@
+package loadshare
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// zones is a top hub with the hubs of three zones, beside a single hub that hears all.
+type zones struct {
+	single *Hub
+	top    *Hub
+	hubs   [3]*Hub
+}
+
+func newZones() *zones {
+	z := &zones{single: NewHub(), top: NewHub()}
+	for i := range z.hubs {
+		z.hubs[i] = NewHub()
+	}
+	return z
+}
+
+// name is the source of a zone's sums.
+func (z *zones) name(zone int) uint32 { return uint32(1000 + zone) }
+
+// exchange lets each zone tell its sums, and then hear of the others.
+func (z *zones) exchange(now time.Time) {
+	for i, hub := range z.hubs {
+		if sums := hub.Sums(now, z.name(i)); sums != nil {
+			z.top.Take(now, sums)
+		}
+	}
+	for i, hub := range z.hubs {
+		hub.SetAbove(now, z.top.Others(now, z.name(i)))
+	}
+}
+
+// online returns the online requests by worker.
+func online(rows []wire.WorkerLoad) map[uint32]uint16 {
+	counts := map[uint32]uint16{}
+	for i := range rows {
+		if rows[i].Online > 0 {
+			counts[rows[i].Worker] = rows[i].Online
+		}
+	}
+	return counts
+}
+
+// TestZonesKnowWhatOneHubKnows checks with random reports that, once the zones have
+// exchanged their sums, every process is told just what a single hub would tell it:
+// no report is missed, and none counts twice.
+func TestZonesKnowWhatOneHubKnows(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	z, now := newZones(), start
+	const processes = 12
+	for step := range 500 {
+		now = now.Add(time.Duration(random.IntN(int(Fresh / 2))))
+		for process := range uint32(processes) {
+			if random.IntN(3) == 0 {
+				continue
+			}
+			report := &wire.LoadReport{Source: process + 1}
+			for worker := range uint32(5) {
+				if random.IntN(2) == 0 {
+					report.Workers = append(report.Workers, wire.WorkerLoad{Worker: worker, Online: uint16(1 + random.IntN(4)), Answered: 1})
+				}
+			}
+			z.single.Take(now, report)
+			z.hubs[process%3].Take(now, report)
+		}
+		for _, hub := range append([]*Hub{z.single, z.top}, z.hubs[:]...) {
+			hub.expireDue = time.Time{}
+		}
+		z.exchange(now)
+		for process := range uint32(processes) {
+			want := online(z.single.Others(now, process+1))
+			got := online(z.hubs[process%3].Others(now, process+1))
+			for worker := range uint32(5) {
+				if got[worker] != want[worker] {
+					t.Fatalf("step %d: process %d is told of %d at worker %d, want %d", step, process, got[worker], worker, want[worker])
+				}
+			}
+		}
+		if got, want := z.top.Sources(now), z.single.Sources(now); got != want {
+			t.Fatalf("step %d: %d processes report, want %d", step, got, want)
+		}
+	}
+}
+
+// TestSilentProcessAgesOutEverywhere lets a process fall silent: within Fresh of its
+// zone's hub and Fresh of the top hub nobody counts it any more.
+func TestSilentProcessAgesOutEverywhere(t *testing.T) {
+	z, now := newZones(), start
+	z.hubs[0].Take(now, report(1, 7, 3))
+	z.exchange(now)
+	if got := online(z.hubs[1].Others(now, 0)); got[7] != 3 {
+		t.Fatalf("another zone is told %v", got)
+	}
+	for range int(2*Fresh/Interval) + 1 {
+		now = now.Add(Interval)
+		z.exchange(now)
+	}
+	for i, hub := range z.hubs {
+		if got := online(hub.Others(now, 0)); len(got) != 0 {
+			t.Errorf("zone %d is told %v", i, got)
+		}
+	}
+}
+
+// TestZoneGoesOnWithoutTheTop lets the top hub fall silent: the processes of a zone
+// still know of one another, and of slow workers by what they saw themselves.
+func TestZoneGoesOnWithoutTheTop(t *testing.T) {
+	z, now := newZones(), start
+	z.hubs[1].Take(now, report(2, 7, 2))
+	z.exchange(now)
+	for range 20 {
+		now = now.Add(Interval)
+		z.hubs[0].Take(now, paced(1, 1, 5, 500))
+		z.hubs[0].Take(now, report(3, 7, 4))
+	}
+	rows := z.hubs[0].Others(now, 1)
+	if len(rows) != 1 || rows[0].Online != 4 || rows[0].Step != 100 || rows[0].Rate == 0 {
+		t.Errorf("told %+v", rows)
+	}
+}
+
+// TestLeavingCountsNoMore checks that a process that says it reports elsewhere is not
+// counted twice meanwhile.
+func TestLeavingCountsNoMore(t *testing.T) {
+	hub := NewHub()
+	hub.Take(start, report(1, 7, 3))
+	hub.Take(start, report(2, 7, 1))
+	hub.Take(start, &wire.LoadReport{Source: 1, Left: true})
+	if rows := hub.Others(start, 0); len(rows) != 1 || rows[0].Online != 1 || hub.Sources(start) != 1 {
+		t.Errorf("%+v of %d processes", rows, hub.Sources(start))
+	}
+}
+
+// TestSumsPassOnWhatWasSeenOnce checks that what processes saw of a worker goes up
+// once, added up, with the least count that the worker told.
+func TestSumsPassOnWhatWasSeenOnce(t *testing.T) {
+	hub := NewHub()
+	hub.Take(start, &wire.LoadReport{Source: 1, Workers: []wire.WorkerLoad{{Worker: 7, Told: 9, Answered: 2, Failed: 1, Steps: 3, StepMicros: 30}}})
+	hub.Take(start, &wire.LoadReport{Source: 2, Workers: []wire.WorkerLoad{{Worker: 7, Told: 6, Answered: 1, Steps: 1, StepMicros: 10}}})
+	want := []wire.WorkerLoad{{Worker: 7, Told: 6, Answered: 3, Failed: 1, Steps: 4, StepMicros: 40}}
+	sums := hub.Sums(start, 100)
+	if !sums.Sums || sums.Sources != 2 || !slices.Equal(sums.Workers, want) {
+		t.Errorf("%+v", sums)
+	}
+	if sums = hub.Sums(start, 100); len(sums.Workers) != 0 {
+		t.Errorf("again: %+v", sums)
+	}
+}
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -10,13 +10,18 @@
 	Workers []WorkerLoad
 	// Hub is set by a process that is not the hub: the address of the one that is.
 	Hub string
-	// Sources is set by the hub: how many processes tell it their loads.
+	// Sources is how many processes tell their loads: all of them in the top hub's
+	// answers, those of the zone in a zone's sums.
 	Sources uint16
 	// Waiting is set by stores: how many items could start.
 	Waiting uint32
 	// Groups holds the tokens that wait in store groups. A store tells of those
 	// that it leads; the hub tells stores of all, with the age of what it knows.
 	Groups []GroupTokens
+	// Sums is set where a zone's hub tells the top hub the sums over its zone.
+	Sums bool
+	// Left is set in the last report to a hub: the sender reports elsewhere now.
+	Left bool
 }
 
 // GroupTokens is how many tokens wait in a store group.
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -196,8 +196,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Source, err = dc.ReadUint32()
@@ -256,13 +256,23 @@
 			return
 		}
 	}
+	z.Sums, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Sums")
+		return
+	}
+	z.Left, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Left")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 6
-	err = en.Append(0x96)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -310,14 +320,24 @@
 			return
 		}
 	}
+	err = en.WriteBool(z.Sums)
+	if err != nil {
+		err = msgp.WrapError(err, "Sums")
+		return
+	}
+	err = en.WriteBool(z.Left)
+	if err != nil {
+		err = msgp.WrapError(err, "Left")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint32(o, z.Source)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
 	for za0001 := range z.Workers {
@@ -338,6 +358,8 @@
 			return
 		}
 	}
+	o = msgp.AppendBool(o, z.Sums)
+	o = msgp.AppendBool(o, z.Left)
 	return
 }
 
@@ -349,8 +371,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Source, bts, err = msgp.ReadUint32Bytes(bts)
@@ -409,6 +431,16 @@
 			return
 		}
 	}
+	z.Sums, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sums")
+		return
+	}
+	z.Left, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Left")
+		return
+	}
 	o = bts
 	return
 }
@@ -423,6 +455,7 @@
 	for za0002 := range z.Groups {
 		s += z.Groups[za0002].Msgsize()
 	}
+	s += msgp.BoolSize + msgp.BoolSize
 	return
 }
 
