Stores say hello to members and a few spares, not to all

Ruled out: rarer hellos alone (they tell a wiped disk within helloFresh), shorter lists alone (the number of pairs still grows with the square).

Change: with FormByOrder the list of living processes comes from the coordinators, so hellos carry neither it nor the first voters, and only members of groups say hello, to members and to as many living spares as groups may take in, plus one. Up to eight peers all greet all, as before.

--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -163,7 +163,7 @@
 	s.workers.Update(snapshot.Fleet.Workers, snapshot.Table.Memory())
 	s.upstream.Forget(s.workers.Knows)
 	ctx := s.daemon.Context()
-	err := s.host.AddPeers(ctx, snapshot.Fleet.StoreAddresses())
+	err := s.host.ListPeers(ctx, snapshot.Fleet.StoreAddresses())
 	err = errors.CombineErrors(err, s.host.SetRetiring(ctx, snapshot.Fleet.Retiring))
 	err = errors.CombineErrors(err, s.host.Form(ctx, snapshot.Fleet.Initial))
 	if err != nil && ctx.Err() == nil {
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -131,6 +131,7 @@
 			options.Machines = append(options.Machines, w.mutation.machine(m.batch[len(m.batch)-1]))
 		}
 		options.Formation, options.Voters = replication.FormByOrder, 2*tolerate+1
+		options.GreetAll = w.greetAll
 	}
 	node, err := replication.Open(options, w.now)
 	if err != nil {
@@ -300,7 +301,7 @@
 	m.transmit(store, func() {
 		store.knownTerm, store.knownView = term, number
 		store.drive(func() {
-			store.node.AddPeers(w.now, answer.StoreAddresses())
+			store.node.ListPeers(w.now, answer.StoreAddresses())
 			store.node.SetRetiring(answer.Retiring)
 			store.node.Form(w.now, answer.Initial)
 		})
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -25,6 +25,9 @@
 	// lossSafeAt is when a further disk may be lost.
 	lossSafeAt time.Time
 	healed     bool
+	// greetAll is the stores' replication.Options.GreetAll: in every other seed they
+	// say hello as few do in a large fleet.
+	greetAll int
 	// Log holds the faults and what was done, for a failing seed.
 	Log []string
 }
@@ -100,6 +103,9 @@
 // Run runs a seed and returns the violations found.
 func Run(seed uint64, mutation Mutation) (*World, []string) {
 	w := &World{random: rand.New(rand.NewPCG(seed, 7)), mutation: mutation, now: began}
+	if seed%2 == 1 {
+		w.greetAll = 1
+	}
 	w.ledger = newLedger(w)
 	for i := 1; i <= coordinators; i++ {
 		w.add(kindCoordinator, true)
--- a/internal/replication/discovery.go
+++ b/internal/replication/discovery.go
@@ -1,10 +1,14 @@
 package replication
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -37,8 +41,89 @@
 	}
 }
 
-// Peers returns the addresses of the processes to say hello to.
-func (n *Node) Peers(time.Time) []string { return append([]string(nil), n.peers...) }
+// ListPeers takes in the whole list of the processes that live, as it is known
+// elsewhere. With FormByOrder, processes are found by it alone.
+func (n *Node) ListPeers(now time.Time, addresses []string) {
+	n.listed = make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		n.listed[address] = true
+	}
+	n.AddPeers(now, addresses)
+}
+
+const (
+	// greetAll is up to how many peers a process says hello to all of them.
+	greetAll = 8
+	// wantedSpares is how many living processes beyond the members a member of a
+	// group stays acquainted with: one more than the learners that a group may take
+	// in. maxGreeted bounds how many it tries for that.
+	wantedSpares = maxLearners + 1
+	maxGreeted   = 3 * wantedSpares
+)
+
+// Peers returns the addresses of the processes to say hello to. Where all processes
+// are listed elsewhere, only members say hello, to the members of their groups and to
+// some spares: it is members that repair groups, and hellos of all to all grow with
+// the square of their number.
+func (n *Node) Peers(now time.Time) []string {
+	if n.options.Formation != FormByOrder || len(n.peers) <= n.greetAll() {
+		return append([]string(nil), n.peers...)
+	}
+	members := n.memberAddresses()
+	if len(members) == 0 {
+		return nil
+	}
+	greeted := slices.Collect(maps.Keys(members))
+	spares := 0
+	for _, address := range n.sparesInOrder(members) {
+		if spares >= wantedSpares || len(greeted) >= len(members)+maxGreeted {
+			break
+		}
+		greeted = append(greeted, address)
+		if known := n.known[address]; known != nil && now.Sub(known.at) <= helloFresh {
+			spares++
+		}
+	}
+	slices.Sort(greeted)
+	return greeted
+}
+
+func (n *Node) greetAll() int {
+	if n.options.GreetAll > 0 {
+		return n.options.GreetAll
+	}
+	return greetAll
+}
+
+// memberAddresses returns the addresses of all members of the groups that this
+// process is a member of.
+func (n *Node) memberAddresses() map[string]bool {
+	addresses := map[string]bool{}
+	for _, g := range n.groups {
+		membership := g.replica.Membership()
+		if !consensus.IsMember(&membership, n.identity.Replica.ID) {
+			continue
+		}
+		for _, member := range consensus.Members(&membership) {
+			addresses[member.Address] = true
+		}
+	}
+	return addresses
+}
+
+// sparesInOrder returns the listed peers that are no members, each process's in an order of
+// its own, so that the hellos spread over all.
+func (n *Node) sparesInOrder(members map[string]bool) []string {
+	var spares []string
+	for _, address := range n.peers {
+		if n.listed[address] && !members[address] && address != n.options.Address {
+			spares = append(spares, address)
+		}
+	}
+	rank := func(address string) uint64 { return xxhash.Sum64String(n.options.Address + " " + address) }
+	slices.SortFunc(spares, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return spares
+}
 
 // forgetPeers drops the addresses that have been silent for long. Seeds and
 // members stay.
@@ -51,7 +136,7 @@
 		if known := n.known[address]; known != nil && known.at.After(since) {
 			since = known.at
 		}
-		if now.Sub(since) <= forgetAfter || slices.Contains(n.options.Peers, address) || n.memberAt(address) {
+		if now.Sub(since) <= forgetAfter || n.listed[address] || slices.Contains(n.options.Peers, address) || n.memberAt(address) {
 			return false
 		}
 		delete(n.known, address)
@@ -96,20 +181,13 @@
 // discover says hello to every process that this one hears of.
 func (h *Host) discover(ctx context.Context) {
 	defer h.loops.Done()
-	introduced := map[string]bool{}
+	introduced := map[string]context.CancelFunc{}
 	for ctx.Err() == nil {
 		peers, err := ask(ctx, h, h.node.Peers)
 		if err != nil {
 			return
 		}
-		var added []string
-		for _, peer := range peers {
-			if !introduced[peer] {
-				introduced[peer] = true
-				added = append(added, peer)
-			}
-		}
-		h.introduceAll(ctx, added)
+		h.introduceOnly(ctx, introduced, peers)
 		select {
 		case <-ctx.Done():
 		case <-time.After(helloInterval):
@@ -117,6 +195,28 @@
 	}
 }
 
+// introduceOnly goes on saying hello to the peers, and to nobody else.
+func (h *Host) introduceOnly(ctx context.Context, introduced map[string]context.CancelFunc, peers []string) {
+	for peer, cancel := range introduced {
+		if !slices.Contains(peers, peer) {
+			cancel()
+			delete(introduced, peer)
+		}
+	}
+	for _, peer := range peers {
+		if introduced[peer] == nil {
+			peerContext, cancel := context.WithCancel(ctx)
+			introduced[peer] = cancel
+			h.introduceAll(peerContext, []string{peer})
+		}
+	}
+}
+
+// ListPeers is Node.ListPeers.
+func (h *Host) ListPeers(ctx context.Context, addresses []string) error {
+	return h.enter(ctx, func(now time.Time) { h.node.ListPeers(now, addresses) })
+}
+
 // AddPeers takes in addresses of further processes.
 func (h *Host) AddPeers(ctx context.Context, addresses []string) error {
 	return h.enter(ctx, func(now time.Time) { h.node.AddPeers(now, addresses) })
--- a/internal/replication/formation.go
+++ b/internal/replication/formation.go
@@ -28,8 +28,12 @@
 // Hello introduces this process to others.
 func (n *Node) Hello() wire.Hello {
 	hello := n.identity
-	if n.options.Formation != FormFixed {
+	switch n.options.Formation {
+	case FormBySeeds:
 		hello.Known = append([]string(nil), n.peers...)
+	case FormByOrder:
+		// Who forms a cluster, and who lives, is known from elsewhere.
+		hello.Initial = nil
 	}
 	return hello
 }
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -43,6 +43,9 @@
 	// ReplaceAfter is how long a voter may be silent before a spare takes its
 	// place.
 	ReplaceAfter time.Duration
+	// GreetAll is up to how many peers a process says hello to all of them, with
+	// FormByOrder; zero means greetAll.
+	GreetAll int
 	// LogBytes is how much of each group's log is kept for slow followers.
 	LogBytes int
 	Random   consensus.Random
@@ -59,6 +62,8 @@
 	identity   wire.Hello
 	peers      []string
 	candidates map[string]time.Time
+	// listed names the peers of the last whole list.
+	listed     map[string]bool
 	retiring   map[string]bool
 	groups     []*group
 	known      map[string]*heard
