The view of the fleet says where store groups are

Cause: an edge of a large site sees a job every half minute, so it knows no leader, and asks the 45 stores in turn; 37 of them hold nothing of any group and know no leader either.

Change: leaders tell the coordinators their term beside the members; the view carries each group's leader and members. Callers ask that leader first, then the members; reads go to members of the zone.

--- a/internal/batchstore/status.go
+++ b/internal/batchstore/status.go
@@ -49,7 +49,7 @@
 		}
 		formed = formed || len(members) > 0
 		if status.Role == consensus.Leader && status.Settled {
-			led = append(led, wire.GroupReport{Group: number, Members: members})
+			led = append(led, wire.GroupReport{Group: number, Term: status.Term, Members: members})
 		}
 	}
 	s.mutex.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,7 +64,7 @@
 	}
 	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.report)
 	e.watcher.OnChange(e.adopt)
-	e.Stores = storeclient.New(d.Traffic, config.Zone, func() []wire.StoreAddress { return e.watcher.Current().Fleet.Stores })
+	e.Stores = storeclient.New(d.Traffic, config.Zone, func() *wire.FleetView { return &e.watcher.Current().Fleet })
 	e.upstream.Measure(d.Traffic)
 	d.Go(e.watcher.Run)
 	d.Go(e.shareLoads)
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -262,7 +262,7 @@
 		if status.Leader != m.node.ID() || !status.Settled {
 			continue
 		}
-		report := wire.GroupReport{Group: number}
+		report := wire.GroupReport{Group: number, Term: status.Term}
 		for _, member := range append(append(status.Membership.Voters, status.Membership.Outgoing...), status.Membership.Learners...) {
 			report.Members = append(report.Members, member.Name)
 		}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -80,13 +80,14 @@
 	for _, store := range v.stores(now) {
 		next.Stores = append(next.Stores, wire.StoreAddress{Address: store.Replica.Address, Zone: store.Zone})
 	}
+	next.Groups = v.groups(now)
 	for _, known := range v.processes {
 		if known.report.Kind == wire.ProcessEdge && now.Sub(known.at) <= ProcessFresh {
 			next.Edges++
 		}
 	}
 	same := slices.Equal(next.Coordinators, v.Current.Coordinators) &&
-		slices.Equal(next.Stores, v.Current.Stores) && next.Edges == v.Current.Edges &&
+		slices.Equal(next.Stores, v.Current.Stores) && slices.EqualFunc(next.Groups, v.Current.Groups, samePlace) && next.Edges == v.Current.Edges &&
 		slices.Equal(next.Initial, v.Current.Initial) && slices.Equal(next.Retiring, v.Current.Retiring)
 	if same && v.Number > 0 {
 		return false
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,55 +36,74 @@
 // Client calls the stores.
 type Client struct {
 	client *rpc.Client
-	stores func() []wire.StoreAddress
-	near   near
+	fleet  func() *wire.FleetView
+	near   [placement.Groups]near
 	mutex  sync.Mutex
-	// leaders holds the leader of each store group, empty where it is not known.
-	leaders [placement.Groups]string
-	next    int
+	groups [placement.Groups]groupTarget
+	next   int
 }
 
-// New returns a client for a process in the zone; stores lists the stores known. The
-// meter, which may be nil, counts the calls.
-func New(meter *traffic.Meter, zone string, stores func() []wire.StoreAddress) *Client {
+// groupTarget is what is known of the leader of a store group.
+type groupTarget struct {
+	// leader is the one that answered last, or was named, empty where none is known.
+	leader string
+	// failed is the one that was asked last and did not lead.
+	failed string
+}
+
+// New returns a client for a process in the zone; fleet returns the view of the fleet.
+// The meter, which may be nil, counts the calls.
+func New(meter *traffic.Meter, zone string, fleet func() *wire.FleetView) *Client {
 	client := rpc.NewClient()
 	client.Measure(meter)
-	return &Client{
-		client: client,
-		stores: stores,
-		near:   near{zone: zone, shunned: map[string]time.Time{}},
+	c := &Client{client: client, fleet: fleet}
+	for number := range c.near {
+		c.near[number] = near{zone: zone, shunned: map[string]time.Time{}}
 	}
+	return c
 }
 
-// target returns whom to ask about a group.
+// target returns whom to ask about a group: the leader as it is known here, or by the
+// view of the fleet, or else one member after the other.
 func (c *Client) target(group int) string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if leader := c.leaders[group]; leader != "" {
-		return leader
+	known := &c.groups[group]
+	if known.leader != "" {
+		return known.leader
+	}
+	fleet := c.fleet()
+	place := fleet.Group(group)
+	if place.Leader != "" && place.Leader != known.failed {
+		return place.Leader
 	}
-	stores := c.stores()
-	if len(stores) == 0 {
+	candidates := place.Members
+	if len(candidates) == 0 {
+		candidates = fleet.StoreAddresses()
+	}
+	if len(candidates) == 0 {
 		return ""
 	}
 	c.next++
-	return stores[c.next%len(stores)].Address
+	return candidates[c.next%len(candidates)]
 }
 
 // learn takes in how a call about a group to the address ended.
 func (c *Client) learn(group int, address string, err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	known := &c.groups[group]
 	if err == nil {
-		c.leaders[group] = address
+		*known = groupTarget{leader: address}
 		return
 	}
+	known.failed = address
 	leader := consensus.LeaderOf(err)
 	switch {
 	case leader != "":
-		c.leaders[group] = leader
-	case c.leaders[group] == address:
-		c.leaders[group] = ""
+		known.leader = leader
+	case known.leader == address:
+		known.leader = ""
 	}
 }
 
@@ -128,9 +148,26 @@
 	return call[wire.BatchResult](ctx, c, job.ID, MethodSubmit, job, 0)
 }
 
+// holders returns the stores that hold a group's data, or all where that is not known.
+func (c *Client) holders(group int) []wire.StoreAddress {
+	fleet := c.fleet()
+	members := fleet.Group(group).Members
+	if len(members) == 0 {
+		return fleet.Stores
+	}
+	var holders []wire.StoreAddress
+	for _, store := range fleet.Stores {
+		if slices.Contains(members, store.Address) {
+			holders = append(holders, store)
+		}
+	}
+	return holders
+}
+
 // read asks a store nearby, and the leader where that one does not answer.
 func read[Response any, Pointer rpc.Decodable[Response]](ctx context.Context, c *Client, job, method string, request msgp.Marshaler, hold time.Duration) (*Response, error) {
-	address := c.near.pick(time.Now(), c.stores())
+	group := placement.GroupOf(job)
+	address := c.near[group].pick(time.Now(), c.holders(group))
 	if address == "" {
 		return call[Response, Pointer](ctx, c, job, method, request, hold)
 	}
@@ -141,7 +178,7 @@
 		return response, err
 	}
 	if ctx.Err() == nil {
-		c.near.shun(time.Now(), address)
+		c.near[group].shun(time.Now(), address)
 	}
 	return call[Response, Pointer](ctx, c, job, method, request, hold)
 }
--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -50,6 +50,12 @@
 	return func() []wire.StoreAddress { return stores }
 }
 
+// fleet is a view of the stores alone.
+func fleet(stores ...wire.StoreAddress) func() *wire.FleetView {
+	view := &wire.FleetView{Stores: stores}
+	return func() *wire.FleetView { return view }
+}
+
 func notLeader(leader string) error {
 	return failure.New(failure.NotRun, "ask the leader", "it does not lead").WithField(consensus.LeaderField + leader)
 }
@@ -57,7 +63,7 @@
 func TestClientFollowsToTheLeaderAndStays(t *testing.T) {
 	leader := startStore(t, func(*store) (msgp.Marshaler, error) { return &wire.BatchResult{}, nil })
 	follower := startStore(t, func(*store) (msgp.Marshaler, error) { return nil, notLeader(leader.address) })
-	client := New(nil, "z", at("y", follower.address))
+	client := New(nil, "z", fleet(at("y", follower.address)()...))
 	for i := 0; i < 3; i++ {
 		if _, err := client.End(context.Background(), "j"); err != nil {
 			t.Fatal(err)
@@ -95,7 +101,7 @@
 		{"an answer of its own", []string{definite.address}, failure.NotFound},
 	} {
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-		_, err := New(nil, "z", at("y", test.stores...)).End(ctx, "j")
+		_, err := New(nil, "z", fleet(at("y", test.stores...)()...)).End(ctx, "j")
 		cancel()
 		if failure.KindOf(err) != test.want {
 			t.Errorf("%s: %v", test.name, err)
@@ -122,8 +128,8 @@
 			nearby := startStore(t, test.nearby)
 			before := leader.asked.Load()
 			stores := append(at("z", nearby.address)(), at("y", leader.address)()...)
-			client := New(nil, "z", func() []wire.StoreAddress { return stores })
-			client.leaders[placement.GroupOf("j")] = leader.address
+			client := New(nil, "z", fleet(stores...))
+			client.groups[placement.GroupOf("j")].leader = leader.address
 			for i := 0; i < 3; i++ {
 				_, err := client.Body(context.Background(), &wire.ItemBodyRequest{Job: "j", Item: "i"})
 				if failure.Is(err, failure.NotFound) != test.fails || err != nil && !test.fails {
@@ -159,3 +165,62 @@
 		t.Error("stores are passed over for ever")
 	}
 }
+
+// grouped is a view in which all groups have one place.
+func grouped(place wire.GroupPlace, stores ...wire.StoreAddress) func() *wire.FleetView {
+	view := fleet(stores...)()
+	for range placement.Groups {
+		view.Groups = append(view.Groups, place)
+	}
+	return func() *wire.FleetView { return view }
+}
+
+// TestTheLeaderOfTheViewIsAskedFirst puts two members among many stores that know
+// nothing: the leader that the view names is asked at once, and where it has changed
+// the next one is found among the members. Before, all stores were asked in turn.
+func TestTheLeaderOfTheViewIsAskedFirst(t *testing.T) {
+	leads := func(*store) (msgp.Marshaler, error) { return &wire.BatchResult{}, nil }
+	ignorant := startStore(t, func(*store) (msgp.Marshaler, error) {
+		return nil, failure.New(failure.NotRun, "ask the leader", "it does not lead")
+	})
+	for name, test := range map[string]struct {
+		stale bool
+		asked int64
+	}{
+		"it leads":          {false, 0},
+		"another leads now": {true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leader := startStore(t, leads)
+			other := startStore(t, func(*store) (msgp.Marshaler, error) {
+				return nil, failure.New(failure.NotRun, "ask the leader", "it does not lead")
+			})
+			place := wire.GroupPlace{Leader: leader.address, Members: []string{leader.address}}
+			if test.stale {
+				place.Leader = other.address
+			}
+			stores := at("y", ignorant.address, ignorant.address, ignorant.address, leader.address, other.address)()
+			if _, err := New(nil, "z", grouped(place, stores...)).End(context.Background(), "j"); err != nil {
+				t.Fatal(err)
+			}
+			if leader.asked.Load() != 1 || other.asked.Load() != test.asked || ignorant.asked.Load() != 0 {
+				t.Errorf("the leader was asked %d times, the one before %d, others %d", leader.asked.Load(), other.asked.Load(), ignorant.asked.Load())
+			}
+		})
+	}
+}
+
+// TestReadsGoToHolders checks that a store of the zone that holds nothing of the group
+// is not asked.
+func TestReadsGoToHolders(t *testing.T) {
+	answer := func(*store) (msgp.Marshaler, error) { return &wire.ItemBody{Body: []byte("b")}, nil }
+	nearby, holder := startStore(t, answer), startStore(t, answer)
+	stores := append(at("z", nearby.address)(), at("y", holder.address)()...)
+	client := New(nil, "z", grouped(wire.GroupPlace{Leader: holder.address, Members: []string{holder.address}}, stores...))
+	if _, err := client.Body(context.Background(), &wire.ItemBodyRequest{Job: "j", Item: "i"}); err != nil {
+		t.Fatal(err)
+	}
+	if nearby.asked.Load() != 0 || holder.asked.Load() != 1 {
+		t.Errorf("the store that holds nothing was asked %d times, the other %d", nearby.asked.Load(), holder.asked.Load())
+	}
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -68,6 +68,8 @@
 // GroupReport is what the leader of a store group tells of it.
 type GroupReport struct {
 	Group int `msg:"group"`
+	// Term is the one that the process leads in.
+	Term uint64 `msg:"term"`
 	// Members lists the names of the processes that hold its data.
 	Members []string `msg:"members"`
 }
@@ -103,6 +105,9 @@
 	Coordinators []string     `msg:"coordinators"`
 	// Stores lists the living stores in the order of their names.
 	Stores []StoreAddress `msg:"stores"`
+	// Groups says, by the group's number, where the store groups are, as far as that
+	// is known. A leader may have changed since.
+	Groups []GroupPlace `msg:"groups"`
 	// Edges counts the processes that serve callers.
 	Edges int `msg:"edges"`
 	// Initial lists the first voters of the store group.
@@ -119,6 +124,24 @@
 	Zone    string
 }
 
+// GroupPlace says where a store group is.
+//
+//msgp:tuple GroupPlace
+type GroupPlace struct {
+	// Leader is the address of the group's leader, empty where none is known.
+	Leader string
+	// Members lists the addresses of the stores that hold its data, in order.
+	Members []string
+}
+
+// Group returns where a store group is.
+func (v *FleetView) Group(number int) GroupPlace {
+	if number < 0 || number >= len(v.Groups) {
+		return GroupPlace{}
+	}
+	return v.Groups[number]
+}
+
 // StoreAddresses returns where the stores are reached.
 func (v *FleetView) StoreAddresses() []string {
 	addresses := make([]string, 0, len(v.Stores))
--- a/internal/wire/fleet_gen.go
+++ b/internal/wire/fleet_gen.go
@@ -1318,6 +1318,65 @@
 					return
 				}
 			}
+		case "groups":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Groups")
+				return
+			}
+			if zb0006 > z6071ab3flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Groups) >= int(zb0006) {
+				z.Groups = (z.Groups)[:zb0006]
+			} else {
+				z.Groups = make([]GroupPlace, zb0006)
+			}
+			for za0004 := range z.Groups {
+				var zb0007 uint32
+				zb0007, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0004)
+					return
+				}
+				if zb0007 > z6071ab3flimitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0007 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0007}
+					return
+				}
+				z.Groups[za0004].Leader, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0004, "Leader")
+					return
+				}
+				var zb0008 uint32
+				zb0008, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0004, "Members")
+					return
+				}
+				if zb0008 > z6071ab3flimitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if cap(z.Groups[za0004].Members) >= int(zb0008) {
+					z.Groups[za0004].Members = (z.Groups[za0004].Members)[:zb0008]
+				} else {
+					z.Groups[za0004].Members = make([]string, zb0008)
+				}
+				for za0005 := range z.Groups[za0004].Members {
+					z.Groups[za0004].Members[za0005], err = dc.ReadString()
+					if err != nil {
+						err = msgp.WrapError(err, "Groups", za0004, "Members", za0005)
+						return
+					}
+				}
+			}
 		case "edges":
 			z.Edges, err = dc.ReadInt()
 			if err != nil {
@@ -1325,48 +1384,48 @@
 				return
 			}
 		case "initial":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
+			var zb0009 uint32
+			zb0009, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Initial")
 				return
 			}
-			if zb0006 > z6071ab3flimitArrays {
+			if zb0009 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Initial) >= int(zb0006) {
-				z.Initial = (z.Initial)[:zb0006]
+			if cap(z.Initial) >= int(zb0009) {
+				z.Initial = (z.Initial)[:zb0009]
 			} else {
-				z.Initial = make([]Replica, zb0006)
+				z.Initial = make([]Replica, zb0009)
 			}
-			for za0004 := range z.Initial {
-				err = z.Initial[za0004].DecodeMsg(dc)
+			for za0006 := range z.Initial {
+				err = z.Initial[za0006].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Initial", za0004)
+					err = msgp.WrapError(err, "Initial", za0006)
 					return
 				}
 			}
 		case "retiring":
-			var zb0007 uint32
-			zb0007, err = dc.ReadArrayHeader()
+			var zb0010 uint32
+			zb0010, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Retiring")
 				return
 			}
-			if zb0007 > z6071ab3flimitArrays {
+			if zb0010 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Retiring) >= int(zb0007) {
-				z.Retiring = (z.Retiring)[:zb0007]
+			if cap(z.Retiring) >= int(zb0010) {
+				z.Retiring = (z.Retiring)[:zb0010]
 			} else {
-				z.Retiring = make([]string, zb0007)
+				z.Retiring = make([]string, zb0010)
 			}
-			for za0005 := range z.Retiring {
-				z.Retiring[za0005], err = dc.ReadString()
+			for za0007 := range z.Retiring {
+				z.Retiring[za0007], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Retiring", za0005)
+					err = msgp.WrapError(err, "Retiring", za0007)
 					return
 				}
 			}
@@ -1383,9 +1442,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *FleetView) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "listed"
-	err = en.Append(0x87, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
+	err = en.Append(0x88, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
 	if err != nil {
 		return
 	}
@@ -1455,6 +1514,40 @@
 			return
 		}
 	}
+	// write "groups"
+	err = en.Append(0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Groups)))
+	if err != nil {
+		err = msgp.WrapError(err, "Groups")
+		return
+	}
+	for za0004 := range z.Groups {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Groups[za0004].Leader)
+		if err != nil {
+			err = msgp.WrapError(err, "Groups", za0004, "Leader")
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Groups[za0004].Members)))
+		if err != nil {
+			err = msgp.WrapError(err, "Groups", za0004, "Members")
+			return
+		}
+		for za0005 := range z.Groups[za0004].Members {
+			err = en.WriteString(z.Groups[za0004].Members[za0005])
+			if err != nil {
+				err = msgp.WrapError(err, "Groups", za0004, "Members", za0005)
+				return
+			}
+		}
+	}
 	// write "edges"
 	err = en.Append(0xa5, 0x65, 0x64, 0x67, 0x65, 0x73)
 	if err != nil {
@@ -1475,10 +1568,10 @@
 		err = msgp.WrapError(err, "Initial")
 		return
 	}
-	for za0004 := range z.Initial {
-		err = z.Initial[za0004].EncodeMsg(en)
+	for za0006 := range z.Initial {
+		err = z.Initial[za0006].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Initial", za0004)
+			err = msgp.WrapError(err, "Initial", za0006)
 			return
 		}
 	}
@@ -1492,10 +1585,10 @@
 		err = msgp.WrapError(err, "Retiring")
 		return
 	}
-	for za0005 := range z.Retiring {
-		err = en.WriteString(z.Retiring[za0005])
+	for za0007 := range z.Retiring {
+		err = en.WriteString(z.Retiring[za0007])
 		if err != nil {
-			err = msgp.WrapError(err, "Retiring", za0005)
+			err = msgp.WrapError(err, "Retiring", za0007)
 			return
 		}
 	}
@@ -1505,9 +1598,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetView) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "listed"
-	o = append(o, 0x87, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
+	o = append(o, 0x88, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Listed)
 	// string "workers"
 	o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
@@ -1534,24 +1627,36 @@
 		o = msgp.AppendString(o, z.Stores[za0003].Address)
 		o = msgp.AppendString(o, z.Stores[za0003].Zone)
 	}
+	// string "groups"
+	o = append(o, 0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
+	for za0004 := range z.Groups {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Groups[za0004].Leader)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Groups[za0004].Members)))
+		for za0005 := range z.Groups[za0004].Members {
+			o = msgp.AppendString(o, z.Groups[za0004].Members[za0005])
+		}
+	}
 	// string "edges"
 	o = append(o, 0xa5, 0x65, 0x64, 0x67, 0x65, 0x73)
 	o = msgp.AppendInt(o, z.Edges)
 	// string "initial"
 	o = append(o, 0xa7, 0x69, 0x6e, 0x69, 0x74, 0x69, 0x61, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Initial)))
-	for za0004 := range z.Initial {
-		o, err = z.Initial[za0004].MarshalMsg(o)
+	for za0006 := range z.Initial {
+		o, err = z.Initial[za0006].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Initial", za0004)
+			err = msgp.WrapError(err, "Initial", za0006)
 			return
 		}
 	}
 	// string "retiring"
 	o = append(o, 0xa8, 0x72, 0x65, 0x74, 0x69, 0x72, 0x69, 0x6e, 0x67)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Retiring)))
-	for za0005 := range z.Retiring {
-		o = msgp.AppendString(o, z.Retiring[za0005])
+	for za0007 := range z.Retiring {
+		o = msgp.AppendString(o, z.Retiring[za0007])
 	}
 	return
 }
@@ -1668,6 +1773,61 @@
 					return
 				}
 			}
+		case "groups":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Groups")
+				return
+			}
+			if zb0006 > z6071ab3flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Groups) >= int(zb0006) {
+				z.Groups = (z.Groups)[:zb0006]
+			} else {
+				z.Groups = make([]GroupPlace, zb0006)
+			}
+			for za0004 := range z.Groups {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0004)
+					return
+				}
+				if zb0007 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0007}
+					return
+				}
+				z.Groups[za0004].Leader, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0004, "Leader")
+					return
+				}
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0004, "Members")
+					return
+				}
+				if zb0008 > z6071ab3flimitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if cap(z.Groups[za0004].Members) >= int(zb0008) {
+					z.Groups[za0004].Members = (z.Groups[za0004].Members)[:zb0008]
+				} else {
+					z.Groups[za0004].Members = make([]string, zb0008)
+				}
+				for za0005 := range z.Groups[za0004].Members {
+					z.Groups[za0004].Members[za0005], bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Groups", za0004, "Members", za0005)
+						return
+					}
+				}
+			}
 		case "edges":
 			z.Edges, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -1675,48 +1835,48 @@
 				return
 			}
 		case "initial":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Initial")
 				return
 			}
-			if zb0006 > z6071ab3flimitArrays {
+			if zb0009 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Initial) >= int(zb0006) {
-				z.Initial = (z.Initial)[:zb0006]
+			if cap(z.Initial) >= int(zb0009) {
+				z.Initial = (z.Initial)[:zb0009]
 			} else {
-				z.Initial = make([]Replica, zb0006)
+				z.Initial = make([]Replica, zb0009)
 			}
-			for za0004 := range z.Initial {
-				bts, err = z.Initial[za0004].UnmarshalMsg(bts)
+			for za0006 := range z.Initial {
+				bts, err = z.Initial[za0006].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Initial", za0004)
+					err = msgp.WrapError(err, "Initial", za0006)
 					return
 				}
 			}
 		case "retiring":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Retiring")
 				return
 			}
-			if zb0007 > z6071ab3flimitArrays {
+			if zb0010 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Retiring) >= int(zb0007) {
-				z.Retiring = (z.Retiring)[:zb0007]
+			if cap(z.Retiring) >= int(zb0010) {
+				z.Retiring = (z.Retiring)[:zb0010]
 			} else {
-				z.Retiring = make([]string, zb0007)
+				z.Retiring = make([]string, zb0010)
 			}
-			for za0005 := range z.Retiring {
-				z.Retiring[za0005], bts, err = msgp.ReadStringBytes(bts)
+			for za0007 := range z.Retiring {
+				z.Retiring[za0007], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Retiring", za0005)
+					err = msgp.WrapError(err, "Retiring", za0007)
 					return
 				}
 			}
@@ -1746,13 +1906,20 @@
 	for za0003 := range z.Stores {
 		s += 1 + msgp.StringPrefixSize + len(z.Stores[za0003].Address) + msgp.StringPrefixSize + len(z.Stores[za0003].Zone)
 	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0004 := range z.Groups {
+		s += 1 + msgp.StringPrefixSize + len(z.Groups[za0004].Leader) + msgp.ArrayHeaderSize
+		for za0005 := range z.Groups[za0004].Members {
+			s += msgp.StringPrefixSize + len(z.Groups[za0004].Members[za0005])
+		}
+	}
 	s += 6 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
-	for za0004 := range z.Initial {
-		s += z.Initial[za0004].Msgsize()
+	for za0006 := range z.Initial {
+		s += z.Initial[za0006].Msgsize()
 	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0005 := range z.Retiring {
-		s += msgp.StringPrefixSize + len(z.Retiring[za0005])
+	for za0007 := range z.Retiring {
+		s += msgp.StringPrefixSize + len(z.Retiring[za0007])
 	}
 	return
 }
@@ -1919,6 +2086,144 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *GroupPlace) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z6071ab3flimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Leader, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Leader")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if zb0002 > z6071ab3flimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Members) >= int(zb0002) {
+		z.Members = (z.Members)[:zb0002]
+	} else {
+		z.Members = make([]string, zb0002)
+	}
+	for za0001 := range z.Members {
+		z.Members[za0001], err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *GroupPlace) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Leader)
+	if err != nil {
+		err = msgp.WrapError(err, "Leader")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Members)))
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	for za0001 := range z.Members {
+		err = en.WriteString(z.Members[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *GroupPlace) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Leader)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0001 := range z.Members {
+		o = msgp.AppendString(o, z.Members[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *GroupPlace) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Leader, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leader")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if zb0002 > z6071ab3flimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Members) >= int(zb0002) {
+		z.Members = (z.Members)[:zb0002]
+	} else {
+		z.Members = make([]string, zb0002)
+	}
+	for za0001 := range z.Members {
+		z.Members[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *GroupPlace) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Leader) + msgp.ArrayHeaderSize
+	for za0001 := range z.Members {
+		s += msgp.StringPrefixSize + len(z.Members[za0001])
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *GroupReport) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -1947,6 +2252,12 @@
 				err = msgp.WrapError(err, "Group")
 				return
 			}
+		case "term":
+			z.Term, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Term")
+				return
+			}
 		case "members":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -1983,9 +2294,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *GroupReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "group"
-	err = en.Append(0x82, 0xa5, 0x67, 0x72, 0x6f, 0x75, 0x70)
+	err = en.Append(0x83, 0xa5, 0x67, 0x72, 0x6f, 0x75, 0x70)
 	if err != nil {
 		return
 	}
@@ -1994,6 +2305,16 @@
 		err = msgp.WrapError(err, "Group")
 		return
 	}
+	// write "term"
+	err = en.Append(0xa4, 0x74, 0x65, 0x72, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Term)
+	if err != nil {
+		err = msgp.WrapError(err, "Term")
+		return
+	}
 	// write "members"
 	err = en.Append(0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
 	if err != nil {
@@ -2017,10 +2338,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GroupReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "group"
-	o = append(o, 0x82, 0xa5, 0x67, 0x72, 0x6f, 0x75, 0x70)
+	o = append(o, 0x83, 0xa5, 0x67, 0x72, 0x6f, 0x75, 0x70)
 	o = msgp.AppendInt(o, z.Group)
+	// string "term"
+	o = append(o, 0xa4, 0x74, 0x65, 0x72, 0x6d)
+	o = msgp.AppendUint64(o, z.Term)
 	// string "members"
 	o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
@@ -2058,6 +2382,12 @@
 				err = msgp.WrapError(err, "Group")
 				return
 			}
+		case "term":
+			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Term")
+				return
+			}
 		case "members":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -2095,7 +2425,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GroupReport) Msgsize() (s int) {
-	s = 1 + 6 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	s = 1 + 6 + msgp.IntSize + 5 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
 		s += msgp.StringPrefixSize + len(z.Members[za0001])
 	}
@@ -2382,61 +2712,11 @@
 				z.Led = make([]GroupReport, zb0003)
 			}
 			for za0001 := range z.Led {
-				var zb0004 uint32
-				zb0004, err = dc.ReadMapHeader()
+				err = z.Led[za0001].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Led", za0001)
 					return
 				}
-				if zb0004 > z6071ab3flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Led", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "group":
-						z.Led[za0001].Group, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "Led", za0001, "Group")
-							return
-						}
-					case "members":
-						var zb0005 uint32
-						zb0005, err = dc.ReadArrayHeader()
-						if err != nil {
-							err = msgp.WrapError(err, "Led", za0001, "Members")
-							return
-						}
-						if zb0005 > z6071ab3flimitArrays {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if cap(z.Led[za0001].Members) >= int(zb0005) {
-							z.Led[za0001].Members = (z.Led[za0001].Members)[:zb0005]
-						} else {
-							z.Led[za0001].Members = make([]string, zb0005)
-						}
-						for za0002 := range z.Led[za0001].Members {
-							z.Led[za0001].Members[za0002], err = dc.ReadString()
-							if err != nil {
-								err = msgp.WrapError(err, "Led", za0001, "Members", za0002)
-								return
-							}
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Led", za0001)
-							return
-						}
-					}
-				}
 			}
 		default:
 			err = dc.Skip()
@@ -2513,34 +2793,11 @@
 		return
 	}
 	for za0001 := range z.Led {
-		// map header, size 2
-		// write "group"
-		err = en.Append(0x82, 0xa5, 0x67, 0x72, 0x6f, 0x75, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Led[za0001].Group)
-		if err != nil {
-			err = msgp.WrapError(err, "Led", za0001, "Group")
-			return
-		}
-		// write "members"
-		err = en.Append(0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.Led[za0001].Members)))
+		err = z.Led[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Led", za0001, "Members")
+			err = msgp.WrapError(err, "Led", za0001)
 			return
 		}
-		for za0002 := range z.Led[za0001].Members {
-			err = en.WriteString(z.Led[za0001].Members[za0002])
-			if err != nil {
-				err = msgp.WrapError(err, "Led", za0001, "Members", za0002)
-				return
-			}
-		}
 	}
 	return
 }
@@ -2572,15 +2829,10 @@
 	o = append(o, 0xa3, 0x6c, 0x65, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Led)))
 	for za0001 := range z.Led {
-		// map header, size 2
-		// string "group"
-		o = append(o, 0x82, 0xa5, 0x67, 0x72, 0x6f, 0x75, 0x70)
-		o = msgp.AppendInt(o, z.Led[za0001].Group)
-		// string "members"
-		o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Led[za0001].Members)))
-		for za0002 := range z.Led[za0001].Members {
-			o = msgp.AppendString(o, z.Led[za0001].Members[za0002])
+		o, err = z.Led[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Led", za0001)
+			return
 		}
 	}
 	return
@@ -2659,61 +2911,11 @@
 				z.Led = make([]GroupReport, zb0003)
 			}
 			for za0001 := range z.Led {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Led[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Led", za0001)
 					return
 				}
-				if zb0004 > z6071ab3flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Led", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "group":
-						z.Led[za0001].Group, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Led", za0001, "Group")
-							return
-						}
-					case "members":
-						var zb0005 uint32
-						zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Led", za0001, "Members")
-							return
-						}
-						if zb0005 > z6071ab3flimitArrays {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if cap(z.Led[za0001].Members) >= int(zb0005) {
-							z.Led[za0001].Members = (z.Led[za0001].Members)[:zb0005]
-						} else {
-							z.Led[za0001].Members = make([]string, zb0005)
-						}
-						for za0002 := range z.Led[za0001].Members {
-							z.Led[za0001].Members[za0002], bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Led", za0001, "Members", za0002)
-								return
-							}
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Led", za0001)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -2731,10 +2933,7 @@
 func (z *ProcessReport) Msgsize() (s int) {
 	s = 1 + 5 + msgp.Uint8Size + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.StringPrefixSize + len(z.Zone) + 8 + z.Replica.Msgsize() + 7 + msgp.BoolSize + 4 + msgp.ArrayHeaderSize
 	for za0001 := range z.Led {
-		s += 1 + 6 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
-		for za0002 := range z.Led[za0001].Members {
-			s += msgp.StringPrefixSize + len(z.Led[za0001].Members[za0002])
-		}
+		s += z.Led[za0001].Msgsize()
 	}
 	return
 }
