The zone's workers are compared apart from the others

Hypothesis: at 246 edges and 130 workers an edge compares six workers of all zones, so the zone's cost decides between little more than one near worker and five far ones; with the near ones drawn apart, requests stay in the zone where it has room, at the same guard against crowding, because those who choose by the same news are those of the zone.

Change: near and far workers are drawn by lot apart, each by how many requests may have come there unseen.

--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/sedgemast/sedgemast/internal/loadshare"
 )
 
 const (
@@ -17,10 +15,6 @@
 	slowMemory = 3 * time.Second
 	// rateSeconds is the span of time that rates are told for.
 	rateSeconds = 10
-	// unseenParts is how many unseen requests halve the workers that are compared,
-	// leastCompared how many are compared at least.
-	unseenParts   = 4.0
-	leastCompared = 2
 	// leastRate is how many online requests a pool must answer in ten seconds for
 	// its hold to be known.
 	leastRate = 10
@@ -39,10 +33,8 @@
 // learn finds the slow workers and the hold of each pool from what was told.
 func (t *Table) learn(now time.Time) {
 	t.holds = make(map[string]time.Duration, len(t.pools))
-	t.rates = make(map[string]float64, len(t.pools))
 	for pool, workers := range t.pools {
 		t.holds[pool] = holdOf(workers)
-		t.rates[pool] = float64(rateOf(workers)) / rateSeconds
 		learnSlow(now, workers)
 	}
 }
@@ -101,20 +93,6 @@
 	return rate
 }
 
-// unseen estimates how many requests have come to the pool that others have not told
-// of yet: those since the last news, which were a report's interval old by then.
-func (t *Table) unseen(now time.Time, pool string) float64 {
-	workers := t.pools[pool]
-	if len(workers) == 0 {
-		return 0
-	}
-	age := now.Sub(workers[0].othersAt)
-	if workers[0].othersAt.IsZero() || age > loadshare.Fresh {
-		return 0
-	}
-	return t.rates[pool] * (age + loadshare.Interval).Seconds()
-}
-
 // waitAt predicts how long one more online request would wait for a slot at the
 // worker. Items of jobs don't count: they give way.
 func (t *Table) waitAt(now time.Time, candidate *worker) time.Duration {
--- /dev/null
+++ b/internal/balance/sample.go
@@ -0,0 +1,73 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/loadshare"
+)
+
+const (
+	// unseenParts is how many unseen requests halve the workers that are compared,
+	// leastCompared how many are compared at least.
+	unseenParts   = 4.0
+	leastCompared = 2
+)
+
+// drawn returns the workers to compare: some of the zone's and some of the others,
+// drawn by lot. Where many requests of other processes have come since these told
+// their loads, the worker that looks best looks so to all of them: if each took the
+// best of all, they would crowd it. The more may have come, the fewer are compared.
+// The zone's workers are drawn apart, because those who see them as this process does
+// are those of the zone, and they are enough to choose among in a large fleet.
+func (t *Table) drawn(now time.Time, demand *Demand, fit []*worker) []*worker {
+	if demand.Batch {
+		return fit
+	}
+	slices.SortStableFunc(fit, func(a, b *worker) int { return t.away(a) - t.away(b) })
+	near := 0
+	for near < len(fit) && t.away(fit[near]) == 0 {
+		near++
+	}
+	t.compared = append(t.compared[:0], t.sample(now, fit[:near], loadshare.Interval)...)
+	// The sums of other zones come by one report more.
+	t.compared = append(t.compared, t.sample(now, fit[near:], 2*loadshare.Interval)...)
+	return t.compared
+}
+
+// away is 1 for a worker of another zone.
+func (t *Table) away(candidate *worker) int {
+	if candidate.listed.Zone == t.zone {
+		return 0
+	}
+	return 1
+}
+
+// sample brings so many workers, drawn by lot, to the front as are to be compared, and
+// returns them. lag is how old the news of them were when they came.
+func (t *Table) sample(now time.Time, workers []*worker, lag time.Duration) []*worker {
+	count := int(math.Ceil(float64(len(workers)) / (1 + unseen(now, workers, lag)/unseenParts)))
+	if count >= len(workers) {
+		return workers
+	}
+	count = min(max(count, leastCompared), len(workers))
+	for i := range count {
+		other := i + t.random.IntN(len(workers)-i)
+		workers[i], workers[other] = workers[other], workers[i]
+	}
+	return workers[:count]
+}
+
+// unseen estimates how many requests have come to the workers that others have not
+// told of yet: those since the last news, which were of some age by then.
+func unseen(now time.Time, workers []*worker, lag time.Duration) float64 {
+	if len(workers) == 0 {
+		return 0
+	}
+	age := now.Sub(workers[0].othersAt)
+	if workers[0].othersAt.IsZero() || age > loadshare.Fresh {
+		return 0
+	}
+	return float64(rateOf(workers)) / rateSeconds * (age + lag).Seconds()
+}
--- a/internal/balance/sample_test.go
+++ b/internal/balance/sample_test.go
@@ -49,3 +49,53 @@
 		lease.Release()
 	}
 }
+
+// TestTheZoneIsComparedApart lets five hundred processes of one zone choose among many
+// workers of all zones, each once and unseen by the others: nearly all requests stay
+// in the zone, where there is room, without crowding a worker of it; where the zone is
+// full they go elsewhere.
+func TestTheZoneIsComparedApart(t *testing.T) {
+	const processes, zones, perZone = 500, 5, 20
+	for name, test := range map[string]struct {
+		ownLoad   uint16
+		leastNear int
+		mostNear  int
+	}{
+		"room in the zone": {1, processes * 9 / 10, processes},
+		"the zone is full": {8, 0, processes / 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var rows []wire.WorkerLoad
+			var list []wire.PoolWorker
+			zoneOf := map[string]string{}
+			for i := range zones * perZone {
+				id, zone, load := fmt.Sprintf("w%d", i), fmt.Sprintf("z%d", i%zones), uint16(1)
+				if zone == "z1" {
+					load = test.ownLoad
+				}
+				zoneOf[id] = zone
+				list = append(list, wire.PoolWorker{ID: id, Pool: "p", Zone: zone, Slots: 8})
+				rows = append(rows, wire.WorkerLoad{Worker: loadshare.Hash(id), Online: load, Rate: 60})
+			}
+			got, near := map[string]int{}, 0
+			for process := range processes {
+				table := NewTable("z1", rand.New(rand.NewPCG(uint64(process), 1)))
+				table.Update(list, nil)
+				table.SetOthers(start, rows)
+				id := table.Acquire(start.Add(100*time.Millisecond), &Demand{Pool: "p"}).Endpoint.ID
+				got[id]++
+				if zoneOf[id] == "z1" {
+					near++
+				}
+			}
+			if near < test.leastNear || near > test.mostNear {
+				t.Errorf("%d of %d requests stayed in the zone", near, processes)
+			}
+			for id, count := range got {
+				if count > 3*processes/perZone {
+					t.Errorf("%s got %d of %d requests", id, count, processes)
+				}
+			}
+		})
+	}
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -22,11 +21,9 @@
 	memory map[string]int64
 	// holds is how long an online request holds a slot in each pool, as learnt.
 	holds map[string]time.Duration
-	// rates is how many online requests all processes together send to each pool in
-	// a second, as learnt.
-	rates map[string]float64
-	// fit is scratch space of choose.
-	fit []*worker
+	// fit and compared are scratch space of choose.
+	fit      []*worker
+	compared []*worker
 	// acquired counts the leases ever given.
 	acquired uint64
 }
@@ -159,25 +156,7 @@
 		}
 	}
 	t.fit = fit
-	return t.best(now, demand, fit[:t.sample(now, demand, fit)])
-}
-
-// sample brings so many workers, drawn by lot, to the front as are to be compared, and
-// returns how many. Where many requests of other processes have come since these told
-// their loads, the worker that looks best looks so to all of them: if each took the
-// best of all, they would crowd it. The more may have come, the fewer are compared.
-func (t *Table) sample(now time.Time, demand *Demand, fit []*worker) int {
-	unseen := t.unseen(now, demand.Pool)
-	count := int(math.Ceil(float64(len(fit)) / (1 + unseen/unseenParts)))
-	if demand.Batch || count >= len(fit) {
-		return len(fit)
-	}
-	count = min(max(count, leastCompared), len(fit))
-	for i := range count {
-		other := i + t.random.IntN(len(fit)-i)
-		fit[i], fit[other] = fit[other], fit[i]
-	}
-	return count
+	return t.best(now, demand, t.drawn(now, demand, fit))
 }
 
 // best returns the worker of the least cost, by lot among equals.
