Prompts with the same shared parts meet at two workers of a zone

Change: two homes a zone, the first taken to have read the shared parts, the second half of them; what is saved weighs as the reading of that many tokens does everywhere else in the cost (it was a part of one slot).

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/dialect"
@@ -21,8 +22,6 @@
 	// batchCost is what an item of a job costs an online request, in slots: it
 	// gives way, but not at once and not for nothing.
 	batchCost = 0.9
-	// cachedWorth is what a prompt wholly cached saves, in parts of a slot.
-	cachedWorth = 1.0
 )
 
 // cost rates a worker for a demand: the lower the better, in slots.
@@ -43,10 +42,8 @@
 	if candidate.listed.Zone != t.zone {
 		cost += zoneCost
 	}
-	if demand.PromptTokens > 0 {
-		cost -= cachedWorth * float64(cachedTokens(candidate, demand.Parts)) / float64(demand.PromptTokens)
-	}
-	return cost
+	// What the worker need not read again is saved like a prompt that nobody waits for.
+	return cost - slots*float64(t.cachedTokens(candidate, demand))/(float64(memory)*unreadShare)
 }
 
 // memoryOf returns how many tokens a worker of the pool holds.
@@ -68,14 +65,24 @@
 }
 
 // cachedTokens returns how many tokens of the prompt's beginning the worker has
-// probably read before.
-func cachedTokens(candidate *worker, parts []dialect.Part) int64 {
-	var tokens int64
-	for _, part := range parts {
-		if _, known := candidate.parts[part.ID]; !known {
-			break
+// probably read before: what this process sent there, or what all send there because
+// it is the prompt's home.
+func (t *Table) cachedTokens(candidate *worker, demand *Demand) int64 {
+	var sent, sharedTokens int64
+	broken := false
+	for i, part := range demand.Parts {
+		_, known := candidate.parts[part.ID]
+		broken = broken || !known
+		if !broken {
+			sent += part.Tokens
+		}
+		if i < len(demand.Parts)-1 {
+			sharedTokens += part.Tokens
 		}
-		tokens += part.Tokens
 	}
-	return tokens
+	// The second home has read them where the first one was busy: perhaps.
+	if home := slices.Index(t.homes, candidate); home >= 0 {
+		return max(sent, sharedTokens>>home)
+	}
+	return sent
 }
--- /dev/null
+++ b/internal/balance/homes_test.go
@@ -0,0 +1,94 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/sedgemast/sedgemast/internal/dialect"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// longPrompt is a prompt of which two thirds are shared.
+func longPrompt(part string) *Demand {
+	return &Demand{Pool: "p", PromptTokens: 9000, Parts: []dialect.Part{{ID: "all", Tokens: 2000}, {ID: part, Tokens: 4000}, {ID: "own", Tokens: 3000}}}
+}
+
+// TestSharedPartsMeetAcrossProcesses lets a hundred processes send one prompt each, all
+// with the same shared parts, to forty idle workers: they meet at two of them. Before,
+// each process knew only what it had sent itself, and they met nowhere.
+func TestSharedPartsMeetAcrossProcesses(t *testing.T) {
+	var list []wire.PoolWorker
+	for i := range 40 {
+		list = append(list, listed(fmt.Sprintf("w%d", i), "z1"))
+	}
+	got := map[string]int{}
+	for process := range 100 {
+		table := NewTable("z1", rand.New(rand.NewPCG(uint64(process), 1)))
+		table.Update(list, nil)
+		got[table.Acquire(start, longPrompt("part")).Endpoint.ID]++
+	}
+	if len(got) > homesOf {
+		t.Errorf("the prompts went to %d workers: %v", len(got), got)
+	}
+}
+
+// TestHomesAreLeftWhereTheyAreBusy checks that a prompt goes elsewhere once its homes
+// have more to read than it saves.
+func TestHomesAreLeftWhereTheyAreBusy(t *testing.T) {
+	var list []wire.PoolWorker
+	for i := range 10 {
+		list = append(list, listed(fmt.Sprintf("w%d", i), "z1"))
+	}
+	table := tableOf(list...)
+	home := table.Acquire(start, longPrompt("part"))
+	home.Begun()
+	home.Release()
+	var rows []wire.WorkerLoad
+	for _, busy := range table.homes {
+		rows = append(rows, wire.WorkerLoad{Worker: busy.hash, Online: 4, Unread: 20_000})
+	}
+	table.SetOthers(start, rows)
+	if lease := table.Acquire(start, longPrompt("part")); lease.Endpoint.ID == home.Endpoint.ID {
+		t.Error("a prompt waits at its busy home")
+	}
+}
+
+// TestHomesStay checks that the loss of a worker moves only the prompts at home there,
+// and that homes spread over the workers.
+func TestHomesStay(t *testing.T) {
+	var list []wire.PoolWorker
+	for i := range 20 {
+		list = append(list, listed(fmt.Sprintf("w%d", i), "z1"))
+	}
+	homesIn := func(list []wire.PoolWorker) map[string][]string {
+		homes := map[string][]string{}
+		table := tableOf(list...)
+		for part := range 200 {
+			id := fmt.Sprintf("part%d", part)
+			table.findHomes(longPrompt(id), table.pools["p"])
+			for _, home := range table.homes {
+				homes[id] = append(homes[id], home.listed.ID)
+			}
+		}
+		return homes
+	}
+	before, after := homesIn(list), homesIn(list[1:])
+	count := map[string]int{}
+	for part, homes := range before {
+		for _, home := range homes {
+			count[home]++
+			if home != "w0" && after[part][0] != home && after[part][1] != home {
+				t.Errorf("%s was at home at %v, and is at %v", part, homes, after[part])
+			}
+		}
+	}
+	for id, parts := range count {
+		if parts > 3*200*homesOf/20 {
+			t.Errorf("%s is the home of %d parts", id, parts)
+		}
+	}
+	if len(count) != len(list) {
+		t.Errorf("%d of %d workers are homes", len(count), len(list))
+	}
+}
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -33,6 +33,11 @@
 	t.compared = append(t.compared[:0], t.sample(now, fit[:near], loadshare.Interval)...)
 	// The sums of other zones come by one report more.
 	t.compared = append(t.compared, t.sample(now, fit[near:], 2*loadshare.Interval)...)
+	for _, home := range t.homes {
+		if !slices.Contains(t.compared, home) {
+			t.compared = append(t.compared, home)
+		}
+	}
 	return t.compared
 }
 
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/dialect"
+	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/upstream"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -24,6 +25,8 @@
 	// fit and compared are scratch space of choose.
 	fit      []*worker
 	compared []*worker
+	// homes are the homes of the prompt that is being placed.
+	homes []*worker
 	// acquired counts the leases ever given.
 	acquired uint64
 }
@@ -45,7 +48,7 @@
 	for _, row := range listed {
 		known := t.workers[row.ID]
 		if known == nil {
-			known = &worker{parts: map[string]uint64{}}
+			known = &worker{hash: loadshare.Hash(row.ID), parts: map[string]uint64{}}
 		}
 		// Leaving is final: a list that lags may contradict it.
 		row.Leaving = row.Leaving || known.listed.Leaving
@@ -133,7 +136,7 @@
 		table:    t,
 		worker:   chosen,
 		batch:    demand.Batch,
-		unread:   demand.PromptTokens - cachedTokens(chosen, demand.Parts),
+		unread:   demand.PromptTokens - t.cachedTokens(chosen, demand),
 	}
 	t.acquired++
 	chosen.inFlight++
@@ -156,6 +159,7 @@
 		}
 	}
 	t.fit = fit
+	t.findHomes(demand, fit)
 	return t.best(now, demand, t.drawn(now, demand, fit))
 }
 
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -19,6 +19,8 @@
 // worker is a worker and what this process knows of it.
 type worker struct {
 	listed wire.PoolWorker
+	// hash is the worker's short name.
+	hash uint32
 	// inFlight counts this process's requests, unread the prompt tokens of
 	// those without a first event.
 	inFlight int
