A store group takes in as many spares as losses are to be borne

Hypothesis: two learners where two losses are to be borne (one where one is) keep the time to replace a lost voter, since a group never has to replace more at once, and save a seventh.

--- a/internal/replication/repair.go
+++ b/internal/replication/repair.go
@@ -9,7 +9,7 @@
 
 const (
 	repairInterval = 200 * time.Millisecond
-	// maxLearners bounds the spares of a group.
+	// maxLearners bounds the spares of a group where no number of losses is told.
 	maxLearners = 3
 	// maxBehind is how many entries a learner may lack when it becomes a voter.
 	maxBehind = 256
@@ -24,6 +24,9 @@
 	// minVoters, where it is set, lets a voter go that has been silent for
 	// dropAfter times replaceAfter while more than minVoters are left.
 	minVoters int
+	// spares bounds the learners: as many as replicas may be lost at once. Each takes
+	// the whole log, so more would be paid for by every entry.
+	spares int
 	// retiring names the processes that are to hold nothing any more.
 	retiring map[string]bool
 }
@@ -54,12 +57,16 @@
 }
 
 func (n *Node) repairPolicy() repairPolicy {
-	policy := repairPolicy{voters: n.options.Voters, replaceAfter: n.options.ReplaceAfter, retiring: n.retiring}
+	policy := repairPolicy{voters: n.options.Voters, replaceAfter: n.options.ReplaceAfter, spares: maxLearners, retiring: n.retiring}
 	if n.options.Formation == FormFixed {
 		policy.voters = min(n.options.Voters, len(n.options.Peers))
 		return policy
 	}
 	policy.minVoters = n.options.MinVoters
+	if n.options.Formation == FormByOrder {
+		// Elsewhere learners are taken in to become voters soon.
+		policy.spares = min(max((n.options.MinVoters-1)/2, 1), maxLearners)
+	}
 	return policy
 }
 
@@ -89,7 +96,7 @@
 	if dropped := plan.droppable(); dropped != 0 {
 		return without(membership.Voters, dropped), membership.Learners, true
 	}
-	if joiner, found := plan.joiner(); found && len(membership.Learners) < maxLearners {
+	if joiner, found := plan.joiner(); found && len(membership.Learners) < policy.spares {
 		return membership.Voters, append(without(membership.Learners, 0), joiner), true
 	}
 	return nil, nil, false
--- a/internal/replication/repair_test.go
+++ b/internal/replication/repair_test.go
@@ -47,7 +47,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			status := &consensus.Status{Settled: !test.unsettled, Peers: test.peers, Membership: wire.Membership{Voters: voters, Learners: test.learners}}
-			got, learners, change := planRepair(status, test.processes, repairPolicy{voters: 3, replaceAfter: 10 * time.Second})
+			got, learners, change := planRepair(status, test.processes, repairPolicy{voters: 3, replaceAfter: 10 * time.Second, spares: 1})
 			if change != (test.voters != nil) {
 				t.Fatalf("change %t: %v %v", change, got, learners)
 			}
@@ -57,6 +57,24 @@
 	}
 }
 
+// TestSparesAreAsManyAsLosses checks that a group takes in as many spares as replicas
+// may be lost at once, and no more: each takes the whole log.
+func TestSparesAreAsManyAsLosses(t *testing.T) {
+	for losses, want := range map[int]int{1: 1, 2: 2, 3: 3, 4: maxLearners} {
+		node := ordered(t, 1, "a")
+		node.options.MinVoters = 2*losses + 1
+		if got := node.repairPolicy().spares; got != want {
+			t.Errorf("%d spares for %d losses, want %d", got, losses, want)
+		}
+	}
+	voters := []wire.Replica{replica(1, "a"), replica(2, "b"), replica(3, "c")}
+	status := &consensus.Status{Settled: true, Membership: wire.Membership{Voters: voters, Learners: []wire.Replica{replica(4, "d")}}}
+	status.Peers = []consensus.PeerStatus{{Replica: replica(4, "d"), Silence: 0}}
+	if _, learners, change := planRepair(status, []wire.Process{living(5, "e")}, repairPolicy{voters: 3, spares: 1}); change {
+		t.Errorf("taken in beyond the spares wanted: %v", learners)
+	}
+}
+
 func checkIDs(t *testing.T, what string, got []wire.Replica, want []uint64, change bool) {
 	t.Helper()
 	if !change {
