--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -32,7 +32,7 @@
 	}
 	t.compared = append(t.compared[:0], t.sample(now, fit[:near], loadshare.Interval)...)
 	// The sums of other zones come by one report more.
-	t.compared = append(t.compared, t.sample(now, fit[near:], 2*loadshare.Interval)...)
+	t.compared = append(t.compared, t.sample(now, comparable(now, fit[:near], fit[near:]), 2*loadshare.Interval)...)
 	for _, home := range t.homes {
 		if !slices.Contains(t.compared, home) {
 			t.compared = append(t.compared, home)
@@ -41,6 +41,23 @@
 	return t.compared
 }
 
+// comparable returns the workers of other zones of which something is known, if that is
+// so of any worker: one of which nothing is known would look idle beside them. It
+// changes the order of those given.
+func comparable(now time.Time, near, far []*worker) []*worker {
+	known := 0
+	for i, candidate := range far {
+		if candidate.fresh(now) {
+			far[known], far[i] = far[i], far[known]
+			known++
+		}
+	}
+	if known == 0 && (len(near) == 0 || !near[0].fresh(now)) {
+		return far
+	}
+	return far[:known]
+}
+
 // away is 1 for a worker of another zone.
 func (t *Table) away(candidate *worker) int {
 	if candidate.listed.Zone == t.zone {
@@ -70,9 +87,12 @@
 	if len(workers) == 0 {
 		return 0
 	}
-	age := now.Sub(workers[0].othersAt)
-	if workers[0].othersAt.IsZero() || age > loadshare.Fresh {
-		return 0
+	var age time.Duration
+	for _, candidate := range workers {
+		if !candidate.fresh(now) {
+			return 0
+		}
+		age = max(age, now.Sub(candidate.othersAt))
 	}
 	return float64(rateOf(workers)) / rateSeconds * (age + lag).Seconds()
 }
--- a/internal/balance/sample_test.go
+++ b/internal/balance/sample_test.go
@@ -99,3 +99,27 @@
 		})
 	}
 }
+
+// TestWorkersThatNothingIsKnownOfComeLast names some far workers only: others of which
+// nothing was told are not taken for idle, and are taken where there is nothing else.
+func TestWorkersThatNothingIsKnownOfComeLast(t *testing.T) {
+	table := tableOf(listed("a", "z1"), listed("b", "z2"), listed("c", "z2"))
+	full := func(id string) wire.WorkerLoad { return wire.WorkerLoad{Worker: loadshare.Hash(id), Online: 8} }
+	table.SetSome(start, []wire.WorkerLoad{full("a"), full("b")})
+	for range 20 {
+		lease := table.Acquire(start, &Demand{Pool: "p"})
+		if lease.Endpoint.ID == "c" {
+			t.Fatal("a worker of which nothing is known was taken for idle")
+		}
+		lease.Release()
+	}
+	both := map[string]bool{"a": true, "b": true}
+	if lease := table.Acquire(start, &Demand{Pool: "p", Exclude: both}); lease == nil || lease.Endpoint.ID != "c" {
+		t.Error("it was not taken where there is nothing else")
+	}
+	// A worker of the zone that is not named has nothing.
+	table.SetSome(start, []wire.WorkerLoad{full("b")})
+	if lease := table.Acquire(start, &Demand{Pool: "p"}); lease.Endpoint.ID != "a" {
+		t.Errorf("%s was taken, a is idle", lease.Endpoint.ID)
+	}
+}
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -25,12 +25,12 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var loads []wire.WorkerLoad
-	for id, known := range t.workers {
+	for _, known := range t.workers {
 		if known.inFlight == 0 && known.told == 0 && known.answered == 0 && known.failed == 0 && known.steps == 0 {
 			continue
 		}
 		loads = append(loads, wire.WorkerLoad{
-			Worker: loadshare.Hash(id),
+			Worker: known.hash,
 			Online: uint16(min(known.inFlight-known.batch, math.MaxUint16)),
 			Batch:  uint16(min(known.batch-known.stopping, math.MaxUint16)),
 			Unread: uint32(min(max(known.unread, 0), math.MaxUint32)),
@@ -57,28 +57,52 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for id, known := range t.workers {
-		known.others = byHash[loadshare.Hash(id)]
+	for _, known := range t.workers {
+		known.others = byHash[known.hash]
 		known.othersAt = now
 		known.starts, known.stops = int(known.others.Start), int(known.others.Stop)
 	}
 	t.learn(now)
 }
 
+// SetSome takes in what other processes have at some of the workers: all of the zone's,
+// of which those that are not named have nothing, and some of the others. What is known
+// of further ones only gets older.
+func (t *Table) SetSome(now time.Time, loads []wire.WorkerLoad) {
+	byHash := make(map[uint32]wire.WorkerLoad, len(loads))
+	for _, load := range loads {
+		byHash[load.Worker] = load
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, known := range t.workers {
+		load, named := byHash[known.hash]
+		if named || t.away(known) == 0 {
+			known.others, known.othersAt = load, now
+		}
+	}
+	t.learn(now)
+}
+
 // SetOrders takes in the orders of the planner of all items, by the workers' short
 // names, in place of those that came with the loads of others.
 func (t *Table) SetOrders(orders map[uint32]batchroom.Order) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for id, known := range t.workers {
-		order := orders[loadshare.Hash(id)]
+	for _, known := range t.workers {
+		order := orders[known.hash]
 		known.starts, known.stops = order.Start, order.Stop
 	}
 }
 
 // toldByOthers returns what others have at the worker, if that is known.
 func (w *worker) toldByOthers(now time.Time) (wire.WorkerLoad, bool) {
-	return w.others, !w.othersAt.IsZero() && now.Sub(w.othersAt) <= loadshare.Fresh
+	return w.others, w.fresh(now)
+}
+
+// fresh reports whether what others have at the worker is known.
+func (w *worker) fresh(now time.Time) bool {
+	return !w.othersAt.IsZero() && now.Sub(w.othersAt) <= loadshare.Fresh
 }
 
 // admitsBatch reports whether one more batch item fits: the planner of all items has
@@ -119,10 +143,10 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	places := make([]batchroom.Place, 0, len(t.workers))
-	for id, known := range t.workers {
+	for _, known := range t.workers {
 		others, _ := known.toldByOthers(now)
 		places = append(places, batchroom.Place{
-			Worker:   loadshare.Hash(id),
+			Worker:   known.hash,
 			Slots:    known.listed.Slots,
 			Online:   known.inFlight - known.batch + int(others.Online) + known.orphaned(now),
 			Closed:   !known.usable() || others.Failing || now.Before(known.suspectUntil),
@@ -140,9 +164,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	items := map[uint32]int{}
-	for id, known := range t.workers {
+	for _, known := range t.workers {
 		if staying := known.batch - known.stopping; staying > 0 {
-			items[loadshare.Hash(id)] = staying
+			items[known.hash] = staying
 		}
 	}
 	return items
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,9 @@
 	top     *loadshare.Hub
 	planner *batchroom.Planner
 	ownDue  time.Time
+	// zoneOf holds the zones of the workers by their short names.
+	zoneOf map[uint32]string
+	random *rand.Rand
 
 	// mutex guards the quotas.
 	mutex  sync.Mutex
@@ -47,7 +51,25 @@
 }
 
 func newLoads() *loads {
-	return &loads{zone: loadshare.NewHub(), top: loadshare.NewHub(), planner: batchroom.New(), quotas: quota.New(placement.Groups)}
+	seed := uint64(time.Now().UnixNano())
+	return &loads{
+		zone:    loadshare.NewHub(),
+		top:     loadshare.NewHub(),
+		planner: batchroom.New(),
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		quotas:  quota.New(placement.Groups),
+	}
+}
+
+// setWorkers takes in the listed workers.
+func (l *loads) setWorkers(workers []wire.PoolWorker) {
+	zoneOf := make(map[uint32]string, len(workers))
+	for i := range workers {
+		zoneOf[loadshare.Hash(workers[i].ID)] = workers[i].Zone
+	}
+	l.hubs.Lock()
+	defer l.hubs.Unlock()
+	l.zoneOf = zoneOf
 }
 
 // takeLoads answers reports of loads. Edges of the zone are told what all others have.
@@ -84,7 +106,8 @@
 	if report.Left {
 		return nil
 	}
-	return &wire.LoadReport{Workers: s.loads.zone.Others(now, report.Source)}
+	rows, left := loadshare.Part(s.loads.zone.Others(now, report.Source), report.Zone, s.loads.zoneOf, s.loads.random)
+	return &wire.LoadReport{Workers: rows, Part: left}
 }
 
 // answerTop takes in the report of a zone's hub or of a store that runs items. The lock
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -161,6 +161,7 @@
 // adopt takes in a new snapshot of the fleet.
 func (s *Store) adopt(snapshot *fleetwatch.Snapshot) {
 	s.workers.Update(snapshot.Fleet.Workers, snapshot.Table.Memory())
+	s.loads.setWorkers(snapshot.Fleet.Workers)
 	s.upstream.Forget(s.workers.Knows)
 	ctx := s.daemon.Context()
 	err := s.host.ListPeers(ctx, snapshot.Fleet.StoreAddresses())
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -81,8 +81,16 @@
 		Meter: e.daemon.Traffic,
 		Hubs:  func() []string { return loadshare.HubOrder(e.settings.Zone, e.watcher.Current().Fleet.Stores) },
 		Home:  true,
-		Own:   func() *wire.LoadReport { return &wire.LoadReport{Source: source, Workers: e.workers.Loads()} },
-		Learn: func(now time.Time, answer *wire.LoadReport) { e.workers.SetOthers(now, answer.Workers) },
+		Own: func() *wire.LoadReport {
+			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads()}
+		},
+		Learn: func(now time.Time, answer *wire.LoadReport) {
+			if answer.Part {
+				e.workers.SetSome(now, answer.Workers)
+				return
+			}
+			e.workers.SetOthers(now, answer.Workers)
+		},
 		Pause: func() time.Duration {
 			fleet := &e.watcher.Current().Fleet
 			return loadshare.Pause(rate.Add(time.Now(), e.workers.Acquired()), fleet.Edges, len(fleet.Workers))
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -22,6 +22,11 @@
 	Sums bool
 	// Left is set in the last report to a hub: the sender reports elsewhere now.
 	Left bool
+	// Zone is set in reports of processes that serve callers: the zone whose workers
+	// they are told of each time.
+	Zone string
+	// Part is set in answers that leave workers of other zones out.
+	Part bool
 }
 
 // GroupTokens is how many tokens wait in a store group.
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -196,8 +196,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Source, err = dc.ReadUint32()
@@ -266,13 +266,23 @@
 		err = msgp.WrapError(err, "Left")
 		return
 	}
+	z.Zone, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	z.Part, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	// array header, size 10
+	err = en.Append(0x9a)
 	if err != nil {
 		return
 	}
@@ -330,14 +340,24 @@
 		err = msgp.WrapError(err, "Left")
 		return
 	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	err = en.WriteBool(z.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint32(o, z.Source)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
 	for za0001 := range z.Workers {
@@ -360,6 +380,8 @@
 	}
 	o = msgp.AppendBool(o, z.Sums)
 	o = msgp.AppendBool(o, z.Left)
+	o = msgp.AppendString(o, z.Zone)
+	o = msgp.AppendBool(o, z.Part)
 	return
 }
 
@@ -371,8 +393,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Source, bts, err = msgp.ReadUint32Bytes(bts)
@@ -441,6 +463,16 @@
 		err = msgp.WrapError(err, "Left")
 		return
 	}
+	z.Zone, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	z.Part, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
 	o = bts
 	return
 }
@@ -455,7 +487,7 @@
 	for za0002 := range z.Groups {
 		s += z.Groups[za0002].Msgsize()
 	}
-	s += msgp.BoolSize + msgp.BoolSize
+	s += msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.BoolSize
 	return
 }
 
