News to the fleet: only what differs, encoded once, and no rush at an election

Cause: each change of the view or the configuration is encoded and compressed for each of 291 processes by one leader of 0.24 cores, the list of 130 workers with every edge that comes or goes; while no leader is known all processes ask again each 40 ms, in the moment of the election.

Change: the view tells workers, and stores with all else, only where they changed since the caller's view; an edge more or less is news from an eighth on; answers are encoded once for all who know the same; a coordinator that knows no leader holds a watch for 0.1 s.

Tests: random changes told to callers of any age make the whole view; the simulator's stores keep their views by what differs.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -59,6 +59,8 @@
 	changes  prometheus.Counter
 	watches  prometheus.Counter
 
+	news newsCache
+
 	// mutex guards what follows.
 	mutex   sync.Mutex
 	view    *fleetview.View
--- /dev/null
+++ b/internal/coordinator/news.go
@@ -0,0 +1,51 @@
+package coordinator
+
+import (
+	"sync"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// maxNews bounds the answers that are kept encoded: callers differ in what they know,
+// most of them by the last change only.
+const maxNews = 16
+
+// newsKey tells answers to watches apart: where the caller stands, and where it gets to.
+type newsKey struct {
+	fromVersion, version uint64
+	fromTerm, term       uint64
+	fromView, view       uint64
+}
+
+// newsCache keeps answers encoded. A change goes to all processes of the fleet at the
+// same moment, nearly always from the same state. It is safe for concurrent use.
+type newsCache struct {
+	mutex   sync.Mutex
+	encoded map[newsKey]*rpc.Encoded
+}
+
+// encode returns the answer to the request, encoded once for all callers who know and
+// get the same.
+func (c *newsCache) encode(request *wire.WatchRequest, response *wire.WatchResponse) (msgp.Marshaler, error) {
+	if response.Document == nil && response.Fleet == nil {
+		return response, nil
+	}
+	key := newsKey{request.Version, response.Version, request.Term, response.Term, request.View, response.View}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if known := c.encoded[key]; known != nil {
+		return known, nil
+	}
+	encoded, err := rpc.Encode(response)
+	if err != nil {
+		return nil, err
+	}
+	if c.encoded == nil || len(c.encoded) >= maxNews {
+		c.encoded = map[newsKey]*rpc.Encoded{}
+	}
+	c.encoded[key] = encoded
+	return encoded, nil
+}
--- a/internal/coordinator/operate.go
+++ b/internal/coordinator/operate.go
@@ -6,6 +6,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/fleetview"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -34,7 +35,11 @@
 		return &wire.Empty{}, c.host.Receive(ctx, batch)
 	})
 	rpc.Handle(server, MethodWatch, func(ctx context.Context, request *wire.WatchRequest) (msgp.Marshaler, error) {
-		return c.watch(ctx, request)
+		response, err := c.watch(ctx, request)
+		if err != nil {
+			return nil, err
+		}
+		return c.news.encode(request, response)
 	})
 	rpc.Handle(server, methodApply, func(ctx context.Context, request *wire.ApplyRoutes) (msgp.Marshaler, error) {
 		return c.applyHere(ctx, request)
@@ -64,11 +69,11 @@
 				v.Heard(now, &request.Process)
 				emptied = v.Emptied(now, request, c.pendingRetirements(), placement.Groups)
 			}
-			c.news(v, request, response)
+			c.tell(v, request, response)
 			changed = c.changed
 		})
 		if err != nil {
-			return nil, err
+			return nil, c.awaitLeader(ctx, err)
 		}
 		if first {
 			c.watches.Inc()
@@ -88,7 +93,38 @@
 	}
 }
 
-func (c *Coordinator) news(v *fleetview.View, request *wire.WatchRequest, response *wire.WatchResponse) {
+// leaderPatience is how long a watch is held while no leader is known, and
+// leaderPoll the time between looks for one. Without this, all processes of a fleet
+// ask again and again in the very moment when the coordinators elect a leader. It
+// is short because a coordinator that is cut off holds callers up who would find the
+// leader at the next one.
+const (
+	leaderPatience = 100 * time.Millisecond
+	leaderPoll     = 25 * time.Millisecond
+)
+
+// awaitLeader holds the refusal of a watch until this process knows a leader, itself or
+// another, or until the patience is over. It returns the refusal.
+func (c *Coordinator) awaitLeader(ctx context.Context, refusal error) error {
+	deadline := time.Now().Add(leaderPatience)
+	for consensus.LeaderOf(refusal) == "" && time.Now().Before(deadline) {
+		select {
+		case <-ctx.Done():
+			return refusal
+		case <-time.After(leaderPoll):
+		}
+		if err := c.readLeader(func(time.Time, *fleetview.View) {}); err != nil {
+			refusal = err
+		} else {
+			// The caller asks this process again at once.
+			return failure.New(failure.NotRun, "ask again", "this process leads now").WithField(consensus.LeaderField + c.daemon.Address())
+		}
+	}
+	return refusal
+}
+
+// tell fills in what the caller of a watch does not know.
+func (c *Coordinator) tell(v *fleetview.View, request *wire.WatchRequest, response *wire.WatchResponse) {
 	routes := c.machine.Routes()
 	response.Version = routes.Version
 	if routes.Document != nil && routes.Version != request.Version {
@@ -96,9 +132,12 @@
 	}
 	response.Term, response.View = v.Term, v.Number
 	if v.Number > 0 && (request.Term != v.Term || request.View != v.Number) {
+		known := request.View
+		if request.Term != v.Term {
+			known = 0
+		}
 		// The answer is encoded after the lock is gone.
-		fleet := v.Current
-		response.Fleet = &fleet
+		response.Fleet = v.Since(known)
 	}
 }
 
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -57,6 +57,7 @@
 	view  *fleetview.View
 	// known is what a store knows of the fleet.
 	knownTerm, knownView uint64
+	fleetView            wire.FleetView
 }
 
 // add starts a new machine.
@@ -103,6 +104,7 @@
 	m.life++
 	m.alive, m.frozen, m.backlog = true, false, nil
 	m.knownTerm, m.knownView, m.view = 0, 0, nil
+	m.fleetView = wire.FleetView{}
 	options := replication.Options{
 		Store:             m.mutatedStore(),
 		Name:              m.name,
@@ -288,8 +290,11 @@
 		}
 		emptied = v.Emptied(w.now, request, pending, groups)
 		if v.Number > 0 && (request.Term != v.Term || request.View != v.Number) {
-			fleet := v.Current
-			answer, term, number = &fleet, v.Term, v.Number
+			known := request.View
+			if request.Term != v.Term {
+				known = 0
+			}
+			answer, term, number = v.Since(known), v.Term, v.Number
 		}
 	})
 	for _, name := range emptied {
@@ -299,11 +304,17 @@
 		return
 	}
 	m.transmit(store, func() {
+		if request.Term != store.knownTerm || request.View != store.knownView {
+			// It tells what differs from a view that the store has replaced since.
+			return
+		}
 		store.knownTerm, store.knownView = term, number
+		store.fleetView = answer.Upon(&store.fleetView)
+		fleet := store.fleetView
 		store.drive(func() {
-			store.node.ListPeers(w.now, answer.StoreAddresses())
-			store.node.SetRetiring(answer.Retiring)
-			store.node.Form(w.now, answer.Initial)
+			store.node.ListPeers(w.now, fleet.StoreAddresses())
+			store.node.SetRetiring(fleet.Retiring)
+			store.node.Form(w.now, fleet.Initial)
 		})
 	})
 }
--- /dev/null
+++ b/internal/fleetview/since_test.go
@@ -0,0 +1,75 @@
+package fleetview
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// TestWhatDiffersMakesTheWholeView changes workers, stores and edges at random and lets
+// callers ask with views of any age: what they are told makes the whole view of theirs.
+func TestWhatDiffersMakesTheWholeView(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	v, now := New(1), start
+	type caller struct {
+		number uint64
+		known  wire.FleetView
+	}
+	callers := make([]caller, 6)
+	for step := range 2000 {
+		now = now.Add(time.Duration(random.IntN(500)) * time.Millisecond)
+		switch random.IntN(3) {
+		case 0:
+			v.SetWorkers([]wire.PoolWorker{{ID: fmt.Sprint(random.IntN(3))}})
+		case 1:
+			v.Heard(now, store(fmt.Sprintf("s%d", random.IntN(5)), "z", 1))
+		case 2:
+			v.Heard(now, &wire.ProcessReport{Kind: wire.ProcessEdge, Name: fmt.Sprintf("e%d", random.IntN(20))})
+		}
+		v.Refresh(now, []string{fmt.Sprint(random.IntN(2))}, nil, nil)
+		c := &callers[random.IntN(len(callers))]
+		if c.number == v.Number {
+			continue
+		}
+		c.known = v.Since(c.number).Upon(&c.known)
+		c.number = v.Number
+		want := v.Current
+		if len(want.Stores) == 0 {
+			want.Stores = c.known.Stores
+		}
+		if !v.Current.Listed {
+			want.Workers, want.Listed = c.known.Workers, c.known.Listed
+		}
+		if !reflect.DeepEqual(c.known, want) {
+			t.Fatalf("step %d: %+v, want %+v", step, c.known, want)
+		}
+	}
+}
+
+// TestAnEdgeMoreIsNoNews checks that the view of a large fleet does not change with each
+// edge that comes or goes, but with an eighth of them, and with the last.
+func TestAnEdgeMoreIsNoNews(t *testing.T) {
+	v := New(1)
+	edges := func(now time.Time, count int) bool {
+		for number := range count {
+			v.Heard(now, &wire.ProcessReport{Kind: wire.ProcessEdge, Name: fmt.Sprint(number)})
+		}
+		return v.Refresh(now, nil, nil, nil)
+	}
+	if !edges(start, 100) || v.Current.Edges != 100 {
+		t.Fatalf("%d edges are told of", v.Current.Edges)
+	}
+	if edges(start, 112) || v.Current.Edges != 100 {
+		t.Errorf("twelve edges more are news: %d", v.Current.Edges)
+	}
+	if !edges(start, 113) || v.Current.Edges != 113 {
+		t.Errorf("an eighth more is none: %d", v.Current.Edges)
+	}
+	if !edges(start.Add(ProcessFresh+1), 0) || v.Current.Edges != 0 {
+		t.Errorf("that all have gone is no news: %d", v.Current.Edges)
+	}
+}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -27,6 +27,10 @@
 	Term      uint64
 	Number    uint64
 	Current   wire.FleetView
+	// workersAt and storesAt are the numbers of the views in which the workers, and
+	// all else but the count of edges, changed last.
+	workersAt uint64
+	storesAt  uint64
 	processes map[string]*process
 	// lastNew is when a store was first heard of.
 	lastNew time.Time
@@ -81,22 +85,54 @@
 		next.Stores = append(next.Stores, wire.StoreAddress{Address: store.Replica.Address, Zone: store.Zone})
 	}
 	next.Groups = v.groups(now)
-	for _, known := range v.processes {
-		if known.report.Kind == wire.ProcessEdge && now.Sub(known.at) <= ProcessFresh {
-			next.Edges++
-		}
-	}
-	same := slices.Equal(next.Coordinators, v.Current.Coordinators) &&
-		slices.Equal(next.Stores, v.Current.Stores) && slices.EqualFunc(next.Groups, v.Current.Groups, samePlace) && next.Edges == v.Current.Edges &&
+	next.Edges = v.countEdges(now)
+	sameStores := slices.Equal(next.Coordinators, v.Current.Coordinators) &&
+		slices.Equal(next.Stores, v.Current.Stores) && slices.EqualFunc(next.Groups, v.Current.Groups, samePlace) &&
 		slices.Equal(next.Initial, v.Current.Initial) && slices.Equal(next.Retiring, v.Current.Retiring)
-	if same && v.Number > 0 {
+	if sameStores && next.Edges == v.Current.Edges && v.Number > 0 {
 		return false
 	}
 	v.Current = next
 	v.Number++
+	if !sameStores || v.storesAt == 0 {
+		v.storesAt = v.Number
+	}
 	return true
 }
 
+// edgeParts is the part, one in so many, by which the count of edges must change to be
+// told anew: it only paces reports of loads, and each change is told to all processes.
+const edgeParts = 8
+
+// countEdges counts the living edges, or returns the count last told where that is
+// still about right.
+func (v *View) countEdges(now time.Time) int {
+	edges := 0
+	for _, known := range v.processes {
+		if known.report.Kind == wire.ProcessEdge && now.Sub(known.at) <= ProcessFresh {
+			edges++
+		}
+	}
+	told := v.Current.Edges
+	if edges > 0 && told > 0 && max(edges-told, told-edges)*edgeParts <= told {
+		return told
+	}
+	return edges
+}
+
+// Since returns what differs from the view of the number, zero for none.
+func (v *View) Since(number uint64) *wire.FleetView {
+	news := v.Current
+	if number > 0 && v.workersAt <= number {
+		news.SameWorkers, news.Listed, news.Workers = true, false, nil
+	}
+	if number > 0 && v.storesAt <= number {
+		news.SameStores = true
+		news.Coordinators, news.Stores, news.Groups, news.Initial, news.Retiring = nil, nil, nil, nil, nil
+	}
+	return &news
+}
+
 // SetWorkers takes in the platform's list and reports whether it differs.
 func (v *View) SetWorkers(workers []wire.PoolWorker) bool {
 	sort.Slice(workers, func(a, b int) bool { return workers[a].ID < workers[b].ID })
@@ -106,6 +142,7 @@
 	v.Current.Listed = true
 	v.Current.Workers = workers
 	v.Number++
+	v.workersAt = v.Number
 	return true
 }
 
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -167,15 +167,7 @@
 	}
 	if fleet := response.Fleet; fleet != nil {
 		w.term, w.view = response.Term, response.View
-		workers, listed := after.Fleet.Workers, after.Fleet.Listed
-		stores := after.Fleet.Stores
-		after.Fleet = *fleet
-		if !fleet.Listed {
-			after.Fleet.Workers, after.Fleet.Listed = workers, listed
-		}
-		if len(fleet.Stores) == 0 {
-			after.Fleet.Stores = stores
-		}
+		after.Fleet = fleet.Upon(&before.Fleet)
 		changed = true
 		w.meter.SetZones(zonesOf(&after.Fleet))
 		logging.Info(w.logger, "fleet_view", "term", response.Term, "view", response.View, "workers", len(after.Fleet.Workers), "stores", len(after.Fleet.Stores), "edges", after.Fleet.Edges)
--- a/internal/rpc/compress.go
+++ b/internal/rpc/compress.go
@@ -44,6 +44,9 @@
 // encodeBody encodes a message and compresses it where that makes it shorter. It
 // returns the body and its Content-Encoding, empty for none.
 func encodeBody(message msgp.Marshaler) (body []byte, encoding string, err error) {
+	if done, isEncoded := message.(*Encoded); isEncoded {
+		return done.body, done.encoding, nil
+	}
 	body, err = message.MarshalMsg(nil)
 	if err != nil || len(body) < minCompressed {
 		return body, "", err
--- a/internal/rpc/compress_test.go
+++ b/internal/rpc/compress_test.go
@@ -66,3 +66,25 @@
 		}
 	}
 }
+
+// TestEncodedOnceIsTheSame checks that an answer encoded beforehand arrives as one that
+// is encoded for the call, short and long.
+func TestEncodedOnceIsTheSame(t *testing.T) {
+	for _, size := range []int{3, 64 << 10} {
+		body := &wire.ItemBody{Body: bytes.Repeat([]byte("ab"), size)}
+		encoded, err := Encode(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		mux := rpctest.NewMux()
+		Handle(mux, "echo", func(context.Context, *wire.Empty) (msgp.Marshaler, error) { return encoded, nil })
+		server := httptest.NewServer(mux)
+		c := NewClient()
+		answer, err := Call[wire.ItemBody](context.Background(), c, server.Listener.Addr().String(), "echo", &wire.Empty{})
+		if err != nil || !bytes.Equal(answer.Body, body.Body) {
+			t.Errorf("%d bytes: %v", size, err)
+		}
+		c.Close()
+		server.Close()
+	}
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -99,6 +99,10 @@
 
 // FleetView is the leader's view of the processes and the workers.
 type FleetView struct {
+	// SameWorkers is set where Listed and Workers are left out, SameStores where all
+	// else but Edges is: the caller has them from the last view of the same term.
+	SameWorkers bool `msg:"same_workers"`
+	SameStores  bool `msg:"same_stores"`
 	// Listed is set once the platform's list has been read.
 	Listed       bool         `msg:"listed"`
 	Workers      []PoolWorker `msg:"workers"`
@@ -116,6 +120,24 @@
 	Retiring []string `msg:"retiring"`
 }
 
+// Upon returns the whole view, where this one tells what differs from the one before.
+// Workers and stores stay known while a new leader has not heard of any yet.
+func (v *FleetView) Upon(before *FleetView) FleetView {
+	after := *v
+	after.SameWorkers, after.SameStores = false, false
+	if v.SameWorkers || !v.Listed {
+		after.Workers, after.Listed = before.Workers, before.Listed
+	}
+	if v.SameStores {
+		after.Coordinators, after.Stores, after.Groups = before.Coordinators, before.Stores, before.Groups
+		after.Initial, after.Retiring = before.Initial, before.Retiring
+	}
+	if len(after.Stores) == 0 {
+		after.Stores = before.Stores
+	}
+	return after
+}
+
 // StoreAddress says where a store is.
 //
 //msgp:tuple StoreAddress
--- a/internal/wire/fleet_gen.go
+++ b/internal/wire/fleet_gen.go
@@ -1224,6 +1224,18 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "same_workers":
+			z.SameWorkers, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "SameWorkers")
+				return
+			}
+		case "same_stores":
+			z.SameStores, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "SameStores")
+				return
+			}
 		case "listed":
 			z.Listed, err = dc.ReadBool()
 			if err != nil {
@@ -1442,9 +1454,29 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *FleetView) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
+	// map header, size 10
+	// write "same_workers"
+	err = en.Append(0x8a, 0xac, 0x73, 0x61, 0x6d, 0x65, 0x5f, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.SameWorkers)
+	if err != nil {
+		err = msgp.WrapError(err, "SameWorkers")
+		return
+	}
+	// write "same_stores"
+	err = en.Append(0xab, 0x73, 0x61, 0x6d, 0x65, 0x5f, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.SameStores)
+	if err != nil {
+		err = msgp.WrapError(err, "SameStores")
+		return
+	}
 	// write "listed"
-	err = en.Append(0x88, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
+	err = en.Append(0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
 	if err != nil {
 		return
 	}
@@ -1598,9 +1630,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetView) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 10
+	// string "same_workers"
+	o = append(o, 0x8a, 0xac, 0x73, 0x61, 0x6d, 0x65, 0x5f, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+	o = msgp.AppendBool(o, z.SameWorkers)
+	// string "same_stores"
+	o = append(o, 0xab, 0x73, 0x61, 0x6d, 0x65, 0x5f, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
+	o = msgp.AppendBool(o, z.SameStores)
 	// string "listed"
-	o = append(o, 0x88, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
+	o = append(o, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Listed)
 	// string "workers"
 	o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
@@ -1683,6 +1721,18 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "same_workers":
+			z.SameWorkers, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SameWorkers")
+				return
+			}
+		case "same_stores":
+			z.SameStores, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SameStores")
+				return
+			}
 		case "listed":
 			z.Listed, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1894,7 +1944,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetView) Msgsize() (s int) {
-	s = 1 + 7 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
+	s = 1 + 13 + msgp.BoolSize + 12 + msgp.BoolSize + 7 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Workers {
 		s += z.Workers[za0001].Msgsize()
 	}
