Each store group has voters of its own, as many groups as the stores have sets of voters

Change: placement.GroupsFor (three to nine) and placement.Voters; FormStores names voters by group; a store forms the groups that name it and waits for the others; joiners are chosen differently by each group; spreading looks at the groups that a store is a member of; who is no member refers to the hub by the view.

--- a/internal/batchstore/group.go
+++ b/internal/batchstore/group.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/sedgemast/sedgemast/internal/batchstate"
+	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/placement"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -24,8 +25,17 @@
 	return g
 }
 
-// groupOf returns the group that keeps the job.
-func (s *Store) groupOf(job string) *group { return s.groups[placement.GroupOf(job)] }
+// groupCount returns how many groups there are, zero while that is not known.
+func (s *Store) groupCount() int { return min(len(s.watcher.Current().Fleet.Initial), len(s.groups)) }
+
+// groupOf returns the group that keeps the job, or a refusal where it is not known yet.
+func (s *Store) groupOf(job string) (*group, error) {
+	number := placement.GroupOf(job, s.groupCount())
+	if number < 0 {
+		return nil, failure.New(failure.NotRun, "try again", "this store does not know the store groups yet")
+	}
+	return s.groups[number], nil
+}
 
 // read calls read with the state, if this process leads and may answer reads.
 func (g *group) read(read func(reader storage.Reader) error) error {
--- a/internal/batchstore/handlers.go
+++ b/internal/batchstore/handlers.go
@@ -34,11 +34,14 @@
 }
 
 func (s *Store) submit(ctx context.Context, job *wire.SubmitBatch) (msgp.Marshaler, error) {
-	g := s.groupOf(job.ID)
+	g, err := s.groupOf(job.ID)
+	if err != nil {
+		return nil, err
+	}
 	job.Limit = s.limit(time.Now(), g.number, job.Route, job.Limit)
 	repeated := false
 	// What is refused anyway is not written to the log first.
-	err := g.read(func(storage.Reader) error {
+	err = g.read(func(storage.Reader) error {
 		if _, missing := g.machine.Job(job.ID); missing == nil {
 			repeated = true
 			return nil
@@ -66,7 +69,11 @@
 }
 
 func (s *Store) end(ctx context.Context, request *wire.BatchName) (msgp.Marshaler, error) {
-	result, err := s.groupOf(request.ID).propose(ctx, &wire.BatchCommand{End: request})
+	g, err := s.groupOf(request.ID)
+	if err != nil {
+		return nil, err
+	}
+	result, err := g.propose(ctx, &wire.BatchCommand{End: request})
 	logging.Info(s.logger, "job_ended", "job", request.ID, "error", err)
 	if err != nil {
 		return nil, err
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,7 +12,6 @@
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
-	"github.com/sedgemast/sedgemast/internal/placement"
 	"github.com/sedgemast/sedgemast/internal/quota"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -57,7 +57,16 @@
 		top:     loadshare.NewHub(),
 		planner: batchroom.New(),
 		random:  rand.New(rand.NewPCG(seed, seed)),
-		quotas:  quota.New(placement.Groups),
+		quotas:  quota.New(0),
+	}
+}
+
+// setGroups takes in how many groups there are.
+func (l *loads) setGroups(count int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if count != l.quotas.Groups() {
+		l.quotas = quota.New(count)
 	}
 }
 
@@ -90,16 +99,42 @@
 		case err == nil:
 			return s.answerTop(now, report)
 		}
-		if hub := consensus.LeaderOf(err); hub != "" && hub != s.daemon.Address() {
-			return &wire.LoadReport{Hub: hub}
-		}
-		return nil
+		return s.referral(err)
 	})
 	if err != nil {
 		logging.Warn(s.logger, "loads_not_taken", "error", err)
 	}
 }
 
+// referral names the top hub to who asks this process instead, by what the refusal of
+// the hub group's replica here or else the view of the fleet says.
+func (s *Store) referral(refusal error) *wire.LoadReport {
+	hub := consensus.LeaderOf(refusal)
+	if hub == "" {
+		hub = s.watcher.Current().Fleet.Group(hubGroup).Leader
+	}
+	if hub == "" || hub == s.daemon.Address() {
+		return nil
+	}
+	return &wire.LoadReport{Hub: hub}
+}
+
+// topHubs returns where the top hub is looked for, the likeliest first.
+func (s *Store) topHubs() []string {
+	fleet := &s.watcher.Current().Fleet
+	place := fleet.Group(hubGroup)
+	var hubs []string
+	if place.Leader != "" {
+		hubs = append(hubs, place.Leader)
+	}
+	for _, address := range append(slices.Clone(place.Members), fleet.StoreAddresses()...) {
+		if !slices.Contains(hubs, address) {
+			hubs = append(hubs, address)
+		}
+	}
+	return hubs
+}
+
 // answerZone takes in the report of an edge. The lock of the hubs is held.
 func (s *Store) answerZone(now time.Time, report *wire.LoadReport) *wire.LoadReport {
 	s.loads.zone.Take(now, report)
@@ -178,7 +213,7 @@
 func (s *Store) tellZone(ctx context.Context) {
 	err := loadshare.Report(ctx, &loadshare.Reporter{
 		Meter: s.daemon.Traffic,
-		Hubs:  func() []string { return s.watcher.Current().Fleet.StoreAddresses() },
+		Hubs:  s.topHubs,
 		Own: func() *wire.LoadReport {
 			if s.groups[hubGroup].leads() {
 				return nil
@@ -224,7 +259,7 @@
 	source := loadshare.Hash(s.settings.Name)
 	err := loadshare.Report(ctx, &loadshare.Reporter{
 		Meter: s.daemon.Traffic,
-		Hubs:  func() []string { return s.watcher.Current().Fleet.StoreAddresses() },
+		Hubs:  s.topHubs,
 		Own: func() *wire.LoadReport {
 			led := s.ledGroups()
 			if len(led) == 0 || s.groups[hubGroup].leads() {
@@ -294,6 +329,7 @@
 // limit returns how many tokens may wait on a route in one group, of the limit for
 // all groups together.
 func (s *Store) limit(now time.Time, number int, route string, limit int64) int64 {
+	s.loads.setGroups(s.groupCount())
 	s.loads.learn(now, s.ledGroups())
 	s.loads.mutex.Lock()
 	defer s.loads.mutex.Unlock()
@@ -303,6 +339,6 @@
 // batchShare returns the part of a worker's slots, in hundredths, that items of this
 // process may take while no planner is heard.
 func (s *Store) batchShare() int {
-	runners := min(len(s.watcher.Current().Fleet.Stores), placement.Groups)
+	runners := min(len(s.watcher.Current().Fleet.Stores), s.groupCount())
 	return max(s.settings.BatchShare/max(runners, 1), 1)
 }
--- a/internal/batchstore/reads.go
+++ b/internal/batchstore/reads.go
@@ -24,7 +24,10 @@
 
 // results answers with results from a position on. Where there are none it waits.
 func (s *Store) results(ctx context.Context, request *wire.BatchReadRequest) (msgp.Marshaler, error) {
-	g := s.groupOf(request.ID)
+	g, err := s.groupOf(request.ID)
+	if err != nil {
+		return nil, err
+	}
 	response, err := g.results(request)
 	if err == nil && len(response.Results) > 0 {
 		return response, nil
@@ -63,7 +66,10 @@
 
 // body answers with the body of an item without a result.
 func (s *Store) body(ctx context.Context, request *wire.ItemBodyRequest) (msgp.Marshaler, error) {
-	g := s.groupOf(request.Job)
+	g, err := s.groupOf(request.Job)
+	if err != nil {
+		return nil, err
+	}
 	if body, err := g.body(request); err == nil {
 		return body, nil
 	}
--- a/internal/batchstore/spread.go
+++ b/internal/batchstore/spread.go
@@ -52,9 +52,11 @@
 	if err != nil {
 		return placement.Move{}, false
 	}
-	leaders := make([]uint64, len(statuses))
+	leaders := map[int]uint64{}
 	for number := range statuses {
-		leaders[number] = statuses[number].Leader
+		if consensus.IsMember(&statuses[number].Membership, s.identity.Replica.ID) {
+			leaders[number] = statuses[number].Leader
+		}
 	}
 	retiring := s.watcher.Current().Fleet.Retiring
 	return placement.Spread(s.identity.Replica.ID, leaders, func(number int) []uint64 { return readyToLead(&statuses[number], retiring) })
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -33,6 +33,9 @@
 	// heartbeatsPerTimeout is how many heartbeats a leader sends within the
 	// shortest election timeout.
 	heartbeatsPerTimeout = 5
+	// carriedGroups is of how many groups a store holds replicas, about: all three in a
+	// small fleet, one or two in a large one.
+	carriedGroups = 3
 )
 
 // Store is a store process.
@@ -80,7 +83,7 @@
 		metrics:  newMetrics(d.Registry),
 		changed:  make(chan struct{}),
 	}
-	for number := range placement.Groups {
+	for number := range placement.MaxGroups {
 		s.groups = append(s.groups, newGroup(s, number))
 	}
 	s.host, err = replication.NewHost(s.replicationOptions(random), replication.NewPeerTransport(d.Traffic))
@@ -129,7 +132,7 @@
 		ElectionTimeout:   s.settings.ElectionTimeout.Std(),
 		HeartbeatInterval: s.settings.ElectionTimeout.Std() / heartbeatsPerTimeout,
 		ReplaceAfter:      s.settings.ReplaceAfter.Std(),
-		LogBytes:          s.settings.KeptLogBytes() / placement.Groups,
+		LogBytes:          s.settings.KeptLogBytes() / carriedGroups,
 		Random:            random,
 	}
 }
@@ -162,6 +165,7 @@
 func (s *Store) adopt(snapshot *fleetwatch.Snapshot) {
 	s.workers.Update(snapshot.Fleet.Workers, snapshot.Table.Memory())
 	s.loads.setWorkers(snapshot.Fleet.Workers)
+	s.loads.setGroups(s.groupCount())
 	s.upstream.Forget(s.workers.Knows)
 	ctx := s.daemon.Context()
 	err := s.host.ListPeers(ctx, snapshot.Fleet.StoreAddresses())
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -160,7 +160,7 @@
 			}
 		}
 		changed := false
-		var form []wire.Replica
+		var form [][]wire.Replica
 		err = c.readLeader(func(now time.Time, v *fleetview.View) {
 			changed = v.Refresh(now, coordinators, c.machine.Initial(), c.machine.Retiring())
 			if len(c.machine.Initial()) == 0 {
@@ -174,8 +174,8 @@
 			c.notify()
 		}
 		if len(form) > 0 {
-			_, err := c.propose(ctx, &wire.FleetCommand{Form: &wire.FormStores{Voters: form}})
-			logging.Info(c.logger, "store_group_forming", "voters", len(form), "error", err)
+			_, err := c.propose(ctx, &wire.FleetCommand{Form: &wire.FormStores{Groups: form}})
+			logging.Info(c.logger, "store_groups_forming", "groups", len(form), "voters", len(form[0]), "error", err)
 		}
 	})
 }
--- a/internal/coordinator/operate.go
+++ b/internal/coordinator/operate.go
@@ -10,7 +10,6 @@
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/fleetview"
 	"github.com/sedgemast/sedgemast/internal/logging"
-	"github.com/sedgemast/sedgemast/internal/placement"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/rpc"
@@ -67,7 +66,7 @@
 		err := c.readLeader(func(now time.Time, v *fleetview.View) {
 			if first {
 				v.Heard(now, &request.Process)
-				emptied = v.Emptied(now, request, c.pendingRetirements(), placement.Groups)
+				emptied = v.Emptied(now, request, c.pendingRetirements(), len(c.machine.Initial()))
 			}
 			c.tell(v, request, response)
 			changed = c.changed
--- a/internal/fleetsim/ledger.go
+++ b/internal/fleetsim/ledger.go
@@ -225,7 +225,7 @@
 }
 
 // groupOf returns the group that keeps a job.
-func groupOf(id string) int { return placement.GroupOf(id) % groups }
+func groupOf(id string) int { return placement.GroupOf(id, groups) }
 
 func (l *ledger) checkJobs(m *machine, group int, reader storage.Reader) {
 	for _, id := range l.names {
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -28,7 +28,7 @@
 // Machine is the state of the fleet group.
 type Machine struct {
 	routes      wire.ApplyRoutes
-	initial     []wire.Replica
+	initial     [][]wire.Replica
 	retirements map[string]bool
 	mutations   []storage.Mutation
 }
@@ -80,7 +80,7 @@
 	if len(m.initial) > 0 {
 		return false
 	}
-	m.initial = form.Voters
+	m.initial = form.Groups
 	m.put(formKey, form)
 	return true
 }
@@ -129,7 +129,7 @@
 	if err := read(reader, formKey, &form); err != nil {
 		return err
 	}
-	m.initial = form.Voters
+	m.initial = form.Groups
 	var decodeErr error
 	err := reader.Scan(retirePrefix, storage.PrefixEnd(retirePrefix), func(_, value []byte) bool {
 		var retirement wire.Retirement
@@ -155,8 +155,8 @@
 // one. The caller must not change it.
 func (m *Machine) Routes() wire.ApplyRoutes { return m.routes }
 
-// Initial returns the first voters of the store group.
-func (m *Machine) Initial() []wire.Replica { return m.initial }
+// Initial returns the first voters of each store group, nothing before there are any.
+func (m *Machine) Initial() [][]wire.Replica { return m.initial }
 
 // Retirement reports whether the store is to be emptied, and whether it is.
 func (m *Machine) Retirement(name string) (asked, done bool) {
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -9,6 +9,7 @@
 	"sort"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/placement"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -73,7 +74,7 @@
 }
 
 // Refresh makes the view anew and reports whether it differs.
-func (v *View) Refresh(now time.Time, coordinators []string, initial []wire.Replica, retiring []string) bool {
+func (v *View) Refresh(now time.Time, coordinators []string, initial [][]wire.Replica, retiring []string) bool {
 	next := wire.FleetView{
 		Listed:       v.Current.Listed,
 		Workers:      v.Current.Workers,
@@ -88,7 +89,7 @@
 	next.Edges = v.countEdges(now)
 	sameStores := slices.Equal(next.Coordinators, v.Current.Coordinators) &&
 		slices.Equal(next.Stores, v.Current.Stores) && slices.EqualFunc(next.Groups, v.Current.Groups, samePlace) &&
-		slices.Equal(next.Initial, v.Current.Initial) && slices.Equal(next.Retiring, v.Current.Retiring)
+		slices.EqualFunc(next.Initial, v.Current.Initial, slices.Equal) && slices.Equal(next.Retiring, v.Current.Retiring)
 	if sameStores && next.Edges == v.Current.Edges && v.Number > 0 {
 		return false
 	}
@@ -146,29 +147,30 @@
 	return true
 }
 
-// FirstVoters returns the voters that the store group is to form with, once it
-// may: 2 x tolerate + 1 of the stores, spread over the zones.
-func (v *View) FirstVoters(now time.Time, tolerate int) []wire.Replica {
+// FirstVoters returns the voters that the store groups are to form with, once they
+// may, by group: 2 x tolerate + 1 of the stores each.
+func (v *View) FirstVoters(now time.Time, tolerate int) [][]wire.Replica {
 	stores := v.stores(now)
 	wanted := 2*tolerate + 1
 	quiet := now.Sub(v.lastNew)
 	if len(stores) == 0 || quiet < settleTime || len(stores) < wanted && quiet < patientTime {
 		return nil
 	}
-	var voters []wire.Replica
-	perZone := map[string]int{}
-	for len(voters) < wanted && len(stores) > 0 {
-		best := 0
-		for i, store := range stores {
-			if perZone[store.Zone] < perZone[stores[best].Zone] {
-				best = i
-			}
+	replicas := make(map[uint64]wire.Replica, len(stores))
+	candidates := make([]placement.Candidate, 0, len(stores))
+	for _, store := range stores {
+		replicas[store.Replica.ID] = store.Replica
+		candidates = append(candidates, placement.Candidate{ID: store.Replica.ID, Zone: store.Zone})
+	}
+	var groups [][]wire.Replica
+	for _, chosen := range placement.Voters(candidates, placement.GroupsFor(len(stores), wanted), wanted) {
+		var voters []wire.Replica
+		for _, id := range chosen {
+			voters = append(voters, replicas[id])
 		}
-		voters = append(voters, stores[best].Replica)
-		perZone[stores[best].Zone]++
-		stores = slices.Delete(stores, best, best+1)
+		groups = append(groups, voters)
 	}
-	return voters
+	return groups
 }
 
 // Remaining counts the living stores that are not to be emptied, without the
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,24 +1,28 @@
 // Package placement says which store group keeps a job, and which store leads which
 // group. It is pure.
 //
-// Jobs are spread by their ids over a fixed number of groups, each with a log and a
+// Jobs are spread by their ids over a number of groups, each with a log, voters and a
 // leader of its own. A leader runs the items of its group's jobs, so the loss of one
-// store re-runs only what that store ran, and no store's processor carries all.
+// store re-runs only what that store ran, and no store's processor or disk carries all.
 package placement
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Groups is the number of store groups. It can't change once stores have formed:
-// a job's group follows from it.
-const Groups = 3
-
-// GroupOf returns the number of the group that keeps the job.
-func GroupOf(job string) int { return int(xxhash.Sum64String(job) % Groups) }
+// GroupOf returns the number of the group that keeps the job, of so many groups. Their
+// number can't change once stores have formed: a job's group follows from it. It is -1
+// while there are none.
+func GroupOf(job string, groups int) int {
+	if groups <= 0 {
+		return -1
+	}
+	return int(xxhash.Sum64String(job) % uint64(groups))
+}
 
 // Move is a hand-over of a group's leadership to another replica.
 type Move struct {
@@ -31,9 +35,10 @@
 const leastLead = 2
 
 // Spread returns a hand-over after which the groups are led by more replicas, or
-// false. leaders holds each group's leader, zero where it is not known, and ready
-// returns the replicas that could take over a group that self leads.
-func Spread(self uint64, leaders []uint64, ready func(group int) []uint64) (Move, bool) {
+// false. leaders holds the leaders of the groups that this store is a member of, zero
+// where one is not known, and ready returns the replicas that could take over a group
+// that self leads.
+func Spread(self uint64, leaders map[int]uint64, ready func(group int) []uint64) (Move, bool) {
 	led := map[uint64]int{}
 	for _, leader := range leaders {
 		if leader == 0 {
@@ -41,8 +46,8 @@
 		}
 		led[leader]++
 	}
-	for group, leader := range leaders {
-		if leader != self {
+	for _, group := range slices.Sorted(maps.Keys(leaders)) {
+		if leaders[group] != self {
 			continue
 		}
 		candidates := ready(group)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -28,6 +28,9 @@
 // New returns a ledger of so many groups of which nothing is known.
 func New(groups int) *Ledger { return &Ledger{groups: make([]group, groups)} }
 
+// Groups returns how many groups the ledger is for.
+func (l *Ledger) Groups() int { return len(l.groups) }
+
 // Take takes in the tokens that wait in a group by route, as they were at a moment.
 // A route that is not named has none.
 func (l *Ledger) Take(at time.Time, number int, waiting map[uint32]int64) {
--- a/internal/replication/discovery.go
+++ b/internal/replication/discovery.go
@@ -158,16 +158,19 @@
 }
 
 // Form ends the state of a process that belongs to no cluster yet, with
-// FormByOrder. A process that the list does not name by identity waits to be
-// taken in.
-func (n *Node) Form(now time.Time, voters []wire.Replica) {
-	if n.identity.Formed || len(voters) == 0 {
+// FormByOrder. The first voters are listed by group; a process waits to be taken in by
+// the groups whose list does not name it by identity.
+func (n *Node) Form(now time.Time, groups [][]wire.Replica) {
+	if n.identity.Formed || len(groups) == 0 {
 		return
 	}
-	if !consensus.Contains(voters, n.identity.Replica.ID) {
-		voters = nil
+	own := make([][]wire.Replica, len(n.groups))
+	for number := range own {
+		if number < len(groups) && consensus.Contains(groups[number], n.identity.Replica.ID) {
+			own[number] = groups[number]
+		}
 	}
-	n.form(voters, now)
+	n.formGroups(own, now)
 }
 
 // SetRetiring names the processes whose replicas are to move elsewhere.
@@ -223,8 +226,8 @@
 }
 
 // Form is Node.Form.
-func (h *Host) Form(ctx context.Context, voters []wire.Replica) error {
-	return h.enter(ctx, func(now time.Time) { h.node.Form(now, voters) })
+func (h *Host) Form(ctx context.Context, groups [][]wire.Replica) error {
+	return h.enter(ctx, func(now time.Time) { h.node.Form(now, groups) })
 }
 
 // SetRetiring is Node.SetRetiring.
--- a/internal/replication/formation.go
+++ b/internal/replication/formation.go
@@ -124,15 +124,24 @@
 // form stores that this process belongs to the cluster of the first voters; an
 // empty list means that it waits to be taken in.
 func (n *Node) form(initial []wire.Replica, now time.Time) {
-	n.identity.Formed = true
 	n.identity.Initial = initial
+	groups := make([][]wire.Replica, len(n.groups))
+	for number := range groups {
+		groups[number] = initial
+	}
+	n.formGroups(groups, now)
+}
+
+// formGroups is form with first voters for each group, in one write.
+func (n *Node) formGroups(groups [][]wire.Replica, now time.Time) {
+	n.identity.Formed = true
 	batch := []storage.Mutation{{Key: identityKey, Value: encode(&n.identity)}}
-	base := wire.LogBase{Membership: wire.Membership{Voters: initial}}
 	for _, g := range n.groups {
+		base := wire.LogBase{Membership: wire.Membership{Voters: groups[g.number]}}
 		batch = append(batch, storage.Mutation{Key: groupKey(g.number, sectionBase), Value: encode(&base)})
 	}
 	n.commit(batch, true)
 	for _, g := range n.groups {
-		g.replica.Form(now, base.Membership)
+		g.replica.Form(now, wire.Membership{Voters: groups[g.number]})
 	}
 }
--- a/internal/replication/repair.go
+++ b/internal/replication/repair.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/consensus"
+	"github.com/sedgemast/sedgemast/internal/placement"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -27,10 +28,18 @@
 	// spares bounds the learners: as many as replicas may be lost at once. Each takes
 	// the whole log, so more would be paid for by every entry.
 	spares int
+	// group is the number of the group, by which its joiners are chosen.
+	group int
 	// retiring names the processes that are to hold nothing any more.
 	retiring map[string]bool
 }
 
+// of returns the policy as it is for one group.
+func (p repairPolicy) of(group int) repairPolicy {
+	p.group = group
+	return p
+}
+
 // dropAfter is how many times replaceAfter a voter is silent before it is let
 // go without a successor.
 const dropAfter = 3
@@ -48,7 +57,7 @@
 			continue
 		}
 		status := g.replica.Status(now)
-		if voters, learners, change := planRepair(&status, processes, policy); change {
+		if voters, learners, change := planRepair(&status, processes, policy.of(g.number)); change {
 			// A refusal means that another change is under way; the next round
 			// tries again.
 			_ = g.replica.ProposeMembership(voters, learners)
@@ -172,17 +181,19 @@
 	return wire.Replica{}, false
 }
 
-// joiner returns a living process that is no member.
-func (p *repairPlan) joiner() (wire.Replica, bool) {
+// joiner returns a living process that is no member. Groups choose differently, so that
+// what they hold spreads over the processes.
+func (p *repairPlan) joiner() (joiner wire.Replica, found bool) {
 	for _, process := range p.processes {
-		if p.policy.retiring[process.Hello.Replica.Name] {
+		replica := process.Hello.Replica
+		if p.policy.retiring[replica.Name] || !process.Hello.Formed || !fresh(&process) || consensus.IsMember(&p.status.Membership, replica.ID) {
 			continue
 		}
-		if process.Hello.Formed && fresh(&process) && !consensus.IsMember(&p.status.Membership, process.Hello.Replica.ID) {
-			return process.Hello.Replica, true
+		if !found || placement.Rank(p.policy.group, replica.ID) < placement.Rank(p.policy.group, joiner.ID) {
+			joiner, found = replica, true
 		}
 	}
-	return wire.Replica{}, false
+	return joiner, found
 }
 
 // without returns a copy of the list less the identity.
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -37,9 +37,9 @@
 type Client struct {
 	client *rpc.Client
 	fleet  func() *wire.FleetView
-	near   [placement.Groups]near
+	near   [placement.MaxGroups]near
 	mutex  sync.Mutex
-	groups [placement.Groups]groupTarget
+	groups [placement.MaxGroups]groupTarget
 	next   int
 }
 
@@ -63,9 +63,17 @@
 	return c
 }
 
+// groupOf returns the group that keeps the job, or -1 while the groups are not known.
+func (c *Client) groupOf(job string) int {
+	return placement.GroupOf(job, min(len(c.fleet().Initial), placement.MaxGroups))
+}
+
 // target returns whom to ask about a group: the leader as it is known here, or by the
 // view of the fleet, or else one member after the other.
 func (c *Client) target(group int) string {
+	if group < 0 {
+		return ""
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	known := &c.groups[group]
@@ -110,9 +118,9 @@
 // call asks the leader of the job's group until ctx ends. Where any try may have been carried out
 // and none was answered, the failure is OutcomeUnknown.
 func call[Response any, Pointer rpc.Decodable[Response]](ctx context.Context, c *Client, job, method string, request msgp.Marshaler, hold time.Duration) (*Response, error) {
-	group := placement.GroupOf(job)
 	unknown := false
 	for {
+		group := c.groupOf(job)
 		address := c.target(group)
 		err := error(failure.New(failure.NotRun, "try again", "no store is known yet"))
 		if address != "" {
@@ -166,7 +174,10 @@
 
 // read asks a store nearby, and the leader where that one does not answer.
 func read[Response any, Pointer rpc.Decodable[Response]](ctx context.Context, c *Client, job, method string, request msgp.Marshaler, hold time.Duration) (*Response, error) {
-	group := placement.GroupOf(job)
+	group := c.groupOf(job)
+	if group < 0 {
+		return call[Response, Pointer](ctx, c, job, method, request, hold)
+	}
 	address := c.near[group].pick(time.Now(), c.holders(group))
 	if address == "" {
 		return call[Response, Pointer](ctx, c, job, method, request, hold)
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -20,10 +20,10 @@
 	Source []byte `msg:"source,limit=33554432"`
 }
 
-// FormStores names the first voters of the store group. Only the first such
-// command counts.
+// FormStores names the first voters of each store group, and so how many groups there
+// are. Only the first such command counts.
 type FormStores struct {
-	Voters []Replica `msg:"voters"`
+	Groups [][]Replica `msg:"groups"`
 }
 
 // RetireStore names a store process that is to hold nothing any more.
@@ -114,8 +114,8 @@
 	Groups []GroupPlace `msg:"groups"`
 	// Edges counts the processes that serve callers.
 	Edges int `msg:"edges"`
-	// Initial lists the first voters of the store group.
-	Initial []Replica `msg:"initial"`
+	// Initial lists the first voters of each store group.
+	Initial [][]Replica `msg:"initial"`
 	// Retiring names stores that are to hold nothing any more.
 	Retiring []string `msg:"retiring"`
 }
--- a/internal/wire/fleet_gen.go
+++ b/internal/wire/fleet_gen.go
@@ -326,28 +326,45 @@
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "voters":
+					case "groups":
 						var zb0004 uint32
 						zb0004, err = dc.ReadArrayHeader()
 						if err != nil {
-							err = msgp.WrapError(err, "Form", "Voters")
+							err = msgp.WrapError(err, "Form", "Groups")
 							return
 						}
 						if zb0004 > z6071ab3flimitArrays {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if cap(z.Form.Voters) >= int(zb0004) {
-							z.Form.Voters = (z.Form.Voters)[:zb0004]
+						if cap(z.Form.Groups) >= int(zb0004) {
+							z.Form.Groups = (z.Form.Groups)[:zb0004]
 						} else {
-							z.Form.Voters = make([]Replica, zb0004)
+							z.Form.Groups = make([][]Replica, zb0004)
 						}
-						for za0001 := range z.Form.Voters {
-							err = z.Form.Voters[za0001].DecodeMsg(dc)
+						for za0001 := range z.Form.Groups {
+							var zb0005 uint32
+							zb0005, err = dc.ReadArrayHeader()
 							if err != nil {
-								err = msgp.WrapError(err, "Form", "Voters", za0001)
+								err = msgp.WrapError(err, "Form", "Groups", za0001)
 								return
 							}
+							if zb0005 > z6071ab3flimitArrays {
+								err = msgp.ErrLimitExceeded
+								return
+							}
+							if cap(z.Form.Groups[za0001]) >= int(zb0005) {
+								z.Form.Groups[za0001] = (z.Form.Groups[za0001])[:zb0005]
+							} else {
+								z.Form.Groups[za0001] = make([]Replica, zb0005)
+							}
+							for za0002 := range z.Form.Groups[za0001] {
+								err = z.Form.Groups[za0001][za0002].DecodeMsg(dc)
+								if err != nil {
+									err = msgp.WrapError(err, "Form", "Groups", za0001, za0002)
+									return
+								}
+							}
 						}
 					default:
 						err = dc.Skip()
@@ -370,18 +387,18 @@
 				if z.Retire == nil {
 					z.Retire = new(RetireStore)
 				}
-				var zb0005 uint32
-				zb0005, err = dc.ReadMapHeader()
+				var zb0006 uint32
+				zb0006, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Retire")
 					return
 				}
-				if zb0005 > z6071ab3flimitMaps {
+				if zb0006 > z6071ab3flimitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0006 > 0 {
+					zb0006--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "Retire")
@@ -421,18 +438,18 @@
 				if z.Retired == nil {
 					z.Retired = new(RetireStore)
 				}
-				var zb0006 uint32
-				zb0006, err = dc.ReadMapHeader()
+				var zb0007 uint32
+				zb0007, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Retired")
 					return
 				}
-				if zb0006 > z6071ab3flimitMaps {
+				if zb0007 > z6071ab3flimitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0007 > 0 {
+					zb0007--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "Retired")
@@ -529,22 +546,29 @@
 		}
 	} else {
 		// map header, size 1
-		// write "voters"
-		err = en.Append(0x81, 0xa6, 0x76, 0x6f, 0x74, 0x65, 0x72, 0x73)
+		// write "groups"
+		err = en.Append(0x81, 0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Form.Voters)))
+		err = en.WriteArrayHeader(uint32(len(z.Form.Groups)))
 		if err != nil {
-			err = msgp.WrapError(err, "Form", "Voters")
+			err = msgp.WrapError(err, "Form", "Groups")
 			return
 		}
-		for za0001 := range z.Form.Voters {
-			err = z.Form.Voters[za0001].EncodeMsg(en)
+		for za0001 := range z.Form.Groups {
+			err = en.WriteArrayHeader(uint32(len(z.Form.Groups[za0001])))
 			if err != nil {
-				err = msgp.WrapError(err, "Form", "Voters", za0001)
+				err = msgp.WrapError(err, "Form", "Groups", za0001)
 				return
 			}
+			for za0002 := range z.Form.Groups[za0001] {
+				err = z.Form.Groups[za0001][za0002].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Form", "Groups", za0001, za0002)
+					return
+				}
+			}
 		}
 	}
 	// write "retire"
@@ -642,14 +666,17 @@
 		o = msgp.AppendNil(o)
 	} else {
 		// map header, size 1
-		// string "voters"
-		o = append(o, 0x81, 0xa6, 0x76, 0x6f, 0x74, 0x65, 0x72, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Form.Voters)))
-		for za0001 := range z.Form.Voters {
-			o, err = z.Form.Voters[za0001].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Form", "Voters", za0001)
-				return
+		// string "groups"
+		o = append(o, 0x81, 0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Form.Groups)))
+		for za0001 := range z.Form.Groups {
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Form.Groups[za0001])))
+			for za0002 := range z.Form.Groups[za0001] {
+				o, err = z.Form.Groups[za0001][za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Form", "Groups", za0001, za0002)
+					return
+				}
 			}
 		}
 	}
@@ -821,28 +848,45 @@
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "voters":
+					case "groups":
 						var zb0006 uint32
 						zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Form", "Voters")
+							err = msgp.WrapError(err, "Form", "Groups")
 							return
 						}
 						if zb0006 > z6071ab3flimitArrays {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if cap(z.Form.Voters) >= int(zb0006) {
-							z.Form.Voters = (z.Form.Voters)[:zb0006]
+						if cap(z.Form.Groups) >= int(zb0006) {
+							z.Form.Groups = (z.Form.Groups)[:zb0006]
 						} else {
-							z.Form.Voters = make([]Replica, zb0006)
+							z.Form.Groups = make([][]Replica, zb0006)
 						}
-						for za0001 := range z.Form.Voters {
-							bts, err = z.Form.Voters[za0001].UnmarshalMsg(bts)
+						for za0001 := range z.Form.Groups {
+							var zb0007 uint32
+							zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 							if err != nil {
-								err = msgp.WrapError(err, "Form", "Voters", za0001)
+								err = msgp.WrapError(err, "Form", "Groups", za0001)
+								return
+							}
+							if zb0007 > z6071ab3flimitArrays {
+								err = msgp.ErrLimitExceeded
 								return
 							}
+							if cap(z.Form.Groups[za0001]) >= int(zb0007) {
+								z.Form.Groups[za0001] = (z.Form.Groups[za0001])[:zb0007]
+							} else {
+								z.Form.Groups[za0001] = make([]Replica, zb0007)
+							}
+							for za0002 := range z.Form.Groups[za0001] {
+								bts, err = z.Form.Groups[za0001][za0002].UnmarshalMsg(bts)
+								if err != nil {
+									err = msgp.WrapError(err, "Form", "Groups", za0001, za0002)
+									return
+								}
+							}
 						}
 					default:
 						bts, err = msgp.Skip(bts)
@@ -864,18 +908,18 @@
 				if z.Retire == nil {
 					z.Retire = new(RetireStore)
 				}
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Retire")
 					return
 				}
-				if zb0007 > z6071ab3flimitMaps {
+				if zb0008 > z6071ab3flimitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0008 > 0 {
+					zb0008--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Retire")
@@ -914,18 +958,18 @@
 				if z.Retired == nil {
 					z.Retired = new(RetireStore)
 				}
-				var zb0008 uint32
-				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Retired")
 					return
 				}
-				if zb0008 > z6071ab3flimitMaps {
+				if zb0009 > z6071ab3flimitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0008 > 0 {
-					zb0008--
+				for zb0009 > 0 {
+					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Retired")
@@ -978,8 +1022,11 @@
 		s += msgp.NilSize
 	} else {
 		s += 1 + 7 + msgp.ArrayHeaderSize
-		for za0001 := range z.Form.Voters {
-			s += z.Form.Voters[za0001].Msgsize()
+		for za0001 := range z.Form.Groups {
+			s += msgp.ArrayHeaderSize
+			for za0002 := range z.Form.Groups[za0001] {
+				s += z.Form.Groups[za0001][za0002].Msgsize()
+			}
 		}
 	}
 	s += 7
@@ -1409,35 +1456,52 @@
 			if cap(z.Initial) >= int(zb0009) {
 				z.Initial = (z.Initial)[:zb0009]
 			} else {
-				z.Initial = make([]Replica, zb0009)
+				z.Initial = make([][]Replica, zb0009)
 			}
 			for za0006 := range z.Initial {
-				err = z.Initial[za0006].DecodeMsg(dc)
+				var zb0010 uint32
+				zb0010, err = dc.ReadArrayHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Initial", za0006)
 					return
 				}
+				if zb0010 > z6071ab3flimitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if cap(z.Initial[za0006]) >= int(zb0010) {
+					z.Initial[za0006] = (z.Initial[za0006])[:zb0010]
+				} else {
+					z.Initial[za0006] = make([]Replica, zb0010)
+				}
+				for za0007 := range z.Initial[za0006] {
+					err = z.Initial[za0006][za0007].DecodeMsg(dc)
+					if err != nil {
+						err = msgp.WrapError(err, "Initial", za0006, za0007)
+						return
+					}
+				}
 			}
 		case "retiring":
-			var zb0010 uint32
-			zb0010, err = dc.ReadArrayHeader()
+			var zb0011 uint32
+			zb0011, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Retiring")
 				return
 			}
-			if zb0010 > z6071ab3flimitArrays {
+			if zb0011 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Retiring) >= int(zb0010) {
-				z.Retiring = (z.Retiring)[:zb0010]
+			if cap(z.Retiring) >= int(zb0011) {
+				z.Retiring = (z.Retiring)[:zb0011]
 			} else {
-				z.Retiring = make([]string, zb0010)
+				z.Retiring = make([]string, zb0011)
 			}
-			for za0007 := range z.Retiring {
-				z.Retiring[za0007], err = dc.ReadString()
+			for za0008 := range z.Retiring {
+				z.Retiring[za0008], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Retiring", za0007)
+					err = msgp.WrapError(err, "Retiring", za0008)
 					return
 				}
 			}
@@ -1601,11 +1665,18 @@
 		return
 	}
 	for za0006 := range z.Initial {
-		err = z.Initial[za0006].EncodeMsg(en)
+		err = en.WriteArrayHeader(uint32(len(z.Initial[za0006])))
 		if err != nil {
 			err = msgp.WrapError(err, "Initial", za0006)
 			return
 		}
+		for za0007 := range z.Initial[za0006] {
+			err = z.Initial[za0006][za0007].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Initial", za0006, za0007)
+				return
+			}
+		}
 	}
 	// write "retiring"
 	err = en.Append(0xa8, 0x72, 0x65, 0x74, 0x69, 0x72, 0x69, 0x6e, 0x67)
@@ -1617,10 +1688,10 @@
 		err = msgp.WrapError(err, "Retiring")
 		return
 	}
-	for za0007 := range z.Retiring {
-		err = en.WriteString(z.Retiring[za0007])
+	for za0008 := range z.Retiring {
+		err = en.WriteString(z.Retiring[za0008])
 		if err != nil {
-			err = msgp.WrapError(err, "Retiring", za0007)
+			err = msgp.WrapError(err, "Retiring", za0008)
 			return
 		}
 	}
@@ -1684,17 +1755,20 @@
 	o = append(o, 0xa7, 0x69, 0x6e, 0x69, 0x74, 0x69, 0x61, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Initial)))
 	for za0006 := range z.Initial {
-		o, err = z.Initial[za0006].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Initial", za0006)
-			return
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Initial[za0006])))
+		for za0007 := range z.Initial[za0006] {
+			o, err = z.Initial[za0006][za0007].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Initial", za0006, za0007)
+				return
+			}
 		}
 	}
 	// string "retiring"
 	o = append(o, 0xa8, 0x72, 0x65, 0x74, 0x69, 0x72, 0x69, 0x6e, 0x67)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Retiring)))
-	for za0007 := range z.Retiring {
-		o = msgp.AppendString(o, z.Retiring[za0007])
+	for za0008 := range z.Retiring {
+		o = msgp.AppendString(o, z.Retiring[za0008])
 	}
 	return
 }
@@ -1898,35 +1972,52 @@
 			if cap(z.Initial) >= int(zb0009) {
 				z.Initial = (z.Initial)[:zb0009]
 			} else {
-				z.Initial = make([]Replica, zb0009)
+				z.Initial = make([][]Replica, zb0009)
 			}
 			for za0006 := range z.Initial {
-				bts, err = z.Initial[za0006].UnmarshalMsg(bts)
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Initial", za0006)
 					return
 				}
+				if zb0010 > z6071ab3flimitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if cap(z.Initial[za0006]) >= int(zb0010) {
+					z.Initial[za0006] = (z.Initial[za0006])[:zb0010]
+				} else {
+					z.Initial[za0006] = make([]Replica, zb0010)
+				}
+				for za0007 := range z.Initial[za0006] {
+					bts, err = z.Initial[za0006][za0007].UnmarshalMsg(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Initial", za0006, za0007)
+						return
+					}
+				}
 			}
 		case "retiring":
-			var zb0010 uint32
-			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Retiring")
 				return
 			}
-			if zb0010 > z6071ab3flimitArrays {
+			if zb0011 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Retiring) >= int(zb0010) {
-				z.Retiring = (z.Retiring)[:zb0010]
+			if cap(z.Retiring) >= int(zb0011) {
+				z.Retiring = (z.Retiring)[:zb0011]
 			} else {
-				z.Retiring = make([]string, zb0010)
+				z.Retiring = make([]string, zb0011)
 			}
-			for za0007 := range z.Retiring {
-				z.Retiring[za0007], bts, err = msgp.ReadStringBytes(bts)
+			for za0008 := range z.Retiring {
+				z.Retiring[za0008], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Retiring", za0007)
+					err = msgp.WrapError(err, "Retiring", za0008)
 					return
 				}
 			}
@@ -1965,11 +2056,14 @@
 	}
 	s += 6 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
 	for za0006 := range z.Initial {
-		s += z.Initial[za0006].Msgsize()
+		s += msgp.ArrayHeaderSize
+		for za0007 := range z.Initial[za0006] {
+			s += z.Initial[za0006][za0007].Msgsize()
+		}
 	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0007 := range z.Retiring {
-		s += msgp.StringPrefixSize + len(z.Retiring[za0007])
+	for za0008 := range z.Retiring {
+		s += msgp.StringPrefixSize + len(z.Retiring[za0008])
 	}
 	return
 }
@@ -1996,28 +2090,45 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "voters":
+		case "groups":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Voters")
+				err = msgp.WrapError(err, "Groups")
 				return
 			}
 			if zb0002 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Voters) >= int(zb0002) {
-				z.Voters = (z.Voters)[:zb0002]
+			if cap(z.Groups) >= int(zb0002) {
+				z.Groups = (z.Groups)[:zb0002]
 			} else {
-				z.Voters = make([]Replica, zb0002)
+				z.Groups = make([][]Replica, zb0002)
 			}
-			for za0001 := range z.Voters {
-				err = z.Voters[za0001].DecodeMsg(dc)
+			for za0001 := range z.Groups {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Voters", za0001)
+					err = msgp.WrapError(err, "Groups", za0001)
 					return
 				}
+				if zb0003 > z6071ab3flimitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if cap(z.Groups[za0001]) >= int(zb0003) {
+					z.Groups[za0001] = (z.Groups[za0001])[:zb0003]
+				} else {
+					z.Groups[za0001] = make([]Replica, zb0003)
+				}
+				for za0002 := range z.Groups[za0001] {
+					err = z.Groups[za0001][za0002].DecodeMsg(dc)
+					if err != nil {
+						err = msgp.WrapError(err, "Groups", za0001, za0002)
+						return
+					}
+				}
 			}
 		default:
 			err = dc.Skip()
@@ -2033,22 +2144,29 @@
 // EncodeMsg implements msgp.Encodable
 func (z *FormStores) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 1
-	// write "voters"
-	err = en.Append(0x81, 0xa6, 0x76, 0x6f, 0x74, 0x65, 0x72, 0x73)
+	// write "groups"
+	err = en.Append(0x81, 0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Voters)))
+	err = en.WriteArrayHeader(uint32(len(z.Groups)))
 	if err != nil {
-		err = msgp.WrapError(err, "Voters")
+		err = msgp.WrapError(err, "Groups")
 		return
 	}
-	for za0001 := range z.Voters {
-		err = z.Voters[za0001].EncodeMsg(en)
+	for za0001 := range z.Groups {
+		err = en.WriteArrayHeader(uint32(len(z.Groups[za0001])))
 		if err != nil {
-			err = msgp.WrapError(err, "Voters", za0001)
+			err = msgp.WrapError(err, "Groups", za0001)
 			return
 		}
+		for za0002 := range z.Groups[za0001] {
+			err = z.Groups[za0001][za0002].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Groups", za0001, za0002)
+				return
+			}
+		}
 	}
 	return
 }
@@ -2057,14 +2175,17 @@
 func (z *FormStores) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 1
-	// string "voters"
-	o = append(o, 0x81, 0xa6, 0x76, 0x6f, 0x74, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Voters)))
-	for za0001 := range z.Voters {
-		o, err = z.Voters[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Voters", za0001)
-			return
+	// string "groups"
+	o = append(o, 0x81, 0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
+	for za0001 := range z.Groups {
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Groups[za0001])))
+		for za0002 := range z.Groups[za0001] {
+			o, err = z.Groups[za0001][za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Groups", za0001, za0002)
+				return
+			}
 		}
 	}
 	return
@@ -2092,28 +2213,45 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "voters":
+		case "groups":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Voters")
+				err = msgp.WrapError(err, "Groups")
 				return
 			}
 			if zb0002 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Voters) >= int(zb0002) {
-				z.Voters = (z.Voters)[:zb0002]
+			if cap(z.Groups) >= int(zb0002) {
+				z.Groups = (z.Groups)[:zb0002]
 			} else {
-				z.Voters = make([]Replica, zb0002)
+				z.Groups = make([][]Replica, zb0002)
 			}
-			for za0001 := range z.Voters {
-				bts, err = z.Voters[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Groups {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Voters", za0001)
+					err = msgp.WrapError(err, "Groups", za0001)
+					return
+				}
+				if zb0003 > z6071ab3flimitArrays {
+					err = msgp.ErrLimitExceeded
 					return
 				}
+				if cap(z.Groups[za0001]) >= int(zb0003) {
+					z.Groups[za0001] = (z.Groups[za0001])[:zb0003]
+				} else {
+					z.Groups[za0001] = make([]Replica, zb0003)
+				}
+				for za0002 := range z.Groups[za0001] {
+					bts, err = z.Groups[za0001][za0002].UnmarshalMsg(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Groups", za0001, za0002)
+						return
+					}
+				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -2130,8 +2268,11 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FormStores) Msgsize() (s int) {
 	s = 1 + 7 + msgp.ArrayHeaderSize
-	for za0001 := range z.Voters {
-		s += z.Voters[za0001].Msgsize()
+	for za0001 := range z.Groups {
+		s += msgp.ArrayHeaderSize
+		for za0002 := range z.Groups[za0001] {
+			s += z.Groups[za0001][za0002].Msgsize()
+		}
 	}
 	return
 }
