--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -50,25 +50,14 @@
 
 // SetOthers takes in what other processes have at the workers. A worker that is
 // not named has nothing.
-func (t *Table) SetOthers(now time.Time, loads []wire.WorkerLoad) {
-	byHash := make(map[uint32]wire.WorkerLoad, len(loads))
-	for _, load := range loads {
-		byHash[load.Worker] = load
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	for _, known := range t.workers {
-		known.others = byHash[known.hash]
-		known.othersAt = now
-		known.starts, known.stops = int(known.others.Start), int(known.others.Stop)
-	}
-	t.learn(now)
-}
+func (t *Table) SetOthers(now time.Time, loads []wire.WorkerLoad) { t.takeOthers(now, loads, false) }
 
 // SetSome takes in what other processes have at some of the workers: all of the zone's,
 // of which those that are not named have nothing, and some of the others. What is known
 // of further ones only gets older.
-func (t *Table) SetSome(now time.Time, loads []wire.WorkerLoad) {
+func (t *Table) SetSome(now time.Time, loads []wire.WorkerLoad) { t.takeOthers(now, loads, true) }
+
+func (t *Table) takeOthers(now time.Time, loads []wire.WorkerLoad, some bool) {
 	byHash := make(map[uint32]wire.WorkerLoad, len(loads))
 	for _, load := range loads {
 		byHash[load.Worker] = load
@@ -77,9 +66,11 @@
 	defer t.mutex.Unlock()
 	for _, known := range t.workers {
 		load, named := byHash[known.hash]
-		if named || t.away(known) == 0 {
-			known.others, known.othersAt = load, now
+		if some && !named && t.away(known) != 0 {
+			continue
 		}
+		known.others, known.othersAt = load, now
+		known.starts, known.stops = int(load.Start), int(load.Stop)
 	}
 	t.learn(now)
 }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -25,9 +25,9 @@
 // View is what the leader of one term has seen.
 type View struct {
 	// Term is the leader's term, Number grows with every change of Current.
-	Term      uint64
-	Number    uint64
-	Current   wire.FleetView
+	Term    uint64
+	Number  uint64
+	Current wire.FleetView
 	// workersAt and storesAt are the numbers of the views in which the workers, and
 	// all else but the count of edges, changed last.
 	workersAt uint64
--- a/internal/replication/discovery_test.go
+++ b/internal/replication/discovery_test.go
@@ -122,20 +122,7 @@
 func TestFormByOrder(t *testing.T) {
 	groups := [][]wire.Replica{{replica(1, "a"), replica(2, "b")}, {replica(7, "a"), replica(2, "b")}}
 	for id, want := range map[uint64][2]int{1: {2, 0}, 7: {0, 2}, 9: {0, 0}} {
-		node, err := Open(Options{
-			Store:           storage.NewMemory(),
-			Machines:        []StateMachine{&register{}, &register{}, &register{}},
-			Name:            "a",
-			Address:         "a",
-			Formation:       FormByOrder,
-			NewID:           func() uint64 { return id },
-			ElectionTimeout: time.Second,
-			Random:          rand.New(rand.NewPCG(1, 1)),
-			Send:            func(string, wire.PeerMessage) {},
-		}, time.Unix(0, 0))
-		if err != nil {
-			t.Fatal(err)
-		}
+		node := ordered(t, id, "a", 3)
 		node.Form(time.Unix(1, 0), nil)
 		if node.Hello().Formed {
 			t.Error("an empty order formed a group")
@@ -236,11 +223,15 @@
 }
 
 // ordered opens a node of a cluster formed by order.
-func ordered(t *testing.T, id uint64, name string) *Node {
+func ordered(t *testing.T, id uint64, name string, groups int) *Node {
 	t.Helper()
+	var machines []StateMachine
+	for range groups {
+		machines = append(machines, &register{})
+	}
 	node, err := Open(Options{
 		Store:           storage.NewMemory(),
-		Machines:        []StateMachine{&register{}},
+		Machines:        machines,
 		Name:            name,
 		Address:         name,
 		Formation:       FormByOrder,
@@ -266,7 +257,7 @@
 		listed = append(listed, fmt.Sprintf("p%d", number))
 	}
 	now := time.Unix(1, 0)
-	member, spare := ordered(t, 1, "p1"), ordered(t, 300, "p300")
+	member, spare := ordered(t, 1, "p1", 1), ordered(t, 300, "p300", 1)
 	for _, node := range []*Node{member, spare} {
 		node.ListPeers(now, listed)
 		node.Form(now, [][]wire.Replica{voters})
--- a/internal/replication/repair_test.go
+++ b/internal/replication/repair_test.go
@@ -61,7 +61,7 @@
 // may be lost at once, and no more: each takes the whole log.
 func TestSparesAreAsManyAsLosses(t *testing.T) {
 	for losses, want := range map[int]int{1: 1, 2: 2, 3: 3, 4: maxLearners} {
-		node := ordered(t, 1, "a")
+		node := ordered(t, 1, "a", 1)
 		node.options.MinVoters = 2*losses + 1
 		if got := node.repairPolicy().spares; got != want {
 			t.Errorf("%d spares for %d losses, want %d", got, losses, want)
