An edge asks its zone's hub before it chooses, and tells it what it chose

Hypothesis: with an answer of just now, and each choice told at once, nearly all workers of the zone can be compared, and none waits while another is idle. Bytes stay in the zone; a hub takes some 500 datagrams a second.

Ruled out: the choice at the hub itself (exact, but it would stand in each request's way), shorter pauses (as many bytes and still older news).

Change: Exchange.Ask before each choice (6 ms at most, none where the hub is silent), Tell after it without an answer; unseen requests follow from the age of the news.

--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -13,6 +13,9 @@
 	// leastCompared how many are compared at least.
 	unseenParts   = 4.0
 	leastCompared = 2
+	// leastLag is how old news are at least when they come: a choice is told at once,
+	// and the answer that another one rests on takes as long.
+	leastLag = 5 * time.Millisecond
 )
 
 // drawn returns the workers to compare: some of the zone's and some of the others,
@@ -30,9 +33,9 @@
 	for near < len(fit) && t.away(fit[near]) == 0 {
 		near++
 	}
-	t.compared = append(t.compared[:0], t.sample(now, fit[:near], loadshare.Interval)...)
-	// The sums of other zones come by one report more.
-	t.compared = append(t.compared, t.sample(now, comparable(now, fit[:near], fit[near:]), 2*loadshare.Interval)...)
+	t.compared = append(t.compared[:0], t.sample(now, fit[:near], 0)...)
+	// The sums of other zones come by a report more.
+	t.compared = append(t.compared, t.sample(now, comparable(now, fit[:near], fit[near:]), loadshare.Interval)...)
 	for _, home := range t.homes {
 		if !slices.Contains(t.compared, home) {
 			t.compared = append(t.compared, home)
@@ -67,9 +70,9 @@
 }
 
 // sample brings so many workers, drawn by lot, to the front as are to be compared, and
-// returns them. lag is how old the news of them were when they came.
-func (t *Table) sample(now time.Time, workers []*worker, lag time.Duration) []*worker {
-	count := int(math.Ceil(float64(len(workers)) / (1 + unseen(now, workers, lag)/unseenParts)))
+// returns them. more is what the news of them took longer than those of the zone.
+func (t *Table) sample(now time.Time, workers []*worker, more time.Duration) []*worker {
+	count := int(math.Ceil(float64(len(workers)) / (1 + unseen(now, workers, more)/unseenParts)))
 	if count >= len(workers) {
 		return workers
 	}
@@ -82,8 +85,10 @@
 }
 
 // unseen estimates how many requests have come to the workers that others have not
-// told of yet: those since the last news, which were of some age by then.
-func unseen(now time.Time, workers []*worker, lag time.Duration) float64 {
+// told of yet: those since the last news, which were of some age by then. Where news are
+// asked for before each choice they are fresh, and so is what others told the hub; where
+// they are old, the hub did not answer, or not to others either.
+func unseen(now time.Time, workers []*worker, more time.Duration) float64 {
 	if len(workers) == 0 {
 		return 0
 	}
@@ -94,5 +99,6 @@
 		}
 		age = max(age, now.Sub(candidate.othersAt))
 	}
-	return float64(rateOf(workers)) / rateSeconds * (age + lag).Seconds()
+	lag := min(max(age, leastLag), loadshare.Interval)
+	return float64(rateOf(workers)) / rateSeconds * (age + lag + more).Seconds()
 }
--- a/internal/balance/sample_test.go
+++ b/internal/balance/sample_test.go
@@ -123,3 +123,30 @@
 		t.Errorf("%s was taken, a is idle", lease.Endpoint.ID)
 	}
 }
+
+// TestFreshNewsCompareNearlyAll lets processes choose one after the other, each by news of
+// just now that tell of all before it: the requests spread evenly, because nearly all
+// workers are compared.
+func TestFreshNewsCompareNearlyAll(t *testing.T) {
+	const workers, requests = 20, 80
+	var list []wire.PoolWorker
+	for i := range workers {
+		list = append(list, wire.PoolWorker{ID: fmt.Sprintf("w%d", i), Pool: "p", Zone: "z1", Slots: 8})
+	}
+	online := map[string]uint16{}
+	for process := range requests {
+		var rows []wire.WorkerLoad
+		for _, row := range list {
+			rows = append(rows, wire.WorkerLoad{Worker: loadshare.Hash(row.ID), Online: online[row.ID], Rate: 100})
+		}
+		table := NewTable("z1", rand.New(rand.NewPCG(uint64(process), 1)))
+		table.Update(list, nil)
+		table.SetSome(start, rows)
+		online[table.Acquire(start.Add(time.Millisecond), &Demand{Pool: "p"}).Endpoint.ID]++
+	}
+	for _, row := range list {
+		if count := int(online[row.ID]); count < requests/workers-1 || count > requests/workers+1 {
+			t.Errorf("%s got %d of %d requests", row.ID, count, requests)
+		}
+	}
+}
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -138,7 +138,7 @@
 // answerZone takes in the report of an edge. The lock of the hubs is held.
 func (s *Store) answerZone(now time.Time, report *wire.LoadReport) *wire.LoadReport {
 	s.loads.zone.Take(now, report)
-	if report.Left {
+	if report.Left || report.Quiet {
 		return nil
 	}
 	rows, left := loadshare.Part(s.loads.zone.Others(now, report.Source), report.Zone, s.loads.zoneOf, s.loads.random)
@@ -149,7 +149,7 @@
 // of the hubs is held.
 func (s *Store) answerTop(now time.Time, report *wire.LoadReport) *wire.LoadReport {
 	s.loads.top.Take(now, report)
-	if report.Left {
+	if report.Left || report.Quiet {
 		return nil
 	}
 	answer := &wire.LoadReport{Workers: s.loads.top.Others(now, report.Source), Sources: uint16(s.loads.reporting.Load())}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -112,7 +112,7 @@
 func (c *call) run() {
 	c.arrive()
 	for c.mayTry() {
-		lease := c.edge.workers.Acquire(time.Now(), &c.demand)
+		lease := c.acquire()
 		if lease == nil {
 			c.lastErr = failure.New(failure.NotRun, "try again", "pool %q has no worker for the request", c.demand.Pool)
 			break
@@ -140,6 +140,22 @@
 	c.giveUp()
 }
 
+// newsPatience is how long a request waits for news of the workers before one is chosen:
+// several times what an answer takes within a zone, and nothing beside any goal.
+const newsPatience = 6 * time.Millisecond
+
+// acquire chooses a worker by what the hub of the zone knows now, and tells the hub what
+// came of it, so that the next one to choose knows. Otherwise all edges of a zone choose
+// by news of a report's age, and crowd the workers that looked idle then.
+func (c *call) acquire() *balance.Lease {
+	c.edge.loads.Ask(c.context, newsPatience)
+	lease := c.edge.workers.Acquire(time.Now(), &c.demand)
+	if lease != nil {
+		c.edge.loads.Tell()
+	}
+	return lease
+}
+
 // String returns the outcome as used in logs and metrics.
 func (o outcome) String() string { return [...]string{"delivered", "not_run", "failed"}[o] }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,6 +35,7 @@
 	watcher  *fleetwatch.Watcher
 	workers  *balance.Table
 	upstream *upstream.Client
+	loads    *loadshare.Exchange
 	metrics  *metrics
 	started  time.Time
 
@@ -67,6 +68,7 @@
 	e.Stores = storeclient.New(d.Traffic, config.Zone, func() *wire.FleetView { return &e.watcher.Current().Fleet })
 	e.upstream.Measure(d.Traffic)
 	d.Go(e.watcher.Run)
+	e.loads = e.newLoads()
 	d.Go(e.shareLoads)
 	d.BeforeStop(e.drain)
 	return e
@@ -75,9 +77,16 @@
 // shareLoads tells the hub of the zone what this process has in flight, and learns what
 // the others have.
 func (e *Edge) shareLoads(ctx context.Context) {
+	if err := e.loads.Run(ctx); err != nil {
+		logging.Warn(e.logger, "loads_not_shared", "error", err)
+	}
+}
+
+// newLoads returns the exchange of loads with the hub of the zone.
+func (e *Edge) newLoads() *loadshare.Exchange {
 	source := loadshare.Hash(e.settings.Name)
 	var rate loadshare.Rate
-	err := loadshare.Report(ctx, &loadshare.Reporter{
+	return loadshare.NewExchange(&loadshare.Reporter{
 		Meter: e.daemon.Traffic,
 		Hubs:  func() []string { return loadshare.HubOrder(e.settings.Zone, e.watcher.Current().Fleet.Stores) },
 		Home:  true,
@@ -96,9 +105,6 @@
 			return loadshare.Pause(rate.Add(time.Now(), e.workers.Acquired()), fleet.Edges, len(fleet.Workers))
 		},
 	})
-	if err != nil {
-		logging.Warn(e.logger, "loads_not_shared", "error", err)
-	}
 }
 
 func (e *Edge) report() wire.ProcessReport {
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -67,15 +67,41 @@
 }
 
 // Report tells a hub what this process has, again and again, until ctx ends.
-func Report(ctx context.Context, p *Reporter) error {
+func Report(ctx context.Context, p *Reporter) error { return NewExchange(p).Run(ctx) }
+
+// Exchange tells a hub what a process has, at intervals and whenever it is asked to.
+type Exchange struct {
+	reporter *Reporter
+	began    time.Time
+
+	// mutex guards what follows.
+	mutex   sync.Mutex
+	chooser chooser
+	// socket is nil while Run does not run.
+	socket *net.UDPConn
+	// asked is when a report was sent last that is to be answered, answered is closed
+	// at the next answer.
+	asked    time.Duration
+	answered chan struct{}
+}
+
+// NewExchange returns an exchange; Run runs it.
+func NewExchange(p *Reporter) *Exchange {
+	return &Exchange{reporter: p, began: time.Now(), chooser: chooser{home: p.Home}, answered: make(chan struct{})}
+}
+
+// Run reports at the reporter's pauses until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
 	socket, err := net.ListenUDP("udp", &net.UDPAddr{})
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "free descriptors", "loads can't be told")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
-	r := &reporter{socket: socket, meter: p.Meter, began: time.Now(), chooser: chooser{home: p.Home}}
-	go r.receive(ctx, p.Learn)
+	x.mutex.Lock()
+	x.socket = socket
+	x.mutex.Unlock()
+	go x.receive(ctx, socket)
 	timer := time.NewTimer(Interval)
 	defer timer.Stop()
 	for {
@@ -84,43 +110,75 @@
 			return nil
 		case <-timer.C:
 		}
-		if own := p.Own(); own != nil {
-			r.report(p.Hubs(), own)
-		}
-		timer.Reset(p.Pause())
+		x.report(false)
+		timer.Reset(x.reporter.Pause())
 	}
 }
 
-// reporter sends reports to one hub while it answers.
-type reporter struct {
-	socket *net.UDPConn
-	meter  *traffic.Meter
-	began  time.Time
+// sameAsk is how close together two questions share an answer: less than it takes to
+// come within a zone.
+const sameAsk = time.Millisecond
 
-	// mutex guards the chooser.
-	mutex   sync.Mutex
-	chooser chooser
+// Ask tells the hub what this process has and waits for the answer, for patience at
+// most. It reports whether there was one in time. Where the hub has not answered lately
+// it does not wait.
+func (x *Exchange) Ask(ctx context.Context, patience time.Duration) bool {
+	x.mutex.Lock()
+	now := time.Since(x.began)
+	answered, silent := x.answered, now-x.chooser.heard > Fresh || x.chooser.heard == 0
+	shared := x.asked > 0 && now-x.asked < sameAsk
+	x.mutex.Unlock()
+	if silent {
+		return false
+	}
+	if !shared {
+		x.report(false)
+	}
+	timeout := time.NewTimer(patience)
+	defer timeout.Stop()
+	select {
+	case <-answered:
+		return true
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return false
 }
 
-func (r *reporter) choose(hubs []string) (target, left string) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.chooser.next(time.Since(r.began), hubs)
-}
+// Tell tells the hub what this process has, without an answer.
+func (x *Exchange) Tell() { x.report(true) }
 
-func (r *reporter) report(hubs []string, report *wire.LoadReport) {
-	target, left := r.choose(hubs)
+// report sends a report to the hub chosen, if there is anything to tell. A quiet one is
+// not answered.
+func (x *Exchange) report(quiet bool) {
+	own := x.reporter.Own()
+	if own == nil {
+		return
+	}
+	own.Quiet = quiet
+	hubs := x.reporter.Hubs()
+	x.mutex.Lock()
+	now := time.Since(x.began)
+	target, left := x.chooser.next(now, hubs)
+	if !quiet {
+		x.asked = now
+	}
+	socket := x.socket
+	x.mutex.Unlock()
+	if socket == nil {
+		return
+	}
 	if left != "" {
 		// The hub that is left would count this process until its report is too old.
-		r.send(left, &wire.LoadReport{Source: report.Source, Sums: report.Sums, Left: true})
+		x.send(socket, left, &wire.LoadReport{Source: own.Source, Sums: own.Sums, Left: true})
 	}
 	if target != "" {
-		r.send(target, report)
+		x.send(socket, target, own)
 	}
 }
 
 // send sends a report. One that is lost is made good by the next.
-func (r *reporter) send(target string, report *wire.LoadReport) {
+func (x *Exchange) send(socket *net.UDPConn, target string, report *wire.LoadReport) {
 	encoded, err := report.MarshalMsg(nil)
 	if err != nil {
 		return
@@ -129,37 +187,43 @@
 	if err != nil {
 		return
 	}
-	_, _ = r.socket.WriteToUDP(encoded, address)
-	r.meter.Add(traffic.Loads, target, len(encoded), 0)
+	_, _ = socket.WriteToUDP(encoded, address)
+	x.reporter.Meter.Add(traffic.Loads, target, len(encoded), 0)
 }
 
-func (r *reporter) receive(ctx context.Context, learn func(now time.Time, answer *wire.LoadReport)) {
+func (x *Exchange) receive(ctx context.Context, socket *net.UDPConn) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		count, sender, err := r.socket.ReadFromUDPAddrPort(buffer)
+		count, sender, err := socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			continue
 		}
-		r.meter.Received(traffic.Loads, sender.String(), count)
+		x.reporter.Meter.Received(traffic.Loads, sender.String(), count)
 		report := &wire.LoadReport{}
 		if _, err := report.UnmarshalMsg(buffer[:count]); err != nil {
 			continue
 		}
-		if r.heard(report.Hub) {
-			learn(time.Now(), report)
+		if report.Hub != "" {
+			x.refer(report.Hub)
+			continue
 		}
+		x.reporter.Learn(time.Now(), report)
+		x.heard()
 	}
 }
 
-// heard takes in an answer, and reports whether it is one of a hub rather than one
-// that names another.
-func (r *reporter) heard(hub string) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if hub != "" {
-		r.chooser.refer(hub)
-		return false
-	}
-	r.chooser.answered(time.Since(r.began))
-	return true
+// refer takes in that another process is the hub.
+func (x *Exchange) refer(hub string) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.chooser.refer(hub)
+}
+
+// heard takes in that the hub has answered, and what it said has been learnt.
+func (x *Exchange) heard() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.chooser.answered(time.Since(x.began))
+	close(x.answered)
+	x.answered = make(chan struct{})
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -287,3 +287,89 @@
 		}
 	})
 }
+
+// TestAskedBeforeTold lets a hub answer what it is asked: who asks knows what others had
+// told by then, quiet reports count without an answer, and a silent hub holds nobody up.
+func TestAskedBeforeTold(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() { cancel(); running.Wait() })
+	address := freeUDP(t)
+	hub, quiet := NewHub(), 0
+	var mutex sync.Mutex
+	silent := false
+	running.Go(func() {
+		_ = Serve(ctx, address, func(told *wire.LoadReport) *wire.LoadReport {
+			mutex.Lock()
+			defer mutex.Unlock()
+			hub.Take(time.Now(), told)
+			if told.Quiet {
+				quiet++
+			}
+			if told.Quiet || silent {
+				return nil
+			}
+			return &wire.LoadReport{Workers: hub.Others(time.Now(), told.Source)}
+		})
+	})
+	var online [3]uint16
+	var seen [3]uint16
+	var exchanges [3]*Exchange
+	for i := range exchanges {
+		exchanges[i] = NewExchange(&Reporter{
+			Hubs: func() []string { return []string{address} },
+			Own: func() *wire.LoadReport {
+				mutex.Lock()
+				defer mutex.Unlock()
+				return report(uint32(i+1), 7, online[i])
+			},
+			Learn: func(_ time.Time, answer *wire.LoadReport) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				seen[i] = 0
+				for _, row := range answer.Workers {
+					seen[i] = row.Online
+				}
+			},
+			Pause: func() time.Duration { return Interval },
+		})
+		running.Go(func() { _ = exchanges[i].Run(ctx) })
+	}
+	// Nothing below rests on how long anything takes: a wait for a silent hub would not end.
+	const patience = time.Hour
+	knows := func(i int, want uint16) bool {
+		if !exchanges[i].Ask(ctx, patience) {
+			return false
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		return seen[i] == want
+	}
+	for i := range exchanges {
+		for !knows(i, 0) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	mutex.Lock()
+	online[0] = 5
+	mutex.Unlock()
+	exchanges[0].Tell()
+	for !knows(1, 5) {
+		time.Sleep(time.Millisecond)
+	}
+	mutex.Lock()
+	silent = true
+	mutex.Unlock()
+	for exchanges[2].Ask(ctx, time.Millisecond) {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(Fresh)
+	if exchanges[2].Ask(ctx, patience) {
+		t.Error("a silent hub has answered")
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	if quiet == 0 {
+		t.Error("nobody told without asking")
+	}
+}
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -22,6 +22,8 @@
 	Sums bool
 	// Left is set in the last report to a hub: the sender reports elsewhere now.
 	Left bool
+	// Quiet is set in reports that are not to be answered.
+	Quiet bool
 	// Zone is set in reports of processes that serve callers: the zone whose workers
 	// they are told of each time.
 	Zone string
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -196,8 +196,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Source, err = dc.ReadUint32()
@@ -266,6 +266,11 @@
 		err = msgp.WrapError(err, "Left")
 		return
 	}
+	z.Quiet, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Quiet")
+		return
+	}
 	z.Zone, err = dc.ReadString()
 	if err != nil {
 		err = msgp.WrapError(err, "Zone")
@@ -281,8 +286,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 10
-	err = en.Append(0x9a)
+	// array header, size 11
+	err = en.Append(0x9b)
 	if err != nil {
 		return
 	}
@@ -340,6 +345,11 @@
 		err = msgp.WrapError(err, "Left")
 		return
 	}
+	err = en.WriteBool(z.Quiet)
+	if err != nil {
+		err = msgp.WrapError(err, "Quiet")
+		return
+	}
 	err = en.WriteString(z.Zone)
 	if err != nil {
 		err = msgp.WrapError(err, "Zone")
@@ -356,8 +366,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint32(o, z.Source)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
 	for za0001 := range z.Workers {
@@ -380,6 +390,7 @@
 	}
 	o = msgp.AppendBool(o, z.Sums)
 	o = msgp.AppendBool(o, z.Left)
+	o = msgp.AppendBool(o, z.Quiet)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendBool(o, z.Part)
 	return
@@ -393,8 +404,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Source, bts, err = msgp.ReadUint32Bytes(bts)
@@ -463,6 +474,11 @@
 		err = msgp.WrapError(err, "Left")
 		return
 	}
+	z.Quiet, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Quiet")
+		return
+	}
 	z.Zone, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Zone")
@@ -487,7 +503,7 @@
 	for za0002 := range z.Groups {
 		s += z.Groups[za0002].Msgsize()
 	}
-	s += msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.BoolSize
+	s += msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.BoolSize
 	return
 }
 
