--- a/cmd/sedgemast-lab/main.go
+++ b/cmd/sedgemast-lab/main.go
@@ -21,6 +21,7 @@
 	Scale         *scaleCommand         `arg:"subcommand:scale" help:"measure a fleet of hollow daemons beside real processes"`
 	Experiment    *experimentCommand    `arg:"subcommand:experiment" help:"measure ways of sharing the fleet side by side, in virtual time"`
 	CheckRecord   *checkRecordCommand   `arg:"subcommand:check-record" help:"check the promises over the logs of a real run"`
+	Summarize     *summarizeCommand     `arg:"subcommand:summarize" help:"show by second what happened in a real run, and its bytes by kind of message"`
 	Prove         *proveCommand         `arg:"subcommand:prove" help:"show that every promise holds under its faults, and that its check turns red without its mechanism"`
 }
 
@@ -56,6 +57,8 @@
 		command.Exit(runExperiment(args.Experiment))
 	case args.CheckRecord != nil:
 		command.Exit(runCheckRecord(args.CheckRecord))
+	case args.Summarize != nil:
+		command.Exit(runSummarize(args.Summarize))
 	case args.Prove != nil:
 		command.Exit(runProve(args.Prove))
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -29,6 +29,13 @@
 // Text returns a field; empty if the event lacks it.
 func (e *Event) Text(field string) string { return e.fields[field] }
 
+// Each calls visit with every field, in no order.
+func (e *Event) Each(visit func(field, value string)) {
+	for field, value := range e.fields {
+		visit(field, value)
+	}
+}
+
 // Number returns a field as a number; zero if the event lacks it.
 func (e *Event) Number(field string) uint64 {
 	value, err := strconv.ParseUint(e.fields[field], 10, 64)
