A zone's hub takes its sums back once nobody reports there any more

Red before: TestZonesKnowWhatOneHubKnows.

Ruled out: the mover's own farewell (it was taken in at the zone's hub).

Change: one last report without rows that says the hub has left. The check has three mutations, each red (TestZoneChecksTurnRed).

--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -39,8 +39,10 @@
 	watched map[uint32]*watched
 	// above is what the hub above told at aboveAt: the loads of all who don't
 	// report here, and what it knows of the workers.
-	above     map[uint32]wire.WorkerLoad
-	aboveAt   time.Time
+	above   map[uint32]wire.WorkerLoad
+	aboveAt time.Time
+	// toldAbove is set while the hub above counts this one's sums.
+	toldAbove bool
 	expireDue time.Time
 }
 
--- a/internal/loadshare/sums.go
+++ b/internal/loadshare/sums.go
@@ -30,8 +30,8 @@
 }
 
 // Sums returns the sums over all who report here, and what they saw of the workers
-// since the last call, as one report under the name. It returns nil while nobody
-// reports and nothing was seen.
+// since the last call, as one report under the name. Once nobody reports any more it
+// returns a last report, which takes back the sums told before, and then nil.
 func (h *Hub) Sums(now time.Time, name uint32) *wire.LoadReport {
 	h.expire(now)
 	loads := make(map[uint32]wire.WorkerLoad, len(h.totals))
@@ -53,7 +53,17 @@
 		known.gathered = gathered{}
 	}
 	if len(h.sources) == 0 && len(loads) == 0 {
-		return nil
+		return h.leave(name)
 	}
+	h.toldAbove = true
 	return &wire.LoadReport{Source: name, Workers: listed(loads), Sources: clamp16(h.Sources(now)), Sums: true}
 }
+
+// leave returns the report that takes back what was told above, or nil if nothing was.
+func (h *Hub) leave(name uint32) *wire.LoadReport {
+	if !h.toldAbove {
+		return nil
+	}
+	h.toldAbove = false
+	return &wire.LoadReport{Source: name, Sums: true, Left: true}
+}
--- a/internal/loadshare/sums_test.go
+++ b/internal/loadshare/sums_test.go
@@ -1,11 +1,14 @@
 package loadshare
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -28,14 +31,18 @@
 func (z *zones) name(zone int) uint32 { return uint32(1000 + zone) }
 
 // exchange lets each zone tell its sums, and then hear of the others.
-func (z *zones) exchange(now time.Time) {
+func (z *zones) exchange(now time.Time, mutation string) {
 	for i, hub := range z.hubs {
 		if sums := hub.Sums(now, z.name(i)); sums != nil {
 			z.top.Take(now, sums)
 		}
 	}
 	for i, hub := range z.hubs {
-		hub.SetAbove(now, z.top.Others(now, z.name(i)))
+		except := z.name(i)
+		if mutation == "own sums come back" {
+			except = 0
+		}
+		hub.SetAbove(now, z.top.Others(now, except))
 	}
 }
 
@@ -54,15 +61,39 @@
 // exchanged their sums, every process is told just what a single hub would tell it:
 // no report is missed, and none counts twice.
 func TestZonesKnowWhatOneHubKnows(t *testing.T) {
+	if err := playZones(""); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestZoneChecksTurnRed takes mechanisms away: the check notices each.
+func TestZoneChecksTurnRed(t *testing.T) {
+	for _, mutation := range []string{"own sums come back", "who leaves is not told of", "the top hub is not heard"} {
+		if playZones(mutation) == nil {
+			t.Errorf("nothing is noticed: %s", mutation)
+		}
+	}
+}
+
+// playZones lets processes report to the hubs of their zones and to a single hub, move
+// to other zones' hubs now and then, and compares what they are told.
+func playZones(mutation string) error {
 	random := rand.New(rand.NewPCG(7, 7))
 	z, now := newZones(), start
 	const processes = 12
+	at := map[uint32]int{}
 	for step := range 500 {
 		now = now.Add(time.Duration(random.IntN(int(Fresh / 2))))
 		for process := range uint32(processes) {
 			if random.IntN(3) == 0 {
 				continue
 			}
+			if random.IntN(10) == 0 {
+				if mutation != "who leaves is not told of" {
+					z.hubs[at[process]].Take(now, &wire.LoadReport{Source: process + 1, Left: true})
+				}
+				at[process] = random.IntN(len(z.hubs))
+			}
 			report := &wire.LoadReport{Source: process + 1}
 			for worker := range uint32(5) {
 				if random.IntN(2) == 0 {
@@ -70,25 +101,26 @@
 				}
 			}
 			z.single.Take(now, report)
-			z.hubs[process%3].Take(now, report)
+			z.hubs[at[process]].Take(now, report)
 		}
 		for _, hub := range append([]*Hub{z.single, z.top}, z.hubs[:]...) {
 			hub.expireDue = time.Time{}
 		}
-		z.exchange(now)
+		if mutation != "the top hub is not heard" {
+			z.exchange(now, mutation)
+		}
 		for process := range uint32(processes) {
 			want := online(z.single.Others(now, process+1))
-			got := online(z.hubs[process%3].Others(now, process+1))
-			for worker := range uint32(5) {
-				if got[worker] != want[worker] {
-					t.Fatalf("step %d: process %d is told of %d at worker %d, want %d", step, process, got[worker], worker, want[worker])
-				}
+			got := online(z.hubs[at[process]].Others(now, process+1))
+			if !maps.Equal(got, want) {
+				return errors.Newf("step %d: process %d is told of %v, want %v", step, process, got, want)
 			}
 		}
 		if got, want := z.top.Sources(now), z.single.Sources(now); got != want {
-			t.Fatalf("step %d: %d processes report, want %d", step, got, want)
+			return errors.Newf("step %d: %d processes report, want %d", step, got, want)
 		}
 	}
+	return nil
 }
 
 // TestSilentProcessAgesOutEverywhere lets a process fall silent: within Fresh of its
@@ -96,13 +128,13 @@
 func TestSilentProcessAgesOutEverywhere(t *testing.T) {
 	z, now := newZones(), start
 	z.hubs[0].Take(now, report(1, 7, 3))
-	z.exchange(now)
+	z.exchange(now, "")
 	if got := online(z.hubs[1].Others(now, 0)); got[7] != 3 {
 		t.Fatalf("another zone is told %v", got)
 	}
 	for range int(2*Fresh/Interval) + 1 {
 		now = now.Add(Interval)
-		z.exchange(now)
+		z.exchange(now, "")
 	}
 	for i, hub := range z.hubs {
 		if got := online(hub.Others(now, 0)); len(got) != 0 {
@@ -116,7 +148,7 @@
 func TestZoneGoesOnWithoutTheTop(t *testing.T) {
 	z, now := newZones(), start
 	z.hubs[1].Take(now, report(2, 7, 2))
-	z.exchange(now)
+	z.exchange(now, "")
 	for range 20 {
 		now = now.Add(Interval)
 		z.hubs[0].Take(now, paced(1, 1, 5, 500))
