ratelimit: one bucket per tenant, kept by a top and worked on by hubs of zones

Cause: a tenant's rate and burst hold over all edges, and nothing kept them. Weighed: an even share of each edge (refuses nearly all of a small tenant), shares by demand (come after a wave has begun), counts told afterwards (overdrawn by the age of the news).

--- /dev/null
+++ b/internal/ratelimit/ratelimit_test.go
@@ -0,0 +1,510 @@
+package ratelimit
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/proptest"
+)
+
+var (
+	start     = time.Unix(1000, 0)
+	tolerance = Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
+)
+
+// tenant is the tenant of the tests.
+const tenant = Tenant(7)
+
+func limits(limit Limit) map[Tenant]Limit { return map[Tenant]Limit{tenant: limit} }
+
+// allowed is how many requests may pass in a window.
+func allowed(limit Limit) float64 {
+	return (limit.Rate*tolerance.Window.Seconds()+limit.Burst)*(1+tolerance.Excess) + tolerance.Slack
+}
+
+// fleet is a top and the hubs of three zones, with a network that loses, delays and
+// repeats. Times between messages are those of real processes.
+type fleet struct {
+	random *rand.Rand
+	now    time.Time
+	limit  Limit
+	top    *Top
+	epoch  uint32
+	// topUp is from when on there is a top.
+	topUp    time.Time
+	hubs     []*Hub
+	zones    []string
+	nextDue  []time.Time
+	cutUntil []time.Time
+	downTil  []time.Time
+	loss     float64
+	messages []message
+	tickets  uint64
+	passed   []time.Time
+	// doubled counts questions that came twice and got two answers.
+	doubled int
+}
+
+// message is a call that comes to a side at a time.
+type message struct {
+	at      time.Time
+	deliver func()
+}
+
+const (
+	hubs         = 3
+	step         = 5 * time.Millisecond
+	reportPeriod = 50 * time.Millisecond
+)
+
+func newFleet(random *rand.Rand, limit Limit) *fleet {
+	f := &fleet{random: random, now: start, limit: limit, topUp: start, nextDue: make([]time.Time, hubs), cutUntil: make([]time.Time, hubs), downTil: make([]time.Time, hubs), zones: []string{"a", "b", "c"}}
+	f.newTop()
+	for range hubs {
+		f.hubs = append(f.hubs, nil)
+	}
+	for i := range hubs {
+		f.newHub(i)
+	}
+	return f
+}
+
+// loseTop takes the top away; another one begins after the pause.
+func (f *fleet) loseTop(pause time.Duration) {
+	f.topUp = f.now.Add(pause)
+	f.top = nil
+}
+
+func (f *fleet) newTop() {
+	f.epoch++
+	f.top = NewTop(f.now, f.epoch, tolerance)
+	f.top.SetLimits(limits(f.limit), hubs)
+}
+
+func (f *fleet) newHub(i int) {
+	f.epoch++
+	f.hubs[i] = NewHub(f.now, f.epoch, tolerance)
+	f.hubs[i].SetLimits(limits(f.limit), hubs)
+}
+
+func (f *fleet) setLimit(limit Limit) {
+	f.limit = limit
+	if f.top != nil {
+		f.top.SetLimits(limits(limit), hubs)
+	}
+	for _, h := range f.hubs {
+		h.SetLimits(limits(limit), hubs)
+	}
+}
+
+// send delivers a message after a while, perhaps never, perhaps twice.
+func (f *fleet) send(deliver func()) {
+	for copies := 1; copies > 0; copies-- {
+		if f.random.Float64() < f.loss {
+			continue
+		}
+		delay := time.Duration(1+f.random.Intn(4)) * time.Millisecond
+		if f.random.Float64() < f.loss {
+			delay += time.Duration(f.random.Intn(120)) * time.Millisecond
+			copies++
+		}
+		f.messages = append(f.messages, message{f.now.Add(delay), deliver})
+	}
+}
+
+func (f *fleet) reach(i int) bool {
+	return f.now.After(f.cutUntil[i]) && f.now.After(f.downTil[i]) && f.top != nil && !f.now.Before(f.topUp)
+}
+
+// tick lets a step of time pass: messages come, hubs report.
+func (f *fleet) tick() {
+	f.now = f.now.Add(step)
+	if f.top == nil && !f.now.Before(f.topUp) {
+		f.newTop()
+	}
+	due := f.messages
+	f.messages = nil
+	for _, m := range due {
+		if m.at.After(f.now) {
+			f.messages = append(f.messages, m)
+			continue
+		}
+		m.deliver()
+	}
+	for i := range f.hubs {
+		if f.now.Before(f.nextDue[i]) || !f.now.After(f.downTil[i]) {
+			continue
+		}
+		f.nextDue[i] = f.now.Add(reportPeriod)
+		f.report(i)
+	}
+}
+
+func (f *fleet) report(i int) {
+	h, top := f.hubs[i], f.top
+	news := h.Report(f.now)
+	if !f.reach(i) {
+		return
+	}
+	f.send(func() {
+		if f.top != top || !f.reach(i) {
+			return
+		}
+		answer := top.Take(f.now, uint32(i+1), f.zones[i], news)
+		f.send(func() {
+			if f.hubs[i] == h && f.reach(i) {
+				h.Learn(f.now, answer)
+			}
+		})
+	})
+}
+
+// ask sends a request by way of a hub and reports whether it passed.
+func (f *fleet) ask(i int) Verdict {
+	f.tickets++
+	verdict := f.hubs[i].Take(f.now, f.tickets, tenant)
+	if f.random.Float64() < f.loss {
+		// The same question again, because the answer was late.
+		again := f.hubs[i].Take(f.now, f.tickets, tenant)
+		if again != verdict && !verdict.Unsure {
+			f.doubled++
+		}
+	}
+	if verdict.Granted {
+		f.passed = append(f.passed, f.now)
+	}
+	return verdict
+}
+
+// most returns the most requests that passed in any window.
+func (f *fleet) most() int {
+	most, from := 0, 0
+	for to := range f.passed {
+		for f.passed[to].Sub(f.passed[from]) > tolerance.Window {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+// draw makes up a limit: many tenants are small, a few large.
+func draw(random *rand.Rand) Limit {
+	rate := math.Exp(random.Float64() * math.Log(300))
+	return Limit{Rate: rate, Burst: rate * (0.3 + random.Float64())}
+}
+
+// TestSumStaysWithin floods all hubs with requests while messages are lost, late and
+// doubled, hubs are cut off, frozen and replaced and the top goes and comes: no window
+// holds more than the limit with its tolerance.
+func TestSumStaysWithin(t *testing.T) {
+	proptest.Run(t, "sum", func(random *rand.Rand) error {
+		return flood(random)
+	})
+}
+
+func flood(random *rand.Rand) error {
+	limit := draw(random)
+	f := newFleet(random, limit)
+	f.loss = random.Float64() * 0.3
+	weights := [hubs]float64{random.Float64(), random.Float64(), random.Float64()}
+	demand := limit.Rate * (0.5 + 6*random.Float64())
+	for f.now.Sub(start) < 14*time.Second {
+		f.tick()
+		f.disturb()
+		if random.Intn(300) == 0 {
+			weights = [hubs]float64{random.Float64(), random.Float64(), random.Float64()}
+			demand = limit.Rate * (0.5 + 6*random.Float64())
+		}
+		for i := range hubs {
+			if !f.now.After(f.downTil[i]) {
+				continue
+			}
+			want := demand * weights[i] * step.Seconds()
+			for want > 0 && random.Float64() < want {
+				f.ask(i)
+				want--
+			}
+		}
+	}
+	if most := f.most(); float64(most) > allowed(limit) {
+		return errors.Newf("%d requests passed in a window, %.1f may (%+v)", most, allowed(limit), limit)
+	}
+	if f.doubled > 0 {
+		return errors.Newf("%d questions that came twice got two answers", f.doubled)
+	}
+	return nil
+}
+
+// disturb brings about a fault now and then: at most one of the hubs at a time is cut off
+// or replaced, and the top goes for a while.
+func (f *fleet) disturb() {
+	if f.random.Intn(400) != 0 {
+		return
+	}
+	for i := range hubs {
+		if !f.now.After(f.cutUntil[i]) || !f.now.After(f.downTil[i]) {
+			return
+		}
+	}
+	i := f.random.Intn(hubs)
+	pause := time.Duration(f.random.Intn(3000)) * time.Millisecond
+	switch f.random.Intn(4) {
+	case 0:
+		f.cutUntil[i] = f.now.Add(pause)
+	case 1:
+		f.downTil[i] = f.now.Add(pause)
+		f.newHub(i)
+	case 2:
+		// Frozen: it goes on as it was.
+		f.downTil[i] = f.now.Add(pause)
+	case 3:
+		f.loseTop(pause)
+	}
+}
+
+// TestMutationsAreSeen takes a mechanism away: the check of the sum must see it.
+func TestMutationsAreSeen(t *testing.T) {
+	for name, harm := range map[string]func(*fleet){
+		"hubs that never hear the top and think the bucket theirs alone": func(f *fleet) {
+			f.loseTop(time.Hour)
+			for _, h := range f.hubs {
+				h.SetLimits(limits(f.limit), 1)
+			}
+		},
+		"hubs that each know a limit of their own": func(f *fleet) {
+			for i, h := range f.hubs {
+				h.SetLimits(limits(Limit{Rate: f.limit.Rate * float64(2+i), Burst: f.limit.Burst}), 1)
+			}
+		},
+	} {
+		limit := Limit{Rate: 200, Burst: 200}
+		f := newFleet(rand.New(rand.NewSource(1)), limit)
+		harm(f)
+		for f.now.Sub(start) < 8*time.Second {
+			f.tick()
+			for i := range hubs {
+				for range 3 {
+					f.ask(i)
+				}
+			}
+		}
+		if most := f.most(); float64(most) <= allowed(limit) {
+			t.Errorf("%s: %d passed, %.0f may: not seen", name, most, allowed(limit))
+		}
+	}
+}
+
+// TestCalmTenantIsLetIn sends what a bucket of the limit allows, in waves and unevenly
+// over the zones, while messages are lost and late: nothing is refused where there is a
+// top, and little where it goes for up to 1.2 s, each 6 s or so.
+func TestCalmTenantIsLetIn(t *testing.T) {
+	for name, test := range map[string]struct {
+		faults bool
+		part   float64
+	}{"calm": {false, 0}, "the top replaced": {true, 0.1}} {
+		t.Run(name, func(t *testing.T) {
+			proptest.Run(t, "calm", func(random *rand.Rand) error {
+				limit := draw(random)
+				limit.Burst = max(limit.Burst, limit.Rate, 2)
+				f := newFleet(random, limit)
+				f.loss = random.Float64() * 0.1
+				fair := bucket{level: limit.Burst, at: f.now}
+				weights := [hubs]float64{0.2 + random.Float64(), 0.2 + random.Float64(), 0.2 + random.Float64()}
+				sum := weights[0] + weights[1] + weights[2]
+				asked, refused := 0, 0
+				for f.now.Sub(start) < 20*time.Second {
+					f.tick()
+					if test.faults && random.Intn(1200) == 0 {
+						f.loseTop(time.Duration(random.Intn(1200)) * time.Millisecond)
+					}
+					// Waves of 1.87 and 0.38 times the mean, limits of 1.6 times the mean.
+					wave := 0.38
+					if f.now.Sub(start)%(5800*time.Millisecond) > 3400*time.Millisecond {
+						wave = 1.87
+					}
+					if f.now.Sub(start) < 2*time.Second {
+						// The first seconds are those of a fleet that forms.
+						continue
+					}
+					for i := range hubs {
+						if random.Float64() >= limit.Rate/1.6*wave*weights[i]/sum*step.Seconds() {
+							continue
+						}
+						if fair.refill(f.now, limit.Rate, limit.Burst); fair.level < 1 {
+							continue
+						}
+						fair.level--
+						asked++
+						verdict := f.ask(i)
+						for tries := 0; verdict.Unsure && tries < 9; tries++ {
+							f.tick()
+							f.tick()
+							verdict = f.ask(i)
+						}
+						if !verdict.Granted {
+							refused++
+						}
+					}
+				}
+				if float64(refused) > test.part*float64(asked)+test.part*200 {
+					return errors.Newf("%d of %d refused below %+v", refused, asked, limit)
+				}
+				return nil
+			})
+		})
+	}
+}
+
+// TestLowerLimitBinds lowers a limit to a tenth in the middle of a flood: one window
+// later no window holds more than the new limit allows.
+func TestLowerLimitBinds(t *testing.T) {
+	proptest.Run(t, "lower", func(random *rand.Rand) error {
+		high := Limit{Rate: 20 + 100*random.Float64(), Burst: 100}
+		low := Limit{Rate: high.Rate / 10, Burst: high.Burst / 10}
+		f := newFleet(random, high)
+		f.loss = random.Float64() * 0.2
+		for f.now.Sub(start) < 16*time.Second {
+			f.tick()
+			if f.now.Sub(start) == 5*time.Second {
+				f.setLimit(low)
+				f.passed = nil
+			}
+			for i := range hubs {
+				f.ask(i)
+			}
+		}
+		if most := f.most(); float64(most) > allowed(low) {
+			return errors.Newf("%d passed in a window, %.1f may", most, allowed(low))
+		}
+		return nil
+	})
+}
+
+// TestRefusedAreToldWhen refuses several at once: each is told a later time, and one that
+// comes back then is let in.
+func TestRefusedAreToldWhen(t *testing.T) {
+	limit := Limit{Rate: 10, Burst: 1}
+	f := newFleet(rand.New(rand.NewSource(1)), limit)
+	for f.now.Sub(start) < 2*time.Second {
+		f.tick()
+	}
+	var last time.Duration
+	refused := 0
+	for refused < 3 {
+		verdict := f.ask(0)
+		if verdict.Granted {
+			continue
+		}
+		refused++
+		if verdict.Retry <= last || verdict.Retry > time.Second {
+			t.Fatalf("come back after %s, the one before after %s", verdict.Retry, last)
+		}
+		last = verdict.Retry
+	}
+	for end := f.now.Add(last + 2*reportPeriod); f.now.Before(end); {
+		f.tick()
+	}
+	if verdict := f.ask(0); !verdict.Granted {
+		t.Errorf("refused again: %+v", verdict)
+	}
+}
+
+// TestPartIsGivenUp cuts a hub off from the top for a while: it goes on with its share, and
+// with the whole bucket once it hears the top again, also where nothing has changed.
+func TestPartIsGivenUp(t *testing.T) {
+	f := newFleet(rand.New(rand.NewSource(1)), Limit{Rate: 0.1, Burst: 100})
+	wait := func(time time.Duration) {
+		for end := f.now.Add(time); f.now.Before(end); {
+			f.tick()
+		}
+	}
+	wait(time.Second)
+	for i := range hubs {
+		f.ask(i)
+	}
+	wait(time.Second)
+	whole := f.ask(0).Level
+	f.cutUntil[0] = f.now.Add(time.Second)
+	wait(900 * time.Millisecond)
+	if part := f.ask(0).Level; part > whole*2/3 {
+		t.Errorf("%.1f of %.1f while it is cut off", part, whole)
+	}
+	wait(time.Second)
+	if after := f.ask(0).Level; after < whole-10 {
+		t.Errorf("%.1f of %.1f after that", after, whole)
+	}
+}
+
+// TestGivenBackOnce gives a token back: it counts again, and only once.
+func TestGivenBackOnce(t *testing.T) {
+	hub := NewHub(start, 1, Tolerance{Window: time.Second})
+	hub.SetLimits(limits(Limit{Rate: 0.001, Burst: 1}), 1)
+	hub.Learn(start, &News{Epoch: 9, HeardEpoch: 1, Complete: true, Rows: []Row{{Tenant: tenant, Level: 1, Share: 1, Refills: 1}}})
+	now := start.Add(time.Millisecond)
+	if first, second := hub.Take(now, 1, tenant), hub.Take(now, 2, tenant); !first.Granted || second.Granted {
+		t.Fatalf("%+v and %+v of one token", first, second)
+	}
+	hub.GiveBack(now, 1, tenant)
+	hub.GiveBack(now, 1, tenant)
+	hub.GiveBack(now, 2, tenant)
+	if third, fourth := hub.Take(now, 3, tenant), hub.Take(now, 4, tenant); !third.Granted || fourth.Granted {
+		t.Errorf("%+v and %+v of one token given back", third, fourth)
+	}
+	if again := hub.Take(now, 3, tenant); !again.Granted {
+		t.Error("the same question got another answer")
+	}
+}
+
+func TestNoLimitIsKept(t *testing.T) {
+	hub := NewHub(start, 1, tolerance)
+	for i := range 1000 {
+		if verdict := hub.Take(start, uint64(i), tenant); !verdict.Granted {
+			t.Fatal("refused without a limit")
+		}
+	}
+	if rows := hub.Report(start).Rows; len(rows) != 0 {
+		t.Errorf("%d rows of a tenant without a limit", len(rows))
+	}
+}
+
+// TestReserveStaysWithin lets all edges spend their reserves: together they stay within
+// two parts of the tolerance, and use most of one.
+func TestReserveStaysWithin(t *testing.T) {
+	proptest.Run(t, "reserve", func(random *rand.Rand) error {
+		limit, edges := draw(random), 1+random.Intn(330)
+		name := Tenant(random.Uint32())
+		count := 0
+		for i := range edges {
+			r := NewReserve(string(rune('a' + i)))
+			for at := time.Duration(0); at < tolerance.Window; at += 10 * time.Millisecond {
+				if r.Take(start.Add(at), name, limit, tolerance, edges) {
+					count++
+				}
+			}
+		}
+		spare := tolerance.Spare(limit)
+		if deviation := 4 * math.Sqrt(spare); float64(count) > spare+deviation+1 || float64(count) < spare-deviation-1 {
+			return errors.Newf("%d of %.1f by %d edges", count, spare, edges)
+		}
+		return nil
+	})
+}
+
+func BenchmarkHubTake(b *testing.B) {
+	const tenants = 1000
+	all := map[Tenant]Limit{}
+	for i := range Tenant(tenants) {
+		all[i] = Limit{Rate: 1e9, Burst: 1e9}
+	}
+	hub := NewHub(start, 1, tolerance)
+	hub.SetLimits(all, 3)
+	b.ReportAllocs()
+	for i := range b.N {
+		hub.Take(start.Add(time.Duration(i)*time.Microsecond), uint64(i), Tenant(i%tenants))
+	}
+}
