--- a/internal/batchstate/machine.go
+++ b/internal/batchstate/machine.go
@@ -10,8 +10,8 @@
 //   - an ended job takes no result;
 //   - a text goes from one chain of runs to another only where the second began
 //     from the last event of the first that is in the text;
-//   - the waiting tokens of a route are the sum over the items of its open jobs
-//     without a result.
+//   - the waiting tokens of an owner on a route are the sum over the items of the
+//     owner's open jobs there that have no result.
 package batchstate
 
 import (
@@ -22,6 +22,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -29,7 +30,7 @@
 type Machine struct {
 	jobs  map[string]*Job
 	order uint64
-	// waiting holds the waiting tokens by route.
+	// waiting holds the waiting tokens by Job.Account; what is not named has none.
 	waiting   map[string]int64
 	mutations []storage.Mutation
 }
@@ -39,6 +40,8 @@
 	ID    string
 	Route string
 	Host  string
+	// Owner is the tenant that the job belongs to, empty for nobody.
+	Owner tenancy.Name
 	// Order numbers jobs as they were accepted.
 	Order uint64
 	Ended bool
@@ -67,6 +70,12 @@
 // Open reports whether the job still takes results.
 func (j *Job) Open() bool { return !j.Ended && j.Results < len(j.Items) }
 
+// Account names what the job's waiting tokens count against: its route, for its owner.
+func (j *Job) Account() string { return AccountOf(j.Owner, j.Route) }
+
+// AccountOf names the account of an owner on a route.
+func AccountOf(owner tenancy.Name, route string) string { return tenancy.Scoped(owner, route) }
+
 // Find returns the number of the item with the id.
 func (j *Job) Find(id string) (int, bool) {
 	number, found := j.byID[id]
@@ -134,8 +143,8 @@
 // time.
 const quotaRetry = time.Second
 
-// Fits returns the refusal of a job that does not fit the route's quota now, or
-// nil.
+// Fits returns the refusal of a job that does not fit its owner's quota on the route
+// now, or nil.
 func (m *Machine) Fits(job *wire.SubmitBatch) error {
 	if job.Limit <= 0 {
 		return nil
@@ -144,8 +153,8 @@
 	for i := range job.Items {
 		tokens += job.Items[i].Tokens
 	}
-	if waiting := m.waiting[job.Route]; waiting+tokens > job.Limit {
-		return failure.New(failure.OverLimit, "send it again when fewer tokens wait", "%d tokens wait on route %s, and %d more than %d may", waiting, job.Route, tokens, job.Limit).WithRetryAfter(quotaRetry)
+	if waiting := m.waiting[AccountOf(tenancy.Name(job.Owner), job.Route)]; waiting+tokens > job.Limit {
+		return failure.New(failure.OverLimit, "send it again when fewer tokens wait", "%d tokens of tenant %q wait on route %s, and %d more than %d may", waiting, job.Owner, job.Route, tokens, job.Limit).WithRetryAfter(quotaRetry)
 	}
 	return nil
 }
@@ -159,13 +168,13 @@
 		return err
 	}
 	m.order++
-	job := newJob(submit.ID, submit.Route, submit.Host, m.order)
-	meta := wire.BatchMeta{ID: submit.ID, Route: submit.Route, Host: submit.Host, Order: m.order}
+	meta := wire.BatchMeta{ID: submit.ID, Route: submit.Route, Host: submit.Host, Owner: submit.Owner, Order: m.order}
+	job := newJob(&meta)
 	for i := range submit.Items {
 		item := &submit.Items[i]
 		job.add(item.ID, item.Tokens)
 		meta.Items = append(meta.Items, wire.BatchItemMeta{ID: item.ID, Tokens: item.Tokens})
-		m.waiting[submit.Route] += item.Tokens
+		m.count(job, item.Tokens)
 		m.put(contentKey(submit.ID, i), &wire.ItemContent{Path: item.Path, Headers: item.Headers, Body: item.Body})
 	}
 	m.jobs[submit.ID] = job
@@ -173,8 +182,17 @@
 	return nil
 }
 
-func newJob(id, route, host string, order uint64) *Job {
-	return &Job{ID: id, Route: route, Host: host, Order: order, byID: map[string]int{}}
+func newJob(meta *wire.BatchMeta) *Job {
+	return &Job{ID: meta.ID, Route: meta.Route, Host: meta.Host, Owner: tenancy.Name(meta.Owner), Order: meta.Order, byID: map[string]int{}}
+}
+
+// count adds waiting tokens of a job to its account, or takes them off.
+func (m *Machine) count(job *Job, tokens int64) {
+	account := job.Account()
+	m.waiting[account] += tokens
+	if m.waiting[account] == 0 {
+		delete(m.waiting, account)
+	}
 }
 
 func (j *Job) add(id string, tokens int64) {
@@ -229,7 +247,7 @@
 		stored.Text = ""
 	}
 	item.State, item.Text = news.State, ""
-	m.waiting[job.Route] -= item.Tokens
+	m.count(job, -item.Tokens)
 	m.put(resultKey(job.ID, job.Results), &stored)
 	job.Results++
 	m.removeAll(itemProgressPrefix(job.ID, news.Item))
@@ -249,7 +267,7 @@
 	for i := range job.Items {
 		job.Items[i].Text = ""
 	}
-	meta := wire.BatchMeta{ID: id, Route: job.Route, Host: job.Host, Order: job.Order, Ended: true}
+	meta := wire.BatchMeta{ID: id, Route: job.Route, Host: job.Host, Owner: string(job.Owner), Order: job.Order, Ended: true}
 	for i := range job.Items {
 		meta.Items = append(meta.Items, wire.BatchItemMeta{ID: job.Items[i].ID, Tokens: job.Items[i].Tokens})
 	}
@@ -259,14 +277,14 @@
 	return nil
 }
 
-// release takes the job's waiting tokens off its route.
+// release takes the job's waiting tokens off its account.
 func (m *Machine) release(job *Job) {
 	if job.Ended {
 		return
 	}
 	for i := range job.Items {
 		if job.Items[i].State == wire.ItemWaiting {
-			m.waiting[job.Route] -= job.Items[i].Tokens
+			m.count(job, -job.Items[i].Tokens)
 		}
 	}
 }
@@ -304,12 +322,12 @@
 	}
 }
 
-// Waiting returns the tokens that wait on the route.
-func (m *Machine) Waiting(route string) int64 { return m.waiting[route] }
+// Waiting returns the tokens that wait on the account.
+func (m *Machine) Waiting(account string) int64 { return m.waiting[account] }
 
-// EachWaiting calls visit with each route on which tokens have waited.
-func (m *Machine) EachWaiting(visit func(route string, tokens int64)) {
-	for route, tokens := range m.waiting {
-		visit(route, tokens)
+// EachWaiting calls visit with each account on which tokens wait.
+func (m *Machine) EachWaiting(visit func(account string, tokens int64)) {
+	for account, tokens := range m.waiting {
+		visit(account, tokens)
 	}
 }
--- a/internal/batchstate/read.go
+++ b/internal/batchstate/read.go
@@ -27,7 +27,7 @@
 		}
 		for i := range job.Items {
 			if job.Items[i].State == wire.ItemWaiting {
-				m.waiting[job.Route] += job.Items[i].Tokens
+				m.count(job, job.Items[i].Tokens)
 			}
 		}
 	}
@@ -42,7 +42,7 @@
 		if _, decodeErr = meta.UnmarshalMsg(value); decodeErr != nil {
 			return false
 		}
-		job := newJob(meta.ID, meta.Route, meta.Host, meta.Order)
+		job := newJob(&meta)
 		job.Ended = meta.Ended
 		for _, item := range meta.Items {
 			job.add(item.ID, item.Tokens)
--- a/internal/batchstore/handlers.go
+++ b/internal/batchstore/handlers.go
@@ -6,12 +6,14 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/sedgemast/sedgemast/internal/batchstate"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/storeclient"
+	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -38,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	job.Limit = s.limit(time.Now(), g.number, job.Route, job.Limit)
+	job.Limit = s.limit(time.Now(), g.number, batchstate.AccountOf(tenancy.Name(job.Owner), job.Route), job.Limit)
 	repeated := false
 	// What is refused anyway is not written to the log first.
 	err = g.read(func(storage.Reader) error {
@@ -53,7 +55,7 @@
 		result, err = g.propose(ctx, &wire.BatchCommand{Submit: job})
 	}
 	s.metrics.jobs.WithLabelValues(submitOutcome(err)).Inc()
-	logging.Info(s.logger, "job_submitted", "job", job.ID, "group", g.number, "route", job.Route, "items", len(job.Items), "limit", job.Limit, "repeated", repeated, "error", err)
+	logging.Info(s.logger, "job_submitted", "job", job.ID, "group", g.number, "route", job.Route, "tenant", job.Owner, "items", len(job.Items), "limit", job.Limit, "repeated", repeated, "error", err)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/batchstore/limits.go
@@ -0,0 +1,152 @@
+package batchstore
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/fleetwatch"
+	"github.com/sedgemast/sedgemast/internal/loadshare"
+	"github.com/sedgemast/sedgemast/internal/ratelimit"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// limiter keeps the tenants' limits of requests: as the hub of a zone, and as the top while
+// this process is the top hub. Locks are its owner's.
+type limiter struct {
+	tolerance ratelimit.Tolerance
+	limits    map[ratelimit.Tenant]ratelimit.Limit
+	zones     int
+	hub       *ratelimit.Hub
+	// top is nil until this process is the top hub, topAt is when it last was.
+	top   *ratelimit.Top
+	topAt time.Time
+}
+
+func newLimiter(now time.Time, tolerance ratelimit.Tolerance) *limiter {
+	return &limiter{tolerance: tolerance, zones: 1, hub: ratelimit.NewHub(now, newEpoch(), tolerance)}
+}
+
+// newEpoch returns a number that tells the lives of a hub or top apart; zero is none.
+func newEpoch() uint32 { return rand.Uint32N(math.MaxUint32) + 1 }
+
+// setLimits takes in the limits of a configuration, and the zones that have stores.
+func (l *loads) setLimits(snapshot *fleetwatch.Snapshot) {
+	limits := snapshot.Table.Limits()
+	zones := map[string]bool{}
+	for i := range snapshot.Fleet.Stores {
+		zones[snapshot.Fleet.Stores[i].Zone] = true
+	}
+	l.hubs.Lock()
+	defer l.hubs.Unlock()
+	l.limits.set(limits, len(zones))
+}
+
+func (l *limiter) set(limits map[ratelimit.Tenant]ratelimit.Limit, zones int) {
+	l.limits, l.zones = limits, zones
+	l.hub.SetLimits(limits, zones)
+	if l.top != nil {
+		l.top.SetLimits(limits, zones)
+	}
+}
+
+// answer answers the questions of an edge.
+func (l *limiter) answer(now time.Time, questions []wire.TokenQuestion) []wire.TokenVerdict {
+	var verdicts []wire.TokenVerdict
+	for _, question := range questions {
+		if question.Back {
+			l.hub.GiveBack(now, question.Ticket, question.Tenant)
+			continue
+		}
+		verdict := l.hub.Take(now, question.Ticket, question.Tenant)
+		if verdict.Unsure {
+			// The edge asks again soon, here or at another hub.
+			continue
+		}
+		verdicts = append(verdicts, wire.TokenVerdict{
+			Ticket:      question.Ticket,
+			Granted:     verdict.Granted,
+			RetryMillis: uint32(verdict.Retry.Milliseconds()),
+			Level:       int32(max(min(verdict.Level, math.MaxInt32), math.MinInt32)),
+			AgeMillis:   uint32(min(max(verdict.Age.Milliseconds(), 0), math.MaxUint32)),
+		})
+	}
+	return verdicts
+}
+
+// report returns the news for the top, nil where nobody has a limit.
+func (l *limiter) report(now time.Time) *wire.TenantNews {
+	if len(l.limits) == 0 {
+		return nil
+	}
+	return newsToWire(l.hub.Report(now))
+}
+
+// learn takes in the top's answer, which may be nil.
+func (l *limiter) learn(now time.Time, news *wire.TenantNews) {
+	if news != nil {
+		l.hub.Learn(now, newsFromWire(news))
+	}
+}
+
+// answerHub answers a hub, as the top.
+func (l *limiter) answerHub(now time.Time, source uint32, zone string, news *wire.TenantNews) *wire.TenantNews {
+	return newsToWire(l.lead(now).Take(now, source, zone, newsFromWire(news)))
+}
+
+// tellSelf lets the hub of this process tell the top of this process, and learn from it.
+func (l *limiter) tellSelf(now time.Time, source uint32, zone string) {
+	if len(l.limits) > 0 {
+		l.hub.Learn(now, l.lead(now).Take(now, source, zone, l.hub.Report(now)))
+	}
+}
+
+// lead returns the top that this process is. One that was the top hub a while ago may know
+// less than another that was it since.
+func (l *limiter) lead(now time.Time) *ratelimit.Top {
+	if l.top == nil || now.Sub(l.topAt) > loadshare.Fresh {
+		l.top = ratelimit.NewTop(now, newEpoch(), l.tolerance)
+		l.top.SetLimits(l.limits, l.zones)
+	}
+	l.topAt = now
+	return l.top
+}
+
+const (
+	levelParts = 100
+	shareParts = 1000
+)
+
+func newsToWire(news *ratelimit.News) *wire.TenantNews {
+	message := &wire.TenantNews{Epoch: news.Epoch, Mark: news.Mark, HeardEpoch: news.HeardEpoch, Heard: news.Heard, Complete: news.Complete}
+	for i := range news.Rows {
+		row := &news.Rows[i]
+		message.Rows = append(message.Rows, wire.TenantRow{
+			Tenant:  row.Tenant,
+			Count:   row.Count,
+			Level:   int32(max(min(row.Level*levelParts, math.MaxInt32), math.MinInt32)),
+			Share:   uint16(row.Share * shareParts),
+			Refills: uint16(row.Refills * shareParts),
+			Joining: row.Joining,
+			Counted: row.Counted,
+		})
+	}
+	return message
+}
+
+func newsFromWire(message *wire.TenantNews) *ratelimit.News {
+	news := &ratelimit.News{Epoch: message.Epoch, Mark: message.Mark, HeardEpoch: message.HeardEpoch, Heard: message.Heard, Complete: message.Complete}
+	for i := range message.Rows {
+		row := &message.Rows[i]
+		news.Rows = append(news.Rows, ratelimit.Row{
+			Tenant:  row.Tenant,
+			Count:   row.Count,
+			Level:   float64(row.Level) / levelParts,
+			Share:   float64(row.Share) / shareParts,
+			Refills: float64(row.Refills) / shareParts,
+			Joining: row.Joining,
+			Counted: row.Counted,
+		})
+	}
+	return news
+}
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -13,6 +13,7 @@
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quota"
+	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -44,19 +45,21 @@
 	// zoneOf holds the zones of the workers by their short names.
 	zoneOf map[uint32]string
 	random *rand.Rand
+	limits *limiter
 
 	// mutex guards the quotas.
 	mutex  sync.Mutex
 	quotas *quota.Ledger
 }
 
-func newLoads() *loads {
+func newLoads(tolerance ratelimit.Tolerance) *loads {
 	seed := uint64(time.Now().UnixNano())
 	return &loads{
 		zone:    loadshare.NewHub(),
 		top:     loadshare.NewHub(),
 		planner: batchroom.New(),
 		random:  rand.New(rand.NewPCG(seed, seed)),
+		limits:  newLimiter(time.Now(), tolerance),
 		quotas:  quota.New(0),
 	}
 }
@@ -138,11 +141,12 @@
 // answerZone takes in the report of an edge. The lock of the hubs is held.
 func (s *Store) answerZone(now time.Time, report *wire.LoadReport) *wire.LoadReport {
 	s.loads.zone.Take(now, report)
+	verdicts := s.loads.limits.answer(now, report.Tokens)
 	if report.Left || report.Quiet {
 		return nil
 	}
 	rows, left := loadshare.Part(s.loads.zone.Others(now, report.Source), report.Zone, s.loads.zoneOf, s.loads.random)
-	return &wire.LoadReport{Workers: rows, Part: left}
+	return &wire.LoadReport{Workers: rows, Part: left, Verdicts: verdicts}
 }
 
 // answerTop takes in the report of a zone's hub or of a store that runs items. The lock
@@ -153,6 +157,9 @@
 		return nil
 	}
 	answer := &wire.LoadReport{Workers: s.loads.top.Others(now, report.Source), Sources: uint16(s.loads.reporting.Load())}
+	if report.Tenants != nil {
+		answer.Tenants = s.loads.limits.answerHub(now, report.Source, report.Zone, report.Tenants)
+	}
 	if len(report.Groups) > 0 {
 		s.loads.learn(now, report.Groups)
 		s.loads.learn(now, s.ledGroups())
@@ -181,6 +188,7 @@
 		top.Take(now, sums)
 	}
 	zone.SetAbove(now, top.Others(now, s.zoneSource()))
+	s.loads.limits.tellSelf(now, s.zoneSource(), s.settings.Zone)
 	s.loads.reporting.Store(int64(top.Sources(now)) - 1)
 	s.workers.SetOthers(now, top.Others(now, ownSource))
 	s.workers.SetOrders(s.order(now, ownSource, s.waiting(), s.workers.Items()))
@@ -220,12 +228,18 @@
 			}
 			s.loads.hubs.Lock()
 			defer s.loads.hubs.Unlock()
-			return s.loads.zone.Sums(time.Now(), s.zoneSource())
+			now := time.Now()
+			sums := s.loads.zone.Sums(now, s.zoneSource())
+			if sums != nil && !sums.Left {
+				sums.Zone, sums.Tenants = s.settings.Zone, s.loads.limits.report(now)
+			}
+			return sums
 		},
 		Learn: func(now time.Time, answer *wire.LoadReport) {
 			s.loads.hubs.Lock()
 			defer s.loads.hubs.Unlock()
 			s.loads.zone.SetAbove(now, answer.Workers)
+			s.loads.limits.learn(now, answer.Tenants)
 		},
 		Pause: func() time.Duration { return loadshare.Interval },
 	})
@@ -285,8 +299,8 @@
 	for _, g := range s.groups {
 		row := wire.GroupTokens{Group: uint8(g.number)}
 		err := g.read(func(storage.Reader) error {
-			g.machine.EachWaiting(func(route string, tokens int64) {
-				row.Routes = append(row.Routes, wire.RouteTokens{Route: loadshare.Hash(route), Tokens: tokens})
+			g.machine.EachWaiting(func(account string, tokens int64) {
+				row.Routes = append(row.Routes, wire.RouteTokens{Route: loadshare.Hash(account), Tokens: tokens})
 			})
 			return nil
 		})
@@ -326,14 +340,14 @@
 	return rows
 }
 
-// limit returns how many tokens may wait on a route in one group, of the limit for
+// limit returns how many tokens may wait on an account in one group, of the limit for
 // all groups together.
-func (s *Store) limit(now time.Time, number int, route string, limit int64) int64 {
+func (s *Store) limit(now time.Time, number int, account string, limit int64) int64 {
 	s.loads.setGroups(s.groupCount())
 	s.loads.learn(now, s.ledGroups())
 	s.loads.mutex.Lock()
 	defer s.loads.mutex.Unlock()
-	return s.loads.quotas.Limit(now, number, loadshare.Hash(route), limit)
+	return s.loads.quotas.Limit(now, number, loadshare.Hash(account), limit)
 }
 
 // batchShare returns the part of a worker's slots, in hundredths, that items of this
--- a/internal/batchstore/loads_test.go
+++ b/internal/batchstore/loads_test.go
@@ -15,6 +15,7 @@
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/rpc/rpctest"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -44,7 +45,7 @@
 	}
 	t.Cleanup(func() { _ = d.Kill() })
 	report := func() wire.ProcessReport { return wire.ProcessReport{Kind: wire.ProcessStore, Name: "own"} }
-	s := &Store{daemon: d, logger: logging.Discard(), loads: newLoads(), watcher: fleetwatch.New(logging.Discard(), nil, []string{server.Listener.Addr().String()}, report)}
+	s := &Store{daemon: d, logger: logging.Discard(), loads: newLoads(ratelimit.Tolerance{}), watcher: fleetwatch.New(logging.Discard(), nil, []string{server.Listener.Addr().String()}, report)}
 	known := make(chan struct{})
 	s.watcher.OnChange(func(*fleetwatch.Snapshot) { close(known) })
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/batchstore/runner_test.go
+++ b/internal/batchstore/runner_test.go
@@ -11,6 +11,7 @@
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -25,7 +26,7 @@
 	t.Helper()
 	s := &Store{
 		logger:  logging.Discard(),
-		loads:   newLoads(),
+		loads:   newLoads(ratelimit.Tolerance{}),
 		workers: balance.NewTable("z", rand.New(rand.NewPCG(1, 1))),
 		watcher: fleetwatch.New(logging.Discard(), nil, []string{"127.0.0.1:1"}, nil),
 	}
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -78,7 +78,7 @@
 		workers:  balance.NewTable(config.Zone, mathrand.New(mathrand.NewPCG(now, 1))),
 		upstream: upstream.NewClient(names),
 		dialect:  names,
-		loads:    newLoads(),
+		loads:    newLoads(config.RateTolerance.Limits()),
 		client:   rpc.NewClient(),
 		metrics:  newMetrics(d.Registry),
 		changed:  make(chan struct{}),
@@ -165,6 +165,7 @@
 func (s *Store) adopt(snapshot *fleetwatch.Snapshot) {
 	s.workers.Update(snapshot.Fleet.Workers, snapshot.Table.Memory())
 	s.loads.setWorkers(snapshot.Fleet.Workers)
+	s.loads.setLimits(snapshot)
 	s.loads.setGroups(s.groupCount())
 	s.upstream.Forget(s.workers.Knows)
 	ctx := s.daemon.Context()
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -13,6 +13,7 @@
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
+	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/upstream"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -54,6 +55,7 @@
 	key      itemKey
 	id       string
 	host     string
+	owner    tenancy.Name
 	route    *routetable.Route
 	content  *wire.ItemContent
 	chain    uint64
@@ -206,7 +208,7 @@
 func (t *task) headers() []wire.HeaderField {
 	names := t.runner.store.dialect
 	fields := make([]wire.HeaderField, 0, len(t.content.Headers)+3)
-	for _, field := range t.content.Headers {
+	for _, field := range names.Owned(t.content.Headers, t.owner) {
 		switch http.CanonicalHeaderKey(field.Name) {
 		case names.RequestID, names.ExpectWorker, names.LastEvent, "Host", "Content-Length", "Connection", "Transfer-Encoding":
 		default:
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -32,6 +33,11 @@
 	// Tokens carries the tokens of the prompt and the most out, separated by a
 	// comma.
 	Tokens string
+	// Key carries a caller's key, which goes no further than here.
+	Key string
+	// Tenant tells workers whose request it is. What callers send there counts for
+	// nothing.
+	Tenant string
 }
 
 // Own is the product's own dialect.
@@ -45,6 +51,8 @@
 		Load:         "Sedgemast-Load",
 		PromptParts:  "Sedgemast-Prompt-Parts",
 		Tokens:       "Sedgemast-Tokens",
+		Key:          "Sedgemast-Key",
+		Tenant:       "Sedgemast-Tenant",
 	}
 }
 
@@ -136,3 +144,21 @@
 	}
 	return fields
 }
+
+// Owned returns the headers of a request of the tenant as a worker gets them: without
+// any key, and with the tenant's name in place of what the caller said. A request that
+// belongs to nobody names no tenant.
+func (d *Dialect) Owned(fields []wire.HeaderField, tenant tenancy.Name) []wire.HeaderField {
+	owned := make([]wire.HeaderField, 0, len(fields)+1)
+	for _, field := range fields {
+		switch http.CanonicalHeaderKey(field.Name) {
+		case d.Key, d.Tenant:
+		default:
+			owned = append(owned, field)
+		}
+	}
+	if tenant != "" {
+		owned = append(owned, wire.HeaderField{Name: d.Tenant, Value: string(tenant)})
+	}
+	return owned
+}
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -8,7 +8,9 @@
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/routetable"
+	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
 // observe calls use with what is known of the route's requests.
@@ -58,3 +60,55 @@
 	c.refuse(failure.New(failure.NotRun, "come back after the time in Retry-After", "all workers are busy for longer than the request has").WithRetryAfter(comeback))
 	return true
 }
+
+// limited refuses the request if its tenant sends more than it may. The token is taken from
+// the hub of the zone, which also tells what it knows of the workers. Where no hub answers
+// the edge's reserve decides, and a request that it does not cover may come back at once
+// to another edge.
+func (c *call) limited() bool {
+	if !c.tenant.Limited() {
+		return false
+	}
+	e := c.edge
+	c.token = wire.TokenQuestion{Ticket: rand.Uint64(), Tenant: routetable.ShortName(c.tenant.Name)}
+	verdict, answered := e.loads.Token(c.context, c.token)
+	c.informed = answered
+	switch {
+	case answered && verdict.Granted:
+		c.hasToken = true
+	case answered:
+		retry := time.Duration(verdict.RetryMillis) * time.Millisecond
+		c.refuseTenant("over_limit", verdict, failure.New(failure.OverLimit, "come back after the time in Retry-After, or ask for a higher limit", "tenant %q sends more than %g requests a second", c.tenant.Name, c.tenant.RatePerSecond).WithRetryAfter(retry))
+		return true
+	case c.context.Err() != nil:
+		c.giveUp()
+		return true
+	case !e.takeReserve(c.tenant, c.token.Tenant):
+		c.refuseTenant("no_hub", verdict, failure.New(failure.NotRun, "ask another edge", "no hub answers, and the reserve of tenant %q is used up here", c.tenant.Name).WithRetryAfter(shortRetry))
+		return true
+	}
+	e.metrics.tenants.WithLabelValues(string(c.tenant.Name), "admitted").Inc()
+	return false
+}
+
+// refuseTenant refuses the request because of its tenant's limit.
+func (c *call) refuseTenant(reason string, verdict wire.TokenVerdict, err *failure.Error) {
+	c.edge.metrics.tenants.WithLabelValues(string(c.tenant.Name), reason).Inc()
+	logging.Info(c.edge.logger, "tenant_refused", "id", c.id, "tenant", c.tenant.Name, "reason", reason, "rate", c.tenant.RatePerSecond, "burst", c.tenant.Burst, "level", verdict.Level, "level_age_ms", verdict.AgeMillis, "comeback_ms", err.RetryAfter.Milliseconds(), "waited_ms", c.elapsed())
+	c.refuse(err)
+}
+
+// takeReserve takes a request of the tenant from this edge's reserve.
+func (e *Edge) takeReserve(tenant *routetable.Tenant, short ratelimit.Tenant) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.reserve.Take(time.Now(), short, tenant.Limit(), e.settings.RateTolerance.Limits(), e.watcher.Current().Fleet.Edges)
+}
+
+// giveBack gives the request's token back, because nothing ran.
+func (c *call) giveBack() {
+	if c.hasToken {
+		c.hasToken = false
+		c.edge.loads.GiveBack(c.token)
+	}
+}
--- a/internal/edge/api.go
+++ b/internal/edge/api.go
@@ -86,7 +86,7 @@
 	if err := json.Unmarshal(body, document); err != nil {
 		return failure.Wrap(err, failure.BadRequest, "send the whole job as JSON", "the job can't be read")
 	}
-	return a.Edge.SubmitJob(request.Context(), route, document.Job(request.Header.Get(a.Edge.dialect.RequestID), request.Host))
+	return a.Edge.SubmitJob(request, table, route, document.Job(request.Header.Get(a.Edge.dialect.RequestID), request.Host))
 }
 
 // Job returns the job that the document describes.
@@ -108,11 +108,11 @@
 	item, isItem := strings.CutPrefix(part, "items/")
 	switch {
 	case part == "" && request.Method == http.MethodDelete:
-		return a.Edge.EndJob(request.Context(), id)
+		return a.Edge.EndJob(request, id)
 	case part == "results" && request.Method == http.MethodGet:
 		return a.results(writer, request, id)
 	case isItem && request.Method == http.MethodGet:
-		body, err := a.Edge.ItemBody(request.Context(), id, item)
+		body, err := a.Edge.ItemBody(request, id, item)
 		if err != nil {
 			return err
 		}
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := a.Edge.ReadJob(request.Context(), id, since, time.Duration(wait)*time.Millisecond)
+	response, err := a.Edge.ReadJob(request, id, since, time.Duration(wait)*time.Millisecond)
 	if err != nil {
 		return err
 	}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -32,10 +32,12 @@
 
 // call is one request on its way through the edge. It is used by one goroutine.
 type call struct {
-	edge       *Edge
-	context    context.Context
-	version    uint64
-	route      *routetable.Route
+	edge    *Edge
+	context context.Context
+	version uint64
+	route   *routetable.Route
+	// tenant is whose request it is, nil for nobody's.
+	tenant     *routetable.Tenant
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	id         string
@@ -60,9 +62,15 @@
 	// mayHaveRun is set once a worker may have begun.
 	mayHaveRun bool
 	lastErr    error
+	// token is the question for a token of the tenant's limit, hasToken set while it
+	// was granted and is not given back. informed is set where its answer has told of
+	// the workers, too, and no choice has rested on that yet.
+	token    wire.TokenQuestion
+	hasToken bool
+	informed bool
 }
 
-func newCall(e *Edge, ctx context.Context, table *routetable.Table, route *routetable.Route, writer http.ResponseWriter, controller *http.ResponseController, request *http.Request, body []byte, arrived, deadline time.Time) *call {
+func newCall(e *Edge, ctx context.Context, table *routetable.Table, route *routetable.Route, tenant *routetable.Tenant, writer http.ResponseWriter, controller *http.ResponseController, request *http.Request, body []byte, arrived, deadline time.Time) *call {
 	header := request.Header
 	prompt, _ := dialect.TokenCounts(header.Get(e.dialect.Tokens))
 	c := &call{
@@ -70,6 +78,7 @@
 		context:    ctx,
 		version:    table.Configuration.Version,
 		route:      route,
+		tenant:     tenant,
 		writer:     writer,
 		controller: controller,
 		id:         header.Get(e.dialect.RequestID),
@@ -86,7 +95,7 @@
 		Method:  request.Method,
 		Target:  request.RequestURI,
 		Host:    request.Host,
-		Headers: dialect.Forwardable(header),
+		Headers: e.dialect.Owned(dialect.Forwardable(header), tenant.Owner()),
 		Body:    body,
 		ID:      c.id,
 	}
@@ -111,6 +120,9 @@
 // run makes attempts until the caller has an answer.
 func (c *call) run() {
 	c.arrive()
+	if c.limited() {
+		return
+	}
 	for c.mayTry() {
 		lease := c.acquire()
 		if lease == nil {
@@ -148,7 +160,10 @@
 // came of it, so that the next one to choose knows. Otherwise all edges of a zone choose
 // by news of a report's age, and crowd the workers that looked idle then.
 func (c *call) acquire() *balance.Lease {
-	c.edge.loads.Ask(c.context, newsPatience)
+	if !c.informed {
+		c.edge.loads.Ask(c.context, newsPatience)
+	}
+	c.informed = false
 	lease := c.edge.workers.Acquire(time.Now(), &c.demand)
 	if lease != nil {
 		c.edge.loads.Tell()
@@ -189,6 +204,9 @@
 }
 
 func (c *call) refuse(err *failure.Error) {
+	if err.Kind == failure.NotRun {
+		c.giveBack()
+	}
 	httpapi.WriteFailure(c.writer, err.Kind.HTTPStatus(), err)
 	c.finish(err.Kind.String(), c.lastErr)
 }
@@ -202,7 +220,7 @@
 		first = c.firstAt.Sub(c.arrived).Milliseconds()
 		e.metrics.firstTime.WithLabelValues(c.route.Name).Observe(c.firstAt.Sub(c.arrived).Seconds())
 	}
-	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "version", c.version, "worker", c.worker, "attempts", c.attempts, "outcome", result, "first_ms", first, "ms", c.elapsed(), "error", err)
+	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "attempts", c.attempts, "outcome", result, "first_ms", first, "ms", c.elapsed(), "error", err)
 }
 
 // headers returns the headers of one attempt: the caller's, with those that the
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,9 +19,11 @@
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/settings"
 	"github.com/sedgemast/sedgemast/internal/storeclient"
+	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/upstream"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -46,6 +48,10 @@
 	splitter *routetable.Splitter
 	// observed holds what is known of each route's requests, by name.
 	observed map[string]*admission.Route
+	// reserve is what tenants may send while no hub answers.
+	reserve *ratelimit.Reserve
+	// counted holds the tenants that have counters.
+	counted map[tenancy.Name]bool
 }
 
 // New prepares the process; d.Run serves it.
@@ -61,6 +67,7 @@
 		metrics:  newMetrics(d.Registry),
 		splitter: routetable.NewSplitter(),
 		observed: map[string]*admission.Route{},
+		reserve:  ratelimit.NewReserve(config.Name),
 		started:  time.Now(),
 	}
 	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.report)
@@ -120,12 +127,33 @@
 func (e *Edge) adopt(snapshot *fleetwatch.Snapshot) {
 	e.workers.Update(snapshot.Fleet.Workers, snapshot.Table.Memory())
 	e.upstream.Forget(e.workers.Knows)
+	e.keepTenants(snapshot.Table)
 	if snapshot.Table != nil && snapshot.Fleet.Listed && !e.daemon.Stopping() && !e.daemon.Ready() {
 		logging.Info(e.logger, "ready", "version", snapshot.Table.Configuration.Version)
 		e.daemon.SetReady(true)
 	}
 }
 
+// keepTenants forgets what is kept of tenants that are gone, their counters included.
+func (e *Edge) keepTenants(table *routetable.Table) {
+	limits := table.Limits()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.reserve.Keep(limits)
+	counted := map[tenancy.Name]bool{}
+	if table != nil {
+		for i := range table.Configuration.Tenants {
+			counted[table.Configuration.Tenants[i].Name] = true
+		}
+	}
+	for name := range e.counted {
+		if !counted[name] {
+			e.metrics.tenants.DeletePartialMatch(prometheus.Labels{"tenant": string(name)})
+		}
+	}
+	e.counted = counted
+}
+
 // drain is the first step of a planned stop: the process is not ready any more,
 // but goes on serving until callers are led elsewhere.
 func (e *Edge) drain(ctx context.Context) {
@@ -152,6 +180,7 @@
 type metrics struct {
 	requests  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
+	tenants   *prometheus.CounterVec
 	firstTime *prometheus.HistogramVec
 	wholeTime *prometheus.HistogramVec
 }
@@ -161,9 +190,10 @@
 	m := &metrics{
 		requests:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_requests_total", Help: "Requests by route and outcome."}, []string{"route", "outcome"}),
 		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_attempts_total", Help: "Requests sent to workers, by outcome."}, []string{"outcome"}),
+		tenants:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_tenant_requests_total", Help: "Requests of tenants with a limit, by what came of it."}, []string{"tenant", "outcome"}),
 		firstTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.firstTime, m.wholeTime)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.firstTime, m.wholeTime)
 	return m
 }
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/routetable"
+	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -22,24 +24,29 @@
 	maxHold   = time.Second
 )
 
-// SubmitJob hands a job to the stores. The job's route and limit are filled in.
-// Once it returns without a failure the job is kept; a failure of kind NotRun,
-// OverLimit or BadRequest says that none of it runs.
-func (e *Edge) SubmitJob(ctx context.Context, route *routetable.Route, job *wire.SubmitBatch) error {
-	job.Route, job.Limit = route.Name, route.MaxQueuedTokens
+// SubmitJob hands in a job that the request brings. The job's route, owner and limit are
+// filled in. Once it returns without a failure the job is kept; a failure of kind NotRun,
+// OverLimit, Unauthenticated or BadRequest says that none of it runs.
+func (e *Edge) SubmitJob(request *http.Request, table *routetable.Table, route *routetable.Route, job *wire.SubmitBatch) error {
+	tenant, err := e.identify(time.Now(), table, route.Public, request)
+	if err != nil {
+		return err
+	}
+	job.Route, job.Limit, job.Owner = route.Name, route.MaxQueuedTokens, string(tenant.Owner())
 	if err := checkJob(job); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	job.ID = tenancy.Scoped(tenant.Owner(), job.ID)
+	ctx, cancel := context.WithTimeout(request.Context(), storeTime)
 	defer cancel()
-	_, err := e.Stores.Submit(ctx, job)
+	_, err = e.Stores.Submit(ctx, job)
 	return err
 }
 
 // checkJob returns the first fault of a job.
 func checkJob(job *wire.SubmitBatch) error {
-	if job.ID == "" || strings.Contains(job.ID, "\x00") {
-		return failure.New(failure.BadRequest, "send its id in the header for request ids", "the job has no id").WithField("id")
+	if job.ID == "" || !tenancy.Plain(job.ID) {
+		return failure.New(failure.BadRequest, "send its id, without control characters, in the header for request ids", "the job has no id").WithField("id")
 	}
 	if len(job.Items) == 0 || len(job.Items) > maxItems {
 		return failure.New(failure.BadRequest, "send 1 to 200", "a job can't have %d items", len(job.Items)).WithField("items")
@@ -75,35 +82,60 @@
 	return nil
 }
 
-// ReadJob reads results from a position on. Where there are none it waits, for
-// hold at most.
-func (e *Edge) ReadJob(ctx context.Context, id string, since int, hold time.Duration) (*wire.BatchReadResponse, error) {
+// ReadJob reads results of a job from a position on, for a request of its owner. Where
+// there are none it waits, for hold at most.
+func (e *Edge) ReadJob(request *http.Request, id string, since int, hold time.Duration) (*wire.BatchReadResponse, error) {
 	hold = min(max(hold, 0), maxHold)
-	ctx, cancel := context.WithTimeout(ctx, readTime+hold)
-	defer cancel()
-	response, err := e.Stores.Read(ctx, &wire.BatchReadRequest{ID: id, Since: since, WaitMillis: hold.Milliseconds(), MaxBytes: readBytes})
-	return response, readFailure(err)
+	return ofOwner(e, request, id, func(ctx context.Context, name string) (*wire.BatchReadResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, readTime+hold)
+		defer cancel()
+		response, err := e.Stores.Read(ctx, &wire.BatchReadRequest{ID: name, Since: since, WaitMillis: hold.Milliseconds(), MaxBytes: readBytes})
+		return response, readFailure(err)
+	})
 }
 
-// ItemBody reads the body of an item without a result.
-func (e *Edge) ItemBody(ctx context.Context, job, item string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTime)
-	defer cancel()
-	response, err := e.Stores.Body(ctx, &wire.ItemBodyRequest{Job: job, Item: item})
-	if err != nil {
-		return nil, readFailure(err)
-	}
-	return response.Body, nil
+// ItemBody reads the body of an item without a result, for a request of its job's owner.
+func (e *Edge) ItemBody(request *http.Request, job, item string) ([]byte, error) {
+	return ofOwner(e, request, job, func(ctx context.Context, name string) ([]byte, error) {
+		ctx, cancel := context.WithTimeout(ctx, readTime)
+		defer cancel()
+		response, err := e.Stores.Body(ctx, &wire.ItemBodyRequest{Job: name, Item: item})
+		if err != nil {
+			return nil, readFailure(err)
+		}
+		return response.Body, nil
+	})
 }
 
-// EndJob ends a job. It may be repeated.
-func (e *Edge) EndJob(ctx context.Context, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTime)
-	defer cancel()
-	_, err := e.Stores.End(ctx, id)
+// EndJob ends a job, for a request of its owner. It may be repeated.
+func (e *Edge) EndJob(request *http.Request, id string) error {
+	_, err := ofOwner(e, request, id, func(ctx context.Context, name string) (*wire.BatchResult, error) {
+		ctx, cancel := context.WithTimeout(ctx, storeTime)
+		defer cancel()
+		return e.Stores.End(ctx, name)
+	})
 	return err
 }
 
+// ofOwner calls call with the name by which the stores know a job of the request's
+// owner. A job's owner is part of its name, so what another tenant has is not found. What
+// was handed in without a key belongs to nobody, and anybody who is let in may read it.
+func ofOwner[Answer any](e *Edge, request *http.Request, id string, call func(ctx context.Context, name string) (Answer, error)) (Answer, error) {
+	var none Answer
+	owner, err := e.jobOwner(time.Now(), request)
+	if err != nil {
+		return none, err
+	}
+	if !tenancy.Plain(id) {
+		return none, failure.New(failure.NotFound, "check the id", "no job has such an id")
+	}
+	answer, err := call(request.Context(), tenancy.Scoped(owner, id))
+	if owner != "" && failure.Is(err, failure.NotFound) {
+		return call(request.Context(), id)
+	}
+	return answer, err
+}
+
 // readFailure makes a failure of a read one that the caller may repeat: reads run
 // nothing, so their outcome is never in doubt.
 func readFailure(err error) error {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -45,6 +45,11 @@
 		e.Refuse(writer, request, failure.New(failure.NotFound, "check host and path", "no route leads to %s%s in version %d", request.Host, request.URL.Path, table.Configuration.Version))
 		return
 	}
+	tenant, err := e.identify(arrived, table, route.Public, request)
+	if err != nil {
+		e.Refuse(writer, request, err)
+		return
+	}
 	body, err := httpapi.ReadBody(request, table.Configuration.Limits.MaxBodyBytes)
 	if err != nil {
 		e.Refuse(writer, request, err)
@@ -57,7 +62,7 @@
 	controller := http.NewResponseController(writer)
 	// Writers without deadlines serve tests only.
 	_ = controller.SetWriteDeadline(deadline.Add(writeMargin))
-	call := newCall(e, ctx, table, route, writer, controller, request, body, arrived, deadline)
+	call := newCall(e, ctx, table, route, tenant, writer, controller, request, body, arrived, deadline)
 	call.run()
 	_ = controller.SetWriteDeadline(time.Time{})
 	if call.broken {
--- a/internal/loadshare/chooser.go
+++ b/internal/loadshare/chooser.go
@@ -19,6 +19,8 @@
 	// once that was silent, before it tries it again. A lost store leaves the view
 	// of the fleet after some 3 s.
 	homeAfter = 2 * time.Second
+	// doubtAfter is how long a hub must have been silent to be doubted.
+	doubtAfter = 40 * time.Millisecond
 )
 
 // chooser chooses whom to tell the loads. It is pure; times are those since its
@@ -70,6 +72,14 @@
 	return candidates[(slices.Index(candidates, candidate)+1)%len(candidates)]
 }
 
+// doubt takes in that the hub leaves questions unanswered: the next one is told from now
+// on, unless it has been the hub for a moment only.
+func (c *chooser) doubt(now time.Duration) {
+	if now-max(c.since, c.heard) > doubtAfter {
+		c.since, c.heard = now-silence-1, min(c.heard, now-silence-1)
+	}
+}
+
 // answered takes in that a hub has answered.
 func (c *chooser) answered(now time.Duration) { c.heard = now }
 
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -83,11 +83,13 @@
 	// at the next answer.
 	asked    time.Duration
 	answered chan struct{}
+	// questions holds who waits for verdicts, by ticket.
+	questions map[uint64]chan wire.TokenVerdict
 }
 
 // NewExchange returns an exchange; Run runs it.
 func NewExchange(p *Reporter) *Exchange {
-	return &Exchange{reporter: p, began: time.Now(), chooser: chooser{home: p.Home}, answered: make(chan struct{})}
+	return &Exchange{reporter: p, began: time.Now(), chooser: chooser{home: p.Home}, answered: make(chan struct{}), questions: map[uint64]chan wire.TokenVerdict{}}
 }
 
 // Run reports at the reporter's pauses until ctx ends.
@@ -148,14 +150,68 @@
 // Tell tells the hub what this process has, without an answer.
 func (x *Exchange) Tell() { x.report(true) }
 
+const (
+	// tokenPause is the time between two sendings of a question for a token: several
+	// times what an answer takes within a zone.
+	tokenPause = 12 * time.Millisecond
+	// tokenDoubt is after how many of them without an answer another hub is asked, and
+	// tokenTries how many there are.
+	tokenDoubt = 4
+	tokenTries = 9
+)
+
+// Token asks the hub for a token of a tenant. The answer also tells what the hub knows of
+// the workers. It reports whether there was an answer.
+func (x *Exchange) Token(ctx context.Context, question wire.TokenQuestion) (wire.TokenVerdict, bool) {
+	verdict := make(chan wire.TokenVerdict, 1)
+	x.mutex.Lock()
+	x.questions[question.Ticket] = verdict
+	x.mutex.Unlock()
+	defer func() {
+		x.mutex.Lock()
+		delete(x.questions, question.Ticket)
+		x.mutex.Unlock()
+	}()
+	timer := time.NewTimer(tokenPause)
+	defer timer.Stop()
+	for try := 1; try <= tokenTries; try++ {
+		x.report(false, question)
+		select {
+		case answer := <-verdict:
+			return answer, true
+		case <-timer.C:
+			timer.Reset(tokenPause)
+		case <-ctx.Done():
+			return wire.TokenVerdict{}, false
+		}
+		if try%tokenDoubt == 0 {
+			x.doubt()
+		}
+	}
+	return wire.TokenVerdict{}, false
+}
+
+// doubt takes in that the hub has left questions unanswered.
+func (x *Exchange) doubt() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.chooser.doubt(time.Since(x.began))
+}
+
+// GiveBack gives the token of a question back.
+func (x *Exchange) GiveBack(question wire.TokenQuestion) {
+	question.Back = true
+	x.report(true, question)
+}
+
 // report sends a report to the hub chosen, if there is anything to tell. A quiet one is
 // not answered.
-func (x *Exchange) report(quiet bool) {
+func (x *Exchange) report(quiet bool, tokens ...wire.TokenQuestion) {
 	own := x.reporter.Own()
 	if own == nil {
 		return
 	}
-	own.Quiet = quiet
+	own.Quiet, own.Tokens = quiet, tokens
 	hubs := x.reporter.Hubs()
 	x.mutex.Lock()
 	now := time.Since(x.began)
@@ -208,7 +264,7 @@
 			continue
 		}
 		x.reporter.Learn(time.Now(), report)
-		x.heard()
+		x.heard(report.Verdicts)
 	}
 }
 
@@ -219,11 +275,21 @@
 	x.chooser.refer(hub)
 }
 
-// heard takes in that the hub has answered, and what it said has been learnt.
-func (x *Exchange) heard() {
+// heard takes in that the hub has answered, and what it said has been learnt. The
+// verdicts go to those who wait for them.
+func (x *Exchange) heard(verdicts []wire.TokenVerdict) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	x.chooser.answered(time.Since(x.began))
+	for _, verdict := range verdicts {
+		if waiting := x.questions[verdict.Ticket]; waiting != nil {
+			select {
+			case waiting <- verdict:
+			default:
+				// The question was sent again, and has its answer.
+			}
+		}
+	}
 	close(x.answered)
 	x.answered = make(chan struct{})
 }
--- a/internal/routetable/configuration.go
+++ b/internal/routetable/configuration.go
@@ -32,6 +32,8 @@
 	Routes  []Route `json:"routes"`
 	Pools   []Pool  `json:"pools"`
 	Limits  Limits  `json:"limits"`
+	// Tenants lists those who may send requests; without any, everybody may.
+	Tenants []Tenant `json:"tenants,omitempty"`
 }
 
 // Route leads the requests of a host and path prefix to pools of workers.
@@ -55,10 +57,12 @@
 	Parts       []PoolWeight `json:"parts"`
 	// RunGoalMillis, RetainMillis and MaxQueuedTokens are those of batch
 	// routes: when results are due, when an item may be given up, and how many
-	// tokens may wait (zero means no limit).
+	// tokens of one tenant may wait (zero means no limit).
 	RunGoalMillis   int64 `json:"run_goal_ms"`
 	RetainMillis    int64 `json:"retain_ms"`
 	MaxQueuedTokens int64 `json:"max_queued_tokens"`
+	// Public routes take requests without a key.
+	Public bool `json:"public,omitempty"`
 }
 
 // PoolWeight is a part of a route's requests.
@@ -122,7 +126,7 @@
 		}
 		places[place] = true
 	}
-	return nil
+	return c.checkTenants()
 }
 
 func (r *Route) place() string { return strings.ToLower(r.Host) + r.PathPrefix }
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"strings"
 	"testing"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/proptest"
+	"github.com/sedgemast/sedgemast/internal/ratelimit"
+	"github.com/sedgemast/sedgemast/internal/tenancy"
 )
 
 func valid() *Configuration {
@@ -41,6 +44,14 @@
 		{"unknown kind", "routes.0.kind", func(c *Configuration) { c.Routes[0].Kind = "other" }},
 		{"no host", "routes.0.host", func(c *Configuration) { c.Routes[0].Host = "" }},
 		{"prefix without slash", "routes.0.path_prefix", func(c *Configuration) { c.Routes[0].PathPrefix = "/x" }},
+		{"a tenant without a name", "tenants.0.name", func(c *Configuration) { c.Tenants = []Tenant{{}} }},
+		{"a tenant's name with a break", "tenants.0.name", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a\nb"}} }},
+		{"two tenants of one name", "tenants.1.name", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a"}, {Name: "a"}} }},
+		{"a key of two tenants", "tenants.1.key_hashes.1", func(c *Configuration) { c.Tenants = []Tenant{holder("a", "k", "l"), holder("b", "m", "l")} }},
+		{"an empty key", "tenants.0.key_hashes.0", func(c *Configuration) { c.Tenants = []Tenant{holder("a", "")} }},
+		{"a rate below 0", "tenants.0.rate_per_s", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", RatePerSecond: -1}} }},
+		{"a burst below 0", "tenants.0.burst", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", Burst: -1}} }},
+		{"a rate without end", "tenants.0.rate_per_s", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", RatePerSecond: math.Inf(1)}} }},
 		{"two pools of one name", "pools.1.name", func(c *Configuration) { c.Pools[1].Name = "a" }},
 	}
 	for _, test := range cases {
@@ -55,6 +66,53 @@
 	}
 }
 
+// holder is a tenant with keys.
+func holder(name tenancy.Name, keys ...string) Tenant {
+	tenant := Tenant{Name: name}
+	for _, key := range keys {
+		tenant.KeyHashes = append(tenant.KeyHashes, tenancy.HashKey(key))
+	}
+	return tenant
+}
+
+// TestTenantsAreKept writes a configuration with tenants down and reads it back: keys and
+// ranks are found, and no key stands in it.
+func TestTenantsAreKept(t *testing.T) {
+	configuration := valid()
+	rank := 3
+	first := holder("a", "secret-1", "secret-2", "secret-1")
+	first.Rank, first.RatePerSecond, first.Burst = &rank, 12.5, 4
+	configuration.Tenants = []Tenant{first, holder("b", "secret-3"), {Name: "c"}}
+	if err := configuration.Check(); err != nil {
+		t.Fatal(err)
+	}
+	document, err := configuration.Encode()
+	if err != nil || strings.Contains(string(document), "secret") {
+		t.Fatalf("%s, %v", document, err)
+	}
+	decoded, err := Decode(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := NewTable(decoded)
+	for key, want := range map[string]tenancy.Name{"secret-1": "a", "secret-2": "a", "secret-3": "b", "secret-4": "", "": ""} {
+		if got := table.Holder(key).Owner(); got != want {
+			t.Errorf("%q belongs to %q, want %q", key, got, want)
+		}
+	}
+	if limits := table.Limits(); len(limits) != 1 || limits[ShortName("a")] != (ratelimit.Limit{Rate: 12.5, Burst: 4}) {
+		t.Errorf("limits %v", limits)
+	}
+	route := &Route{Rank: 7}
+	if RankOf(route, table.Tenant("a")) != 3 || RankOf(route, table.Tenant("b")) != 7 || RankOf(route, nil) != 7 {
+		t.Error("ranks of tenants do not go before the routes'")
+	}
+	var none *Table
+	if table.AsksForKeys() == none.AsksForKeys() || len(none.Limits()) != 0 || none.Tenant("a") != nil {
+		t.Error("a configuration without tenants asks for keys, or one with tenants does not")
+	}
+}
+
 func TestMatch(t *testing.T) {
 	table := NewTable(valid())
 	cases := map[string]string{
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -6,6 +6,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/sedgemast/sedgemast/internal/tenancy"
 )
 
 // Table finds the route of a request.
@@ -17,6 +19,9 @@
 	pools         map[string]*Pool
 	// tightest holds the shortest goal of each pool's online routes.
 	tightest map[string]time.Duration
+	tenants  map[tenancy.Name]*Tenant
+	// owners holds the tenants by the hashes of their keys.
+	owners map[tenancy.KeyHash]*Tenant
 }
 
 // NewTable prepares a checked configuration for look-ups.
@@ -35,9 +40,47 @@
 	for i := range configuration.Pools {
 		table.pools[configuration.Pools[i].Name] = &configuration.Pools[i]
 	}
+	table.tenants = make(map[tenancy.Name]*Tenant, len(configuration.Tenants))
+	table.owners = make(map[tenancy.KeyHash]*Tenant, len(configuration.Tenants))
+	for i := range configuration.Tenants {
+		tenant := &configuration.Tenants[i]
+		table.tenants[tenant.Name] = tenant
+		for _, hash := range tenant.KeyHashes {
+			table.owners[hash] = tenant
+		}
+	}
 	return table
 }
 
+// AsksForKeys reports whether requests need a key, but for those on public routes.
+func (t *Table) AsksForKeys() bool { return t != nil && len(t.tenants) > 0 }
+
+// Holder returns the tenant that holds the key, or nil.
+func (t *Table) Holder(key string) *Tenant {
+	if key == "" {
+		return nil
+	}
+	return t.owners[tenancy.HashKey(key)]
+}
+
+// Tenant returns the tenant with the name, or nil. A nil table has none.
+func (t *Table) Tenant(name tenancy.Name) *Tenant {
+	if t == nil {
+		return nil
+	}
+	return t.tenants[name]
+}
+
+// TakesPublicJobs reports whether a batch route of the host is public.
+func (t *Table) TakesPublicJobs(host string) bool {
+	for _, route := range t.hosts[hostName(host)] {
+		if route.Kind == KindBatch && route.Public {
+			return true
+		}
+	}
+	return false
+}
+
 // noteGoal takes in the goal of an online route.
 func (t *Table) noteGoal(route *Route) {
 	if route.Kind == KindBatch || route.GoalMillis <= 0 {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/ratelimit"
+)
 
 // Coordinator holds the settings of a coordinator, which keeps the
 // configuration of routes and the view of the fleet.
@@ -110,6 +114,8 @@
 	// BatchShare is the part of a worker's slots that batch items may take, in
 	// hundredths.
 	BatchShare int `json:"batch_share"`
+	// RateTolerance is by how much tenants' limits of requests may be exceeded.
+	RateTolerance RateTolerance `json:"rate_tolerance"`
 }
 
 // DefaultStore returns a store's defaults.
@@ -120,6 +126,8 @@
 		Seeds:       []string{"127.0.0.1:7600"},
 		ForgetAfter: Duration(time.Hour),
 		BatchShare:  60,
+
+		RateTolerance: defaultRateTolerance(),
 	}
 }
 
@@ -130,6 +138,33 @@
 	checker.Addresses("seeds", s.Seeds)
 	checker.Between("forget_after", s.ForgetAfter, time.Second, 30*24*time.Hour)
 	checker.Range("batch_share", s.BatchShare, 1, 100)
+	s.RateTolerance.check(checker)
+}
+
+// RateTolerance is by how much the sum of a tenant's requests over the whole fleet may
+// exceed its limit in each span of time. It is the same at all edges and stores.
+type RateTolerance struct {
+	Window Duration `json:"window"`
+	// ExcessPercent is in hundredths of what the limit allows in a window, Slack in
+	// requests.
+	ExcessPercent int `json:"excess_percent"`
+	Slack         int `json:"slack"`
+}
+
+func defaultRateTolerance() RateTolerance {
+	return RateTolerance{Window: Duration(5 * time.Second), ExcessPercent: 10, Slack: 20}
+}
+
+// Limits returns the tolerance as the limiter takes it.
+func (r *RateTolerance) Limits() ratelimit.Tolerance {
+	const hundredths = 100
+	return ratelimit.Tolerance{Window: r.Window.Std(), Excess: float64(r.ExcessPercent) / hundredths, Slack: float64(r.Slack)}
+}
+
+func (r *RateTolerance) check(checker *Checker) {
+	checker.Between("rate_tolerance.window", r.Window, 100*time.Millisecond, time.Hour)
+	checker.Range("rate_tolerance.excess_percent", r.ExcessPercent, 0, 100)
+	checker.Range("rate_tolerance.slack", r.Slack, 0, 1_000_000)
 }
 
 // Edge holds the settings of an edge, which takes requests from callers
@@ -146,6 +181,8 @@
 	// UnreadyTime is how long an edge that is told to stop goes on taking
 	// requests, so that callers can be led elsewhere.
 	UnreadyTime Duration `json:"unready_time"`
+	// RateTolerance is by how much tenants' limits of requests may be exceeded.
+	RateTolerance RateTolerance `json:"rate_tolerance"`
 }
 
 // DefaultEdge returns an edge's defaults.
@@ -154,6 +191,8 @@
 		Process:     defaultProcess("edge-1", "127.0.0.1:7800"),
 		Seeds:       []string{"127.0.0.1:7600"},
 		UnreadyTime: Duration(2500 * time.Millisecond),
+
+		RateTolerance: defaultRateTolerance(),
 	}
 }
 
@@ -166,4 +205,5 @@
 	}
 	checker.Between("freeze_time", e.FreezeTime, 0, 24*time.Hour)
 	checker.Between("unready_time", e.UnreadyTime, 0, time.Minute)
+	e.RateTolerance.check(checker)
 }
--- /dev/null
+++ b/internal/tenancy/tenancy_test.go
@@ -0,0 +1,50 @@
+package tenancy
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+)
+
+func TestKeyHashIsReadBack(t *testing.T) {
+	hash := HashKey("secret")
+	encoded, err := json.Marshal([]KeyHash{hash})
+	if err != nil || strings.Contains(string(encoded), "secret") {
+		t.Fatalf("%s, %v", encoded, err)
+	}
+	var decoded []KeyHash
+	if err := json.Unmarshal(encoded, &decoded); err != nil || decoded[0] != hash {
+		t.Errorf("%v, %v", decoded, err)
+	}
+	whole := "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+	var read KeyHash
+	if err := read.UnmarshalText([]byte(whole)); err != nil || read != hash {
+		t.Errorf("of a whole digest: %x, %v", read, err)
+	}
+	for _, wrong := range []string{"", "secret", whole[:30], whole + "00"} {
+		if err := read.UnmarshalText([]byte(wrong)); err == nil {
+			t.Errorf("%q was taken for a hash", wrong)
+		}
+	}
+}
+
+// TestScopesDiffer checks that no two owners share a name, and that nobody can name
+// what another owns by an id that is let in.
+func TestScopesDiffer(t *testing.T) {
+	names := map[string]string{}
+	for _, owner := range []Name{"", "a", "b", "ab", "a/b"} {
+		for _, id := range []string{"c", "b/c", "bc", "/c"} {
+			scoped, place := Scoped(owner, id), string(owner)+" owns "+id
+			if other := names[scoped]; other != "" {
+				t.Errorf("%s, and so does %s", place, other)
+			}
+			names[scoped] = place
+			if owner != "" && Plain(scoped) {
+				t.Errorf("%q is an id that callers may send", scoped)
+			}
+		}
+	}
+	if !Plain("5c1e07a2") || Plain("a\x00b") || Plain("a\nb") {
+		t.Error("control characters are not told from others")
+	}
+}
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -16,7 +16,10 @@
 	// Route and Host say which route's quota it counts against.
 	Route string `msg:"route"`
 	Host  string `msg:"host"`
-	// Limit is how many tokens may wait on the route; zero means no limit.
+	// Owner is the tenant that the job belongs to, empty for nobody.
+	Owner string `msg:"owner"`
+	// Limit is how many tokens of the owner may wait on the route; zero means no
+	// limit.
 	Limit int64       `msg:"limit"`
 	Items []BatchItem `msg:"items"`
 }
@@ -104,6 +107,7 @@
 	ID    string          `msg:"id"`
 	Route string          `msg:"route"`
 	Host  string          `msg:"host"`
+	Owner string          `msg:"owner"`
 	Ended bool            `msg:"ended"`
 	Order uint64          `msg:"order"`
 	Items []BatchItemMeta `msg:"items"`
--- a/internal/wire/batch_gen.go
+++ b/internal/wire/batch_gen.go
@@ -1143,6 +1143,12 @@
 				err = msgp.WrapError(err, "Host")
 				return
 			}
+		case "owner":
+			z.Owner, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
 		case "ended":
 			z.Ended, err = dc.ReadBool()
 			if err != nil {
@@ -1224,9 +1230,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *BatchMeta) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "id"
-	err = en.Append(0x86, 0xa2, 0x69, 0x64)
+	err = en.Append(0x87, 0xa2, 0x69, 0x64)
 	if err != nil {
 		return
 	}
@@ -1255,6 +1261,16 @@
 		err = msgp.WrapError(err, "Host")
 		return
 	}
+	// write "owner"
+	err = en.Append(0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Owner)
+	if err != nil {
+		err = msgp.WrapError(err, "Owner")
+		return
+	}
 	// write "ended"
 	err = en.Append(0xa5, 0x65, 0x6e, 0x64, 0x65, 0x64)
 	if err != nil {
@@ -1314,9 +1330,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *BatchMeta) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "id"
-	o = append(o, 0x86, 0xa2, 0x69, 0x64)
+	o = append(o, 0x87, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ID)
 	// string "route"
 	o = append(o, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
@@ -1324,6 +1340,9 @@
 	// string "host"
 	o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Host)
+	// string "owner"
+	o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Owner)
 	// string "ended"
 	o = append(o, 0xa5, 0x65, 0x6e, 0x64, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Ended)
@@ -1385,6 +1404,12 @@
 				err = msgp.WrapError(err, "Host")
 				return
 			}
+		case "owner":
+			z.Owner, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
 		case "ended":
 			z.Ended, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1467,7 +1492,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BatchMeta) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.Host) + 6 + msgp.BoolSize + 6 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.Host) + 6 + msgp.StringPrefixSize + len(z.Owner) + 6 + msgp.BoolSize + 6 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Items {
 		s += 1 + 3 + msgp.StringPrefixSize + len(z.Items[za0001].ID) + 7 + msgp.Int64Size
 	}
@@ -4031,6 +4056,12 @@
 				err = msgp.WrapError(err, "Host")
 				return
 			}
+		case "owner":
+			z.Owner, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
 		case "limit":
 			z.Limit, err = dc.ReadInt64()
 			if err != nil {
@@ -4073,9 +4104,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *SubmitBatch) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "id"
-	err = en.Append(0x85, 0xa2, 0x69, 0x64)
+	err = en.Append(0x86, 0xa2, 0x69, 0x64)
 	if err != nil {
 		return
 	}
@@ -4104,6 +4135,16 @@
 		err = msgp.WrapError(err, "Host")
 		return
 	}
+	// write "owner"
+	err = en.Append(0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Owner)
+	if err != nil {
+		err = msgp.WrapError(err, "Owner")
+		return
+	}
 	// write "limit"
 	err = en.Append(0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
 	if err != nil {
@@ -4137,9 +4178,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *SubmitBatch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "id"
-	o = append(o, 0x85, 0xa2, 0x69, 0x64)
+	o = append(o, 0x86, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ID)
 	// string "route"
 	o = append(o, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
@@ -4147,6 +4188,9 @@
 	// string "host"
 	o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Host)
+	// string "owner"
+	o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Owner)
 	// string "limit"
 	o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
 	o = msgp.AppendInt64(o, z.Limit)
@@ -4203,6 +4247,12 @@
 				err = msgp.WrapError(err, "Host")
 				return
 			}
+		case "owner":
+			z.Owner, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
 		case "limit":
 			z.Limit, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -4246,7 +4296,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *SubmitBatch) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.Host) + 6 + msgp.Int64Size + 6 + msgp.ArrayHeaderSize
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.Host) + 6 + msgp.StringPrefixSize + len(z.Owner) + 6 + msgp.Int64Size + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Items {
 		s += z.Items[za0001].Msgsize()
 	}
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -29,6 +29,64 @@
 	Zone string
 	// Part is set in answers that leave workers of other zones out.
 	Part bool
+	// Tokens are the questions of a process that serves callers for tokens of tenants,
+	// and Verdicts the answers.
+	Tokens   []TokenQuestion
+	Verdicts []TokenVerdict
+	// Tenants is what a zone's hub and the top hub tell each other of the tenants'
+	// limits, nil where the message says nothing of them.
+	Tenants *TenantNews
+}
+
+// TokenQuestion asks for a token of a tenant's limit, or gives it back.
+//
+//msgp:tuple TokenQuestion
+type TokenQuestion struct {
+	// Ticket names the question; one that is sent again takes no second token.
+	Ticket uint64
+	// Tenant is the hash of the tenant's name.
+	Tenant uint32
+	// Back is set where the token is given back: its request did not run.
+	Back bool
+}
+
+// TokenVerdict is the answer to a TokenQuestion.
+//
+//msgp:tuple TokenVerdict
+type TokenVerdict struct {
+	Ticket  uint64
+	Granted bool
+	// RetryMillis is after which time to come back where it is not granted.
+	RetryMillis uint32
+	// Level is how many tokens were left, by news of the age AgeMillis.
+	Level     int32
+	AgeMillis uint32
+}
+
+// TenantNews is ratelimit.News on the wire.
+//
+//msgp:tuple TenantNews
+type TenantNews struct {
+	Epoch      uint32
+	Mark       uint64
+	HeardEpoch uint32
+	Heard      uint64
+	Complete   bool
+	Rows       []TenantRow
+}
+
+// TenantRow is ratelimit.Row on the wire.
+//
+//msgp:tuple TenantRow
+type TenantRow struct {
+	Tenant uint32
+	Count  int64
+	// Level is in hundredths of a token, Share and Refills in thousandths.
+	Level   int32
+	Share   uint16
+	Refills uint16
+	Joining bool
+	Counted bool
 }
 
 // GroupTokens is how many tokens wait in a store group.
@@ -40,11 +98,11 @@
 	Routes    []RouteTokens
 }
 
-// RouteTokens is how many tokens wait on a route.
+// RouteTokens is how many tokens of one owner wait on a route.
 //
 //msgp:tuple RouteTokens
 type RouteTokens struct {
-	// Route is the hash of its name.
+	// Route is the hash of its name, scoped by the owner's.
 	Route  uint32
 	Tokens int64
 }
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -196,8 +196,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 14 {
+		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
 		return
 	}
 	z.Source, err = dc.ReadUint32()
@@ -281,13 +281,86 @@
 		err = msgp.WrapError(err, "Part")
 		return
 	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	if cap(z.Tokens) >= int(zb0004) {
+		z.Tokens = (z.Tokens)[:zb0004]
+	} else {
+		z.Tokens = make([]TokenQuestion, zb0004)
+	}
+	for za0003 := range z.Tokens {
+		var zb0005 uint32
+		zb0005, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003)
+			return
+		}
+		if zb0005 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
+			return
+		}
+		z.Tokens[za0003].Ticket, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003, "Ticket")
+			return
+		}
+		z.Tokens[za0003].Tenant, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003, "Tenant")
+			return
+		}
+		z.Tokens[za0003].Back, err = dc.ReadBool()
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003, "Back")
+			return
+		}
+	}
+	var zb0006 uint32
+	zb0006, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Verdicts")
+		return
+	}
+	if cap(z.Verdicts) >= int(zb0006) {
+		z.Verdicts = (z.Verdicts)[:zb0006]
+	} else {
+		z.Verdicts = make([]TokenVerdict, zb0006)
+	}
+	for za0004 := range z.Verdicts {
+		err = z.Verdicts[za0004].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Verdicts", za0004)
+			return
+		}
+	}
+	if dc.IsNil() {
+		err = dc.ReadNil()
+		if err != nil {
+			err = msgp.WrapError(err, "Tenants")
+			return
+		}
+		z.Tenants = nil
+	} else {
+		if z.Tenants == nil {
+			z.Tenants = new(TenantNews)
+		}
+		err = z.Tenants.DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Tenants")
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 11
-	err = en.Append(0x9b)
+	// array header, size 14
+	err = en.Append(0x9e)
 	if err != nil {
 		return
 	}
@@ -360,14 +433,65 @@
 		err = msgp.WrapError(err, "Part")
 		return
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Tokens)))
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	for za0003 := range z.Tokens {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Tokens[za0003].Ticket)
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003, "Ticket")
+			return
+		}
+		err = en.WriteUint32(z.Tokens[za0003].Tenant)
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003, "Tenant")
+			return
+		}
+		err = en.WriteBool(z.Tokens[za0003].Back)
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003, "Back")
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Verdicts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Verdicts")
+		return
+	}
+	for za0004 := range z.Verdicts {
+		err = z.Verdicts[za0004].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Verdicts", za0004)
+			return
+		}
+	}
+	if z.Tenants == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Tenants.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Tenants")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 14
+	o = append(o, 0x9e)
 	o = msgp.AppendUint32(o, z.Source)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
 	for za0001 := range z.Workers {
@@ -393,6 +517,31 @@
 	o = msgp.AppendBool(o, z.Quiet)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendBool(o, z.Part)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Tokens)))
+	for za0003 := range z.Tokens {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Tokens[za0003].Ticket)
+		o = msgp.AppendUint32(o, z.Tokens[za0003].Tenant)
+		o = msgp.AppendBool(o, z.Tokens[za0003].Back)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Verdicts)))
+	for za0004 := range z.Verdicts {
+		o, err = z.Verdicts[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Verdicts", za0004)
+			return
+		}
+	}
+	if z.Tenants == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Tenants.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Tenants")
+			return
+		}
+	}
 	return
 }
 
@@ -404,8 +553,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 14 {
+		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
 		return
 	}
 	z.Source, bts, err = msgp.ReadUint32Bytes(bts)
@@ -489,6 +638,78 @@
 		err = msgp.WrapError(err, "Part")
 		return
 	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	if cap(z.Tokens) >= int(zb0004) {
+		z.Tokens = (z.Tokens)[:zb0004]
+	} else {
+		z.Tokens = make([]TokenQuestion, zb0004)
+	}
+	for za0003 := range z.Tokens {
+		var zb0005 uint32
+		zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003)
+			return
+		}
+		if zb0005 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
+			return
+		}
+		z.Tokens[za0003].Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003, "Ticket")
+			return
+		}
+		z.Tokens[za0003].Tenant, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003, "Tenant")
+			return
+		}
+		z.Tokens[za0003].Back, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0003, "Back")
+			return
+		}
+	}
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Verdicts")
+		return
+	}
+	if cap(z.Verdicts) >= int(zb0006) {
+		z.Verdicts = (z.Verdicts)[:zb0006]
+	} else {
+		z.Verdicts = make([]TokenVerdict, zb0006)
+	}
+	for za0004 := range z.Verdicts {
+		bts, err = z.Verdicts[za0004].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Verdicts", za0004)
+			return
+		}
+	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Tenants = nil
+	} else {
+		if z.Tenants == nil {
+			z.Tenants = new(TenantNews)
+		}
+		bts, err = z.Tenants.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Tenants")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -503,7 +724,15 @@
 	for za0002 := range z.Groups {
 		s += z.Groups[za0002].Msgsize()
 	}
-	s += msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.BoolSize
+	s += msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Tokens) * (20 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize)) + msgp.ArrayHeaderSize
+	for za0004 := range z.Verdicts {
+		s += z.Verdicts[za0004].Msgsize()
+	}
+	if z.Tenants == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Tenants.Msgsize()
+	}
 	return
 }
 
@@ -594,6 +823,605 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *TenantNews) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Epoch, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
+	z.Mark, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Mark")
+		return
+	}
+	z.HeardEpoch, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "HeardEpoch")
+		return
+	}
+	z.Heard, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Heard")
+		return
+	}
+	z.Complete, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Complete")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Rows")
+		return
+	}
+	if cap(z.Rows) >= int(zb0002) {
+		z.Rows = (z.Rows)[:zb0002]
+	} else {
+		z.Rows = make([]TenantRow, zb0002)
+	}
+	for za0001 := range z.Rows {
+		err = z.Rows[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *TenantNews) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 6
+	err = en.Append(0x96)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
+	err = en.WriteUint64(z.Mark)
+	if err != nil {
+		err = msgp.WrapError(err, "Mark")
+		return
+	}
+	err = en.WriteUint32(z.HeardEpoch)
+	if err != nil {
+		err = msgp.WrapError(err, "HeardEpoch")
+		return
+	}
+	err = en.WriteUint64(z.Heard)
+	if err != nil {
+		err = msgp.WrapError(err, "Heard")
+		return
+	}
+	err = en.WriteBool(z.Complete)
+	if err != nil {
+		err = msgp.WrapError(err, "Complete")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Rows)))
+	if err != nil {
+		err = msgp.WrapError(err, "Rows")
+		return
+	}
+	for za0001 := range z.Rows {
+		err = z.Rows[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TenantNews) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendUint32(o, z.Epoch)
+	o = msgp.AppendUint64(o, z.Mark)
+	o = msgp.AppendUint32(o, z.HeardEpoch)
+	o = msgp.AppendUint64(o, z.Heard)
+	o = msgp.AppendBool(o, z.Complete)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
+	for za0001 := range z.Rows {
+		o, err = z.Rows[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TenantNews) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Epoch, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
+	z.Mark, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Mark")
+		return
+	}
+	z.HeardEpoch, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "HeardEpoch")
+		return
+	}
+	z.Heard, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Heard")
+		return
+	}
+	z.Complete, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Complete")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rows")
+		return
+	}
+	if cap(z.Rows) >= int(zb0002) {
+		z.Rows = (z.Rows)[:zb0002]
+	} else {
+		z.Rows = make([]TenantRow, zb0002)
+	}
+	for za0001 := range z.Rows {
+		bts, err = z.Rows[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TenantNews) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0001 := range z.Rows {
+		s += z.Rows[za0001].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *TenantRow) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.Tenant, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Count, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	z.Level, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
+	z.Share, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	z.Refills, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Refills")
+		return
+	}
+	z.Joining, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Joining")
+		return
+	}
+	z.Counted, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Counted")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *TenantRow) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Tenant)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	err = en.WriteInt64(z.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	err = en.WriteInt32(z.Level)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
+	err = en.WriteUint16(z.Share)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	err = en.WriteUint16(z.Refills)
+	if err != nil {
+		err = msgp.WrapError(err, "Refills")
+		return
+	}
+	err = en.WriteBool(z.Joining)
+	if err != nil {
+		err = msgp.WrapError(err, "Joining")
+		return
+	}
+	err = en.WriteBool(z.Counted)
+	if err != nil {
+		err = msgp.WrapError(err, "Counted")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TenantRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendUint32(o, z.Tenant)
+	o = msgp.AppendInt64(o, z.Count)
+	o = msgp.AppendInt32(o, z.Level)
+	o = msgp.AppendUint16(o, z.Share)
+	o = msgp.AppendUint16(o, z.Refills)
+	o = msgp.AppendBool(o, z.Joining)
+	o = msgp.AppendBool(o, z.Counted)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TenantRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.Tenant, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Count, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	z.Level, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
+	z.Share, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	z.Refills, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Refills")
+		return
+	}
+	z.Joining, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Joining")
+		return
+	}
+	z.Counted, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Counted")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TenantRow) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Int64Size + msgp.Int32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *TokenQuestion) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Ticket, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Tenant, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Back, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Back")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z TokenQuestion) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ticket)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	err = en.WriteUint32(z.Tenant)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	err = en.WriteBool(z.Back)
+	if err != nil {
+		err = msgp.WrapError(err, "Back")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z TokenQuestion) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Ticket)
+	o = msgp.AppendUint32(o, z.Tenant)
+	o = msgp.AppendBool(o, z.Back)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TokenQuestion) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Tenant, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Back, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Back")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z TokenQuestion) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *TokenVerdict) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Ticket, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Granted, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	z.RetryMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "RetryMillis")
+		return
+	}
+	z.Level, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *TokenVerdict) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ticket)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	err = en.WriteBool(z.Granted)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	err = en.WriteUint32(z.RetryMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "RetryMillis")
+		return
+	}
+	err = en.WriteInt32(z.Level)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TokenVerdict) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendUint64(o, z.Ticket)
+	o = msgp.AppendBool(o, z.Granted)
+	o = msgp.AppendUint32(o, z.RetryMillis)
+	o = msgp.AppendInt32(o, z.Level)
+	o = msgp.AppendUint32(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TokenVerdict) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	z.RetryMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RetryMillis")
+		return
+	}
+	z.Level, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TokenVerdict) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint32Size + msgp.Int32Size + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *WorkerLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
