Callers come back once the overload is over, as learnt from the ones before it

Cause: a request that is sent back comes again after half to a whole third of its time, half of them within the same wave, where each takes another's place. The wait predicted counted those that wait as holders of a slot.

Change: an edge learns how long a pool is overloaded at a time and sends callers back until then; the wait is that for the k-th of n slots given back.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -34,6 +34,8 @@
 	// request runs there, zero if unknown, and Wait how long it waits before.
 	Begin time.Duration
 	Wait  time.Duration
+	// Ends is in which time the overload will probably be over, zero if unknown.
+	Ends time.Duration
 }
 
 // Decide returns after which time the caller is to come back, or zero if the request
@@ -50,6 +52,10 @@
 	}
 	latest := request.Left / comebackParts
 	earliest := max(latest/2, LeastComeback)
+	if request.Ends > 0 {
+		// Before that the caller would find the same, and take a place from another.
+		earliest = max(min(request.Ends, latest), LeastComeback)
+	}
 	if latest < earliest {
 		return 0
 	}
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -76,7 +76,9 @@
 func holdOf(workers []*worker) time.Duration {
 	online, rate := 0, rateOf(workers)
 	for _, candidate := range workers {
-		online += candidate.inFlight - candidate.batch + int(candidate.others.Online)
+		here := candidate.inFlight - candidate.batch + int(candidate.others.Online)
+		// Those that wait for a slot hold none.
+		online += min(here, max(candidate.listed.Slots, 1))
 	}
 	if rate < leastRate {
 		return 0
@@ -106,6 +108,8 @@
 	if over <= 0 {
 		return 0
 	}
-	wait := float64(t.holds[candidate.listed.Pool]) * float64(over) / float64(slots)
+	// Slots are given back evenly over the time that one is held: the k-th of n after k
+	// of n + 1 parts of it.
+	wait := float64(t.holds[candidate.listed.Pool]) * float64(over) / float64(slots+1)
 	return time.Duration(wait * candidate.slowness(now))
 }
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -25,6 +25,21 @@
 	use(known)
 }
 
+// overload takes in the wait predicted for a request to the pool, and returns in which time
+// the pool's overload will probably be over, zero if unknown.
+func (e *Edge) overload(pool string, wait, goal time.Duration) time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	known := e.overloads[pool]
+	if known == nil {
+		known = &admission.Overload{}
+		e.overloads[pool] = known
+	}
+	now := time.Now()
+	known.Saw(now, wait, goal)
+	return known.Ends(now)
+}
+
 // arrive takes in a request before its first attempt.
 func (c *call) arrive() {
 	left := c.deadline.Sub(c.arrived)
@@ -48,6 +63,7 @@
 		return false
 	}
 	request := admission.Request{Left: time.Until(c.deadline), Goal: c.route.Goal(), Wait: lease.Wait}
+	request.Ends = c.edge.overload(c.demand.Pool, request.Wait, request.Goal)
 	c.edge.observe(c.route, func(known *admission.Route) {
 		request.Longest = known.Longest()
 		request.Begin = time.Duration(float64(known.Begin()) * lease.Slow)
@@ -56,7 +72,7 @@
 	if comeback == 0 {
 		return false
 	}
-	logging.Info(c.edge.logger, "request_sent_back", "id", c.id, "route", c.route.Name, "worker", lease.Endpoint.ID, "slow", lease.Slow, "wait_ms", request.Wait.Milliseconds(), "begin_ms", request.Begin.Milliseconds(), "goal_ms", request.Goal.Milliseconds(), "left_ms", request.Left.Milliseconds(), "longest_ms", request.Longest.Milliseconds(), "comeback_ms", comeback.Milliseconds())
+	logging.Info(c.edge.logger, "request_sent_back", "id", c.id, "route", c.route.Name, "worker", lease.Endpoint.ID, "slow", lease.Slow, "wait_ms", request.Wait.Milliseconds(), "begin_ms", request.Begin.Milliseconds(), "goal_ms", request.Goal.Milliseconds(), "left_ms", request.Left.Milliseconds(), "longest_ms", request.Longest.Milliseconds(), "ends_ms", request.Ends.Milliseconds(), "comeback_ms", comeback.Milliseconds())
 	c.refuse(failure.New(failure.NotRun, "come back after the time in Retry-After", "all workers are busy for longer than the request has").WithRetryAfter(comeback))
 	return true
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,6 +48,8 @@
 	splitter *routetable.Splitter
 	// observed holds what is known of each route's requests, by name.
 	observed map[string]*admission.Route
+	// overloads holds what is known of each pool's times of overload, by name.
+	overloads map[string]*admission.Overload
 	// reserve is what tenants may send while no hub answers.
 	reserve *ratelimit.Reserve
 	// counted holds the tenants that have counters.
@@ -67,8 +69,10 @@
 		metrics:  newMetrics(d.Registry),
 		splitter: routetable.NewSplitter(),
 		observed: map[string]*admission.Route{},
-		reserve:  ratelimit.NewReserve(config.Name),
-		started:  time.Now(),
+
+		overloads: map[string]*admission.Overload{},
+		reserve:   ratelimit.NewReserve(config.Name),
+		started:   time.Now(),
 	}
 	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.report)
 	e.watcher.OnChange(e.adopt)
