Items of jobs in the order of slack, by what callers expect of their length

Items of one due time began in the order in which they came, long and short alike.

Change: the edge notes what the caller expects; runners learn by a running line what that is worth, and order by how much later an item could begin.

--- a/internal/batchplan/batchplan.go
+++ b/internal/batchplan/batchplan.go
@@ -1,13 +1,15 @@
 // Package batchplan says in which order the items of jobs run, and which of them
 // give way to online requests. It is pure.
 //
-// The order is by due time among the items that can still be done in time; the
-// others come after them, in the same order. So an overload makes some items late
+// The order is by slack among the items that can still be done in time: how much later
+// they could begin. So long items begin sooner than short ones that are due with them, and
+// both come in time alike. The others come after them, in the same order. So an overload makes some items late
 // rather than all of them, and what is late runs as soon as there is room.
 package batchplan
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -35,6 +37,19 @@
 	Order uint64
 	// Overdue is set where it will be late.
 	Overdue bool
+	// Slack is how much later than now it could begin and still be in time.
+	Slack time.Duration
+}
+
+// neverDue is the slack of an item whose result is due at no time.
+const neverDue = time.Duration(math.MaxInt64)
+
+// Slack returns how much later an item could begin, see Overdue.
+func Slack(age, due, remaining time.Duration) time.Duration {
+	if due <= 0 {
+		return neverDue
+	}
+	return due - age - remaining
 }
 
 // Sort puts items in the order in which they run.
@@ -43,7 +58,7 @@
 		if a.Overdue != b.Overdue {
 			return boolOrder(a.Overdue)
 		}
-		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Number, b.Number))
+		return cmp.Or(cmp.Compare(a.Slack, b.Slack), cmp.Compare(a.Order, b.Order), cmp.Compare(a.Number, b.Number))
 	})
 }
 
@@ -56,11 +71,14 @@
 }
 
 // YieldsBefore reports whether the first item gives way before the second:
-// overdue ones first, then those of later jobs.
+// overdue ones first, then those with more slack, then those of later jobs.
 func YieldsBefore(first, second Item) bool {
 	if first.Overdue != second.Overdue {
 		return first.Overdue
 	}
+	if first.Slack != second.Slack {
+		return first.Slack > second.Slack
+	}
 	return first.Order > second.Order
 }
 
@@ -98,11 +116,15 @@
 	r.events += (float64(events) - r.events) / weight
 }
 
-// Remaining returns how long an item takes that has so many events.
-func (r *RunTime) Remaining(events int) time.Duration {
+// Remaining returns how long an item takes that has so many events, of so many expected;
+// zero where none are expected.
+func (r *RunTime) Remaining(events int, expected float64) time.Duration {
 	if r.events == 0 {
 		return r.Mean()
 	}
-	left := max(1-float64(events)/r.events, 1.0/leastLeft)
-	return time.Duration(left * float64(r.Mean()))
+	if expected <= 0 {
+		expected = r.events
+	}
+	left := max(expected-float64(events), expected/leastLeft)
+	return time.Duration(left / r.events * float64(r.Mean()))
 }
--- a/internal/batchstate/machine.go
+++ b/internal/batchstate/machine.go
@@ -55,7 +55,9 @@
 type Item struct {
 	ID     string
 	Tokens int64
-	State  wire.ItemState
+	// Expected is how many tokens the caller expects to be made, zero if unknown.
+	Expected int64
+	State    wire.ItemState
 	// Failures counts attempts that failed.
 	Failures int
 	// Events and LastEvent say how far the text goes that is kept until there is
@@ -172,8 +174,9 @@
 	job := newJob(&meta)
 	for i := range submit.Items {
 		item := &submit.Items[i]
-		job.add(item.ID, item.Tokens)
-		meta.Items = append(meta.Items, wire.BatchItemMeta{ID: item.ID, Tokens: item.Tokens})
+		row := wire.BatchItemMeta{ID: item.ID, Tokens: item.Tokens, Expected: item.Expected}
+		job.add(&row)
+		meta.Items = append(meta.Items, row)
 		m.count(job, item.Tokens)
 		m.put(contentKey(submit.ID, i), &wire.ItemContent{Path: item.Path, Headers: item.Headers, Body: item.Body})
 	}
@@ -195,9 +198,9 @@
 	}
 }
 
-func (j *Job) add(id string, tokens int64) {
-	j.byID[id] = len(j.Items)
-	j.Items = append(j.Items, Item{ID: id, Tokens: tokens})
+func (j *Job) add(row *wire.BatchItemMeta) {
+	j.byID[row.ID] = len(j.Items)
+	j.Items = append(j.Items, Item{ID: row.ID, Tokens: row.Tokens, Expected: row.Expected})
 }
 
 // record takes in the news of one item and reports whether they were: news that
@@ -269,7 +272,7 @@
 	}
 	meta := wire.BatchMeta{ID: id, Route: job.Route, Host: job.Host, Owner: string(job.Owner), Order: job.Order, Ended: true}
 	for i := range job.Items {
-		meta.Items = append(meta.Items, wire.BatchItemMeta{ID: job.Items[i].ID, Tokens: job.Items[i].Tokens})
+		meta.Items = append(meta.Items, wire.BatchItemMeta{ID: job.Items[i].ID, Tokens: job.Items[i].Tokens, Expected: job.Items[i].Expected})
 	}
 	m.put(jobKey(id), &meta)
 	m.removeAll(contentPrefix(id))
--- a/internal/batchstate/read.go
+++ b/internal/batchstate/read.go
@@ -44,8 +44,8 @@
 		}
 		job := newJob(&meta)
 		job.Ended = meta.Ended
-		for _, item := range meta.Items {
-			job.add(item.ID, item.Tokens)
+		for i := range meta.Items {
+			job.add(&meta.Items[i])
 		}
 		m.jobs[job.ID] = job
 		m.order = max(m.order, job.Order)
--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -94,12 +94,19 @@
 func (r *runner) planOf(now time.Time, table *routetable.Table, job *batchstate.Job, number int) batchplan.Item {
 	planned := batchplan.Item{Job: job.ID, Number: number, Order: job.Order}
 	if seen := r.seen[job.ID]; seen != nil {
-		remaining := r.store.runTimes.remaining(job.Items[number].Events)
-		planned.Overdue = batchplan.Overdue(now.Sub(seen.first), dueOf(table, job), remaining)
+		age, due := now.Sub(seen.first), dueOf(table, job)
+		remaining := r.store.runTimes.remaining(r.eventsOf(job, number), job.Items[number].Expected)
+		planned.Overdue = batchplan.Overdue(age, due, remaining)
+		planned.Slack = batchplan.Slack(age, due, remaining)
 	}
 	return planned
 }
 
+// eventsOf returns how far an item has come: by the log, or by what was carried here.
+func (r *runner) eventsOf(job *batchstate.Job, number int) int {
+	return max(job.Items[number].Events, r.carried[itemKey{job.ID, number}].events)
+}
+
 // dueOf returns the age at which a job's results are due, or zero.
 func dueOf(table *routetable.Table, job *batchstate.Job) time.Duration {
 	if table == nil {
@@ -134,11 +141,11 @@
 	}
 	demand := &balance.Demand{
 		Pool:       r.splitter.Next(route, r.store.workers.Usable),
-		Parts:      dialect.Parts(headerOf(content.Headers, r.store.dialect.PromptParts)),
+		Parts:      dialect.Parts(dialect.Value(content.Headers, r.store.dialect.PromptParts)),
 		Batch:      true,
 		BatchShare: r.store.batchShare(),
 	}
-	demand.PromptTokens, _ = dialect.TokenCounts(headerOf(content.Headers, r.store.dialect.Tokens))
+	demand.PromptTokens, _ = dialect.TokenCounts(dialect.Value(content.Headers, r.store.dialect.Tokens))
 	lease := r.store.workers.Acquire(now, demand)
 	if lease == nil {
 		full[job.Route] = true
@@ -171,6 +178,7 @@
 		chain:    from.chain,
 		carry:    from,
 		failures: job.Items[key.item].Failures,
+		expected: job.Items[key.item].Expected,
 		lease:    lease,
 		started:  time.Now(),
 		context:  itemContext,
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -211,6 +211,9 @@
 		if ended.ranWhole {
 			r.store.runTimes.add(ended.ran, ended.carry.events)
 		}
+		if ended.state == wire.ItemCompleted {
+			r.store.runTimes.addLength(ended.expected, ended.carry.events)
+		}
 	case ended.yielded:
 		r.resting[ended.key] = time.Now().Add(yieldPause)
 	case ended.rest > 0:
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -61,6 +61,8 @@
 	chain    uint64
 	carry    carry
 	failures int
+	// expected is how many tokens the caller expects.
+	expected int64
 	lease    *balance.Lease
 	context  context.Context
 	cancel   context.CancelFunc
@@ -308,15 +310,6 @@
 	t.pacedAt = now
 }
 
-func headerOf(headers []wire.HeaderField, name string) string {
-	for _, field := range headers {
-		if http.CanonicalHeaderKey(field.Name) == name {
-			return field.Value
-		}
-	}
-	return ""
-}
-
 // pathOf returns the path of a request's target without its query.
 func pathOf(target string) string {
 	path, _, _ := strings.Cut(target, "?")
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -33,6 +33,8 @@
 	// Tokens carries the tokens of the prompt and the most out, separated by a
 	// comma.
 	Tokens string
+	// LengthHint carries how many tokens the caller expects to be made.
+	LengthHint string
 	// Key carries a caller's key, which goes no further than here.
 	Key string
 	// Tenant tells workers whose request it is. What callers send there counts for
@@ -51,6 +53,7 @@
 		Load:         "Sedgemast-Load",
 		PromptParts:  "Sedgemast-Prompt-Parts",
 		Tokens:       "Sedgemast-Tokens",
+		LengthHint:   "Sedgemast-Length-Hint",
 		Key:          "Sedgemast-Key",
 		Tenant:       "Sedgemast-Tenant",
 	}
@@ -85,6 +88,19 @@
 	return prompt, out
 }
 
+// Expected reads how many tokens the caller expects to be made, of the most that may be:
+// zero where that is not told.
+func Expected(hint string, most int64) int64 {
+	expected, err := strconv.ParseInt(strings.TrimSpace(hint), 10, 64)
+	if err != nil || expected <= 0 {
+		return 0
+	}
+	if most > 0 {
+		return min(expected, most)
+	}
+	return expected
+}
+
 // TimeLeft reads a deadline header; without one it returns the longest time
 // given.
 func TimeLeft(value string, longest time.Duration) time.Duration {
@@ -162,3 +178,13 @@
 	}
 	return owned
 }
+
+// Value returns the first value of a header, whose name is in canonical form.
+func Value(fields []wire.HeaderField, name string) string {
+	for _, field := range fields {
+		if http.CanonicalHeaderKey(field.Name) == name {
+			return field.Value
+		}
+	}
+	return ""
+}
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
@@ -36,6 +37,7 @@
 	if err := checkJob(job); err != nil {
 		return err
 	}
+	e.expect(job)
 	job.ID = tenancy.Scoped(tenant.Owner(), job.ID)
 	ctx, cancel := context.WithTimeout(request.Context(), storeTime)
 	defer cancel()
@@ -43,6 +45,15 @@
 	return err
 }
 
+// expect fills in how many tokens the caller expects of each item.
+func (e *Edge) expect(job *wire.SubmitBatch) {
+	for i := range job.Items {
+		item := &job.Items[i]
+		_, most := dialect.TokenCounts(dialect.Value(item.Headers, e.dialect.Tokens))
+		item.Expected = dialect.Expected(dialect.Value(item.Headers, e.dialect.LengthHint), most)
+	}
+}
+
 // checkJob returns the first fault of a job.
 func checkJob(job *wire.SubmitBatch) error {
 	if job.ID == "" || !tenancy.Plain(job.ID) {
--- a/internal/routetable/tenant.go
+++ b/internal/routetable/tenant.go
@@ -15,7 +15,8 @@
 type Tenant struct {
 	Name      tenancy.Name      `json:"name"`
 	KeyHashes []tenancy.KeyHash `json:"key_hashes"`
-	// Rank goes before the routes' own where it is told.
+	// Rank goes before the routes' own where it is told. As with theirs, no decision
+	// rests on it yet.
 	Rank *int `json:"rank,omitempty"`
 	// RatePerSecond is how many online requests a second the tenant may send to the
 	// whole fleet, zero for any number, and Burst how many more at once.
@@ -84,15 +85,6 @@
 	return t.Name
 }
 
-// RankOf returns the rank of a tenant's requests on a route: 0 goes first. The tenant's
-// own goes before the route's. Requests of nobody have the route's.
-func RankOf(route *Route, tenant *Tenant) int {
-	if tenant != nil && tenant.Rank != nil {
-		return *tenant.Rank
-	}
-	return route.Rank
-}
-
 // Limits returns the limits of the tenants that have one, by the tenants' short names. A
 // nil table has none.
 func (t *Table) Limits() map[ratelimit.Tenant]ratelimit.Limit {
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -32,6 +32,8 @@
 	Body    []byte        `msg:"body,limit=33554432"`
 	// Tokens are those of the prompt and the most that may be generated.
 	Tokens int64 `msg:"tokens"`
+	// Expected is how many tokens the caller expects to be generated, zero if unknown.
+	Expected int64 `msg:"expected"`
 }
 
 // HeaderField is one header of an opaque request.
@@ -115,8 +117,9 @@
 
 // BatchItemMeta is what is kept in memory of an item.
 type BatchItemMeta struct {
-	ID     string `msg:"id"`
-	Tokens int64  `msg:"tokens"`
+	ID       string `msg:"id"`
+	Tokens   int64  `msg:"tokens"`
+	Expected int64  `msg:"expected"`
 }
 
 // ItemContent is the stored request of an item.
--- a/internal/wire/batch_gen.go
+++ b/internal/wire/batch_gen.go
@@ -706,6 +706,12 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+		case "expected":
+			z.Expected, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Expected")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -719,9 +725,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *BatchItem) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "id"
-	err = en.Append(0x85, 0xa2, 0x69, 0x64)
+	err = en.Append(0x86, 0xa2, 0x69, 0x64)
 	if err != nil {
 		return
 	}
@@ -793,15 +799,25 @@
 		err = msgp.WrapError(err, "Tokens")
 		return
 	}
+	// write "expected"
+	err = en.Append(0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Expected)
+	if err != nil {
+		err = msgp.WrapError(err, "Expected")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *BatchItem) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "id"
-	o = append(o, 0x85, 0xa2, 0x69, 0x64)
+	o = append(o, 0x86, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ID)
 	// string "path"
 	o = append(o, 0xa4, 0x70, 0x61, 0x74, 0x68)
@@ -824,6 +840,9 @@
 	// string "tokens"
 	o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
 	o = msgp.AppendInt64(o, z.Tokens)
+	// string "expected"
+	o = append(o, 0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+	o = msgp.AppendInt64(o, z.Expected)
 	return
 }
 
@@ -945,6 +964,12 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+		case "expected":
+			z.Expected, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Expected")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -963,7 +988,7 @@
 	for za0001 := range z.Headers {
 		s += 1 + 5 + msgp.StringPrefixSize + len(z.Headers[za0001].Name) + 6 + msgp.StringPrefixSize + len(z.Headers[za0001].Value)
 	}
-	s += 5 + msgp.BytesPrefixSize + len(z.Body) + 7 + msgp.Int64Size
+	s += 5 + msgp.BytesPrefixSize + len(z.Body) + 7 + msgp.Int64Size + 9 + msgp.Int64Size
 	return
 }
 
@@ -1001,6 +1026,12 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+		case "expected":
+			z.Expected, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Expected")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1014,9 +1045,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z BatchItemMeta) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "id"
-	err = en.Append(0x82, 0xa2, 0x69, 0x64)
+	err = en.Append(0x83, 0xa2, 0x69, 0x64)
 	if err != nil {
 		return
 	}
@@ -1035,19 +1066,32 @@
 		err = msgp.WrapError(err, "Tokens")
 		return
 	}
+	// write "expected"
+	err = en.Append(0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Expected)
+	if err != nil {
+		err = msgp.WrapError(err, "Expected")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z BatchItemMeta) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "id"
-	o = append(o, 0x82, 0xa2, 0x69, 0x64)
+	o = append(o, 0x83, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ID)
 	// string "tokens"
 	o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
 	o = msgp.AppendInt64(o, z.Tokens)
+	// string "expected"
+	o = append(o, 0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+	o = msgp.AppendInt64(o, z.Expected)
 	return
 }
 
@@ -1085,6 +1129,12 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+		case "expected":
+			z.Expected, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Expected")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1099,7 +1149,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z BatchItemMeta) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 7 + msgp.Int64Size
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 7 + msgp.Int64Size + 9 + msgp.Int64Size
 	return
 }
 
@@ -1208,6 +1258,12 @@
 							err = msgp.WrapError(err, "Items", za0001, "Tokens")
 							return
 						}
+					case "expected":
+						z.Items[za0001].Expected, err = dc.ReadInt64()
+						if err != nil {
+							err = msgp.WrapError(err, "Items", za0001, "Expected")
+							return
+						}
 					default:
 						err = dc.Skip()
 						if err != nil {
@@ -1302,9 +1358,9 @@
 		return
 	}
 	for za0001 := range z.Items {
-		// map header, size 2
+		// map header, size 3
 		// write "id"
-		err = en.Append(0x82, 0xa2, 0x69, 0x64)
+		err = en.Append(0x83, 0xa2, 0x69, 0x64)
 		if err != nil {
 			return
 		}
@@ -1323,6 +1379,16 @@
 			err = msgp.WrapError(err, "Items", za0001, "Tokens")
 			return
 		}
+		// write "expected"
+		err = en.Append(0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Items[za0001].Expected)
+		if err != nil {
+			err = msgp.WrapError(err, "Items", za0001, "Expected")
+			return
+		}
 	}
 	return
 }
@@ -1353,13 +1419,16 @@
 	o = append(o, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
 	for za0001 := range z.Items {
-		// map header, size 2
+		// map header, size 3
 		// string "id"
-		o = append(o, 0x82, 0xa2, 0x69, 0x64)
+		o = append(o, 0x83, 0xa2, 0x69, 0x64)
 		o = msgp.AppendString(o, z.Items[za0001].ID)
 		// string "tokens"
 		o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
 		o = msgp.AppendInt64(o, z.Items[za0001].Tokens)
+		// string "expected"
+		o = append(o, 0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+		o = msgp.AppendInt64(o, z.Items[za0001].Expected)
 	}
 	return
 }
@@ -1469,6 +1538,12 @@
 							err = msgp.WrapError(err, "Items", za0001, "Tokens")
 							return
 						}
+					case "expected":
+						z.Items[za0001].Expected, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Items", za0001, "Expected")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1494,7 +1569,7 @@
 func (z *BatchMeta) Msgsize() (s int) {
 	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.Host) + 6 + msgp.StringPrefixSize + len(z.Owner) + 6 + msgp.BoolSize + 6 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Items {
-		s += 1 + 3 + msgp.StringPrefixSize + len(z.Items[za0001].ID) + 7 + msgp.Int64Size
+		s += 1 + 3 + msgp.StringPrefixSize + len(z.Items[za0001].ID) + 7 + msgp.Int64Size + 9 + msgp.Int64Size
 	}
 	return
 }
