fleetsim: jobs of tenants, their quotas and owners, and two mutations

Jobs belong to two tenants or to nobody; a job's owner and the waiting tokens of each are checked at every store, after power cuts and replaced disks, too.

--- a/internal/fleetsim/ledger.go
+++ b/internal/fleetsim/ledger.go
@@ -9,6 +9,7 @@
 	"github.com/sedgemast/sedgemast/internal/fleetview"
 	"github.com/sedgemast/sedgemast/internal/placement"
 	"github.com/sedgemast/sedgemast/internal/storage"
+	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -21,10 +22,13 @@
 	actInterval = 60 * time.Millisecond
 	readCheck   = 90 * time.Millisecond
 	itemsPerJob = 3
-	// maxTokens is the quota: few jobs fit at a time.
-	maxTokens = 40
+	// maxTokens is the quota of each tenant: few jobs fit at a time.
+	maxTokens = 6
 )
 
+// tenants are the owners of jobs; some belong to nobody.
+var tenants = []tenancy.Name{"a", "b", ""}
+
 // ledger plays callers, operators and readers, and keeps what they were promised.
 type ledger struct {
 	world      *World
@@ -39,6 +43,7 @@
 
 // promised is what callers know of a job.
 type promised struct {
+	owner    tenancy.Name
 	accepted bool
 	ended    bool
 	endAsked bool
@@ -124,17 +129,18 @@
 	if m == nil {
 		return
 	}
-	id := fmt.Sprintf("job-%d", len(l.names))
+	owner := tenants[len(l.names)%len(tenants)]
+	id := tenancy.Scoped(owner, fmt.Sprintf("job-%d", len(l.names)))
 	if len(l.names) > 0 && l.world.random.IntN(4) == 0 {
 		id = l.names[l.world.random.IntN(len(l.names))]
 	}
 	known := l.jobs[id]
 	if known == nil {
-		known = &promised{}
+		known = &promised{owner: owner}
 		l.jobs[id] = known
 		l.names = append(l.names, id)
 	}
-	submit := &wire.SubmitBatch{ID: id, Route: "r", Host: "h", Limit: maxTokens}
+	submit := &wire.SubmitBatch{ID: id, Route: "r", Host: "h", Owner: string(known.owner), Limit: maxTokens}
 	for i := 0; i < itemsPerJob; i++ {
 		submit.Items = append(submit.Items, wire.BatchItem{ID: fmt.Sprintf("%s-%d", id, i), Path: "/", Body: []byte(id), Tokens: 1})
 	}
@@ -246,6 +252,35 @@
 		}
 		l.checkResults(m, id, known, read.Results)
 		l.checkBodies(m, reader, id)
+		l.checkOwner(m, id, known)
+	}
+	l.checkQuota(m, group)
+}
+
+// checkOwner checks that a job belongs to whom handed it in.
+func (l *ledger) checkOwner(m *machine, id string, known *promised) {
+	if job, err := m.batch[groupOf(id)].Job(id); err == nil && job.Owner != known.owner {
+		l.violate("%s says that %q belongs to %q, not to %q", m.name, id, job.Owner, known.owner)
+	}
+}
+
+// checkQuota checks that no tenant has more tokens waiting in a group than it may.
+func (l *ledger) checkQuota(m *machine, group int) {
+	waiting := map[tenancy.Name]int64{}
+	m.batch[group].Jobs(func(job *batchstate.Job) {
+		if job.Ended {
+			return
+		}
+		for i := range job.Items {
+			if job.Items[i].State == wire.ItemWaiting {
+				waiting[l.jobs[job.ID].owner] += job.Items[i].Tokens
+			}
+		}
+	})
+	for owner, tokens := range waiting {
+		if tokens > maxTokens {
+			l.violate("%s has %d tokens of %q waiting, %d may", m.name, tokens, owner, maxTokens)
+		}
 	}
 }
 
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -26,10 +26,14 @@
 	MutationMixChains Mutation = "mix_chains"
 	// MutationLoseBodies forgets the requests of accepted items.
 	MutationLoseBodies Mutation = "lose_bodies"
+	// MutationLoseOwner takes jobs in as nobody's.
+	MutationLoseOwner Mutation = "lose_owner"
+	// MutationNoQuota takes jobs in whatever waits.
+	MutationNoQuota Mutation = "no_quota"
 )
 
 // Mutations lists all that take something away.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota}
 
 // mutatedStore returns the machine's disk, or one that lies.
 func (m *machine) mutatedStore() storage.Store {
@@ -50,7 +54,7 @@
 // machine returns the state machine, or a mutated one.
 func (m Mutation) machine(whole replication.StateMachine) replication.StateMachine {
 	switch m {
-	case MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies:
+	case MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota:
 		return &mutated{StateMachine: whole, mutation: m}
 	}
 	return whole
@@ -76,6 +80,10 @@
 		}))
 	case MutationMixChains:
 		return m.StateMachine.Apply(withRecords(command, func(record *wire.ItemRecord) { record.Opens = true }))
+	case MutationLoseOwner:
+		return m.StateMachine.Apply(withSubmit(command, func(submit *wire.SubmitBatch) { submit.Owner = "" }))
+	case MutationNoQuota:
+		return m.StateMachine.Apply(withSubmit(command, func(submit *wire.SubmitBatch) { submit.Limit = 0 }))
 	}
 	answer, mutations := m.StateMachine.Apply(command)
 	var batch wire.BatchCommand
@@ -108,6 +116,16 @@
 	return encode(&batch)
 }
 
+// withSubmit changes the job that a command hands in.
+func withSubmit(command []byte, change func(submit *wire.SubmitBatch)) []byte {
+	var batch wire.BatchCommand
+	if _, err := batch.UnmarshalMsg(command); err != nil || batch.Submit == nil {
+		return command
+	}
+	change(batch.Submit)
+	return encode(&batch)
+}
+
 func encode(message interface {
 	MarshalMsg([]byte) ([]byte, error)
 }) []byte {
