Items leave nothing free for online requests that may come

Cause: in the low part of a wave some 27 of 390 slots stayed empty for what came within 150 ms, and 40 after a wave, when callers return (items_planned: idle against free); that is a tenth of what items got. What comes finds its slot after three reports anyway.

The arrivals that the planner was told for it are gone again.

--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -26,7 +26,7 @@
 	defer t.mutex.Unlock()
 	var loads []wire.WorkerLoad
 	for _, known := range t.workers {
-		if known.inFlight == 0 && known.told == 0 && known.answered == 0 && known.failed == 0 && known.steps == 0 && known.started == 0 {
+		if known.inFlight == 0 && known.told == 0 && known.answered == 0 && known.failed == 0 && known.steps == 0 {
 			continue
 		}
 		loads = append(loads, wire.WorkerLoad{
@@ -36,14 +36,13 @@
 			Unread: uint32(min(max(known.unread, 0), math.MaxUint32)),
 			Told:   uint16(min(known.told, math.MaxUint16)),
 
-			Started:  uint16(min(known.started, math.MaxUint16)),
 			Answered: uint16(min(known.answered, math.MaxUint16)),
 			Failed:   uint16(min(known.failed, math.MaxUint16)),
 
 			Steps:      uint16(min(known.steps, math.MaxUint16)),
 			StepMicros: uint32(min(known.stepTime.Microseconds(), math.MaxUint32)),
 		})
-		known.told, known.started, known.answered, known.failed = 0, 0, 0, 0
+		known.told, known.answered, known.failed = 0, 0, 0
 		known.steps, known.stepTime = 0, 0
 	}
 	return loads
@@ -144,8 +143,6 @@
 			Online:   known.inFlight - known.batch + int(others.Online) + orphans,
 			Orphans:  orphans,
 			Closed:   !known.usable() || others.Failing || now.Before(known.suspectUntil),
-			Pool:     known.listed.Pool,
-			Rate:     float64(others.Arrivals) / rateSeconds,
 			Hold:     t.holds[known.listed.Pool],
 			Patience: patience(known.listed.Pool),
 		})
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -144,8 +144,6 @@
 	if demand.Batch {
 		chosen.batch++
 		chosen.starts = max(chosen.starts-1, 0)
-	} else {
-		chosen.started++
 	}
 	chosen.remember(shared(demand.Parts))
 	return lease
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -45,8 +45,6 @@
 	// told is one more than the requests that the worker said it has, until
 	// that has been passed on.
 	told int
-	// started counts the online requests sent here until that has been passed on.
-	started int
 	// answered and failed count answers until they have been passed on.
 	answered int
 	failed   int
--- a/internal/batchroom/batchroom.go
+++ b/internal/batchroom/batchroom.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -17,10 +16,6 @@
 )
 
 const (
-	// reactionTime is how long it takes until an item has given way to an online request:
-	// three reports of loads of 50 ms and a look of the runner, about. What comes in that
-	// time finds the slots that items leave free.
-	reactionTime = 150 * time.Millisecond
 	// runnerFresh is how long a runner's report counts.
 	runnerFresh = 400 * time.Millisecond
 )
@@ -36,10 +31,6 @@
 	Orphans int
 	// Closed is set where no item may start.
 	Closed bool
-	// Pool names the pool of the worker, Rate is how many online requests come to
-	// the worker a second, by the last moments.
-	Pool string
-	Rate float64
 	// Hold is how long an online request holds a slot, zero if unknown, and
 	// Patience how long one may wait for items.
 	Hold     time.Duration
@@ -112,14 +103,11 @@
 	}
 	orders := map[uint32]Order{}
 	var open []opening
-	free := map[string]int{}
-	rates := map[string]float64{}
 	p.summary = Summary{Waiting: p.waiting()}
 	for i := range places {
 		place := &places[i]
 		items := p.itemsAt(place.Worker)
 		p.summary.add(place, items)
-		rates[place.Pool] += place.Rate
 		stops := batchplan.Stops(batchplan.Place{Slots: place.Slots, Online: place.Online, Batch: items}, place.Hold, place.Patience)
 		if stops > 0 {
 			p.summary.Stops += stops
@@ -128,19 +116,15 @@
 			}
 			continue
 		}
+		// Nothing is left free for online requests that may come: items give way to them
+		// within three reports, and a slot that stays empty until then is lost.
 		room := place.Slots - place.Online - items - p.grantedAt(place.Worker, name)
 		if room > 0 && !place.Closed {
-			open = append(open, opening{worker: place.Worker, pool: place.Pool, room: room, tie: place.Worker ^ name})
-			free[place.Pool] += room
+			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
+			p.summary.Free += room
 		}
 	}
-	total := 0
-	for pool := range free {
-		free[pool] = max(free[pool]-reserve(rates[pool]), 0)
-		total += free[pool]
-	}
-	own.granted = grant(open, free, p.shareOf(own, total))
-	p.summary.Free = total
+	own.granted = grant(open, p.shareOf(own, p.summary.Free))
 	for worker, count := range own.granted {
 		orders[worker] = Order{Start: count}
 		p.summary.Granted += count
@@ -148,14 +132,6 @@
 	return orders
 }
 
-// reserve returns how many slots of a pool items leave free where so many online requests
-// come a second: those that come until items have given way, and as many more as chance
-// adds to that number.
-func reserve(rate float64) int {
-	expected := rate * reactionTime.Seconds()
-	return int(math.Ceil(expected + math.Sqrt(expected)))
-}
-
 // add takes in a worker.
 func (s *Summary) add(place *Place, items int) {
 	s.Slots += place.Slots
@@ -235,15 +211,13 @@
 // opening is a worker with room.
 type opening struct {
 	worker uint32
-	pool   string
 	room   int
 	// tie orders workers of equal room, differently for each runner.
 	tie uint32
 }
 
-// grant gives out so much room and no more than is free in each pool, one slot after
-// another where the most is left.
-func grant(open []opening, free map[string]int, count int) map[uint32]int {
+// grant gives out so much room, one slot after another where the most is left.
+func grant(open []opening, count int) map[uint32]int {
 	granted := map[uint32]int{}
 	slices.SortFunc(open, func(a, b opening) int { return cmp.Or(cmp.Compare(b.room, a.room), cmp.Compare(a.tie, b.tie)) })
 	if len(open) == 0 {
@@ -251,11 +225,8 @@
 	}
 	for level := open[0].room; level > 0 && count > 0; level-- {
 		for i := 0; i < len(open) && open[i].room >= level && count > 0; i++ {
-			if pool := open[i].pool; free[pool] > 0 {
-				granted[open[i].worker]++
-				free[pool]--
-				count--
-			}
+			granted[open[i].worker]++
+			count--
 		}
 	}
 	return granted
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -148,7 +148,7 @@
 func (h *Hub) watch(now time.Time, report *wire.LoadReport) {
 	for i := range report.Workers {
 		load := &report.Workers[i]
-		if load.Told == 0 && load.Answered == 0 && load.Failed == 0 && load.Steps == 0 && load.Started == 0 {
+		if load.Told == 0 && load.Answered == 0 && load.Failed == 0 && load.Steps == 0 {
 			continue
 		}
 		known := h.watched[load.Worker]
@@ -219,7 +219,6 @@
 		load.Failing = known.health.failing(now)
 		load.Step = known.pace.step(now)
 		load.Rate = known.pace.rate(now)
-		load.Arrivals = known.pace.arrivals(now)
 		loads[worker] = load
 	}
 }
--- a/internal/loadshare/pace.go
+++ b/internal/loadshare/pace.go
@@ -14,9 +14,6 @@
 	leastSteps = 2.0
 	// rateSeconds is the span of time that a rate is told for.
 	rateSeconds = 10
-	// arrivalsHalf is the time after which a request that was sent counts half in the
-	// rate of arrivals: a few reports, because loads jump within moments.
-	arrivalsHalf = 150 * time.Millisecond
 )
 
 // pace is how fast a worker makes events and answers online requests, over all
@@ -24,7 +21,6 @@
 type pace struct {
 	at       time.Time
 	answered float64
-	started  float64
 	steps    float64
 	// micros is the sum of the times between events.
 	micros float64
@@ -34,7 +30,6 @@
 func (p *pace) take(now time.Time, load *wire.WorkerLoad) {
 	p.age(now)
 	p.answered += float64(load.Answered)
-	p.started += float64(load.Started)
 	p.steps += float64(load.Steps)
 	p.micros += float64(load.StepMicros)
 }
@@ -43,7 +38,6 @@
 	if !p.at.IsZero() {
 		weight := math.Exp2(-float64(now.Sub(p.at)) / float64(paceHalf))
 		p.answered *= weight
-		p.started *= math.Exp2(-float64(now.Sub(p.at)) / float64(arrivalsHalf))
 		p.steps *= weight
 		p.micros *= weight
 	}
@@ -67,12 +61,5 @@
 	return clamp16(int(math.Round(perSecond * rateSeconds)))
 }
 
-// arrivals returns how many online requests come in ten seconds.
-func (p *pace) arrivals(now time.Time) uint16 {
-	p.age(now)
-	perSecond := p.started * math.Ln2 / arrivalsHalf.Seconds()
-	return clamp16(int(math.Round(perSecond * rateSeconds)))
-}
-
 // stale reports whether nothing is left to remember.
 func (p *pace) stale(now time.Time) bool { return p.step(now) == 0 && p.rate(now) == 0 }
--- a/internal/loadshare/sums.go
+++ b/internal/loadshare/sums.go
@@ -13,7 +13,6 @@
 	// means that it told none.
 	told     uint16
 	answered int
-	started  int
 	failed   int
 	steps    int
 	micros   int
@@ -25,7 +24,6 @@
 		g.told = load.Told
 	}
 	g.answered += int(load.Answered)
-	g.started += int(load.Started)
 	g.failed += int(load.Failed)
 	g.steps += int(load.Steps)
 	g.micros += int(load.StepMicros)
@@ -48,7 +46,6 @@
 		load.Worker = worker
 		load.Told = known.gathered.told
 		load.Answered = clamp16(known.gathered.answered)
-		load.Started = clamp16(known.gathered.started)
 		load.Failed = clamp16(known.gathered.failed)
 		load.Steps = clamp16(known.gathered.steps)
 		load.StepMicros = clamp32(known.gathered.micros)
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -130,11 +130,6 @@
 	// events the sender has seen at the worker since the last one, and their sum.
 	Steps      uint16
 	StepMicros uint32
-	// Started is set in reports to the hub: how many online requests the sender has
-	// sent to the worker since the last one. Arrivals is set by the hub: how many all
-	// send it in ten seconds, by the last moments.
-	Started  uint16
-	Arrivals uint16
 	// Step is set by the hub: the worker's mean time between events, in
 	// microseconds; zero means unknown.
 	Step uint32
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -1430,8 +1430,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 17 {
-		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
+	if zb0001 != 15 {
+		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
 		return
 	}
 	z.Worker, err = dc.ReadUint32()
@@ -1479,16 +1479,6 @@
 		err = msgp.WrapError(err, "StepMicros")
 		return
 	}
-	z.Started, err = dc.ReadUint16()
-	if err != nil {
-		err = msgp.WrapError(err, "Started")
-		return
-	}
-	z.Arrivals, err = dc.ReadUint16()
-	if err != nil {
-		err = msgp.WrapError(err, "Arrivals")
-		return
-	}
 	z.Step, err = dc.ReadUint32()
 	if err != nil {
 		err = msgp.WrapError(err, "Step")
@@ -1524,8 +1514,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *WorkerLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 17
-	err = en.Append(0xdc, 0x0, 0x11)
+	// array header, size 15
+	err = en.Append(0x9f)
 	if err != nil {
 		return
 	}
@@ -1574,16 +1564,6 @@
 		err = msgp.WrapError(err, "StepMicros")
 		return
 	}
-	err = en.WriteUint16(z.Started)
-	if err != nil {
-		err = msgp.WrapError(err, "Started")
-		return
-	}
-	err = en.WriteUint16(z.Arrivals)
-	if err != nil {
-		err = msgp.WrapError(err, "Arrivals")
-		return
-	}
 	err = en.WriteUint32(z.Step)
 	if err != nil {
 		err = msgp.WrapError(err, "Step")
@@ -1620,8 +1600,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 17
-	o = append(o, 0xdc, 0x0, 0x11)
+	// array header, size 15
+	o = append(o, 0x9f)
 	o = msgp.AppendUint32(o, z.Worker)
 	o = msgp.AppendUint16(o, z.Online)
 	o = msgp.AppendUint16(o, z.Batch)
@@ -1631,8 +1611,6 @@
 	o = msgp.AppendUint16(o, z.Failed)
 	o = msgp.AppendUint16(o, z.Steps)
 	o = msgp.AppendUint32(o, z.StepMicros)
-	o = msgp.AppendUint16(o, z.Started)
-	o = msgp.AppendUint16(o, z.Arrivals)
 	o = msgp.AppendUint32(o, z.Step)
 	o = msgp.AppendUint16(o, z.Rate)
 	o = msgp.AppendUint16(o, z.Start)
@@ -1650,8 +1628,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 17 {
-		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
+	if zb0001 != 15 {
+		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
 		return
 	}
 	z.Worker, bts, err = msgp.ReadUint32Bytes(bts)
@@ -1699,16 +1677,6 @@
 		err = msgp.WrapError(err, "StepMicros")
 		return
 	}
-	z.Started, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Started")
-		return
-	}
-	z.Arrivals, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Arrivals")
-		return
-	}
 	z.Step, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Step")
@@ -1745,6 +1713,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerLoad) Msgsize() (s int) {
-	s = 3 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
+	s = 1 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
 	return
 }
