ratelimit: a limit that was gone for a moment is no debt

Cause, found in reading: a tenant taken out of the configuration and put back, or a limit lifted and set again, is forgotten by the top; a hub that heard of the last change only goes on with its count, and the top took all that it had ever taken from the new bucket: a tenant of 10 a second stood at -85 and was refused for 8.6 s (TestLimitThatWasGone, red before). A hub says now which of its counts the top has told it that it knows.

--- a/internal/ratelimit/hub.go
+++ b/internal/ratelimit/hub.go
@@ -43,6 +43,8 @@
 	// counts what is taken here, zero for none.
 	changed uint64
 	joined  uint32
+	// counted is set once that top has said that it does.
+	counted bool
 	// share is the part of the bucket that is this hub's while it hears no top, and
 	// parted is set while level holds that part alone.
 	share  float64
@@ -240,7 +242,7 @@
 	Level float64
 	// Joining is set by a hub that has taken tokens under another top, or under none:
 	// Level is the part of the bucket that it holds alone, and brings. Counted is set
-	// by the top once it counts what the hub takes.
+	// by the top once it counts what the hub takes, and by a hub that knows that.
 	Joining bool
 	Counted bool
 	// Share is the part that is the hub's while it hears no top. A hub tells it only
@@ -262,7 +264,7 @@
 			continue
 		}
 		h.advance(now, known, h.limits[tenant])
-		row := Row{Tenant: tenant, Count: known.own, Joining: !h.joined(known)}
+		row := Row{Tenant: tenant, Count: known.own, Joining: !h.joined(known), Counted: h.joined(known) && known.counted}
 		if row.Joining {
 			row.Level, row.Share = known.part(), known.share
 		}
@@ -307,7 +309,7 @@
 	if known == nil || !row.Counted && !h.joined(known) {
 		return
 	}
-	known.joined, known.parted = h.top, false
+	known.joined, known.counted, known.parted = h.top, known.counted || row.Counted, false
 	known.acked, known.share, known.refills = row.Count, row.Share, row.Refills
 	known.level = row.Level - float64(known.own-known.acked)
 	known.at = now
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -488,6 +488,30 @@
 	}
 }
 
+// TestLimitThatWasGone takes the limit away and brings it back at the top alone, as when a hub
+// has heard of the last of two changes only: what the hub took before is not taken again.
+func TestLimitThatWasGone(t *testing.T) {
+	f := newFleet(rand.New(rand.NewSource(1)), Limit{Rate: 10, Burst: 10})
+	wait := func(time time.Duration) {
+		for end := f.now.Add(time); f.now.Before(end); {
+			f.tick()
+		}
+	}
+	wait(time.Second)
+	for range 100 {
+		f.ask(0)
+		wait(200 * time.Millisecond)
+	}
+	f.top.SetLimits(nil, hubs)
+	f.top.SetLimits(limits(f.limit), hubs)
+	for range 20 {
+		wait(200 * time.Millisecond)
+		if verdict := f.ask(0); !verdict.Granted {
+			t.Fatalf("refused: %+v", verdict)
+		}
+	}
+}
+
 // TestGivenBackOnce gives a token back: it counts again, and only once.
 func TestGivenBackOnce(t *testing.T) {
 	hub := NewHub(start, 1, Tolerance{Window: time.Second})
--- a/internal/ratelimit/top.go
+++ b/internal/ratelimit/top.go
@@ -154,8 +154,13 @@
 	used := known.user(now, source)
 	if !used.joined {
 		used.joined = true
-		if row.Joining {
+		switch {
+		case row.Joining:
 			t.join(known, used, row, first)
+		case row.Counted:
+			// The tenant's limit was gone here for a moment, and not there: what was
+			// taken before that has been counted.
+			used.count = row.Count
 		}
 	}
 	taken := float64(row.Count - used.count)
