--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -175,6 +175,17 @@
 	return verdict
 }
 
+// askUntilSure asks again, as an edge does, while the hub can't be sure.
+func (f *fleet) askUntilSure(i int) Verdict {
+	verdict := f.ask(i)
+	for tries := 0; verdict.Unsure && tries < 9; tries++ {
+		f.tick()
+		f.tick()
+		verdict = f.ask(i)
+	}
+	return verdict
+}
+
 // most returns the most requests that passed in any window.
 func (f *fleet) most() int {
 	most, from := 0, 0
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -153,12 +153,7 @@
 						}
 						fair.level--
 						asked++
-						verdict := f.ask(i)
-						for tries := 0; verdict.Unsure && tries < 9; tries++ {
-							f.tick()
-							f.tick()
-							verdict = f.ask(i)
-						}
+						verdict := f.askUntilSure(i)
 						if !verdict.Granted {
 							refused++
 						}
@@ -285,12 +280,7 @@
 				continue
 			}
 			asked++
-			verdict := f.ask(hub)
-			for tries := 0; verdict.Unsure && tries < 9; tries++ {
-				f.tick()
-				f.tick()
-				verdict = f.ask(hub)
-			}
+			verdict := f.askUntilSure(hub)
 			if !verdict.Granted {
 				refused++
 			}
