--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -38,8 +39,10 @@
 	workers  *balance.Table
 	upstream *upstream.Client
 	loads    *loadshare.Exchange
-	metrics  *metrics
-	started  time.Time
+	// hubs holds the stores in the order in which they are asked to be this process's hub.
+	hubs    atomic.Pointer[[]string]
+	metrics *metrics
+	started time.Time
 
 	// Stores hands jobs to the stores.
 	Stores *storeclient.Client
@@ -74,6 +77,7 @@
 		reserve:   ratelimit.NewReserve(config.Name),
 		started:   time.Now(),
 	}
+	e.setHubs(nil)
 	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.report)
 	e.watcher.OnChange(e.adopt)
 	e.Stores = storeclient.New(d.Traffic, config.Zone, func() *wire.FleetView { return &e.watcher.Current().Fleet })
@@ -99,7 +103,7 @@
 	var rate loadshare.Rate
 	return loadshare.NewExchange(&loadshare.Reporter{
 		Meter: e.daemon.Traffic,
-		Hubs:  func() []string { return loadshare.HubOrder(e.settings.Zone, e.watcher.Current().Fleet.Stores) },
+		Hubs:  func() []string { return *e.hubs.Load() },
 		Home:  true,
 		Own: func() *wire.LoadReport {
 			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads()}
@@ -129,6 +133,7 @@
 // configuration and a list of workers; it stays so when the coordinators can't
 // be reached.
 func (e *Edge) adopt(snapshot *fleetwatch.Snapshot) {
+	e.setHubs(snapshot.Fleet.Stores)
 	e.workers.Update(snapshot.Fleet.Workers, snapshot.Table.Memory())
 	e.upstream.Forget(e.workers.Knows)
 	e.keepTenants(snapshot.Table)
@@ -138,6 +143,12 @@
 	}
 }
 
+// setHubs takes in the living stores.
+func (e *Edge) setHubs(stores []wire.StoreAddress) {
+	hubs := loadshare.HubOrder(e.settings.Zone, stores)
+	e.hubs.Store(&hubs)
+}
+
 // keepTenants forgets what is kept of tenants that are gone, their counters included.
 func (e *Edge) keepTenants(table *routetable.Table) {
 	limits := table.Limits()
--- a/internal/ratelimit/reserve.go
+++ b/internal/ratelimit/reserve.go
@@ -7,10 +7,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Reserve is what an edge may let in while it hears no hub: its part of one part of the
-// tolerance (Tolerance.Spare), in each window. Parts are whole requests: where there are fewer than edges,
-// those edges have one that a hash names, so that the sum over all edges stays within.
-// It is not safe for concurrent use.
+// Reserve is what an edge may let in while it hears no hub: its share of one part of the
+// tolerance (Tolerance.Spare), in each window. Shares are whole requests: where there are
+// fewer than edges, those edges have one that a hash names, so that the sum over all edges
+// is that part in the mean. It is not safe for concurrent use.
 type Reserve struct {
 	edge uint64
 	// spent holds when requests of each tenant were let in, in the last window.
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 )
 
@@ -22,6 +23,8 @@
 	tenants  map[tenancy.Name]*Tenant
 	// owners holds the tenants by the hashes of their keys.
 	owners map[tenancy.KeyHash]*Tenant
+	// limits holds the limits of the tenants that have one, by their short names.
+	limits map[ratelimit.Tenant]ratelimit.Limit
 }
 
 // NewTable prepares a checked configuration for look-ups.
@@ -41,10 +44,14 @@
 		table.pools[configuration.Pools[i].Name] = &configuration.Pools[i]
 	}
 	table.tenants = make(map[tenancy.Name]*Tenant, len(configuration.Tenants))
+	table.limits = make(map[ratelimit.Tenant]ratelimit.Limit, len(configuration.Tenants))
 	table.owners = make(map[tenancy.KeyHash]*Tenant, len(configuration.Tenants))
 	for i := range configuration.Tenants {
 		tenant := &configuration.Tenants[i]
 		table.tenants[tenant.Name] = tenant
+		if tenant.Limited() {
+			table.limits[ShortName(tenant.Name)] = tenant.Limit()
+		}
 		for _, hash := range tenant.KeyHashes {
 			table.owners[hash] = tenant
 		}
--- a/internal/routetable/tenant.go
+++ b/internal/routetable/tenant.go
@@ -85,19 +85,13 @@
 	return t.Name
 }
 
-// Limits returns the limits of the tenants that have one, by the tenants' short names. A
-// nil table has none.
+// Limits returns the limits of the tenants that have one, by the tenants' short names. The
+// map must not change. A nil table has none.
 func (t *Table) Limits() map[ratelimit.Tenant]ratelimit.Limit {
-	limits := map[ratelimit.Tenant]ratelimit.Limit{}
 	if t == nil {
-		return limits
+		return nil
 	}
-	for name, tenant := range t.tenants {
-		if tenant.Limited() {
-			limits[ShortName(name)] = tenant.Limit()
-		}
-	}
-	return limits
+	return t.limits
 }
 
 // Limit returns the tenant's limit of requests.
