Edges: a line for each answer that broke off, with the request's identity and its worker's fate

Change: quarantine.Of is the identity of a request (owner, host, method, target, body); upstream.Client.Ended looks whether anybody still listens at the worker's address (one connection for all who ask at once, kept if it comes about). Nothing is decided by it yet. The stand-in worker can end under a request and come back as another incarnation. Ruled out: the platform's list, which shows a worker that ended for some seconds more.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -11,6 +11,7 @@
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpapi"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/upstream"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -144,6 +145,7 @@
 		if result == failed {
 			c.mayHaveRun = true
 		}
+		c.lookAt(lease, result)
 		logging.Info(c.edge.logger, "attempt_failed", "id", c.id, "attempt", c.attempts, "worker", lease.Endpoint.ID, "outcome", result, "last_event", c.lastEvent, "ms", c.elapsed(), "error", c.lastErr)
 		if result == failed && !c.route.Idempotent() {
 			break
@@ -152,6 +154,21 @@
 	c.giveUp()
 }
 
+// lookAt finds out whether the worker of an attempt that broke off has ended.
+func (c *call) lookAt(lease *balance.Lease, result outcome) {
+	if result != failed || !upstream.BrokeOff(c.lastErr) {
+		return
+	}
+	ended := c.edge.upstream.Ended(c.context, lease.Endpoint)
+	logging.Info(c.edge.logger, "worker_broke_off", "id", c.id, "request", c.fingerprint(), "worker", lease.Endpoint.ID, "ended", ended, "last_event", c.lastEvent, "ms", c.elapsed())
+}
+
+// fingerprint returns the request's identity.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	r := &c.request
+	return quarantine.Of(c.tenant.Owner(), r.Host, r.Method, r.Target, r.Body)
+}
+
 // newsPatience is how long a request waits for news of the workers before one is chosen:
 // several times what an answer takes within a zone, and nothing beside any goal.
 const newsPatience = 6 * time.Millisecond
--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -26,13 +26,19 @@
 	// they are set before the first request.
 	Names *dialect.Dialect
 
-	server  *httptest.Server
-	mutex   sync.Mutex
-	running int
-	seen    []HostedRequest
-	behave  func(request *HostedRequest) HostedFault
-	leaving bool
-	left    int
+	server *httptest.Server
+	mutex  sync.Mutex
+	// ends counts the times that the worker has ended, incarnation those that it has
+	// come back; down is set in between.
+	ends        int
+	incarnation int
+	down        bool
+	closed      bool
+	running     int
+	seen        []HostedRequest
+	behave      func(request *HostedRequest) HostedFault
+	leaving     bool
+	left        int
 }
 
 // HostedRequest is a request as the worker got it.
@@ -56,6 +62,10 @@
 	BreakAfter int
 	// Hang sends nothing until the caller has left.
 	Hang bool
+	// End, where it is set, ends the worker under the request after so long; Back is
+	// after which time it is back, as another incarnation at the same address.
+	End  time.Duration
+	Back time.Duration
 }
 
 // NewHostedWorker starts a worker; Close ends it.
@@ -78,11 +88,21 @@
 	}
 }
 
-// Close ends the worker.
-func (w *HostedWorker) Close() { w.server.Close() }
+// Close ends the worker for good.
+func (w *HostedWorker) Close() {
+	w.mutex.Lock()
+	w.closed = true
+	server := w.server
+	w.mutex.Unlock()
+	server.Close()
+}
 
 // Address returns the worker's IP:port.
-func (w *HostedWorker) Address() string { return w.server.Listener.Addr().String() }
+func (w *HostedWorker) Address() string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.server.Listener.Addr().String()
+}
 
 // Behave sets how the worker misbehaves; nil means that it does not.
 func (w *HostedWorker) Behave(behave func(request *HostedRequest) HostedFault) {
@@ -139,8 +159,8 @@
 func (w *HostedWorker) serve(writer http.ResponseWriter, httpRequest *http.Request) {
 	header := httpRequest.Header
 	writer.Header().Set(w.Names.RequestID, header.Get(w.Names.RequestID))
-	if expected := header.Get(w.Names.ExpectWorker); expected != "" && expected != w.ID {
-		writer.Header().Set("Instance", w.ID)
+	if expected := header.Get(w.Names.ExpectWorker); expected != "" && expected != w.Incarnation() {
+		writer.Header().Set("Instance", w.Incarnation())
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -171,6 +191,11 @@
 		writer.WriteHeader(fault.Status)
 		return
 	}
+	if fault.End > 0 {
+		time.Sleep(fault.End)
+		w.end(fault.Back)
+		panic(http.ErrAbortHandler)
+	}
 	if fault.Hang {
 		<-httpRequest.Context().Done()
 		w.callerLeft()
@@ -275,7 +300,7 @@
 			state = "draining"
 		}
 		worker.mutex.Unlock()
-		page.Instances = append(page.Instances, hostedRow{ID: worker.ID, Service: l.service, Address: worker.Address(), Zone: "zone-a", Slots: worker.Slots, State: state})
+		page.Instances = append(page.Instances, hostedRow{ID: worker.Incarnation(), Service: l.service, Address: worker.Address(), Zone: "zone-a", Slots: worker.Slots, State: state})
 	}
 	if next := first + hostedPageRows; next < len(l.workers) {
 		token := strconv.Itoa(next)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,6 +63,8 @@
 	dialed uint64
 	reused uint64
 	meter  *traffic.Meter
+	// looks holds the looks at workers that broke off, by worker, while they last.
+	looks map[string]*look
 }
 
 // Measure makes the client count its requests in the meter. It must be called before
@@ -71,7 +73,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(names *dialect.Dialect) *Client {
-	return &Client{dialect: names, dialer: net.Dialer{Timeout: dialTimeout}, idle: map[string][]*connection{}}
+	return &Client{dialect: names, dialer: net.Dialer{Timeout: dialTimeout}, idle: map[string][]*connection{}, looks: map[string]*look{}}
 }
 
 // Connections returns how many connections were made, and how many requests went
