Leases and ages go by a clock that counts suspensions

Cause: time.Now's differences rest on a clock that stands still while the machine is suspended. A leader that wakes up holds its lease by it though others lead, and serves old reads; a hub, an edge or a dispatcher takes news and leases of before for fresh. Change: package clock (CLOCK_BOOTTIME). Replication, coordinators' and control's views, stores' runners and hubs, edges' sight of coordinators, of loads and of tenants' reserve, kept connections, the older half's leases of daemons, configuration and items. Left on the steady clock: what only paces or times one exchange (time-outs of connections, retry pauses, penalties of stores).

--- a/internal/batchstore/handlers.go
+++ b/internal/batchstore/handlers.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"time"
+
+	"github.com/sedgemast/sedgemast/internal/clock"
 
 	"github.com/tinylib/msgp/msgp"
 
@@ -40,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	job.Limit = s.limit(time.Now(), g.number, batchstate.AccountOf(tenancy.Name(job.Owner), job.Route), job.Limit)
+	job.Limit = s.limit(clock.Now(), g.number, batchstate.AccountOf(tenancy.Name(job.Owner), job.Route), job.Limit)
 	repeated := false
 	// What is refused anyway is not written to the log first.
 	err = g.read(func(storage.Reader) error {
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/batchroom"
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
@@ -61,7 +63,7 @@
 		top:     loadshare.NewHub(),
 		planner: batchroom.New(),
 		random:  rand.New(rand.NewPCG(seed, seed)),
-		limits:  newLimiter(time.Now(), tolerance),
+		limits:  newLimiter(clock.Now(), tolerance),
 		quotas:  quota.New(0),
 	}
 }
@@ -91,7 +93,7 @@
 // have, and stores which items they may start and are to stop.
 func (s *Store) takeLoads(ctx context.Context) {
 	err := loadshare.Serve(ctx, s.daemon.Address(), func(report *wire.LoadReport) *wire.LoadReport {
-		now := time.Now()
+		now := clock.Now()
 		err := s.groups[hubGroup].read(func(storage.Reader) error { return nil })
 		s.loads.hubs.Lock()
 		defer s.loads.hubs.Unlock()
@@ -257,7 +259,7 @@
 			}
 			s.loads.hubs.Lock()
 			defer s.loads.hubs.Unlock()
-			now := time.Now()
+			now := clock.Now()
 			sums := s.loads.zone.Sums(now, s.zoneSource())
 			if sums != nil && !sums.Left {
 				sums.Zone, sums.Tenants = s.settings.Zone, s.loads.limits.report(now)
--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/batchplan"
 	"github.com/sedgemast/sedgemast/internal/batchstate"
@@ -180,7 +182,7 @@
 		failures: job.Items[key.item].Failures,
 		expected: job.Items[key.item].Expected,
 		lease:    lease,
-		started:  time.Now(),
+		started:  clock.Now(),
 		context:  itemContext,
 		cancel:   cancel,
 	}
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/routetable"
@@ -102,7 +104,7 @@
 			return
 		case <-timer.C:
 			r.drainEvents()
-			r.look(ctx, time.Now())
+			r.look(ctx, clock.Now())
 			timer.Reset(r.interval())
 		case ended := <-r.ended:
 			r.end(ended)
@@ -215,9 +217,9 @@
 			r.store.runTimes.addLength(ended.expected, ended.carry.events)
 		}
 	case ended.yielded:
-		r.resting[ended.key] = time.Now().Add(yieldPause)
+		r.resting[ended.key] = clock.Now().Add(yieldPause)
 	case ended.rest > 0:
-		r.resting[ended.key] = time.Now().Add(ended.rest)
+		r.resting[ended.key] = clock.Now().Add(ended.rest)
 	}
 }
 
--- a/internal/batchstore/spread.go
+++ b/internal/batchstore/spread.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/placement"
@@ -34,7 +36,7 @@
 		case <-ticker.C:
 		}
 		move, found := s.nextMove(ctx)
-		now := time.Now()
+		now := clock.Now()
 		switch {
 		case !found || s.daemon.Stopping():
 			since = time.Time{}
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -95,7 +97,7 @@
 	failuresBefore := t.failures
 	err := t.attempt()
 	t.lease.Release()
-	t.ran = time.Since(t.started)
+	t.ran = clock.Since(t.started)
 	t.ranWhole = err == nil && before == 0
 	switch {
 	case err == nil:
@@ -115,7 +117,7 @@
 	}
 	t.runner.store.metrics.attempts.WithLabelValues(t.outcomeOf(err)).Inc()
 	t.runner.store.metrics.runTime.Observe(t.ran.Seconds())
-	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.lease.Endpoint.ID, "from_event", before, "events", t.carry.events, "failures", t.failures, "state", t.state, "yielded", t.context.Err() != nil, "ms", time.Since(t.started).Milliseconds(), "error", err)
+	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.lease.Endpoint.ID, "from_event", before, "events", t.carry.events, "failures", t.failures, "state", t.state, "yielded", t.context.Err() != nil, "ms", clock.Since(t.started).Milliseconds(), "error", err)
 	t.runner.ended <- t
 }
 
@@ -171,7 +173,7 @@
 	response, err := store.upstream.Send(t.context, t.lease.Endpoint, request, time.Now().Add(firstSilence))
 	if err != nil {
 		if t.context.Err() == nil {
-			t.lease.Suspect(time.Now())
+			t.lease.Suspect(clock.Now())
 		}
 		return err
 	}
@@ -251,7 +253,7 @@
 			return failure.New(failure.OutcomeUnknown, "", "the answer ended within an event")
 		case err != nil:
 			if upstream.TimedOut(err) {
-				t.lease.Suspect(time.Now())
+				t.lease.Suspect(clock.Now())
 			}
 			return failure.Wrap(err, failure.OutcomeUnknown, "", "the worker broke off")
 		}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/tinylib/msgp/msgp"
@@ -142,7 +144,7 @@
 	return c.host.Read(controlclient.MetaGroup, func(term uint64, _ storage.Reader) error {
 		c.meta.mutex.Lock()
 		defer c.meta.mutex.Unlock()
-		now := time.Now()
+		now := clock.Now()
 		if c.meta.leader == nil || c.meta.term != term {
 			c.meta.term = term
 			c.meta.leader = coordination.NewMeta(c.meta.machine, c.policy(), term, now)
@@ -157,7 +159,7 @@
 	return c.host.Read(group.number, func(term uint64, reader storage.Reader) error {
 		group.mutex.Lock()
 		defer group.mutex.Unlock()
-		now := time.Now()
+		now := clock.Now()
 		if group.leader == nil || group.term != term {
 			group.term = term
 			group.leader = coordination.NewJobs(group.machine, c.policy(), now)
--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/configuration"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/membership"
@@ -130,7 +132,7 @@
 func (s *Session) Beat(ctx context.Context) {
 	request := s.request()
 	for attempt := 0; attempt <= len(s.options.Client.addresses); attempt++ {
-		sent := time.Now()
+		sent := clock.Now()
 		callContext, cancel := context.WithTimeout(ctx, s.options.Timeout)
 		response, err := CallOnce[wire.HeartbeatResponse](callContext, s.options.Client, MetaGroup, MethodHeartbeat, request, attempt)
 		cancel()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/prometheus/client_golang/prometheus"
@@ -140,7 +142,7 @@
 			c.view = fleetview.New(term)
 			logging.Info(c.logger, "leading", "term", term)
 		}
-		read(time.Now(), c.view)
+		read(clock.Now(), c.view)
 		return nil
 	})
 }
@@ -191,7 +193,7 @@
 		if c.readLeader(func(_ time.Time, v *fleetview.View) { began = v.Term }) != nil {
 			return
 		}
-		now := time.Now()
+		now := clock.Now()
 		if began == term && now.Before(due) {
 			return
 		}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/controlclient"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/engine"
@@ -204,7 +206,8 @@
 }
 
 // accepts returns a NotRun failure while the dispatcher must take no new work.
-func (d *Dispatcher) accepts(now time.Time) error {
+func (d *Dispatcher) accepts() error {
+	now := clock.Now()
 	switch {
 	case d.isDraining():
 		return errDraining()
--- a/internal/dispatcher/items.go
+++ b/internal/dispatcher/items.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/controlclient"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/jobstate"
@@ -80,9 +82,9 @@
 }
 
 func (s *itemSet) pullGroups(ctx context.Context, now time.Time) {
-	s.stopLapsed(now)
+	s.stopLapsed(clock.Now())
 	groups := s.dispatcher.session.JobGroups()
-	want, models := s.room(now)
+	want, models := s.room()
 	for number := 1; number <= groups; number++ {
 		request := s.dueRequest(now, number, want, models)
 		if request == nil {
@@ -105,8 +107,8 @@
 }
 
 // room returns how many items to ask for, and for which models.
-func (s *itemSet) room(now time.Time) (int, []string) {
-	if s.dispatcher.accepts(now) != nil {
+func (s *itemSet) room() (int, []string) {
+	if s.dispatcher.accepts() != nil {
 		return 0, nil
 	}
 	d := s.dispatcher
@@ -163,7 +165,7 @@
 }
 
 func (s *itemSet) pull(ctx context.Context, request *wire.LeaseItemsRequest) {
-	sent := time.Now()
+	sent := clock.Now()
 	response, err := controlclient.CallOnce[wire.LeaseItemsResponse](ctx, s.dispatcher.control, request.Group, controlclient.MethodLeaseItems, request, 0)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/dispatcher/online.go
+++ b/internal/dispatcher/online.go
@@ -20,7 +20,7 @@
 
 // handleGenerate runs one online request and streams its frames.
 func (d *Dispatcher) handleGenerate(ctx context.Context, request *wire.GenerateRequest, stream *rpc.FrameWriter) error {
-	if err := d.accepts(time.Now()); err != nil {
+	if err := d.accepts(); err != nil {
 		return err
 	}
 	started := time.Now()
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/admission"
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -118,7 +120,7 @@
 func (e *Edge) takeReserve(tenant *routetable.Tenant, short ratelimit.Tenant) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.reserve.Take(time.Now(), short, tenant.Limit(), e.settings.RateTolerance.Limits(), e.watcher.Current().Fleet.Edges)
+	return e.reserve.Take(clock.Now(), short, tenant.Limit(), e.settings.RateTolerance.Limits(), e.watcher.Current().Fleet.Edges)
 }
 
 // giveBack gives the request's token back, because nothing ran.
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -46,10 +48,13 @@
 	demand     balance.Demand
 	arrived    time.Time
 	deadline   time.Time
-	attempts   int
-	dials      int
-	dialTime   time.Duration
-	worker     string
+	// due is the deadline by a clock that counts suspensions of this machine, during which
+	// deadline and context stand still.
+	due      time.Time
+	attempts int
+	dials    int
+	dialTime time.Duration
+	worker   string
 	// started is set once the head of the answer has been written, broken once
 	// that answer can't be ended as it should.
 	started bool
@@ -85,6 +90,7 @@
 		id:         header.Get(e.dialect.RequestID),
 		arrived:    arrived,
 		deadline:   deadline,
+		due:        clock.Now().Add(time.Until(deadline)),
 		demand: balance.Demand{
 			Pool:         e.pool(route),
 			Exclude:      map[string]bool{},
@@ -181,7 +187,7 @@
 		c.edge.loads.Ask(c.context, newsPatience)
 	}
 	c.informed = false
-	lease := c.edge.workers.Acquire(time.Now(), &c.demand)
+	lease := c.edge.workers.Acquire(clock.Now(), &c.demand)
 	if lease != nil {
 		c.edge.loads.Tell()
 	}
@@ -192,7 +198,7 @@
 func (o outcome) String() string { return [...]string{"delivered", "not_run", "failed"}[o] }
 
 func (c *call) mayTry() bool {
-	return c.context.Err() == nil && c.attempts < max(c.route.MaxAttempts, 1) && c.dials < maxDials && c.dialTime < maxDialTime
+	return c.context.Err() == nil && !c.late() && c.attempts < max(c.route.MaxAttempts, 1) && c.dials < maxDials && c.dialTime < maxDialTime
 }
 
 // mayMove reports whether another worker could take over.
@@ -200,6 +206,9 @@
 	return c.route.Idempotent() && c.attempts < max(c.route.MaxAttempts, 1)
 }
 
+// late reports whether the caller's time is over.
+func (c *call) late() bool { return !time.Now().Before(c.deadline) || !clock.Now().Before(c.due) }
+
 func (c *call) elapsed() int64 { return time.Since(c.arrived).Milliseconds() }
 
 // giveUp gives the final answer at once.
@@ -208,10 +217,10 @@
 	case c.started:
 		c.broken = true
 		c.finish("broken", c.lastErr)
-	case c.context.Err() != nil && time.Now().Before(c.deadline):
+	case c.context.Err() != nil && !c.late():
 		c.broken = true
 		c.finish("caller_gone", nil)
-	case c.mayHaveRun && !time.Now().Before(c.deadline):
+	case c.mayHaveRun && c.late():
 		c.refuse(failure.New(failure.DeadlineExceeded, "allow more time", "no worker answered in time"))
 	case c.mayHaveRun:
 		c.refuse(failure.New(failure.OutcomeUnknown, "ask again if the request may be repeated", "the worker broke off"))
@@ -250,7 +259,7 @@
 			fields = append(fields, field)
 		}
 	}
-	left := max(time.Until(c.deadline).Milliseconds(), 1)
+	left := max(min(time.Until(c.deadline), c.due.Sub(clock.Now())).Milliseconds(), 1)
 	fields = append(fields,
 		wire.HeaderField{Name: names.Deadline, Value: strconv.FormatInt(left, 10)},
 		wire.HeaderField{Name: names.ExpectWorker, Value: lease.Endpoint.ID},
@@ -278,7 +287,7 @@
 	}
 	notRunHere := response.Status == http.StatusMisdirectedRequest || response.Header.Get(c.edge.dialect.NotRun) != ""
 	if !notRunHere {
-		lease.Answered(time.Now(), response.Status < http.StatusInternalServerError)
+		lease.Answered(clock.Now(), response.Status < http.StatusInternalServerError)
 	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
@@ -303,7 +312,7 @@
 func (c *call) sendFailed(lease *balance.Lease, err error, took time.Duration) outcome {
 	c.lastErr = err
 	if c.context.Err() == nil {
-		lease.Suspect(time.Now())
+		lease.Suspect(clock.Now())
 	}
 	if failure.Is(err, failure.NotRun) {
 		// Nothing was sent: this worker does not count as an attempt.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sedgemast/sedgemast/internal/admission"
@@ -75,7 +77,7 @@
 
 		overloads: map[string]*admission.Overload{},
 		reserve:   ratelimit.NewReserve(config.Name),
-		started:   time.Now(),
+		started:   clock.Now(),
 	}
 	e.setHubs(nil)
 	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.report)
@@ -117,7 +119,7 @@
 		},
 		Pause: func() time.Duration {
 			fleet := &e.watcher.Current().Fleet
-			return loadshare.Pause(rate.Add(time.Now(), e.workers.Acquired()), fleet.Edges, len(fleet.Workers))
+			return loadshare.Pause(rate.Add(clock.Now(), e.workers.Acquired()), fleet.Edges, len(fleet.Workers))
 		},
 	})
 }
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/routetable"
@@ -29,7 +31,7 @@
 // filled in. Once it returns without a failure the job is kept; a failure of kind NotRun,
 // OverLimit, Unauthenticated or BadRequest says that none of it runs.
 func (e *Edge) SubmitJob(request *http.Request, table *routetable.Table, route *routetable.Route, job *wire.SubmitBatch) error {
-	tenant, err := e.identify(time.Now(), table, route.Public, request)
+	tenant, err := e.identify(clock.Now(), table, route.Public, request)
 	if err != nil {
 		return err
 	}
@@ -133,7 +135,7 @@
 // was handed in without a key belongs to nobody, and anybody who is let in may read it.
 func ofOwner[Answer any](e *Edge, request *http.Request, id string, call func(ctx context.Context, name string) (Answer, error)) (Answer, error) {
 	var none Answer
-	owner, err := e.jobOwner(time.Now(), request)
+	owner, err := e.jobOwner(clock.Now(), request)
 	if err != nil {
 		return none, err
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -71,7 +73,7 @@
 func (c *call) streamBroke(lease *balance.Lease, err error) outcome {
 	c.lastErr = err
 	if upstream.TimedOut(err) && c.context.Err() == nil {
-		lease.Suspect(time.Now())
+		lease.Suspect(clock.Now())
 	}
 	return failed
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpapi"
@@ -25,14 +27,14 @@
 
 // ServeHTTP passes an opaque request on.
 func (e *Edge) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	arrived := time.Now()
+	arrived, now := time.Now(), clock.Now()
 	e.closeWhenStopping(writer)
 	table := e.Table()
 	if table == nil {
-		e.Refuse(writer, request, noConfiguration(arrived.Sub(e.started)))
+		e.Refuse(writer, request, noConfiguration(now.Sub(e.started)))
 		return
 	}
-	err := e.frozen(arrived)
+	err := e.frozen(now)
 	if err == nil {
 		err = httpapi.CheckHead(request, table.Configuration.Limits.MaxHeaderBytes)
 	}
@@ -45,7 +47,7 @@
 		e.Refuse(writer, request, failure.New(failure.NotFound, "check host and path", "no route leads to %s%s in version %d", request.Host, request.URL.Path, table.Configuration.Version))
 		return
 	}
-	tenant, err := e.identify(arrived, table, route.Public, request)
+	tenant, err := e.identify(now, table, route.Public, request)
 	if err != nil {
 		e.Refuse(writer, request, err)
 		return
--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -13,9 +13,7 @@
 // beginFaults brings one fault after another.
 func (w *World) beginFaults() {
 	w.after(faultsFrom, w.nextFault)
-	if w.suspends {
-		w.after(faultsFrom, w.nextSuspension)
-	}
+	w.after(faultsFrom, w.nextSuspension)
 }
 
 // nextSuspension suspends one machine after another, beside the other faults: as a rule
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -197,8 +197,17 @@
 	return 1000 + m.world.identity
 }
 
-// clock returns the time by which the processes of the machine go.
+// clock returns the time by which the processes of the machine go: like package clock it
+// counts the times in which the machine was suspended.
 func (m *machine) clock() time.Time {
+	if m.world.mutation == MutationSteadyClock {
+		return m.steady()
+	}
+	return m.world.now
+}
+
+// steady returns the time by a clock that stands still while the machine is suspended.
+func (m *machine) steady() time.Time {
 	now := m.world.now
 	if !m.suspended.IsZero() {
 		now = m.suspended
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -30,10 +30,13 @@
 	MutationLoseOwner Mutation = "lose_owner"
 	// MutationNoQuota takes jobs in whatever waits.
 	MutationNoQuota Mutation = "no_quota"
+	// MutationSteadyClock lets leases and ages go by a clock that stands still while a
+	// machine is suspended.
+	MutationSteadyClock Mutation = "steady_clock"
 )
 
 // Mutations lists all that take something away.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock}
 
 // mutatedStore returns the machine's disk, or one that lies.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetsim/suspend_test.go
+++ b/internal/fleetsim/suspend_test.go
@@ -16,8 +16,8 @@
 // TestSuspendedMachines suspends machines, mostly the coordinator that leads: no read is
 // older than what was acknowledged, and nothing else that was promised is lost.
 func TestSuspendedMachines(t *testing.T) {
-	for seed := uint64(1); seed <= seeds; seed++ {
-		if world, violations := run(seed, MutationNone, true); len(violations) > 0 {
+	for seed := uint64(seeds + 1); seed <= 2*seeds; seed++ {
+		if world, violations := Run(seed, MutationNone); len(violations) > 0 {
 			t.Fatalf("seed %d: %v\n%v", seed, violations, world.Log)
 		}
 	}
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -18,7 +18,6 @@
 	// luck draws what random did not draw from the start, so that a seed's other faults
 	// come at the same moments.
 	luck     *rand.Rand
-	suspends bool
 	mutation Mutation
 	now      time.Time
 	events   eventQueue
@@ -105,11 +104,8 @@
 )
 
 // Run runs a seed and returns the violations found.
-func Run(seed uint64, mutation Mutation) (*World, []string) { return run(seed, mutation, false) }
-
-// run runs a seed, with suspended machines or without.
-func run(seed uint64, mutation Mutation, suspends bool) (*World, []string) {
-	w := &World{suspends: suspends, random: rand.New(rand.NewPCG(seed, 7)), luck: rand.New(rand.NewPCG(seed, 8)), mutation: mutation, now: began}
+func Run(seed uint64, mutation Mutation) (*World, []string) {
+	w := &World{random: rand.New(rand.NewPCG(seed, 7)), luck: rand.New(rand.NewPCG(seed, 8)), mutation: mutation, now: began}
 	if seed%2 == 1 {
 		w.greetAll = 1
 	}
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/coordinator"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -154,7 +156,7 @@
 func (w *Watcher) adopt(response *wire.WatchResponse) error {
 	before := w.Current()
 	after := *before
-	after.Heard = time.Now()
+	after.Heard = clock.Now()
 	changed := false
 	if response.Document != nil && response.Version > w.version() {
 		configuration, err := routetable.Decode(response.Document)
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -40,7 +40,7 @@
 }
 
 func (g *Gateway) tenantAndID(request *http.Request) (*configuration.Tenant, string, error) {
-	if err := g.accepts(time.Now()); err != nil {
+	if err := g.accepts(); err != nil {
 		return nil, "", err
 	}
 	tenant, err := g.tenant(request)
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -138,7 +138,7 @@
 // handleChat serves POST /v1/chat/completions.
 func (g *Gateway) handleChat(writer http.ResponseWriter, httpRequest *http.Request, requestID string) error {
 	now := time.Now()
-	if err := g.accepts(now); err != nil {
+	if err := g.accepts(); err != nil {
 		return err
 	}
 	tenant, err := g.tenant(httpRequest)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/controlclient"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -94,11 +96,11 @@
 }
 
 // accepts returns a NotRun failure while the gateway must take no new work.
-func (g *Gateway) accepts(now time.Time) error {
+func (g *Gateway) accepts() error {
 	if g.isDraining() {
 		return failure.New(failure.NotRun, "send it again, to another gateway", "the gateway is stopping").WithRetryAfter(shortRetryAfter)
 	}
-	if !g.session.ConfigValid(now) {
+	if !g.session.ConfigValid(clock.Now()) {
 		return failure.New(failure.NotRun, "send it again, to another gateway", "the configuration can't be confirmed").WithRetryAfter(leaseRetryAfter)
 	}
 	return nil
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -63,7 +63,7 @@
 
 // handleUpload serves POST /v1/files.
 func (g *Gateway) handleUpload(writer http.ResponseWriter, request *http.Request, _ string) error {
-	if err := g.accepts(time.Now()); err != nil {
+	if err := g.accepts(); err != nil {
 		return err
 	}
 	tenant, err := g.tenant(request)
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -89,7 +91,7 @@
 
 // NewExchange returns an exchange; Run runs it.
 func NewExchange(p *Reporter) *Exchange {
-	return &Exchange{reporter: p, began: time.Now(), chooser: chooser{home: p.Home}, answered: make(chan struct{}), questions: map[uint64]chan wire.TokenVerdict{}}
+	return &Exchange{reporter: p, began: clock.Now(), chooser: chooser{home: p.Home}, answered: make(chan struct{}), questions: map[uint64]chan wire.TokenVerdict{}}
 }
 
 // Run reports at the reporter's pauses until ctx ends.
@@ -126,7 +128,7 @@
 // it does not wait.
 func (x *Exchange) Ask(ctx context.Context, patience time.Duration) bool {
 	x.mutex.Lock()
-	now := time.Since(x.began)
+	now := clock.Since(x.began)
 	answered, silent := x.answered, now-x.chooser.heard > Fresh || x.chooser.heard == 0
 	shared := x.asked > 0 && now-x.asked < sameAsk
 	x.mutex.Unlock()
@@ -195,7 +197,7 @@
 func (x *Exchange) doubt() {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	x.chooser.doubt(time.Since(x.began))
+	x.chooser.doubt(clock.Since(x.began))
 }
 
 // GiveBack gives the token of a question back.
@@ -214,7 +216,7 @@
 	own.Quiet, own.Tokens = quiet, tokens
 	hubs := x.reporter.Hubs()
 	x.mutex.Lock()
-	now := time.Since(x.began)
+	now := clock.Since(x.began)
 	target, left := x.chooser.next(now, hubs)
 	if !quiet {
 		x.asked = now
@@ -263,7 +265,7 @@
 			x.refer(report.Hub)
 			continue
 		}
-		x.reporter.Learn(time.Now(), report)
+		x.reporter.Learn(clock.Now(), report)
 		x.heard(report.Verdicts)
 	}
 }
@@ -280,7 +282,7 @@
 func (x *Exchange) heard(verdicts []wire.TokenVerdict) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	x.chooser.answered(time.Since(x.began))
+	x.chooser.answered(clock.Since(x.began))
 	for _, verdict := range verdicts {
 		if waiting := x.questions[verdict.Ticket]; waiting != nil {
 			select {
--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -51,7 +53,7 @@
 // NewHost opens a node and runs it until Close. options.Send is set by it.
 func NewHost(options Options, transport Transport) (*Host, error) {
 	options.Send = transport.Send
-	now := time.Now()
+	now := clock.Now()
 	node, err := Open(options, now)
 	if err != nil {
 		return nil, err
@@ -89,21 +91,21 @@
 	for {
 		select {
 		case <-ticker.C:
-			h.node.Tick(time.Now())
+			h.node.Tick(clock.Now())
 		case event := <-h.events:
 			h.runEvents(event)
 		case <-h.closing:
 			h.drain()
 			return
 		}
-		h.node.Flush(time.Now())
+		h.node.Flush(clock.Now())
 	}
 }
 
 // runEvents runs the first event and those that wait behind it, so that they
 // share a sync.
 func (h *Host) runEvents(first func(time.Time)) {
-	now := time.Now()
+	now := clock.Now()
 	first(now)
 	for count := 1; count < maxEvents; count++ {
 		select {
@@ -120,7 +122,7 @@
 		select {
 		case event := <-h.events:
 			h.runEvents(event)
-			h.node.Flush(time.Now())
+			h.node.Flush(clock.Now())
 		default:
 			return
 		}
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/clock"
 )
 
 // Process is a real process whose metrics are read.
@@ -134,7 +136,7 @@
 	p := &Point{
 		Daemons:        len(r.daemons.all),
 		ItemRate:       float64(second.daemons.completed-first.daemons.completed) / seconds,
-		Serving:        r.daemons.serving(time.Now()),
+		Serving:        r.daemons.serving(clock.Now()),
 		BeatsPerSecond: beats,
 		MissedShare:    max(0, 1-beats/due),
 		DaemonCPU:      (second.own.cpuSeconds - first.own.cpuSeconds) / seconds / count,
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/fleet"
 	"github.com/sedgemast/sedgemast/internal/keys"
 	"github.com/sedgemast/sedgemast/internal/loadgen"
@@ -126,10 +127,10 @@
 }
 
 func (r *Run) waitServing(ctx context.Context) error {
-	for r.daemons.serving(time.Now()) < len(r.daemons.all) {
+	for r.daemons.serving(clock.Now()) < len(r.daemons.all) {
 		select {
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%d of %d daemons hold their leases", r.daemons.serving(time.Now()), len(r.daemons.all))
+			return errors.Wrapf(ctx.Err(), "%d of %d daemons hold their leases", r.daemons.serving(clock.Now()), len(r.daemons.all))
 		case <-time.After(inForcePoll):
 		}
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/sedgemast/sedgemast/internal/dialect"
@@ -102,7 +104,7 @@
 func (c *Client) take(id string) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for {
 		connections := c.idle[id]
 		if len(connections) == 0 {
@@ -294,7 +296,7 @@
 		return
 	}
 	r.connection.reused = true
-	r.connection.idleUntil = time.Now().Add(keepFor(r.Header))
+	r.connection.idleUntil = clock.Now().Add(keepFor(r.Header))
 	r.client.keep(r.endpoint.ID, r.connection)
 }
 
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -61,7 +63,7 @@
 	c.mutex.Unlock()
 	if err == nil {
 		fresh := newConnection(conn)
-		fresh.idleUntil = time.Now().Add(defaultIdle)
+		fresh.idleUntil = clock.Now().Add(defaultIdle)
 		c.keep(endpoint.ID, fresh)
 	}
 	close(l.done)
