--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -141,6 +141,9 @@
 		r.abandon(key, "retained_long_enough")
 		return nil
 	}
+	if r.quarantined(ctx, now, key, job, content) {
+		return nil
+	}
 	demand := &balance.Demand{
 		Pool:       r.splitter.Next(route, r.store.workers.Usable),
 		Parts:      dialect.Parts(dialect.Value(content.Headers, r.store.dialect.PromptParts)),
@@ -177,6 +180,7 @@
 		owner:    job.Owner,
 		route:    route,
 		content:  content,
+		print:    fingerprintOf(job, content),
 		chain:    from.chain,
 		carry:    from,
 		failures: job.Items[key.item].Failures,
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/replication"
@@ -43,6 +44,11 @@
 	// the log.
 	carried map[itemKey]carry
 	resting map[itemKey]time.Time
+	// prints holds the identities of items that were looked up, granted those that may be
+	// tried though they are refused; trials brings such grants.
+	prints  map[itemKey]quarantine.Fingerprint
+	granted map[itemKey]bool
+	trials  chan itemKey
 	// waiting counts the items that could start, as of the last look.
 	waiting atomic.Int64
 	seen    map[string]*sighting
@@ -83,6 +89,9 @@
 		running:  map[itemKey]*task{},
 		carried:  map[itemKey]carry{},
 		resting:  map[itemKey]time.Time{},
+		prints:   map[itemKey]quarantine.Fingerprint{},
+		granted:  map[itemKey]bool{},
+		trials:   make(chan itemKey),
 		seen:     map[string]*sighting{},
 		pending:  map[itemKey]bool{},
 		ended:    make(chan *task, queueLength),
@@ -110,6 +119,8 @@
 			r.end(ended)
 		case end := <-r.recorded:
 			r.takeRecorded(end)
+		case key := <-r.trials:
+			r.granted[key] = true
 		case r.drained = <-r.draining:
 			r.stopAll()
 		case <-r.resuming:
@@ -210,6 +221,7 @@
 	switch {
 	case ended.finished:
 		r.pending[ended.key] = true
+		delete(r.prints, ended.key)
 		if ended.ranWhole {
 			r.store.runTimes.add(ended.ran, ended.carry.events)
 		}
@@ -280,4 +292,6 @@
 	r.pending = map[itemKey]bool{}
 	r.carried = map[itemKey]carry{}
 	r.resting = map[itemKey]time.Time{}
+	r.prints = map[itemKey]quarantine.Fingerprint{}
+	r.granted = map[itemKey]bool{}
 }
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/dialect"
@@ -63,6 +64,8 @@
 	chain    uint64
 	carry    carry
 	failures int
+	// print is the request's identity.
+	print quarantine.Fingerprint
 	// expected is how many tokens the caller expects.
 	expected int64
 	lease    *balance.Lease
@@ -98,6 +101,7 @@
 	err := t.attempt()
 	t.lease.Release()
 	t.ran = clock.Since(t.started)
+	t.tellRun(err, t.carry.events > before)
 	t.ranWhole = err == nil && before == 0
 	switch {
 	case err == nil:
@@ -250,7 +254,7 @@
 		case err == io.EOF && parser.Rest() == 0 && t.carry.events > 0:
 			return nil
 		case err == io.EOF:
-			return failure.New(failure.OutcomeUnknown, "", "the answer ended within an event")
+			return failure.Wrap(io.ErrUnexpectedEOF, failure.OutcomeUnknown, "", "the answer ended within an event")
 		case err != nil:
 			if upstream.TimedOut(err) {
 				t.lease.Suspect(clock.Now())
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -22,6 +22,7 @@
 	"github.com/sedgemast/sedgemast/internal/fleetstate"
 	"github.com/sedgemast/sedgemast/internal/fleetview"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/settings"
@@ -66,6 +67,7 @@
 	// mutex guards what follows.
 	mutex   sync.Mutex
 	view    *fleetview.View
+	warden  *quarantine.Warden
 	changed chan struct{}
 }
 
@@ -139,7 +141,7 @@
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		if c.view == nil || c.view.Term != term {
-			c.view = fleetview.New(term)
+			c.view, c.warden = fleetview.New(term), quarantine.NewWarden()
 			logging.Info(c.logger, "leading", "term", term)
 		}
 		read(clock.Now(), c.view)
@@ -175,6 +177,7 @@
 		if changed {
 			c.notify()
 		}
+		c.keepQuarantine(ctx)
 		if len(form) > 0 {
 			_, err := c.propose(ctx, &wire.FleetCommand{Form: &wire.FormStores{Groups: form}})
 			logging.Info(c.logger, "store_groups_forming", "groups", len(form), "voters", len(form[0]), "error", err)
--- a/internal/coordinator/news.go
+++ b/internal/coordinator/news.go
@@ -18,6 +18,8 @@
 	fromVersion, version uint64
 	fromTerm, term       uint64
 	fromView, view       uint64
+	// fromQuarantine and quarantine are revisions of what is known of refused requests.
+	fromQuarantine, quarantine uint64
 }
 
 // newsCache keeps answers encoded. A change goes to all processes of the fleet at the
@@ -30,10 +32,17 @@
 // encode returns the answer to the request, encoded once for all callers who know and
 // get the same.
 func (c *newsCache) encode(request *wire.WatchRequest, response *wire.WatchResponse) (msgp.Marshaler, error) {
-	if response.Document == nil && response.Fleet == nil {
+	if response.Document == nil && response.Fleet == nil && response.Quarantine == nil {
 		return response, nil
 	}
-	key := newsKey{request.Version, response.Version, request.Term, response.Term, request.View, response.View}
+	key := newsKey{
+		fromVersion: request.Version, version: response.Version,
+		fromTerm: request.Term, term: response.Term,
+		fromView: request.View, view: response.View,
+	}
+	if response.Quarantine != nil {
+		key.fromQuarantine, key.quarantine = request.Quarantine, response.Quarantine.Revision
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if known := c.encoded[key]; known != nil {
--- a/internal/coordinator/operate.go
+++ b/internal/coordinator/operate.go
@@ -23,6 +23,8 @@
 	methodSource     = "fleet_source"
 	methodRetire     = "fleet_retire"
 	methodRetirement = "fleet_retirement"
+	// MethodQuarantine takes reports of runs, and grants trials.
+	MethodQuarantine = "fleet_quarantine"
 )
 
 func (c *Coordinator) register() {
@@ -40,6 +42,9 @@
 		}
 		return c.news.encode(request, response)
 	})
+	rpc.Handle(server, MethodQuarantine, func(ctx context.Context, request *wire.QuarantineReport) (msgp.Marshaler, error) {
+		return c.takeReport(ctx, request)
+	})
 	rpc.Handle(server, methodApply, func(ctx context.Context, request *wire.ApplyRoutes) (msgp.Marshaler, error) {
 		return c.applyHere(ctx, request)
 	})
@@ -63,12 +68,14 @@
 		response := &wire.WatchResponse{}
 		var changed chan struct{}
 		var emptied []string
+		urgent := false
 		err := c.readLeader(func(now time.Time, v *fleetview.View) {
 			if first {
 				v.Heard(now, &request.Process)
 				emptied = v.Emptied(now, request, c.pendingRetirements(), len(c.machine.Initial()))
 			}
 			c.tell(v, request, response)
+			urgent = c.tellQuarantine(request, response)
 			changed = c.changed
 		})
 		if err != nil {
@@ -79,7 +86,7 @@
 		}
 		first = false
 		c.noteEmptied(ctx, emptied)
-		if response.Document != nil || response.Fleet != nil {
+		if response.Document != nil || response.Fleet != nil || urgent {
 			return response, nil
 		}
 		select {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -68,6 +68,11 @@
 	// mayHaveRun is set once a worker may have begun.
 	mayHaveRun bool
 	lastErr    error
+	// print is the request's identity, zero while nobody has asked for it. onTrial is set
+	// where it is refused and may be tried, underEnd once a worker ended under it here.
+	print    quarantine.Fingerprint
+	onTrial  bool
+	underEnd bool
 	// token is the question for a token of the tenant's limit, hasToken set while it
 	// was granted and is not given back. informed is set where its answer has told of
 	// the workers, too, and no choice has rested on that yet.
@@ -127,7 +132,7 @@
 // run makes attempts until the caller has an answer.
 func (c *call) run() {
 	c.arrive()
-	if c.limited() {
+	if c.quarantined() || c.limited() {
 		return
 	}
 	for c.mayTry() {
@@ -144,6 +149,7 @@
 		lease.Release()
 		c.edge.metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result == delivered {
+			c.ranWell()
 			c.finish("delivered", nil)
 			return
 		}
@@ -153,28 +159,13 @@
 		}
 		c.lookAt(lease, result)
 		logging.Info(c.edge.logger, "attempt_failed", "id", c.id, "attempt", c.attempts, "worker", lease.Endpoint.ID, "outcome", result, "last_event", c.lastEvent, "ms", c.elapsed(), "error", c.lastErr)
-		if result == failed && !c.route.Idempotent() {
+		if result == failed && (!c.route.Idempotent() || c.standsRefused()) {
 			break
 		}
 	}
 	c.giveUp()
 }
 
-// lookAt finds out whether the worker of an attempt that broke off has ended.
-func (c *call) lookAt(lease *balance.Lease, result outcome) {
-	if result != failed || !upstream.BrokeOff(c.lastErr) {
-		return
-	}
-	ended := c.edge.upstream.Ended(c.context, lease.Endpoint)
-	logging.Info(c.edge.logger, "worker_broke_off", "id", c.id, "request", c.fingerprint(), "worker", lease.Endpoint.ID, "ended", ended, "last_event", c.lastEvent, "ms", c.elapsed())
-}
-
-// fingerprint returns the request's identity.
-func (c *call) fingerprint() quarantine.Fingerprint {
-	r := &c.request
-	return quarantine.Of(c.tenant.Owner(), r.Host, r.Method, r.Target, r.Body)
-}
-
 // newsPatience is how long a request waits for news of the workers before one is chosen:
 // several times what an answer takes within a zone, and nothing beside any goal.
 const newsPatience = 6 * time.Millisecond
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -195,22 +195,28 @@
 
 // metrics are what the process counts.
 type metrics struct {
-	requests  *prometheus.CounterVec
-	attempts  *prometheus.CounterVec
-	tenants   *prometheus.CounterVec
-	firstTime *prometheus.HistogramVec
-	wholeTime *prometheus.HistogramVec
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	tenants  *prometheus.CounterVec
+	// ended counts runs under which their worker ended, quarantined the refusals of
+	// requests known for that.
+	ended       prometheus.Counter
+	quarantined prometheus.Counter
+	firstTime   *prometheus.HistogramVec
+	wholeTime   *prometheus.HistogramVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
 	buckets := []float64{.01, .02, .05, .1, .15, .2, .25, .3, .5, .8, 1, 2, 5, 10}
 	m := &metrics{
-		requests:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_requests_total", Help: "Requests by route and outcome."}, []string{"route", "outcome"}),
-		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_attempts_total", Help: "Requests sent to workers, by outcome."}, []string{"outcome"}),
-		tenants:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_tenant_requests_total", Help: "Requests of tenants with a limit, by what came of it."}, []string{"tenant", "outcome"}),
-		firstTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
-		wholeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
+		requests:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_requests_total", Help: "Requests by route and outcome."}, []string{"route", "outcome"}),
+		attempts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_attempts_total", Help: "Requests sent to workers, by outcome."}, []string{"outcome"}),
+		tenants:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_tenant_requests_total", Help: "Requests of tenants with a limit, by what came of it."}, []string{"tenant", "outcome"}),
+		ended:       prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_worker_ends_total", Help: "Requests whose worker ended under them."}),
+		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
+		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
+		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.firstTime, m.wholeTime)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.firstTime, m.wholeTime)
 	return m
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -128,7 +128,7 @@
 // the worker's body all the same.
 func (c *call) endStream(response *upstream.Response, parser *upstream.EventParser) outcome {
 	if parser.Rest() > 0 {
-		c.lastErr = failure.New(failure.OutcomeUnknown, "", "the stream ended within an event")
+		c.lastErr = failure.Wrap(io.ErrUnexpectedEOF, failure.OutcomeUnknown, "", "the stream ended within an event")
 		return failed
 	}
 	c.begin(response, -1)
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -1,6 +1,6 @@
 // Package fleetstate is the replicated state machine of the fleet group: the
-// configuration of routes, the first voters of the store group, and the stores
-// that are to be emptied. It is pure.
+// configuration of routes, the first voters of the store group, the stores that are
+// to be emptied, and the requests under which workers ended. It is pure.
 //
 // Invariants:
 //   - the version in force never falls, and the content under a version never
@@ -9,12 +9,15 @@
 package fleetstate
 
 import (
+	"encoding/binary"
+	"slices"
 	"sort"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -23,6 +26,9 @@
 	routesKey    = []byte("routes")
 	formKey      = []byte("form")
 	retirePrefix = []byte("retire/")
+
+	quarantinePrefix   = []byte("quarantine/")
+	quarantineRevision = []byte("quarantine-revision")
 )
 
 // Machine is the state of the fleet group.
@@ -30,11 +36,14 @@
 	routes      wire.ApplyRoutes
 	initial     [][]wire.Replica
 	retirements map[string]bool
+	quarantine  *quarantine.Table
 	mutations   []storage.Mutation
 }
 
 // New returns the empty state.
-func New() *Machine { return &Machine{retirements: map[string]bool{}} }
+func New() *Machine {
+	return &Machine{retirements: map[string]bool{}, quarantine: quarantine.NewTable()}
+}
 
 // Apply executes one encoded wire.FleetCommand. It returns the encoded
 // wire.FleetResult and the changes of stored state that go with it.
@@ -63,6 +72,8 @@
 		return m.retire(command.Retire.Name, false)
 	case command.Retired != nil:
 		return m.retire(command.Retired.Name, true)
+	case command.Quarantine != nil:
+		return m.applyQuarantine(command.Quarantine)
 	}
 	return false
 }
@@ -107,6 +118,27 @@
 	return true
 }
 
+func (m *Machine) applyQuarantine(command *wire.QuarantineCommand) bool {
+	changed := m.quarantine.Apply(command)
+	if len(changed) == 0 {
+		return false
+	}
+	for _, request := range changed {
+		key := quarantineKey(request)
+		if entry := m.quarantine.Entry(request); entry != nil {
+			m.put(key, entry)
+		} else {
+			m.mutations = append(m.mutations, storage.Mutation{Key: key, Delete: true})
+		}
+	}
+	m.put(quarantineRevision, &wire.QuarantineNews{Revision: m.quarantine.Revision()})
+	return true
+}
+
+func quarantineKey(request quarantine.Fingerprint) []byte {
+	return binary.BigEndian.AppendUint64(slices.Clone(quarantinePrefix), uint64(request))
+}
+
 func (m *Machine) put(key []byte, message msgp.Marshaler) {
 	m.mutations = append(m.mutations, storage.Mutation{Key: key, Value: encode(message)})
 }
@@ -139,6 +171,28 @@
 		m.retirements[retirement.Name] = retirement.Done
 		return true
 	})
+	if err := errors.CombineErrors(err, decodeErr); err != nil {
+		return err
+	}
+	return m.restoreQuarantine(reader)
+}
+
+func (m *Machine) restoreQuarantine(reader storage.Reader) error {
+	var last wire.QuarantineNews
+	if err := read(reader, quarantineRevision, &last); err != nil {
+		return err
+	}
+	var entries []wire.QuarantineEntry
+	var decodeErr error
+	err := reader.Scan(quarantinePrefix, storage.PrefixEnd(quarantinePrefix), func(_, value []byte) bool {
+		var entry wire.QuarantineEntry
+		if _, decodeErr = entry.UnmarshalMsg(value); decodeErr != nil {
+			return false
+		}
+		entries = append(entries, entry)
+		return true
+	})
+	m.quarantine.Restore(last.Revision, entries)
 	return errors.CombineErrors(err, decodeErr)
 }
 
@@ -155,6 +209,9 @@
 // one. The caller must not change it.
 func (m *Machine) Routes() wire.ApplyRoutes { return m.routes }
 
+// Quarantine returns the requests under which workers ended. The caller must not change it.
+func (m *Machine) Quarantine() *quarantine.Table { return m.quarantine }
+
 // Initial returns the first voters of each store group, nothing before there are any.
 func (m *Machine) Initial() [][]wire.Replica { return m.initial }
 
--- /dev/null
+++ b/internal/fleetwatch/quarantine.go
@@ -0,0 +1,89 @@
+package fleetwatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/coordinator"
+	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
+	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	// reportTime bounds one call with what was seen of runs: an election of the
+	// coordinators fits in.
+	reportTime = time.Second
+	// trialTime bounds the question for a trial, which a caller waits for.
+	trialTime = 150 * time.Millisecond
+	// unheardWait is when to come back with a refused request while no coordinator answers.
+	unheardWait = time.Second
+)
+
+// Quarantine returns what this process knows of the requests under which workers ended.
+func (w *Watcher) Quarantine() *quarantine.Book { return w.book }
+
+// reportRuns tells the coordinators what this process saw of runs, until ctx ends: at once,
+// and again until one has taken it in.
+func (w *Watcher) reportRuns(ctx context.Context) {
+	for turn := 0; ctx.Err() == nil; {
+		report := w.book.Report(clock.Now())
+		if report == nil {
+			select {
+			case <-ctx.Done():
+			case <-w.book.Pending():
+			}
+			continue
+		}
+		callContext, cancel := context.WithTimeout(ctx, reportTime)
+		answer, err := w.callQuarantine(callContext, turn, report)
+		cancel()
+		if err == nil {
+			w.book.Sent(&answer.News)
+			continue
+		}
+		w.book.Sent(nil)
+		turn++
+		logging.Warn(w.logger, "runs_not_reported", "runs", len(report.Runs), "lost", w.book.Lost(), "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// callQuarantine asks the coordinator that answered last, or another one at each turn;
+// each hands on to the leader.
+func (w *Watcher) callQuarantine(ctx context.Context, turn int, report *wire.QuarantineReport) (*wire.QuarantineAnswer, error) {
+	addresses := w.addresses()
+	target := addresses[turn%len(addresses)]
+	if leader := w.leader.Load(); leader != nil && turn%2 == 0 {
+		target = *leader
+	}
+	return rpc.Call[wire.QuarantineAnswer](ctx, w.client, target, coordinator.MethodQuarantine, report)
+}
+
+// MayTry reports whether a refused request may be tried, once, by this process, and else
+// after which time it may come back.
+func (w *Watcher) MayTry(ctx context.Context, request quarantine.Fingerprint) (bool, time.Duration) {
+	now := clock.Now()
+	if wait := w.book.Wait(now, request); wait > 0 {
+		return false, wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, trialTime)
+	defer cancel()
+	answer, err := w.callQuarantine(ctx, 0, &wire.QuarantineReport{Trial: uint64(request), Known: w.book.Revision()})
+	if err != nil {
+		logging.Info(w.logger, "trial_not_asked", "request", request, "error", err)
+		w.book.Deny(now, request, unheardWait)
+		return false, unheardWait
+	}
+	w.book.Learn(&answer.News)
+	wait := time.Duration(answer.WaitMillis) * time.Millisecond
+	if !answer.Granted {
+		w.book.Deny(now, request, wait)
+	}
+	return answer.Granted, wait
+}
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -15,6 +15,7 @@
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/coordinator"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/traffic"
@@ -46,10 +47,13 @@
 	meter   *traffic.Meter
 	report  func() wire.ProcessReport
 	current atomic.Pointer[Snapshot]
+	// leader is the coordinator that answered last, nil before the first answer.
+	leader atomic.Pointer[string]
 	// reached is set while a leader answers.
 	reached bool
 	term    uint64
 	view    uint64
+	book    *quarantine.Book
 
 	mutex     sync.Mutex
 	seeds     []string
@@ -61,7 +65,7 @@
 func New(logger logging.Logger, meter *traffic.Meter, seeds []string, report func() wire.ProcessReport) *Watcher {
 	client := rpc.NewClient()
 	client.Measure(meter)
-	w := &Watcher{logger: logger, meter: meter, client: client, report: report, seeds: seeds}
+	w := &Watcher{logger: logger, meter: meter, client: client, report: report, seeds: seeds, book: quarantine.NewBook()}
 	w.current.Store(&Snapshot{})
 	return w
 }
@@ -96,6 +100,7 @@
 // Run asks until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	defer w.client.Close()
+	go w.reportRuns(ctx)
 	target, next := "", 0
 	for ctx.Err() == nil {
 		if target == "" {
@@ -105,6 +110,7 @@
 		}
 		err := w.ask(ctx, target)
 		if err == nil {
+			w.reachedAt(target)
 			continue
 		}
 		w.lost(target, err)
@@ -116,6 +122,13 @@
 	}
 }
 
+// reachedAt takes in which coordinator answered.
+func (w *Watcher) reachedAt(target string) {
+	if before := w.leader.Load(); before == nil || *before != target {
+		w.leader.Store(&target)
+	}
+}
+
 func (w *Watcher) lost(target string, err error) {
 	if w.reached {
 		w.reached = false
@@ -139,6 +152,7 @@
 		View:       w.view,
 		Term:       w.term,
 		WaitMillis: holdTime.Milliseconds(),
+		Quarantine: w.book.Revision(),
 	}
 	response, err := rpc.Call[wire.WatchResponse](ctx, w.client, target, coordinator.MethodWatch, request)
 	if err != nil {
@@ -174,6 +188,9 @@
 		w.meter.SetZones(zonesOf(&after.Fleet))
 		logging.Info(w.logger, "fleet_view", "term", response.Term, "view", response.View, "workers", len(after.Fleet.Workers), "stores", len(after.Fleet.Stores), "edges", after.Fleet.Edges)
 	}
+	if response.Quarantine != nil {
+		w.book.Learn(response.Quarantine)
+	}
 	w.current.Store(&after)
 	if changed {
 		for _, listener := range w.listeners {
--- /dev/null
+++ b/internal/quarantine/book.go
@@ -0,0 +1,241 @@
+package quarantine
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	// ownTime is how long this process remembers an end that no coordinator has taken in.
+	ownTime = time.Minute
+	// maxOwn bounds the reports that wait for a coordinator: 16 KB.
+	maxOwn = 1024
+)
+
+// Book is what a process knows of the requests under which workers ended: what the
+// coordinators tell, and what it saw itself and they have not taken in yet. A process that
+// hears no coordinator refuses by what it has. It is safe for concurrent use.
+type Book struct {
+	// used is set while anything at all is known; otherwise no request is looked up.
+	used atomic.Bool
+
+	mutex    sync.Mutex
+	revision uint64
+	told     map[Fingerprint]wire.QuarantineRow
+	own      []ownRun
+	// sent is how many of own, from the first, are on their way.
+	sent int
+	// waits holds until when not to ask for a trial of a refused request again.
+	waits map[Fingerprint]time.Time
+	// lost counts reports for which there was no room.
+	lost    uint64
+	pending chan struct{}
+}
+
+// ownRun is a run that this process saw.
+type ownRun struct {
+	report wire.RunReport
+	at     time.Time
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{told: map[Fingerprint]wire.QuarantineRow{}, waits: map[Fingerprint]time.Time{}, pending: make(chan struct{}, 1)}
+}
+
+// Standing is how a request is known.
+type Standing uint8
+
+const (
+	// Unknown means that no worker ended under the request.
+	Unknown Standing = iota
+	// Suspect means that some did: whether it comes to a good end is to be told.
+	Suspect
+	// Refused means that it must not go to a worker.
+	Refused
+)
+
+// InUse reports whether any request is known. While none is, no fingerprint is needed.
+func (b *Book) InUse() bool { return b.used.Load() }
+
+// Standing returns how the request is known at now.
+func (b *Book) Standing(now time.Time, request Fingerprint) Standing {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.standing(now, request)
+}
+
+func (b *Book) standing(now time.Time, request Fingerprint) Standing {
+	row := b.told[request]
+	// What was told may hold what this process reported, so workers are counted, not ends.
+	workers := map[uint32]bool{}
+	for _, worker := range row.Ended {
+		workers[worker] = true
+	}
+	for i := range b.own {
+		run := &b.own[i]
+		switch {
+		case run.report.Request != uint64(request) || now.Sub(run.at) > ownTime:
+		case run.report.Worker == 0:
+			row.Refused = false
+			clear(workers)
+		default:
+			workers[run.report.Worker] = true
+		}
+	}
+	switch {
+	case row.Refused || len(workers) >= Threshold:
+		return Refused
+	case len(workers) > 0:
+		return Suspect
+	}
+	return Unknown
+}
+
+// WorkerHash returns the short name of a worker in reports; it is never zero.
+func WorkerHash(id string) uint32 { return max(uint32(xxhash.Sum64String(id)), 1) }
+
+// Ended takes in that the worker ended under the request.
+func (b *Book) Ended(now time.Time, request Fingerprint, worker string) {
+	b.add(now, wire.RunReport{Request: uint64(request), Worker: WorkerHash(worker)})
+}
+
+// Good takes in that a run of the request came to a good end. It is told only where some
+// worker is known to have ended under the request.
+func (b *Book) Good(now time.Time, request Fingerprint) {
+	if b.Standing(now, request) != Unknown {
+		b.add(now, wire.RunReport{Request: uint64(request)})
+	}
+}
+
+func (b *Book) add(now time.Time, report wire.RunReport) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if len(b.own) >= maxOwn {
+		b.lost++
+		return
+	}
+	b.own = append(b.own, ownRun{report, now})
+	b.used.Store(true)
+	select {
+	case b.pending <- struct{}{}:
+	default:
+		// Whoever sends is awake already.
+	}
+}
+
+// Pending wakes whoever sends reports.
+func (b *Book) Pending() <-chan struct{} { return b.pending }
+
+// Lost returns how many reports were dropped, because no coordinator took any for long.
+func (b *Book) Lost() uint64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.lost
+}
+
+// Report returns what a coordinator is to be told, nil for nothing. It must be followed by
+// Sent.
+func (b *Book) Report(now time.Time) *wire.QuarantineReport {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	fresh := b.own[:0]
+	for _, run := range b.own {
+		if now.Sub(run.at) <= ownTime {
+			fresh = append(fresh, run)
+		}
+	}
+	b.own = fresh
+	b.look()
+	if b.sent = len(b.own); b.sent == 0 {
+		return nil
+	}
+	report := &wire.QuarantineReport{Known: b.revision}
+	for i := range b.own {
+		report.Runs = append(report.Runs, b.own[i].report)
+	}
+	return report
+}
+
+// Sent takes in the answer to the last Report; nil means that there was none.
+func (b *Book) Sent(news *wire.QuarantineNews) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if news != nil {
+		b.own = append([]ownRun(nil), b.own[b.sent:]...)
+		b.learn(news)
+	}
+	b.sent = 0
+	b.look()
+}
+
+// Revision returns the revision that this process knows.
+func (b *Book) Revision() uint64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.revision
+}
+
+// Learn takes in what a coordinator tells.
+func (b *Book) Learn(news *wire.QuarantineNews) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.learn(news)
+	b.look()
+}
+
+func (b *Book) learn(news *wire.QuarantineNews) {
+	if news.Revision < b.revision && !news.Whole {
+		// Answers may overtake one another. Only coordinators that have lost what they
+		// knew tell all of an earlier revision.
+		return
+	}
+	b.revision = news.Revision
+	if news.Whole {
+		clear(b.told)
+	}
+	for _, row := range news.Rows {
+		request := Fingerprint(row.Request)
+		if len(row.Ended) == 0 {
+			delete(b.told, request)
+		} else {
+			b.told[request] = row
+		}
+		if !row.Refused {
+			delete(b.waits, request)
+		}
+	}
+}
+
+func (b *Book) look() { b.used.Store(len(b.told)+len(b.own) > 0) }
+
+// reportPause is when to come back with a request of which the coordinators have not taken
+// in yet what this process saw.
+const reportPause = 150 * time.Millisecond
+
+// Wait returns after which time a trial of a refused request may be asked for, zero for now.
+func (b *Book) Wait(now time.Time, request Fingerprint) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for i := range b.own {
+		if b.own[i].report.Request == uint64(request) && b.own[i].report.Worker != 0 {
+			return reportPause
+		}
+	}
+	return max(b.waits[request].Sub(now), 0)
+}
+
+// Deny takes in that a refused request is not to be tried before the wait is over.
+func (b *Book) Deny(now time.Time, request Fingerprint, wait time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if len(b.waits) >= maxRows {
+		clear(b.waits)
+	}
+	b.waits[request] = now.Add(wait)
+}
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,243 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/proptest"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// end and good are reports of runs.
+func end(request Fingerprint, worker uint32) wire.RunReport {
+	return wire.RunReport{Request: uint64(request), Worker: worker}
+}
+
+func good(request Fingerprint) wire.RunReport { return wire.RunReport{Request: uint64(request)} }
+
+func refused(t *Table, request Fingerprint) bool {
+	entry := t.Entry(request)
+	return entry != nil && entry.Refused
+}
+
+// TestFingerprintTellsRequestsApart changes one part after the other.
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	prints := map[Fingerprint]string{}
+	for name, print := range map[string]Fingerprint{
+		"whole":      Of("owner", "host", "POST", "/a", []byte("body")),
+		"owner":      Of("other", "host", "POST", "/a", []byte("body")),
+		"host":       Of("owner", "other", "POST", "/a", []byte("body")),
+		"method":     Of("owner", "host", "PUT", "/a", []byte("body")),
+		"target":     Of("owner", "host", "POST", "/a?b", []byte("body")),
+		"body":       Of("owner", "host", "POST", "/a", []byte("bodY")),
+		"run over":   Of("ownerh", "ost", "POST", "/a", []byte("body")),
+		"into body":  Of("owner", "host", "POST", "/", []byte("abody")),
+		"empty body": Of("owner", "host", "POST", "/abody", nil),
+	} {
+		if other, taken := prints[print]; taken {
+			t.Errorf("%s has the identity of %s", name, other)
+		}
+		prints[print] = name
+	}
+}
+
+// TestRefusedAfterThreeEnds gives the rules one by one.
+func TestRefusedAfterThreeEnds(t *testing.T) {
+	const deadly, frequent, bystander = 1, 2, 3
+	for _, test := range []struct {
+		name     string
+		commands []wire.QuarantineCommand
+		refused  map[Fingerprint]bool
+	}{
+		{"three workers", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{end(deadly, 11)}}, {Runs: []wire.RunReport{end(deadly, 12)}}, {Runs: []wire.RunReport{end(deadly, 13)}},
+		}, map[Fingerprint]bool{deadly: true}},
+		{"two workers", []wire.QuarantineCommand{{Runs: []wire.RunReport{end(deadly, 11), end(deadly, 12)}}}, nil},
+		{"one worker, told by three", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{end(deadly, 11)}}, {AtMillis: 400, Runs: []wire.RunReport{end(deadly, 11)}}, {AtMillis: 900, Runs: []wire.RunReport{end(deadly, 11)}},
+		}, nil},
+		{"one worker that keeps its name", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{end(deadly, 11)}}, {AtMillis: 4000, Runs: []wire.RunReport{end(deadly, 11)}}, {AtMillis: 8000, Runs: []wire.RunReport{end(deadly, 11)}},
+		}, map[Fingerprint]bool{deadly: true}},
+		{"a good end between", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{end(frequent, 11), end(frequent, 12), good(frequent)}}, {Runs: []wire.RunReport{end(frequent, 13), end(frequent, 14)}},
+		}, nil},
+		{"let in again by a good end", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{end(frequent, 11), end(frequent, 12), end(frequent, 13)}}, {Runs: []wire.RunReport{good(frequent)}},
+		}, nil},
+		{"both refused where both were on all three", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{end(frequent, 11), end(deadly, 11)}}, {Runs: []wire.RunReport{end(frequent, 12), end(deadly, 12)}},
+			{Runs: []wire.RunReport{end(frequent, 13)}}, {AtMillis: 20, Runs: []wire.RunReport{end(deadly, 13)}},
+		}, map[Fingerprint]bool{deadly: true, frequent: true}},
+		{"not held against others once it is settled", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{end(bystander, 11), end(deadly, 11), end(bystander, 12), end(deadly, 12), end(deadly, 13)}},
+			{AtMillis: 2000, Settled: []uint64{deadly}},
+			{AtMillis: 2100, Runs: []wire.RunReport{end(bystander, 14), end(bystander, 15)}},
+		}, map[Fingerprint]bool{deadly: true}},
+		{"a later end under a known one explains another's", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{end(deadly, 11), end(deadly, 12), end(deadly, 13)}}, {AtMillis: 2000, Settled: []uint64{deadly}},
+			{AtMillis: 3000, Runs: []wire.RunReport{end(deadly, 14), end(bystander, 14)}},
+			{AtMillis: 3100, Runs: []wire.RunReport{end(bystander, 15), end(bystander, 16)}},
+		}, map[Fingerprint]bool{deadly: true}},
+		{"expired", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{end(deadly, 11), end(deadly, 12), end(deadly, 13)}}, {Expired: []uint64{deadly}},
+		}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table := NewTable()
+			for i := range test.commands {
+				table.Apply(&test.commands[i])
+			}
+			for _, request := range []Fingerprint{deadly, frequent, bystander} {
+				if got := refused(table, request); got != test.refused[request] {
+					t.Errorf("request %d refused %t", request, got)
+				}
+			}
+		})
+	}
+}
+
+// TestTableIsBounded floods the table: it stays bounded, and what is refused stays while
+// suspects go.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable()
+	table.Apply(&wire.QuarantineCommand{Runs: []wire.RunReport{end(1, 1), end(1, 2), end(1, 3)}})
+	for request := Fingerprint(2); request < 5*maxRows; request++ {
+		table.Apply(&wire.QuarantineCommand{Runs: []wire.RunReport{end(request, 9)}})
+	}
+	if len(table.rows) > maxRows || len(table.changes) > maxChanges || !refused(table, 1) {
+		t.Errorf("%d rows, %d changes, the refused one is there: %t", len(table.rows), len(table.changes), refused(table, 1))
+	}
+	if news := table.Since(1); !news.Whole || len(news.Rows) != maxRows {
+		t.Errorf("who knows what is forgotten is told %d rows, whole %t", len(news.Rows), news.Whole)
+	}
+}
+
+// TestRandomTables draws commands: two replicas agree, one that is restored goes on alike,
+// a process that follows the news knows what the table does, and a request that never has
+// a good end is refused from its third worker on.
+func TestRandomTables(t *testing.T) {
+	proptest.Run(t, "quarantine", func(random *rand.Rand) error {
+		table, replica, book := NewTable(), NewTable(), NewBook()
+		for step := range 60 {
+			command := drawnCommand(random, int64(step)*700)
+			if !reflect.DeepEqual(table.Apply(command), replica.Apply(command)) {
+				return fmt.Errorf("step %d: replicas differ", step)
+			}
+			if random.Intn(10) == 0 {
+				var entries []wire.QuarantineEntry
+				for _, row := range replica.rows {
+					entries = append(entries, *row)
+				}
+				replica.Restore(replica.Revision(), entries)
+			}
+			if random.Intn(3) == 0 {
+				// The news come from either.
+				from := []*Table{table, replica}[random.Intn(2)]
+				news := from.Since(book.Revision())
+				book.Learn(&news)
+			}
+		}
+		news := replica.Since(book.Revision())
+		book.Learn(&news)
+		for request := Fingerprint(1); request <= 5; request++ {
+			if got, want := book.Standing(time.Time{}, request) == Refused, refused(table, request); got != want && len(table.rows[request].Ends) > 0 {
+				return fmt.Errorf("request %d: refused %t by the news, %t by the table", request, got, want)
+			}
+			if row := table.Entry(request); row != nil && len(row.Ends) >= Threshold && !row.Refused {
+				return fmt.Errorf("request %d has %d ends and is not refused", request, len(row.Ends))
+			}
+		}
+		if !reflect.DeepEqual(table.rows, replica.rows) || table.Revision() != replica.Revision() {
+			return fmt.Errorf("a restored replica differs")
+		}
+		return nil
+	})
+}
+
+func drawnCommand(random *rand.Rand, at int64) *wire.QuarantineCommand {
+	command := &wire.QuarantineCommand{AtMillis: at}
+	for range random.Intn(4) {
+		run := end(Fingerprint(1+random.Intn(5)), uint32(1+random.Intn(6)))
+		if random.Intn(5) == 0 {
+			run.Worker = 0
+		}
+		command.Runs = append(command.Runs, run)
+	}
+	switch request := uint64(1 + random.Intn(5)); random.Intn(6) {
+	case 0:
+		command.Trial = request
+	case 1:
+		command.Settled = []uint64{request}
+	case 2:
+		command.Expired = []uint64{request}
+	}
+	return command
+}
+
+// TestTrials gives trials and terms: after a second, a minute, two, an hour at most, by each
+// leader's own time.
+func TestTrials(t *testing.T) {
+	table, warden, now := NewTable(), NewWarden(), time.Unix(1000, 0)
+	table.Apply(&wire.QuarantineCommand{Runs: []wire.RunReport{end(1, 1), end(1, 2), end(1, 3), end(2, 1)}})
+	if warden.Look(now, table) != nil {
+		t.Error("something follows at once")
+	}
+	var pauses []time.Duration
+	for range 9 {
+		granted, wait := warden.Trial(now, table, 1)
+		if granted {
+			t.Fatalf("a trial is granted %s early", wait)
+		}
+		pauses = append(pauses, wait)
+		now = now.Add(wait)
+		if granted, _ := warden.Trial(now, table, 1); !granted {
+			t.Fatal("no trial is granted when it is due")
+		}
+		if granted, _ := warden.Trial(now, table, 1); granted {
+			t.Fatal("two trials are granted")
+		}
+		table.Apply(&wire.QuarantineCommand{Trial: 1})
+		warden.Look(now, table)
+	}
+	want := []time.Duration{time.Second, time.Minute, 2 * time.Minute, 4 * time.Minute, 8 * time.Minute, 16 * time.Minute, 32 * time.Minute, time.Hour, time.Hour}
+	if !reflect.DeepEqual(pauses, want) {
+		t.Errorf("trials after %v, want %v", pauses, want)
+	}
+	if command := warden.Look(now, table); command == nil || !reflect.DeepEqual(command.Expired, []uint64{2}) || !reflect.DeepEqual(command.Settled, []uint64{1}) {
+		t.Errorf("what follows is %+v", command)
+	}
+	if command := NewWarden().Look(now, table); command != nil {
+		t.Errorf("a new leader does %+v at once", command)
+	}
+	if granted, _ := warden.Trial(now, table, 7); !granted {
+		t.Error("a request that is not refused may not run")
+	}
+}
+
+// BenchmarkOf: the cost of an identity for a body of 8 KB, paid only while any request is
+// known: 7.0 us, 192 B.
+func BenchmarkOf(b *testing.B) {
+	body := make([]byte, 8<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		Of("owner", "host.example", "POST", "/a/b", body)
+	}
+}
+
+// BenchmarkStanding: the look-up with a full table, 77 ns, no allocation.
+func BenchmarkStanding(b *testing.B) {
+	table, book := NewTable(), NewBook()
+	for request := Fingerprint(1); request <= maxRows; request++ {
+		table.Apply(&wire.QuarantineCommand{Runs: []wire.RunReport{end(request, 1), end(request, 2), end(request, 3)}})
+	}
+	news := table.Since(0)
+	book.Learn(&news)
+	b.ReportAllocs()
+	for b.Loop() {
+		book.Standing(time.Time{}, 77)
+	}
+}
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -15,3 +15,4 @@
 //go:generate go tool msgp -file fleet.go -o fleet_gen.go -tests=false
 //go:generate go tool msgp -file batch.go -o batch_gen.go -tests=false
 //go:generate go tool msgp -file load.go -o load_gen.go -tests=false
+//go:generate go tool msgp -file quarantine.go -o quarantine_gen.go -tests=false
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -8,6 +8,8 @@
 	Form    *FormStores  `msg:"form"`
 	Retire  *RetireStore `msg:"retire"`
 	Retired *RetireStore `msg:"retired"`
+
+	Quarantine *QuarantineCommand `msg:"quarantine"`
 }
 
 // ApplyRoutes brings in a whole configuration of routes and pools.
@@ -84,6 +86,8 @@
 	// Term is the leader's term that View belongs to.
 	Term       uint64 `msg:"term"`
 	WaitMillis int64  `msg:"wait_millis"`
+	// Quarantine is the revision of what the caller knows of refused requests.
+	Quarantine uint64 `msg:"quarantine"`
 }
 
 // WatchResponse tells what differs.
@@ -95,6 +99,9 @@
 	View     uint64 `msg:"view"`
 	// Fleet is the view of processes and workers, unless the caller has it.
 	Fleet *FleetView `msg:"fleet"`
+	// Quarantine is what differs of the requests under which workers ended, nil where
+	// nothing does.
+	Quarantine *QuarantineNews `msg:"quarantine"`
 }
 
 // FleetView is the leader's view of the processes and the workers.
--- a/internal/wire/fleet_gen.go
+++ b/internal/wire/fleet_gen.go
@@ -477,6 +477,24 @@
 					}
 				}
 			}
+		case "quarantine":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Quarantine")
+					return
+				}
+				z.Quarantine = nil
+			} else {
+				if z.Quarantine == nil {
+					z.Quarantine = new(QuarantineCommand)
+				}
+				err = z.Quarantine.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Quarantine")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -490,9 +508,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *FleetCommand) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "apply"
-	err = en.Append(0x84, 0xa5, 0x61, 0x70, 0x70, 0x6c, 0x79)
+	err = en.Append(0x85, 0xa5, 0x61, 0x70, 0x70, 0x6c, 0x79)
 	if err != nil {
 		return
 	}
@@ -637,15 +655,32 @@
 			return
 		}
 	}
+	// write "quarantine"
+	err = en.Append(0xaa, 0x71, 0x75, 0x61, 0x72, 0x61, 0x6e, 0x74, 0x69, 0x6e, 0x65)
+	if err != nil {
+		return
+	}
+	if z.Quarantine == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Quarantine.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Quarantine")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "apply"
-	o = append(o, 0x84, 0xa5, 0x61, 0x70, 0x70, 0x6c, 0x79)
+	o = append(o, 0x85, 0xa5, 0x61, 0x70, 0x70, 0x6c, 0x79)
 	if z.Apply == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -706,6 +741,17 @@
 		o = append(o, 0xa7, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x65, 0x64)
 		o = msgp.AppendInt(o, z.Retired.Counted)
 	}
+	// string "quarantine"
+	o = append(o, 0xaa, 0x71, 0x75, 0x61, 0x72, 0x61, 0x6e, 0x74, 0x69, 0x6e, 0x65)
+	if z.Quarantine == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Quarantine.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Quarantine")
+			return
+		}
+	}
 	return
 }
 
@@ -997,6 +1043,23 @@
 					}
 				}
 			}
+		case "quarantine":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Quarantine = nil
+			} else {
+				if z.Quarantine == nil {
+					z.Quarantine = new(QuarantineCommand)
+				}
+				bts, err = z.Quarantine.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Quarantine")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1041,6 +1104,12 @@
 	} else {
 		s += 1 + 5 + msgp.StringPrefixSize + len(z.Retired.Name) + 8 + msgp.IntSize
 	}
+	s += 11
+	if z.Quarantine == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Quarantine.Msgsize()
+	}
 	return
 }
 
@@ -3699,6 +3768,12 @@
 				err = msgp.WrapError(err, "WaitMillis")
 				return
 			}
+		case "quarantine":
+			z.Quarantine, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Quarantine")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3712,9 +3787,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *WatchRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "process"
-	err = en.Append(0x85, 0xa7, 0x70, 0x72, 0x6f, 0x63, 0x65, 0x73, 0x73)
+	err = en.Append(0x86, 0xa7, 0x70, 0x72, 0x6f, 0x63, 0x65, 0x73, 0x73)
 	if err != nil {
 		return
 	}
@@ -3763,15 +3838,25 @@
 		err = msgp.WrapError(err, "WaitMillis")
 		return
 	}
+	// write "quarantine"
+	err = en.Append(0xaa, 0x71, 0x75, 0x61, 0x72, 0x61, 0x6e, 0x74, 0x69, 0x6e, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Quarantine)
+	if err != nil {
+		err = msgp.WrapError(err, "Quarantine")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *WatchRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "process"
-	o = append(o, 0x85, 0xa7, 0x70, 0x72, 0x6f, 0x63, 0x65, 0x73, 0x73)
+	o = append(o, 0x86, 0xa7, 0x70, 0x72, 0x6f, 0x63, 0x65, 0x73, 0x73)
 	o, err = z.Process.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Process")
@@ -3789,6 +3874,9 @@
 	// string "wait_millis"
 	o = append(o, 0xab, 0x77, 0x61, 0x69, 0x74, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.WaitMillis)
+	// string "quarantine"
+	o = append(o, 0xaa, 0x71, 0x75, 0x61, 0x72, 0x61, 0x6e, 0x74, 0x69, 0x6e, 0x65)
+	o = msgp.AppendUint64(o, z.Quarantine)
 	return
 }
 
@@ -3844,6 +3932,12 @@
 				err = msgp.WrapError(err, "WaitMillis")
 				return
 			}
+		case "quarantine":
+			z.Quarantine, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Quarantine")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3858,7 +3952,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WatchRequest) Msgsize() (s int) {
-	s = 1 + 8 + z.Process.Msgsize() + 8 + msgp.Uint64Size + 5 + msgp.Uint64Size + 5 + msgp.Uint64Size + 12 + msgp.Int64Size
+	s = 1 + 8 + z.Process.Msgsize() + 8 + msgp.Uint64Size + 5 + msgp.Uint64Size + 5 + msgp.Uint64Size + 12 + msgp.Int64Size + 11 + msgp.Uint64Size
 	return
 }
 
@@ -3929,6 +4023,24 @@
 					return
 				}
 			}
+		case "quarantine":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Quarantine")
+					return
+				}
+				z.Quarantine = nil
+			} else {
+				if z.Quarantine == nil {
+					z.Quarantine = new(QuarantineNews)
+				}
+				err = z.Quarantine.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Quarantine")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3942,9 +4054,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *WatchResponse) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "version"
-	err = en.Append(0x85, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x86, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -4000,15 +4112,32 @@
 			return
 		}
 	}
+	// write "quarantine"
+	err = en.Append(0xaa, 0x71, 0x75, 0x61, 0x72, 0x61, 0x6e, 0x74, 0x69, 0x6e, 0x65)
+	if err != nil {
+		return
+	}
+	if z.Quarantine == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Quarantine.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Quarantine")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *WatchResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "version"
-	o = append(o, 0x85, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x86, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "document"
 	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
@@ -4030,6 +4159,17 @@
 			return
 		}
 	}
+	// string "quarantine"
+	o = append(o, 0xaa, 0x71, 0x75, 0x61, 0x72, 0x61, 0x6e, 0x74, 0x69, 0x6e, 0x65)
+	if z.Quarantine == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Quarantine.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Quarantine")
+			return
+		}
+	}
 	return
 }
 
@@ -4112,6 +4252,23 @@
 					return
 				}
 			}
+		case "quarantine":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Quarantine = nil
+			} else {
+				if z.Quarantine == nil {
+					z.Quarantine = new(QuarantineNews)
+				}
+				bts, err = z.Quarantine.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Quarantine")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4132,5 +4289,11 @@
 	} else {
 		s += z.Fleet.Msgsize()
 	}
+	s += 11
+	if z.Quarantine == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Quarantine.Msgsize()
+	}
 	return
 }
