fleetsim: edges, workers and a request that ends them

Four edges and six workers beside coordinators and stores; a deadly and a frequent harmless request; edges are killed, cut off, frozen and suspended, and all coordinators lose power once more when all else is calm.

--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -10,6 +10,7 @@
 	"github.com/sedgemast/sedgemast/internal/fleetstate"
 	"github.com/sedgemast/sedgemast/internal/fleetview"
 	"github.com/sedgemast/sedgemast/internal/placement"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -56,10 +57,11 @@
 	// cut names the machines to which nothing goes from here.
 	cut map[string]bool
 
-	node  *replication.Node
-	fleet *fleetstate.Machine
-	batch []*batchstate.Machine
-	view  *fleetview.View
+	node   *replication.Node
+	fleet  *fleetstate.Machine
+	batch  []*batchstate.Machine
+	view   *fleetview.View
+	warden *quarantine.Warden
 	// known is what a store knows of the fleet.
 	knownTerm, knownView uint64
 	fleetView            wire.FleetView
@@ -266,7 +268,7 @@
 func (m *machine) lead(read func(v *fleetview.View)) {
 	_ = m.node.Read(m.clock(), 0, func(term uint64, _ storage.Reader) error {
 		if m.view == nil || m.view.Term != term {
-			m.view = fleetview.New(term)
+			m.view, m.warden = fleetview.New(term), quarantine.NewWarden()
 		}
 		read(m.view)
 		return nil
@@ -351,6 +353,7 @@
 			form = v.FirstVoters(m.clock(), tolerate)
 		}
 	})
+	m.keepQuarantine()
 	if len(form) > 0 {
 		m.propose(0, &wire.FleetCommand{Form: &wire.FormStores{Groups: form}}, nil)
 	}
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -1,6 +1,8 @@
 package fleetsim
 
 import (
+	"slices"
+
 	"github.com/sedgemast/sedgemast/internal/fleetview"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/storage"
@@ -33,10 +35,16 @@
 	// MutationSteadyClock lets leases and ages go by a clock that stands still while a
 	// machine is suspended.
 	MutationSteadyClock Mutation = "steady_clock"
+	// MutationOwnEnds keeps what an edge sees of workers' ends to itself.
+	MutationOwnEnds Mutation = "own_ends"
+	// MutationForgetEnds keeps the coordinators' knowledge of ends off their disks.
+	MutationForgetEnds Mutation = "forget_ends"
+	// MutationNoAcquittal lets good ends count for nothing.
+	MutationNoAcquittal Mutation = "no_acquittal"
 )
 
 // Mutations lists all that take something away.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationOwnEnds, MutationForgetEnds, MutationNoAcquittal}
 
 // mutatedStore returns the machine's disk, or one that lies.
 func (m *machine) mutatedStore() storage.Store {
@@ -57,7 +65,7 @@
 // machine returns the state machine, or a mutated one.
 func (m Mutation) machine(whole replication.StateMachine) replication.StateMachine {
 	switch m {
-	case MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota:
+	case MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationForgetEnds, MutationNoAcquittal:
 		return &mutated{StateMachine: whole, mutation: m}
 	}
 	return whole
@@ -83,6 +91,14 @@
 		}))
 	case MutationMixChains:
 		return m.StateMachine.Apply(withRecords(command, func(record *wire.ItemRecord) { record.Opens = true }))
+	case MutationNoAcquittal:
+		return m.StateMachine.Apply(withoutGoodEnds(command))
+	case MutationForgetEnds:
+		answer, mutations := m.StateMachine.Apply(command)
+		if isQuarantine(command) {
+			mutations = nil
+		}
+		return answer, mutations
 	case MutationLoseOwner:
 		return m.StateMachine.Apply(withSubmit(command, func(submit *wire.SubmitBatch) { submit.Owner = "" }))
 	case MutationNoQuota:
@@ -107,6 +123,22 @@
 	return encode(&fleet)
 }
 
+// withoutGoodEnds takes the good ends off a report.
+func withoutGoodEnds(command []byte) []byte {
+	var fleet wire.FleetCommand
+	if _, err := fleet.UnmarshalMsg(command); err != nil || fleet.Quarantine == nil {
+		return command
+	}
+	fleet.Quarantine.Runs = slices.DeleteFunc(fleet.Quarantine.Runs, func(run wire.RunReport) bool { return run.Worker == 0 })
+	return encode(&fleet)
+}
+
+func isQuarantine(command []byte) bool {
+	var fleet wire.FleetCommand
+	_, err := fleet.UnmarshalMsg(command)
+	return err == nil && fleet.Quarantine != nil
+}
+
 // withRecords changes the news of items in a command.
 func withRecords(command []byte, change func(record *wire.ItemRecord)) []byte {
 	var batch wire.BatchCommand
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -31,6 +31,13 @@
 	// greetAll is the stores' replication.Options.GreetAll: in every other seed they
 	// say hello as few do in a large fleet.
 	greetAll int
+	edges    []*edge
+	workers  []*simWorker
+	// deadlySent, deadlyEnds and deadlyLate count how often the deadly request was sent to
+	// workers, those that ended under it, and what edges in touch sent later than contact
+	// after thirdEnd.
+	deadlySent, deadlyEnds, deadlyLate int
+	thirdEnd                           time.Time
 	// Log holds the faults and what was done, for a failing seed.
 	Log []string
 }
@@ -119,6 +126,7 @@
 	w.lossSafeAt = began.Add(faultsFrom)
 	w.ledger.begin()
 	w.beginFaults()
+	w.beginEdges()
 	w.after(healAt, w.heal)
 	end := began.Add(endAt)
 	for w.events.Len() > 0 {
