Quarantine for operators: list, release, a line when a request is refused or let in; an item that ends workers

GET and DELETE on the coordinators' own interface, typed errors for what is unknown or no identity. TestItemThatEndsWorkers: the other items of the job are completed, the one is held back and not given up.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -8,6 +8,7 @@
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpapi"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 )
 
@@ -17,10 +18,13 @@
 //	GET  PathRoutes      the newest configuration as it was sent; 503 where that is not certain
 //	POST PathStores NAME /retirement   empty a store; 404 unknown, 409 where too few would be left
 //	GET  PathStores NAME /retirement   RetirementState
+//	GET    PathQuarantine              the requests under which workers ended, a list of Quarantined
+//	DELETE PathQuarantine/REQUEST      let a refused request in again; 404 unknown
 const (
 	PathRoutes     = "/sedgemast/v1/routes"
 	PathStores     = "/sedgemast/v1/stores/"
 	partRetirement = "/retirement"
+	PathQuarantine = "/sedgemast/v1/quarantine"
 	// maxDocumentBytes bounds the operator's document.
 	maxDocumentBytes = 16 << 20
 )
@@ -51,6 +55,7 @@
 func (a *API) serve(writer http.ResponseWriter, request *http.Request) error {
 	name, isRetirement := strings.CutSuffix(request.URL.Path, partRetirement)
 	name, isStore := strings.CutPrefix(name, PathStores)
+	quarantined, isQuarantined := strings.CutPrefix(request.URL.Path, PathQuarantine+"/")
 	call := request.Method + " " + request.URL.Path
 	switch {
 	case call == http.MethodPut+" "+PathRoutes:
@@ -62,6 +67,10 @@
 		}
 		httpapi.WriteBody(writer, "application/json", source.Source)
 		return nil
+	case call == http.MethodGet+" "+PathQuarantine:
+		return a.getQuarantine(writer, request)
+	case request.Method == http.MethodDelete && isQuarantined:
+		return a.release(request, quarantined)
 	case isRetirement && isStore && request.Method == http.MethodPost:
 		return a.Coordinator.Retire(request.Context(), name)
 	case isRetirement && isStore && request.Method == http.MethodGet:
@@ -70,6 +79,27 @@
 	return failure.New(failure.NotFound, "check method and path", "there is no %s", call)
 }
 
+func (a *API) getQuarantine(writer http.ResponseWriter, request *http.Request) error {
+	list, err := a.Coordinator.Quarantine(request.Context())
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	httpapi.WriteBody(writer, "application/json", body)
+	return nil
+}
+
+func (a *API) release(request *http.Request, name string) error {
+	quarantined, err := quarantine.Parse(name)
+	if err != nil {
+		return err
+	}
+	return a.Coordinator.Release(request.Context(), quarantined)
+}
+
 func (a *API) putRoutes(request *http.Request) error {
 	source, err := httpapi.ReadBody(request, maxDocumentBytes)
 	if err != nil {
--- a/internal/coordinator/operate.go
+++ b/internal/coordinator/operate.go
@@ -24,7 +24,9 @@
 	methodRetire     = "fleet_retire"
 	methodRetirement = "fleet_retirement"
 	// MethodQuarantine takes reports of runs, and grants trials.
-	MethodQuarantine = "fleet_quarantine"
+	MethodQuarantine        = "fleet_quarantine"
+	methodQuarantineList    = "fleet_quarantine_list"
+	methodQuarantineRelease = "fleet_quarantine_release"
 )
 
 func (c *Coordinator) register() {
@@ -45,6 +47,12 @@
 	rpc.Handle(server, MethodQuarantine, func(ctx context.Context, request *wire.QuarantineReport) (msgp.Marshaler, error) {
 		return c.takeReport(ctx, request)
 	})
+	rpc.Handle(server, methodQuarantineList, func(ctx context.Context, _ *wire.Empty) (msgp.Marshaler, error) {
+		return c.quarantineHere(ctx)
+	})
+	rpc.Handle(server, methodQuarantineRelease, func(ctx context.Context, request *wire.QuarantineRelease) (msgp.Marshaler, error) {
+		return c.releaseHere(ctx, request)
+	})
 	rpc.Handle(server, methodApply, func(ctx context.Context, request *wire.ApplyRoutes) (msgp.Marshaler, error) {
 		return c.applyHere(ctx, request)
 	})
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -28,8 +29,12 @@
 func (c *Coordinator) takeReportHere(ctx context.Context, request *wire.QuarantineReport) (*wire.QuarantineAnswer, error) {
 	answer := &wire.QuarantineAnswer{}
 	command := &wire.QuarantineCommand{Runs: request.Runs}
+	before := map[uint64]bool{}
 	err := c.readLeader(func(now time.Time, _ *fleetview.View) {
 		command.AtMillis = now.UnixMilli()
+		for _, run := range request.Runs {
+			before[run.Request] = c.quarantines(run.Request)
+		}
 		if request.Trial != 0 {
 			c.decideTrial(now, quarantine.Fingerprint(request.Trial), command, answer)
 		}
@@ -42,10 +47,85 @@
 	}
 	err = c.readLeader(func(time.Time, *fleetview.View) {
 		answer.News = c.machine.Quarantine().Since(request.Known)
+		for run, was := range before {
+			c.logStanding(run, was)
+		}
 	})
 	return answer, err
 }
 
+// quarantines reports whether a request is refused now.
+func (c *Coordinator) quarantines(request uint64) bool {
+	entry := c.machine.Quarantine().Entry(quarantine.Fingerprint(request))
+	return entry != nil && entry.Refused
+}
+
+// logStanding writes a line where a report has changed whether a request is refused.
+func (c *Coordinator) logStanding(request uint64, was bool) {
+	if c.quarantines(request) == was {
+		return
+	}
+	var workers []uint32
+	if entry := c.machine.Quarantine().Entry(quarantine.Fingerprint(request)); entry != nil {
+		for _, end := range entry.Ends {
+			workers = append(workers, end.Worker)
+		}
+	}
+	logging.Info(c.logger, "quarantine_changed", "request", quarantine.Fingerprint(request), "refused", !was, "workers_ended", fmt.Sprint(workers), "revision", c.machine.Quarantine().Revision())
+}
+
+// Quarantined is a request under which workers ended, as operators see it.
+type Quarantined struct {
+	// Request is its identity, as it stands in the logs of edges and stores.
+	Request string `json:"request"`
+	Ends    int    `json:"ends"`
+	Refused bool   `json:"refused"`
+	Trials  int    `json:"trials"`
+}
+
+// Quarantine lists the requests under which workers ended, those that are refused first.
+func (c *Coordinator) Quarantine(ctx context.Context) ([]Quarantined, error) {
+	answer, err := atLeader[wire.QuarantineList](ctx, c, methodQuarantineList, &wire.Empty{}, c.quarantineHere)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]Quarantined, 0, len(answer.Entries))
+	for i := range answer.Entries {
+		entry := &answer.Entries[i]
+		list = append(list, Quarantined{Request: quarantine.Fingerprint(entry.Request).String(), Ends: len(entry.Ends), Refused: entry.Refused, Trials: entry.Trials})
+	}
+	return list, nil
+}
+
+func (c *Coordinator) quarantineHere(context.Context) (*wire.QuarantineList, error) {
+	list := &wire.QuarantineList{}
+	err := c.readLeader(func(time.Time, *fleetview.View) { list.Entries = c.machine.Quarantine().Entries() })
+	return list, err
+}
+
+// Release lets a refused request in again, and forgets the ends under it. It fails with
+// NotFound where nothing is known of it.
+func (c *Coordinator) Release(ctx context.Context, request quarantine.Fingerprint) error {
+	release := &wire.QuarantineRelease{Request: uint64(request)}
+	_, err := atLeader[wire.FleetResult](ctx, c, methodQuarantineRelease, release, func(ctx context.Context) (*wire.FleetResult, error) {
+		return c.releaseHere(ctx, release)
+	})
+	return err
+}
+
+func (c *Coordinator) releaseHere(ctx context.Context, release *wire.QuarantineRelease) (*wire.FleetResult, error) {
+	result, err := c.propose(ctx, &wire.FleetCommand{Quarantine: &wire.QuarantineCommand{Expired: []uint64{release.Request}}})
+	if err != nil {
+		return nil, err
+	}
+	request := quarantine.Fingerprint(release.Request)
+	logging.Info(c.logger, "quarantine_released", "request", request, "known", result.Changed)
+	if !result.Changed {
+		return nil, failure.New(failure.NotFound, "list the requests first", "no worker is known to have ended under request %s", request)
+	}
+	return result, nil
+}
+
 func (c *Coordinator) decideTrial(now time.Time, request quarantine.Fingerprint, command *wire.QuarantineCommand, answer *wire.QuarantineAnswer) {
 	granted, wait := c.warden.Trial(now, c.machine.Quarantine(), request)
 	answer.Granted, answer.WaitMillis = granted, wait.Milliseconds()
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -218,6 +218,27 @@
 // Entry returns what is stored of a request, nil for nothing. The caller must not change it.
 func (t *Table) Entry(request Fingerprint) *wire.QuarantineEntry { return t.rows[request] }
 
+// Entries returns what is stored of all requests: those that are refused first, then what
+// changed last.
+func (t *Table) Entries() []wire.QuarantineEntry {
+	entries := make([]wire.QuarantineEntry, 0, len(t.rows))
+	for _, row := range t.rows {
+		entry := *row
+		entry.Ends = slices.Clone(row.Ends)
+		entries = append(entries, entry)
+	}
+	sort.Slice(entries, func(a, b int) bool {
+		if entries[a].Refused != entries[b].Refused {
+			return entries[a].Refused
+		}
+		if entries[a].Revision != entries[b].Revision {
+			return entries[a].Revision > entries[b].Revision
+		}
+		return entries[a].Request < entries[b].Request
+	})
+	return entries
+}
+
 // Since returns what differs from the revision that a process knows.
 func (t *Table) Since(known uint64) wire.QuarantineNews {
 	news := wire.QuarantineNews{Revision: t.revision}
--- a/internal/wire/quarantine.go
+++ b/internal/wire/quarantine.go
@@ -83,3 +83,13 @@
 	Worker   uint32
 	AtMillis int64
 }
+
+// QuarantineList is all that is known of requests under which workers ended.
+type QuarantineList struct {
+	Entries []QuarantineEntry `msg:"entries"`
+}
+
+// QuarantineRelease lets a request in again.
+type QuarantineRelease struct {
+	Request uint64 `msg:"request"`
+}
--- a/internal/wire/quarantine_gen.go
+++ b/internal/wire/quarantine_gen.go
@@ -894,6 +894,168 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *QuarantineList) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "entries":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0002 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = (z.Entries)[:zb0002]
+			} else {
+				z.Entries = make([]QuarantineEntry, zb0002)
+			}
+			for za0001 := range z.Entries {
+				err = z.Entries[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *QuarantineList) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "entries"
+	err = en.Append(0x81, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Entries)))
+	if err != nil {
+		err = msgp.WrapError(err, "Entries")
+		return
+	}
+	for za0001 := range z.Entries {
+		err = z.Entries[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *QuarantineList) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "entries"
+	o = append(o, 0x81, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+	for za0001 := range z.Entries {
+		o, err = z.Entries[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QuarantineList) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "entries":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0002 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = (z.Entries)[:zb0002]
+			} else {
+				z.Entries = make([]QuarantineEntry, zb0002)
+			}
+			for za0001 := range z.Entries {
+				bts, err = z.Entries[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *QuarantineList) Msgsize() (s int) {
+	s = 1 + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += z.Entries[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *QuarantineNews) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -1106,6 +1268,117 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *QuarantineRelease) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "request":
+			z.Request, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z QuarantineRelease) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "request"
+	err = en.Append(0x81, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Request)
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z QuarantineRelease) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "request"
+	o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendUint64(o, z.Request)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QuarantineRelease) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "request":
+			z.Request, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z QuarantineRelease) Msgsize() (s int) {
+	s = 1 + 8 + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *QuarantineReport) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/test/fleet_api_test.go
+++ b/test/fleet_api_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/edge"
 	"github.com/sedgemast/sedgemast/internal/emulator"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/workerlist"
 )
@@ -73,15 +75,17 @@
 		t.Fatalf("build: %v\n%s", err, output)
 	}
 	f := &ownFleet{t: t, binary: filepath.Join(folder, "sedgemast"), port: freePorts(t)}
-	list := &workerlist.List{}
 	for i := range 2 {
 		worker := emulator.NewHostedWorker(fmt.Sprintf("w-%d", i), 8, time.Millisecond)
 		worker.Names = dialect.Own()
 		t.Cleanup(worker.Close)
 		f.workers = append(f.workers, worker)
-		list.Workers = append(list.Workers, workerlist.Worker{ID: worker.ID, Address: worker.Address(), Zone: "zone-a", Pool: "pool", Slots: 8})
 	}
 	platform := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		list := &workerlist.List{}
+		for _, worker := range f.workers {
+			list.Workers = append(list.Workers, workerlist.Worker{ID: worker.Incarnation(), Address: worker.Address(), Zone: "zone-a", Pool: "pool", Slots: 8})
+		}
 		// A failed write means that the reader has gone.
 		_ = json.NewEncoder(writer).Encode(list)
 	}))
@@ -148,6 +152,48 @@
 	})
 	f.testJob(callers)
 	f.testWrongInput(operators, callers)
+	f.testQuarantine(operators, callers)
+}
+
+// testQuarantine lets workers end under a request until it is refused: operators see it,
+// and let it in again once it is harmless.
+func (f *ownFleet) testQuarantine(operators, callers string) {
+	t := f.t
+	var deadly atomic.Bool
+	deadly.Store(true)
+	for _, worker := range f.workers {
+		worker.Behave(func(request *emulator.HostedRequest) emulator.HostedFault {
+			if request.Body == endingBody && deadly.Load() {
+				return emulator.HostedFault{End: time.Millisecond, Back: 20 * time.Millisecond}
+			}
+			return emulator.HostedFault{}
+		})
+	}
+	list := func() (requests []coordinator.Quarantined) {
+		if status, text := f.call(http.MethodGet, operators, coordinator.PathQuarantine, "", ""); status != http.StatusOK || json.Unmarshal([]byte(text), &requests) != nil {
+			t.Errorf("the list is %d %q", status, text)
+		}
+		return requests
+	}
+	eventually(t, "the request is refused", func() bool {
+		_, _ = f.call(http.MethodPost, callers, "/ask/a", "r-2", endingBody)
+		requests := list()
+		return len(requests) == 1 && requests[0].Refused && requests[0].Ends >= quarantine.Threshold
+	})
+	deadly.Store(false)
+	path := coordinator.PathQuarantine + "/" + list()[0].Request
+	for _, test := range []struct {
+		target string
+		want   int
+	}{{path, http.StatusOK}, {path, http.StatusNotFound}, {coordinator.PathQuarantine + "/x", http.StatusBadRequest}} {
+		if status, text := f.call(http.MethodDelete, operators, test.target, "", ""); status != test.want {
+			t.Errorf("DELETE %s: %d, want %d: %s", test.target, status, test.want, text)
+		}
+	}
+	eventually(t, "the request is served", func() bool {
+		status, text := f.call(http.MethodPost, callers, "/ask/a", "r-3", endingBody)
+		return status == http.StatusOK && text == events("r-3", 1, 4)
+	})
 }
 
 func (f *ownFleet) testJob(callers string) {
--- a/test/worker_ends_test.go
+++ b/test/worker_ends_test.go
@@ -148,3 +148,37 @@
 	}
 	return fronts
 }
+
+// TestItemThatEndsWorkers hands in a job with an item that ends its workers, beside others:
+// those are completed, and the one is held back. It is not given up, because no worker said
+// that it failed.
+func TestItemThatEndsWorkers(t *testing.T) {
+	const items, tokens = 12, 20
+	f := newHostedFleet(t, 8)
+	fronts := f.ready(t)
+	f.behaveAll(func(request *emulator.HostedRequest) emulator.HostedFault {
+		if request.ID == "j1-3" {
+			return emulator.HostedFault{End: 15 * time.Millisecond, Back: 60 * time.Millisecond}
+		}
+		return emulator.HostedFault{}
+	})
+	eventually(t, "the job accepted", func() bool {
+		status, _, _, err := f.call(http.MethodPost, fronts[0], "/batch/j1", map[string]string{"Request-Id": "j1"}, jobDocument("j1", items, tokens))
+		return err == nil && status == http.StatusAccepted
+	})
+	eventually(t, "all other results", func() bool {
+		page, _ := f.read(fronts[1], "j1", 0)
+		return page != nil && len(page.Results) == items-1
+	})
+	page, _ := f.read(fronts[0], "j1", 0)
+	for _, row := range page.Results {
+		if row.ID == "j1-3" || row.State != "completed" {
+			t.Errorf("%s is %s", row.ID, row.State)
+		}
+	}
+	// As many looks of the runner as would end all workers many times over.
+	time.Sleep(3 * time.Second)
+	if ends := f.ends(); ends < 3 || ends > mostEnds {
+		t.Errorf("%d workers ended, %d at most may", ends, mostEnds)
+	}
+}
