Dispatchers: a request under which engines end goes to no other of theirs

Each dispatcher keeps the quarantine of the workers that it owns (quarantine.Local, the fleet's table and its terms in one process). That an engine has ended is seen where its stream can't be picked up because nobody listens any more. Dispatchers don't tell one another: with n of them a request may end three workers of each.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 
 	"github.com/sedgemast/sedgemast/internal/controlclient"
 	"github.com/sedgemast/sedgemast/internal/daemon"
@@ -52,8 +53,10 @@
 	mutex     sync.Mutex
 	scheduler *scheduling.Scheduler
 	tasks     map[string]*task
-	workers   *workerSet
-	items     *itemSet
+	// quarantine holds the requests under which workers of this dispatcher ended.
+	quarantine *quarantine.Local
+	workers    *workerSet
+	items      *itemSet
 }
 
 // New prepares the process; d.Run serves it.
@@ -69,6 +72,7 @@
 		incarnation: uint64(now.UnixNano()),
 		scheduler:   scheduling.New(scheduling.Config{MaxQueue: config.MaxQueue, WorkerTimeout: config.WorkerTimeout.Std()}, newRandom(now)),
 		tasks:       map[string]*task{},
+		quarantine:  quarantine.NewLocal(),
 	}
 	dispatcher.session = controlclient.NewSession(controlclient.SessionOptions{
 		Client:   dispatcher.control,
--- a/internal/dispatcher/task.go
+++ b/internal/dispatcher/task.go
@@ -56,6 +56,8 @@
 	// worker and address are those of the running attempt.
 	worker  string
 	address string
+	// underEnd is set once a worker ended under the request here.
+	underEnd bool
 }
 
 // errPreempted ends an attempt whose place an online request needed.
@@ -94,7 +96,11 @@
 	defer cancel()
 	exclude := map[string]bool{}
 	for number := 0; ; number++ {
+		if err := t.quarantined(number); err != nil {
+			return err
+		}
 		err := t.runAttempt(ctx, number, exclude)
+		t.tellRun(err)
 		switch {
 		case err == nil:
 			return nil
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/engine"
@@ -55,6 +56,10 @@
 		writeRefusal(writer, refusal)
 		return
 	}
+	if e.options.EndsOn != "" && strings.Contains(body.Prompt, e.options.EndsOn) {
+		e.options.Ended()
+		panic(http.ErrAbortHandler)
+	}
 	e.stream(writer, request, started, body.ContinueTokens)
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,6 +33,8 @@
 	// Capacity is that of each engine.
 	Capacity emulator.Capacity
 	Faults   emulator.Faults
+	// EndsOn, where it is set, ends an engine when a prompt that holds it begins there.
+	EndsOn string
 	// OperatorKeySHA256 is the digest of the first operator's key.
 	OperatorKeySHA256 string
 }
@@ -169,6 +171,8 @@
 			EventLag:    200 * time.Millisecond,
 			ResumeGrace: resumeGrace,
 			WeightStore: platformAddress,
+			EndsOn:      f.options.EndsOn,
+			Ended:       func() { _ = d.Kill() },
 		})
 		emulated.Register(d.Server)
 		d.Go(emulated.Run)
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -241,3 +241,30 @@
 		book.Standing(time.Time{}, 77)
 	}
 }
+
+// BenchmarkFullBook: what a process keeps when it knows as many requests as there may be,
+// each with as many ends: 120 KB.
+func BenchmarkFullBook(b *testing.B) {
+	table := NewTable()
+	for request := Fingerprint(1); request <= maxRows; request++ {
+		command := &wire.QuarantineCommand{}
+		for worker := uint32(1); worker <= maxEnds; worker++ {
+			command.Runs = append(command.Runs, end(request, worker<<28|worker))
+		}
+		table.Apply(command)
+	}
+	news := table.Since(0)
+	encoded, err := news.MarshalMsg(nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		var told wire.QuarantineNews
+		if _, err := told.UnmarshalMsg(encoded); err != nil {
+			b.Fatal(err)
+		}
+		NewBook().Learn(&told)
+	}
+	b.ReportMetric(float64(len(encoded)), "bytes/news")
+}
--- a/test/bad_input_test.go
+++ b/test/bad_input_test.go
@@ -24,17 +24,18 @@
 
 // embedded starts a small fleet in this process and configures it.
 func embedded(t testing.TB, ctx context.Context) (*fleet.Fleet, string, string) {
+	t.Helper()
+	return embeddedOf(t, ctx, fleet.Options{Engines: 1})
+}
+
+// embeddedOf does the same with some of the options given.
+func embeddedOf(t testing.TB, ctx context.Context, options fleet.Options) (*fleet.Fleet, string, string) {
 	t.Helper()
 	operatorKey, tenantKey := "operator-secret", "tenant-secret"
-	started, err := fleet.Start(ctx, fleet.Options{
-		Gateways:          1,
-		Dispatchers:       1,
-		Engines:           1,
-		Models:            []string{testModel},
-		Folder:            t.TempDir(),
-		Capacity:          emulator.DefaultCapacity(),
-		OperatorKeySHA256: configuration.Digest(operatorKey),
-	})
+	options.Gateways, options.Dispatchers = 1, 1
+	options.Models, options.Folder = []string{testModel}, t.TempDir()
+	options.Capacity, options.OperatorKeySHA256 = emulator.DefaultCapacity(), configuration.Digest(operatorKey)
+	started, err := fleet.Start(ctx, options)
 	if err != nil {
 		t.Fatal(err)
 	}
