Items: a run that came far speaks for the item, and a trial lasts until it is made

Cause: items run for seconds, so in a row of workers' ends a harmless one may be on three without a good end between; its trial was used up when it gave way to online requests, and the next is a minute later, past its time. Ruled out: leaving items out of the quarantine (one item ended 31 workers). TestWhatSpeaksForAnItem, TestTrialIsKeptUntilItIsMade, TestRefusedItemsRest; TestItemThatEndsWorkers: 4 ends as before.

--- a/internal/batchstore/quarantine.go
+++ b/internal/batchstore/quarantine.go
@@ -16,8 +16,9 @@
 const (
 	// quarantinePause is the time between two looks at an item that is refused.
 	quarantinePause = 250 * time.Millisecond
-	// goodRun is how long an item must have run, with events, to speak for itself where
-	// it was stopped from here. An item that ends its workers does so as it begins.
+	// goodRun is how long an item must have run, with events, to speak for itself, whatever
+	// ended the run: one that ends its workers does so as it begins, and one that comes so
+	// far each time is done after a few runs.
 	goodRun = time.Second
 )
 
@@ -73,7 +74,7 @@
 func (t *task) tellRun(err error, moved bool) {
 	store := t.runner.store
 	book := store.watcher.Quarantine()
-	if err == nil || t.context.Err() != nil && moved && t.ran >= goodRun {
+	if err == nil || moved && t.ran >= goodRun {
 		if book.InUse() {
 			book.Good(clock.Now(), t.print)
 		}
@@ -85,6 +86,7 @@
 	ended := store.upstream.Ended(t.context, t.lease.Endpoint)
 	logging.Info(store.logger, "worker_broke_off", "job", t.key.job, "item", t.id, "request", t.print, "worker", t.lease.Endpoint.ID, "ended", ended, "events", t.carry.events, "ms", t.ran.Milliseconds())
 	if ended {
+		t.onTrial = false
 		book.Ended(clock.Now(), t.print, t.lease.Endpoint.ID)
 	}
 }
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -218,6 +218,10 @@
 	if !ended.finished && !ended.unusable && ended.carry.events > 0 {
 		r.carried[ended.key] = ended.carry
 	}
+	if ended.onTrial && !ended.finished {
+		// It gave way, or its worker would not take it: the trial is still to be made.
+		r.granted[ended.key] = true
+	}
 	switch {
 	case ended.finished:
 		r.pending[ended.key] = true
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -64,8 +64,10 @@
 	chain    uint64
 	carry    carry
 	failures int
-	// print is the request's identity.
-	print quarantine.Fingerprint
+	// print is the request's identity. onTrial is set while it runs though it is refused,
+	// and no worker has ended under it.
+	print   quarantine.Fingerprint
+	onTrial bool
 	// expected is how many tokens the caller expects.
 	expected int64
 	lease    *balance.Lease
