Edges: only an answer below 400 speaks for a request

Cause: a worker that fails requests without beginning them would clear one under which others ended, and three more would end. TestOnlyGoodEndsCount (red with the condition taken away), TestRefusedRequestsReachNoWorker.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -68,6 +68,8 @@
 	// mayHaveRun is set once a worker may have begun.
 	mayHaveRun bool
 	lastErr    error
+	// status is that of the last worker's answer.
+	status int
 	// print is the request's identity, zero while nobody has asked for it. onTrial is set
 	// where it is refused and may be tried, underEnd once a worker ended under it here.
 	print    quarantine.Fingerprint
@@ -273,6 +275,7 @@
 		return c.sendFailed(lease, err, time.Since(sentAt))
 	}
 	defer response.Close()
+	c.status = response.Status
 	if running, waiting, told := dialect.Load(response.Header.Get(c.edge.dialect.Load)); told {
 		lease.Told(running, waiting)
 	}
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"net/http"
+
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/failure"
@@ -57,9 +59,10 @@
 	}
 }
 
-// ranWell tells that a worker ran the request to its end.
+// ranWell tells that a worker ran the request to its end. A failure that a worker answered
+// says nothing: it may not have begun.
 func (c *call) ranWell() {
-	if book := c.edge.watcher.Quarantine(); book.InUse() {
+	if book := c.edge.watcher.Quarantine(); book.InUse() && c.status < http.StatusBadRequest {
 		book.Good(clock.Now(), c.fingerprint())
 	}
 }
