Coordinators: reports of suspects wake no watch

Cause: each report of an end woke the watches of all processes, and made the news for each of them, though only refusals are told at once: found by reading; at 330 processes a row of ends with some ten reports each would cost w 36 ms of the leader's processor per end, on a small machine. Now only a refusal and its end wake them, and the news are made when an answer goes out.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -63,6 +63,9 @@
 	watches  prometheus.Counter
 
 	news newsCache
+	// quarantineAt is the quarantine's state after the last command. It belongs to the
+	// goroutine that applies commands.
+	quarantineAt quarantineMark
 
 	// mutex guards what follows.
 	mutex   sync.Mutex
@@ -109,7 +112,7 @@
 	now := uint64(time.Now().UnixNano())
 	return replication.Options{
 		Store:             c.store,
-		Machines:          []replication.StateMachine{&replication.Notifying{StateMachine: c.machine, Notify: c.notify}},
+		Machines:          []replication.StateMachine{&replication.Notifying{StateMachine: c.machine, Notify: c.applied}},
 		Name:              c.settings.Name,
 		Address:           c.daemon.Address(),
 		Peers:             c.settings.Seeds,
--- a/internal/coordinator/operate.go
+++ b/internal/coordinator/operate.go
@@ -76,14 +76,15 @@
 		response := &wire.WatchResponse{}
 		var changed chan struct{}
 		var emptied []string
-		urgent := false
 		err := c.readLeader(func(now time.Time, v *fleetview.View) {
 			if first {
 				v.Heard(now, &request.Process)
 				emptied = v.Emptied(now, request, c.pendingRetirements(), len(c.machine.Initial()))
 			}
 			c.tell(v, request, response)
-			urgent = c.tellQuarantine(request, response)
+			if response.Document != nil || response.Fleet != nil || c.mustKnow(request.Quarantine) {
+				c.tellQuarantine(request, response)
+			}
 			changed = c.changed
 		})
 		if err != nil {
@@ -94,12 +95,14 @@
 		}
 		first = false
 		c.noteEmptied(ctx, emptied)
-		if response.Document != nil || response.Fleet != nil || urgent {
+		if response.Document != nil || response.Fleet != nil || response.Quarantine != nil {
 			return response, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
+			// An error means that another process leads now; it tells.
+			_ = c.readLeader(func(time.Time, *fleetview.View) { c.tellQuarantine(request, response) })
 			return response, nil
 		case <-ctx.Done():
 			return response, nil
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -136,16 +136,35 @@
 	logging.Info(c.logger, "quarantine_trial", "request", request, "granted", granted, "trials", trials, "wait_ms", answer.WaitMillis)
 }
 
-// tellQuarantine fills in what the caller of a watch does not know of requests under which
-// workers ended, and reports whether it must know at once.
-func (c *Coordinator) tellQuarantine(request *wire.WatchRequest, response *wire.WatchResponse) bool {
+// applied wakes the calls that wait for news, after a command. Nobody waits for what tells
+// only of suspects: in a row of workers' ends each edge reports, and waking 330 watches for
+// each report would take more of a small machine than the reports.
+func (c *Coordinator) applied() {
+	table, before := c.machine.Quarantine(), c.quarantineAt
+	c.quarantineAt = quarantineMark{table.Revision(), table.Urgent()}
+	if c.quarantineAt.revision != before.revision && c.quarantineAt.urgent == before.urgent {
+		return
+	}
+	c.notify()
+}
+
+// quarantineMark is how far the quarantine has come.
+type quarantineMark struct{ revision, urgent uint64 }
+
+// mustKnow reports whether a process that knows a revision of the quarantine must be told
+// at once.
+func (c *Coordinator) mustKnow(known uint64) bool {
 	table := c.machine.Quarantine()
-	if request.Quarantine == table.Revision() {
-		return false
+	return known < table.Urgent() || known > table.Revision()
+}
+
+// tellQuarantine fills in what the caller of a watch does not know of requests under which
+// workers ended.
+func (c *Coordinator) tellQuarantine(request *wire.WatchRequest, response *wire.WatchResponse) {
+	if table := c.machine.Quarantine(); request.Quarantine != table.Revision() {
+		news := table.Since(request.Quarantine)
+		response.Quarantine = &news
 	}
-	news := table.Since(request.Quarantine)
-	response.Quarantine = &news
-	return request.Quarantine < table.Urgent() || request.Quarantine > table.Revision()
 }
 
 // keepQuarantine carries out what follows from the time that has passed.
