--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -144,7 +144,7 @@
 	return c.host.Read(controlclient.MetaGroup, func(term uint64, _ storage.Reader) error {
 		c.meta.mutex.Lock()
 		defer c.meta.mutex.Unlock()
-		now := clock.Now()
+		now := clock.Exact()
 		if c.meta.leader == nil || c.meta.term != term {
 			c.meta.term = term
 			c.meta.leader = coordination.NewMeta(c.meta.machine, c.policy(), term, now)
@@ -159,7 +159,7 @@
 	return c.host.Read(group.number, func(term uint64, reader storage.Reader) error {
 		group.mutex.Lock()
 		defer group.mutex.Unlock()
-		now := clock.Now()
+		now := clock.Exact()
 		if group.leader == nil || group.term != term {
 			group.term = term
 			group.leader = coordination.NewJobs(group.machine, c.policy(), now)
--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -132,7 +132,7 @@
 func (s *Session) Beat(ctx context.Context) {
 	request := s.request()
 	for attempt := 0; attempt <= len(s.options.Client.addresses); attempt++ {
-		sent := clock.Now()
+		sent := clock.Exact()
 		callContext, cancel := context.WithTimeout(ctx, s.options.Timeout)
 		response, err := CallOnce[wire.HeartbeatResponse](callContext, s.options.Client, MetaGroup, MethodHeartbeat, request, attempt)
 		cancel()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -211,7 +211,7 @@
 
 // accepts returns a NotRun failure while the dispatcher must take no new work.
 func (d *Dispatcher) accepts() error {
-	now := clock.Now()
+	now := clock.Exact()
 	switch {
 	case d.isDraining():
 		return errDraining()
--- a/internal/dispatcher/items.go
+++ b/internal/dispatcher/items.go
@@ -82,7 +82,7 @@
 }
 
 func (s *itemSet) pullGroups(ctx context.Context, now time.Time) {
-	s.stopLapsed(clock.Now())
+	s.stopLapsed(clock.Exact())
 	groups := s.dispatcher.session.JobGroups()
 	want, models := s.room()
 	for number := 1; number <= groups; number++ {
@@ -165,7 +165,7 @@
 }
 
 func (s *itemSet) pull(ctx context.Context, request *wire.LeaseItemsRequest) {
-	sent := clock.Now()
+	sent := clock.Exact()
 	response, err := controlclient.CallOnce[wire.LeaseItemsResponse](ctx, s.dispatcher.control, request.Group, controlclient.MethodLeaseItems, request, 0)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,7 +100,7 @@
 	if g.isDraining() {
 		return failure.New(failure.NotRun, "send it again, to another gateway", "the gateway is stopping").WithRetryAfter(shortRetryAfter)
 	}
-	if !g.session.ConfigValid(clock.Now()) {
+	if !g.session.ConfigValid(clock.Exact()) {
 		return failure.New(failure.NotRun, "send it again, to another gateway", "the configuration can't be confirmed").WithRetryAfter(leaseRetryAfter)
 	}
 	return nil
--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -53,7 +53,7 @@
 // NewHost opens a node and runs it until Close. options.Send is set by it.
 func NewHost(options Options, transport Transport) (*Host, error) {
 	options.Send = transport.Send
-	now := clock.Now()
+	now := clock.Exact()
 	node, err := Open(options, now)
 	if err != nil {
 		return nil, err
@@ -91,21 +91,21 @@
 	for {
 		select {
 		case <-ticker.C:
-			h.node.Tick(clock.Now())
+			h.node.Tick(clock.Exact())
 		case event := <-h.events:
 			h.runEvents(event)
 		case <-h.closing:
 			h.drain()
 			return
 		}
-		h.node.Flush(clock.Now())
+		h.node.Flush(clock.Exact())
 	}
 }
 
 // runEvents runs the first event and those that wait behind it, so that they
 // share a sync.
 func (h *Host) runEvents(first func(time.Time)) {
-	now := clock.Now()
+	now := clock.Exact()
 	first(now)
 	for count := 1; count < maxEvents; count++ {
 		select {
@@ -122,7 +122,7 @@
 		select {
 		case event := <-h.events:
 			h.runEvents(event)
-			h.node.Flush(clock.Now())
+			h.node.Flush(clock.Exact())
 		default:
 			return
 		}
--- a/internal/replication/reads.go
+++ b/internal/replication/reads.go
@@ -89,11 +89,11 @@
 
 // Read calls read as Node.Read does; it may be called from any goroutine.
 func (h *Host) Read(number int, read func(term uint64, reader storage.Reader) error) error {
-	return h.node.Read(clock.Now(), number, read)
+	return h.node.Read(clock.Exact(), number, read)
 }
 
 // ReadIndex is Node.ReadIndex; it may be called from any goroutine.
-func (h *Host) ReadIndex(number int) (uint64, error) { return h.node.ReadIndex(clock.Now(), number) }
+func (h *Host) ReadIndex(number int) (uint64, error) { return h.node.ReadIndex(clock.Exact(), number) }
 
 // ReadReplica is Node.ReadReplica; it may be called from any goroutine.
 func (h *Host) ReadReplica(number int, read func(applied uint64, reader storage.Reader) error) error {
