Sight: who wrote what can't be read

Cause: the incident's logs can't tell the hypotheses apart. A process that never reached a coordinator writes no line when an answer does not decode, a datagram that does not decode is dropped without a line, and each process says version=0.1.0-dev. Change: each call tells the generation of its writer's build (8 bytes in the head of each request and answer); what comes whole and can't be read is counted by kind and generation (peer_unread_total) and written down once in 10 s (message_unread); the start line names the revision and the generation. No decision changes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/pprof"
 	"net/url"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,11 +27,37 @@
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/traffic"
+	"github.com/sedgemast/sedgemast/internal/unread"
+	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
 // Version is the version of the programs; releases set it when linking.
 var Version = "0.1.0-dev"
 
+// Build returns the revision that the program was built from, as the build's own
+// information tells it: twelve signs, and "+" where the tree had changes beside it.
+func Build() string {
+	info, told := debug.ReadBuildInfo()
+	if !told {
+		return unknownBuild
+	}
+	revision, changed := unknownBuild, ""
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			revision = setting.Value[:min(len(setting.Value), revisionLength)]
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			changed = "+"
+		}
+	}
+	return revision + changed
+}
+
+const (
+	unknownBuild   = "unknown"
+	revisionLength = 12
+)
+
 // Options describe a process.
 type Options struct {
 	Role   string
@@ -79,6 +106,7 @@
 	if options.Logger == nil {
 		options.Logger = logging.Discard()
 	}
+	unread.LogTo(options.Logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		Registry: prometheus.NewRegistry(),
@@ -142,7 +170,7 @@
 }
 
 func (d *Daemon) registerCommon() {
-	d.Registry.MustRegister(collectors.NewGoCollector(), d.Traffic)
+	d.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewBuildInfoCollector(), d.Traffic, unread.Messages)
 	if !d.options.Embedded {
 		d.Registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	}
@@ -230,7 +258,7 @@
 		kratoslog.SetLogger(logging.Kratos(d.Logger))
 	}
 	d.Go(d.logTraffic)
-	logging.Info(d.Logger, "started", "address", d.listener.Addr().String(), "version", Version)
+	logging.Info(d.Logger, "started", "address", d.listener.Addr().String(), "version", Version, "build", Build(), "generation", int(wire.GenerationCurrent))
 	err := d.application().Run()
 	d.cancel()
 	d.background.Wait()
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/traffic"
+	"github.com/sedgemast/sedgemast/internal/unread"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -38,8 +40,8 @@
 			}
 			continue
 		}
-		report := &wire.LoadReport{}
-		if _, err := report.UnmarshalMsg(buffer[:count]); err != nil {
+		report := read(buffer[:count], sender)
+		if report == nil {
 			continue
 		}
 		if reply := answer(report); reply != nil {
@@ -51,6 +53,17 @@
 	}
 }
 
+// read returns the report in a datagram, or nil where it can't be read.
+func read(datagram []byte, sender netip.AddrPort) *wire.LoadReport {
+	report := &wire.LoadReport{}
+	if _, err := report.UnmarshalMsg(datagram); err != nil {
+		// A datagram tells no generation where it can't be read.
+		unread.Note(string(traffic.Loads), sender.String(), 0, err)
+		return nil
+	}
+	return report
+}
+
 // Reporter is what a process tells a hub and learns from it.
 type Reporter struct {
 	// Hubs returns the addresses among which a hub is looked for, the best first.
@@ -265,8 +278,8 @@
 			continue
 		}
 		x.reporter.Meter.Received(traffic.Loads, sender.String(), count)
-		report := &wire.LoadReport{}
-		if _, err := report.UnmarshalMsg(buffer[:count]); err != nil {
+		report := read(buffer[:count], sender)
+		if report == nil {
 			continue
 		}
 		if report.Hub != "" {
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -155,6 +155,7 @@
 	defer httpResponse.Body.Close()
 	response := new(Response)
 	if err := ReadMessage(httpResponse.Header, httpResponse.Body, Pointer(response)); err != nil {
+		noteUnread(method, address, httpResponse.Header, err)
 		return nil, failure.Wrap(err, failure.OutcomeUnknown, "ask again for the state", "the answer of %s was cut", address)
 	}
 	return response, nil
@@ -180,6 +181,7 @@
 	// Without GetBody net/http never sends the body a second time by itself.
 	httpRequest.GetBody = nil
 	httpRequest.Header.Set("Content-Type", ContentType)
+	httpRequest.Header.Set(generationHeader, currentGeneration)
 	if encoding != "" {
 		httpRequest.Header.Set(encodingHeader, encoding)
 	}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/unread"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -22,10 +24,16 @@
 	ContentType = "application/x-msgpack"
 	// failureHeader marks a body that is a wire.Failure.
 	failureHeader = "Sedgemast-Failure"
+	// generationHeader tells the generation of the writer's build with each request and
+	// answer. It is short because it travels with each: 8 bytes.
+	generationHeader = "Gen"
 	// MaxBodyBytes bounds the body of one internal call.
 	MaxBodyBytes = 32 << 20
 )
 
+// currentGeneration is this build's generation as it is told.
+var currentGeneration = strconv.Itoa(int(wire.GenerationCurrent))
+
 // Router registers HTTP handlers; kratos' HTTP server implements it.
 type Router interface {
 	HandleFunc(path string, handler http.HandlerFunc)
@@ -42,6 +50,7 @@
 	router.HandleFunc(PathPrefix+method, func(writer http.ResponseWriter, httpRequest *http.Request) {
 		var request Request
 		if err := ReadMessage(httpRequest.Header, httpRequest.Body, Pointer(&request)); err != nil {
+			noteUnread(method, httpRequest.RemoteAddr, httpRequest.Header, err)
 			WriteFailure(writer, err)
 			return
 		}
@@ -65,6 +74,37 @@
 	})
 }
 
+// originated is a message whose reader must know who wrote it.
+type originated interface {
+	WrittenBy(generation wire.Generation)
+}
+
+// generationOf returns the generation of the build that wrote a header.
+func generationOf(header http.Header) wire.Generation {
+	told, err := strconv.ParseUint(header.Get(generationHeader), 10, 8)
+	if err != nil {
+		return wire.GenerationFirst
+	}
+	return wire.Generation(told)
+}
+
+// formError marks a body that came whole and could not be read.
+type formError struct{ cause error }
+
+// Error implements error.
+func (e *formError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *formError) Unwrap() error { return e.cause }
+
+// noteUnread counts a message that came whole and could not be read.
+func noteUnread(method, from string, header http.Header, err error) {
+	var form *formError
+	if errors.As(err, &form) {
+		unread.Note(method, from, generationOf(header), err)
+	}
+}
+
 // ReadMessage decodes one whole body of at most MaxBodyBytes, which came with the
 // header.
 func ReadMessage(header http.Header, body io.Reader, message msgp.Unmarshaler) error {
@@ -74,10 +114,13 @@
 	}
 	rest, err := message.UnmarshalMsg(data)
 	if err != nil {
-		return failure.Wrap(err, failure.BadRequest, "use the same version on both sides", "the body does not decode")
+		return failure.Wrap(&formError{err}, failure.BadRequest, "look up in the other's log which build it is", "the body does not decode")
 	}
 	if len(rest) > 0 {
-		return failure.New(failure.BadRequest, "send one message per call", "%d bytes follow the message", len(rest))
+		return failure.Wrap(&formError{errors.New("the message is followed by others")}, failure.BadRequest, "send one message per call", "%d bytes follow the message", len(rest))
+	}
+	if message, asks := message.(originated); asks {
+		message.WrittenBy(generationOf(header))
 	}
 	return nil
 }
@@ -86,6 +129,7 @@
 // reads it, and it travels with every answer.
 func setHeader(header http.Header) {
 	header.Set("Content-Type", ContentType)
+	header.Set(generationHeader, currentGeneration)
 	header["Date"] = nil
 }
 
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -58,6 +58,7 @@
 	router.HandleFunc(PathPrefix+method, func(writer http.ResponseWriter, httpRequest *http.Request) {
 		var request Request
 		if err := ReadMessage(httpRequest.Header, httpRequest.Body, Pointer(&request)); err != nil {
+			noteUnread(method, httpRequest.RemoteAddr, httpRequest.Header, err)
 			WriteFailure(writer, err)
 			return
 		}
