--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -173,7 +173,8 @@
 		return nil
 	}
 	answer := &wire.LoadReport{Verdicts: verdicts}
-	if loadshare.Large(&s.loads.near) {
+	// An edge of wire.GenerationFirst would take what is not named for idle.
+	if loadshare.Large(&s.loads.near) && !report.First {
 		answer.Drawn = true
 		if report.Choosing {
 			drawn := loadshare.Draw(s.loads.random, report.Asked, &s.loads.near, &s.loads.far)
--- a/internal/batchstore/loads_test.go
+++ b/internal/batchstore/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"slices"
 	"testing"
@@ -9,15 +10,18 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
+	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/rpc/rpctest"
 	"github.com/sedgemast/sedgemast/internal/wire"
+	"github.com/sedgemast/sedgemast/internal/workerset"
 )
 
 // storeIn returns a store that knows the fleet and is a member of no group.
@@ -102,3 +106,24 @@
 		t.Errorf("told %+v after the other left", answer)
 	}
 }
+
+// TestFirstGenerationIsToldOfTheZone lets edges of both generations report to a hub in a
+// large zone. One of the first generation takes a worker that is not named for idle, so it
+// is never told of some that were drawn.
+func TestFirstGenerationIsToldOfTheZone(t *testing.T) {
+	s := &Store{loads: newLoads(ratelimit.Tolerance{})}
+	var rows []wire.PoolWorker
+	for number := range 200 {
+		rows = append(rows, wire.PoolWorker{ID: fmt.Sprint(number), Zone: "z"})
+	}
+	s.loads.setWorkers(workerset.Of(rows), "z")
+	now := clock.Now()
+	s.loads.zone.Take(now, &wire.LoadReport{Source: 7, Workers: []wire.WorkerLoad{{Worker: loadshare.Hash("11"), Online: 3}}})
+	first := s.answerZone(now, &wire.LoadReport{Source: 8, Zone: "z", First: true})
+	if first.Drawn || len(first.Workers) != 1 || first.Workers[0].Online != 3 {
+		t.Errorf("an edge of the first generation is told %+v", first)
+	}
+	if second := s.answerZone(now, &wire.LoadReport{Source: 9, Zone: "z"}); !second.Drawn {
+		t.Errorf("another one is told %+v", second)
+	}
+}
--- a/internal/coordinator/news.go
+++ b/internal/coordinator/news.go
@@ -25,6 +25,8 @@
 	digests uint64
 	// ageMillis is how old the news are.
 	ageMillis int64
+	// generation is that of the caller's build.
+	generation wire.Generation
 }
 
 // newsCache keeps answers encoded. A change goes to all processes of the fleet at the
@@ -44,7 +46,8 @@
 		fromVersion: request.Version, version: response.Version,
 		fromTerm: request.Term, term: response.Term,
 		fromView: request.View, view: response.View,
-		ageMillis: response.AgeMillis,
+		ageMillis:  response.AgeMillis,
+		generation: request.Generation(),
 	}
 	if len(request.Digests) > 0 || request.Lost {
 		key.digests = xxhash.Sum64(request.Digests)
--- a/internal/coordinator/operate.go
+++ b/internal/coordinator/operate.go
@@ -65,13 +65,14 @@
 }
 
 // watch answers with what the caller does not know, once there is any: as the leader, or
-// as a relay of it where the caller is an edge.
+// as a relay of it where the caller is an edge. Edges of wire.GenerationFirst would take
+// in an older view than they have, so they are sent to the leader.
 func (c *Coordinator) watch(ctx context.Context, request *wire.WatchRequest) (*wire.WatchResponse, error) {
 	response, err := c.watchLeader(ctx, request)
 	if err == nil {
 		return response, nil
 	}
-	if request.Process.Kind == wire.ProcessEdge {
+	if request.Process.Kind == wire.ProcessEdge && request.Generation() != wire.GenerationFirst {
 		response, fresh := c.relay.watch(ctx, request)
 		if fresh {
 			return response, nil
@@ -166,7 +167,11 @@
 			known = 0
 		}
 		// The answer is encoded after the lock is gone.
-		response.Fleet = v.Since(known, request.Digests)
+		if request.Generation() == wire.GenerationFirst {
+			response.Fleet = v.SinceFirst(known)
+		} else {
+			response.Fleet = v.Since(known, request.Digests)
+		}
 	}
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -54,7 +54,7 @@
 			return response, nil
 		}
 		response.Document = document
-		response.Fleet = &wire.FleetView{Listed: true, Workers: workerset.Of(workers).News()}
+		response.Fleet = &wire.FleetView{Listed: true, News: workerset.Of(workers).News()}
 		return response, nil
 	})
 	server := httptest.NewServer(mux)
--- a/internal/edge/identity_test.go
+++ b/internal/edge/identity_test.go
@@ -154,7 +154,7 @@
 			for _, worker := range f.workers {
 				workers = append(workers, wire.PoolWorker{ID: worker.ID, Pool: "p", Address: worker.Address(), Slots: worker.Slots})
 			}
-			response.Fleet = &wire.FleetView{Listed: true, Workers: workerset.Of(workers).News(), Stores: []wire.ProcessAddress{{Address: store}}, Initial: make([][]wire.Replica, placement.MaxGroups), Edges: 1}
+			response.Fleet = &wire.FleetView{Listed: true, News: workerset.Of(workers).News(), Stores: []wire.ProcessAddress{{Address: store}}, Initial: make([][]wire.Replica, placement.MaxGroups), Edges: 1}
 		}
 		if response.Document == nil && response.Fleet == nil {
 			time.Sleep(time.Millisecond)
--- a/internal/fleetview/mirror.go
+++ b/internal/fleetview/mirror.go
@@ -64,7 +64,7 @@
 	}
 	if tellsWorkers(&m.fleet) {
 		workers := m.workers.Since(workersKnown, request.Digests)
-		news.Workers = &workers
+		news.News = &workers
 	}
 	if known > 0 && m.storesAt <= known {
 		leaveOutProcesses(&news)
--- a/internal/fleetview/mirror_test.go
+++ b/internal/fleetview/mirror_test.go
@@ -37,12 +37,12 @@
 	back = markOf(term, view) < markOf(f.term, f.view)
 	f.told, f.lost = place, false
 	switch {
-	case news.Workers == nil:
+	case news.News == nil:
 	case news.Partial && f.fleet.Listed:
 		f.told = nowhere
 	default:
-		learnt := f.workers.Learn(news.Workers)
-		if f.lost = learnt.Digest() != news.Workers.Digest; f.lost {
+		learnt := f.workers.Learn(news.News)
+		if f.lost = learnt.Digest() != news.News.Digest; f.lost {
 			return false
 		}
 		f.workers = learnt
--- a/internal/fleetview/since_test.go
+++ b/internal/fleetview/since_test.go
@@ -38,8 +38,8 @@
 			continue
 		}
 		news := v.Since(c.number, c.workers.Digests())
-		if news.Workers != nil {
-			c.workers = c.workers.Learn(news.Workers)
+		if news.News != nil {
+			c.workers = c.workers.Learn(news.News)
 		}
 		c.known = news.Upon(&c.known)
 		c.number = v.Number
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -155,7 +155,7 @@
 	}
 	if tellsWorkers(&v.Current) {
 		workers := v.workers.Since(workersNumber, digests)
-		news.Workers = &workers
+		news.News = &workers
 	}
 	if number > 0 && v.storesAt <= number {
 		leaveOutProcesses(&news)
@@ -163,6 +163,22 @@
 	return &news
 }
 
+// SinceFirst is Since for a process of wire.GenerationFirst, which is told the list of
+// workers whole, once all of it has been read, wherever it has changed.
+func (v *View) SinceFirst(number uint64) *wire.FleetView {
+	news := v.Since(number, nil)
+	changes := news.News
+	news.News = nil
+	switch {
+	case !news.Listed:
+	case number > 0 && changes.Nothing():
+		news.SameWorkers, news.Listed = true, false
+	default:
+		news.Workers = v.Workers().Rows()
+	}
+	return news
+}
+
 // tellsWorkers reports whether there is a list to tell of, whole or in part.
 func tellsWorkers(fleet *wire.FleetView) bool { return fleet.Listed || fleet.Partial }
 
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -212,7 +212,7 @@
 	fleet := response.Fleet
 	rows, gone := 0, 0
 	w.told = target
-	switch news := fleet.Workers; {
+	switch news := workerNews(fleet); {
 	case news == nil:
 	case fleet.Partial && before.Fleet.Listed:
 		// A list of which the leader has read a part only says nothing of the rest. What
@@ -236,6 +236,16 @@
 	return true
 }
 
+// workerNews returns what is told of the list of workers, nil for nothing. A leader of
+// wire.GenerationFirst tells it whole; read as nothing, it would leave this process without
+// configuration and workers until a leader of its own generation comes.
+func workerNews(fleet *wire.FleetView) *wire.WorkerNews {
+	if fleet.News != nil || !fleet.Listed || fleet.SameWorkers {
+		return fleet.News
+	}
+	return workerset.Of(fleet.Workers).News()
+}
+
 // setZones tells the meter the zones of stores and workers by their addresses.
 func (w *Watcher) setZones(before, after *Snapshot) {
 	zones := make(map[string]string, len(after.Fleet.Stores))
--- a/internal/wire/consensus.go
+++ b/internal/wire/consensus.go
@@ -123,6 +123,7 @@
 
 // Hello tells another control process who the sender is.
 type Hello struct {
+	Origin  `msg:"-" json:"-"`
 	Replica Replica `msg:"replica"`
 	// Formed is set once the process belongs to a cluster or has been told to
 	// wait for one to take it in.
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -83,6 +83,7 @@
 // WatchRequest asks the coordinator's leader for what differs from what the
 // caller knows. It is held until something does, for WaitMillis at most.
 type WatchRequest struct {
+	Origin  `msg:"-" json:"-"`
 	Process ProcessReport `msg:"process"`
 	// Version and View are the last ones received, zero for none.
 	Version uint64 `msg:"version"`
@@ -117,18 +118,22 @@
 
 // FleetView is the leader's view of the processes and the workers.
 type FleetView struct {
-	// SameStores is set where all but Workers, Listed and Edges is left out: the caller
-	// has it from the last view.
+	// SameStores is set where all but News, Listed and Edges is left out: the caller has it
+	// from the last view.
 	SameStores bool `msg:"same_stores"`
 	// Listed is set once the platform's list has been read.
 	Listed bool `msg:"listed"`
 	// Partial is set while a part of the list only has been read: it is for processes that
 	// have none.
 	Partial bool `msg:"partial"`
-	// Workers is what differs of the list, and its digest also where nothing does; nil
-	// while nothing has been read.
-	Workers      *WorkerNews `msg:"workers"`
-	Coordinators []string    `msg:"coordinators"`
+	// News is what differs of the list of workers, and its digest also where nothing does;
+	// nil while nothing has been read.
+	News *WorkerNews `msg:"news"`
+	// Workers is the whole list in place of News for and by GenerationFirst, left out where
+	// SameWorkers is set: the reader has it, and Listed, from the last view.
+	SameWorkers  bool         `msg:"same_workers,omitempty"`
+	Workers      []PoolWorker `msg:"workers,omitempty"`
+	Coordinators []string     `msg:"coordinators"`
 	// Relays lists the coordinators that answer watches of edges, the leader included.
 	Relays []ProcessAddress `msg:"relays"`
 	// Stores lists the living stores in the order of their names.
@@ -148,7 +153,8 @@
 // the one before. Stores stay known while a new leader has not heard of any yet.
 func (v *FleetView) Upon(before *FleetView) FleetView {
 	after := *v
-	after.SameStores, after.Workers = false, nil
+	after.SameStores, after.News = false, nil
+	after.SameWorkers, after.Workers = false, nil
 	after.Listed = v.Listed || before.Listed
 	after.Partial = v.Partial && !after.Listed
 	if v.SameStores {
@@ -174,6 +180,11 @@
 	Digest uint64 `msg:"digest"`
 }
 
+// Nothing reports whether the list is the one that the reader has.
+func (n *WorkerNews) Nothing() bool {
+	return !n.Whole && len(n.Rows) == 0 && len(n.Gone) == 0 && len(n.Buckets) == 0
+}
+
 // WorkerBucket is a part of the list: all workers whose ids hash to its number.
 //
 //msgp:tuple WorkerBucket
--- a/internal/wire/fleet_gen.go
+++ b/internal/wire/fleet_gen.go
@@ -1358,186 +1358,215 @@
 				err = msgp.WrapError(err, "Partial")
 				return
 			}
-		case "workers":
+		case "news":
 			if dc.IsNil() {
 				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "Workers")
+					err = msgp.WrapError(err, "News")
 					return
 				}
-				z.Workers = nil
+				z.News = nil
 			} else {
-				if z.Workers == nil {
-					z.Workers = new(WorkerNews)
+				if z.News == nil {
+					z.News = new(WorkerNews)
 				}
-				err = z.Workers.DecodeMsg(dc)
+				err = z.News.DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Workers")
+					err = msgp.WrapError(err, "News")
 					return
 				}
 			}
-		case "coordinators":
+		case "same_workers":
+			z.SameWorkers, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "SameWorkers")
+				return
+			}
+		case "workers":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Coordinators")
+				err = msgp.WrapError(err, "Workers")
 				return
 			}
 			if zb0002 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Coordinators) >= int(zb0002) {
-				z.Coordinators = (z.Coordinators)[:zb0002]
+			if cap(z.Workers) >= int(zb0002) {
+				z.Workers = (z.Workers)[:zb0002]
 			} else {
-				z.Coordinators = make([]string, zb0002)
+				z.Workers = make([]PoolWorker, zb0002)
 			}
-			for za0001 := range z.Coordinators {
-				z.Coordinators[za0001], err = dc.ReadString()
+			for za0001 := range z.Workers {
+				err = z.Workers[za0001].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Coordinators", za0001)
+					err = msgp.WrapError(err, "Workers", za0001)
 					return
 				}
 			}
-		case "relays":
+		case "coordinators":
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Relays")
+				err = msgp.WrapError(err, "Coordinators")
 				return
 			}
 			if zb0003 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Relays) >= int(zb0003) {
-				z.Relays = (z.Relays)[:zb0003]
+			if cap(z.Coordinators) >= int(zb0003) {
+				z.Coordinators = (z.Coordinators)[:zb0003]
 			} else {
-				z.Relays = make([]ProcessAddress, zb0003)
+				z.Coordinators = make([]string, zb0003)
 			}
-			for za0002 := range z.Relays {
-				var zb0004 uint32
-				zb0004, err = dc.ReadArrayHeader()
+			for za0002 := range z.Coordinators {
+				z.Coordinators[za0002], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Relays", za0002)
+					err = msgp.WrapError(err, "Coordinators", za0002)
 					return
 				}
-				if zb0004 > z6071ab3flimitArrays {
+			}
+		case "relays":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Relays")
+				return
+			}
+			if zb0004 > z6071ab3flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Relays) >= int(zb0004) {
+				z.Relays = (z.Relays)[:zb0004]
+			} else {
+				z.Relays = make([]ProcessAddress, zb0004)
+			}
+			for za0003 := range z.Relays {
+				var zb0005 uint32
+				zb0005, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Relays", za0003)
+					return
+				}
+				if zb0005 > z6071ab3flimitArrays {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0004 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+				if zb0005 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
 					return
 				}
-				z.Relays[za0002].Address, err = dc.ReadString()
+				z.Relays[za0003].Address, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Relays", za0002, "Address")
+					err = msgp.WrapError(err, "Relays", za0003, "Address")
 					return
 				}
-				z.Relays[za0002].Zone, err = dc.ReadString()
+				z.Relays[za0003].Zone, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Relays", za0002, "Zone")
+					err = msgp.WrapError(err, "Relays", za0003, "Zone")
 					return
 				}
 			}
 		case "stores":
-			var zb0005 uint32
-			zb0005, err = dc.ReadArrayHeader()
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Stores")
 				return
 			}
-			if zb0005 > z6071ab3flimitArrays {
+			if zb0006 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Stores) >= int(zb0005) {
-				z.Stores = (z.Stores)[:zb0005]
+			if cap(z.Stores) >= int(zb0006) {
+				z.Stores = (z.Stores)[:zb0006]
 			} else {
-				z.Stores = make([]ProcessAddress, zb0005)
+				z.Stores = make([]ProcessAddress, zb0006)
 			}
-			for za0003 := range z.Stores {
-				var zb0006 uint32
-				zb0006, err = dc.ReadArrayHeader()
+			for za0004 := range z.Stores {
+				var zb0007 uint32
+				zb0007, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Stores", za0003)
+					err = msgp.WrapError(err, "Stores", za0004)
 					return
 				}
-				if zb0006 > z6071ab3flimitArrays {
+				if zb0007 > z6071ab3flimitArrays {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0006 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+				if zb0007 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0007}
 					return
 				}
-				z.Stores[za0003].Address, err = dc.ReadString()
+				z.Stores[za0004].Address, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Stores", za0003, "Address")
+					err = msgp.WrapError(err, "Stores", za0004, "Address")
 					return
 				}
-				z.Stores[za0003].Zone, err = dc.ReadString()
+				z.Stores[za0004].Zone, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Stores", za0003, "Zone")
+					err = msgp.WrapError(err, "Stores", za0004, "Zone")
 					return
 				}
 			}
 		case "groups":
-			var zb0007 uint32
-			zb0007, err = dc.ReadArrayHeader()
+			var zb0008 uint32
+			zb0008, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Groups")
 				return
 			}
-			if zb0007 > z6071ab3flimitArrays {
+			if zb0008 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Groups) >= int(zb0007) {
-				z.Groups = (z.Groups)[:zb0007]
+			if cap(z.Groups) >= int(zb0008) {
+				z.Groups = (z.Groups)[:zb0008]
 			} else {
-				z.Groups = make([]GroupPlace, zb0007)
+				z.Groups = make([]GroupPlace, zb0008)
 			}
-			for za0004 := range z.Groups {
-				var zb0008 uint32
-				zb0008, err = dc.ReadArrayHeader()
+			for za0005 := range z.Groups {
+				var zb0009 uint32
+				zb0009, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Groups", za0004)
+					err = msgp.WrapError(err, "Groups", za0005)
 					return
 				}
-				if zb0008 > z6071ab3flimitArrays {
+				if zb0009 > z6071ab3flimitArrays {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0008 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+				if zb0009 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0009}
 					return
 				}
-				z.Groups[za0004].Leader, err = dc.ReadString()
+				z.Groups[za0005].Leader, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Groups", za0004, "Leader")
+					err = msgp.WrapError(err, "Groups", za0005, "Leader")
 					return
 				}
-				var zb0009 uint32
-				zb0009, err = dc.ReadArrayHeader()
+				var zb0010 uint32
+				zb0010, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Groups", za0004, "Members")
+					err = msgp.WrapError(err, "Groups", za0005, "Members")
 					return
 				}
-				if zb0009 > z6071ab3flimitArrays {
+				if zb0010 > z6071ab3flimitArrays {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if cap(z.Groups[za0004].Members) >= int(zb0009) {
-					z.Groups[za0004].Members = (z.Groups[za0004].Members)[:zb0009]
+				if cap(z.Groups[za0005].Members) >= int(zb0010) {
+					z.Groups[za0005].Members = (z.Groups[za0005].Members)[:zb0010]
 				} else {
-					z.Groups[za0004].Members = make([]string, zb0009)
+					z.Groups[za0005].Members = make([]string, zb0010)
 				}
-				for za0005 := range z.Groups[za0004].Members {
-					z.Groups[za0004].Members[za0005], err = dc.ReadString()
+				for za0006 := range z.Groups[za0005].Members {
+					z.Groups[za0005].Members[za0006], err = dc.ReadString()
 					if err != nil {
-						err = msgp.WrapError(err, "Groups", za0004, "Members", za0005)
+						err = msgp.WrapError(err, "Groups", za0005, "Members", za0006)
 						return
 					}
 				}
@@ -1549,65 +1578,65 @@
 				return
 			}
 		case "initial":
-			var zb0010 uint32
-			zb0010, err = dc.ReadArrayHeader()
+			var zb0011 uint32
+			zb0011, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Initial")
 				return
 			}
-			if zb0010 > z6071ab3flimitArrays {
+			if zb0011 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Initial) >= int(zb0010) {
-				z.Initial = (z.Initial)[:zb0010]
+			if cap(z.Initial) >= int(zb0011) {
+				z.Initial = (z.Initial)[:zb0011]
 			} else {
-				z.Initial = make([][]Replica, zb0010)
+				z.Initial = make([][]Replica, zb0011)
 			}
-			for za0006 := range z.Initial {
-				var zb0011 uint32
-				zb0011, err = dc.ReadArrayHeader()
+			for za0007 := range z.Initial {
+				var zb0012 uint32
+				zb0012, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Initial", za0006)
+					err = msgp.WrapError(err, "Initial", za0007)
 					return
 				}
-				if zb0011 > z6071ab3flimitArrays {
+				if zb0012 > z6071ab3flimitArrays {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if cap(z.Initial[za0006]) >= int(zb0011) {
-					z.Initial[za0006] = (z.Initial[za0006])[:zb0011]
+				if cap(z.Initial[za0007]) >= int(zb0012) {
+					z.Initial[za0007] = (z.Initial[za0007])[:zb0012]
 				} else {
-					z.Initial[za0006] = make([]Replica, zb0011)
+					z.Initial[za0007] = make([]Replica, zb0012)
 				}
-				for za0007 := range z.Initial[za0006] {
-					err = z.Initial[za0006][za0007].DecodeMsg(dc)
+				for za0008 := range z.Initial[za0007] {
+					err = z.Initial[za0007][za0008].DecodeMsg(dc)
 					if err != nil {
-						err = msgp.WrapError(err, "Initial", za0006, za0007)
+						err = msgp.WrapError(err, "Initial", za0007, za0008)
 						return
 					}
 				}
 			}
 		case "retiring":
-			var zb0012 uint32
-			zb0012, err = dc.ReadArrayHeader()
+			var zb0013 uint32
+			zb0013, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Retiring")
 				return
 			}
-			if zb0012 > z6071ab3flimitArrays {
+			if zb0013 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Retiring) >= int(zb0012) {
-				z.Retiring = (z.Retiring)[:zb0012]
+			if cap(z.Retiring) >= int(zb0013) {
+				z.Retiring = (z.Retiring)[:zb0013]
 			} else {
-				z.Retiring = make([]string, zb0012)
+				z.Retiring = make([]string, zb0013)
 			}
-			for za0008 := range z.Retiring {
-				z.Retiring[za0008], err = dc.ReadString()
+			for za0009 := range z.Retiring {
+				z.Retiring[za0009], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Retiring", za0008)
+					err = msgp.WrapError(err, "Retiring", za0009)
 					return
 				}
 			}
@@ -1624,209 +1653,260 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *FleetView) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 11
-	// write "same_stores"
-	err = en.Append(0x8b, 0xab, 0x73, 0x61, 0x6d, 0x65, 0x5f, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
+	_ = zb0001Mask
+	if z.SameWorkers == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	err = en.WriteBool(z.SameStores)
-	if err != nil {
-		err = msgp.WrapError(err, "SameStores")
-		return
-	}
-	// write "listed"
-	err = en.Append(0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Listed)
-	if err != nil {
-		err = msgp.WrapError(err, "Listed")
-		return
-	}
-	// write "partial"
-	err = en.Append(0xa7, 0x70, 0x61, 0x72, 0x74, 0x69, 0x61, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Partial)
-	if err != nil {
-		err = msgp.WrapError(err, "Partial")
-		return
+	if z.Workers == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	// write "workers"
-	err = en.Append(0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	if z.Workers == nil {
-		err = en.WriteNil()
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "same_stores"
+		err = en.Append(0xab, 0x73, 0x61, 0x6d, 0x65, 0x5f, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
 		if err != nil {
 			return
 		}
-	} else {
-		err = z.Workers.EncodeMsg(en)
+		err = en.WriteBool(z.SameStores)
 		if err != nil {
-			err = msgp.WrapError(err, "Workers")
+			err = msgp.WrapError(err, "SameStores")
 			return
 		}
-	}
-	// write "coordinators"
-	err = en.Append(0xac, 0x63, 0x6f, 0x6f, 0x72, 0x64, 0x69, 0x6e, 0x61, 0x74, 0x6f, 0x72, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Coordinators)))
-	if err != nil {
-		err = msgp.WrapError(err, "Coordinators")
-		return
-	}
-	for za0001 := range z.Coordinators {
-		err = en.WriteString(z.Coordinators[za0001])
+		// write "listed"
+		err = en.Append(0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
 		if err != nil {
-			err = msgp.WrapError(err, "Coordinators", za0001)
 			return
 		}
-	}
-	// write "relays"
-	err = en.Append(0xa6, 0x72, 0x65, 0x6c, 0x61, 0x79, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Relays)))
-	if err != nil {
-		err = msgp.WrapError(err, "Relays")
-		return
-	}
-	for za0002 := range z.Relays {
-		// array header, size 2
-		err = en.Append(0x92)
+		err = en.WriteBool(z.Listed)
 		if err != nil {
+			err = msgp.WrapError(err, "Listed")
 			return
 		}
-		err = en.WriteString(z.Relays[za0002].Address)
+		// write "partial"
+		err = en.Append(0xa7, 0x70, 0x61, 0x72, 0x74, 0x69, 0x61, 0x6c)
 		if err != nil {
-			err = msgp.WrapError(err, "Relays", za0002, "Address")
 			return
 		}
-		err = en.WriteString(z.Relays[za0002].Zone)
+		err = en.WriteBool(z.Partial)
 		if err != nil {
-			err = msgp.WrapError(err, "Relays", za0002, "Zone")
+			err = msgp.WrapError(err, "Partial")
 			return
 		}
-	}
-	// write "stores"
-	err = en.Append(0xa6, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Stores)))
-	if err != nil {
-		err = msgp.WrapError(err, "Stores")
-		return
-	}
-	for za0003 := range z.Stores {
-		// array header, size 2
-		err = en.Append(0x92)
+		// write "news"
+		err = en.Append(0xa4, 0x6e, 0x65, 0x77, 0x73)
+		if err != nil {
+			return
+		}
+		if z.News == nil {
+			err = en.WriteNil()
+			if err != nil {
+				return
+			}
+		} else {
+			err = z.News.EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "News")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "same_workers"
+			err = en.Append(0xac, 0x73, 0x61, 0x6d, 0x65, 0x5f, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.SameWorkers)
+			if err != nil {
+				err = msgp.WrapError(err, "SameWorkers")
+				return
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "workers"
+			err = en.Append(0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Workers)))
+			if err != nil {
+				err = msgp.WrapError(err, "Workers")
+				return
+			}
+			for za0001 := range z.Workers {
+				err = z.Workers[za0001].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+			}
+		}
+		// write "coordinators"
+		err = en.Append(0xac, 0x63, 0x6f, 0x6f, 0x72, 0x64, 0x69, 0x6e, 0x61, 0x74, 0x6f, 0x72, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Stores[za0003].Address)
+		err = en.WriteArrayHeader(uint32(len(z.Coordinators)))
 		if err != nil {
-			err = msgp.WrapError(err, "Stores", za0003, "Address")
+			err = msgp.WrapError(err, "Coordinators")
 			return
 		}
-		err = en.WriteString(z.Stores[za0003].Zone)
+		for za0002 := range z.Coordinators {
+			err = en.WriteString(z.Coordinators[za0002])
+			if err != nil {
+				err = msgp.WrapError(err, "Coordinators", za0002)
+				return
+			}
+		}
+		// write "relays"
+		err = en.Append(0xa6, 0x72, 0x65, 0x6c, 0x61, 0x79, 0x73)
 		if err != nil {
-			err = msgp.WrapError(err, "Stores", za0003, "Zone")
 			return
 		}
-	}
-	// write "groups"
-	err = en.Append(0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Groups)))
-	if err != nil {
-		err = msgp.WrapError(err, "Groups")
-		return
-	}
-	for za0004 := range z.Groups {
-		// array header, size 2
-		err = en.Append(0x92)
+		err = en.WriteArrayHeader(uint32(len(z.Relays)))
 		if err != nil {
+			err = msgp.WrapError(err, "Relays")
 			return
 		}
-		err = en.WriteString(z.Groups[za0004].Leader)
+		for za0003 := range z.Relays {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Relays[za0003].Address)
+			if err != nil {
+				err = msgp.WrapError(err, "Relays", za0003, "Address")
+				return
+			}
+			err = en.WriteString(z.Relays[za0003].Zone)
+			if err != nil {
+				err = msgp.WrapError(err, "Relays", za0003, "Zone")
+				return
+			}
+		}
+		// write "stores"
+		err = en.Append(0xa6, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
 		if err != nil {
-			err = msgp.WrapError(err, "Groups", za0004, "Leader")
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Groups[za0004].Members)))
+		err = en.WriteArrayHeader(uint32(len(z.Stores)))
 		if err != nil {
-			err = msgp.WrapError(err, "Groups", za0004, "Members")
+			err = msgp.WrapError(err, "Stores")
 			return
 		}
-		for za0005 := range z.Groups[za0004].Members {
-			err = en.WriteString(z.Groups[za0004].Members[za0005])
+		for za0004 := range z.Stores {
+			// array header, size 2
+			err = en.Append(0x92)
 			if err != nil {
-				err = msgp.WrapError(err, "Groups", za0004, "Members", za0005)
+				return
+			}
+			err = en.WriteString(z.Stores[za0004].Address)
+			if err != nil {
+				err = msgp.WrapError(err, "Stores", za0004, "Address")
+				return
+			}
+			err = en.WriteString(z.Stores[za0004].Zone)
+			if err != nil {
+				err = msgp.WrapError(err, "Stores", za0004, "Zone")
 				return
 			}
 		}
-	}
-	// write "edges"
-	err = en.Append(0xa5, 0x65, 0x64, 0x67, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Edges)
-	if err != nil {
-		err = msgp.WrapError(err, "Edges")
-		return
-	}
-	// write "initial"
-	err = en.Append(0xa7, 0x69, 0x6e, 0x69, 0x74, 0x69, 0x61, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Initial)))
-	if err != nil {
-		err = msgp.WrapError(err, "Initial")
-		return
-	}
-	for za0006 := range z.Initial {
-		err = en.WriteArrayHeader(uint32(len(z.Initial[za0006])))
+		// write "groups"
+		err = en.Append(0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
 		if err != nil {
-			err = msgp.WrapError(err, "Initial", za0006)
 			return
 		}
-		for za0007 := range z.Initial[za0006] {
-			err = z.Initial[za0006][za0007].EncodeMsg(en)
+		err = en.WriteArrayHeader(uint32(len(z.Groups)))
+		if err != nil {
+			err = msgp.WrapError(err, "Groups")
+			return
+		}
+		for za0005 := range z.Groups {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Groups[za0005].Leader)
+			if err != nil {
+				err = msgp.WrapError(err, "Groups", za0005, "Leader")
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Groups[za0005].Members)))
 			if err != nil {
-				err = msgp.WrapError(err, "Initial", za0006, za0007)
+				err = msgp.WrapError(err, "Groups", za0005, "Members")
 				return
 			}
+			for za0006 := range z.Groups[za0005].Members {
+				err = en.WriteString(z.Groups[za0005].Members[za0006])
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0005, "Members", za0006)
+					return
+				}
+			}
 		}
-	}
-	// write "retiring"
-	err = en.Append(0xa8, 0x72, 0x65, 0x74, 0x69, 0x72, 0x69, 0x6e, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Retiring)))
-	if err != nil {
-		err = msgp.WrapError(err, "Retiring")
-		return
-	}
-	for za0008 := range z.Retiring {
-		err = en.WriteString(z.Retiring[za0008])
+		// write "edges"
+		err = en.Append(0xa5, 0x65, 0x64, 0x67, 0x65, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Edges)
 		if err != nil {
-			err = msgp.WrapError(err, "Retiring", za0008)
+			err = msgp.WrapError(err, "Edges")
 			return
 		}
+		// write "initial"
+		err = en.Append(0xa7, 0x69, 0x6e, 0x69, 0x74, 0x69, 0x61, 0x6c)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Initial)))
+		if err != nil {
+			err = msgp.WrapError(err, "Initial")
+			return
+		}
+		for za0007 := range z.Initial {
+			err = en.WriteArrayHeader(uint32(len(z.Initial[za0007])))
+			if err != nil {
+				err = msgp.WrapError(err, "Initial", za0007)
+				return
+			}
+			for za0008 := range z.Initial[za0007] {
+				err = z.Initial[za0007][za0008].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Initial", za0007, za0008)
+					return
+				}
+			}
+		}
+		// write "retiring"
+		err = en.Append(0xa8, 0x72, 0x65, 0x74, 0x69, 0x72, 0x69, 0x6e, 0x67)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Retiring)))
+		if err != nil {
+			err = msgp.WrapError(err, "Retiring")
+			return
+		}
+		for za0009 := range z.Retiring {
+			err = en.WriteString(z.Retiring[za0009])
+			if err != nil {
+				err = msgp.WrapError(err, "Retiring", za0009)
+				return
+			}
+		}
 	}
 	return
 }
@@ -1834,84 +1914,118 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetView) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
-	// string "same_stores"
-	o = append(o, 0x8b, 0xab, 0x73, 0x61, 0x6d, 0x65, 0x5f, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
-	o = msgp.AppendBool(o, z.SameStores)
-	// string "listed"
-	o = append(o, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Listed)
-	// string "partial"
-	o = append(o, 0xa7, 0x70, 0x61, 0x72, 0x74, 0x69, 0x61, 0x6c)
-	o = msgp.AppendBool(o, z.Partial)
-	// string "workers"
-	o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
-	if z.Workers == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Workers.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Workers")
-			return
-		}
-	}
-	// string "coordinators"
-	o = append(o, 0xac, 0x63, 0x6f, 0x6f, 0x72, 0x64, 0x69, 0x6e, 0x61, 0x74, 0x6f, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Coordinators)))
-	for za0001 := range z.Coordinators {
-		o = msgp.AppendString(o, z.Coordinators[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
+	_ = zb0001Mask
+	if z.SameWorkers == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// string "relays"
-	o = append(o, 0xa6, 0x72, 0x65, 0x6c, 0x61, 0x79, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Relays)))
-	for za0002 := range z.Relays {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Relays[za0002].Address)
-		o = msgp.AppendString(o, z.Relays[za0002].Zone)
-	}
-	// string "stores"
-	o = append(o, 0xa6, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Stores)))
-	for za0003 := range z.Stores {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Stores[za0003].Address)
-		o = msgp.AppendString(o, z.Stores[za0003].Zone)
+	if z.Workers == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	// string "groups"
-	o = append(o, 0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
-	for za0004 := range z.Groups {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Groups[za0004].Leader)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Groups[za0004].Members)))
-		for za0005 := range z.Groups[za0004].Members {
-			o = msgp.AppendString(o, z.Groups[za0004].Members[za0005])
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "same_stores"
+		o = append(o, 0xab, 0x73, 0x61, 0x6d, 0x65, 0x5f, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
+		o = msgp.AppendBool(o, z.SameStores)
+		// string "listed"
+		o = append(o, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Listed)
+		// string "partial"
+		o = append(o, 0xa7, 0x70, 0x61, 0x72, 0x74, 0x69, 0x61, 0x6c)
+		o = msgp.AppendBool(o, z.Partial)
+		// string "news"
+		o = append(o, 0xa4, 0x6e, 0x65, 0x77, 0x73)
+		if z.News == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.News.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "News")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "same_workers"
+			o = append(o, 0xac, 0x73, 0x61, 0x6d, 0x65, 0x5f, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+			o = msgp.AppendBool(o, z.SameWorkers)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "workers"
+			o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+			for za0001 := range z.Workers {
+				o, err = z.Workers[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+			}
 		}
-	}
-	// string "edges"
-	o = append(o, 0xa5, 0x65, 0x64, 0x67, 0x65, 0x73)
-	o = msgp.AppendInt(o, z.Edges)
-	// string "initial"
-	o = append(o, 0xa7, 0x69, 0x6e, 0x69, 0x74, 0x69, 0x61, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Initial)))
-	for za0006 := range z.Initial {
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Initial[za0006])))
-		for za0007 := range z.Initial[za0006] {
-			o, err = z.Initial[za0006][za0007].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Initial", za0006, za0007)
-				return
+		// string "coordinators"
+		o = append(o, 0xac, 0x63, 0x6f, 0x6f, 0x72, 0x64, 0x69, 0x6e, 0x61, 0x74, 0x6f, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Coordinators)))
+		for za0002 := range z.Coordinators {
+			o = msgp.AppendString(o, z.Coordinators[za0002])
+		}
+		// string "relays"
+		o = append(o, 0xa6, 0x72, 0x65, 0x6c, 0x61, 0x79, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Relays)))
+		for za0003 := range z.Relays {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Relays[za0003].Address)
+			o = msgp.AppendString(o, z.Relays[za0003].Zone)
+		}
+		// string "stores"
+		o = append(o, 0xa6, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Stores)))
+		for za0004 := range z.Stores {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Stores[za0004].Address)
+			o = msgp.AppendString(o, z.Stores[za0004].Zone)
+		}
+		// string "groups"
+		o = append(o, 0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
+		for za0005 := range z.Groups {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Groups[za0005].Leader)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Groups[za0005].Members)))
+			for za0006 := range z.Groups[za0005].Members {
+				o = msgp.AppendString(o, z.Groups[za0005].Members[za0006])
+			}
+		}
+		// string "edges"
+		o = append(o, 0xa5, 0x65, 0x64, 0x67, 0x65, 0x73)
+		o = msgp.AppendInt(o, z.Edges)
+		// string "initial"
+		o = append(o, 0xa7, 0x69, 0x6e, 0x69, 0x74, 0x69, 0x61, 0x6c)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Initial)))
+		for za0007 := range z.Initial {
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Initial[za0007])))
+			for za0008 := range z.Initial[za0007] {
+				o, err = z.Initial[za0007][za0008].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Initial", za0007, za0008)
+					return
+				}
 			}
 		}
-	}
-	// string "retiring"
-	o = append(o, 0xa8, 0x72, 0x65, 0x74, 0x69, 0x72, 0x69, 0x6e, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Retiring)))
-	for za0008 := range z.Retiring {
-		o = msgp.AppendString(o, z.Retiring[za0008])
+		// string "retiring"
+		o = append(o, 0xa8, 0x72, 0x65, 0x74, 0x69, 0x72, 0x69, 0x6e, 0x67)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Retiring)))
+		for za0009 := range z.Retiring {
+			o = msgp.AppendString(o, z.Retiring[za0009])
+		}
 	}
 	return
 }
@@ -1956,173 +2070,202 @@
 				err = msgp.WrapError(err, "Partial")
 				return
 			}
-		case "workers":
+		case "news":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
 					return
 				}
-				z.Workers = nil
+				z.News = nil
 			} else {
-				if z.Workers == nil {
-					z.Workers = new(WorkerNews)
+				if z.News == nil {
+					z.News = new(WorkerNews)
 				}
-				bts, err = z.Workers.UnmarshalMsg(bts)
+				bts, err = z.News.UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Workers")
+					err = msgp.WrapError(err, "News")
 					return
 				}
 			}
-		case "coordinators":
+		case "same_workers":
+			z.SameWorkers, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SameWorkers")
+				return
+			}
+		case "workers":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Coordinators")
+				err = msgp.WrapError(err, "Workers")
 				return
 			}
 			if zb0002 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Coordinators) >= int(zb0002) {
-				z.Coordinators = (z.Coordinators)[:zb0002]
+			if cap(z.Workers) >= int(zb0002) {
+				z.Workers = (z.Workers)[:zb0002]
 			} else {
-				z.Coordinators = make([]string, zb0002)
+				z.Workers = make([]PoolWorker, zb0002)
 			}
-			for za0001 := range z.Coordinators {
-				z.Coordinators[za0001], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.Workers {
+				bts, err = z.Workers[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Coordinators", za0001)
+					err = msgp.WrapError(err, "Workers", za0001)
 					return
 				}
 			}
-		case "relays":
+		case "coordinators":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Relays")
+				err = msgp.WrapError(err, "Coordinators")
 				return
 			}
 			if zb0003 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Relays) >= int(zb0003) {
-				z.Relays = (z.Relays)[:zb0003]
+			if cap(z.Coordinators) >= int(zb0003) {
+				z.Coordinators = (z.Coordinators)[:zb0003]
+			} else {
+				z.Coordinators = make([]string, zb0003)
+			}
+			for za0002 := range z.Coordinators {
+				z.Coordinators[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Coordinators", za0002)
+					return
+				}
+			}
+		case "relays":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Relays")
+				return
+			}
+			if zb0004 > z6071ab3flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Relays) >= int(zb0004) {
+				z.Relays = (z.Relays)[:zb0004]
 			} else {
-				z.Relays = make([]ProcessAddress, zb0003)
+				z.Relays = make([]ProcessAddress, zb0004)
 			}
-			for za0002 := range z.Relays {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0003 := range z.Relays {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Relays", za0002)
+					err = msgp.WrapError(err, "Relays", za0003)
 					return
 				}
-				if zb0004 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+				if zb0005 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
 					return
 				}
-				z.Relays[za0002].Address, bts, err = msgp.ReadStringBytes(bts)
+				z.Relays[za0003].Address, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Relays", za0002, "Address")
+					err = msgp.WrapError(err, "Relays", za0003, "Address")
 					return
 				}
-				z.Relays[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
+				z.Relays[za0003].Zone, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Relays", za0002, "Zone")
+					err = msgp.WrapError(err, "Relays", za0003, "Zone")
 					return
 				}
 			}
 		case "stores":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Stores")
 				return
 			}
-			if zb0005 > z6071ab3flimitArrays {
+			if zb0006 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Stores) >= int(zb0005) {
-				z.Stores = (z.Stores)[:zb0005]
+			if cap(z.Stores) >= int(zb0006) {
+				z.Stores = (z.Stores)[:zb0006]
 			} else {
-				z.Stores = make([]ProcessAddress, zb0005)
+				z.Stores = make([]ProcessAddress, zb0006)
 			}
-			for za0003 := range z.Stores {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0004 := range z.Stores {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stores", za0003)
+					err = msgp.WrapError(err, "Stores", za0004)
 					return
 				}
-				if zb0006 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+				if zb0007 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0007}
 					return
 				}
-				z.Stores[za0003].Address, bts, err = msgp.ReadStringBytes(bts)
+				z.Stores[za0004].Address, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stores", za0003, "Address")
+					err = msgp.WrapError(err, "Stores", za0004, "Address")
 					return
 				}
-				z.Stores[za0003].Zone, bts, err = msgp.ReadStringBytes(bts)
+				z.Stores[za0004].Zone, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stores", za0003, "Zone")
+					err = msgp.WrapError(err, "Stores", za0004, "Zone")
 					return
 				}
 			}
 		case "groups":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Groups")
 				return
 			}
-			if zb0007 > z6071ab3flimitArrays {
+			if zb0008 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Groups) >= int(zb0007) {
-				z.Groups = (z.Groups)[:zb0007]
+			if cap(z.Groups) >= int(zb0008) {
+				z.Groups = (z.Groups)[:zb0008]
 			} else {
-				z.Groups = make([]GroupPlace, zb0007)
+				z.Groups = make([]GroupPlace, zb0008)
 			}
-			for za0004 := range z.Groups {
-				var zb0008 uint32
-				zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0005 := range z.Groups {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Groups", za0004)
+					err = msgp.WrapError(err, "Groups", za0005)
 					return
 				}
-				if zb0008 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+				if zb0009 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0009}
 					return
 				}
-				z.Groups[za0004].Leader, bts, err = msgp.ReadStringBytes(bts)
+				z.Groups[za0005].Leader, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Groups", za0004, "Leader")
+					err = msgp.WrapError(err, "Groups", za0005, "Leader")
 					return
 				}
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Groups", za0004, "Members")
+					err = msgp.WrapError(err, "Groups", za0005, "Members")
 					return
 				}
-				if zb0009 > z6071ab3flimitArrays {
+				if zb0010 > z6071ab3flimitArrays {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if cap(z.Groups[za0004].Members) >= int(zb0009) {
-					z.Groups[za0004].Members = (z.Groups[za0004].Members)[:zb0009]
+				if cap(z.Groups[za0005].Members) >= int(zb0010) {
+					z.Groups[za0005].Members = (z.Groups[za0005].Members)[:zb0010]
 				} else {
-					z.Groups[za0004].Members = make([]string, zb0009)
+					z.Groups[za0005].Members = make([]string, zb0010)
 				}
-				for za0005 := range z.Groups[za0004].Members {
-					z.Groups[za0004].Members[za0005], bts, err = msgp.ReadStringBytes(bts)
+				for za0006 := range z.Groups[za0005].Members {
+					z.Groups[za0005].Members[za0006], bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Groups", za0004, "Members", za0005)
+						err = msgp.WrapError(err, "Groups", za0005, "Members", za0006)
 						return
 					}
 				}
@@ -2134,65 +2277,65 @@
 				return
 			}
 		case "initial":
-			var zb0010 uint32
-			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Initial")
 				return
 			}
-			if zb0010 > z6071ab3flimitArrays {
+			if zb0011 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Initial) >= int(zb0010) {
-				z.Initial = (z.Initial)[:zb0010]
+			if cap(z.Initial) >= int(zb0011) {
+				z.Initial = (z.Initial)[:zb0011]
 			} else {
-				z.Initial = make([][]Replica, zb0010)
+				z.Initial = make([][]Replica, zb0011)
 			}
-			for za0006 := range z.Initial {
-				var zb0011 uint32
-				zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0007 := range z.Initial {
+				var zb0012 uint32
+				zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Initial", za0006)
+					err = msgp.WrapError(err, "Initial", za0007)
 					return
 				}
-				if zb0011 > z6071ab3flimitArrays {
+				if zb0012 > z6071ab3flimitArrays {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if cap(z.Initial[za0006]) >= int(zb0011) {
-					z.Initial[za0006] = (z.Initial[za0006])[:zb0011]
+				if cap(z.Initial[za0007]) >= int(zb0012) {
+					z.Initial[za0007] = (z.Initial[za0007])[:zb0012]
 				} else {
-					z.Initial[za0006] = make([]Replica, zb0011)
+					z.Initial[za0007] = make([]Replica, zb0012)
 				}
-				for za0007 := range z.Initial[za0006] {
-					bts, err = z.Initial[za0006][za0007].UnmarshalMsg(bts)
+				for za0008 := range z.Initial[za0007] {
+					bts, err = z.Initial[za0007][za0008].UnmarshalMsg(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Initial", za0006, za0007)
+						err = msgp.WrapError(err, "Initial", za0007, za0008)
 						return
 					}
 				}
 			}
 		case "retiring":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Retiring")
 				return
 			}
-			if zb0012 > z6071ab3flimitArrays {
+			if zb0013 > z6071ab3flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Retiring) >= int(zb0012) {
-				z.Retiring = (z.Retiring)[:zb0012]
+			if cap(z.Retiring) >= int(zb0013) {
+				z.Retiring = (z.Retiring)[:zb0013]
 			} else {
-				z.Retiring = make([]string, zb0012)
+				z.Retiring = make([]string, zb0013)
 			}
-			for za0008 := range z.Retiring {
-				z.Retiring[za0008], bts, err = msgp.ReadStringBytes(bts)
+			for za0009 := range z.Retiring {
+				z.Retiring[za0009], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Retiring", za0008)
+					err = msgp.WrapError(err, "Retiring", za0009)
 					return
 				}
 			}
@@ -2210,41 +2353,45 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetView) Msgsize() (s int) {
-	s = 1 + 12 + msgp.BoolSize + 7 + msgp.BoolSize + 8 + msgp.BoolSize + 8
-	if z.Workers == nil {
+	s = 1 + 12 + msgp.BoolSize + 7 + msgp.BoolSize + 8 + msgp.BoolSize + 5
+	if z.News == nil {
 		s += msgp.NilSize
 	} else {
-		s += z.Workers.Msgsize()
+		s += z.News.Msgsize()
+	}
+	s += 13 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Workers {
+		s += z.Workers[za0001].Msgsize()
 	}
 	s += 13 + msgp.ArrayHeaderSize
-	for za0001 := range z.Coordinators {
-		s += msgp.StringPrefixSize + len(z.Coordinators[za0001])
+	for za0002 := range z.Coordinators {
+		s += msgp.StringPrefixSize + len(z.Coordinators[za0002])
 	}
 	s += 7 + msgp.ArrayHeaderSize
-	for za0002 := range z.Relays {
-		s += 1 + msgp.StringPrefixSize + len(z.Relays[za0002].Address) + msgp.StringPrefixSize + len(z.Relays[za0002].Zone)
+	for za0003 := range z.Relays {
+		s += 1 + msgp.StringPrefixSize + len(z.Relays[za0003].Address) + msgp.StringPrefixSize + len(z.Relays[za0003].Zone)
 	}
 	s += 7 + msgp.ArrayHeaderSize
-	for za0003 := range z.Stores {
-		s += 1 + msgp.StringPrefixSize + len(z.Stores[za0003].Address) + msgp.StringPrefixSize + len(z.Stores[za0003].Zone)
+	for za0004 := range z.Stores {
+		s += 1 + msgp.StringPrefixSize + len(z.Stores[za0004].Address) + msgp.StringPrefixSize + len(z.Stores[za0004].Zone)
 	}
 	s += 7 + msgp.ArrayHeaderSize
-	for za0004 := range z.Groups {
-		s += 1 + msgp.StringPrefixSize + len(z.Groups[za0004].Leader) + msgp.ArrayHeaderSize
-		for za0005 := range z.Groups[za0004].Members {
-			s += msgp.StringPrefixSize + len(z.Groups[za0004].Members[za0005])
+	for za0005 := range z.Groups {
+		s += 1 + msgp.StringPrefixSize + len(z.Groups[za0005].Leader) + msgp.ArrayHeaderSize
+		for za0006 := range z.Groups[za0005].Members {
+			s += msgp.StringPrefixSize + len(z.Groups[za0005].Members[za0006])
 		}
 	}
 	s += 6 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
-	for za0006 := range z.Initial {
+	for za0007 := range z.Initial {
 		s += msgp.ArrayHeaderSize
-		for za0007 := range z.Initial[za0006] {
-			s += z.Initial[za0006][za0007].Msgsize()
+		for za0008 := range z.Initial[za0007] {
+			s += z.Initial[za0007][za0008].Msgsize()
 		}
 	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0008 := range z.Retiring {
-		s += msgp.StringPrefixSize + len(z.Retiring[za0008])
+	for za0009 := range z.Retiring {
+		s += msgp.StringPrefixSize + len(z.Retiring[za0009])
 	}
 	return
 }
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -1,9 +1,10 @@
 package wire
 
-// LoadReport tells how many requests a process has at each worker. It travels as
-// a datagram, so it is packed without names.
-//
-//msgp:tuple LoadReport
+//msgp:ignore LoadReport
+
+// LoadReport tells how many requests a process has at each worker. It travels as a
+// datagram, so it is packed without names: a LoadBase, whose length was released and stays,
+// and behind it a LoadMore, which readers of GenerationFirst pass over.
 type LoadReport struct {
 	// Source is the hash of the sender's name.
 	Source  uint32
@@ -46,6 +47,78 @@
 	// Rest is set in the top hub's answers: how many online requests the workers that are
 	// left out, because they have no load, answer in ten seconds.
 	Rest uint32
+	// First is set by the reader where the sender is of GenerationFirst.
+	First bool
+}
+
+// LoadBase is what each generation reads of a LoadReport.
+//
+//msgp:tuple LoadBase
+type LoadBase struct {
+	Source  uint32
+	Workers []WorkerLoad
+	Hub     string
+	Sources uint16
+	Waiting uint32
+	Groups  []GroupTokens
+	Sums    bool
+	Left    bool
+	Quiet   bool
+	Zone    string
+	Part    bool
+}
+
+// LoadMore is what came to LoadReport after GenerationFirst. It has names, so that it may
+// grow, and holds only what is set.
+type LoadMore struct {
+	Tokens   []TokenQuestion `msg:"t,omitempty"`
+	Verdicts []TokenVerdict  `msg:"v,omitempty"`
+	Tenants  *TenantNews     `msg:"n,omitempty"`
+	Choosing bool            `msg:"c,omitempty"`
+	Asked    []uint32        `msg:"a,omitempty"`
+	Drawn    bool            `msg:"d,omitempty"`
+	Rest     uint32          `msg:"r,omitempty"`
+}
+
+// MarshalMsg implements msgp.Marshaler.
+func (r *LoadReport) MarshalMsg(before []byte) ([]byte, error) {
+	base := LoadBase{
+		Source: r.Source, Workers: r.Workers, Hub: r.Hub, Sources: r.Sources, Waiting: r.Waiting, Groups: r.Groups,
+		Sums: r.Sums, Left: r.Left, Quiet: r.Quiet, Zone: r.Zone, Part: r.Part,
+	}
+	more := LoadMore{
+		Tokens: r.Tokens, Verdicts: r.Verdicts, Tenants: r.Tenants,
+		Choosing: r.Choosing, Asked: r.Asked, Drawn: r.Drawn, Rest: r.Rest,
+	}
+	encoded, err := base.MarshalMsg(before)
+	if err != nil {
+		return nil, err
+	}
+	return more.MarshalMsg(encoded)
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler.
+func (r *LoadReport) UnmarshalMsg(data []byte) ([]byte, error) {
+	var base LoadBase
+	var more LoadMore
+	rest, err := base.UnmarshalMsg(data)
+	if err != nil {
+		return rest, err
+	}
+	first := len(rest) == 0
+	if !first {
+		if rest, err = more.UnmarshalMsg(rest); err != nil {
+			return rest, err
+		}
+	}
+	*r = LoadReport{
+		Source: base.Source, Workers: base.Workers, Hub: base.Hub, Sources: base.Sources, Waiting: base.Waiting, Groups: base.Groups,
+		Sums: base.Sums, Left: base.Left, Quiet: base.Quiet, Zone: base.Zone, Part: base.Part,
+		Tokens: more.Tokens, Verdicts: more.Verdicts, Tenants: more.Tenants,
+		Choosing: more.Choosing, Asked: more.Asked, Drawn: more.Drawn, Rest: more.Rest,
+		First: first,
+	}
+	return rest, nil
 }
 
 // TokenQuestion asks for a token of a tenant's limit, or gives it back.
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -189,15 +189,15 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *LoadBase) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 18 {
-		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Source, err = dc.ReadUint32()
@@ -281,119 +281,13 @@
 		err = msgp.WrapError(err, "Part")
 		return
 	}
-	var zb0004 uint32
-	zb0004, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
-		return
-	}
-	if cap(z.Tokens) >= int(zb0004) {
-		z.Tokens = (z.Tokens)[:zb0004]
-	} else {
-		z.Tokens = make([]TokenQuestion, zb0004)
-	}
-	for za0003 := range z.Tokens {
-		var zb0005 uint32
-		zb0005, err = dc.ReadArrayHeader()
-		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003)
-			return
-		}
-		if zb0005 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
-			return
-		}
-		z.Tokens[za0003].Ticket, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003, "Ticket")
-			return
-		}
-		z.Tokens[za0003].Tenant, err = dc.ReadUint32()
-		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003, "Tenant")
-			return
-		}
-		z.Tokens[za0003].Back, err = dc.ReadBool()
-		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003, "Back")
-			return
-		}
-	}
-	var zb0006 uint32
-	zb0006, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err, "Verdicts")
-		return
-	}
-	if cap(z.Verdicts) >= int(zb0006) {
-		z.Verdicts = (z.Verdicts)[:zb0006]
-	} else {
-		z.Verdicts = make([]TokenVerdict, zb0006)
-	}
-	for za0004 := range z.Verdicts {
-		err = z.Verdicts[za0004].DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, "Verdicts", za0004)
-			return
-		}
-	}
-	if dc.IsNil() {
-		err = dc.ReadNil()
-		if err != nil {
-			err = msgp.WrapError(err, "Tenants")
-			return
-		}
-		z.Tenants = nil
-	} else {
-		if z.Tenants == nil {
-			z.Tenants = new(TenantNews)
-		}
-		err = z.Tenants.DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, "Tenants")
-			return
-		}
-	}
-	z.Choosing, err = dc.ReadBool()
-	if err != nil {
-		err = msgp.WrapError(err, "Choosing")
-		return
-	}
-	var zb0007 uint32
-	zb0007, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err, "Asked")
-		return
-	}
-	if cap(z.Asked) >= int(zb0007) {
-		z.Asked = (z.Asked)[:zb0007]
-	} else {
-		z.Asked = make([]uint32, zb0007)
-	}
-	for za0005 := range z.Asked {
-		z.Asked[za0005], err = dc.ReadUint32()
-		if err != nil {
-			err = msgp.WrapError(err, "Asked", za0005)
-			return
-		}
-	}
-	z.Drawn, err = dc.ReadBool()
-	if err != nil {
-		err = msgp.WrapError(err, "Drawn")
-		return
-	}
-	z.Rest, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "Rest")
-		return
-	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 18
-	err = en.Append(0xdc, 0x0, 0x12)
+func (z *LoadBase) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 11
+	err = en.Append(0x9b)
 	if err != nil {
 		return
 	}
@@ -466,92 +360,14 @@
 		err = msgp.WrapError(err, "Part")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Tokens)))
-	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
-		return
-	}
-	for za0003 := range z.Tokens {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Tokens[za0003].Ticket)
-		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003, "Ticket")
-			return
-		}
-		err = en.WriteUint32(z.Tokens[za0003].Tenant)
-		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003, "Tenant")
-			return
-		}
-		err = en.WriteBool(z.Tokens[za0003].Back)
-		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003, "Back")
-			return
-		}
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Verdicts)))
-	if err != nil {
-		err = msgp.WrapError(err, "Verdicts")
-		return
-	}
-	for za0004 := range z.Verdicts {
-		err = z.Verdicts[za0004].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Verdicts", za0004)
-			return
-		}
-	}
-	if z.Tenants == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		err = z.Tenants.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Tenants")
-			return
-		}
-	}
-	err = en.WriteBool(z.Choosing)
-	if err != nil {
-		err = msgp.WrapError(err, "Choosing")
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Asked)))
-	if err != nil {
-		err = msgp.WrapError(err, "Asked")
-		return
-	}
-	for za0005 := range z.Asked {
-		err = en.WriteUint32(z.Asked[za0005])
-		if err != nil {
-			err = msgp.WrapError(err, "Asked", za0005)
-			return
-		}
-	}
-	err = en.WriteBool(z.Drawn)
-	if err != nil {
-		err = msgp.WrapError(err, "Drawn")
-		return
-	}
-	err = en.WriteUint32(z.Rest)
-	if err != nil {
-		err = msgp.WrapError(err, "Rest")
-		return
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *LoadBase) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 18
-	o = append(o, 0xdc, 0x0, 0x12)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint32(o, z.Source)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
 	for za0001 := range z.Workers {
@@ -577,51 +393,19 @@
 	o = msgp.AppendBool(o, z.Quiet)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendBool(o, z.Part)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Tokens)))
-	for za0003 := range z.Tokens {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.Tokens[za0003].Ticket)
-		o = msgp.AppendUint32(o, z.Tokens[za0003].Tenant)
-		o = msgp.AppendBool(o, z.Tokens[za0003].Back)
-	}
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Verdicts)))
-	for za0004 := range z.Verdicts {
-		o, err = z.Verdicts[za0004].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Verdicts", za0004)
-			return
-		}
-	}
-	if z.Tenants == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Tenants.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Tenants")
-			return
-		}
-	}
-	o = msgp.AppendBool(o, z.Choosing)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Asked)))
-	for za0005 := range z.Asked {
-		o = msgp.AppendUint32(o, z.Asked[za0005])
-	}
-	o = msgp.AppendBool(o, z.Drawn)
-	o = msgp.AppendUint32(o, z.Rest)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *LoadReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *LoadBase) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 18 {
-		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Source, bts, err = msgp.ReadUint32Bytes(bts)
@@ -705,135 +489,598 @@
 		err = msgp.WrapError(err, "Part")
 		return
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadBase) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Workers {
+		s += z.Workers[za0001].Msgsize()
+	}
+	s += msgp.StringPrefixSize + len(z.Hub) + msgp.Uint16Size + msgp.Uint32Size + msgp.ArrayHeaderSize
+	for za0002 := range z.Groups {
+		s += z.Groups[za0002].Msgsize()
+	}
+	s += msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LoadMore) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
+		err = msgp.WrapError(err)
 		return
 	}
-	if cap(z.Tokens) >= int(zb0004) {
-		z.Tokens = (z.Tokens)[:zb0004]
-	} else {
-		z.Tokens = make([]TokenQuestion, zb0004)
-	}
-	for za0003 := range z.Tokens {
-		var zb0005 uint32
-		zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003)
-			return
-		}
-		if zb0005 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
-			return
-		}
-		z.Tokens[za0003].Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
 		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003, "Ticket")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.Tokens[za0003].Tenant, bts, err = msgp.ReadUint32Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003, "Tenant")
-			return
-		}
-		z.Tokens[za0003].Back, bts, err = msgp.ReadBoolBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Tokens", za0003, "Back")
-			return
+		switch msgp.UnsafeString(field) {
+		case "t":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+			if cap(z.Tokens) >= int(zb0002) {
+				z.Tokens = (z.Tokens)[:zb0002]
+			} else {
+				z.Tokens = make([]TokenQuestion, zb0002)
+			}
+			for za0001 := range z.Tokens {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Tokens[za0001].Ticket, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001, "Ticket")
+					return
+				}
+				z.Tokens[za0001].Tenant, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001, "Tenant")
+					return
+				}
+				z.Tokens[za0001].Back, err = dc.ReadBool()
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001, "Back")
+					return
+				}
+			}
+		case "v":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Verdicts")
+				return
+			}
+			if cap(z.Verdicts) >= int(zb0004) {
+				z.Verdicts = (z.Verdicts)[:zb0004]
+			} else {
+				z.Verdicts = make([]TokenVerdict, zb0004)
+			}
+			for za0002 := range z.Verdicts {
+				err = z.Verdicts[za0002].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Verdicts", za0002)
+					return
+				}
+			}
+		case "n":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Tenants")
+					return
+				}
+				z.Tenants = nil
+			} else {
+				if z.Tenants == nil {
+					z.Tenants = new(TenantNews)
+				}
+				err = z.Tenants.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Tenants")
+					return
+				}
+			}
+		case "c":
+			z.Choosing, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Choosing")
+				return
+			}
+		case "a":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Asked")
+				return
+			}
+			if cap(z.Asked) >= int(zb0005) {
+				z.Asked = (z.Asked)[:zb0005]
+			} else {
+				z.Asked = make([]uint32, zb0005)
+			}
+			for za0003 := range z.Asked {
+				z.Asked[za0003], err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Asked", za0003)
+					return
+				}
+			}
+		case "d":
+			z.Drawn, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Drawn")
+				return
+			}
+		case "r":
+			z.Rest, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Rest")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
-	var zb0006 uint32
-	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LoadMore) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Tokens == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Verdicts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Tenants == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Choosing == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Asked == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Drawn == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Rest == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Verdicts")
 		return
 	}
-	if cap(z.Verdicts) >= int(zb0006) {
-		z.Verdicts = (z.Verdicts)[:zb0006]
-	} else {
-		z.Verdicts = make([]TokenVerdict, zb0006)
-	}
-	for za0004 := range z.Verdicts {
-		bts, err = z.Verdicts[za0004].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Verdicts", za0004)
-			return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// write "t"
+			err = en.Append(0xa1, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Tokens)))
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+			for za0001 := range z.Tokens {
+				// array header, size 3
+				err = en.Append(0x93)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.Tokens[za0001].Ticket)
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001, "Ticket")
+					return
+				}
+				err = en.WriteUint32(z.Tokens[za0001].Tenant)
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001, "Tenant")
+					return
+				}
+				err = en.WriteBool(z.Tokens[za0001].Back)
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001, "Back")
+					return
+				}
+			}
 		}
-	}
-	if msgp.IsNil(bts) {
-		bts, err = msgp.ReadNilBytes(bts)
-		if err != nil {
-			return
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "v"
+			err = en.Append(0xa1, 0x76)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Verdicts)))
+			if err != nil {
+				err = msgp.WrapError(err, "Verdicts")
+				return
+			}
+			for za0002 := range z.Verdicts {
+				err = z.Verdicts[za0002].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Verdicts", za0002)
+					return
+				}
+			}
 		}
-		z.Tenants = nil
-	} else {
-		if z.Tenants == nil {
-			z.Tenants = new(TenantNews)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "n"
+			err = en.Append(0xa1, 0x6e)
+			if err != nil {
+				return
+			}
+			if z.Tenants == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Tenants.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Tenants")
+					return
+				}
+			}
 		}
-		bts, err = z.Tenants.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Tenants")
-			return
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "c"
+			err = en.Append(0xa1, 0x63)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Choosing)
+			if err != nil {
+				err = msgp.WrapError(err, "Choosing")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Asked)))
+			if err != nil {
+				err = msgp.WrapError(err, "Asked")
+				return
+			}
+			for za0003 := range z.Asked {
+				err = en.WriteUint32(z.Asked[za0003])
+				if err != nil {
+					err = msgp.WrapError(err, "Asked", za0003)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "d"
+			err = en.Append(0xa1, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Drawn)
+			if err != nil {
+				err = msgp.WrapError(err, "Drawn")
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.Rest)
+			if err != nil {
+				err = msgp.WrapError(err, "Rest")
+				return
+			}
 		}
 	}
-	z.Choosing, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Choosing")
-		return
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadMore) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Tokens == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Verdicts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	var zb0007 uint32
-	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Asked")
-		return
+	if z.Tenants == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	if cap(z.Asked) >= int(zb0007) {
-		z.Asked = (z.Asked)[:zb0007]
-	} else {
-		z.Asked = make([]uint32, zb0007)
+	if z.Choosing == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	for za0005 := range z.Asked {
-		z.Asked[za0005], bts, err = msgp.ReadUint32Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Asked", za0005)
-			return
+	if z.Asked == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Drawn == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Rest == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Tokens)))
+			for za0001 := range z.Tokens {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendUint64(o, z.Tokens[za0001].Ticket)
+				o = msgp.AppendUint32(o, z.Tokens[za0001].Tenant)
+				o = msgp.AppendBool(o, z.Tokens[za0001].Back)
+			}
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "v"
+			o = append(o, 0xa1, 0x76)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Verdicts)))
+			for za0002 := range z.Verdicts {
+				o, err = z.Verdicts[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Verdicts", za0002)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			if z.Tenants == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Tenants.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Tenants")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendBool(o, z.Choosing)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Asked)))
+			for za0003 := range z.Asked {
+				o = msgp.AppendUint32(o, z.Asked[za0003])
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendBool(o, z.Drawn)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendUint32(o, z.Rest)
 		}
 	}
-	z.Drawn, bts, err = msgp.ReadBoolBytes(bts)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadMore) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Drawn")
+		err = msgp.WrapError(err)
 		return
 	}
-	z.Rest, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Rest")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "t":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+			if cap(z.Tokens) >= int(zb0002) {
+				z.Tokens = (z.Tokens)[:zb0002]
+			} else {
+				z.Tokens = make([]TokenQuestion, zb0002)
+			}
+			for za0001 := range z.Tokens {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Tokens[za0001].Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001, "Ticket")
+					return
+				}
+				z.Tokens[za0001].Tenant, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001, "Tenant")
+					return
+				}
+				z.Tokens[za0001].Back, bts, err = msgp.ReadBoolBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001, "Back")
+					return
+				}
+			}
+		case "v":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Verdicts")
+				return
+			}
+			if cap(z.Verdicts) >= int(zb0004) {
+				z.Verdicts = (z.Verdicts)[:zb0004]
+			} else {
+				z.Verdicts = make([]TokenVerdict, zb0004)
+			}
+			for za0002 := range z.Verdicts {
+				bts, err = z.Verdicts[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Verdicts", za0002)
+					return
+				}
+			}
+		case "n":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Tenants = nil
+			} else {
+				if z.Tenants == nil {
+					z.Tenants = new(TenantNews)
+				}
+				bts, err = z.Tenants.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tenants")
+					return
+				}
+			}
+		case "c":
+			z.Choosing, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Choosing")
+				return
+			}
+		case "a":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Asked")
+				return
+			}
+			if cap(z.Asked) >= int(zb0005) {
+				z.Asked = (z.Asked)[:zb0005]
+			} else {
+				z.Asked = make([]uint32, zb0005)
+			}
+			for za0003 := range z.Asked {
+				z.Asked[za0003], bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Asked", za0003)
+					return
+				}
+			}
+		case "d":
+			z.Drawn, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Drawn")
+				return
+			}
+		case "r":
+			z.Rest, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rest")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LoadReport) Msgsize() (s int) {
-	s = 3 + msgp.Uint32Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Workers {
-		s += z.Workers[za0001].Msgsize()
-	}
-	s += msgp.StringPrefixSize + len(z.Hub) + msgp.Uint16Size + msgp.Uint32Size + msgp.ArrayHeaderSize
-	for za0002 := range z.Groups {
-		s += z.Groups[za0002].Msgsize()
-	}
-	s += msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Tokens) * (20 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize)) + msgp.ArrayHeaderSize
-	for za0004 := range z.Verdicts {
-		s += z.Verdicts[za0004].Msgsize()
+func (z *LoadMore) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize + (len(z.Tokens) * (20 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize)) + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Verdicts {
+		s += z.Verdicts[za0002].Msgsize()
 	}
+	s += 2
 	if z.Tenants == nil {
 		s += msgp.NilSize
 	} else {
 		s += z.Tenants.Msgsize()
 	}
-	s += msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Asked) * (msgp.Uint32Size)) + msgp.BoolSize + msgp.Uint32Size
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Asked) * (msgp.Uint32Size)) + 2 + msgp.BoolSize + 2 + msgp.Uint32Size
 	return
 }
 
--- a/internal/wire/quarantine.go
+++ b/internal/wire/quarantine.go
@@ -72,6 +72,15 @@
 	// those to be forgotten.
 	Settled []uint64 `msg:"settled"`
 	Expired []uint64 `msg:"expired"`
+	// Restated, where it is set, is all that is known, in place of the rest: replicas of
+	// GenerationFirst passed over earlier commands.
+	Restated *QuarantineState `msg:"restated,omitempty"`
+}
+
+// QuarantineState is all that is known at a revision.
+type QuarantineState struct {
+	Revision uint64            `msg:"revision"`
+	Entries  []QuarantineEntry `msg:"entries"`
 }
 
 // QuarantineEntry is the stored record of a request.
--- a/internal/wire/quarantine_gen.go
+++ b/internal/wire/quarantine_gen.go
@@ -299,6 +299,74 @@
 					return
 				}
 			}
+		case "restated":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Restated")
+					return
+				}
+				z.Restated = nil
+			} else {
+				if z.Restated == nil {
+					z.Restated = new(QuarantineState)
+				}
+				var zb0006 uint32
+				zb0006, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Restated")
+					return
+				}
+				if zb0006 > z8d86017climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Restated")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "revision":
+						z.Restated.Revision, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "Restated", "Revision")
+							return
+						}
+					case "entries":
+						var zb0007 uint32
+						zb0007, err = dc.ReadArrayHeader()
+						if err != nil {
+							err = msgp.WrapError(err, "Restated", "Entries")
+							return
+						}
+						if zb0007 > z8d86017climitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Restated.Entries) >= int(zb0007) {
+							z.Restated.Entries = (z.Restated.Entries)[:zb0007]
+						} else {
+							z.Restated.Entries = make([]QuarantineEntry, zb0007)
+						}
+						for za0004 := range z.Restated.Entries {
+							err = z.Restated.Entries[za0004].DecodeMsg(dc)
+							if err != nil {
+								err = msgp.WrapError(err, "Restated", "Entries", za0004)
+								return
+							}
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Restated")
+							return
+						}
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -312,87 +380,145 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *QuarantineCommand) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "at_millis"
-	err = en.Append(0x85, 0xa9, 0x61, 0x74, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.AtMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "AtMillis")
-		return
-	}
-	// write "runs"
-	err = en.Append(0xa4, 0x72, 0x75, 0x6e, 0x73)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Restated == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Runs)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Runs")
 		return
 	}
-	for za0001 := range z.Runs {
-		// array header, size 2
-		err = en.Append(0x92)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "at_millis"
+		err = en.Append(0xa9, 0x61, 0x74, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Runs[za0001].Request)
+		err = en.WriteInt64(z.AtMillis)
 		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001, "Request")
+			err = msgp.WrapError(err, "AtMillis")
 			return
 		}
-		err = en.WriteUint32(z.Runs[za0001].Worker)
+		// write "runs"
+		err = en.Append(0xa4, 0x72, 0x75, 0x6e, 0x73)
 		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001, "Worker")
 			return
 		}
-	}
-	// write "trial"
-	err = en.Append(0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Trial)
-	if err != nil {
-		err = msgp.WrapError(err, "Trial")
-		return
-	}
-	// write "settled"
-	err = en.Append(0xa7, 0x73, 0x65, 0x74, 0x74, 0x6c, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Settled)))
-	if err != nil {
-		err = msgp.WrapError(err, "Settled")
-		return
-	}
-	for za0002 := range z.Settled {
-		err = en.WriteUint64(z.Settled[za0002])
+		err = en.WriteArrayHeader(uint32(len(z.Runs)))
 		if err != nil {
-			err = msgp.WrapError(err, "Settled", za0002)
+			err = msgp.WrapError(err, "Runs")
 			return
 		}
-	}
-	// write "expired"
-	err = en.Append(0xa7, 0x65, 0x78, 0x70, 0x69, 0x72, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Expired)))
-	if err != nil {
-		err = msgp.WrapError(err, "Expired")
-		return
-	}
-	for za0003 := range z.Expired {
-		err = en.WriteUint64(z.Expired[za0003])
+		for za0001 := range z.Runs {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Runs[za0001].Request)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs", za0001, "Request")
+				return
+			}
+			err = en.WriteUint32(z.Runs[za0001].Worker)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs", za0001, "Worker")
+				return
+			}
+		}
+		// write "trial"
+		err = en.Append(0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Trial)
+		if err != nil {
+			err = msgp.WrapError(err, "Trial")
+			return
+		}
+		// write "settled"
+		err = en.Append(0xa7, 0x73, 0x65, 0x74, 0x74, 0x6c, 0x65, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Settled)))
 		if err != nil {
-			err = msgp.WrapError(err, "Expired", za0003)
+			err = msgp.WrapError(err, "Settled")
 			return
 		}
+		for za0002 := range z.Settled {
+			err = en.WriteUint64(z.Settled[za0002])
+			if err != nil {
+				err = msgp.WrapError(err, "Settled", za0002)
+				return
+			}
+		}
+		// write "expired"
+		err = en.Append(0xa7, 0x65, 0x78, 0x70, 0x69, 0x72, 0x65, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Expired)))
+		if err != nil {
+			err = msgp.WrapError(err, "Expired")
+			return
+		}
+		for za0003 := range z.Expired {
+			err = en.WriteUint64(z.Expired[za0003])
+			if err != nil {
+				err = msgp.WrapError(err, "Expired", za0003)
+				return
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "restated"
+			err = en.Append(0xa8, 0x72, 0x65, 0x73, 0x74, 0x61, 0x74, 0x65, 0x64)
+			if err != nil {
+				return
+			}
+			if z.Restated == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 2
+				// write "revision"
+				err = en.Append(0x82, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.Restated.Revision)
+				if err != nil {
+					err = msgp.WrapError(err, "Restated", "Revision")
+					return
+				}
+				// write "entries"
+				err = en.Append(0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+				if err != nil {
+					return
+				}
+				err = en.WriteArrayHeader(uint32(len(z.Restated.Entries)))
+				if err != nil {
+					err = msgp.WrapError(err, "Restated", "Entries")
+					return
+				}
+				for za0004 := range z.Restated.Entries {
+					err = z.Restated.Entries[za0004].EncodeMsg(en)
+					if err != nil {
+						err = msgp.WrapError(err, "Restated", "Entries", za0004)
+						return
+					}
+				}
+			}
+		}
 	}
 	return
 }
@@ -400,33 +526,68 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *QuarantineCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "at_millis"
-	o = append(o, 0x85, 0xa9, 0x61, 0x74, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	o = msgp.AppendInt64(o, z.AtMillis)
-	// string "runs"
-	o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
-	for za0001 := range z.Runs {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendUint64(o, z.Runs[za0001].Request)
-		o = msgp.AppendUint32(o, z.Runs[za0001].Worker)
-	}
-	// string "trial"
-	o = append(o, 0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
-	o = msgp.AppendUint64(o, z.Trial)
-	// string "settled"
-	o = append(o, 0xa7, 0x73, 0x65, 0x74, 0x74, 0x6c, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Settled)))
-	for za0002 := range z.Settled {
-		o = msgp.AppendUint64(o, z.Settled[za0002])
-	}
-	// string "expired"
-	o = append(o, 0xa7, 0x65, 0x78, 0x70, 0x69, 0x72, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Expired)))
-	for za0003 := range z.Expired {
-		o = msgp.AppendUint64(o, z.Expired[za0003])
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Restated == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "at_millis"
+		o = append(o, 0xa9, 0x61, 0x74, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+		o = msgp.AppendInt64(o, z.AtMillis)
+		// string "runs"
+		o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
+		for za0001 := range z.Runs {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendUint64(o, z.Runs[za0001].Request)
+			o = msgp.AppendUint32(o, z.Runs[za0001].Worker)
+		}
+		// string "trial"
+		o = append(o, 0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
+		o = msgp.AppendUint64(o, z.Trial)
+		// string "settled"
+		o = append(o, 0xa7, 0x73, 0x65, 0x74, 0x74, 0x6c, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Settled)))
+		for za0002 := range z.Settled {
+			o = msgp.AppendUint64(o, z.Settled[za0002])
+		}
+		// string "expired"
+		o = append(o, 0xa7, 0x65, 0x78, 0x70, 0x69, 0x72, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Expired)))
+		for za0003 := range z.Expired {
+			o = msgp.AppendUint64(o, z.Expired[za0003])
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "restated"
+			o = append(o, 0xa8, 0x72, 0x65, 0x73, 0x74, 0x61, 0x74, 0x65, 0x64)
+			if z.Restated == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 2
+				// string "revision"
+				o = append(o, 0x82, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+				o = msgp.AppendUint64(o, z.Restated.Revision)
+				// string "entries"
+				o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+				o = msgp.AppendArrayHeader(o, uint32(len(z.Restated.Entries)))
+				for za0004 := range z.Restated.Entries {
+					o, err = z.Restated.Entries[za0004].MarshalMsg(o)
+					if err != nil {
+						err = msgp.WrapError(err, "Restated", "Entries", za0004)
+						return
+					}
+				}
+			}
+		}
 	}
 	return
 }
@@ -549,6 +710,73 @@
 					return
 				}
 			}
+		case "restated":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Restated = nil
+			} else {
+				if z.Restated == nil {
+					z.Restated = new(QuarantineState)
+				}
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Restated")
+					return
+				}
+				if zb0006 > z8d86017climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Restated")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "revision":
+						z.Restated.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Restated", "Revision")
+							return
+						}
+					case "entries":
+						var zb0007 uint32
+						zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Restated", "Entries")
+							return
+						}
+						if zb0007 > z8d86017climitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Restated.Entries) >= int(zb0007) {
+							z.Restated.Entries = (z.Restated.Entries)[:zb0007]
+						} else {
+							z.Restated.Entries = make([]QuarantineEntry, zb0007)
+						}
+						for za0004 := range z.Restated.Entries {
+							bts, err = z.Restated.Entries[za0004].UnmarshalMsg(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Restated", "Entries", za0004)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Restated")
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -563,7 +791,15 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *QuarantineCommand) Msgsize() (s int) {
-	s = 1 + 10 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize + (len(z.Runs) * (16 + msgp.Uint64Size + msgp.Uint32Size)) + 6 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize + (len(z.Settled) * (msgp.Uint64Size)) + 8 + msgp.ArrayHeaderSize + (len(z.Expired) * (msgp.Uint64Size))
+	s = 1 + 10 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize + (len(z.Runs) * (16 + msgp.Uint64Size + msgp.Uint32Size)) + 6 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize + (len(z.Settled) * (msgp.Uint64Size)) + 8 + msgp.ArrayHeaderSize + (len(z.Expired) * (msgp.Uint64Size)) + 9
+	if z.Restated == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 9 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
+		for za0004 := range z.Restated.Entries {
+			s += z.Restated.Entries[za0004].Msgsize()
+		}
+	}
 	return
 }
 
@@ -1782,6 +2018,193 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *QuarantineState) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "revision":
+			z.Revision, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "entries":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0002 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = (z.Entries)[:zb0002]
+			} else {
+				z.Entries = make([]QuarantineEntry, zb0002)
+			}
+			for za0001 := range z.Entries {
+				err = z.Entries[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *QuarantineState) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "revision"
+	err = en.Append(0x82, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Revision)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	// write "entries"
+	err = en.Append(0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Entries)))
+	if err != nil {
+		err = msgp.WrapError(err, "Entries")
+		return
+	}
+	for za0001 := range z.Entries {
+		err = z.Entries[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *QuarantineState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "revision"
+	o = append(o, 0x82, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Revision)
+	// string "entries"
+	o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+	for za0001 := range z.Entries {
+		o, err = z.Entries[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QuarantineState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z8d86017climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "revision":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "entries":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0002 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = (z.Entries)[:zb0002]
+			} else {
+				z.Entries = make([]QuarantineEntry, zb0002)
+			}
+			for za0001 := range z.Entries {
+				bts, err = z.Entries[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *QuarantineState) Msgsize() (s int) {
+	s = 1 + 9 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += z.Entries[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *RunReport) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
