--- a/test/hosted_fleet_test.go
+++ b/test/hosted_fleet_test.go
@@ -28,6 +28,7 @@
 	ip      string
 	role    string
 	folder  string
+	binary  string
 	command *exec.Cmd
 	exited  chan error
 }
@@ -53,13 +54,25 @@
 const hostedWorkers = 3
 
 func newHostedFleet(t *testing.T, workers int) *hostedFleet {
+	t.Helper()
+	return newHostedFleetOf(t, buildHosted(t), workers)
+}
+
+// buildHosted builds the program that the machines run and returns its path.
+func buildHosted(t *testing.T) string {
 	t.Helper()
 	folder := t.TempDir()
 	output, err := exec.Command("go", "build", "-o", folder+"/", "../platform/sedgemast-hosted").CombinedOutput()
 	if err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
 	}
-	f := &hostedFleet{t: t, binary: filepath.Join(folder, "sedgemast-hosted"), port: freePorts(t), machines: map[string]*hostedMachine{}}
+	return filepath.Join(folder, "sedgemast-hosted")
+}
+
+// newHostedFleetOf starts a fleet whose machines run the program.
+func newHostedFleetOf(t *testing.T, binary string, workers int) *hostedFleet {
+	t.Helper()
+	f := &hostedFleet{t: t, binary: binary, port: freePorts(t), machines: map[string]*hostedMachine{}}
 	for i := 1; i <= workers; i++ {
 		worker := emulator.NewHostedWorker(fmt.Sprintf("w-%d", i), 8, 5*time.Millisecond)
 		t.Cleanup(worker.Close)
@@ -94,7 +107,7 @@
 }
 
 func (f *hostedFleet) add(class, role string, number int) {
-	machine := &hostedMachine{name: fmt.Sprintf("%s-%d", class, number), ip: fmt.Sprintf("127.0.77.%d", number), role: role, folder: f.t.TempDir()}
+	machine := &hostedMachine{name: fmt.Sprintf("%s-%d", class, number), ip: fmt.Sprintf("127.0.77.%d", number), role: role, folder: f.t.TempDir(), binary: f.binary}
 	f.machines[machine.name] = machine
 	f.start(machine, true)
 }
@@ -137,7 +150,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	machine.command = exec.Command(f.binary, machine.role)
+	machine.command = exec.Command(machine.binary, machine.role)
 	machine.command.Env = append(os.Environ(), "SEDGEMAST_BOOT="+boot)
 	machine.command.Stdout, machine.command.Stderr = log, log
 	if err := machine.command.Start(); err != nil {
