Quarantine: no command is written that a replica would pass over

What a replica executes must not depend on its build. Once it is replaced the leader restates all that is known, so that replicas which passed over something agree again.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -65,9 +65,13 @@
 	quarantineAt quarantineMark
 
 	// mutex guards what follows.
-	mutex   sync.Mutex
-	view    *fleetview.View
-	warden  *quarantine.Warden
+	mutex  sync.Mutex
+	view   *fleetview.View
+	warden *quarantine.Warden
+	// passing is set while a coordinator is known whose build passes over commands of the
+	// quarantine. restate is set from then until what is known has been restated.
+	passing bool
+	restate bool
 	changed chan struct{}
 	// pages are those of a first reading that are still to be told, pagesAt is when some
 	// were told last.
@@ -166,6 +170,7 @@
 		if err != nil {
 			return
 		}
+		c.noteGenerations(processes)
 		var coordinators []string
 		for i := range processes {
 			if processes[i].SilentMillis <= fleetview.ProcessFresh.Milliseconds() {
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -30,6 +30,9 @@
 	answer := &wire.QuarantineAnswer{}
 	command := &wire.QuarantineCommand{Runs: request.Runs}
 	before := map[uint64]bool{}
+	if err := c.passedOver(); err != nil {
+		return nil, err
+	}
 	err := c.readLeader(func(now time.Time, _ *fleetview.View) {
 		command.AtMillis = now.UnixMilli()
 		for _, run := range request.Runs {
@@ -114,6 +117,9 @@
 }
 
 func (c *Coordinator) releaseHere(ctx context.Context, release *wire.QuarantineRelease) (*wire.FleetResult, error) {
+	if err := c.passedOver(); err != nil {
+		return nil, err
+	}
 	result, err := c.propose(ctx, &wire.FleetCommand{Quarantine: &wire.QuarantineCommand{Expired: []uint64{release.Request}}})
 	if err != nil {
 		return nil, err
@@ -169,13 +175,63 @@
 
 // keepQuarantine carries out what follows from the time that has passed.
 func (c *Coordinator) keepQuarantine(ctx context.Context) {
+	if c.passedOver() != nil {
+		return
+	}
 	var command *wire.QuarantineCommand
+	restated := false
 	err := c.readLeader(func(now time.Time, _ *fleetview.View) {
+		if restated = c.restate; restated {
+			command = &wire.QuarantineCommand{Restated: c.machine.Quarantine().State()}
+			return
+		}
 		command = c.warden.Look(now, c.machine.Quarantine())
 	})
 	if err != nil || command == nil {
 		return
 	}
 	_, err = c.propose(ctx, &wire.FleetCommand{Quarantine: command})
-	logging.Info(c.logger, "quarantine_kept", "settled", len(command.Settled), "expired", len(command.Expired), "error", err)
+	if restated && err == nil {
+		c.mutex.Lock()
+		c.restate = false
+		c.mutex.Unlock()
+	}
+	logging.Info(c.logger, "quarantine_kept", "settled", len(command.Settled), "expired", len(command.Expired), "restated", restated, "error", err)
+}
+
+// noteGenerations takes in the builds of the coordinators known. What a replica executes
+// must not depend on its build: while one is there that would pass over commands of the
+// quarantine none is written, and once all can read them what is known is restated, so
+// that all replicas have the same again.
+func (c *Coordinator) noteGenerations(processes []wire.Process) {
+	older := olderThan(processes, wire.GenerationCurrent)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if passing := older != ""; passing != c.passing {
+		c.passing = passing
+		logging.Info(c.logger, "quarantine_replicated", "possible", !passing, "older_build_at", older)
+	}
+	c.restate = c.restate || c.passing
+}
+
+// olderThan returns the address of a process whose build is of an older generation, also
+// if it has been silent for a while, or nothing.
+func olderThan(processes []wire.Process, generation wire.Generation) string {
+	for i := range processes {
+		if hello := &processes[i].Hello; hello.Generation() < generation {
+			return hello.Replica.Address
+		}
+	}
+	return ""
+}
+
+// passedOver returns the refusal of commands of the quarantine while a coordinator would
+// pass over them, or nil.
+func (c *Coordinator) passedOver() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.passing {
+		return nil
+	}
+	return failure.New(failure.NotRun, "replace the coordinators of the older build", "a coordinator of an older build would pass over what is known of requests under which workers ended")
 }
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -119,8 +119,9 @@
 }
 
 func (m *Machine) applyQuarantine(command *wire.QuarantineCommand) bool {
+	before := m.quarantine.Revision()
 	changed := m.quarantine.Apply(command)
-	if len(changed) == 0 {
+	if m.quarantine.Revision() == before {
 		return false
 	}
 	for _, request := range changed {
--- a/internal/fleetstate/machine_test.go
+++ b/internal/fleetstate/machine_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/proptest"
 	"github.com/sedgemast/sedgemast/internal/storage"
@@ -139,3 +141,45 @@
 		return nil
 	})
 }
+
+// TestReplicasAgreeAfterRestating lets a replica pass over commands of the quarantine, as
+// one of the first generation does, and restates what the leader knows: all replicas, and
+// what they have stored, are the same then, also where the one held what is long gone.
+func TestReplicasAgreeAfterRestating(t *testing.T) {
+	proptest.Run(t, "replicas agree after restating", func(random *rand.Rand) error {
+		leader, passing := New(), New()
+		stores := map[*Machine]*storage.Memory{leader: storage.NewMemory(), passing: storage.NewMemory()}
+		for range 1 + random.Intn(40) {
+			command := &wire.FleetCommand{Quarantine: &wire.QuarantineCommand{
+				AtMillis: int64(random.Intn(1 << 20)),
+				Runs:     []wire.RunReport{{Request: uint64(1 + random.Intn(3)), Worker: uint32(random.Intn(6))}},
+			}}
+			for machine, store := range stores {
+				if machine == passing && random.Intn(2) == 0 {
+					continue
+				}
+				if _, err := apply(machine, store, command); err != nil {
+					return err
+				}
+			}
+		}
+		restated := &wire.FleetCommand{Quarantine: &wire.QuarantineCommand{Restated: leader.Quarantine().State()}}
+		for machine, store := range stores {
+			result, err := apply(machine, store, restated)
+			if err != nil || !result.Changed {
+				return errors.Newf("restating changes nothing: %v", err)
+			}
+		}
+		if !reflect.DeepEqual(leader.Quarantine().State(), passing.Quarantine().State()) {
+			return errors.Newf("%+v, the leader has %+v", passing.Quarantine().State(), leader.Quarantine().State())
+		}
+		again := New()
+		if err := again.Restore(stores[passing]); err != nil {
+			return err
+		}
+		if !reflect.DeepEqual(again.Quarantine().State(), leader.Quarantine().State()) {
+			return errors.Newf("%+v is stored, the leader has %+v", again.Quarantine().State(), leader.Quarantine().State())
+		}
+		return nil
+	})
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -49,6 +49,9 @@
 
 // Apply executes a command and returns the requests that changed, in order.
 func (t *Table) Apply(command *wire.QuarantineCommand) []Fingerprint {
+	if command.Restated != nil {
+		return t.restate(command.Restated)
+	}
 	touched := map[Fingerprint]bool{}
 	for _, run := range command.Runs {
 		if request := Fingerprint(run.Request); t.take(request, run.Worker, command.AtMillis) {
@@ -78,6 +81,26 @@
 	return changed
 }
 
+// State returns all that is known, as a command restates it.
+func (t *Table) State() *wire.QuarantineState {
+	return &wire.QuarantineState{Revision: t.revision, Entries: t.Entries()}
+}
+
+// restate puts what a leader knows in place of this table, and returns the requests of
+// both, in order. Replicas that differed are the same after it.
+func (t *Table) restate(state *wire.QuarantineState) []Fingerprint {
+	changed := make([]Fingerprint, 0, len(t.rows)+len(state.Entries))
+	for request := range t.rows {
+		changed = append(changed, request)
+	}
+	for i := range state.Entries {
+		changed = append(changed, Fingerprint(state.Entries[i].Request))
+	}
+	t.Restore(state.Revision+1, state.Entries)
+	slices.Sort(changed)
+	return slices.Compact(changed)
+}
+
 // take takes one run in and reports whether anything changed.
 func (t *Table) take(request Fingerprint, worker uint32, at int64) bool {
 	row := t.rows[request]
