--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -25,6 +25,9 @@
 	// Names are the headers that it knows; those of the users' platform unless
 	// they are set before the first request.
 	Names *dialect.Dialect
+	// KeepsID is set where the worker comes back under its ID after an end; it must be set
+	// before the first request. Otherwise each life has another one.
+	KeepsID bool
 
 	server *httptest.Server
 	mutex  sync.Mutex
@@ -32,13 +35,15 @@
 	// come back; down is set in between.
 	ends        int
 	incarnation int
-	down        bool
-	closed      bool
-	running     int
-	seen        []HostedRequest
-	behave      func(request *HostedRequest) HostedFault
-	leaving     bool
-	left        int
+	// born is when the present life began.
+	born    time.Time
+	down    bool
+	closed  bool
+	running int
+	seen    []HostedRequest
+	behave  func(request *HostedRequest) HostedFault
+	leaving bool
+	left    int
 }
 
 // HostedRequest is a request as the worker got it.
@@ -63,14 +68,14 @@
 	// Hang sends nothing until the caller has left.
 	Hang bool
 	// End, where it is set, ends the worker under the request after so long; Back is
-	// after which time it is back, as another incarnation at the same address.
+	// after which time it is back at the same address.
 	End  time.Duration
 	Back time.Duration
 }
 
 // NewHostedWorker starts a worker; Close ends it.
 func NewHostedWorker(id string, slots int, pause time.Duration) *HostedWorker {
-	w := &HostedWorker{ID: id, Slots: slots, Pause: pause, Names: platformNames()}
+	w := &HostedWorker{ID: id, Slots: slots, Pause: pause, Names: platformNames(), born: time.Now()}
 	w.server = httptest.NewServer(http.HandlerFunc(w.serve))
 	return w
 }
@@ -157,6 +162,10 @@
 }
 
 func (w *HostedWorker) serve(writer http.ResponseWriter, httpRequest *http.Request) {
+	if httpRequest.URL.Path == hostedReport {
+		w.report(writer)
+		return
+	}
 	header := httpRequest.Header
 	writer.Header().Set(w.Names.RequestID, header.Get(w.Names.RequestID))
 	if expected := header.Get(w.Names.ExpectWorker); expected != "" && expected != w.Incarnation() {
@@ -204,6 +213,19 @@
 	w.stream(writer, httpRequest, request, fault)
 }
 
+// hostedReport is the path of what a worker says of itself.
+const hostedReport = "/-/report"
+
+// report tells when the present life began.
+func (w *HostedWorker) report(writer http.ResponseWriter) {
+	w.mutex.Lock()
+	born := w.born.UnixMilli()
+	w.mutex.Unlock()
+	writer.Header().Set("Content-Type", "application/json")
+	// A failed write means that the reader has gone.
+	_, _ = fmt.Fprintf(writer, `{"stage":"mixed","running":0,"born":%d}`, born)
+}
+
 func (w *HostedWorker) release() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/emulator/hosted_end.go
+++ b/internal/emulator/hosted_end.go
@@ -9,11 +9,11 @@
 )
 
 // Incarnation returns the id of the worker's present life: its ID at first, and another
-// one each time it is back.
+// one each time it is back, unless it keeps it.
 func (w *HostedWorker) Incarnation() string {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.incarnation == 0 {
+	if w.incarnation == 0 || w.KeepsID {
 		return w.ID
 	}
 	return fmt.Sprintf("%s.%d", w.ID, w.incarnation)
@@ -62,5 +62,6 @@
 	next.Start()
 	w.server = next
 	w.incarnation++
+	w.born = time.Now()
 	w.down = false
 }
--- a/test/worker_ends_test.go
+++ b/test/worker_ends_test.go
@@ -41,11 +41,14 @@
 	mostEnds = 3 + 2 + 1
 )
 
+// endingBack is after which time a worker is back.
+const endingBack = 60 * time.Millisecond
+
 // endingWorkers make workers end under the request.
-func (f *hostedFleet) endingWorkers() {
+func (f *hostedFleet) endingWorkers(back time.Duration) {
 	f.behaveAll(func(request *emulator.HostedRequest) emulator.HostedFault {
 		if request.Body == endingBody {
-			return emulator.HostedFault{End: 15 * time.Millisecond, Back: 60 * time.Millisecond}
+			return emulator.HostedFault{End: 15 * time.Millisecond, Back: back}
 		}
 		return emulator.HostedFault{}
 	})
@@ -82,7 +85,7 @@
 func TestRequestThatEndsWorkers(t *testing.T) {
 	f := newHostedFleet(t, 8)
 	fronts := f.ready(t)
-	f.endingWorkers()
+	f.endingWorkers(endingBack)
 	var ending, frequent, others served
 	var callers sync.WaitGroup
 	for round := range endingRounds {
@@ -184,3 +187,34 @@
 		t.Errorf("%d workers ended, %d at most may", ends, mostEnds)
 	}
 }
+
+// TestWorkersBackUnderTheirIDs lets the request come again at two workers that are back
+// under their ids after each end, a moment later or at once. Each end counts: before, two
+// ends of one worker were one, so that the request went on for as long as it came, and an
+// end was none where the worker was back by the time that the edge looked.
+func TestWorkersBackUnderTheirIDs(t *testing.T) {
+	for _, back := range []time.Duration{endingBack, 500 * time.Microsecond} {
+		t.Run(back.String(), func(t *testing.T) {
+			f := newHostedFleet(t, 2)
+			for _, worker := range f.workers {
+				worker.KeepsID = true
+			}
+			fronts := f.ready(t)
+			f.endingWorkers(back)
+			var ending served
+			for round := range endingRounds {
+				f.ask(fronts[round%len(fronts)], fmt.Sprintf("e-%d", round), endingBody, &ending)
+				time.Sleep(endingPause + back)
+			}
+			t.Logf("%d workers ended in %d rounds; the request: %s", f.ends(), endingRounds, &ending)
+			if ends := f.ends(); ends > mostEnds {
+				t.Errorf("workers ended %d times, at most %d times they may", ends, mostEnds)
+			}
+			eventually(t, "another request is served", func() bool {
+				var now served
+				f.ask(fronts[0], "last", frequentBody, &now)
+				return now.whole.Load() == 1
+			})
+		})
+	}
+}
