Mend: an entry of the list is read for itself, and a life of a worker has a name

Entries that name no worker are counted (coordinator_odd_entries_total) and written down when their number changes (worker_list_entries). Two entries of one id in different places: what was known holds, else neither. Package life names a life by id and start; it is the key of the list, connections, homes, exclusions and speed; loads stay under the id, which processes of the first generation share. A refusal by another worker lasts 5 s.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sedgemast/sedgemast/internal/dialect"
+	"github.com/sedgemast/sedgemast/internal/life"
 	"github.com/sedgemast/sedgemast/internal/proptest"
 	"github.com/sedgemast/sedgemast/internal/wire"
 	"github.com/sedgemast/sedgemast/internal/workerset"
@@ -41,7 +42,7 @@
 func TestRefusedIncarnationIsNotAskedAgain(t *testing.T) {
 	table := tableOf(listed("a", "z1"))
 	lease := table.Acquire(start, &Demand{Pool: "p"})
-	lease.Refuse()
+	lease.Refuse(start)
 	lease.Release()
 	if table.Acquire(start, &Demand{Pool: "p"}) != nil {
 		t.Error("an incarnation that is gone got a request")
@@ -52,6 +53,51 @@
 	}
 }
 
+// TestRefusedWorkerIsAskedAgainLater: a worker may start again under its id at the address
+// where another one answered; before, it was never asked again.
+func TestRefusedWorkerIsAskedAgainLater(t *testing.T) {
+	table := tableOf(listed("a", "z1"))
+	for round := range 3 {
+		now := start.Add(time.Duration(round) * refusedTime)
+		lease := table.Acquire(now, &Demand{Pool: "p"})
+		if lease == nil {
+			t.Fatalf("round %d: it is not asked after %s", round, refusedTime)
+		}
+		lease.Refuse(now)
+		lease.Release()
+		if table.Acquire(now.Add(refusedTime-time.Millisecond), &Demand{Pool: "p"}) != nil || table.Usable("p") {
+			t.Errorf("round %d: it is asked before", round)
+		}
+	}
+	table.Update(workerset.Of(nil), nil)
+	if table.Acquire(start.Add(time.Hour), &Demand{Pool: "p"}) != nil {
+		t.Error("one that left the list is asked")
+	}
+}
+
+// TestNewLifeIsAnotherWorker lets a worker that leaves start again under its id: the new
+// life is asked at once, and holds nothing of what was known of the old one.
+func TestNewLifeIsAnotherWorker(t *testing.T) {
+	old, again := listed(life.Name("a", 1), "z1"), listed(life.Name("a", 2), "z1")
+	table := tableOf(old)
+	demand := &Demand{Pool: "p", Parts: []dialect.Part{{ID: "x", Tokens: 500}, {ID: "own", Tokens: 5}}}
+	lease := table.Acquire(start, demand)
+	old.Leaving = true
+	table.Update(workerset.Of([]wire.PoolWorker{old}), nil)
+	if table.Usable("p") {
+		t.Fatal("a worker that leaves is asked")
+	}
+	table.Update(workerset.Of([]wire.PoolWorker{again}), nil)
+	next := table.Acquire(start, demand)
+	if next == nil || next.Endpoint.ID != again.ID || len(next.worker.parts) != 1 || next.worker.inFlight != 1 {
+		t.Fatalf("the new life: %+v", next)
+	}
+	lease.Release()
+	if next.worker.inFlight != 1 || table.byHash[next.worker.hash] != next.worker {
+		t.Error("the end of a request of the old life counts for the new one")
+	}
+}
+
 func TestSuspectsComeLast(t *testing.T) {
 	table := tableOf(listed("a", "z1"), listed("b", "z2"))
 	first := table.Acquire(start, &Demand{Pool: "p"})
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,8 @@
 	rest int
 	// suspects lists those that gave this process no answer, until their time is over.
 	suspects []*worker
+	// refusals lists those at whose address another worker answered, until their time is over.
+	refusals []*worker
 	// compared is scratch space of choose.
 	compared []*worker
 	// homes are the homes of the prompt that is being placed.
@@ -64,13 +67,17 @@
 func (t *Table) join(row *wire.PoolWorker) {
 	known := t.workers[row.ID]
 	if known == nil {
-		hash := loadshare.Hash(row.ID)
+		hash := loadshare.WorkerHash(row.ID)
 		known = &worker{hash: hash, point: mix(uint64(hash))}
 		t.workers[row.ID], t.byHash[hash] = known, known
 	} else {
 		t.pools[known.listed.Pool].leave(t, known)
 	}
-	// Leaving is final: a list that lags may contradict it.
+	if known.listed.Address != row.Address && !known.refusedUntil.IsZero() {
+		// It was another address at which another worker answered.
+		known.refused = false
+	}
+	// Leaving is final in a life: a list that lags may contradict it.
 	leaving := row.Leaving || known.listed.Leaving
 	known.listed = *row
 	known.listed.Leaving = leaving
@@ -153,6 +160,7 @@
 func (t *Table) Acquire(now time.Time, demand *Demand) *Lease {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.readmit(now)
 	chosen := t.choose(now, demand, false)
 	if chosen == nil {
 		chosen = t.choose(now, demand, true)
@@ -228,14 +236,36 @@
 	w.suspectUntil = now.Add(suspectTime)
 }
 
-// refuse takes in that the worker takes no new requests.
-func (t *Table) refuse(w *worker) {
-	w.refused = true
+// refuse takes in that another worker is at the address.
+func (t *Table) refuse(now time.Time, w *worker) {
+	if !w.refused {
+		t.refusals = append(t.refusals, w)
+	}
+	w.refused, w.refusedUntil = true, now.Add(refusedTime)
 	if known := t.pools[w.listed.Pool]; known != nil {
 		known.leave(t, w)
 	}
 }
 
+// readmit lets those that were refused a while ago be chosen again.
+func (t *Table) readmit(now time.Time) {
+	if len(t.refusals) == 0 {
+		return
+	}
+	t.refusals = slices.DeleteFunc(t.refusals, func(w *worker) bool {
+		if now.Before(w.refusedUntil) {
+			return false
+		}
+		if !w.gone(t) {
+			w.refused = false
+			if w.usable() && !w.entered {
+				t.pools[w.listed.Pool].enter(t, w)
+			}
+		}
+		return true
+	})
+}
+
 // Begun takes in that the worker has read the prompt.
 func (l *Lease) Begun() {
 	l.table.mutex.Lock()
@@ -291,9 +321,9 @@
 	l.worker.failed++
 }
 
-// Refuse takes in that the incarnation is no longer at the address, or leaves.
-func (l *Lease) Refuse() {
+// Refuse takes in that another worker is at the address.
+func (l *Lease) Refuse(now time.Time) {
 	l.table.mutex.Lock()
 	defer l.table.mutex.Unlock()
-	l.table.refuse(l.worker)
+	l.table.refuse(now, l.worker)
 }
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -12,6 +12,10 @@
 const (
 	// maxParts bounds the prompt parts remembered of one worker.
 	maxParts = 4096
+	// refusedTime is how long a worker is not asked after another one answered at its
+	// address. The list has it right by then, as a rule; and one that starts again under its
+	// id at that address is found, at the price of a request that is sent on.
+	refusedTime = 5 * time.Second
 	// suspectTime is how long a worker is avoided after it gave no answer.
 	suspectTime = time.Second
 )
@@ -40,9 +44,10 @@
 	// here, and how many it wants stopped.
 	starts int
 	stops  int
-	// refused is set once the worker said that it is another one, or leaving;
-	// that holds for its incarnation.
-	refused bool
+	// refused is set once another worker answered at the address, until refusedUntil, and
+	// for good once the worker has left the list.
+	refused      bool
+	refusedUntil time.Time
 	// others is what other processes have here, as they told at othersAt.
 	others       wire.WorkerLoad
 	othersAt     time.Time
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -91,20 +91,25 @@
 func (l *loads) setWorkers(set *workerset.Set, zone string) {
 	l.hubs.Lock()
 	defer l.hubs.Unlock()
+	// A worker that starts again leaves the list as one life and joins it as another one
+	// with the same short name, so who leaves is taken out first.
+	set.Changes(l.listed, func(*wire.PoolWorker) {}, func(row *wire.PoolWorker) {
+		worker := loadshare.WorkerHash(row.ID)
+		delete(l.zones, worker)
+		l.near.Remove(worker)
+		l.far.Remove(worker)
+	})
 	set.Changes(l.listed, func(row *wire.PoolWorker) {
-		worker := loadshare.Hash(row.ID)
+		worker := loadshare.WorkerHash(row.ID)
 		l.zones[worker] = row.Zone
 		if row.Zone == zone {
+			l.far.Remove(worker)
 			l.near.Add(worker)
 		} else {
+			l.near.Remove(worker)
 			l.far.Add(worker)
 		}
-	}, func(row *wire.PoolWorker) {
-		worker := loadshare.Hash(row.ID)
-		delete(l.zones, worker)
-		l.near.Remove(worker)
-		l.far.Remove(worker)
-	})
+	}, func(*wire.PoolWorker) {})
 	l.listed = set
 }
 
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -14,6 +14,7 @@
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/life"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
@@ -189,7 +190,7 @@
 	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
-		t.lease.Refuse()
+		t.lease.Refuse(clock.Now())
 		return t.pass(response, failure.New(failure.NotRun, "", "another worker has the address"))
 	case response.Header.Get(store.dialect.NotRun) != "":
 		t.rest = notRunPause
@@ -227,7 +228,7 @@
 	}
 	fields = append(fields,
 		wire.HeaderField{Name: names.RequestID, Value: t.id},
-		wire.HeaderField{Name: names.ExpectWorker, Value: t.lease.Endpoint.ID},
+		wire.HeaderField{Name: names.ExpectWorker, Value: life.Worker(t.lease.Endpoint.ID)},
 	)
 	if t.carry.events > 0 {
 		fields = append(fields, wire.HeaderField{Name: names.LastEvent, Value: strconv.FormatInt(t.carry.lastEvent, 10)})
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -57,6 +57,8 @@
 	list     *listreader.Reader
 	changes  prometheus.Counter
 	watches  prometheus.Counter
+	// oddEntries counts entries of the platform's list that name no worker to use.
+	oddEntries prometheus.Counter
 
 	news  newsCache
 	relay *relay
@@ -97,12 +99,14 @@
 		changes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "coordinator_configurations_total", Help: "Configurations committed here."}),
 		watches:  prometheus.NewCounter(prometheus.CounterOpts{Name: "coordinator_watches_total", Help: "Watches answered as leader."}),
 		changed:  make(chan struct{}),
+
+		oddEntries: prometheus.NewCounter(prometheus.CounterOpts{Name: "coordinator_odd_entries_total", Help: "Entries of the list of workers that name none to use, counted at each reading."}),
 	}
 	c.host, err = replication.NewHost(c.replicationOptions(), replication.NewPeerTransport(d.Traffic))
 	if err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
-	d.Registry.MustRegister(c.changes, c.watches)
+	d.Registry.MustRegister(c.changes, c.watches, c.oddEntries)
 	c.relay = newRelay(c)
 	c.list.Came = c.addWorkers
 	c.register()
@@ -227,7 +231,11 @@
 }
 
 // listLog remembers what was written last of readings.
-type listLog struct{ failing bool }
+type listLog struct {
+	failing bool
+	// odd is how many entries named no worker to use.
+	odd int
+}
 
 // readList reads the list and takes it in. It returns how many calls that took.
 func (c *Coordinator) readList(ctx context.Context, seen *listLog) int {
@@ -243,6 +251,11 @@
 	if err != nil {
 		return 0
 	}
+	c.oddEntries.Add(float64(reading.Odd))
+	if reading.Odd != seen.odd {
+		seen.odd = reading.Odd
+		logging.Warn(c.logger, "worker_list_entries", "odd", reading.Odd, "workers", len(reading.Rows), "last", reading.Oddity)
+	}
 	changed, number := false, uint64(0)
 	// An error means that another process leads now; it reads the list itself.
 	_ = c.readLeader(func(_ time.Time, v *fleetview.View) {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -12,6 +12,7 @@
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpapi"
+	"github.com/sedgemast/sedgemast/internal/life"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/routetable"
@@ -255,7 +256,7 @@
 	left := max(min(time.Until(c.deadline), c.due.Sub(clock.Now())).Milliseconds(), 1)
 	fields = append(fields,
 		wire.HeaderField{Name: names.Deadline, Value: strconv.FormatInt(left, 10)},
-		wire.HeaderField{Name: names.ExpectWorker, Value: lease.Endpoint.ID},
+		wire.HeaderField{Name: names.ExpectWorker, Value: life.Worker(lease.Endpoint.ID)},
 	)
 	if c.hasEvent {
 		fields = append(fields, wire.HeaderField{Name: names.LastEvent, Value: strconv.FormatInt(c.lastEvent, 10)})
@@ -285,7 +286,7 @@
 	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
-		lease.Refuse()
+		lease.Refuse(clock.Now())
 		c.lastErr = failure.New(failure.NotRun, "", "another worker has the address")
 		return c.passOver(response, notRun)
 	case notRunHere:
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -9,6 +9,7 @@
 	"sort"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/life"
 	"github.com/sedgemast/sedgemast/internal/placement"
 	"github.com/sedgemast/sedgemast/internal/wire"
 	"github.com/sedgemast/sedgemast/internal/workerset"
@@ -175,6 +176,10 @@
 		news.SameWorkers, news.Listed = true, false
 	default:
 		news.Workers = v.Workers().Rows()
+		for i := range news.Workers {
+			// That generation knows of no lives: it tells the worker the name that it is told.
+			news.Workers[i].ID = life.Worker(news.Workers[i].ID)
+		}
 	}
 	return news
 }
--- a/internal/listreader/reader.go
+++ b/internal/listreader/reader.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/life"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -36,6 +37,16 @@
 	Rows []wire.PoolWorker
 	// Next names the page that follows, empty for none.
 	Next string
+	// Odd counts entries that name no worker to use, and Oddity says why the last one
+	// does not: they come from another writer, or can't be read.
+	Odd    int
+	Oddity error
+}
+
+// NoteOdd counts an entry that names no worker to use.
+func (p *Page) NoteOdd(why error) {
+	p.Odd++
+	p.Oddity = why
 }
 
 // Pages reads one page of the list of a zone, of all zones where that is empty. The first
@@ -52,6 +63,9 @@
 	// whose rows are those of the last reading.
 	Calls int
 	Kept  []string
+	// Odd counts entries that name no worker to use, Oddity says why the last one does not.
+	Odd    int
+	Oddity error
 }
 
 // Reader reads the list again and again. It is used by one goroutine.
@@ -67,19 +81,25 @@
 	// in how many readings in a row some of them were missing.
 	known  map[string]rowsByID
 	missed map[string]int
+	// doubted holds in how many readings in a row the list has contradicted what is known of
+	// a worker's life.
+	doubted map[string]int
 }
 
+// rowsByID holds rows by the ids of the workers, whatever life of theirs is listed.
 type rowsByID map[string]wire.PoolWorker
 
 // New returns a reader of the pages. zones are the zones that workers may be in; where
 // there are none, or a row has another one, the list is read whole.
 func New(pages Pages, zones []string) *Reader {
-	return &Reader{pages: pages, zones: zones, known: map[string]rowsByID{}, missed: map[string]int{}}
+	return &Reader{pages: pages, zones: zones, known: map[string]rowsByID{}, missed: map[string]int{}, doubted: map[string]int{}}
 }
 
 // Forget drops what was known, so that the next reading stands for itself: for a process
 // that has not read the list for a while.
-func (r *Reader) Forget() { r.known, r.missed = map[string]rowsByID{}, map[string]int{} }
+func (r *Reader) Forget() {
+	r.known, r.missed, r.doubted = map[string]rowsByID{}, map[string]int{}, map[string]int{}
+}
 
 // Read reads the list. It fails with what the platform's call failed with while any zone
 // has never been read.
@@ -117,6 +137,11 @@
 		reading.Kept = append(reading.Kept, p.zone)
 		p.rows = p.known
 	}
+	r.settleLives(p)
+	reading.Odd += p.odd
+	if p.oddity != nil {
+		reading.Oddity = p.oddity
+	}
 	r.keepMissing(p)
 	r.known[p.zone] = p.rows
 	reading.Rows = slices.AppendSeq(reading.Rows, maps.Values(p.rows))
@@ -151,7 +176,7 @@
 		if parts[row.Zone] == nil {
 			return
 		}
-		parts[row.Zone][row.ID] = row
+		parts[row.Zone][life.Worker(row.ID)] = row
 	}
 	r.byZones, r.known = true, parts
 }
@@ -162,10 +187,15 @@
 	known rowsByID
 	rows  rowsByID
 	came  func(rows []wire.PoolWorker)
+	// disputed holds the ids that two entries of a reading give to different places.
+	disputed map[string]bool
 	// calm is set where the list did not move while it was read: what is missing is gone.
 	calm  bool
 	calls int
 	err   error
+	// odd and oddity are those of the pages read.
+	odd    int
+	oddity error
 }
 
 // read reads the zone. Where the list has pages, a row that leaves moves those behind it
@@ -207,6 +237,7 @@
 // readOnce reads all pages one after the other.
 func (p *part) readOnce(ctx context.Context, pages Pages) (rowsByID, int, error) {
 	rows := rowsByID{}
+	p.odd, p.oddity, p.disputed = 0, nil, map[string]bool{}
 	name, count := "", 0
 	for {
 		page, err := p.page(ctx, pages, name)
@@ -214,8 +245,9 @@
 			return nil, count, err
 		}
 		count++
-		for _, row := range page.Rows {
-			rows[row.ID] = row
+		p.noteOdd(&page)
+		for i := range page.Rows {
+			p.add(rows, &page.Rows[i])
 		}
 		if p.known == nil && p.came != nil {
 			p.came(page.Rows)
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sedgemast/sedgemast/internal/life"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -28,9 +29,14 @@
 	expireInterval = 50 * time.Millisecond
 )
 
-// Hash returns the short name of a worker or process.
+// Hash returns the short name of a process.
 func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
+// WorkerHash returns the short name of a worker by the name of its life. It is the same for
+// all its lives: loads are counted anew several times a second, and processes that know of
+// no lives tell of the same worker by the same name.
+func WorkerHash(name string) uint32 { return Hash(life.Worker(name)) }
+
 // Hub adds the reports up. It is pure and not safe for concurrent use.
 type Hub struct {
 	sources map[uint32]*source
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -232,7 +232,7 @@
 //
 //msgp:tuple PoolWorker
 type PoolWorker struct {
-	// ID names one incarnation of the worker.
+	// ID names one life of the worker, see package life.
 	ID      string
 	Pool    string
 	Address string
