Mend: each end of a worker counts that is back under its id

Ruled out: that the reports came late (they are taken in within some ms). Change: a report says how long ago its run began. A run that began after an end was not broken off by it; those that one end broke off together stay one. An edge or store that finds somebody listening asks since when (born, in what a worker says of itself): another start than at an earlier look, or one after the run began, is an end.

--- a/internal/batchstore/quarantine.go
+++ b/internal/batchstore/quarantine.go
@@ -83,10 +83,10 @@
 	if t.context.Err() != nil || !upstream.BrokeOff(err) {
 		return
 	}
-	ended := store.upstream.Ended(t.context, t.lease.Endpoint)
+	ended := store.upstream.Ended(t.context, t.lease.Endpoint, t.started)
 	logging.Info(store.logger, "worker_broke_off", "job", t.key.job, "item", t.id, "request", t.print, "worker", t.lease.Endpoint.ID, "ended", ended, "events", t.carry.events, "ms", t.ran.Milliseconds())
 	if ended {
 		t.onTrial = false
-		book.Ended(clock.Now(), t.print, t.lease.Endpoint.ID)
+		book.Ended(clock.Now(), t.print, t.lease.Endpoint.ID, t.started)
 	}
 }
--- a/internal/batchstore/quarantine_test.go
+++ b/internal/batchstore/quarantine_test.go
@@ -55,7 +55,7 @@
 			r.store.upstream = upstream.NewClient(dialect.Own())
 			book := r.store.watcher.Quarantine()
 			for _, worker := range []string{"a", "b"} {
-				book.Ended(clock.Now(), item, worker)
+				book.Ended(clock.Now(), item, worker, time.Time{})
 			}
 			running := r.runItem(t, 0, clock.Now())
 			running.print, running.ran = item, test.ran
@@ -99,7 +99,7 @@
 	content := &wire.ItemContent{Path: "/"}
 	book := r.store.watcher.Quarantine()
 	for _, worker := range []string{"a", "b", "c"} {
-		book.Ended(now, fingerprintOf(job, content), worker)
+		book.Ended(now, fingerprintOf(job, content), worker, time.Time{})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -3,6 +3,7 @@
 package dialect
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -40,6 +41,24 @@
 	// Tenant tells workers whose request it is. What callers send there counts for
 	// nothing.
 	Tenant string
+	// Report is the path at which a worker tells of itself, empty where there is none, and
+	// Born the field with the Unix millisecond of its start.
+	Report string
+	Born   string
+}
+
+// BornOf returns when a worker started by what it tells of itself, zero where it does not
+// tell, or tells something else than a whole number.
+func (d *Dialect) BornOf(report []byte) int64 {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(report, &fields) != nil {
+		return 0
+	}
+	born, err := strconv.ParseInt(string(fields[d.Born]), 10, 64)
+	if err != nil || born < 0 {
+		return 0
+	}
+	return born
 }
 
 // Own is the product's own dialect.
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -46,7 +46,7 @@
 		}
 	case failure.Is(err, failure.OutcomeUnknown) && errors.Is(err, syscall.ECONNREFUSED):
 		t.underEnd = true
-		local.Ended(clock.Now(), t.fingerprint(), t.worker)
+		local.Ended(clock.Now(), t.fingerprint(), t.worker, t.began)
 		logging.Info(t.dispatcher.logger, "worker_broke_off", "request", t.request.RequestID, "identity", t.fingerprint(), "worker", t.worker, "ended", true, "tokens", t.answer.tokens)
 	}
 }
--- a/internal/dispatcher/task.go
+++ b/internal/dispatcher/task.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/engine"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -56,6 +57,7 @@
 	// worker and address are those of the running attempt.
 	worker  string
 	address string
+	began   time.Time
 	// underEnd is set once a worker ended under the request here.
 	underEnd bool
 }
@@ -145,7 +147,7 @@
 		if action.Kind != scheduling.Start {
 			return errPreempted
 		}
-		t.worker, t.address = action.Worker, action.Address
+		t.worker, t.address, t.began = action.Worker, action.Address, clock.Now()
 		end, err := t.generate(ctx, action)
 		if end != nil {
 			cached = end.CachedTokens / engine.BlockTokens
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -56,6 +56,8 @@
 	dials    int
 	dialTime time.Duration
 	worker   string
+	// sentAt is when the request went to that worker.
+	sentAt time.Time
 	// started is set once the head of the answer has been written, broken once
 	// that answer can't be ended as it should.
 	started bool
@@ -270,10 +272,10 @@
 	request := c.request
 	request.Headers = c.headers(lease)
 	c.attempts++
-	sentAt := time.Now()
+	c.sentAt = clock.Now()
 	response, err := c.edge.upstream.Send(c.context, lease.Endpoint, &request, c.headBy())
 	if err != nil {
-		return c.sendFailed(lease, err, time.Since(sentAt))
+		return c.sendFailed(lease, err, clock.Since(c.sentAt))
 	}
 	defer response.Close()
 	c.status = response.Status
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -51,11 +51,11 @@
 	if result != failed || !upstream.BrokeOff(c.lastErr) {
 		return
 	}
-	c.underEnd = c.edge.upstream.Ended(c.context, lease.Endpoint)
+	c.underEnd = c.edge.upstream.Ended(c.context, lease.Endpoint, c.sentAt)
 	logging.Info(c.edge.logger, "worker_broke_off", "id", c.id, "request", c.fingerprint(), "worker", lease.Endpoint.ID, "ended", c.underEnd, "last_event", c.lastEvent, "ms", c.elapsed())
 	if c.underEnd {
 		c.edge.metrics.ended.Inc()
-		c.edge.watcher.Quarantine().Ended(clock.Now(), c.fingerprint(), lease.Endpoint.ID)
+		c.edge.watcher.Quarantine().Ended(clock.Now(), c.fingerprint(), lease.Endpoint.ID, c.sentAt)
 	}
 }
 
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/emulator"
@@ -20,7 +21,7 @@
 	server, e := startEdge(t, stream(false, 1), workers...)
 	book := e.watcher.Quarantine()
 	for _, worker := range []string{"a", "b"} {
-		book.Ended(clock.Now(), identity, worker)
+		book.Ended(clock.Now(), identity, worker, time.Time{})
 	}
 	behaveAll(workers, emulator.HostedFault{Status: http.StatusInternalServerError})
 	if status, _, _, err := send(context.Background(), t, server, "1", 2, patience); err != nil || status != http.StatusInternalServerError {
@@ -44,7 +45,7 @@
 	workers := startWorkers(t, 2)
 	server, e := startEdge(t, stream(true, 2), workers...)
 	for _, worker := range []string{"a", "b", "c"} {
-		e.watcher.Quarantine().Ended(clock.Now(), identity, worker)
+		e.watcher.Quarantine().Ended(clock.Now(), identity, worker, time.Time{})
 	}
 	status, header, _, err := send(context.Background(), t, server, "1", 2, patience)
 	if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" || runs(workers) != 0 {
--- a/internal/fleetsim/edges.go
+++ b/internal/fleetsim/edges.go
@@ -11,8 +11,15 @@
 )
 
 const (
-	edges      = 4
-	simWorkers = 6
+	edges = 4
+	// A worker that ended is back after backAfter, and up to backWithin more.
+	backAfter  = time.Second
+	backWithin = time.Second
+	// In a world of few workers, sameWorkers, each keeps its id over its lives and may be
+	// back soonBack after an end.
+	sameWorkers = 2
+	soonBack    = 100 * time.Millisecond
+	simWorkers  = 6
 	// maxTries is how many workers one arrival may go to.
 	maxTries = 2
 	// reportEvery is the time between two looks for runs to report, and reportTimeout when
@@ -41,11 +48,18 @@
 type simWorker struct {
 	number  int
 	lives   int
+	keepsID bool
 	up      bool
 	running map[*simRun]bool
 }
 
-func (s *simWorker) id() string { return fmt.Sprintf("w-%d.%d", s.number, s.lives) }
+// id is the worker's in its present life.
+func (s *simWorker) id() string {
+	if s.keepsID {
+		return fmt.Sprintf("w-%d", s.number)
+	}
+	return fmt.Sprintf("w-%d.%d", s.number, s.lives)
+}
 
 // simRun is a run of a request.
 type simRun struct {
@@ -54,6 +68,8 @@
 	request quarantine.Fingerprint
 	tries   int
 	trial   bool
+	// began is when its edge sent it, by the edge's clock.
+	began time.Time
 }
 
 // edge is a process that serves callers. It keeps nothing on disk.
@@ -69,8 +85,12 @@
 
 // beginEdges starts edges, workers and the callers of both requests.
 func (w *World) beginEdges() {
-	for number := 1; number <= simWorkers; number++ {
-		w.workers = append(w.workers, &simWorker{number: number, up: true, running: map[*simRun]bool{}})
+	count := simWorkers
+	if w.sameIDs {
+		count = sameWorkers
+	}
+	for number := 1; number <= count; number++ {
+		w.workers = append(w.workers, &simWorker{number: number, keepsID: w.sameIDs, up: true, running: map[*simRun]bool{}})
 	}
 	for number := 1; number <= edges; number++ {
 		e := &edge{machine: &machine{world: w, name: fmt.Sprintf("edge-%d", number), cut: map[string]bool{}}}
@@ -201,6 +221,7 @@
 	}
 	worker := up[w.luck.IntN(len(up))]
 	run.tries++
+	run.began = e.clock()
 	worker.running[run] = true
 	if run.request == deadly {
 		w.sentDeadly(e)
@@ -243,7 +264,11 @@
 	for _, run := range w.inOrder(broken) {
 		run.broke(ended)
 	}
-	w.after(time.Second+time.Duration(w.luck.Int64N(int64(time.Second))), func() {
+	back := backAfter
+	if worker.keepsID {
+		back = soonBack
+	}
+	w.after(back+time.Duration(w.luck.Int64N(int64(backWithin))), func() {
 		worker.lives++
 		worker.up = true
 	})
@@ -268,7 +293,7 @@
 func (r *simRun) broke(worker string) {
 	e := r.edge
 	e.whenAwake(r.life, func() {
-		e.book.Ended(e.clock(), r.request, worker)
+		e.book.Ended(e.clock(), r.request, worker, r.began)
 		if !r.trial && r.tries < maxTries && e.book.Standing(e.clock(), r.request) != quarantine.Refused {
 			e.try(r)
 		}
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -41,10 +41,13 @@
 	MutationForgetEnds Mutation = "forget_ends"
 	// MutationNoAcquittal lets good ends count for nothing.
 	MutationNoAcquittal Mutation = "no_acquittal"
+	// MutationOneLife keeps over a worker's lives that it ended under a request: a further
+	// end under its id is none.
+	MutationOneLife Mutation = "one_life"
 )
 
 // Mutations lists all that take something away.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationOwnEnds, MutationForgetEnds, MutationNoAcquittal}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationOwnEnds, MutationForgetEnds, MutationNoAcquittal, MutationOneLife}
 
 // mutatedStore returns the machine's disk, or one that lies.
 func (m *machine) mutatedStore() storage.Store {
@@ -65,7 +68,7 @@
 // machine returns the state machine, or a mutated one.
 func (m Mutation) machine(whole replication.StateMachine) replication.StateMachine {
 	switch m {
-	case MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationForgetEnds, MutationNoAcquittal:
+	case MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationForgetEnds, MutationNoAcquittal, MutationOneLife:
 		return &mutated{StateMachine: whole, mutation: m}
 	}
 	return whole
@@ -76,6 +79,8 @@
 	replication.StateMachine
 	mutation Mutation
 	highest  uint64
+	// ends holds the ends reported so far, for MutationOneLife.
+	ends map[wire.RunReport]bool
 }
 
 // Apply implements replication.StateMachine.
@@ -92,7 +97,9 @@
 	case MutationMixChains:
 		return m.StateMachine.Apply(withRecords(command, func(record *wire.ItemRecord) { record.Opens = true }))
 	case MutationNoAcquittal:
-		return m.StateMachine.Apply(withoutGoodEnds(command))
+		return m.StateMachine.Apply(withoutRuns(command, func(run *wire.RunReport) bool { return run.Worker == 0 }))
+	case MutationOneLife:
+		return m.StateMachine.Apply(withoutRuns(command, m.repeated))
 	case MutationForgetEnds:
 		answer, mutations := m.StateMachine.Apply(command)
 		if isQuarantine(command) {
@@ -123,13 +130,27 @@
 	return encode(&fleet)
 }
 
-// withoutGoodEnds takes the good ends off a report.
-func withoutGoodEnds(command []byte) []byte {
+// repeated reports whether an end of the worker under the request has been reported before.
+func (m *mutated) repeated(run *wire.RunReport) bool {
+	if run.Worker == 0 {
+		return false
+	}
+	if m.ends == nil {
+		m.ends = map[wire.RunReport]bool{}
+	}
+	known := wire.RunReport{Request: run.Request, Worker: run.Worker}
+	before := m.ends[known]
+	m.ends[known] = true
+	return before
+}
+
+// withoutRuns takes runs off a report.
+func withoutRuns(command []byte, unwanted func(run *wire.RunReport) bool) []byte {
 	var fleet wire.FleetCommand
 	if _, err := fleet.UnmarshalMsg(command); err != nil || fleet.Quarantine == nil {
 		return command
 	}
-	fleet.Quarantine.Runs = slices.DeleteFunc(fleet.Quarantine.Runs, func(run wire.RunReport) bool { return run.Worker == 0 })
+	fleet.Quarantine.Runs = slices.DeleteFunc(fleet.Quarantine.Runs, func(run wire.RunReport) bool { return unwanted(&run) })
 	return encode(&fleet)
 }
 
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -33,6 +33,8 @@
 	greetAll int
 	edges    []*edge
 	workers  []*simWorker
+	// sameIDs is set in each fourth seed: few workers, which start again under their ids.
+	sameIDs bool
 	// deadlySent, deadlyEnds and deadlyLate count how often the deadly request was sent to
 	// workers, those that ended under it, and what edges in touch sent later than contact
 	// after thirdEnd.
@@ -112,7 +114,7 @@
 
 // Run runs a seed and returns the violations found.
 func Run(seed uint64, mutation Mutation) (*World, []string) {
-	w := &World{random: rand.New(rand.NewPCG(seed, 7)), luck: rand.New(rand.NewPCG(seed, 8)), mutation: mutation, now: began}
+	w := &World{random: rand.New(rand.NewPCG(seed, 7)), luck: rand.New(rand.NewPCG(seed, 8)), mutation: mutation, now: began, sameIDs: seed%4 == 2}
 	if seed%2 == 1 {
 		w.greetAll = 1
 	}
--- a/internal/fleetwatch/quarantine_test.go
+++ b/internal/fleetwatch/quarantine_test.go
@@ -92,7 +92,7 @@
 	address := startCoordinator(t)
 	all, _ := watchers(t, address, 5)
 	for number := range 3 {
-		all[number].Quarantine().Ended(clock.Now(), request, fmt.Sprintf("w-%d", number))
+		all[number].Quarantine().Ended(clock.Now(), request, fmt.Sprintf("w-%d", number), time.Time{})
 	}
 	late, _ := watchers(t, address, 1)
 	all = append(all, late...)
@@ -127,7 +127,7 @@
 	const request = quarantine.Fingerprint(77)
 	w := fleetwatch.New(logging.Discard(), nil, []string{"127.0.0.1:1"}, func() wire.ProcessReport { return wire.ProcessReport{} })
 	for number := range quarantine.Threshold {
-		w.Quarantine().Ended(clock.Now(), request, fmt.Sprintf("w-%d", number))
+		w.Quarantine().Ended(clock.Now(), request, fmt.Sprintf("w-%d", number), time.Time{})
 	}
 	if !stands(w, request, quarantine.Refused)() {
 		t.Error("the request is not refused")
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,10 +40,12 @@
 	pending chan struct{}
 }
 
-// ownRun is a run that this process saw.
+// ownRun is a run that this process saw. It began at began, zero for unknown, and at is
+// when its end was seen.
 type ownRun struct {
 	report wire.RunReport
 	at     time.Time
+	began  time.Time
 }
 
 // NewBook returns an empty book.
@@ -74,48 +77,73 @@
 
 func (b *Book) standing(now time.Time, request Fingerprint) Standing {
 	row := b.told[request]
-	// What was told may hold what this process reported, so workers are counted, not ends.
-	workers := map[uint32]bool{}
+	told := map[uint32]int{}
 	for _, worker := range row.Ended {
-		workers[worker] = true
+		told[worker]++
 	}
+	own := map[uint32]ownEnds{}
 	for i := range b.own {
 		run := &b.own[i]
 		switch {
 		case run.report.Request != uint64(request) || now.Sub(run.at) > ownTime:
 		case run.report.Worker == 0:
 			row.Refused = false
-			clear(workers)
+			clear(told)
+			clear(own)
 		default:
-			workers[run.report.Worker] = true
+			own[run.report.Worker] = own[run.report.Worker].with(run)
 		}
 	}
+	// What was told may hold what this process reported.
+	ends := 0
+	for worker, seen := range own {
+		told[worker] = max(told[worker], seen.count)
+	}
+	for _, count := range told {
+		ends += count
+	}
 	switch {
-	case row.Refused || len(workers) >= Threshold:
+	case row.Refused || ends >= Threshold:
 		return Refused
-	case len(workers) > 0:
+	case ends > 0:
 		return Suspect
 	}
 	return Unknown
 }
 
+// ownEnds counts the ends of a worker that this process saw.
+type ownEnds struct {
+	count int
+	last  time.Time
+}
+
+// with counts a run that broke off: it tells of another end where it began after the last.
+func (e ownEnds) with(run *ownRun) ownEnds {
+	if e.count == 0 || run.began.After(e.last) {
+		e.count++
+	}
+	e.last = run.at
+	return e
+}
+
 // WorkerHash returns the short name of a worker in reports; it is never zero.
 func WorkerHash(id string) uint32 { return max(uint32(xxhash.Sum64String(id)), 1) }
 
-// Ended takes in that the worker ended under the request.
-func (b *Book) Ended(now time.Time, request Fingerprint, worker string) {
-	b.add(now, wire.RunReport{Request: uint64(request), Worker: WorkerHash(worker)})
+// Ended takes in that the worker ended under a run of the request that began at began, zero
+// for unknown.
+func (b *Book) Ended(now time.Time, request Fingerprint, worker string, began time.Time) {
+	b.add(ownRun{wire.RunReport{Request: uint64(request), Worker: WorkerHash(worker)}, now, began})
 }
 
 // Good takes in that a run of the request came to a good end. It is told only where some
 // worker is known to have ended under the request.
 func (b *Book) Good(now time.Time, request Fingerprint) {
 	if b.Standing(now, request) != Unknown {
-		b.add(now, wire.RunReport{Request: uint64(request)})
+		b.add(ownRun{wire.RunReport{Request: uint64(request)}, now, time.Time{}})
 	}
 }
 
-func (b *Book) add(now time.Time, report wire.RunReport) {
+func (b *Book) add(run ownRun) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if len(b.own) >= maxOwn {
@@ -127,7 +155,7 @@
 		}
 		b.own = slices.Delete(b.own, b.sent, b.sent+1)
 	}
-	b.own = append(b.own, ownRun{report, now})
+	b.own = append(b.own, run)
 	b.used.Store(true)
 	select {
 	case b.pending <- struct{}{}:
@@ -164,7 +192,16 @@
 	}
 	report := &wire.QuarantineReport{Known: b.revision}
 	for i := range b.own {
-		report.Runs = append(report.Runs, b.own[i].report)
+		report.Runs = append(report.Runs, b.own[i].reportAt(now))
+	}
+	return report
+}
+
+// reportAt returns the report of a run as it is sent at now.
+func (r *ownRun) reportAt(now time.Time) wire.RunReport {
+	report := r.report
+	if !r.began.IsZero() {
+		report.AgoMillis = uint32(min(max(now.Sub(r.began).Milliseconds(), 1), math.MaxUint32))
 	}
 	return report
 }
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -24,10 +24,10 @@
 	if book.InUse() {
 		t.Error("a good end of an unknown request is told")
 	}
-	book.Ended(now, 1, "a")
+	book.Ended(now, 1, "a", time.Time{})
 	stands(Suspect, "one worker")
-	book.Ended(now, 1, "b")
-	book.Ended(now, 1, "b")
+	book.Ended(now, 1, "b", time.Time{})
+	book.Ended(now, 1, "b", time.Time{})
 	stands(Suspect, "two workers")
 
 	report := book.Report(now)
@@ -39,7 +39,7 @@
 	if book.Report(now) != nil {
 		t.Error("what was taken in is reported again")
 	}
-	book.Ended(now, 1, "c")
+	book.Ended(now, 1, "c", time.Time{})
 	stands(Refused, "a third worker, seen here alone")
 	if book.Wait(now, 1) == 0 {
 		t.Error("a trial is asked for before its end is reported")
@@ -68,7 +68,7 @@
 func TestBookIsBounded(t *testing.T) {
 	book, now := NewBook(), time.Unix(1000, 0)
 	for request := Fingerprint(1); request <= 3*maxOwn; request++ {
-		book.Ended(now, request, "a")
+		book.Ended(now, request, "a", time.Time{})
 		book.Deny(now, request, time.Minute)
 	}
 	if len(book.own) != maxOwn || book.Lost() != 2*maxOwn || len(book.waits) > maxRows {
@@ -89,3 +89,30 @@
 		t.Error("older news put a refused request back")
 	}
 }
+
+// TestBookCountsEndsOfOneWorker lets a worker end again and again under its id: a run that
+// began after an end tells of another one, those that it broke off together do not.
+func TestBookCountsEndsOfOneWorker(t *testing.T) {
+	book, now := NewBook(), time.Unix(1000, 0)
+	for _, step := range []struct {
+		name  string
+		after time.Duration
+		ran   time.Duration
+		want  Standing
+	}{
+		{"a first end", time.Second, 100 * time.Millisecond, Suspect},
+		{"another run that it broke off", time.Millisecond, 300 * time.Millisecond, Suspect},
+		{"a second end", 200 * time.Millisecond, 50 * time.Millisecond, Suspect},
+		{"a third one", 200 * time.Millisecond, 50 * time.Millisecond, Refused},
+	} {
+		now = now.Add(step.after)
+		book.Ended(now, 1, "a", now.Add(-step.ran))
+		if got := book.Standing(now, 1); got != step.want {
+			t.Errorf("%s: %d, want %d", step.name, got, step.want)
+		}
+	}
+	report := book.Report(now.Add(time.Second))
+	if first := report.Runs[0]; first.AgoMillis != 1501 {
+		t.Errorf("the first run is told to have begun %d ms ago", first.AgoMillis)
+	}
+}
--- a/internal/quarantine/local.go
+++ b/internal/quarantine/local.go
@@ -18,9 +18,10 @@
 // NewLocal returns an empty quarantine.
 func NewLocal() *Local { return &Local{table: NewTable(), warden: NewWarden()} }
 
-// Ended takes in that a worker ended under the request.
-func (l *Local) Ended(now time.Time, request Fingerprint, worker string) {
-	l.take(now, wire.RunReport{Request: uint64(request), Worker: WorkerHash(worker)})
+// Ended takes in that a worker ended under a run of the request that began at began.
+func (l *Local) Ended(now time.Time, request Fingerprint, worker string, began time.Time) {
+	run := ownRun{wire.RunReport{Request: uint64(request), Worker: WorkerHash(worker)}, now, began}
+	l.take(now, run.reportAt(now))
 }
 
 // Good takes in that the request came to a good end.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"slices"
 	"sort"
 
@@ -15,6 +16,9 @@
 	// sameEndMillis is how far apart two reports of one worker's end may be, from the
 	// processes that saw it: the time that a report may take through an election.
 	sameEndMillis = 1500
+	// restartMillis is how long a worker takes at least from an end to a run of its next
+	// life. A run that began later than that after an end was not broken off by it.
+	restartMillis = 50
 	// maxEnds bounds the ends that are kept of a request, maxRows the requests: 150 KB.
 	maxEnds = 8
 	maxRows = 1024
@@ -54,7 +58,7 @@
 	}
 	touched := map[Fingerprint]bool{}
 	for _, run := range command.Runs {
-		if request := Fingerprint(run.Request); t.take(request, run.Worker, command.AtMillis) {
+		if request := Fingerprint(run.Request); t.take(request, &run, command.AtMillis) {
 			touched[request] = true
 		}
 	}
@@ -102,8 +106,12 @@
 }
 
 // take takes one run in and reports whether anything changed.
-func (t *Table) take(request Fingerprint, worker uint32, at int64) bool {
+func (t *Table) take(request Fingerprint, run *wire.RunReport, at int64) bool {
 	row := t.rows[request]
+	worker, began := run.Worker, int64(math.MinInt64)
+	if run.AgoMillis > 0 {
+		began = at - int64(run.AgoMillis)
+	}
 	if worker == 0 {
 		if row == nil {
 			return false
@@ -111,7 +119,7 @@
 		t.remove(request)
 		return true
 	}
-	if t.has(row, worker, at) || t.explained(request, worker, at) {
+	if t.has(row, worker, at, began) || t.explained(request, worker, at, began) {
 		return false
 	}
 	if row == nil {
@@ -129,13 +137,14 @@
 	return true
 }
 
-// has reports whether the end is among the row's.
-func (t *Table) has(row *wire.QuarantineEntry, worker uint32, at int64) bool {
+// has reports whether the end of a run that began at began is among the row's.
+func (t *Table) has(row *wire.QuarantineEntry, worker uint32, at, began int64) bool {
 	if row == nil {
 		return false
 	}
 	return slices.ContainsFunc(row.Ends, func(end wire.WorkerEnd) bool {
-		return end.Worker == worker && max(end.AtMillis-at, at-end.AtMillis) < sameEndMillis
+		near := max(end.AtMillis-at, at-end.AtMillis) < sameEndMillis
+		return end.Worker == worker && near && began <= end.AtMillis+restartMillis
 	})
 }
 
@@ -143,9 +152,9 @@
 // Whoever was on the worker with that one is not to blame. What was refused just now
 // explains nothing yet: of two requests that were on the same workers, the harmless one may
 // have come first.
-func (t *Table) explained(request Fingerprint, worker uint32, at int64) bool {
+func (t *Table) explained(request Fingerprint, worker uint32, at, began int64) bool {
 	for other, row := range t.rows {
-		if other != request && row.Settled && t.has(row, worker, at) {
+		if other != request && row.Settled && t.has(row, worker, at, began) {
 			return true
 		}
 	}
@@ -165,7 +174,7 @@
 			continue
 		}
 		left := slices.DeleteFunc(slices.Clone(row.Ends), func(end wire.WorkerEnd) bool {
-			return t.has(culprit, end.Worker, end.AtMillis)
+			return t.has(culprit, end.Worker, end.AtMillis, math.MinInt64)
 		})
 		if len(left) == len(row.Ends) {
 			continue
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -16,6 +16,11 @@
 	return wire.RunReport{Request: uint64(request), Worker: worker}
 }
 
+// begun is the end of a run that began so many milliseconds before the report.
+func begun(request Fingerprint, worker, ago uint32) wire.RunReport {
+	return wire.RunReport{Request: uint64(request), Worker: worker, AgoMillis: ago}
+}
+
 func good(request Fingerprint) wire.RunReport { return wire.RunReport{Request: uint64(request)} }
 
 func refused(t *Table, request Fingerprint) bool {
@@ -62,6 +67,14 @@
 		{"one worker that keeps its name", []wire.QuarantineCommand{
 			{Runs: []wire.RunReport{end(deadly, 11)}}, {AtMillis: 4000, Runs: []wire.RunReport{end(deadly, 11)}}, {AtMillis: 8000, Runs: []wire.RunReport{end(deadly, 11)}},
 		}, map[Fingerprint]bool{deadly: true}},
+		{"one worker that is back each time within the second", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{begun(deadly, 11, 40)}}, {AtMillis: 400, Runs: []wire.RunReport{begun(deadly, 11, 200)}},
+			{AtMillis: 500, Runs: []wire.RunReport{begun(deadly, 11, 300)}}, {AtMillis: 900, Runs: []wire.RunReport{begun(deadly, 11, 30)}},
+		}, map[Fingerprint]bool{deadly: true}},
+		{"one end, told by those whose runs began before it", []wire.QuarantineCommand{
+			{Runs: []wire.RunReport{begun(deadly, 11, 40)}}, {AtMillis: 10, Runs: []wire.RunReport{begun(deadly, 11, 5)}},
+			{AtMillis: 400, Runs: []wire.RunReport{begun(deadly, 11, 500)}}, {AtMillis: 900, Runs: []wire.RunReport{begun(deadly, 11, 880)}},
+		}, nil},
 		{"a good end between", []wire.QuarantineCommand{
 			{Runs: []wire.RunReport{end(frequent, 11), end(frequent, 12), good(frequent)}}, {Runs: []wire.RunReport{end(frequent, 13), end(frequent, 14)}},
 		}, nil},
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -67,6 +67,8 @@
 	meter  *traffic.Meter
 	// looks holds the looks at workers that broke off, by worker, while they last.
 	looks map[string]*look
+	// born holds since when workers have been there, where they were looked at.
+	born map[string]int64
 }
 
 // Measure makes the client count its requests in the meter. It must be called before
@@ -75,7 +77,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(names *dialect.Dialect) *Client {
-	return &Client{dialect: names, dialer: net.Dialer{Timeout: dialTimeout}, idle: map[string][]*connection{}, looks: map[string]*look{}}
+	return &Client{dialect: names, dialer: net.Dialer{Timeout: dialTimeout}, idle: map[string][]*connection{}, looks: map[string]*look{}, born: map[string]int64{}}
 }
 
 // Connections returns how many connections were made, and how many requests went
@@ -90,6 +92,11 @@
 func (c *Client) Forget(keep func(id string) bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	for id := range c.born {
+		if !keep(id) {
+			delete(c.born, id)
+		}
+	}
 	for id, connections := range c.idle {
 		if keep(id) {
 			continue
@@ -149,6 +156,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return c.sendOver(ctx, endpoint, connection, request, headBy)
+}
+
+// sendOver sends a request over a connection.
+func (c *Client) sendOver(ctx context.Context, endpoint Endpoint, connection *connection, request *Request, headBy time.Time) (*Response, error) {
 	response := &Response{client: c, endpoint: endpoint, connection: connection, written: make(chan error, 1)}
 	response.release = context.AfterFunc(ctx, func() { _ = connection.Close() })
 	if err := response.write(request); err != nil {
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -24,15 +25,20 @@
 
 // look is a look at a worker that others wait for.
 type look struct {
-	done  chan struct{}
-	ended bool
+	done chan struct{}
+	// refused is set where nobody listens at the address. born is since when the worker that
+	// does listen has been there, in milliseconds by its clock, zero for unknown; before is
+	// the same at an earlier look.
+	refused bool
+	born    int64
+	before  int64
 }
 
-// Ended reports whether the worker, which has just broken off, has ended: nobody listens
-// at its address any more. A reset connection, a spoilt answer or a silent network is not
-// an end. Those who ask at the same time share one connection, which is kept where it
-// comes about.
-func (c *Client) Ended(ctx context.Context, endpoint Endpoint) bool {
+// Ended reports whether the worker, which has just broken off a request that began at
+// began, has ended: nobody listens at its address any more, or it says that it has started
+// since. A reset connection, a spoilt answer or a silent network is not an end. Those who
+// ask at the same time share one look.
+func (c *Client) Ended(ctx context.Context, endpoint Endpoint, began time.Time) bool {
 	c.mutex.Lock()
 	shared := c.looks[endpoint.ID]
 	if shared == nil {
@@ -43,28 +49,71 @@
 	c.mutex.Unlock()
 	select {
 	case <-shared.done:
-		return shared.ended
+		return shared.ended(began)
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// ended reports whether a life that had a request at began is over. Without an earlier look
+// the worker's time of day has to do, against this machine's.
+func (l *look) ended(began time.Time) bool {
+	switch {
+	case l.refused:
+		return true
+	case l.born == 0:
+		return false
+	case l.before != 0:
+		return l.born != l.before
+	}
+	return l.born > time.Now().Add(-clock.Since(began)).UnixMilli()
+}
+
 func (c *Client) look(endpoint Endpoint, l *look) {
 	// Whoever asked first may leave before the others.
 	ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
 	defer cancel()
 	conn, err := c.dialer.DialContext(ctx, "tcp", endpoint.Address)
-	l.ended = errors.Is(err, syscall.ECONNREFUSED)
+	l.refused = errors.Is(err, syscall.ECONNREFUSED)
+	if err == nil {
+		l.born = c.askBorn(ctx, endpoint, newConnection(conn))
+	}
 	c.mutex.Lock()
 	delete(c.looks, endpoint.ID)
 	if err == nil {
 		c.dialed++
 	}
+	l.before = c.born[endpoint.ID]
+	switch {
+	case l.refused:
+		delete(c.born, endpoint.ID)
+	case l.born != 0:
+		c.born[endpoint.ID] = l.born
+	}
 	c.mutex.Unlock()
-	if err == nil {
-		fresh := newConnection(conn)
+	close(l.done)
+}
+
+// askBorn asks a worker since when it has been there, and keeps the connection. It returns
+// zero where the worker does not tell.
+func (c *Client) askBorn(ctx context.Context, endpoint Endpoint, fresh *connection) int64 {
+	if c.dialect.Report == "" {
 		fresh.idleUntil = clock.Now().Add(defaultIdle)
 		c.keep(endpoint.ID, fresh)
+		return 0
 	}
-	close(l.done)
+	request := &Request{Method: http.MethodGet, Target: c.dialect.Report, Host: endpoint.Address}
+	response, err := c.sendOver(ctx, endpoint, fresh, request, time.Now().Add(endedTimeout))
+	if err != nil {
+		return 0
+	}
+	defer response.Close()
+	body, err := io.ReadAll(io.LimitReader(response, maxReportBytes))
+	if err != nil || response.Status != http.StatusOK {
+		return 0
+	}
+	return c.dialect.BornOf(body)
 }
+
+// maxReportBytes bounds what a worker says of itself.
+const maxReportBytes = 64 << 10
--- a/internal/upstream/ended_test.go
+++ b/internal/upstream/ended_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 )
 
@@ -40,7 +41,7 @@
 			if !BrokeOff(err) {
 				t.Fatalf("the end of the exchange is %v", err)
 			}
-			if ended := client.Ended(context.Background(), w.endpoint); ended != test.ends {
+			if ended := client.Ended(context.Background(), w.endpoint, clock.Now()); ended != test.ends {
 				t.Errorf("ended %t", ended)
 			}
 			if kept := len(client.idle[w.endpoint.ID]); kept > 0 == test.ends {
--- a/internal/wire/quarantine.go
+++ b/internal/wire/quarantine.go
@@ -14,6 +14,9 @@
 	// Worker is the hash of the worker's id, where it ended under the request; zero means
 	// a good end.
 	Worker uint32
+	// AgoMillis is how long before the report the run began, zero for unknown. A run that
+	// began after an end of the worker tells of another end: the worker was back.
+	AgoMillis uint32
 }
 
 // QuarantineReport is what a process tells the coordinators of runs, and asks of them.
--- a/internal/wire/quarantine_gen.go
+++ b/internal/wire/quarantine_gen.go
@@ -232,8 +232,8 @@
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 					return
 				}
 				z.Runs[za0001].Request, err = dc.ReadUint64()
@@ -246,6 +246,11 @@
 					err = msgp.WrapError(err, "Runs", za0001, "Worker")
 					return
 				}
+				z.Runs[za0001].AgoMillis, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Runs", za0001, "AgoMillis")
+					return
+				}
 			}
 		case "trial":
 			z.Trial, err = dc.ReadUint64()
@@ -417,8 +422,8 @@
 			return
 		}
 		for za0001 := range z.Runs {
-			// array header, size 2
-			err = en.Append(0x92)
+			// array header, size 3
+			err = en.Append(0x93)
 			if err != nil {
 				return
 			}
@@ -432,6 +437,11 @@
 				err = msgp.WrapError(err, "Runs", za0001, "Worker")
 				return
 			}
+			err = en.WriteUint32(z.Runs[za0001].AgoMillis)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs", za0001, "AgoMillis")
+				return
+			}
 		}
 		// write "trial"
 		err = en.Append(0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
@@ -546,10 +556,11 @@
 		o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
 		for za0001 := range z.Runs {
-			// array header, size 2
-			o = append(o, 0x92)
+			// array header, size 3
+			o = append(o, 0x93)
 			o = msgp.AppendUint64(o, z.Runs[za0001].Request)
 			o = msgp.AppendUint32(o, z.Runs[za0001].Worker)
+			o = msgp.AppendUint32(o, z.Runs[za0001].AgoMillis)
 		}
 		// string "trial"
 		o = append(o, 0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
@@ -643,8 +654,8 @@
 					err = msgp.WrapError(err, "Runs", za0001)
 					return
 				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 					return
 				}
 				z.Runs[za0001].Request, bts, err = msgp.ReadUint64Bytes(bts)
@@ -657,6 +668,11 @@
 					err = msgp.WrapError(err, "Runs", za0001, "Worker")
 					return
 				}
+				z.Runs[za0001].AgoMillis, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Runs", za0001, "AgoMillis")
+					return
+				}
 			}
 		case "trial":
 			z.Trial, bts, err = msgp.ReadUint64Bytes(bts)
@@ -791,7 +807,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *QuarantineCommand) Msgsize() (s int) {
-	s = 1 + 10 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize + (len(z.Runs) * (16 + msgp.Uint64Size + msgp.Uint32Size)) + 6 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize + (len(z.Settled) * (msgp.Uint64Size)) + 8 + msgp.ArrayHeaderSize + (len(z.Expired) * (msgp.Uint64Size)) + 9
+	s = 1 + 10 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize + (len(z.Runs) * (26 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size)) + 6 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize + (len(z.Settled) * (msgp.Uint64Size)) + 8 + msgp.ArrayHeaderSize + (len(z.Expired) * (msgp.Uint64Size)) + 9
 	if z.Restated == nil {
 		s += msgp.NilSize
 	} else {
@@ -1664,8 +1680,8 @@
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 					return
 				}
 				z.Runs[za0001].Request, err = dc.ReadUint64()
@@ -1678,6 +1694,11 @@
 					err = msgp.WrapError(err, "Runs", za0001, "Worker")
 					return
 				}
+				z.Runs[za0001].AgoMillis, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Runs", za0001, "AgoMillis")
+					return
+				}
 			}
 		case "trial":
 			z.Trial, err = dc.ReadUint64()
@@ -1716,8 +1737,8 @@
 		return
 	}
 	for za0001 := range z.Runs {
-		// array header, size 2
-		err = en.Append(0x92)
+		// array header, size 3
+		err = en.Append(0x93)
 		if err != nil {
 			return
 		}
@@ -1731,6 +1752,11 @@
 			err = msgp.WrapError(err, "Runs", za0001, "Worker")
 			return
 		}
+		err = en.WriteUint32(z.Runs[za0001].AgoMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Runs", za0001, "AgoMillis")
+			return
+		}
 	}
 	// write "trial"
 	err = en.Append(0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
@@ -1763,10 +1789,11 @@
 	o = append(o, 0x83, 0xa4, 0x72, 0x75, 0x6e, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
 	for za0001 := range z.Runs {
-		// array header, size 2
-		o = append(o, 0x92)
+		// array header, size 3
+		o = append(o, 0x93)
 		o = msgp.AppendUint64(o, z.Runs[za0001].Request)
 		o = msgp.AppendUint32(o, z.Runs[za0001].Worker)
+		o = msgp.AppendUint32(o, z.Runs[za0001].AgoMillis)
 	}
 	// string "trial"
 	o = append(o, 0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
@@ -1822,8 +1849,8 @@
 					err = msgp.WrapError(err, "Runs", za0001)
 					return
 				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 					return
 				}
 				z.Runs[za0001].Request, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1836,6 +1863,11 @@
 					err = msgp.WrapError(err, "Runs", za0001, "Worker")
 					return
 				}
+				z.Runs[za0001].AgoMillis, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Runs", za0001, "AgoMillis")
+					return
+				}
 			}
 		case "trial":
 			z.Trial, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1863,7 +1895,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *QuarantineReport) Msgsize() (s int) {
-	s = 1 + 5 + msgp.ArrayHeaderSize + (len(z.Runs) * (16 + msgp.Uint64Size + msgp.Uint32Size)) + 6 + msgp.Uint64Size + 6 + msgp.Uint64Size
+	s = 1 + 5 + msgp.ArrayHeaderSize + (len(z.Runs) * (26 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size)) + 6 + msgp.Uint64Size + 6 + msgp.Uint64Size
 	return
 }
 
@@ -2217,8 +2249,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Request, err = dc.ReadUint64()
@@ -2231,13 +2263,18 @@
 		err = msgp.WrapError(err, "Worker")
 		return
 	}
+	z.AgoMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgoMillis")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z RunReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -2251,16 +2288,22 @@
 		err = msgp.WrapError(err, "Worker")
 		return
 	}
+	err = en.WriteUint32(z.AgoMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgoMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z RunReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Request)
 	o = msgp.AppendUint32(o, z.Worker)
+	o = msgp.AppendUint32(o, z.AgoMillis)
 	return
 }
 
@@ -2272,8 +2315,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Request, bts, err = msgp.ReadUint64Bytes(bts)
@@ -2286,13 +2329,18 @@
 		err = msgp.WrapError(err, "Worker")
 		return
 	}
+	z.AgoMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgoMillis")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z RunReport) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
