Quarantine's gate is a pure core, and fleetsim has coordinators of two builds

The gate stood in the coordinator's daemon; now package quarantine has it, the daemon and the simulator drive it, and a new leader that knows anything restates it.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -67,13 +67,10 @@
 	quarantineAt quarantineMark
 
 	// mutex guards what follows.
-	mutex  sync.Mutex
-	view   *fleetview.View
-	warden *quarantine.Warden
-	// passing is set while a coordinator is known whose build passes over commands of the
-	// quarantine. restate is set from then until what is known has been restated.
-	passing bool
-	restate bool
+	mutex   sync.Mutex
+	view    *fleetview.View
+	warden  *quarantine.Warden
+	gate    quarantine.Gate
 	changed chan struct{}
 	// pages are those of a first reading that are still to be told, pagesAt is when some
 	// were told last.
@@ -158,6 +155,7 @@
 		defer c.mutex.Unlock()
 		if c.view == nil || c.view.Term != term {
 			c.view, c.warden = fleetview.New(term), quarantine.NewWarden()
+			c.gate.Begin(c.machine.Quarantine())
 			c.pages = nil
 			logging.Info(c.logger, "leading", "term", term)
 		}
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -175,54 +175,29 @@
 
 // keepQuarantine carries out what follows from the time that has passed.
 func (c *Coordinator) keepQuarantine(ctx context.Context) {
-	if c.passedOver() != nil {
-		return
-	}
 	var command *wire.QuarantineCommand
-	restated := false
 	err := c.readLeader(func(now time.Time, _ *fleetview.View) {
-		if restated = c.restate; restated {
-			command = &wire.QuarantineCommand{Restated: c.machine.Quarantine().State()}
-			return
-		}
-		command = c.warden.Look(now, c.machine.Quarantine())
+		command = c.gate.Command(c.warden.Look(now, c.machine.Quarantine()), c.machine.Quarantine())
 	})
 	if err != nil || command == nil {
 		return
 	}
 	_, err = c.propose(ctx, &wire.FleetCommand{Quarantine: command})
-	if restated && err == nil {
+	if command.Restated != nil && err == nil {
 		c.mutex.Lock()
-		c.restate = false
+		c.gate.Restated()
 		c.mutex.Unlock()
 	}
-	logging.Info(c.logger, "quarantine_kept", "settled", len(command.Settled), "expired", len(command.Expired), "restated", restated, "error", err)
+	logging.Info(c.logger, "quarantine_kept", "settled", len(command.Settled), "expired", len(command.Expired), "restated", command.Restated != nil, "error", err)
 }
 
-// noteGenerations takes in the builds of the coordinators known. What a replica executes
-// must not depend on its build: while one is there that would pass over commands of the
-// quarantine none is written, and once all can read them what is known is restated, so
-// that all replicas have the same again.
+// noteGenerations takes in the builds of the coordinators known.
 func (c *Coordinator) noteGenerations(processes []wire.Process) {
-	older := olderThan(processes, wire.GenerationCurrent)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if passing := older != ""; passing != c.passing {
-		c.passing = passing
-		logging.Info(c.logger, "quarantine_replicated", "possible", !passing, "older_build_at", older)
-	}
-	c.restate = c.restate || c.passing
-}
-
-// olderThan returns the address of a process whose build is of an older generation, also
-// if it has been silent for a while, or nothing.
-func olderThan(processes []wire.Process, generation wire.Generation) string {
-	for i := range processes {
-		if hello := &processes[i].Hello; hello.Generation() < generation {
-			return hello.Replica.Address
-		}
+	if c.gate.Note(processes) {
+		logging.Info(c.logger, "quarantine_replicated", "possible", c.gate.Older() == "", "older_build_at", c.gate.Older())
 	}
-	return ""
 }
 
 // passedOver returns the refusal of commands of the quarantine while a coordinator would
@@ -230,8 +205,5 @@
 func (c *Coordinator) passedOver() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.passing {
-		return nil
-	}
-	return failure.New(failure.NotRun, "replace the coordinators of the older build", "a coordinator of an older build would pass over what is known of requests under which workers ended")
+	return c.gate.Refusal()
 }
--- a/internal/coordinator/quarantine_test.go
+++ b/internal/coordinator/quarantine_test.go
@@ -3,9 +3,7 @@
 import (
 	"testing"
 
-	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/fleetstate"
-	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -51,31 +49,3 @@
 		}
 	}
 }
-
-// TestOlderBuildsStopTheQuarantine lets coordinators of both generations be known: while
-// one of the first is, no command of the quarantine is taken, and what is known is restated
-// once it is gone.
-func TestOlderBuildsStopTheQuarantine(t *testing.T) {
-	c := &Coordinator{machine: fleetstate.New(), logger: logging.Discard()}
-	process := func(address string, generation wire.Generation) wire.Process {
-		known := wire.Process{Hello: wire.Hello{Replica: wire.Replica{Address: address}}}
-		known.Hello.WrittenBy(generation)
-		return known
-	}
-	own, newer, older := process("a", 0), process("b", wire.GenerationCurrent), process("c", wire.GenerationFirst)
-	older.SilentMillis = 60_000
-	for _, step := range []struct {
-		name             string
-		processes        []wire.Process
-		refused, restate bool
-	}{
-		{"all of this build", []wire.Process{own, newer}, false, false},
-		{"one of the first, silent", []wire.Process{own, newer, older}, true, true},
-		{"it is replaced", []wire.Process{own, newer}, false, true},
-	} {
-		c.noteGenerations(step.processes)
-		if refusal := c.passedOver(); (refusal != nil) != step.refused || refusal != nil && !failure.Is(refusal, failure.NotRun) || c.restate != step.restate {
-			t.Errorf("%s: %v, to be restated: %v", step.name, refusal, c.restate)
-		}
-	}
-}
--- a/internal/fleetsim/edges.go
+++ b/internal/fleetsim/edges.go
@@ -316,6 +316,9 @@
 	known, life := e.book.Revision(), e.life
 	for _, core := range e.world.of(kindCoordinator) {
 		e.transmit(core, func() {
+			if core.older {
+				return
+			}
 			core.lead(func(*fleetview.View) {
 				news := core.fleet.Quarantine().Since(known)
 				if news.Revision != known {
@@ -390,7 +393,7 @@
 	command := &wire.QuarantineCommand{Runs: report.Runs, AtMillis: m.clock().UnixMilli()}
 	leads := false
 	m.lead(func(*fleetview.View) {
-		leads = true
+		leads = !m.older && m.gate.Refusal() == nil
 		if report.Trial == 0 {
 			return
 		}
@@ -418,9 +421,20 @@
 
 // keepQuarantine carries out what follows from the time that has passed.
 func (m *machine) keepQuarantine() {
+	if m.older {
+		return
+	}
+	m.noteGenerations()
 	var command *wire.QuarantineCommand
-	m.lead(func(*fleetview.View) { command = m.warden.Look(m.clock(), m.fleet.Quarantine()) })
-	if command != nil {
-		m.propose(0, &wire.FleetCommand{Quarantine: command}, nil)
+	m.lead(func(*fleetview.View) {
+		command = m.gate.Command(m.warden.Look(m.clock(), m.fleet.Quarantine()), m.fleet.Quarantine())
+	})
+	if command == nil {
+		return
 	}
+	m.propose(0, &wire.FleetCommand{Quarantine: command}, func(_ []byte, err error) {
+		if err == nil && command.Restated != nil {
+			m.gate.Restated()
+		}
+	})
 }
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -62,6 +62,9 @@
 	batch  []*batchstate.Machine
 	view   *fleetview.View
 	warden *quarantine.Warden
+	gate   quarantine.Gate
+	// older is set while the machine runs a build of the first generation.
+	older bool
 	// known is what a store knows of the fleet.
 	knownTerm, knownView uint64
 	fleetView            wire.FleetView
@@ -72,6 +75,7 @@
 	prefix := map[bool]string{true: "core", false: "store"}[kind == kindCoordinator]
 	m := &machine{world: w, kind: kind, name: fmt.Sprintf("%s-%d", prefix, len(w.machines)+1), disk: storage.NewMemory(), cut: map[string]bool{}}
 	w.machines = append(w.machines, m)
+	m.older = w.twoBuilds && kind == kindCoordinator && w.now.Equal(began)
 	m.start(bootstrap)
 	return m
 }
@@ -111,6 +115,7 @@
 	m.life++
 	m.alive, m.frozen, m.backlog = true, false, nil
 	m.knownTerm, m.knownView, m.view = 0, 0, nil
+	m.gate = quarantine.Gate{}
 	m.fleetView = wire.FleetView{}
 	options := replication.Options{
 		Store:             m.mutatedStore(),
@@ -127,7 +132,7 @@
 	}
 	if m.kind == kindCoordinator {
 		m.fleet = fleetstate.New()
-		options.Machines = []replication.StateMachine{w.mutation.machine(m.fleet)}
+		options.Machines = []replication.StateMachine{m.builtAs(w.mutation.machine(m.fleet))}
 		options.Formation, options.Bootstrap = replication.FormBySeeds, bootstrap
 		options.Peers, options.Voters = w.seeds(), 9
 		if len(options.Peers) < 3 {
@@ -255,10 +260,10 @@
 		if to == nil || to == m || to.kind != m.kind {
 			continue
 		}
-		hello := m.node.Hello()
+		hello := m.hello()
 		m.transmit(to, func() {
 			to.drive(func() { to.node.Hear(to.clock(), &hello) })
-			answer := to.node.Hello()
+			answer := to.hello()
 			to.transmit(m, func() { m.drive(func() { m.node.Hear(m.clock(), &answer) }) })
 		})
 	}
@@ -269,6 +274,7 @@
 	_ = m.node.Read(m.clock(), 0, func(term uint64, _ storage.Reader) error {
 		if m.view == nil || m.view.Term != term {
 			m.view, m.warden = fleetview.New(term), quarantine.NewWarden()
+			m.gate.Begin(m.fleet.Quarantine())
 		}
 		read(m.view)
 		return nil
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -44,10 +44,13 @@
 	// MutationOneLife keeps over a worker's lives that it ended under a request: a further
 	// end under its id is none.
 	MutationOneLife Mutation = "one_life"
+	// MutationNoGate writes commands of the quarantine whatever builds are there, and
+	// restates nothing.
+	MutationNoGate Mutation = "no_gate"
 )
 
 // Mutations lists all that take something away.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationOwnEnds, MutationForgetEnds, MutationNoAcquittal, MutationOneLife}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationOwnEnds, MutationForgetEnds, MutationNoAcquittal, MutationOneLife, MutationNoGate}
 
 // mutatedStore returns the machine's disk, or one that lies.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -35,6 +35,9 @@
 	workers  []*simWorker
 	// sameIDs is set in each fourth seed: few workers, which start again under their ids.
 	sameIDs bool
+	// twoBuilds is set in each fourth seed, too: the coordinators begin on a build of the
+	// first generation and are replaced one after the other; one goes back for a while.
+	twoBuilds bool
 	// deadlySent, deadlyEnds and deadlyLate count how often the deadly request was sent to
 	// workers, those that ended under it, and what edges in touch sent later than contact
 	// after thirdEnd.
@@ -114,7 +117,7 @@
 
 // Run runs a seed and returns the violations found.
 func Run(seed uint64, mutation Mutation) (*World, []string) {
-	w := &World{random: rand.New(rand.NewPCG(seed, 7)), luck: rand.New(rand.NewPCG(seed, 8)), mutation: mutation, now: began, sameIDs: seed%4 == 2}
+	w := &World{random: rand.New(rand.NewPCG(seed, 7)), luck: rand.New(rand.NewPCG(seed, 8)), mutation: mutation, now: began, sameIDs: seed%4 == 2, twoBuilds: seed%8 == 1 || seed%8 == 3}
 	if seed%2 == 1 {
 		w.greetAll = 1
 	}
@@ -129,6 +132,7 @@
 	w.ledger.begin()
 	w.beginFaults()
 	w.beginEdges()
+	w.beginBuilds()
 	w.after(healAt, w.heal)
 	end := began.Add(endAt)
 	for w.events.Len() > 0 {
@@ -141,5 +145,6 @@
 	}
 	w.now = end
 	w.ledger.finish()
+	w.checkAlike()
 	return w, w.ledger.violations
 }
--- /dev/null
+++ b/internal/quarantine/gate.go
@@ -0,0 +1,58 @@
+package quarantine
+
+import (
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// Gate keeps commands of the quarantine out of the log while a replica would pass over
+// them: what a replica executes must depend on the log alone, never on its build. Once all
+// can read them, and at the begin of a term, what is known is restated, so that replicas
+// that passed over something have the same again. The zero Gate is open. It is pure, and
+// not safe for concurrent use.
+type Gate struct {
+	older   string
+	restate bool
+}
+
+// Note takes in the processes that hold replicas, also those that are silent, and reports
+// whether that opened or closed the gate.
+func (g *Gate) Note(processes []wire.Process) bool {
+	before := g.older
+	g.older = ""
+	for i := range processes {
+		if hello := &processes[i].Hello; hello.Generation() < wire.GenerationCurrent {
+			g.older, g.restate = hello.Replica.Address, true
+		}
+	}
+	return (g.older == "") != (before == "")
+}
+
+// Begin takes in that this process begins to lead with the table.
+func (g *Gate) Begin(t *Table) { g.restate = g.restate || t.Revision() > 0 }
+
+// Older returns the address of a process whose build would pass over commands, empty for none.
+func (g *Gate) Older() string { return g.older }
+
+// Refusal returns why no command may be written now, or nil.
+func (g *Gate) Refusal() error {
+	if g.older == "" {
+		return nil
+	}
+	return failure.New(failure.NotRun, "replace the coordinators of the older build", "%s, of an older build, would pass over what is known of requests under which workers ended", g.older)
+}
+
+// Command returns the command that is due, nil for none: what is known is restated, or
+// what follows from the time that has passed is carried out.
+func (g *Gate) Command(due *wire.QuarantineCommand, t *Table) *wire.QuarantineCommand {
+	switch {
+	case g.older != "":
+		return nil
+	case g.restate:
+		return &wire.QuarantineCommand{Restated: t.State()}
+	}
+	return due
+}
+
+// Restated takes in that what is known has been restated.
+func (g *Gate) Restated() { g.restate = false }
