--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -30,6 +30,7 @@
 		10184: "two stores were asked to be emptied at the same time, each as if it were alone",
 		40821: "a store lost 2 s ago counted as remaining when another was asked to be emptied",
 		61519: "a store that was to be replaced let another one be emptied though it was gone",
+		81574: "a harmless request, refused with a deadly one, was tried beside it, and rested for a minute",
 	} {
 		if world, violations := Run(seed, MutationNone); len(violations) > 0 {
 			t.Errorf("seed %d (%s): %v\n%v", seed, was, violations, world.Log)
--- a/internal/quarantine/warden.go
+++ b/internal/quarantine/warden.go
@@ -36,6 +36,11 @@
 // than it should be. It is not safe for concurrent use.
 type Warden struct {
 	terms map[Fingerprint]*term
+	// trying is the request that was granted a trial last, at tryingAt, ended what had
+	// ended last under it by then.
+	trying   Fingerprint
+	tryingAt time.Time
+	ended    wire.WorkerEnd
 }
 
 // term is since when this leader knows a row as it is.
@@ -128,6 +133,29 @@
 		}
 		return false, wait
 	}
+	if w.isTrying(now, t, request) {
+		return false, trialPoll
+	}
 	known.trialAt, known.granted = now.Add(trialPause(row.Trials+1)), now
+	w.trying, w.tryingAt, w.ended = request, now, lastEnd(row)
 	return true, 0
 }
+
+// isTrying reports whether another request is on trial. Requests that were refused together
+// are due together, too: on one worker a harmless one would be taken for deadly once more,
+// and rest for nextTrial.
+func (w *Warden) isTrying(now time.Time, t *Table, request Fingerprint) bool {
+	other := t.rows[w.trying]
+	if w.trying == request || other == nil || !other.Refused || now.Sub(w.tryingAt) >= trialTime {
+		return false
+	}
+	return lastEnd(other) == w.ended
+}
+
+// lastEnd returns what ended last under the request of a row.
+func lastEnd(row *wire.QuarantineEntry) wire.WorkerEnd {
+	if len(row.Ends) == 0 {
+		return wire.WorkerEnd{}
+	}
+	return row.Ends[len(row.Ends)-1]
+}
