Ends by start, and the gate: two holes closed on reading

An end that another look had seen already (same start at both looks) was none for a run that began in the life before: the time of the run's begin decides then, too. TestEndedByStart, TestGate.

--- a/internal/quarantine/gate.go
+++ b/internal/quarantine/gate.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"time"
+
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -15,14 +17,24 @@
 	restate bool
 }
 
+// goneAfter is how long a process must have been silent to keep the gate closed no longer:
+// a machine that was taken away on the older build would close it for good. If it comes
+// back, what it passed over is restated.
+const goneAfter = 20 * time.Second
+
 // Note takes in the processes that hold replicas, also those that are silent, and reports
 // whether that opened or closed the gate.
 func (g *Gate) Note(processes []wire.Process) bool {
 	before := g.older
 	g.older = ""
 	for i := range processes {
-		if hello := &processes[i].Hello; hello.Generation() < wire.GenerationCurrent {
-			g.older, g.restate = hello.Replica.Address, true
+		process := &processes[i]
+		if process.Hello.Generation() >= wire.GenerationCurrent {
+			continue
+		}
+		g.restate = true
+		if process.SilentMillis < goneAfter.Milliseconds() {
+			g.older = process.Hello.Replica.Address
 		}
 	}
 	return (g.older == "") != (before == "")
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -55,16 +55,16 @@
 	}
 }
 
-// ended reports whether a life that had a request at began is over. Without an earlier look
-// the worker's time of day has to do, against this machine's.
+// ended reports whether a life that had a request at began is over. Where an earlier look
+// does not show it, the worker's time of day has to do, against this machine's.
 func (l *look) ended(began time.Time) bool {
 	switch {
 	case l.refused:
 		return true
 	case l.born == 0:
 		return false
-	case l.before != 0:
-		return l.born != l.before
+	case l.before != 0 && l.born != l.before:
+		return true
 	}
 	return l.born > time.Now().Add(-clock.Since(began)).UnixMilli()
 }
--- a/internal/upstream/ended_test.go
+++ b/internal/upstream/ended_test.go
@@ -50,3 +50,27 @@
 		})
 	}
 }
+
+// TestEndedByStart judges by what a look has found: since when the worker has been there,
+// and what an earlier look found.
+func TestEndedByStart(t *testing.T) {
+	now := time.Now().UnixMilli()
+	began := clock.Now().Add(-time.Second)
+	for _, test := range []struct {
+		name string
+		look look
+		want bool
+	}{
+		{"nobody listens", look{refused: true}, true},
+		{"it does not tell", look{}, false},
+		{"there before the request", look{born: now - 5000}, false},
+		{"started since", look{born: now - 500}, true},
+		{"another start than at an earlier look", look{born: now - 5000, before: now - 9000}, true},
+		{"the same as at an earlier look", look{born: now - 5000, before: now - 5000}, false},
+		{"seen by an earlier look, and started since", look{born: now - 500, before: now - 500}, true},
+	} {
+		if got := test.look.ended(began); got != test.want {
+			t.Errorf("%s: ended %t", test.name, got)
+		}
+	}
+}
