Corpus: the suffix of empty samples is cut by the standard library

Found on reading the change once more: trim did what strings.TrimSuffix does. No sample changes (TestReleases compares them with the files).

--- a/internal/wire/corpus/corpus.go
+++ b/internal/wire/corpus/corpus.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"reflect"
+	"strings"
 
 	"github.com/tinylib/msgp/msgp"
 )
@@ -69,7 +70,7 @@
 	types := Types()
 	readings := map[string]Reading{}
 	for name, sample := range samples {
-		create := types[trim(name)]
+		create := types[strings.TrimSuffix(name, Empty)]
 		if create == nil {
 			continue
 		}
@@ -88,13 +89,6 @@
 	return readings, nil
 }
 
-func trim(name string) string {
-	if cut := len(name) - len(Empty); cut > 0 && name[cut:] == Empty {
-		return name[:cut]
-	}
-	return name
-}
-
 // filler sets fields to values that differ from one another.
 type filler struct{ last int }
 
