Consensus: a learner stands where it alone holds a log that can win

Cause, traced (each refusal and each log's end printed): store 8 led in term 12 and appended the joint membership that lets store 10, a learner, take the place of store 6 (entries 56 to 58), told to nobody. Store 7 led in term 13 with the votes of the old membership, told its first entry (56) to the learner alone, and lost its disk. Store 8 needs the learner's vote, and is refused, rightly: 56 of term 13 is newer than 58 of term 12. Store 6 has 51 entries and is refused by 8. The learner has the one log that can win and did not stand, because only voters did. Confirms the guess that the test had in its comment.

Change: a learner that has lately refused a candidate for a less complete log may stand. It counts the votes of the membership in its log, its own not among them, and steps down once its first entry is committed, as a replaced leader does.

Ruled out: letting the learner give its vote (56 may have been committed by stores 6 and 7).

TestLearnerStandsWhereNobodyElseCan red without the change.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -51,7 +51,11 @@
 func (r *Replica) answerVote(now time.Time, message *wire.PeerMessage) {
 	preVote := message.Kind == wire.MessagePreVote
 	free := r.vote == message.From || (r.vote == 0 && r.leader == 0) || (preVote && message.Term > r.term)
-	grant := free && r.log.upToDate(message.Index, message.LogTerm)
+	complete := r.log.upToDate(message.Index, message.LogTerm)
+	if !complete {
+		r.refusedAt = now
+	}
+	grant := free && complete
 	response := wire.PeerMessage{Kind: wire.MessageVoteResponse, To: message.From, Reject: !grant}
 	if preVote {
 		response.Kind = wire.MessagePreVoteResponse
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -77,6 +77,8 @@
 	started          time.Time
 	lastContact      time.Time
 	electionDeadline time.Time
+	// refusedAt is when a candidate was last refused because this log is more complete.
+	refusedAt time.Time
 
 	votes map[uint64]bool
 
@@ -129,7 +131,7 @@
 		r.tickLeader(now)
 		return
 	}
-	if !IsVoter(&r.membership, r.config.ID) {
+	if !r.mayStand(now) {
 		return
 	}
 	if r.soleVoter() || !now.Before(r.electionDeadline) {
@@ -137,6 +139,24 @@
 	}
 }
 
+// refusalCounts is how many of the shortest election timeouts the refusal of a candidate
+// lets a learner stand: candidates stand again within two of them.
+const refusalCounts = 3
+
+// mayStand reports whether the replica may stand for election: a voter, or a learner that
+// has lately refused a candidate whose log is less complete. Where a voter's disk is lost
+// within a change of membership, a learner may hold the one log that can win: voters who
+// know it as a voter need its vote, which it can't give. It counts the votes of the
+// membership in its log, its own not among them, and gives up its lead once its first
+// entry is committed; then a voter has that log, too.
+func (r *Replica) mayStand(now time.Time) bool {
+	if IsVoter(&r.membership, r.config.ID) {
+		return true
+	}
+	refused := !r.refusedAt.IsZero() && now.Sub(r.refusedAt) < refusalCounts*r.config.ElectionTimeout
+	return refused && Contains(r.membership.Learners, r.config.ID)
+}
+
 func (r *Replica) soleVoter() bool {
 	return len(r.membership.Voters) == 1 && len(r.membership.Outgoing) == 0 && r.membership.Voters[0].ID == r.config.ID
 }
--- a/internal/consensus/replica_test.go
+++ b/internal/consensus/replica_test.go
@@ -145,3 +145,59 @@
 		t.Errorf("membership %+v under %s", leader.membership, leader.role)
 	}
 }
+
+// lostWithinAChange is a group of voters 1, 2 and 4 with the learner 3. Leader 1 has appended
+// the change that lets 3 take the place of 2, and told nobody; 4 led after it, told its first
+// entry to the learner alone, and lost its disk.
+func lostWithinAChange(t *testing.T) *testCluster {
+	t.Helper()
+	voters := wire.Membership{Voters: []wire.Replica{{ID: 1}, {ID: 2}, {ID: 4}}, Learners: []wire.Replica{{ID: 3}}}
+	change := wire.Membership{Voters: []wire.Replica{{ID: 1}, {ID: 3}, {ID: 4}}, Outgoing: voters.Voters}
+	encoded, err := change.MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newTestCluster(0)
+	base, hard := wire.LogBase{Membership: voters}, wire.HardState{Term: 2}
+	first := wire.LogEntry{Index: 1, Term: 1}
+	c.stored[1] = &Restored{Base: base, HardState: hard, Entries: []wire.LogEntry{first, {Index: 2, Term: 1, Kind: wire.EntryMembership, Data: encoded}}}
+	c.stored[2] = &Restored{Base: base, HardState: hard, Entries: []wire.LogEntry{first}}
+	c.stored[3] = &Restored{Base: base, HardState: hard, Entries: []wire.LogEntry{first, {Index: 2, Term: 2, Kind: wire.EntryNoop}}}
+	for id := range c.stored {
+		c.start(id)
+	}
+	return c
+}
+
+// TestLearnerStandsWhereNobodyElseCan: without it the group had no leader for good. A voter
+// leads in the end, and the entry that a majority may have had is kept.
+func TestLearnerStandsWhereNobodyElseCan(t *testing.T) {
+	c := lostWithinAChange(t)
+	c.pass(20 * testElection)
+	leader := uint64(0)
+	for _, id := range c.ids() {
+		if c.replicas[id].Role() == Leader {
+			leader = id
+		}
+	}
+	if leader != 1 && leader != 2 {
+		t.Fatalf("%d leads:\n%s", leader, c.state())
+	}
+	for _, id := range c.ids() {
+		if term, _ := c.replicas[id].log.term(2); term != 2 {
+			t.Errorf("n%d has the entry of term %d at 2", id, term)
+		}
+	}
+}
+
+// TestLearnerStandsForNothing: a learner that refused nobody does not stand, however long it
+// hears no leader, and neither does one whose group has a leader.
+func TestLearnerStandsForNothing(t *testing.T) {
+	c := lostWithinAChange(t)
+	delete(c.replicas, 1)
+	delete(c.replicas, 2)
+	c.pass(20 * testElection)
+	if role := c.replicas[3].Role(); role != Follower {
+		t.Errorf("the learner is %s", role)
+	}
+}
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -69,12 +69,11 @@
 	}
 }
 
-// TestLostVoterWithinAChange replays a seed in which a store group has no leader for good.
-// What was seen: voters 7, 8 and 6 with the learner 10; store 7 loses its disk while store
-// 10 is to take the place of store 6. Only store 8 has the entry of the change, so it needs
-// the votes of both 10 and 6; 10 still takes itself for a learner and never stands for
-// election, and 6 is refused by 8. By these memberships the guess, not yet shown, is that 10
-// refuses 8 because it holds a later entry of a leader whose disk is gone.
+// TestLostVoterWithinAChange replays a seed in which a store group had no leader for good. A
+// leader appends the change that lets a learner take a voter's place, and tells nobody; the
+// next one tells its first entry to that learner alone, and loses its disk. The one voter
+// that knows of the change needs the learner's vote, whose log is more complete, and the
+// learner, which does not know that it is to be a voter, never stood.
 func TestLostVoterWithinAChange(t *testing.T) {
 	if world, violations := Run(101603, MutationNone); len(violations) > 0 {
 		t.Errorf("%v\n%v", violations, world.Log)
