Edge: a request that comes before the configuration is held for a moment

Cause: an edge answers all requests with 503 between its start and its first configuration and list of workers. Where all processes began at once that costs each caller its way back, though the configuration comes within the time that callers bear.

Change: such a request is read (up to 1 MiB, as a caller whose request is not read takes the connection for dead) and held until the configuration and a part of the list are there, for 0.8 s, a third of its time left, or as long as a start takes (2.4 s from the process's start) at most. 512 requests and 8 MiB are held together; what is more is refused at once as before. A caller that leaves is forgotten; a planned stop answers all that is held; what could not be served gets the refusal as before, not run. Calls on jobs wait for the configuration alone. A process that knows both does one look at a closed channel more. The product's and the platform's front hand requests to Edge.ServeWithJobs, which waits before it looks for a route.

Ruled out: refusing with a better Retry-After (callers come back once, and the time is not known before a leader is there); a read deadline that lets a slow body go on after the hold (net/http ends the request's context with it), so a body that is not whole by then is refused.

With maxHeld set to 0 TestHeldUntilConfigured and TestHeldAreBounded fail: 20 of 20 requests get 503. Now: go test -race -count=3 ./internal/edge passes.

--- a/internal/edge/api.go
+++ b/internal/edge/api.go
@@ -58,21 +58,12 @@
 
 // ServeHTTP implements http.Handler.
 func (a *API) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	var err error
-	if rest, ok := strings.CutPrefix(request.URL.Path, PathJobs); ok {
-		err = a.serveJob(writer, request, rest)
-	} else {
-		table := a.Edge.Table()
-		route := table.MatchBatch(request.Method, request.Host, request.URL.Path)
-		if route == nil {
-			a.Edge.ServeHTTP(writer, request)
-			return
-		}
-		if err = a.submit(request, table, route); err == nil {
-			writer.WriteHeader(http.StatusAccepted)
-		}
+	rest, isJob := strings.CutPrefix(request.URL.Path, PathJobs)
+	if !isJob {
+		a.Edge.ServeWithJobs(writer, request, a.submit)
+		return
 	}
-	if err != nil {
+	if err := a.serveJob(writer, request, rest); err != nil {
 		a.Edge.Refuse(writer, request, err)
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,6 +45,8 @@
 	hubs    atomic.Pointer[[]string]
 	metrics *metrics
 	started time.Time
+	// room holds requests that came before the configuration and the workers were known.
+	room *room
 
 	// Stores hands jobs to the stores.
 	Stores *storeclient.Client
@@ -78,6 +80,7 @@
 		overloads: map[string]*admission.Overload{},
 		reserve:   ratelimit.NewReserve(config.Name),
 		started:   clock.Now(),
+		room:      newRoom(),
 	}
 	e.setHubs(nil)
 	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.report)
@@ -148,6 +151,7 @@
 	e.upstream.Forget(e.workers.Knows)
 	e.keepTenants(snapshot.Table)
 	listed := snapshot.Fleet.Listed || snapshot.Fleet.Partial
+	e.learnt(snapshot.Table, listed)
 	if snapshot.Table != nil && listed && !e.daemon.Stopping() && !e.daemon.Ready() {
 		logging.Info(e.logger, "ready", "version", snapshot.Table.Configuration.Version)
 		e.daemon.SetReady(true)
@@ -183,6 +187,7 @@
 // drain is the first step of a planned stop: the process is not ready any more,
 // but goes on serving until callers are led elsewhere.
 func (e *Edge) drain(ctx context.Context) {
+	e.room.stop()
 	select {
 	case <-ctx.Done():
 	case <-time.After(e.settings.UnreadyTime.Std()):
@@ -211,8 +216,10 @@
 	// requests known for that.
 	ended       prometheus.Counter
 	quarantined prometheus.Counter
-	firstTime   *prometheus.HistogramVec
-	wholeTime   *prometheus.HistogramVec
+	// held counts requests that came before this process knew what they need.
+	held      *prometheus.CounterVec
+	firstTime *prometheus.HistogramVec
+	wholeTime *prometheus.HistogramVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -223,9 +230,10 @@
 		tenants:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_tenant_requests_total", Help: "Requests of tenants with a limit, by what came of it."}, []string{"tenant", "outcome"}),
 		ended:       prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_worker_ends_total", Help: "Requests whose worker ended under them."}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
+		held:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_held_total", Help: "Requests that came before the configuration or the workers were known, by what they needed and what came of it."}, []string{"need", "outcome"}),
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.firstTime, m.wholeTime)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime)
 	return m
 }
--- a/internal/edge/identity.go
+++ b/internal/edge/identity.go
@@ -40,10 +40,10 @@
 // jobOwner returns whose jobs the request may see. Where the host takes jobs without a
 // key, a request without one sees those that belong to nobody.
 func (e *Edge) jobOwner(now time.Time, request *http.Request) (tenancy.Name, error) {
-	table := e.Table()
-	if table == nil {
-		return "", noConfiguration(now.Sub(e.started))
+	if err := e.await(nil, request, time.Now(), needConfiguration); err != nil {
+		return "", err
 	}
+	table := e.Table()
 	tenant, err := e.identify(now, table, table.TakesPublicJobs(request.Host), request)
 	return tenant.Owner(), err
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -27,13 +27,42 @@
 
 // ServeHTTP passes an opaque request on.
 func (e *Edge) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	arrived, now := time.Now(), clock.Now()
-	e.closeWhenStopping(writer)
+	e.serve(writer, request, time.Now())
+}
+
+// Submit hands in the job that a request brings, by the batch route that takes it.
+type Submit func(request *http.Request, table *routetable.Table, route *routetable.Route) error
+
+// ServeWithJobs gives a request to submit, if a batch route takes it, and passes it on as
+// ServeHTTP does otherwise. Once submit has returned without a failure, the request is
+// answered as accepted.
+func (e *Edge) ServeWithJobs(writer http.ResponseWriter, request *http.Request, submit Submit) {
+	arrived := time.Now()
+	if err := e.await(writer, request, arrived, needConfiguration); err != nil {
+		e.Refuse(writer, request, err)
+		return
+	}
 	table := e.Table()
-	if table == nil {
-		e.Refuse(writer, request, noConfiguration(now.Sub(e.started)))
+	route := table.MatchBatch(request.Method, request.Host, request.URL.Path)
+	if route == nil {
+		e.serve(writer, request, arrived)
 		return
 	}
+	if err := submit(request, table, route); err != nil {
+		e.Refuse(writer, request, err)
+		return
+	}
+	writer.WriteHeader(http.StatusAccepted)
+}
+
+// serve passes on a request that arrived at the given time.
+func (e *Edge) serve(writer http.ResponseWriter, request *http.Request, arrived time.Time) {
+	e.closeWhenStopping(writer)
+	if err := e.await(writer, request, arrived, needWorkers); err != nil {
+		e.Refuse(writer, request, err)
+		return
+	}
+	now, table := clock.Now(), e.Table()
 	err := e.frozen(now)
 	if err == nil {
 		err = httpapi.CheckHead(request, table.Configuration.Limits.MaxHeaderBytes)
@@ -101,6 +130,8 @@
 
 // Refuse answers a request that was not passed on.
 func (e *Edge) Refuse(writer http.ResponseWriter, request *http.Request, err error) {
+	// The stop may have begun while the request was held.
+	e.closeWhenStopping(writer)
 	typed := failure.From(err)
 	status := httpapi.Status(typed)
 	logging.Info(e.logger, "request_refused", "id", request.Header.Get(e.dialect.RequestID), "host", request.Host, "path", request.URL.Path, "status", status, "error", err)
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -84,16 +84,21 @@
 	if limit <= 0 {
 		return nil
 	}
+	if HeadSize(request) <= limit {
+		return nil
+	}
+	return failure.New(failure.BadRequest, "send shorter headers", "the head is longer than %d bytes", limit).WithField(longHeadField)
+}
+
+// HeadSize returns the length of a request's head in bytes.
+func HeadSize(request *http.Request) int {
 	size := len(request.Method) + len(request.RequestURI) + len(request.Host)
 	for name, values := range request.Header {
 		for _, value := range values {
 			size += len(name) + len(value) + len(": \r\n")
 		}
 	}
-	if size <= limit {
-		return nil
-	}
-	return failure.New(failure.BadRequest, "send shorter headers", "the head is longer than %d bytes", limit).WithField(longHeadField)
+	return size
 }
 
 // Status returns the status that goes with a failure.
