--- a/internal/balance/answers.go
+++ b/internal/balance/answers.go
@@ -34,6 +34,7 @@
 	l.table.occupy(l.worker)
 	if well {
 		l.worker.answered++
+		l.proved()
 		return
 	}
 	l.worker.failed++
--- /dev/null
+++ b/internal/balance/probe.go
@@ -0,0 +1,121 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	// probesFresh is how long the hub's word counts that a request may probe a worker: until
+	// the choice that asked for it.
+	probesFresh = 50 * time.Millisecond
+	// mostSilentDoublings bounds how often the patience with a silent probe is doubled.
+	mostSilentDoublings = 10
+)
+
+// SetProbes takes in the avoided workers to one of which a repeatable request may go now.
+func (t *Table) SetProbes(now time.Time, workers []uint32) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(workers) > 0 {
+		t.probes, t.probesAt = workers, now
+	}
+}
+
+// takeProbe returns an avoided worker that the request is to probe, or nil. Each word of the
+// hub serves one request.
+func (t *Table) takeProbe(now time.Time, demand *Demand) *worker {
+	if demand.Batch || !demand.Repeatable || len(t.probes) == 0 {
+		return nil
+	}
+	named := t.probes
+	if now.Sub(t.probesAt) > probesFresh {
+		t.probes = nil
+		return nil
+	}
+	for i, hash := range named {
+		probed := t.byHash[hash]
+		if probed != nil && probed.listed.Pool == demand.Pool && t.mayProbe(now, probed, demand) {
+			t.probes = slices.Delete(slices.Clone(named), i, i+1)
+			return probed
+		}
+	}
+	return nil
+}
+
+// mayProbe reports whether the request would run at once at an avoided worker.
+func (t *Table) mayProbe(now time.Time, w *worker, demand *Demand) bool {
+	return t.failing(now, w) && w.probing == 0 && t.admits(now, w, demand, false) && t.waitAt(now, w) == 0
+}
+
+// grantedProbe reports whether the planner of items let one start at the worker though it is
+// avoided.
+func (w *worker) grantedProbe(demand *Demand) bool {
+	return demand.Batch && w.starts > 0 && w.probing == 0
+}
+
+// Probe reports whether the worker was avoided when it was chosen, so that this request shows
+// whether it is well.
+func (l *Lease) Probe() bool { return l.probe }
+
+// Patience returns how long the answer to a probe is waited for: least where the last one was
+// answered, and twice as long after each that was not, up to most, because a worker that is
+// well may need longer than what is usual.
+func (l *Lease) Patience(least, most time.Duration) time.Duration {
+	l.table.mutex.Lock()
+	defer l.table.mutex.Unlock()
+	return min(least<<min(l.worker.silent, mostSilentDoublings), most)
+}
+
+// Ran takes in how an item at the worker began. Items count for nothing but as probes: what
+// online requests saw says more of the others.
+func (l *Lease) Ran(now time.Time, well bool) {
+	if !l.probe {
+		return
+	}
+	l.table.mutex.Lock()
+	defer l.table.mutex.Unlock()
+	l.table.occupy(l.worker)
+	if well {
+		l.proved()
+		return
+	}
+	l.worker.failed++
+}
+
+// proved takes in that the worker answered well. The lock of the table is held.
+func (l *Lease) proved() {
+	if l.probe {
+		l.worker.proofs++
+		l.worker.silent = 0
+	}
+}
+
+// Proofs returns what probes have shown since the last call. It is called before Loads.
+func (t *Table) Proofs() []wire.WorkerProof {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var proofs []wire.WorkerProof
+	for _, known := range t.busy {
+		if known.proofs == 0 {
+			continue
+		}
+		if !known.gone(t) {
+			proofs = append(proofs, wire.WorkerProof{Worker: known.hash, Well: uint16(known.proofs)})
+		}
+		known.proofs = 0
+	}
+	return proofs
+}
+
+// NameOf returns the worker's id by its short name, empty where it is not listed.
+func (t *Table) NameOf(worker uint32) string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.byHash[worker]; known != nil {
+		return known.listed.ID
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/balance/probe_test.go
@@ -0,0 +1,95 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/loadshare"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+func failing(id string, starts uint16) wire.WorkerLoad {
+	return wire.WorkerLoad{Worker: loadshare.Hash(id), Failing: true, Start: starts}
+}
+
+// TestItemsProbeWhereTheyAreLet checks that an item starts at an avoided worker where the
+// planner lets it, one at a time, and that its good answer is told once, as a proof and not
+// as the answer of an online request.
+func TestItemsProbeWhereTheyAreLet(t *testing.T) {
+	table := tableOf(listed("a", "z1"), listed("b", "z2"), listed("c", "z2"))
+	item := &Demand{Pool: "p", Batch: true, BatchShare: 50}
+	table.SetOthers(start, []wire.WorkerLoad{failing("a", 0)}, OfAll)
+	if table.Acquire(start, item) != nil {
+		t.Fatal("an item started without a grant")
+	}
+	table.SetOthers(start, []wire.WorkerLoad{failing("a", 2)}, OfAll)
+	lease := table.Acquire(start, item)
+	if lease == nil || !lease.Probe() || lease.Endpoint.ID != "a" {
+		t.Fatalf("no probe: %+v", lease)
+	}
+	if again := table.choose(start, item, false); again != nil {
+		t.Error("two probes at once")
+	}
+	lease.Ran(start, true)
+	if proofs := table.Proofs(); len(proofs) != 1 || proofs[0].Well != 1 {
+		t.Errorf("proofs %+v", proofs)
+	}
+	if proofs := table.Proofs(); len(proofs) != 0 {
+		t.Errorf("proofs told twice: %+v", proofs)
+	}
+	for _, load := range table.Loads() {
+		if load.Answered != 0 {
+			t.Error("an item counts as an online answer")
+		}
+	}
+}
+
+// TestSilentProbesAreWaitedForLonger checks that the patience with probes doubles with each
+// that got no answer, and starts anew after an answer.
+func TestSilentProbesAreWaitedForLonger(t *testing.T) {
+	table := tableOf(listed("a", "z1"), listed("b", "z1"), listed("c", "z1"))
+	table.SetOthers(start, []wire.WorkerLoad{failing("a", 1)}, OfAll)
+	lease := table.Acquire(start, &Demand{Pool: "p", Batch: true})
+	for _, want := range []time.Duration{1, 2, 4, 6, 6} {
+		if got := lease.Patience(time.Second, 6*time.Second); got != want*time.Second {
+			t.Errorf("patience %v, want %v s", got, int64(want))
+		}
+		lease.Suspect(start)
+	}
+	lease.Ran(start, true)
+	if got := lease.Patience(time.Second, 6*time.Second); got != time.Second {
+		t.Errorf("patience %v after an answer", got)
+	}
+}
+
+// TestRepeatableRequestsProbe checks that one repeatable request goes to an avoided worker
+// that the hub named, and no other request does.
+func TestRepeatableRequestsProbe(t *testing.T) {
+	table := tableOf(listed("a", "z1"), listed("b", "z1"), listed("c", "z1"))
+	table.SetOthers(start, []wire.WorkerLoad{failing("a", 0)}, OfAll)
+	named := []uint32{loadshare.Hash("a")}
+	takes := func(now time.Time, repeatable bool) bool {
+		lease := table.Acquire(now, &Demand{Pool: "p", Repeatable: repeatable})
+		defer lease.Release()
+		return lease.Probe()
+	}
+	if takes(start, true) {
+		t.Error("a request went to an avoided worker that nobody named")
+	}
+	table.SetProbes(start, named)
+	if takes(start, false) {
+		t.Error("a request that may run once only was a probe")
+	}
+	if !takes(start, true) || takes(start, true) {
+		t.Error("not one repeatable request was the probe")
+	}
+	table.SetProbes(start, named)
+	if takes(start.Add(probesFresh+1), true) {
+		t.Error("an old word of the hub counts")
+	}
+	table.SetOthers(start, nil, OfAll)
+	table.SetProbes(start, named)
+	if takes(start, true) {
+		t.Error("a worker that is well was probed")
+	}
+}
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -31,7 +31,7 @@
 	}
 	avoid := !suspects && !t.mostFail(now, demand.Pool)
 	fit := func(w *worker) bool {
-		return t.admits(now, w, demand, suspects) && !(avoid && t.failing(now, w))
+		return t.admits(now, w, demand, suspects) && !(avoid && t.failing(now, w) && !w.grantedProbe(demand))
 	}
 	t.findHomes(demand, fit)
 	t.compared = t.compared[:0]
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -127,6 +127,7 @@
 		Online:   w.inFlight - w.batch + int(others.Online) + orphans,
 		Orphans:  orphans,
 		Closed:   !w.usable() || others.Failing || now.Before(w.suspectUntil),
+		Probe:    w.usable() && others.Failing && !now.Before(w.suspectUntil),
 		Hold:     t.holdOf(w),
 		Patience: patience(w.listed.Pool),
 	}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -40,6 +40,10 @@
 	suspects []*worker
 	// refusals lists those at whose address another worker answered, until their time is over.
 	refusals []*worker
+	// probes holds the avoided workers to which a request may go to learn whether they are
+	// well, as the hub told at probesAt.
+	probes   []uint32
+	probesAt time.Time
 	// compared is scratch space of choose.
 	compared []*worker
 	// homes are the homes of the prompt that is being placed.
@@ -137,6 +141,9 @@
 	// the slots.
 	Batch      bool
 	BatchShare int
+	// Repeatable is set for an online request that may run more than once. It may be sent to
+	// an avoided worker to learn whether that is well again.
+	Repeatable bool
 }
 
 // Lease is a place of a request at a worker; it must be released.
@@ -154,6 +161,8 @@
 	begun    bool
 	stopping bool
 	released bool
+	// probe is set where the worker was avoided when it was chosen.
+	probe bool
 }
 
 // Acquire chooses a worker, or returns nil if there is none.
@@ -161,7 +170,10 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.readmit(now)
-	chosen := t.choose(now, demand, false)
+	chosen := t.takeProbe(now, demand)
+	if chosen == nil {
+		chosen = t.choose(now, demand, false)
+	}
 	if chosen == nil {
 		chosen = t.choose(now, demand, true)
 	}
@@ -177,6 +189,10 @@
 		worker:   chosen,
 		batch:    demand.Batch,
 		unread:   demand.PromptTokens - t.cachedTokens(chosen, demand),
+		probe:    t.failing(now, chosen),
+	}
+	if lease.probe {
+		chosen.probing++
 	}
 	t.acquired++
 	t.occupy(chosen)
@@ -296,6 +312,9 @@
 	if l.stopping {
 		l.worker.stopping--
 	}
+	if l.probe {
+		l.worker.probing--
+	}
 }
 
 // Stop reports whether the item is to stop as one of those that the planner of all
@@ -319,6 +338,9 @@
 	l.table.suspect(now, l.worker)
 	l.table.occupy(l.worker)
 	l.worker.failed++
+	if l.probe {
+		l.worker.silent++
+	}
 }
 
 // Refuse takes in that another worker is at the address.
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -61,6 +61,11 @@
 	// answered and failed count answers until they have been passed on.
 	answered int
 	failed   int
+	// proofs counts the probes that were answered well until they have been passed on.
+	// probing counts those under way, silent those in a row that got no answer.
+	proofs  int
+	probing int
+	silent  int
 	// steps counts times between events, and stepTime is their sum, until they
 	// have been passed on.
 	steps    int
@@ -79,7 +84,7 @@
 
 // quiet reports whether this process has nothing at the worker and nothing to tell of it.
 func (w *worker) quiet() bool {
-	return w.inFlight == 0 && w.claimed == 0 && w.answered == 0 && w.failed == 0 && w.steps == 0
+	return w.inFlight == 0 && w.claimed == 0 && w.answered == 0 && w.failed == 0 && w.steps == 0 && w.proofs == 0
 }
 
 // remember takes in that the worker reads the parts now.
--- a/internal/batchroom/batchroom.go
+++ b/internal/batchroom/batchroom.go
@@ -29,8 +29,10 @@
 	// living process answers for.
 	Online  int
 	Orphans int
-	// Closed is set where no item may start.
+	// Closed is set where no item may start, Probe where one may all the same: it shows
+	// whether the worker is well again.
 	Closed bool
+	Probe  bool
 	// Hold is how long an online request holds a slot, zero if unknown, and
 	// Patience how long one may wait for items.
 	Hold     time.Duration
@@ -115,6 +117,7 @@
 	}
 	orders := map[uint32]Order{}
 	var open []opening
+	var probes []uint32
 	p.summary = Summary{Waiting: p.waiting(), Slots: places.IdleSlots, Idle: places.IdleSlots}
 	busy := make(map[uint32]bool, len(places.Busy))
 	for i := range places.Busy {
@@ -130,11 +133,15 @@
 			}
 			continue
 		}
+		if p.mayProbe(name, place, items) {
+			probes = append(probes, place.Worker)
+		}
 		if room := p.roomAt(name, place, items); room > 0 {
 			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
 			p.summary.Free += room
 		}
 	}
+	probes = probes[:min(len(probes), own.waiting)]
 	taken := p.takenIdle(name, busy)
 	p.summary.Free += max(places.IdleSlots-taken, 0)
 	share := p.shareOf(own, p.summary.Free)
@@ -142,7 +149,10 @@
 		// As many as are taken may come up in vain.
 		open = append(open, p.openIdle(name, places.Draw(share+taken))...)
 	}
-	own.granted = grant(open, share)
+	own.granted = grant(open, min(share, own.waiting-len(probes)))
+	for _, worker := range probes {
+		own.granted[worker] = 1
+	}
 	for worker, count := range own.granted {
 		orders[worker] = Order{Start: count}
 		p.summary.Granted += count
@@ -160,6 +170,12 @@
 	return place.Slots - place.Online - items - p.grantedAt(place.Worker, name)
 }
 
+// mayProbe reports whether the runner may start one item at a worker that is avoided. Nothing
+// that waits there may hold it up, since its silence would speak against the worker.
+func (p *Planner) mayProbe(name uint32, place *Place, items int) bool {
+	return place.Closed && place.Probe && place.Online+items+p.grantedAt(place.Worker, name) < place.Slots
+}
+
 // takenIdle counts the room at idle workers that others were granted, or have taken since
 // the loads were told.
 func (p *Planner) takenIdle(name uint32, busy map[uint32]bool) int {
--- a/internal/batchroom/batchroom_test.go
+++ b/internal/batchroom/batchroom_test.go
@@ -155,3 +155,28 @@
 		t.Errorf("summary %+v, want %+v", got, want)
 	}
 }
+
+// TestAvoidedWorkersGetOneProbe lets one item start at an avoided worker that is to be probed,
+// before room elsewhere is given out, and none where it is not, or where it would wait.
+func TestAvoidedWorkersGetOneProbe(t *testing.T) {
+	planner := New()
+	planner.Take(start, 1, 2, nil)
+	places := Places{Busy: []Place{
+		{Worker: 1, Slots: 8, Closed: true, Probe: true},
+		{Worker: 2, Slots: 8, Closed: true},
+		{Worker: 3, Slots: 8, Online: 8, Closed: true, Probe: true},
+		{Worker: 4, Slots: 8},
+	}}
+	orders := planner.Plan(1, places)
+	if len(orders) != 2 || orders[1].Start != 1 || orders[4].Start != 1 {
+		t.Errorf("orders %+v", orders)
+	}
+	planner.Take(start, 2, 5, nil)
+	if again := planner.Plan(2, places); again[1].Start != 1 || again[2].Start != 0 || again[3].Start != 0 {
+		t.Errorf("orders of another runner %+v", again)
+	}
+	planner.Take(start, 1, 0, nil)
+	if none := planner.Plan(1, places); len(none) != 0 {
+		t.Errorf("orders without an item %+v", none)
+	}
+}
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -116,6 +116,9 @@
 // zoneOf names the zone of a worker by its short name.
 func (l *loads) zoneOf(worker uint32) string { return l.zones[worker] }
 
+// isNear reports whether the worker is one of this process's zone.
+func (l *loads) isNear(worker uint32) bool { return l.near.Has(worker) }
+
 // takeLoads answers reports of loads. Edges of the zone are told what all others have.
 // While this process leads the hub group, hubs of zones are told what the other zones
 // have, and stores which items they may start and are to stop.
@@ -173,11 +176,16 @@
 // answerZone takes in the report of an edge. The lock of the hubs is held.
 func (s *Store) answerZone(now time.Time, report *wire.LoadReport) *wire.LoadReport {
 	s.loads.zone.Take(now, report)
+	s.noteJudged(s.loads.zone)
 	verdicts := s.loads.limits.answer(now, report.Tokens)
 	if report.Left || report.Quiet {
 		return nil
 	}
 	answer := &wire.LoadReport{Verdicts: verdicts}
+	if report.Choosing && report.Repeatable {
+		answer.Probes = s.loads.zone.OnlineProbes(now, s.loads.isNear)
+		s.noteJudged(s.loads.zone)
+	}
 	// An edge of wire.GenerationFirst would take what is not named for idle.
 	if loadshare.Large(&s.loads.near) && !report.First {
 		answer.Drawn = true
@@ -196,6 +204,7 @@
 // of the hubs is held.
 func (s *Store) answerTop(now time.Time, report *wire.LoadReport) *wire.LoadReport {
 	s.loads.top.Take(now, report)
+	s.noteJudged(s.loads.top)
 	if report.Left {
 		s.loads.limits.leave(now, report.Source)
 	}
@@ -243,7 +252,8 @@
 	}
 	s.loads.ownDue = now.Add(s.ownPause())
 	top, zone := s.loads.top, s.loads.zone
-	top.Take(now, &wire.LoadReport{Source: ownSource, Workers: s.workers.Loads()})
+	proofs := s.workers.Proofs()
+	top.Take(now, &wire.LoadReport{Source: ownSource, Workers: s.workers.Loads(), Proofs: proofs})
 	switch sums := zone.Sums(now, s.zoneSource()); {
 	case sums == nil:
 	case sums.Left:
@@ -253,6 +263,7 @@
 		top.Take(now, sums)
 		s.loads.limits.tellSelf(now, s.zoneSource(), s.settings.Zone, int(sums.Sources))
 	}
+	s.noteJudged(top)
 	above := top.Loaded(now, s.zoneSource())
 	zone.SetAbove(now, above.Rows, above.Rest, above.Left > 0)
 	s.loads.reporting.Store(int64(top.Sources(now)) - 1)
@@ -276,12 +287,37 @@
 func (s *Store) order(now time.Time, source uint32, waiting int, items map[uint32]int) map[uint32]batchroom.Order {
 	table := s.watcher.Current().Table
 	places := s.workers.Places(now, func(pool string) time.Duration { return table.TightestGoal(pool) / patienceParts })
+	for i := range places.Busy {
+		place := &places.Busy[i]
+		place.Probe = place.Probe && s.loads.top.ProbeDue(now, place.Worker)
+	}
 	s.loads.planner.Take(now, source, waiting, items)
 	orders := s.loads.planner.Plan(source, places)
+	s.noteProbes(now, places, orders)
 	s.logPlan(now, source, places)
 	return orders
 }
 
+// noteProbes takes in which avoided workers the orders let an item start at.
+func (s *Store) noteProbes(now time.Time, places batchroom.Places, orders map[uint32]batchroom.Order) {
+	for i := range places.Busy {
+		place := &places.Busy[i]
+		if place.Closed && orders[place.Worker].Start > 0 {
+			s.loads.top.Probe(now, place.Worker)
+		}
+	}
+	s.noteJudged(s.loads.top)
+}
+
+// noteJudged writes down how the judgement of workers has changed. The lock of the hubs is
+// held.
+func (s *Store) noteJudged(hub *loadshare.Hub) {
+	for _, judged := range hub.Judgements() {
+		s.metrics.judged.WithLabelValues(judged.Change.String()).Inc()
+		logging.Info(s.logger, "worker_judged", "worker", s.workers.NameOf(judged.Worker), "change", judged.Change, "failed", judged.Failed, "answered", judged.Answered, "good", judged.Good, "relapses", judged.Relapses, "ill_ms", judged.Ill.Milliseconds())
+	}
+}
+
 // planLogInterval is the shortest time between two lines on the plans, which are made each
 // 20 ms.
 const planLogInterval = 200 * time.Millisecond
@@ -381,7 +417,8 @@
 			if len(led) == 0 || s.groups[hubGroup].leads() {
 				return nil
 			}
-			return &wire.LoadReport{Source: source, Workers: s.workers.Loads(), Waiting: uint32(s.waiting()), Groups: led}
+			proofs := s.workers.Proofs()
+			return &wire.LoadReport{Source: source, Workers: s.workers.Loads(), Proofs: proofs, Waiting: uint32(s.waiting()), Groups: led}
 		},
 		Learn: func(now time.Time, answer *wire.LoadReport) {
 			s.workers.SetRest(int(answer.Rest))
--- a/internal/batchstore/metrics.go
+++ b/internal/batchstore/metrics.go
@@ -9,6 +9,8 @@
 	jobs     *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	runTime  prometheus.Histogram
+	// judged counts changes in the judgement of workers, by what they are now.
+	judged *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -17,7 +19,8 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "store_item_attempts_total", Help: "Attempts at items, by how they ended."}, []string{"outcome"}),
 		runTime:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "store_item_seconds", Help: "How long attempts took.", Buckets: []float64{.1, .3, 1, 2, 3, 5, 7, 10, 15, 20, 30}}),
 	}
-	registry.MustRegister(m.jobs, m.attempts, m.runTime)
+	m.judged = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "store_workers_judged_total", Help: "Changes in the judgement of workers that fail requests: avoided, probed, readmitted."}, []string{"change"})
+	registry.MustRegister(m.judged, m.jobs, m.attempts, m.runTime)
 	return m
 }
 
--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -156,7 +156,9 @@
 		full[job.Route] = true
 		return nil
 	}
-	return r.prepare(ctx, key, job, route, content, lease)
+	started := r.prepare(ctx, key, job, route, content, lease)
+	started.goal = table.TightestGoal(demand.Pool)
+	return started
 }
 
 // rests reports whether an item is to wait a moment.
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -34,6 +34,10 @@
 	readPause = 80 * time.Millisecond
 	// failedPause is how long an item rests after an attempt that failed.
 	failedPause = 50 * time.Millisecond
+	// probeGoals is how many times the tightest goal of its pool a worker that is probed may
+	// keep silent at first, leastProbeSilence bounds that from below.
+	probeGoals        = 3
+	leastProbeSilence = 400 * time.Millisecond
 )
 
 // carry is how far an item has come at this store. It is handed from one task of
@@ -72,16 +76,20 @@
 	// expected is how many tokens the caller expects.
 	expected int64
 	lease    *balance.Lease
-	context  context.Context
-	cancel   context.CancelFunc
-	started  time.Time
-	notedAt  time.Time
+	// goal is the tightest goal of the pool's online requests.
+	goal    time.Duration
+	context context.Context
+	cancel  context.CancelFunc
+	started time.Time
+	notedAt time.Time
 	// pacedAt is when the last events came.
 	pacedAt time.Time
 	// yielded is set by the runner where the item gives way to online requests,
 	// unusable where its carry does not follow on the log.
 	yielded  bool
 	unusable bool
+	// begun is set once this run has brought an event.
+	begun bool
 	// The following say how the task ended.
 	finished bool
 	state    wire.ItemState
@@ -177,7 +185,7 @@
 		ID:      t.id,
 	}
 	store := t.runner.store
-	response, err := store.upstream.Send(t.context, t.lease.Endpoint, request, time.Now().Add(firstSilence))
+	response, err := store.upstream.Send(t.context, t.lease.Endpoint, request, time.Now().Add(t.silence()))
 	if err != nil {
 		if t.context.Err() == nil {
 			t.lease.Suspect(clock.Now())
@@ -198,7 +206,11 @@
 	case response.Status == http.StatusUnprocessableEntity:
 		return t.pass(response, failure.New(failure.BadRequest, "", "the worker can't ever do it"))
 	case response.Status == http.StatusInternalServerError:
-		t.failures++
+		t.lease.Ran(clock.Now(), false)
+		if !t.lease.Probe() {
+			// A worker that is known to fail says nothing of the item.
+			t.failures++
+		}
 		return t.pass(response, failure.New(failure.Internal, "", "the worker failed at it"))
 	case response.Status != http.StatusOK:
 		return t.pass(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d", response.Status))
@@ -206,6 +218,16 @@
 	return t.readEvents(response)
 }
 
+// silence returns how long the worker may keep silent before the first event. Nobody waits
+// long for one that is probed: it is known to have failed.
+func (t *task) silence() time.Duration {
+	if !t.lease.Probe() {
+		return firstSilence
+	}
+	least := max(probeGoals*t.goal, leastProbeSilence)
+	return t.lease.Patience(least, firstSilence)
+}
+
 // pass reads the rest of an answer, so that the connection can be kept.
 func (t *task) pass(response *upstream.Response, result error) error {
 	buffer := make([]byte, readBufferBytes)
@@ -240,7 +262,7 @@
 func (t *task) readEvents(response *upstream.Response) error {
 	var parser upstream.EventParser
 	buffer := make([]byte, readBufferBytes)
-	silence := firstSilence
+	silence := t.silence()
 	for {
 		if err := response.SetReadDeadline(time.Now().Add(silence)); err != nil {
 			return err
@@ -288,6 +310,10 @@
 		return nil
 	}
 	t.lease.Begun()
+	if !t.begun {
+		t.begun = true
+		t.lease.Ran(clock.Now(), true)
+	}
 	t.pacing(len(events))
 	var text strings.Builder
 	text.WriteString(t.carry.text)
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -89,7 +89,7 @@
 	}
 	e := c.edge
 	c.token = wire.TokenQuestion{Ticket: rand.Uint64(), Tenant: routetable.ShortName(c.tenant.Name)}
-	verdict, answered := e.loads.Token(c.context, c.token)
+	verdict, answered := e.loads.Token(c.context, c.token, c.mayProbe())
 	c.informed = answered
 	switch {
 	case answered && verdict.Granted:
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -180,9 +180,10 @@
 // by news of a report's age, and crowd the workers that looked idle then.
 func (c *call) acquire() *balance.Lease {
 	if !c.informed {
-		c.edge.loads.Ask(c.context, newsPatience, c.edge.workers.Homes(&c.demand))
+		c.edge.loads.Ask(c.context, newsPatience, c.edge.workers.Homes(&c.demand), c.mayProbe())
 	}
 	c.informed = false
+	c.demand.Repeatable = c.mayProbe()
 	lease := c.edge.workers.Acquire(clock.Now(), &c.demand)
 	if lease != nil {
 		c.edge.loads.Tell()
@@ -190,6 +191,12 @@
 	return lease
 }
 
+// mayProbe reports whether the request may be sent to a worker that is avoided: if that fails
+// it, another one takes it over.
+func (c *call) mayProbe() bool {
+	return c.attempts == 0 && c.dials == 0 && c.mayMove()
+}
+
 // String returns the outcome as used in logs and metrics.
 func (o outcome) String() string { return [...]string{"delivered", "not_run", "failed"}[o] }
 
@@ -273,6 +280,9 @@
 	request.Headers = c.headers(lease)
 	c.attempts++
 	c.sentAt = clock.Now()
+	if lease.Probe() {
+		c.edge.metrics.probes.Inc()
+	}
 	response, err := c.edge.upstream.Send(c.context, lease.Endpoint, &request, c.headBy())
 	if err != nil {
 		return c.sendFailed(lease, err, clock.Since(c.sentAt))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -109,10 +109,12 @@
 		Hubs:  func() []string { return *e.hubs.Load() },
 		Home:  true,
 		Own: func() *wire.LoadReport {
-			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads()}
+			proofs := e.workers.Proofs()
+			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads(), Proofs: proofs}
 		},
 		Learn: func(now time.Time, answer *wire.LoadReport) {
 			e.workers.SetOthers(now, answer.Workers, scopeOf(answer))
+			e.workers.SetProbes(now, answer.Probes)
 		},
 		Pause: func() time.Duration {
 			snapshot := e.watcher.Current()
@@ -211,8 +213,10 @@
 	// requests known for that.
 	ended       prometheus.Counter
 	quarantined prometheus.Counter
-	firstTime   *prometheus.HistogramVec
-	wholeTime   *prometheus.HistogramVec
+	// probes counts requests sent to avoided workers.
+	probes    prometheus.Counter
+	firstTime *prometheus.HistogramVec
+	wholeTime *prometheus.HistogramVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -223,9 +227,10 @@
 		tenants:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_tenant_requests_total", Help: "Requests of tenants with a limit, by what came of it."}, []string{"tenant", "outcome"}),
 		ended:       prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_worker_ends_total", Help: "Requests whose worker ended under them."}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
+		probes:      prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_probes_total", Help: "Requests sent to avoided workers to learn whether these are well again."}),
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.firstTime, m.wholeTime)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.probes, m.firstTime, m.wholeTime)
 	return m
 }
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -139,7 +139,8 @@
 // Ask tells the hub what this process has and waits for the answer, for patience at
 // most. It reports whether there was one in time. Where the hub has not answered lately
 // it does not wait. asked are the short names of workers that the answer is to tell of.
-func (x *Exchange) Ask(ctx context.Context, patience time.Duration, asked []uint32) bool {
+// repeatable is set where the request to be placed may run more than once.
+func (x *Exchange) Ask(ctx context.Context, patience time.Duration, asked []uint32, repeatable bool) bool {
 	x.mutex.Lock()
 	now := clock.Since(x.began)
 	answered, silent := x.answered, now-x.chooser.heard > Fresh || x.chooser.heard == 0
@@ -149,7 +150,7 @@
 		return false
 	}
 	if !shared {
-		x.report(message{choosing: true, asked: asked})
+		x.report(message{choosing: true, asked: asked, repeatable: repeatable})
 	}
 	timeout := time.NewTimer(patience)
 	defer timeout.Stop()
@@ -176,8 +177,8 @@
 )
 
 // Token asks the hub for a token of a tenant. The answer also tells what the hub knows of
-// the workers. It reports whether there was an answer.
-func (x *Exchange) Token(ctx context.Context, question wire.TokenQuestion) (wire.TokenVerdict, bool) {
+// the workers. It reports whether there was an answer. repeatable is as for Ask.
+func (x *Exchange) Token(ctx context.Context, question wire.TokenQuestion, repeatable bool) (wire.TokenVerdict, bool) {
 	verdict := make(chan wire.TokenVerdict, 1)
 	x.mutex.Lock()
 	x.questions[question.Ticket] = verdict
@@ -190,7 +191,7 @@
 	timer := time.NewTimer(tokenPause)
 	defer timer.Stop()
 	for try := 1; try <= tokenTries; try++ {
-		x.report(message{choosing: true, tokens: []wire.TokenQuestion{question}})
+		x.report(message{choosing: true, tokens: []wire.TokenQuestion{question}, repeatable: repeatable})
 		select {
 		case answer := <-verdict:
 			return answer, true
@@ -226,6 +227,8 @@
 	choosing bool
 	asked    []uint32
 	tokens   []wire.TokenQuestion
+	// repeatable is set where the request to be placed may run more than once.
+	repeatable bool
 }
 
 // report sends a report to the hub chosen, if there is anything to tell.
@@ -235,6 +238,7 @@
 		return
 	}
 	own.Quiet, own.Choosing, own.Asked, own.Tokens = m.quiet, m.choosing, m.asked, m.tokens
+	own.Repeatable = m.repeatable
 	hubs := x.reporter.Hubs()
 	x.mutex.Lock()
 	now := clock.Since(x.began)
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -57,6 +57,14 @@
 	// toldAbove is set while the hub above counts this one's sums.
 	toldAbove bool
 	expireDue time.Time
+	// probations holds when avoided workers are probed, judgements what has changed in the
+	// judgement of workers and is not taken yet.
+	probations map[uint32]*probation
+	judgements []Judgement
+	// failingAbove are the workers that the hub above calls failing, itemsRun is set where
+	// it told of items at any worker.
+	failingAbove []uint32
+	itemsRun     bool
 }
 
 // source is the last report of a process, or of a zone's hub.
@@ -88,7 +96,7 @@
 
 // NewHub returns an empty hub.
 func NewHub() *Hub {
-	return &Hub{sources: map[uint32]*source{}, totals: map[uint32]total{}, watched: map[uint32]*watched{}}
+	return &Hub{sources: map[uint32]*source{}, totals: map[uint32]total{}, watched: map[uint32]*watched{}, probations: map[uint32]*probation{}}
 }
 
 // Take takes in a report.
@@ -123,8 +131,13 @@
 	h.perSecond = float64(rate) / rateSeconds
 
 	h.above = make(map[uint32]wire.WorkerLoad, len(rows))
+	h.failingAbove, h.itemsRun = h.failingAbove[:0], false
 	for i := range rows {
 		h.above[rows[i].Worker] = rows[i]
+		if rows[i].Failing {
+			h.failingAbove = append(h.failingAbove, rows[i].Worker)
+		}
+		h.itemsRun = h.itemsRun || rows[i].Batch > 0
 	}
 	h.aboveAt = now
 }
@@ -170,10 +183,19 @@
 		}
 	}
 	for worker, known := range h.watched {
+		if known.health.failing(now); known.health.lapsed {
+			known.health.lapsed = false
+			h.judged(now, worker, Readmitted)
+		}
 		if known.orphans.stale(now) && known.health.stale(now) && known.pace.stale(now) {
 			delete(h.watched, worker)
 		}
 	}
+	for worker := range h.probations {
+		if !h.avoids(now, worker) {
+			delete(h.probations, worker)
+		}
+	}
 }
 
 // watch takes in how workers answered the reporting process.
@@ -183,18 +205,41 @@
 		if load.Told == 0 && load.Answered == 0 && load.Failed == 0 && load.Steps == 0 {
 			continue
 		}
-		known := h.watched[load.Worker]
-		if known == nil {
-			known = &watched{}
-			h.watched[load.Worker] = known
-		}
-		known.health.take(now, int(load.Answered), int(load.Failed))
+		known := h.watchedAt(load.Worker)
+		h.takeAnswers(now, known, load.Worker, outcomes{well: int(load.Answered), failed: int(load.Failed)})
 		known.pace.take(now, load)
 		known.gathered.take(load)
 		if load.Told > 0 {
 			known.orphans.take(now, int(load.Told)-1-h.known(now, load.Worker))
 		}
 	}
+	for _, proof := range report.Proofs {
+		known := h.watchedAt(proof.Worker)
+		h.takeAnswers(now, known, proof.Worker, outcomes{proofs: int(proof.Well)})
+		known.gathered.proofs += int(proof.Well)
+	}
+}
+
+// watchedAt returns what a worker showed of itself, to be added to.
+func (h *Hub) watchedAt(worker uint32) *watched {
+	known := h.watched[worker]
+	if known == nil {
+		known = &watched{}
+		h.watched[worker] = known
+	}
+	return known
+}
+
+// takeAnswers takes in how a worker answered a process.
+func (h *Hub) takeAnswers(now time.Time, known *watched, worker uint32, got outcomes) {
+	change := known.health.take(now, got)
+	if probed := h.probations[worker]; probed != nil {
+		probed.take(now, got)
+	}
+	// With a hub above, this one's own judgement counts for nothing.
+	if !h.knowsAbove(now) {
+		h.judged(now, worker, change)
+	}
 }
 
 // known returns how many requests anybody is known to have at a worker.
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -338,7 +338,7 @@
 	// Nothing below rests on how long anything takes: a wait for a silent hub would not end.
 	const patience = time.Hour
 	knows := func(i int, want uint16) bool {
-		if !exchanges[i].Ask(ctx, patience, nil) {
+		if !exchanges[i].Ask(ctx, patience, nil, false) {
 			return false
 		}
 		mutex.Lock()
@@ -360,11 +360,11 @@
 	mutex.Lock()
 	silent = true
 	mutex.Unlock()
-	for exchanges[2].Ask(ctx, time.Millisecond, nil) {
+	for exchanges[2].Ask(ctx, time.Millisecond, nil, false) {
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(Fresh)
-	if exchanges[2].Ask(ctx, patience, nil) {
+	if exchanges[2].Ask(ctx, patience, nil, false) {
 		t.Error("a silent hub has answered")
 	}
 	mutex.Lock()
--- a/internal/loadshare/part.go
+++ b/internal/loadshare/part.go
@@ -108,6 +108,12 @@
 // Len returns how many there are.
 func (l *Lot) Len() int { return len(l.workers) }
 
+// Has reports whether the worker is one of them.
+func (l *Lot) Has(worker uint32) bool {
+	_, found := l.place[worker]
+	return found
+}
+
 // Add adds a worker.
 func (l *Lot) Add(worker uint32) {
 	if _, found := l.place[worker]; found {
--- /dev/null
+++ b/internal/loadshare/probe.go
@@ -0,0 +1,161 @@
+package loadshare
+
+import "time"
+
+const (
+	// illParts is the part of the time that a worker has been ill, one in so many, that
+	// passes between two probes: a worker that was ill for long is well again a fifth of
+	// that too late at most, and the number of probes grows with the logarithm of the time.
+	illParts = 5
+	// leastProbePause and mostProbePause bound that: below, a report of how the last probe
+	// ended may still be under way; above, a worker that is ill for hours costs
+	// fifteen requests a minute, each of which runs elsewhere then.
+	leastProbePause = 4 * Interval
+	mostProbePause  = 4 * time.Second
+	// answerTime is how long an answer to a probe takes at most, to be reported too, before
+	// another is sent. It grows with the pause, for workers whose answers begin late.
+	answerTime = time.Second
+)
+
+// Change is how the judgement of a worker changed.
+type Change uint8
+
+const (
+	// Unchanged means that it did not change.
+	Unchanged Change = iota
+	// Avoided means that no requests but probes go to the worker from now on.
+	Avoided
+	// Probed means that one request goes there to learn whether it is well.
+	Probed
+	// Readmitted means that requests go there as to any other.
+	Readmitted
+)
+
+// String returns the change as used in logs and metrics.
+func (c Change) String() string {
+	return [...]string{"unchanged", "avoided", "probed", "readmitted"}[c]
+}
+
+// Judgement is a change in the judgement of a worker, with what it rests on.
+type Judgement struct {
+	// Worker is the worker's short name.
+	Worker uint32
+	Change Change
+	// Failed and Answered are the weights of failures and good answers, where they count
+	// half after 2 s, and Relapses how often it was readmitted too soon.
+	Failed   float64
+	Answered float64
+	Relapses int
+	// Good is the weight of the good answers in a row while it was avoided.
+	Good int
+	// Ill is for how long it has been ill.
+	Ill time.Duration
+}
+
+// probation is when an avoided worker is probed. Processes that send no probes don't avoid
+// it for longer: one probe is under way at a time.
+type probation struct {
+	since time.Time
+	due   time.Time
+}
+
+func newProbation(now time.Time) *probation {
+	p := &probation{since: now}
+	p.due = now.Add(p.pause(now))
+	return p
+}
+
+// pause is the time from a failure to the next probe.
+func (p *probation) pause(now time.Time) time.Duration {
+	return min(max(now.Sub(p.since)/illParts, leastProbePause), mostProbePause)
+}
+
+// sent takes in that a probe is sent. Without any answer it is given up.
+func (p *probation) sent(now time.Time) { p.due = now.Add(answerTime + p.pause(now)) }
+
+// take takes in how requests at the worker ended.
+func (p *probation) take(now time.Time, got outcomes) {
+	switch {
+	case got.failed > 0:
+		p.due = now.Add(p.pause(now))
+	case got.proofs > 0:
+		p.due = now
+	}
+}
+
+// ProbeDue reports whether one request may be sent to an avoided worker, to learn whether it
+// is well again.
+func (h *Hub) ProbeDue(now time.Time, worker uint32) bool {
+	if !h.avoids(now, worker) {
+		delete(h.probations, worker)
+		return false
+	}
+	known := h.probations[worker]
+	if known == nil {
+		known = newProbation(now)
+		h.probations[worker] = known
+	}
+	return !now.Before(known.due)
+}
+
+// Probe takes in that a probe is sent to the worker.
+func (h *Hub) Probe(now time.Time, worker uint32) {
+	known := h.probations[worker]
+	if known == nil {
+		return
+	}
+	known.sent(now)
+	h.judged(now, worker, Probed)
+}
+
+// OnlineProbes returns the avoided workers to one of which an online request may go that may
+// run more than once. That is for when no items run that could be the probes: these wait for
+// nobody. Only workers that the hub above calls failing are named, of those for which near
+// returns true, so that one hub alone decides on each.
+func (h *Hub) OnlineProbes(now time.Time, near func(worker uint32) bool) []uint32 {
+	if !h.knowsAbove(now) || h.itemsRun {
+		return nil
+	}
+	for _, worker := range h.failingAbove {
+		if near(worker) && h.ProbeDue(now, worker) {
+			h.Probe(now, worker)
+			return []uint32{worker}
+		}
+	}
+	return nil
+}
+
+// avoids reports whether the worker is avoided, by what the hub above told if it is heard.
+func (h *Hub) avoids(now time.Time, worker uint32) bool {
+	if h.knowsAbove(now) {
+		return h.above[worker].Failing
+	}
+	known := h.watched[worker]
+	return known != nil && known.health.failing(now)
+}
+
+// judged keeps a change until it is taken.
+func (h *Hub) judged(now time.Time, worker uint32, change Change) {
+	if change == Unchanged || len(h.judgements) >= mostJudgements {
+		return
+	}
+	judgement := Judgement{Worker: worker, Change: change}
+	if known := h.watched[worker]; known != nil {
+		judgement.Failed, judgement.Answered = known.health.failed, known.health.answered
+		judgement.Relapses, judgement.Good = known.health.relapses, known.health.good
+		if !known.health.since.IsZero() {
+			judgement.Ill = now.Sub(known.health.since)
+		}
+	}
+	h.judgements = append(h.judgements, judgement)
+}
+
+// mostJudgements bounds the changes that are kept for who writes them down.
+const mostJudgements = 256
+
+// Judgements returns what has changed since the last call.
+func (h *Hub) Judgements() []Judgement {
+	changed := h.judgements
+	h.judgements = nil
+	return changed
+}
--- a/internal/loadshare/sums.go
+++ b/internal/loadshare/sums.go
@@ -16,6 +16,7 @@
 	failed   int
 	steps    int
 	micros   int
+	proofs   int
 }
 
 // take takes in a row of a report.
@@ -38,10 +39,14 @@
 	for worker, sum := range h.totals {
 		loads[worker] = sum.load(worker)
 	}
+	var proofs []wire.WorkerProof
 	for worker, known := range h.watched {
 		if known.gathered == (gathered{}) {
 			continue
 		}
+		if known.gathered.proofs > 0 {
+			proofs = append(proofs, wire.WorkerProof{Worker: worker, Well: clamp16(known.gathered.proofs)})
+		}
 		load := loads[worker]
 		load.Worker = worker
 		load.Told = known.gathered.told
@@ -58,7 +63,7 @@
 	h.toldAbove = true
 	told := loadedOf(loads)
 	h.left = told.Left
-	return &wire.LoadReport{Source: name, Workers: told.Rows, Sources: clamp16(h.Sources(now)), Sums: true}
+	return &wire.LoadReport{Source: name, Workers: told.Rows, Sources: clamp16(h.Sources(now)), Sums: true, Proofs: proofs}
 }
 
 // leave returns the report that takes back what was told above, or nil if nothing was.
--- a/internal/wire/corpus/types.go
+++ b/internal/wire/corpus/types.go
@@ -128,6 +128,7 @@
 		"WorkerEnd":             func() Message { return &wire.WorkerEnd{} },
 		"WorkerLoad":            func() Message { return &wire.WorkerLoad{} },
 		"WorkerNews":            func() Message { return &wire.WorkerNews{} },
+		"WorkerProof":           func() Message { return &wire.WorkerProof{} },
 		"WorkerReport":          func() Message { return &wire.WorkerReport{} },
 	}
 }
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -47,6 +47,14 @@
 	// Rest is set in the top hub's answers: how many online requests the workers that are
 	// left out, because they have no load, answer in ten seconds.
 	Rest uint32
+	// Proofs are set in reports to hubs: what requests showed that were sent to avoided
+	// workers to learn whether these are well again.
+	Proofs []WorkerProof
+	// Repeatable is set in reports of processes that are about to choose for a request that
+	// may run more than once, and Probes in answers to these: the short names of avoided
+	// workers to one of which it may go.
+	Repeatable bool
+	Probes     []uint32
 	// First is set by the reader where the sender is of GenerationFirst.
 	First bool
 }
@@ -78,6 +86,10 @@
 	Asked    []uint32        `msg:"a,omitempty"`
 	Drawn    bool            `msg:"d,omitempty"`
 	Rest     uint32          `msg:"r,omitempty"`
+
+	Proofs     []WorkerProof `msg:"p,omitempty"`
+	Repeatable bool          `msg:"e,omitempty"`
+	Probes     []uint32      `msg:"b,omitempty"`
 }
 
 // MarshalMsg implements msgp.Marshaler.
@@ -89,6 +101,7 @@
 	more := LoadMore{
 		Tokens: r.Tokens, Verdicts: r.Verdicts, Tenants: r.Tenants,
 		Choosing: r.Choosing, Asked: r.Asked, Drawn: r.Drawn, Rest: r.Rest,
+		Proofs: r.Proofs, Repeatable: r.Repeatable, Probes: r.Probes,
 	}
 	encoded, err := base.MarshalMsg(before)
 	if err != nil {
@@ -116,11 +129,21 @@
 		Sums: base.Sums, Left: base.Left, Quiet: base.Quiet, Zone: base.Zone, Part: base.Part,
 		Tokens: more.Tokens, Verdicts: more.Verdicts, Tenants: more.Tenants,
 		Choosing: more.Choosing, Asked: more.Asked, Drawn: more.Drawn, Rest: more.Rest,
+		Proofs: more.Proofs, Repeatable: more.Repeatable, Probes: more.Probes,
 		First: first,
 	}
 	return rest, nil
 }
 
+// WorkerProof is how many requests an avoided worker answered well that were sent there to
+// learn whether it is well again, since the last report. Those that it failed count as any.
+//
+//msgp:tuple WorkerProof
+type WorkerProof struct {
+	Worker uint32
+	Well   uint16
+}
+
 // TokenQuestion asks for a token of a tenant's limit, or gives it back.
 //
 //msgp:tuple TokenQuestion
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -638,6 +638,65 @@
 				err = msgp.WrapError(err, "Rest")
 				return
 			}
+		case "p":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Proofs")
+				return
+			}
+			if cap(z.Proofs) >= int(zb0006) {
+				z.Proofs = (z.Proofs)[:zb0006]
+			} else {
+				z.Proofs = make([]WorkerProof, zb0006)
+			}
+			for za0004 := range z.Proofs {
+				var zb0007 uint32
+				zb0007, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Proofs", za0004)
+					return
+				}
+				if zb0007 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0007}
+					return
+				}
+				z.Proofs[za0004].Worker, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Proofs", za0004, "Worker")
+					return
+				}
+				z.Proofs[za0004].Well, err = dc.ReadUint16()
+				if err != nil {
+					err = msgp.WrapError(err, "Proofs", za0004, "Well")
+					return
+				}
+			}
+		case "e":
+			z.Repeatable, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Repeatable")
+				return
+			}
+		case "b":
+			var zb0008 uint32
+			zb0008, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Probes")
+				return
+			}
+			if cap(z.Probes) >= int(zb0008) {
+				z.Probes = (z.Probes)[:zb0008]
+			} else {
+				z.Probes = make([]uint32, zb0008)
+			}
+			for za0005 := range z.Probes {
+				z.Probes[za0005], err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Probes", za0005)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -652,8 +711,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *LoadMore) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.Tokens == nil {
 		zb0001Len--
@@ -683,6 +742,18 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Proofs == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Repeatable == false {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Probes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -818,6 +889,66 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "p"
+			err = en.Append(0xa1, 0x70)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Proofs)))
+			if err != nil {
+				err = msgp.WrapError(err, "Proofs")
+				return
+			}
+			for za0004 := range z.Proofs {
+				// array header, size 2
+				err = en.Append(0x92)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint32(z.Proofs[za0004].Worker)
+				if err != nil {
+					err = msgp.WrapError(err, "Proofs", za0004, "Worker")
+					return
+				}
+				err = en.WriteUint16(z.Proofs[za0004].Well)
+				if err != nil {
+					err = msgp.WrapError(err, "Proofs", za0004, "Well")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "e"
+			err = en.Append(0xa1, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Repeatable)
+			if err != nil {
+				err = msgp.WrapError(err, "Repeatable")
+				return
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// write "b"
+			err = en.Append(0xa1, 0x62)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Probes)))
+			if err != nil {
+				err = msgp.WrapError(err, "Probes")
+				return
+			}
+			for za0005 := range z.Probes {
+				err = en.WriteUint32(z.Probes[za0005])
+				if err != nil {
+					err = msgp.WrapError(err, "Probes", za0005)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -826,8 +957,8 @@
 func (z *LoadMore) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.Tokens == nil {
 		zb0001Len--
@@ -857,6 +988,18 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Proofs == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Repeatable == false {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Probes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -922,6 +1065,30 @@
 			o = append(o, 0xa1, 0x72)
 			o = msgp.AppendUint32(o, z.Rest)
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "p"
+			o = append(o, 0xa1, 0x70)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Proofs)))
+			for za0004 := range z.Proofs {
+				// array header, size 2
+				o = append(o, 0x92)
+				o = msgp.AppendUint32(o, z.Proofs[za0004].Worker)
+				o = msgp.AppendUint16(o, z.Proofs[za0004].Well)
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "e"
+			o = append(o, 0xa1, 0x65)
+			o = msgp.AppendBool(o, z.Repeatable)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Probes)))
+			for za0005 := range z.Probes {
+				o = msgp.AppendUint32(o, z.Probes[za0005])
+			}
+		}
 	}
 	return
 }
@@ -1056,6 +1223,65 @@
 				err = msgp.WrapError(err, "Rest")
 				return
 			}
+		case "p":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Proofs")
+				return
+			}
+			if cap(z.Proofs) >= int(zb0006) {
+				z.Proofs = (z.Proofs)[:zb0006]
+			} else {
+				z.Proofs = make([]WorkerProof, zb0006)
+			}
+			for za0004 := range z.Proofs {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Proofs", za0004)
+					return
+				}
+				if zb0007 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0007}
+					return
+				}
+				z.Proofs[za0004].Worker, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Proofs", za0004, "Worker")
+					return
+				}
+				z.Proofs[za0004].Well, bts, err = msgp.ReadUint16Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Proofs", za0004, "Well")
+					return
+				}
+			}
+		case "e":
+			z.Repeatable, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Repeatable")
+				return
+			}
+		case "b":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Probes")
+				return
+			}
+			if cap(z.Probes) >= int(zb0008) {
+				z.Probes = (z.Probes)[:zb0008]
+			} else {
+				z.Probes = make([]uint32, zb0008)
+			}
+			for za0005 := range z.Probes {
+				z.Probes[za0005], bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Probes", za0005)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1080,7 +1306,7 @@
 	} else {
 		s += z.Tenants.Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Asked) * (msgp.Uint32Size)) + 2 + msgp.BoolSize + 2 + msgp.Uint32Size
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Asked) * (msgp.Uint32Size)) + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Proofs) * (13 + msgp.Uint32Size + msgp.Uint16Size)) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Probes) * (msgp.Uint32Size))
 	return
 }
 
@@ -2064,3 +2290,90 @@
 	s = 1 + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *WorkerProof) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Worker, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Worker")
+		return
+	}
+	z.Well, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Well")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z WorkerProof) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Worker)
+	if err != nil {
+		err = msgp.WrapError(err, "Worker")
+		return
+	}
+	err = en.WriteUint16(z.Well)
+	if err != nil {
+		err = msgp.WrapError(err, "Well")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z WorkerProof) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint32(o, z.Worker)
+	o = msgp.AppendUint16(o, z.Well)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WorkerProof) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Worker, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Worker")
+		return
+	}
+	z.Well, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Well")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z WorkerProof) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint16Size
+	return
+}
