--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,10 +112,12 @@
 		Hubs:  func() []string { return *e.hubs.Load() },
 		Home:  true,
 		Own: func() *wire.LoadReport {
-			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads()}
+			proofs := e.workers.Proofs()
+			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads(), Proofs: proofs}
 		},
 		Learn: func(now time.Time, answer *wire.LoadReport) {
 			e.workers.SetOthers(now, answer.Workers, scopeOf(answer))
+			e.workers.SetProbes(now, answer.Probes)
 		},
 		Pause: func() time.Duration {
 			snapshot := e.watcher.Current()
@@ -217,7 +219,9 @@
 	ended       prometheus.Counter
 	quarantined prometheus.Counter
 	// held counts requests that came before this process knew what they need.
-	held      *prometheus.CounterVec
+	held *prometheus.CounterVec
+	// probes counts requests sent to avoided workers.
+	probes    prometheus.Counter
 	firstTime *prometheus.HistogramVec
 	wholeTime *prometheus.HistogramVec
 }
@@ -231,9 +235,10 @@
 		ended:       prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_worker_ends_total", Help: "Requests whose worker ended under them."}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		held:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_held_total", Help: "Requests that came before the configuration or the workers were known, by what they needed and what came of it."}, []string{"need", "outcome"}),
+		probes:      prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_probes_total", Help: "Requests sent to avoided workers to learn whether these are well again."}),
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes)
 	return m
 }
