Consensus: after all began anew, who led last may be elected at once

Cause: a replica grants no vote, and stands for none, within an election timeout of its start, because it may have granted a lease in its last life. Where all processes began at once nobody leads for that long, though the lease was that of a process which began anew as well.

Change: the hard state names who was followed, or led, in its term (leader, additive, stored before that leader is answered). A replica that began anew votes early for that one alone, and for nobody once it has followed a leader in this life; a replica that led itself asks for votes at once, and again each half heartbeat. A term without a known leader, and a disk written by the first generation, leave all as it was.

Ruled out: naming the last leader over a change of term (a first generation that follows another one in that term would not write it).

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -12,11 +12,31 @@
 	r.role = PreCandidate
 	r.leader = 0
 	r.votes = map[uint64]bool{r.config.ID: true}
-	r.resetElectionDeadline(now)
 	r.askVotes(wire.MessagePreVote, r.term+1, false)
 	r.tally(now, PreCandidate)
 }
 
+// earlyTries is how often a replica that may be elected early asks for votes within a
+// heartbeat interval: after a start of all at once the others come one by one.
+const earlyTries = 2
+
+// mayPrecede reports whether a replica may be elected before the time is over for which a
+// lease may be in force that this one granted in its last life. That lease can only be the
+// holder's, who stands for election and so does not count on it any more: it began anew, or
+// it stepped down. Nobody else may, and nobody once another leader has been followed.
+func (r *Replica) mayPrecede(id uint64) bool { return r.holder != 0 && r.holder == id }
+
+// standsEarly reports whether the replica is to stand for election before the shortest
+// election timeout after its start: it led before, and asks again until it has won, heard
+// another leader, or waited as long as all others.
+func (r *Replica) standsEarly(now time.Time) bool {
+	if !r.mayPrecede(r.config.ID) || r.role == Candidate || now.Before(r.earlyDue) {
+		return false
+	}
+	r.earlyDue = now.Add(r.config.HeartbeatInterval / earlyTries)
+	return now.Sub(r.started) < r.config.ElectionTimeout
+}
+
 // stand asks for votes in a new term. A forced candidate was named by the leader
 // itself.
 func (r *Replica) stand(now time.Time, forced bool) {
@@ -24,6 +44,7 @@
 	r.leader = 0
 	r.term++
 	r.vote = r.config.ID
+	r.followed = 0
 	r.votes = map[uint64]bool{r.config.ID: true}
 	r.resetElectionDeadline(now)
 	r.askVotes(wire.MessageVote, r.term, forced)
@@ -102,6 +123,8 @@
 func (r *Replica) becomeLeader(now time.Time) {
 	r.role = Leader
 	r.leader = r.config.ID
+	r.followed = r.config.ID
+	r.holder = 0
 	r.leaderSince = now
 	r.yielded = false
 	r.transferee = 0
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -40,7 +40,7 @@
 		SnapshotsTo:  r.snapshotsTo,
 		Entries:      r.unstored(),
 	}
-	if hard := (wire.HardState{Term: r.term, Vote: r.vote}); hard != r.storedHard {
+	if hard := (wire.HardState{Term: r.term, Vote: r.vote, Leader: r.followed}); hard != r.storedHard {
 		ready.HardState = &hard
 		r.storedHard = hard
 	}
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -65,8 +65,10 @@
 	config Config
 	log    *replicaLog
 
-	term       uint64
-	vote       uint64
+	term uint64
+	vote uint64
+	// followed is who was followed in term, or led it, zero for nobody yet.
+	followed   uint64
 	storedHard wire.HardState
 	role       Role
 	leader     uint64
@@ -74,6 +76,10 @@
 	membership      wire.Membership
 	membershipIndex uint64
 
+	// holder is who alone may hold a lease that this replica granted in its last life, zero
+	// if that is not known, and once it has followed a leader in this one.
+	holder           uint64
+	earlyDue         time.Time
 	started          time.Time
 	lastContact      time.Time
 	electionDeadline time.Time
@@ -98,13 +104,16 @@
 }
 
 // New returns a replica in the state that storage holds. Its start counts as
-// contact with a leader, so that it can't break a lease that it has forgotten.
+// contact with a leader, so that it can't break a lease that it has forgotten. Only the
+// holder of that lease may be elected before; see mayPrecede.
 func New(config Config, restored Restored, now time.Time) *Replica {
 	r := &Replica{
 		config:      config,
 		log:         newLog(restored.Base, restored.Entries, restored.Applied),
 		term:        restored.HardState.Term,
 		vote:        restored.HardState.Vote,
+		followed:    restored.HardState.Leader,
+		holder:      restored.HardState.Leader,
 		storedHard:  restored.HardState,
 		started:     now,
 		lastContact: now,
@@ -132,7 +141,11 @@
 	if !IsVoter(&r.membership, r.config.ID) {
 		return
 	}
-	if r.soleVoter() || !now.Before(r.electionDeadline) {
+	switch {
+	case r.soleVoter() || !now.Before(r.electionDeadline):
+		r.resetElectionDeadline(now)
+		r.campaign(now)
+	case r.standsEarly(now):
 		r.campaign(now)
 	}
 }
@@ -202,7 +215,7 @@
 	asksVote := message.Kind == wire.MessagePreVote || message.Kind == wire.MessageVote
 	switch {
 	case message.Term > r.term:
-		if asksVote && !message.Forced && r.hasLeader(now) {
+		if asksVote && !message.Forced && r.hasLeader(now) && !r.mayPrecede(message.From) {
 			return false
 		}
 		granted := message.Kind == wire.MessagePreVoteResponse && !message.Reject
@@ -244,6 +257,8 @@
 		r.becomeFollower(now, r.term, message.From)
 	}
 	r.leader = message.From
+	r.followed = message.From
+	r.holder = 0
 	r.lastContact = now
 	r.resetElectionDeadline(now)
 }
@@ -252,6 +267,7 @@
 	if term > r.term {
 		r.term = term
 		r.vote = 0
+		r.followed = 0
 	}
 	r.role = Follower
 	r.leader = leader
--- a/internal/consensus/replica_test.go
+++ b/internal/consensus/replica_test.go
@@ -145,3 +145,69 @@
 		t.Errorf("membership %+v under %s", leader.membership, leader.role)
 	}
 }
+
+// TestEarlyVotes lists who is voted for within the shortest election timeout after a start:
+// the one alone who may hold a lease that this replica granted before.
+func TestEarlyVotes(t *testing.T) {
+	entries := []wire.LogEntry{{Index: 1, Term: 2}, {Index: 2, Term: 3}}
+	early := testStart.Add(testElection / 2)
+	follow := func(r *Replica, from, term uint64) {
+		r.Step(early, &wire.PeerMessage{Kind: wire.MessageHeartbeat, From: from, To: 1, Term: term})
+		ready := r.Ready()
+		r.Advance(early, &ready)
+	}
+	for _, test := range []struct {
+		name    string
+		hard    wire.HardState
+		before  func(r *Replica)
+		from    uint64
+		granted bool
+	}{
+		{"the leader followed last", wire.HardState{Term: 3, Vote: 3, Leader: 2}, nil, 2, true},
+		{"another, even one voted for", wire.HardState{Term: 3, Vote: 3, Leader: 2}, nil, 3, false},
+		{"who led is not known", wire.HardState{Term: 3, Vote: 2}, nil, 2, false},
+		{"a leader has been followed since", wire.HardState{Term: 3, Leader: 2}, func(r *Replica) { follow(r, 3, 4) }, 2, false},
+		{"the same has been followed since", wire.HardState{Term: 3, Leader: 2}, func(r *Replica) { follow(r, 2, 3) }, 2, false},
+		{"this replica led", wire.HardState{Term: 3, Leader: 1}, nil, 2, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for _, kind := range []wire.MessageKind{wire.MessagePreVote, wire.MessageVote} {
+				r := testReplica(1, Restored{Base: three(), Entries: entries, HardState: test.hard})
+				if test.before != nil {
+					test.before(r)
+				}
+				r.Step(early, &wire.PeerMessage{Kind: kind, From: test.from, To: 1, Term: 9, Index: 3, LogTerm: 3})
+				ready := r.Ready()
+				if granted := len(ready.Durable) == 1 && !ready.Durable[0].Reject; granted != test.granted {
+					t.Errorf("granted %t, want %t", granted, test.granted)
+				}
+			}
+		})
+	}
+}
+
+// TestLeaderIsStoredBeforeItIsAnswered: the state that names a leader goes to the disk with
+// the first answer to it, or before, and a new term names nobody.
+func TestLeaderIsStoredBeforeItIsAnswered(t *testing.T) {
+	for _, kind := range []wire.MessageKind{wire.MessageHeartbeat, wire.MessageAppend} {
+		r := testReplica(1, Restored{Base: three(), HardState: wire.HardState{Term: 3}})
+		r.Step(testStart, &wire.PeerMessage{Kind: kind, From: 2, To: 1, Term: 3})
+		ready := r.Ready()
+		if len(ready.Durable) != 1 || ready.HardState == nil || *ready.HardState != (wire.HardState{Term: 3, Leader: 2}) {
+			t.Errorf("%d: %d answers, stored %+v", kind, len(ready.Durable), ready.HardState)
+		}
+		r.Advance(testStart, &ready)
+		if !vote(r, testStart.Add(time.Second), 3, 5, false) {
+			t.Fatal("no vote was given")
+		}
+		if r.storedHard != (wire.HardState{Term: 5, Vote: 3}) {
+			t.Errorf("%d: stored %+v with the vote", kind, r.storedHard)
+		}
+	}
+	alone := testReplica(1, Restored{Base: wire.LogBase{Membership: wire.Membership{Voters: replicas(1)}}})
+	alone.Tick(testStart)
+	ready := alone.Ready()
+	if ready.HardState == nil || *ready.HardState != (wire.HardState{Term: 1, Vote: 1, Leader: 1}) {
+		t.Errorf("a leader stored %+v", ready.HardState)
+	}
+}
--- a/internal/consensus/trace_test.go
+++ b/internal/consensus/trace_test.go
@@ -197,6 +197,9 @@
 		c.start(first)
 	case "forget-vote":
 		c.stored[first].HardState = wire.HardState{}
+	case "forget-leader":
+		// As a build writes it that knows no such field.
+		c.stored[first].HardState.Leader = 0
 	case "transfer":
 		c.replicas[first].TransferLeadership(c.now)
 		c.deliver()
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -45,11 +45,13 @@
 	disk  *storage.Memory
 	// life counts the starts of the process: what belongs to an earlier life is
 	// dropped.
-	life    int
-	alive   bool
-	gone    bool
-	frozen  bool
-	backlog []func()
+	life  int
+	alive bool
+	// startedAt is when that life began, by the machine's clock.
+	startedAt time.Time
+	gone      bool
+	frozen    bool
+	backlog   []func()
 	// stood is for how long in all the machine was suspended before, suspended since when
 	// it is, if it is.
 	stood     time.Duration
@@ -114,11 +116,12 @@
 	w := m.world
 	m.life++
 	m.alive, m.frozen, m.backlog = true, false, nil
+	m.startedAt = m.clock()
 	m.knownTerm, m.knownView, m.view = 0, 0, nil
 	m.gate = quarantine.Gate{}
 	m.fleetView = wire.FleetView{}
 	options := replication.Options{
-		Store:             m.mutatedStore(),
+		Store:             m.storeOfBuild(m.mutatedStore()),
 		Name:              m.name,
 		Address:           m.name,
 		NewID:             m.newIdentity,
@@ -251,7 +254,7 @@
 
 func (m *machine) send(address string, message wire.PeerMessage) {
 	to := m.world.machineAt(address)
-	m.transmit(to, func() { to.drive(func() { to.node.Receive(to.clock(), &message) }) })
+	m.transmit(to, func() { to.drive(func() { to.receive(&message) }) })
 }
 
 // introduce says hello to all processes that this one knows of.
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -47,10 +47,13 @@
 	// MutationNoGate writes commands of the quarantine whatever builds are there, and
 	// restates nothing.
 	MutationNoGate Mutation = "no_gate"
+	// MutationEarlyVotes lets replicas that began anew vote for anybody at once, and stand
+	// for election.
+	MutationEarlyVotes Mutation = "early_votes"
 )
 
 // Mutations lists all that take something away.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationOwnEnds, MutationForgetEnds, MutationNoAcquittal, MutationOneLife, MutationNoGate}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationOwnEnds, MutationForgetEnds, MutationNoAcquittal, MutationOneLife, MutationNoGate, MutationEarlyVotes}
 
 // mutatedStore returns the machine's disk, or one that lies.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -17,14 +17,17 @@
 	random *rand.Rand
 	// luck draws what random did not draw from the start, so that a seed's other faults
 	// come at the same moments.
-	luck     *rand.Rand
-	mutation Mutation
-	now      time.Time
-	events   eventQueue
-	sequence uint64
-	machines []*machine
-	ledger   *ledger
-	identity uint64
+	luck *rand.Rand
+	// restarts draws when coordinators begin anew at once, which happens in each fifth seed.
+	restarts     *rand.Rand
+	manyRestarts bool
+	mutation     Mutation
+	now          time.Time
+	events       eventQueue
+	sequence     uint64
+	machines     []*machine
+	ledger       *ledger
+	identity     uint64
 	// lossSafeAt is when a further disk may be lost.
 	lossSafeAt time.Time
 	healed     bool
@@ -117,7 +120,7 @@
 
 // Run runs a seed and returns the violations found.
 func Run(seed uint64, mutation Mutation) (*World, []string) {
-	w := &World{random: rand.New(rand.NewPCG(seed, 7)), luck: rand.New(rand.NewPCG(seed, 8)), mutation: mutation, now: began, sameIDs: seed%4 == 2, twoBuilds: seed%8 == 1 || seed%8 == 3}
+	w := &World{random: rand.New(rand.NewPCG(seed, 7)), luck: rand.New(rand.NewPCG(seed, 8)), restarts: rand.New(rand.NewPCG(seed, 9)), manyRestarts: seed%5 == 2, mutation: mutation, now: began, sameIDs: seed%4 == 2, twoBuilds: seed%8 == 1 || seed%8 == 3}
 	if seed%2 == 1 {
 		w.greetAll = 1
 	}
@@ -133,6 +136,7 @@
 	w.beginFaults()
 	w.beginEdges()
 	w.beginBuilds()
+	w.beginRestarts()
 	w.after(healAt, w.heal)
 	end := began.Add(endAt)
 	for w.events.Len() > 0 {
--- a/internal/wire/consensus.go
+++ b/internal/wire/consensus.go
@@ -27,6 +27,10 @@
 	Term uint64 `msg:"term"`
 	// Vote is the replica voted for in Term, zero for none.
 	Vote uint64 `msg:"vote"`
+	// Leader is who was followed in Term, or led it, zero for nobody. It is stored before
+	// that leader is answered, so a lease that this replica helped to grant in its last life
+	// can only be Leader's. The first generation does not write it: zero says nothing.
+	Leader uint64 `msg:"leader"`
 }
 
 // Replica is a member of a group. Its identity is that of its storage: an
--- a/internal/wire/consensus_gen.go
+++ b/internal/wire/consensus_gen.go
@@ -191,6 +191,12 @@
 				err = msgp.WrapError(err, "Vote")
 				return
 			}
+		case "leader":
+			z.Leader, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Leader")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -204,9 +210,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z HardState) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "term"
-	err = en.Append(0x82, 0xa4, 0x74, 0x65, 0x72, 0x6d)
+	err = en.Append(0x83, 0xa4, 0x74, 0x65, 0x72, 0x6d)
 	if err != nil {
 		return
 	}
@@ -225,19 +231,32 @@
 		err = msgp.WrapError(err, "Vote")
 		return
 	}
+	// write "leader"
+	err = en.Append(0xa6, 0x6c, 0x65, 0x61, 0x64, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Leader)
+	if err != nil {
+		err = msgp.WrapError(err, "Leader")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z HardState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "term"
-	o = append(o, 0x82, 0xa4, 0x74, 0x65, 0x72, 0x6d)
+	o = append(o, 0x83, 0xa4, 0x74, 0x65, 0x72, 0x6d)
 	o = msgp.AppendUint64(o, z.Term)
 	// string "vote"
 	o = append(o, 0xa4, 0x76, 0x6f, 0x74, 0x65)
 	o = msgp.AppendUint64(o, z.Vote)
+	// string "leader"
+	o = append(o, 0xa6, 0x6c, 0x65, 0x61, 0x64, 0x65, 0x72)
+	o = msgp.AppendUint64(o, z.Leader)
 	return
 }
 
@@ -275,6 +294,12 @@
 				err = msgp.WrapError(err, "Vote")
 				return
 			}
+		case "leader":
+			z.Leader, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leader")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -289,7 +314,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z HardState) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Uint64Size + 5 + msgp.Uint64Size
+	s = 1 + 5 + msgp.Uint64Size + 5 + msgp.Uint64Size + 7 + msgp.Uint64Size
 	return
 }
 
