Capacity: a model of a worker, and sums of what workers can carry

Pure: predicted wait, first and last event of one more request, the risk of a wait by the noise of counts, which grows without a step, and slots by speed as a sum with an age. Figures that can't be are bounded.

--- /dev/null
+++ b/internal/capacity/worker_test.go
@@ -0,0 +1,151 @@
+package capacity
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// usual is a pool whose requests hold a slot for 900 ms at a worker of the middle speed.
+var usual = Pool{Hold: 900 * time.Millisecond, Step: 40 * time.Millisecond, Read: 100 * time.Millisecond, GiveWay: 75 * time.Millisecond}
+
+// TestPrediction checks waits, first and last events at workers of 8 slots: each slot is given
+// back after a ninth of the hold.
+func TestPrediction(t *testing.T) {
+	const ms = time.Millisecond
+	for _, test := range []struct {
+		name              string
+		worker            Worker
+		tokens            int64
+		wait, first, last time.Duration
+		spare             int
+	}{
+		{"idle", Worker{Slots: 8, Slowness: 1}, 200, 0, 60 * ms, 960 * ms, 7},
+		{"half as fast", Worker{Slots: 8, Slowness: 2}, 200, 0, 120 * ms, 1920 * ms, 7},
+		{"prompts to read", Worker{Slots: 8, Online: 1, Unread: 800, Slowness: 1}, 200, 0, 140 * ms, 1040 * ms, 6},
+		{"the last slot", Worker{Slots: 8, Online: 7, Slowness: 1}, 0, 0, 40 * ms, 940 * ms, 0},
+		{"one waits", Worker{Slots: 8, Online: 9, Slowness: 1}, 0, 200 * ms, 240 * ms, 1140 * ms, -2},
+		{"the same, half as fast", Worker{Slots: 8, Online: 9, Slowness: 2}, 0, 400 * ms, 480 * ms, 2280 * ms, -2},
+		{"items give way", Worker{Slots: 8, Online: 3, Items: 5, Slowness: 1}, 0, 75 * ms, 115 * ms, 1015 * ms, 4},
+		{"nothing known", Worker{}, 0, 0, 40 * ms, 940 * ms, 0},
+	} {
+		p := test.worker.Predict(usual, test.tokens)
+		if p.Wait != test.wait || p.First != test.first || p.Last != test.last || p.Spare != test.spare {
+			t.Errorf("%s: %+v", test.name, p)
+		}
+	}
+}
+
+// TestRiskGrowsEvenly fills a worker: the risk of a wait grows with each request, without a
+// step, and comes near to the wait predicted.
+func TestRiskGrowsEvenly(t *testing.T) {
+	each, before := 100*time.Millisecond, time.Duration(0)
+	for online := range 40 {
+		p := (&Worker{Slots: 8, Online: online, Slowness: 1}).Predict(usual, 0)
+		if p.Risk < before || p.Risk < p.Wait || p.Risk > p.Wait+each {
+			t.Errorf("%d online: %+v after %v", online, p, before)
+		}
+		before = p.Risk
+	}
+}
+
+// TestImpossibleFiguresAreBounded checks that no figure makes a prediction that can't be.
+func TestImpossibleFiguresAreBounded(t *testing.T) {
+	for _, slowness := range []float64{0, -3, math.NaN(), math.Inf(1), math.Inf(-1), 1e300, 1e-300} {
+		for _, slots := range []int{-5, 0, math.MaxInt32} {
+			p := (&Worker{Slots: slots, Online: 3, Slowness: slowness}).Predict(usual, 1000)
+			if p.Wait < 0 || p.First <= 0 || p.Last < p.First || p.Risk < 0 || p.Last > time.Minute {
+				t.Errorf("slowness %g, %d slots: %+v", slowness, slots, p)
+			}
+		}
+	}
+	for _, test := range [][3]int{{8, 0, 8}, {8, 6, 6}, {8, 600, 8}, {8, -1, 8}, {0, 4, 0}} {
+		if got := SlotsOf(test[0], test[1]); got != test[2] {
+			t.Errorf("%d listed, %d told: %d", test[0], test[1], got)
+		}
+	}
+}
+
+// TestSumsAddUp checks the worth of slots by speed, and the age of a sum.
+func TestSumsAddUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fast, slow := Sum{At: now}, Sum{At: now.Add(-time.Second)}
+	fast.Add(8, 1)
+	slow.Add(8, 2)
+	both := fast.Plus(slow)
+	if both.Slots != 16 || both.Worth != 12 || both.Speed() != 0.75 || !both.At.Equal(slow.At) {
+		t.Errorf("%+v", both)
+	}
+}
+
+// TestLearntSlownessFades checks that half of a difference is left after each half.
+func TestLearntSlownessFades(t *testing.T) {
+	for _, test := range []struct {
+		age  time.Duration
+		want float64
+	}{{-time.Second, 3}, {0, 3}, {time.Second, 2}, {2 * time.Second, 1.5}} {
+		if got := Faded(3, test.age, time.Second); got != test.want {
+			t.Errorf("after %v: %g, want %g", test.age, got, test.want)
+		}
+	}
+}
+
+// spells is a worker that is 2.5 times slower in spells of 90 to 600 ms, 15 in 100 of the
+// time, as its pace in each millisecond.
+func spells(random *rand.Rand, millis int) []float64 {
+	const part, least, most = 0.15, 90, 600
+	paces := make([]float64, 0, millis)
+	for len(paces) < millis {
+		for range int(random.ExpFloat64() * (least + most) / 2 * (1 - part) / part) {
+			paces = append(paces, 1)
+		}
+		for range least + random.IntN(most-least) {
+			paces = append(paces, 2.5)
+		}
+	}
+	return paces[:millis]
+}
+
+// explained is the part of the variance of b that a explains.
+func explained(a, b []float64) float64 {
+	var sumA, sumB, squareA, squareB, both float64
+	for i := range a {
+		sumA, sumB = sumA+a[i], sumB+b[i]
+		squareA, squareB, both = squareA+a[i]*a[i], squareB+b[i]*b[i], both+a[i]*b[i]
+	}
+	n := float64(len(a))
+	covariance := both/n - sumA/n*sumB/n
+	return covariance * covariance / ((squareA/n - sumA/n*sumA/n) * (squareB/n - sumB/n*sumB/n))
+}
+
+// TestWorthOfToldPace measures how much of what a request meets is known from a pace that was
+// told so long ago: of the time to its first event, and of that to its last one. It says
+// much of the first while it is a few tens of ms old, and little of the last at any age.
+func TestWorthOfToldPace(t *testing.T) {
+	paces := spells(rand.New(rand.NewPCG(1, 1)), 600_000)
+	for _, test := range []struct {
+		age                  int
+		leastFirst, mostLast float64
+	}{{0, 0.8, 0.2}, {20, 0.7, 0.15}, {50, 0.5, 0.1}, {100, 0.3, 0.05}, {200, 0.1, 0.03}, {400, 0, 0.01}} {
+		var told, first, last []float64
+		for at := 0; at+test.age+800 < len(paces); at += 37 {
+			told = append(told, paces[at])
+			first = append(first, mean(paces[at+test.age:at+test.age+60]))
+			last = append(last, mean(paces[at+test.age:at+test.age+760]))
+		}
+		byFirst, byLast := explained(told, first), explained(told, last)
+		t.Logf("%d ms old: explains %.2f of the first event's variance, %.2f of the last one's", test.age, byFirst, byLast)
+		if byFirst < test.leastFirst || byLast > test.mostLast {
+			t.Errorf("%d ms old: %.2f, %.2f", test.age, byFirst, byLast)
+		}
+	}
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, value := range values {
+		sum += value
+	}
+	return sum / float64(len(values))
+}
