Workers are chosen by predicted times where they are uneven

Cause: slowness counted from 1.6 times the middle on, as a factor on load and slots, so an idle worker of half the speed cost as much as nine requests at a fast one of 8 slots; another zone cost two slots, always. Requests queued at fast workers, and in their zone, while slots idled.

Change: in a pool whose workers tell their pace, or differ clearly in the times between events that pass anyway (an eighth of them 1.3 times the middle for 2 s), an online request goes where the sum of first event, three times the wait (predicted, or risked by the noise of counts) and a part of the slot-time is least: in the zone while its best worker keeps a slot to spare, else where another zone's does. Lease.Wait rests on the same hold and slowness, and the sum of the pool's capacity. dialect reads all four figures; of told slots the smaller count is believed, with a line, unless the worker runs more itself. Everywhere else choices are as before, bit for bit (TestAlikeWorkersAreChosenAsBefore). Items are chosen for as before.

Changed tests: the argument of Lease.Told in TestToldIsPassedOnOnce.

--- a/internal/balance/answers.go
+++ b/internal/balance/answers.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/capacity"
+)
 
 // noiseParts is the part of a worker's slots, one in so many, by which what it
 // tells and what is known of it may differ by chance: requests on their way,
@@ -9,11 +13,12 @@
 
 // Told takes in what the worker says that it has, in the head of an answer. It is
 // passed on with the next report of loads.
-func (l *Lease) Told(running, waiting int) {
+func (l *Lease) Told(told capacity.Told) {
 	l.table.mutex.Lock()
 	defer l.table.mutex.Unlock()
 	l.table.occupy(l.worker)
-	l.worker.claimed = running + waiting + 1
+	l.worker.claimed = told.Running + told.Waiting + 1
+	l.table.takeTold(l.worker, told)
 }
 
 // orphaned returns how many requests the worker has that no living process answers
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -53,7 +53,10 @@
 				known.farRate += int(candidate.others.Rate)
 			}
 		}
-		learnSlow(now, active)
+		middle := t.middleStep(active)
+		learnSlow(now, active, middle)
+		known.speeds.take(now, active, middle)
+		t.sumUp(now, known, active)
 	}
 }
 
@@ -84,21 +87,28 @@
 	return active
 }
 
-// learnSlow compares each worker's time between events with the middle of all.
-func learnSlow(now time.Time, workers []*worker) {
-	var steps []uint32
+// middleStep returns the workers' time between events in the middle, zero where none is known.
+func (t *Table) middleStep(workers []*worker) uint32 {
+	t.steps = t.steps[:0]
 	for _, candidate := range workers {
 		if candidate.others.Step > 0 {
-			steps = append(steps, candidate.others.Step)
+			t.steps = append(t.steps, candidate.others.Step)
 		}
 	}
-	if len(steps) == 0 {
+	if len(t.steps) == 0 {
+		return 0
+	}
+	slices.Sort(t.steps)
+	return t.steps[(len(t.steps)-1)/2]
+}
+
+// learnSlow compares each worker's time between events with the middle of all.
+func learnSlow(now time.Time, workers []*worker, middle uint32) {
+	if middle == 0 {
 		return
 	}
-	slices.Sort(steps)
-	middle := float64(steps[(len(steps)-1)/2])
 	for _, candidate := range workers {
-		switch ratio := float64(candidate.others.Step) / middle; {
+		switch ratio := float64(candidate.others.Step) / float64(middle); {
 		case candidate.others.Step == 0:
 		case ratio >= slowFrom:
 			candidate.slow, candidate.slowAt = ratio, now
@@ -145,7 +155,7 @@
 // worker. Items of jobs don't count: they give way.
 func (t *Table) waitAt(now time.Time, candidate *worker) time.Duration {
 	others, known := t.toldByOthers(now, candidate)
-	slots := max(candidate.listed.Slots, 1)
+	slots := max(t.slotsOf(candidate), 1)
 	online := candidate.inFlight - candidate.batch + t.orphaned(now, candidate)
 	if known {
 		online += int(others.Online)
@@ -156,6 +166,5 @@
 	}
 	// Slots are given back evenly over the time that one is held: the k-th of n after k
 	// of n + 1 parts of it.
-	wait := float64(t.holdOf(candidate)) * float64(over) / float64(slots+1)
-	return time.Duration(wait * candidate.slowness(now))
+	return time.Duration(float64(t.holdAt(now, candidate)) * float64(over) / float64(slots+1))
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/sedgemast/sedgemast/internal/capacity"
 )
 
 // pool holds the usable workers of one pool, so that a choice need not look at all: in
@@ -14,6 +16,12 @@
 	ring ring
 	// slots is how many slots all its workers have together.
 	slots int
+	// nearSlots are those of the zone's.
+	nearSlots int
+	// speeds is what is learnt of its workers' speeds. near and far carry what can be done.
+	speeds  speeds
+	nearSum capacity.Sum
+	farSum  capacity.Sum
 	// hold is how long an online request holds a slot, as learnt. nearRate and farRate are
 	// how many online requests are answered in ten seconds there, as told.
 	hold     time.Duration
@@ -57,6 +65,7 @@
 	p.groupOf(t, w).add(w)
 	p.slots += w.listed.Slots
 	if t.away(w) == 0 {
+		p.nearSlots += w.listed.Slots
 		p.ring.add(w)
 	}
 }
@@ -70,6 +79,7 @@
 	p.groupOf(t, w).remove(w)
 	p.slots -= w.listed.Slots
 	if t.away(w) == 0 {
+		p.nearSlots -= w.listed.Slots
 		p.ring.remove(w)
 	}
 }
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -40,6 +40,9 @@
 	} else {
 		t.drawOnline(now, demand.Pool, known, fit)
 	}
+	if !demand.Batch && t.byTimes(demand.Pool) {
+		return t.soonest(now, known, demand, t.compared)
+	}
 	return t.best(now, demand, t.compared)
 }
 
--- a/internal/balance/size_test.go
+++ b/internal/balance/size_test.go
@@ -152,6 +152,17 @@
 	})
 }
 
+// BenchmarkChooseByTimes is the same choice by predicted times.
+func BenchmarkChooseByTimes(b *testing.B) {
+	benchmark(b, func(b *testing.B, table *Table, _ int) {
+		table.scoring = byTimes
+		demand := &Demand{Pool: "p", PromptTokens: 450, Parts: []dialect.Part{{ID: "s", Tokens: 200}, {ID: "o", Tokens: 250}}}
+		for b.Loop() {
+			table.Acquire(start, demand).Release()
+		}
+	})
+}
+
 // BenchmarkChooseItem is a plan of the top hub for a runner with 20 items that wait, and a
 // choice by it.
 func BenchmarkChooseItem(b *testing.B) {
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -44,17 +44,25 @@
 	// well, as the hub told at probesAt.
 	probes   []uint32
 	probesAt time.Time
+	// steps is scratch space of middleStep.
+	steps []uint32
 	// compared is scratch space of choose.
 	compared []*worker
 	// homes are the homes of the prompt that is being placed.
 	homes []*worker
+	// telling holds the pools whose workers tell their pace.
+	telling map[string]bool
+	// doubts holds workers that tell other slots than the list says, until they are taken.
+	doubts []Doubt
+	// scoring is how workers are compared.
+	scoring scoring
 	// acquired counts the leases ever given.
 	acquired uint64
 }
 
 // NewTable returns an empty table of a process in the zone.
 func NewTable(zone string, random *rand.Rand) *Table {
-	return &Table{zone: zone, random: random, workers: map[string]*worker{}, byHash: map[uint32]*worker{}, pools: map[string]*pool{}, memory: map[string]int64{}}
+	return &Table{zone: zone, random: random, workers: map[string]*worker{}, byHash: map[uint32]*worker{}, pools: map[string]*pool{}, memory: map[string]int64{}, telling: map[string]bool{}}
 }
 
 // Update takes in the list of workers and how many tokens the workers of each pool hold.
@@ -152,8 +160,11 @@
 	Zone     string
 	// Wait is how long the request is predicted to wait for a slot, Slow how many
 	// times as long as elsewhere the worker takes.
-	Wait     time.Duration
-	Slow     float64
+	Wait time.Duration
+	Slow float64
+	// ByTimes is set where workers were compared by predicted times. Slow is no threshold's
+	// then, but what the worker was seen to take.
+	ByTimes  bool
 	table    *Table
 	worker   *worker
 	unread   int64
@@ -182,7 +193,8 @@
 	}
 	lease := &Lease{
 		Wait:     t.waitAt(now, chosen),
-		Slow:     chosen.slowness(now),
+		Slow:     t.slownessOf(now, chosen),
+		ByTimes:  t.byTimes(chosen.listed.Pool),
 		Endpoint: upstream.Endpoint{ID: chosen.listed.ID, Address: chosen.listed.Address},
 		Zone:     chosen.listed.Zone,
 		table:    t,
--- /dev/null
+++ b/internal/balance/told.go
@@ -0,0 +1,47 @@
+package balance
+
+import "github.com/sedgemast/sedgemast/internal/capacity"
+
+// Doubt is a worker that tells other slots than the list says.
+type Doubt struct {
+	Worker string
+	Listed int
+	Told   int
+}
+
+// mostDoubts bounds the doubts that are kept for who writes them down.
+const mostDoubts = 64
+
+// takeTold takes in what a worker told of itself. Of its slots the smaller count is believed:
+// one that promises more than the list says would queue what it can't run.
+func (t *Table) takeTold(w *worker, told capacity.Told) {
+	if told.Pace > 0 {
+		t.telling[w.listed.Pool] = true
+	}
+	if told.Slots <= 0 || told.Slots == w.toldSlots || told.Running > told.Slots {
+		// It tells none, nothing new, or fewer than it runs.
+		return
+	}
+	w.toldSlots = told.Slots
+	if told.Slots != w.listed.Slots && !w.doubted && len(t.doubts) < mostDoubts {
+		w.doubted = true
+		t.doubts = append(t.doubts, Doubt{Worker: w.listed.ID, Listed: w.listed.Slots, Told: told.Slots})
+	}
+}
+
+// Doubts returns the workers found since the last call to tell other slots than the list says,
+// each once.
+func (t *Table) Doubts() []Doubt {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	doubts := t.doubts
+	t.doubts = nil
+	return doubts
+}
+
+// TellsPace reports whether workers of the pool tell their pace.
+func (t *Table) TellsPace(pool string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.telling[pool]
+}
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -61,11 +61,6 @@
 	// answered and failed count answers until they have been passed on.
 	answered int
 	failed   int
-	// proofs counts the probes that were answered well until they have been passed on.
-	// probing counts those under way, silent those in a row that got no answer.
-	proofs  int
-	probing int
-	silent  int
 	// steps counts times between events, and stepTime is their sum, until they
 	// have been passed on.
 	steps    int
@@ -74,6 +69,19 @@
 	// here, 1 where that makes no difference; slowAt is when that was known.
 	slow   float64
 	slowAt time.Time
+	// proofs counts the probes that were answered well until they have been passed on.
+	// probing counts those under way, silent those in a row that got no answer.
+	proofs  int
+	probing int
+	silent  int
+	// ratio is how many times as long as in the middle an event takes here, as learnt at
+	// ratioAt; zero where nothing was learnt.
+	ratio   float64
+	ratioAt time.Time
+	// toldSlots is how many slots the worker told, zero where it did not.
+	toldSlots int
+	// doubted is set once that was found to differ from the list.
+	doubted bool
 }
 
 // usable reports whether new requests may go to the worker.
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -318,6 +318,14 @@
 	}
 }
 
+// noteDoubts writes down which workers tell other slots than the list says. The smaller count
+// is believed.
+func (s *Store) noteDoubts() {
+	for _, doubt := range s.workers.Doubts() {
+		logging.Warn(s.logger, "worker_tells_other_slots", "worker", doubt.Worker, "listed", doubt.Listed, "told", doubt.Told)
+	}
+}
+
 // planLogInterval is the shortest time between two lines on the plans, which are made each
 // 20 ms.
 const planLogInterval = 200 * time.Millisecond
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -193,8 +193,9 @@
 		return err
 	}
 	defer response.Close()
-	if running, waiting, told := dialect.Load(response.Header.Get(store.dialect.Load)); told {
-		t.lease.Told(running, waiting)
+	if told, found := dialect.Load(response.Header.Get(store.dialect.Load)); found {
+		t.lease.Told(told)
+		store.noteDoubts()
 	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -4,11 +4,13 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/capacity"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -25,8 +27,8 @@
 	NotRun string
 	// LastEvent carries the id of the last event received of a stream.
 	LastEvent string
-	// Load carries what a worker tells of itself: running, waiting and slots,
-	// separated by commas.
+	// Load carries what a worker tells of itself: running, waiting, slots and pace,
+	// separated by commas; the last two may be missing.
 	Load string
 	// PromptParts lists the parts of the prompt as ID:TOKENS, separated by
 	// commas.
@@ -130,17 +132,38 @@
 	return min(longest, time.Duration(millis)*time.Millisecond)
 }
 
-// Load reads what a worker tells of itself: the requests that it runs and those
-// that wait. It reports whether it tells anything.
-func Load(value string) (running, waiting int, told bool) {
-	first, rest, found := strings.Cut(value, ",")
-	second, _, _ := strings.Cut(rest, ",")
-	running, err := strconv.Atoi(strings.TrimSpace(first))
-	if err != nil || !found || running < 0 {
-		return 0, 0, false
-	}
-	waiting, err = strconv.Atoi(strings.TrimSpace(second))
-	return running, waiting, err == nil && waiting >= 0
+// Load reads what a worker tells of itself. It reports whether it tells anything: the
+// requests that it runs and those that wait at least. Slots and pace are zero where they are
+// missing, or no positive whole number.
+func Load(value string) (told capacity.Told, found bool) {
+	fields := strings.Split(value, ",")
+	if len(fields) < 2 {
+		return capacity.Told{}, false
+	}
+	running, err := strconv.Atoi(strings.TrimSpace(fields[0]))
+	if err != nil || running < 0 {
+		return capacity.Told{}, false
+	}
+	waiting, err := strconv.Atoi(strings.TrimSpace(fields[1]))
+	if err != nil || waiting < 0 {
+		return capacity.Told{}, false
+	}
+	return capacity.Told{Running: running, Waiting: waiting, Slots: positive(fields, 2), Pace: positive(fields, 3)}, true
+}
+
+// mostTold bounds what is believed of a figure that a worker tells.
+const mostTold = math.MaxUint16
+
+// positive returns a field as a positive whole number, zero where it is none.
+func positive(fields []string, at int) int {
+	if at >= len(fields) {
+		return 0
+	}
+	number, err := strconv.Atoi(strings.TrimSpace(fields[at]))
+	if err != nil || number < 0 {
+		return 0
+	}
+	return min(number, mostTold)
 }
 
 // hopByHop are headers that pertain to one connection only (RFC 9110, 7.6.1).
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -51,10 +51,11 @@
 // began takes in that the first event has come, where nothing but the worker itself
 // stood before it.
 func (c *call) began(lease *balance.Lease) {
-	if c.attempts > 1 || lease.Wait > 0 || lease.Slow > 1 {
+	if c.attempts > 1 || lease.Wait > 0 || lease.Slow > 1 && !lease.ByTimes {
 		return
 	}
-	took := time.Since(c.arrived)
+	// At a worker of the middle speed it would have taken so much of that.
+	took := time.Duration(float64(time.Since(c.arrived)) / lease.Slow)
 	c.edge.observe(c.route, func(known *admission.Route) { known.Began(took) })
 }
 
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -289,8 +289,9 @@
 	}
 	defer response.Close()
 	c.status = response.Status
-	if running, waiting, told := dialect.Load(response.Header.Get(c.edge.dialect.Load)); told {
-		lease.Told(running, waiting)
+	if told, found := dialect.Load(response.Header.Get(c.edge.dialect.Load)); found {
+		lease.Told(told)
+		c.edge.noteDoubts()
 	}
 	notRunHere := response.Status == http.StatusMisdirectedRequest || response.Header.Get(c.edge.dialect.NotRun) != ""
 	if !notRunHere {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -204,6 +204,14 @@
 	return e.splitter.Next(route, e.workers.Usable)
 }
 
+// noteDoubts writes down which workers tell other slots than the list says. The smaller count
+// is believed.
+func (e *Edge) noteDoubts() {
+	for _, doubt := range e.workers.Doubts() {
+		logging.Warn(e.logger, "worker_tells_other_slots", "worker", doubt.Worker, "listed", doubt.Listed, "told", doubt.Told)
+	}
+}
+
 // metrics are what the process counts.
 type metrics struct {
 	requests *prometheus.CounterVec
