Uneven pools by lasting differences; choices counted; told slots bound items too

A worker counts as slower for the switch by its mean of seven seconds, so that crowded pools of alike workers keep the old choice (TestCrowdedWorkersAreNoUnevenOnes plays them at more than they can carry). The edge counts choices by zone and way, and writes a line when a pool's way changes. Items are planned by the smaller of listed and told slots.

--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -67,7 +67,7 @@
 		const hundredths = 100
 		return w.batch*hundredths < w.listed.Slots*share
 	}
-	return w.starts > 0 && w.inFlight+int(others.Online)+int(others.Batch)+t.orphaned(now, w) < w.listed.Slots
+	return w.starts > 0 && w.inFlight+int(others.Online)+int(others.Batch)+t.orphaned(now, w) < t.slotsOf(w)
 }
 
 // Stops returns, by worker, how many items of this process are still to stop, as the
@@ -123,7 +123,7 @@
 	orphans := t.orphaned(now, w)
 	return batchroom.Place{
 		Worker:   w.hash,
-		Slots:    w.listed.Slots,
+		Slots:    t.slotsOf(w),
 		Online:   w.inFlight - w.batch + int(others.Online) + orphans,
 		Orphans:  orphans,
 		Closed:   !w.usable() || others.Failing || now.Before(w.suspectUntil),
--- a/internal/balance/uneven.go
+++ b/internal/balance/uneven.go
@@ -15,9 +15,12 @@
 	// leastPaced is how many workers must have been seen for that.
 	leastPaced = 4
 	// unevenAfter is for how long they must be so, and evenAfter for how long not, before the
-	// choice changes: differences come and go with the requests.
-	unevenAfter = 2 * time.Second
+	// choice changes.
+	unevenAfter = time.Second
 	evenAfter   = 10 * time.Second
+	// lastingTime is over how long a worker's slowness is a mean that counts for that: full
+	// workers, and those that read a long prompt, are slower for some seconds.
+	lastingTime = 7 * time.Second
 	// ratioHalf is the age at which a worker's slowness counts half where nothing more is
 	// seen of it: it is tried again.
 	ratioHalf = 5 * time.Second
@@ -46,8 +49,8 @@
 			continue
 		}
 		seen++
-		candidate.ratio, candidate.ratioAt = float64(step)/float64(middle), now
-		if candidate.ratio >= unevenFrom {
+		candidate.paced(now, float64(step)/float64(middle))
+		if candidate.lasting >= unevenFrom {
 			slower++
 		}
 	}
@@ -56,6 +59,16 @@
 	}
 }
 
+// paced takes in how many times as long as in the middle an event takes at the worker.
+func (w *worker) paced(now time.Time, ratio float64) {
+	if w.ratioAt.IsZero() {
+		w.lasting, w.ratioAt = 1, now
+	}
+	passed := min(now.Sub(w.ratioAt), lastingTime)
+	w.lasting += (ratio - w.lasting) * float64(passed) / float64(lastingTime)
+	w.ratio, w.ratioAt = ratio, now
+}
+
 // judge takes in whether the workers differ now.
 func (s *speeds) judge(now time.Time, differ bool) {
 	if differ == s.uneven {
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -75,8 +75,9 @@
 	probing int
 	silent  int
 	// ratio is how many times as long as in the middle an event takes here, as learnt at
-	// ratioAt; zero where nothing was learnt.
+	// ratioAt; zero where nothing was learnt. lasting is its mean over some seconds.
 	ratio   float64
+	lasting float64
 	ratioAt time.Time
 	// toldSlots is how many slots the worker told, zero where it did not.
 	toldSlots int
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -187,6 +187,7 @@
 	lease := c.edge.workers.Acquire(clock.Now(), &c.demand)
 	if lease != nil {
 		c.edge.loads.Tell()
+		c.edge.noteChoice(c.demand.Pool, lease)
 	}
 	return lease
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,6 +55,8 @@
 	observed map[string]*admission.Route
 	// overloads holds what is known of each pool's times of overload, by name.
 	overloads map[string]*admission.Overload
+	// byTimes holds the pools whose workers were compared by predicted times last.
+	byTimes map[string]bool
 	// reserve is what tenants may send while no hub answers.
 	reserve *ratelimit.Reserve
 	// counted holds the tenants that have counters.
@@ -76,6 +78,7 @@
 		observed: map[string]*admission.Route{},
 
 		overloads: map[string]*admission.Overload{},
+		byTimes:   map[string]bool{},
 		reserve:   ratelimit.NewReserve(config.Name),
 		started:   clock.Now(),
 	}
@@ -204,6 +207,26 @@
 	return e.splitter.Next(route, e.workers.Usable)
 }
 
+// noteChoice counts a choice, and writes down when the way to compare a pool's workers changes.
+func (e *Edge) noteChoice(pool string, lease *balance.Lease) {
+	zone, by := "other", "cost"
+	if lease.Zone == e.settings.Zone {
+		zone = "own"
+	}
+	if lease.ByTimes {
+		by = "times"
+	}
+	e.metrics.choices.WithLabelValues(zone, by).Inc()
+	e.mutex.Lock()
+	changed := e.byTimes[pool] != lease.ByTimes
+	e.byTimes[pool] = lease.ByTimes
+	e.mutex.Unlock()
+	if changed {
+		near, far := e.workers.Capacity(pool)
+		logging.Info(e.logger, "workers_compared", "pool", pool, "by", by, "tells_pace", e.workers.TellsPace(pool), "own_slots", near.Slots, "own_worth", near.Worth, "other_slots", far.Slots, "other_worth", far.Worth)
+	}
+}
+
 // noteDoubts writes down which workers tell other slots than the list says. The smaller count
 // is believed.
 func (e *Edge) noteDoubts() {
@@ -222,7 +245,9 @@
 	ended       prometheus.Counter
 	quarantined prometheus.Counter
 	// probes counts requests sent to avoided workers.
-	probes    prometheus.Counter
+	probes prometheus.Counter
+	// choices counts choices of workers, by zone and by how they were compared.
+	choices   *prometheus.CounterVec
 	firstTime *prometheus.HistogramVec
 	wholeTime *prometheus.HistogramVec
 }
@@ -236,9 +261,10 @@
 		ended:       prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_worker_ends_total", Help: "Requests whose worker ended under them."}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		probes:      prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_probes_total", Help: "Requests sent to avoided workers to learn whether these are well again."}),
+		choices:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_choices_total", Help: "Workers chosen, by their zone (own, other) and by how they were compared (cost, times)."}, []string{"zone", "by"}),
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.probes, m.firstTime, m.wholeTime)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.probes, m.choices, m.firstTime, m.wholeTime)
 	return m
 }
