--- a/internal/balance/times_test.go
+++ b/internal/balance/times_test.go
@@ -336,6 +336,29 @@
 	}
 }
 
+// TestZoneThatLosesRoomSpills lets a third of the busiest zone's workers leave in a wave, and in
+// another play doubles its demand in one: fewer of its requests are late than by cost.
+func TestZoneThatLosesRoomSpills(t *testing.T) {
+	t.Parallel()
+	for name, befalls := range map[string]func(f *unevenFleet){
+		"a third leaves":     func(f *unevenFleet) { f.leave(0) },
+		"its demand doubles": func(f *unevenFleet) { f.plan.demand[0] *= 2 },
+	} {
+		play := func(way scoring) *unevenFleet {
+			plan := fourZones()
+			plan.scoring, plan.waves = way, 1
+			plan.demand = []float64{70, 60, 50, 50}
+			plan.at = map[time.Duration]func(f *unevenFleet){wavePeriod - waveLength/2: befalls}
+			return newUnevenFleet(plan, 15).play()
+		}
+		now, before := play(byTimes), play(byCost)
+		t.Logf("%s: now %v; by cost %v", name, now, before)
+		if now.late() > before.late() {
+			t.Errorf("%s: now %v; by cost %v", name, now, before)
+		}
+	}
+}
+
 // TestAllSlowAtOnce slows all workers: none is shunned, and the pool doesn't count as uneven.
 func TestAllSlowAtOnce(t *testing.T) {
 	t.Parallel()
--- a/internal/balance/uneven_test.go
+++ b/internal/balance/uneven_test.go
@@ -110,6 +110,7 @@
 	hubs    []*loadshare.Hub
 	top     *loadshare.Hub
 	zoneOf  map[uint32]string
+	rows    []wire.PoolWorker
 	workers []*unevenWorker
 	byID    map[string]*unevenWorker
 	// newsStop is set while no news go anywhere, cut names a zone that hears nothing of the
@@ -147,6 +148,7 @@
 		f.zoneOf[loadshare.Hash(row.ID)] = row.Zone
 	}
 	set := workerset.Of(rows)
+	f.rows = rows
 	for range zones {
 		f.hubs = append(f.hubs, loadshare.NewHub())
 	}
@@ -268,6 +270,21 @@
 	f.place(r)
 }
 
+// leave lets every third worker of the zone leave.
+func (f *unevenFleet) leave(zone int) {
+	rows, seen := slices.Clone(f.rows), 0
+	for i, w := range f.workers {
+		if w.zone == zone {
+			rows[i].Leaving = seen%3 == 0
+			seen++
+		}
+	}
+	set := workerset.Of(rows)
+	for _, table := range f.tables {
+		table.Update(set, map[string]int64{"p": 100_000})
+	}
+}
+
 // paceOf is what a worker tells of its pace.
 func (f *unevenFleet) paceOf(w *unevenWorker) int {
 	if f.plan.pace != nil {
