--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,6 +57,8 @@
 	observed map[string]*admission.Route
 	// overloads holds what is known of each pool's times of overload, by name.
 	overloads map[string]*admission.Overload
+	// byTimes holds the pools whose workers were compared by predicted times last.
+	byTimes map[string]bool
 	// reserve is what tenants may send while no hub answers.
 	reserve *ratelimit.Reserve
 	// counted holds the tenants that have counters.
@@ -78,6 +80,7 @@
 		observed: map[string]*admission.Route{},
 
 		overloads: map[string]*admission.Overload{},
+		byTimes:   map[string]bool{},
 		reserve:   ratelimit.NewReserve(config.Name),
 		started:   clock.Now(),
 		room:      newRoom(),
@@ -209,6 +212,34 @@
 	return e.splitter.Next(route, e.workers.Usable)
 }
 
+// noteChoice counts a choice, and writes down when the way to compare a pool's workers changes.
+func (e *Edge) noteChoice(pool string, lease *balance.Lease) {
+	zone, by := "other", "cost"
+	if lease.Zone == e.settings.Zone {
+		zone = "own"
+	}
+	if lease.ByTimes {
+		by = "times"
+	}
+	e.metrics.choices.WithLabelValues(zone, by).Inc()
+	e.mutex.Lock()
+	changed := e.byTimes[pool] != lease.ByTimes
+	e.byTimes[pool] = lease.ByTimes
+	e.mutex.Unlock()
+	if changed {
+		near, far := e.workers.Capacity(pool)
+		logging.Info(e.logger, "workers_compared", "pool", pool, "by", by, "tells_pace", e.workers.TellsPace(pool), "own_slots", near.Slots, "own_worth", near.Worth, "other_slots", far.Slots, "other_worth", far.Worth)
+	}
+}
+
+// noteDoubts writes down which workers tell other slots than the list says. The smaller count
+// is believed.
+func (e *Edge) noteDoubts() {
+	for _, doubt := range e.workers.Doubts() {
+		logging.Warn(e.logger, "worker_tells_other_slots", "worker", doubt.Worker, "listed", doubt.Listed, "told", doubt.Told)
+	}
+}
+
 // metrics are what the process counts.
 type metrics struct {
 	requests *prometheus.CounterVec
@@ -221,7 +252,9 @@
 	// held counts requests that came before this process knew what they need.
 	held *prometheus.CounterVec
 	// probes counts requests sent to avoided workers.
-	probes    prometheus.Counter
+	probes prometheus.Counter
+	// choices counts choices of workers, by zone and by how they were compared.
+	choices   *prometheus.CounterVec
 	firstTime *prometheus.HistogramVec
 	wholeTime *prometheus.HistogramVec
 }
@@ -236,9 +269,11 @@
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		held:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_held_total", Help: "Requests that came before the configuration or the workers were known, by what they needed and what came of it."}, []string{"need", "outcome"}),
 		probes:      prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_probes_total", Help: "Requests sent to avoided workers to learn whether these are well again."}),
+		choices:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_choices_total", Help: "Workers chosen, by their zone (own, other) and by how they were compared (cost, times)."}, []string{"zone", "by"}),
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes)
+
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes, m.choices)
 	return m
 }
