A forecast of online need that learns recurring waves

Cause: nobody knew when the next wave of online requests begins, so items gave way only once requests queued behind them.

Change: package forecast learns from the present need alone where waves recur (begin, length, height), is sure after two equal cycles, gives up after two waves that failed and says so. Without a pattern its answer is the present need.

--- /dev/null
+++ b/internal/forecast/score.go
@@ -0,0 +1,117 @@
+package forecast
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// scoredAhead is how many bins ahead forecasts are compared with what came: about as
+	// long as a stop takes from the report that it rests on to the free slot.
+	scoredAhead = 4
+	// scoreParts is the part of a new value in the score, one in so many: some 12 seconds,
+	// so that calm parts and waves are both in it.
+	scoreParts = 256
+)
+
+// score compares what was forecast with what came. The zero value is ready for use.
+type score struct {
+	// forecast holds what was forecast for the bins to come, plain the need when that was
+	// done, both by the bin's number.
+	forecast [scoredAhead + 1]guess
+	scored   int
+	// off and plainOff are the mean differences of the forecast and of the need at its time
+	// from what came.
+	off      float64
+	plainOff float64
+	// last is by how much bins differed from what is usual, with and square the means of
+	// products of such differences scoredAhead bins apart and of their squares.
+	last   [scoredAhead]float64
+	with   float64
+	square float64
+}
+
+type guess struct {
+	number int
+	need   float64
+	plain  float64
+}
+
+// note keeps what is forecast after a bin was closed.
+func (s *score) note(f *Forecast, number int) {
+	if !f.pattern.sure {
+		return
+	}
+	target := number + scoredAhead
+	need, known := f.expect(target)
+	if !known {
+		return
+	}
+	s.forecast[target%len(s.forecast)] = guess{number: target, need: need - s.margin(), plain: f.present}
+}
+
+// compare takes in what came in a bin.
+func (s *score) compare(f *Forecast, number int, value float64) {
+	if !f.pattern.sure {
+		return
+	}
+	guess := &s.forecast[number%len(s.forecast)]
+	if guess.number == number && number > 0 {
+		s.scored++
+		part := 1 / float64(min(s.scored, scoreParts))
+		s.off += part * (math.Abs(guess.need-value) - s.off)
+		s.plainOff += part * (math.Abs(guess.plain-value) - s.plainOff)
+	}
+	if usual, known := f.usual(number); known {
+		s.learnLasting(number, value-usual)
+	}
+}
+
+// learnLasting takes in by how much a bin differs from what is usual.
+func (s *score) learnLasting(number int, difference float64) {
+	at := number % scoredAhead
+	s.with += (difference*s.last[at] - s.with) / scoreParts
+	s.square += (difference*difference - s.square) / scoreParts
+	s.last[at] = difference
+}
+
+// lasting returns which part of a difference from what is usual is left so many bins later.
+func (s *score) lasting(bins int) float64 {
+	if s.square <= 0 || s.with <= 0 {
+		return 0
+	}
+	return math.Pow(min(s.with/s.square, 1), float64(bins)/scoredAhead)
+}
+
+// margin is what is added to a forecast: by as much it is off in the mean.
+func (s *score) margin() float64 { return s.off }
+
+// Score is how good forecasts were of late, in slots.
+type Score struct {
+	// Off is by how much they differ from what came in the mean, PlainOff by how much the
+	// need at their time did.
+	Off      float64
+	PlainOff float64
+}
+
+// Score returns how good forecasts were, zeros without a pattern.
+func (f *Forecast) Score() Score { return Score{Off: f.score.off, PlainOff: f.score.plainOff} }
+
+// News is what has changed in what is learnt.
+type News struct {
+	Learnt  bool
+	GivenUp bool
+	// Cycle is the time after which so many waves recur.
+	Cycle time.Duration
+	Waves int
+	// Length and Height are those of a wave, in time and slots.
+	Length time.Duration
+	Height float64
+}
+
+// News returns what has changed since it was asked last.
+func (f *Forecast) News() News {
+	news := f.news
+	f.news = News{}
+	return news
+}
