Room for waves is made before they come, and filled behind them

Cause: the planner went by the present need alone.

Change: batchroom plans with an outlook of each pool where tenants share it or its workers tell their pace: a pattern that is sure, or a rise that has just begun, is given room by the time that news, a report and a stop take; items stop where they leave the least room for the part of the slots that the wave needs, and start where it leaves the most. A new planner lets items start once the first rise is over, a quarter of a second at least. Who leaves ahead is chosen by LeavesBefore: nearest to the end last. An item goes back to the worker that read its prompt if it may start there. Without an outlook that is sure plans are as before, bit for bit (TestUnsureOutlooksChangeNothing).

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -19,6 +19,8 @@
 	hold     time.Duration
 	nearRate int
 	farRate  int
+	// tellsPace is set once a worker has said how fast it is.
+	tellsPace bool
 }
 
 // group is a set of workers in no special order. A worker stands in one group at most and
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -123,6 +123,7 @@
 	orphans := t.orphaned(now, w)
 	return batchroom.Place{
 		Worker:   w.hash,
+		Pool:     w.listed.Pool,
 		Slots:    w.listed.Slots,
 		Online:   w.inFlight - w.batch + int(others.Online) + orphans,
 		Orphans:  orphans,
@@ -181,7 +182,7 @@
 	first := t.random.IntN(all)
 	for i := 0; i < all && count > 0; i++ {
 		if w := known.at((first + i) % all); !w.told && !w.busy && w.suspectUntil.IsZero() {
-			drawn = append(drawn, batchroom.Place{Worker: w.hash, Slots: w.listed.Slots})
+			drawn = append(drawn, batchroom.Place{Worker: w.hash, Pool: w.listed.Pool, Slots: w.listed.Slots})
 			count--
 		}
 	}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -137,6 +137,8 @@
 	// the slots.
 	Batch      bool
 	BatchShare int
+	// Last names the worker that an item ran at before, which it returns to if it may.
+	Last string
 }
 
 // Lease is a place of a request at a worker; it must be released.
@@ -161,7 +163,10 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.readmit(now)
-	chosen := t.choose(now, demand, false)
+	chosen := t.lastOf(now, demand)
+	if chosen == nil {
+		chosen = t.choose(now, demand, false)
+	}
 	if chosen == nil {
 		chosen = t.choose(now, demand, true)
 	}
--- a/internal/batchplan/batchplan.go
+++ b/internal/batchplan/batchplan.go
@@ -39,6 +39,8 @@
 	Overdue bool
 	// Slack is how much later than now it could begin and still be in time.
 	Slack time.Duration
+	// Remaining is how long it takes until its end.
+	Remaining time.Duration
 }
 
 // neverDue is the slack of an item whose result is due at no time.
@@ -82,6 +84,25 @@
 	return first.Order > second.Order
 }
 
+// LeavesBefore reports whether the first item leaves before the second where requests are
+// still to come, so that it may be chosen who leaves, and each will wait so long about:
+// overdue ones first, then those that will be in time all the same, those nearest to their
+// end last, because they are the next to make room by themselves; then those with more
+// slack, and those of later jobs.
+func LeavesBefore(first, second Item, wait time.Duration) bool {
+	if first.Overdue != second.Overdue {
+		return first.Overdue
+	}
+	firstSafe, secondSafe := first.Slack > wait, second.Slack > wait
+	if firstSafe != secondSafe {
+		return firstSafe
+	}
+	if firstSafe && first.Remaining != second.Remaining {
+		return first.Remaining > second.Remaining
+	}
+	return YieldsBefore(first, second)
+}
+
 // RunTime is a running mean of how long items run and how many events they have.
 // The zero value is ready for use.
 type RunTime struct {
--- /dev/null
+++ b/internal/batchroom/ahead.go
@@ -0,0 +1,250 @@
+package batchroom
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/forecast"
+)
+
+const (
+	// carryOut is how long a stop takes from the runner that is told of it to the free slot:
+	// two looks of the runner, the second because the news may come just after the first,
+	// and a step of the worker.
+	carryOut = 50 * time.Millisecond
+	// leastStay is how long an item runs at least before it gives way. What would begin with
+	// less time than that would stand in the way of the requests that come.
+	leastStay = 300 * time.Millisecond
+	// startDeviations is how many standard deviations of a count as large as the need are
+	// kept when items start beyond what is kept when they stop: else what has just started
+	// stops again with the next request more.
+	startDeviations = 0.5
+	// gapParts is the part of a new value, one in so many, in the mean time between a
+	// runner's reports.
+	gapParts = 8
+)
+
+// Outlook is what is known of the next moments of a pool.
+type Outlook struct {
+	Pool string
+	// Slots counts those of its workers where items may start, IdleSlots those of them that
+	// are idle.
+	Slots     int
+	IdleSlots int
+	// Online is the present need of online requests.
+	Online int
+	// Lag is how old the news of online requests are.
+	Lag time.Duration
+	// Peak returns the highest need of online requests until so long ahead.
+	Peak func(ahead time.Duration) forecast.Need
+	// Hold is set while nothing may start there.
+	Hold bool
+}
+
+// gapUntil returns the mean time between reports with the one that has just come.
+func (r *runner) gapUntil(now time.Time) time.Duration {
+	switch {
+	case r == nil:
+		return 0
+	case r.gap == 0:
+		return now.Sub(r.at)
+	}
+	return r.gap + (now.Sub(r.at)-r.gap)/gapParts
+}
+
+// prospect is what online requests to come leave of a pool.
+type prospect struct {
+	outlook *Outlook
+	// part is the part of each worker's slots that they need, left how many items may start,
+	// offered the room found.
+	part    float64
+	left    int
+	offered int
+}
+
+// prospects are those of the pools of which something is known, and few.
+type prospects []*prospect
+
+func (p prospects) of(pool string) *prospect {
+	for _, known := range p {
+		if known.outlook.Pool == pool {
+			return known
+		}
+	}
+	return nil
+}
+
+// lookAhead finds what online requests to come leave of the pools, and adds the stops that
+// make room for them. Items and stops are those at the busy places.
+func (p *Planner) lookAhead(name uint32, own *runner, places *Places, items, stops []int) prospects {
+	var found prospects
+	for i := range places.Outlooks {
+		outlook := &places.Outlooks[i]
+		lead := outlook.Lag + own.gap + carryOut
+		need := outlook.Peak(lead)
+		switch {
+		case need.Sure:
+			if !p.summary.Need.Sure || need.Slots > p.summary.Need.Slots {
+				p.summary.Need = need
+			}
+			found = append(found, p.prospectOf(name, outlook, places, items, stops, need, lead))
+		case need.Rising && !outlook.Hold:
+			p.summary.Rising = true
+			found = append(found, p.prospectOf(name, outlook, places, items, stops, need, lead))
+		case outlook.Hold:
+			found = append(found, &prospect{outlook: outlook})
+		}
+		p.summary.Held = p.summary.Held || outlook.Hold
+	}
+	return found
+}
+
+// prospectOf finds what is left of a pool, and adds the stops that it takes.
+func (p *Planner) prospectOf(name uint32, outlook *Outlook, places *Places, items, stops []int, need forecast.Need, lead time.Duration) *prospect {
+	held, stopping, elsewhere := 0, 0, 0
+	for i := range places.Busy {
+		switch place := &places.Busy[i]; {
+		case place.Pool != outlook.Pool:
+		case place.Closed:
+			// These go on where they are, whatever comes.
+			elsewhere += min(place.Online, place.Slots)
+		default:
+			held += items[i] + p.grantedAt(place.Worker, name)
+			stopping += stops[i]
+		}
+	}
+	open := func(need forecast.Need) int { return int(math.Ceil(max(need.Slots-float64(elsewhere), 0))) }
+	now, soon := open(need), open(outlook.Peak(lead+leastStay))
+	soon += int(startDeviations * math.Sqrt(float64(soon)))
+	result := &prospect{outlook: outlook}
+	if outlook.Slots > 0 {
+		result.part = min(float64(soon)/float64(outlook.Slots), 1)
+	}
+	if over := now + held - stopping - outlook.Slots; over > 0 {
+		p.summary.Ahead += stopAhead(outlook, places, items, stops, over, min(float64(now)/float64(max(outlook.Slots, 1)), 1))
+	}
+	if !outlook.Hold {
+		result.left = max(outlook.Slots-soon-held, 0)
+	}
+	return result
+}
+
+// spare returns what requests to come leave of a worker's room when so much is taken by
+// items.
+func (p prospects) spare(place *Place, taken int) float64 {
+	known := p.of(place.Pool)
+	if known == nil {
+		return float64(place.Slots - taken - place.Online)
+	}
+	return float64(place.Slots-taken) - max(float64(place.Online), known.part*float64(place.Slots))
+}
+
+// offer takes in room that was found.
+func (p prospects) offer(pool string, room int) {
+	if known := p.of(pool); known != nil {
+		known.offered += room
+	}
+}
+
+// withheld returns how much of the room found is kept for requests to come. So much room
+// at idle workers is taken.
+func (p prospects) withheld(taken int) int {
+	withheld := 0
+	for _, known := range p {
+		idle := max(known.outlook.IdleSlots-taken, 0)
+		withheld += max(known.offered+idle-known.left, 0)
+	}
+	return withheld
+}
+
+// candidate is a worker to stop items at, or to start some.
+type candidate struct {
+	place int
+	rank  float64
+	tie   uint32
+}
+
+// candidates is a heap of those, the highest rank first.
+type candidates []candidate
+
+// Len implements heap.Interface.
+func (c candidates) Len() int { return len(c) }
+
+// Less implements heap.Interface.
+func (c candidates) Less(a, b int) bool {
+	return cmp.Or(cmp.Compare(c[b].rank, c[a].rank), cmp.Compare(c[a].tie, c[b].tie)) < 0
+}
+
+// Swap implements heap.Interface.
+func (c candidates) Swap(a, b int) { c[a], c[b] = c[b], c[a] }
+
+// Push implements heap.Interface.
+func (c *candidates) Push(added any) { *c = append(*c, added.(candidate)) }
+
+// Pop implements heap.Interface.
+func (c *candidates) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
+}
+
+// lower takes one from the rank of the first one, or the first one out where it is spent.
+func (c *candidates) lower(spent bool) {
+	if spent {
+		heap.Pop(c)
+		return
+	}
+	(*c)[0].rank--
+	heap.Fix(c, 0)
+}
+
+// stopAhead adds so many stops, each where items leave the least room for the part of the
+// slots that online requests will need there. All runners' plans add the same ones, of
+// which each gets its part.
+func stopAhead(outlook *Outlook, places *Places, items, stops []int, over int, part float64) int {
+	var heaped candidates
+	for i := range places.Busy {
+		place := &places.Busy[i]
+		if place.Pool != outlook.Pool || place.Closed || items[i] <= stops[i] {
+			continue
+		}
+		need := max(float64(place.Online), part*float64(place.Slots))
+		heaped = append(heaped, candidate{place: i, rank: float64(items[i]-stops[i]-place.Slots) + need, tie: place.Worker})
+	}
+	heap.Init(&heaped)
+	added := 0
+	for ; added < over && len(heaped) > 0; added++ {
+		at := heaped[0].place
+		stops[at]++
+		heaped.lower(stops[at] >= items[at])
+	}
+	return added
+}
+
+// grantAhead gives out so much room, one slot after another where requests to come leave
+// the most.
+func grantAhead(open []opening, count int, known prospects) map[uint32]int {
+	granted := map[uint32]int{}
+	heaped := make(candidates, 0, len(open))
+	for i := range open {
+		heaped = append(heaped, candidate{place: i, rank: open[i].spare, tie: open[i].tie})
+	}
+	heap.Init(&heaped)
+	for count > 0 && len(heaped) > 0 {
+		opening := &open[heaped[0].place]
+		if prospect := known.of(opening.pool); prospect != nil {
+			if prospect.left == 0 {
+				heap.Pop(&heaped)
+				continue
+			}
+			prospect.left--
+		}
+		granted[opening.worker]++
+		opening.room--
+		count--
+		heaped.lower(opening.room == 0)
+	}
+	return granted
+}
--- /dev/null
+++ b/internal/batchroom/ahead_test.go
@@ -0,0 +1,205 @@
+package batchroom
+
+import (
+	"maps"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/forecast"
+	"github.com/sedgemast/sedgemast/internal/proptest"
+)
+
+// outlookOf returns an outlook of the pool in which so many slots will be needed.
+func outlookOf(places []Place, need float64, sure bool) Outlook {
+	outlook := Outlook{Pool: "p", Lag: reports, Peak: func(time.Duration) forecast.Need { return forecast.Need{Slots: need, Sure: sure} }}
+	for i := range places {
+		if !places[i].Closed {
+			outlook.Slots += places[i].Slots
+		}
+	}
+	return outlook
+}
+
+// drawPlaces draws workers, some of them closed.
+func drawPlaces(random *rand.Rand) []Place {
+	places := make([]Place, 1+random.Intn(12))
+	for i := range places {
+		slots := 2 + random.Intn(15)
+		places[i] = Place{Worker: uint32(i + 1), Pool: "p", Slots: slots, Online: random.Intn(slots + 2), Closed: random.Intn(8) == 0}
+	}
+	return places
+}
+
+// takeRunners lets runners with drawn items report, and returns their names.
+func takeRunners(random *rand.Rand, p *Planner, places []Place) []uint32 {
+	names := []uint32{11, 12, 13}
+	for _, name := range names {
+		items := map[uint32]int{}
+		for i := range places {
+			items[places[i].Worker] = random.Intn(places[i].Slots/2 + 1)
+		}
+		p.Take(start, name, random.Intn(60), items)
+	}
+	return names
+}
+
+// TestUnsureOutlooksChangeNothing compares plans with an outlook that is not sure to plans
+// without one.
+func TestUnsureOutlooksChangeNothing(t *testing.T) {
+	proptest.Run(t, "unsure", func(random *rand.Rand) error {
+		seed := random.Int63()
+		places := drawPlaces(random)
+		plain, unsure := New(), New()
+		takeRunners(rand.New(rand.NewSource(seed)), plain, places)
+		names := takeRunners(rand.New(rand.NewSource(seed)), unsure, places)
+		for _, name := range names {
+			first := plain.Plan(name, Places{Busy: places})
+			second := unsure.Plan(name, Places{Busy: places, Outlooks: []Outlook{outlookOf(places, 1000, false)}})
+			if !maps.Equal(first, second) || plain.Summary() != unsure.Summary() {
+				return errors.Newf("orders %+v and %+v, summaries %+v and %+v", first, second, plain.Summary(), unsure.Summary())
+			}
+		}
+		return nil
+	})
+}
+
+// TestRoomIsMadeAhead draws places and a need: after the stops all that run and the need
+// fit, unless no item is left at open workers, one stop fewer would not do, and what is
+// granted fits beside the need.
+func TestRoomIsMadeAhead(t *testing.T) {
+	proptest.Run(t, "ahead", func(random *rand.Rand) error {
+		places := drawPlaces(random)
+		for i := range places {
+			places[i].Online = min(places[i].Online, places[i].Slots)
+		}
+		p := New()
+		names := takeRunners(random, p, places)
+		slots, online, elsewhere := 0, 0, 0
+		for i := range places {
+			online += places[i].Online
+			if places[i].Closed {
+				elsewhere += places[i].Online
+				continue
+			}
+			slots += places[i].Slots
+		}
+		need := online + random.Intn(slots+1)
+		items, stops, starts, atClosed := 0, 0, 0, 0
+		for i := range places {
+			if !places[i].Closed {
+				items += p.itemsAt(places[i].Worker)
+			}
+		}
+		for _, name := range names {
+			for worker, order := range p.Plan(name, Places{Busy: places, Outlooks: []Outlook{outlookOf(places, float64(need), true)}}) {
+				if order.Stop > p.runners[name].items[worker] {
+					return errors.Newf("%d stops of %d items", order.Stop, p.runners[name].items[worker])
+				}
+				starts += order.Start
+				if places[worker-1].Closed {
+					atClosed += order.Stop
+					continue
+				}
+				stops += order.Stop
+			}
+		}
+		over := need - elsewhere + items - slots
+		crowded := 0
+		for i := range places {
+			if place := &places[i]; !place.Closed {
+				crowded += min(max(place.Online+p.itemsAt(place.Worker)-place.Slots, 0), p.itemsAt(place.Worker))
+			}
+		}
+		switch {
+		case stops != min(max(over, crowded), items):
+			return errors.Newf("%d stops of %d items, %d over, %d in the way", stops, items, over, crowded)
+		case starts > 0 && need-elsewhere+items+starts > slots:
+			return errors.Newf("%d starts beside %d items and a need of %d at %d slots", starts, items, need, slots)
+		}
+		return nil
+	})
+}
+
+// TestRoomIsSpread lets a wave come to workers of which one is full of items: those stop
+// that stand where the wave will need the room.
+func TestRoomIsSpread(t *testing.T) {
+	p := New()
+	places := []Place{{Worker: 1, Pool: "p", Slots: 8}, {Worker: 2, Pool: "p", Slots: 8}, {Worker: 3, Pool: "p", Slots: 8}}
+	p.Take(start, 10, 0, map[uint32]int{1: 8, 2: 4, 3: 1})
+	orders := p.Plan(10, Places{Busy: places, Outlooks: []Outlook{outlookOf(places, 16, true)}})
+	if want := (map[uint32]Order{1: {Stop: 5}}); !maps.Equal(orders, want) {
+		t.Errorf("orders %+v, want %+v", orders, want)
+	}
+	if got := p.Summary().Ahead; got != 5 {
+		t.Errorf("%d stops ahead", got)
+	}
+}
+
+// TestNothingStartsBeforeAWave checks that room that a wave will need is not given away,
+// and that all of it is once the wave is over.
+func TestNothingStartsBeforeAWave(t *testing.T) {
+	places := []Place{{Worker: 1, Pool: "p", Slots: 8, Online: 1}, {Worker: 2, Pool: "p", Slots: 8, Online: 1}}
+	for need, want := range map[float64]int{16: 0, 12: 3, 2: 14} {
+		p := New()
+		p.Take(start, 10, 40, nil)
+		started := 0
+		for _, order := range p.Plan(10, Places{Busy: places, Outlooks: []Outlook{outlookOf(places, need, true)}}) {
+			started += order.Start
+		}
+		if started != want {
+			t.Errorf("%d start beside a need of %.0f, want %d", started, need, want)
+		}
+	}
+}
+
+// TestANewPlannerWaits checks that nothing starts while an outlook is held.
+func TestANewPlannerWaits(t *testing.T) {
+	places := []Place{{Worker: 1, Pool: "p", Slots: 8}}
+	p := New()
+	p.Take(start, 10, 40, nil)
+	held := outlookOf(places, 0, false)
+	held.Hold = true
+	if orders := p.Plan(10, Places{Busy: places, Outlooks: []Outlook{held}}); len(orders) > 0 || !p.Summary().Held {
+		t.Errorf("orders %+v", orders)
+	}
+}
+
+// benchmarkPlan plans at 10,000 workers of 8 slots, 300 of them loaded.
+func benchmarkPlan(b *testing.B, outlooks func(places []Place) []Outlook) {
+	places := make([]Place, 300)
+	items := map[uint32]int{}
+	for i := range places {
+		places[i] = Place{Worker: uint32(i + 1), Pool: "p", Slots: 8, Online: i % 6}
+		items[uint32(i+1)] = 2
+	}
+	p := New()
+	told := Places{Busy: places, IdleWorkers: 9700, IdleSlots: 77600, Outlooks: outlooks(places), Draw: func(count int) []Place {
+		drawn := make([]Place, count)
+		for i := range drawn {
+			drawn[i] = Place{Worker: uint32(1000 + i), Pool: "p", Slots: 8}
+		}
+		return drawn
+	}}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Take(start, 10, 20, items)
+		p.Plan(10, told)
+	}
+}
+
+// BenchmarkPlan is a plan without an outlook.
+func BenchmarkPlan(b *testing.B) {
+	benchmarkPlan(b, func([]Place) []Outlook { return nil })
+}
+
+// BenchmarkPlanAhead is a plan with a wave that takes all but 300 slots.
+func BenchmarkPlanAhead(b *testing.B) {
+	benchmarkPlan(b, func(places []Place) []Outlook {
+		outlook := outlookOf(places, 79_700, true)
+		outlook.Slots, outlook.IdleSlots = 80_000, 77_600
+		return []Outlook{outlook}
+	})
+}
--- a/internal/batchroom/batchroom.go
+++ b/internal/batchroom/batchroom.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/batchplan"
+	"github.com/sedgemast/sedgemast/internal/forecast"
 )
 
 const (
@@ -24,7 +25,9 @@
 type Place struct {
 	// Worker is the worker's short name.
 	Worker uint32
-	Slots  int
+	// Pool names its pool where an outlook is known of it.
+	Pool  string
+	Slots int
 	// Online counts the online requests of all processes, Orphans those of them that no
 	// living process answers for.
 	Online  int
@@ -47,6 +50,8 @@
 	IdleWorkers int
 	IdleSlots   int
 	Draw        func(count int) []Place
+	// Outlooks are what is known of the next moments, by pool; none where nothing is forecast.
+	Outlooks []Outlook
 }
 
 // Order is what a runner is told of a worker: how many items it may start there, and
@@ -77,6 +82,14 @@
 	Free    int
 	Granted int
 	Stops   int
+	// Ahead counts those of the stops that make room for requests to come, Need the online
+	// need that they rest on where a forecast of a pool is sure, until which moment.
+	Ahead int
+	Need  forecast.Need
+	// Rising is set where the stops rest on a rise that has just begun.
+	Rising bool
+	// Held is set while nothing may start because a new planner has not seen enough.
+	Held bool
 }
 
 // Summary returns the summary of the last plan.
@@ -85,6 +98,8 @@
 // runner is a process that runs items.
 type runner struct {
 	at time.Time
+	// gap is the time between two reports, zero before the second one.
+	gap time.Duration
 	// waiting counts the items that could start.
 	waiting int
 	// items counts those that run, by worker, less those about to stop.
@@ -104,7 +119,7 @@
 			delete(p.runners, known)
 		}
 	}
-	p.runners[name] = &runner{at: now, waiting: waiting, items: items}
+	p.runners[name] = &runner{at: now, waiting: waiting, items: items, gap: p.runners[name].gapUntil(now)}
 }
 
 // Plan returns the orders for a runner that has just reported, by worker.
@@ -117,32 +132,44 @@
 	var open []opening
 	p.summary = Summary{Waiting: p.waiting(), Slots: places.IdleSlots, Idle: places.IdleSlots}
 	busy := make(map[uint32]bool, len(places.Busy))
+	items := make([]int, len(places.Busy))
+	stops := make([]int, len(places.Busy))
 	for i := range places.Busy {
 		place := &places.Busy[i]
 		busy[place.Worker] = true
-		items := p.itemsAt(place.Worker)
-		p.summary.add(place, items)
-		stops := batchplan.Stops(batchplan.Place{Slots: place.Slots, Online: place.Online, Batch: items}, place.Hold, place.Patience)
-		if stops > 0 {
-			p.summary.Stops += stops
-			if part := p.partOf(name, place.Worker, stops); part > 0 {
+		items[i] = p.itemsAt(place.Worker)
+		p.summary.add(place, items[i])
+		stops[i] = batchplan.Stops(batchplan.Place{Slots: place.Slots, Online: place.Online, Batch: items[i]}, place.Hold, place.Patience)
+	}
+	prospects := p.lookAhead(name, own, &places, items, stops)
+	for i := range places.Busy {
+		place := &places.Busy[i]
+		if stops[i] > 0 {
+			p.summary.Stops += stops[i]
+			if part := p.partOf(name, place.Worker, stops[i]); part > 0 {
 				orders[place.Worker] = Order{Stop: part}
 			}
 			continue
 		}
-		if room := p.roomAt(name, place, items); room > 0 {
-			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
+		if room := p.roomAt(name, place, items[i]); room > 0 {
+			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name, spare: prospects.spare(place, place.Slots-room-place.Online), pool: place.Pool})
 			p.summary.Free += room
+			prospects.offer(place.Pool, room)
 		}
 	}
 	taken := p.takenIdle(name, busy)
 	p.summary.Free += max(places.IdleSlots-taken, 0)
+	p.summary.Free -= prospects.withheld(taken)
 	share := p.shareOf(own, p.summary.Free)
 	if share > 0 && places.IdleWorkers > 0 {
 		// As many as are taken may come up in vain.
-		open = append(open, p.openIdle(name, places.Draw(share+taken))...)
+		open = append(open, p.openIdle(name, places.Draw(share+taken), prospects)...)
+	}
+	if len(prospects) > 0 {
+		own.granted = grantAhead(open, share, prospects)
+	} else {
+		own.granted = grant(open, share)
 	}
-	own.granted = grant(open, share)
 	for worker, count := range own.granted {
 		orders[worker] = Order{Start: count}
 		p.summary.Granted += count
@@ -180,12 +207,12 @@
 }
 
 // openIdle returns the room at some of the idle workers.
-func (p *Planner) openIdle(name uint32, places []Place) []opening {
+func (p *Planner) openIdle(name uint32, places []Place, prospects prospects) []opening {
 	open := make([]opening, 0, len(places))
 	for i := range places {
 		place := &places[i]
 		if room := p.roomAt(name, place, p.itemsAt(place.Worker)); room > 0 {
-			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
+			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name, spare: prospects.spare(place, place.Slots-room), pool: place.Pool})
 		}
 	}
 	return open
@@ -273,6 +300,9 @@
 	room   int
 	// tie orders workers of equal room, differently for each runner.
 	tie uint32
+	// spare is the room that online requests to come leave of it, of the pool.
+	spare float64
+	pool  string
 }
 
 // grant gives out so much room, one slot after another where the most is left.
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -13,6 +13,7 @@
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/batchroom"
 	"github.com/sedgemast/sedgemast/internal/consensus"
+	"github.com/sedgemast/sedgemast/internal/forecast"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quota"
@@ -47,7 +48,9 @@
 	planner *batchroom.Planner
 	// planLogDue is from when on a plan may be logged.
 	planLogDue time.Time
-	ownDue     time.Time
+	// forecasts holds those of the pools that something is forecast for.
+	forecasts map[string]*forecast.Forecast
+	ownDue    time.Time
 	// listed is the list of workers taken in last, near and far the short names of those of
 	// this process's zone and of others.
 	listed *workerset.Set
@@ -71,10 +74,13 @@
 		zone:    loadshare.NewHub(),
 		top:     loadshare.NewHub(),
 		planner: batchroom.New(),
-		random:  rand.New(rand.NewPCG(seed, seed)),
-		zones:   map[uint32]string{},
-		limits:  newLimiter(clock.Now(), tolerance),
-		quotas:  quota.New(0),
+
+		forecasts: map[string]*forecast.Forecast{},
+
+		random: rand.New(rand.NewPCG(seed, seed)),
+		zones:  map[uint32]string{},
+		limits: newLimiter(clock.Now(), tolerance),
+		quotas: quota.New(0),
 	}
 }
 
@@ -276,6 +282,7 @@
 func (s *Store) order(now time.Time, source uint32, waiting int, items map[uint32]int) map[uint32]batchroom.Order {
 	table := s.watcher.Current().Table
 	places := s.workers.Places(now, func(pool string) time.Duration { return table.TightestGoal(pool) / patienceParts })
+	places.Outlooks = s.foresee(now, table, &places)
 	s.loads.planner.Take(now, source, waiting, items)
 	orders := s.loads.planner.Plan(source, places)
 	s.logPlan(now, source, places)
@@ -296,7 +303,7 @@
 	for i := range places.Busy {
 		orphans += places.Busy[i].Orphans
 	}
-	logging.Info(s.logger, "items_planned", "runner", source, "slots", plan.Slots, "online", plan.Online, "orphans", orphans, "items", plan.Items, "queued", plan.Queued, "idle", plan.Idle, "waiting", plan.Waiting, "free", plan.Free, "granted", plan.Granted, "stops", plan.Stops)
+	logging.Info(s.logger, "items_planned", "runner", source, "slots", plan.Slots, "online", plan.Online, "orphans", orphans, "items", plan.Items, "queued", plan.Queued, "idle", plan.Idle, "waiting", plan.Waiting, "free", plan.Free, "granted", plan.Granted, "stops", plan.Stops, "ahead", plan.Ahead, "level", int(plan.Need.Slots), "sure", plan.Need.Sure, "until_ms", untilMillis(now, plan.Need), "rising", plan.Rising, "held", plan.Held)
 }
 
 // ordered returns the rows with the orders.
--- a/internal/batchstore/metrics.go
+++ b/internal/batchstore/metrics.go
@@ -9,6 +9,9 @@
 	jobs     *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	runTime  prometheus.Histogram
+	// forecastOff is by how many slots forecasts of the online need are off, and by how many
+	// the present need taken for what comes would be.
+	forecastOff *prometheus.GaugeVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -17,7 +20,8 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "store_item_attempts_total", Help: "Attempts at items, by how they ended."}, []string{"outcome"}),
 		runTime:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "store_item_seconds", Help: "How long attempts took.", Buckets: []float64{.1, .3, 1, 2, 3, 5, 7, 10, 15, 20, 30}}),
 	}
-	registry.MustRegister(m.jobs, m.attempts, m.runTime)
+	m.forecastOff = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "store_forecast_off_slots", Help: "By how many slots the online need differs from what was forecast 200 ms before, in the mean, by pool and way; zero without a pattern."}, []string{"pool", "way"})
+	registry.MustRegister(m.jobs, m.attempts, m.runTime, m.forecastOff)
 	return m
 }
 
--- /dev/null
+++ b/internal/batchstore/outlook.go
@@ -0,0 +1,68 @@
+package batchstore
+
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/batchroom"
+	"github.com/sedgemast/sedgemast/internal/forecast"
+	"github.com/sedgemast/sedgemast/internal/loadshare"
+	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/routetable"
+)
+
+// foresees reports whether the need of online requests is forecast for a pool: where
+// tenants share it, or where its workers tell their pace.
+func (s *Store) foresees(table *routetable.Table, pool string) bool {
+	return table.AsksForKeys() || s.workers.TellsPace(pool)
+}
+
+// foresee takes in the present need and returns what is known of the next moments. The
+// lock of the hubs is held.
+func (s *Store) foresee(now time.Time, table *routetable.Table, places *batchroom.Places) []batchroom.Outlook {
+	var foreseen []batchroom.Outlook
+	for _, outlook := range s.workers.Outlooks(places) {
+		if !s.foresees(table, outlook.Pool) {
+			delete(s.loads.forecasts, outlook.Pool)
+			continue
+		}
+		known := s.forecastOf(outlook.Pool)
+		known.Take(now, float64(outlook.Online))
+		outlook.Lag = loadshare.HubPause(s.workers.PerSecond(), s.loads.listed.Len())
+		outlook.Hold = !known.Warm()
+		outlook.Peak = func(ahead time.Duration) forecast.Need { return known.Peak(now, ahead) }
+		foreseen = append(foreseen, outlook)
+		s.tellForecast(outlook.Pool, known)
+	}
+	return foreseen
+}
+
+// forecastOf returns the forecast of a pool.
+func (s *Store) forecastOf(pool string) *forecast.Forecast {
+	known := s.loads.forecasts[pool]
+	if known == nil {
+		known = forecast.New()
+		s.loads.forecasts[pool] = known
+	}
+	return known
+}
+
+// tellForecast writes down what a forecast has learnt or given up, and how good it is.
+func (s *Store) tellForecast(pool string, known *forecast.Forecast) {
+	score := known.Score()
+	s.metrics.forecastOff.WithLabelValues(pool, "forecast").Set(score.Off)
+	s.metrics.forecastOff.WithLabelValues(pool, "present").Set(score.PlainOff)
+	switch news := known.News(); {
+	case news.Learnt:
+		logging.Info(s.logger, "pattern_learnt", "pool", pool, "cycle_ms", news.Cycle.Milliseconds(), "waves", news.Waves, "length_ms", news.Length.Milliseconds(), "height", int(news.Height))
+	case news.GivenUp:
+		logging.Info(s.logger, "pattern_given_up", "pool", pool, "cycle_ms", news.Cycle.Milliseconds(), "waves", news.Waves)
+	}
+}
+
+// untilMillis returns how long it is until the level changes, zero where that is unknown.
+func untilMillis(now time.Time, need forecast.Need) int64 {
+	if need.Until.IsZero() {
+		return 0
+	}
+	return max(need.Until.Sub(now), 0).Milliseconds()
+}
--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -98,6 +98,7 @@
 	if seen := r.seen[job.ID]; seen != nil {
 		age, due := now.Sub(seen.first), dueOf(table, job)
 		remaining := r.store.runTimes.remaining(r.eventsOf(job, number), job.Items[number].Expected)
+		planned.Remaining = remaining
 		planned.Overdue = batchplan.Overdue(age, due, remaining)
 		planned.Slack = batchplan.Slack(age, due, remaining)
 	}
@@ -151,12 +152,17 @@
 		BatchShare: r.store.batchShare(),
 	}
 	demand.PromptTokens, _ = dialect.TokenCounts(dialect.Value(content.Headers, r.store.dialect.Tokens))
+	if r.store.foresees(table, demand.Pool) {
+		demand.Last = r.carried[key].worker
+	}
 	lease := r.store.workers.Acquire(now, demand)
 	if lease == nil {
 		full[job.Route] = true
 		return nil
 	}
-	return r.prepare(ctx, key, job, route, content, lease)
+	started := r.prepare(ctx, key, job, route, content, lease)
+	started.pool, started.carry.worker = demand.Pool, lease.Endpoint.ID
+	return started
 }
 
 // rests reports whether an item is to wait a moment.
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -49,6 +49,8 @@
 	// log was handed its first record.
 	chain  uint64
 	opened bool
+	// worker is the one that read its prompt last, empty if that was not here.
+	worker string
 }
 
 // task is one attempt at an item, from where it had come before.
@@ -61,6 +63,7 @@
 	host     string
 	owner    tenancy.Name
 	route    *routetable.Route
+	pool     string
 	content  *wire.ItemContent
 	chain    uint64
 	carry    carry
--- a/internal/batchstore/yield.go
+++ b/internal/batchstore/yield.go
@@ -30,15 +30,38 @@
 		return
 	}
 	candidates := make([]yielding, 0, len(r.running))
+	var leaving []yielding
 	for key, running := range r.running {
 		if stops[running.lease.Endpoint.ID] == 0 || !running.mayYield(now) {
 			continue
 		}
-		if job, err := r.group.machine.Job(key.job); err == nil {
-			candidates = append(candidates, yielding{running, r.planOf(now, table, job, key.item)})
+		job, err := r.group.machine.Job(key.job)
+		if err != nil {
+			continue
+		}
+		candidate := yielding{running, r.planOf(now, table, job, key.item)}
+		if r.leavesAhead(now, table, running) {
+			leaving = append(leaving, candidate)
+		} else {
+			candidates = append(candidates, candidate)
 		}
 	}
+	wait := r.store.runTimes.remaining(0, 0)
+	sort.Slice(leaving, func(a, b int) bool { return batchplan.LeavesBefore(leaving[a].plan, leaving[b].plan, wait) })
+	r.stop(leaving)
 	sort.Slice(candidates, func(a, b int) bool { return batchplan.YieldsBefore(candidates[a].plan, candidates[b].plan) })
+	r.stop(candidates)
+}
+
+// leavesAhead reports whether items stop at the task's worker for requests that are still
+// to come: nobody waits there yet, so it may be chosen who leaves.
+func (r *runner) leavesAhead(now time.Time, table *routetable.Table, running *task) bool {
+	return r.store.foresees(table, running.pool) && !r.store.workers.Overfull(now, running.lease.Endpoint.ID)
+}
+
+// stop stops as many of the candidates as the planner wants stopped at their workers, the
+// first ones first.
+func (r *runner) stop(candidates []yielding) {
 	for _, candidate := range candidates {
 		if candidate.task.lease.Stop() {
 			candidate.task.yielded = true
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -9,7 +9,10 @@
 // sure again. Without a pattern it says so, and the present need is all it knows.
 package forecast
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Need is how many slots online requests will need at a moment.
 type Need struct {
@@ -20,6 +23,9 @@
 	// Sure is set where the level follows from a pattern that has held; otherwise it is the
 	// present level.
 	Sure bool
+	// Rising is set where it is not sure, and the level is the one that a rise that has just
+	// begun goes on to.
+	Rising bool
 }
 
 const (
@@ -32,8 +38,15 @@
 	// longestGap is how long nothing may be heard before all is forgotten: whoever plans
 	// then has missed what came meanwhile.
 	longestGap = time.Second
-	// warmBins is how long the need must not have risen for its first rise to be over.
+	// warmBins is how long the need must not have risen for its first rise to be over, by
+	// more than chance: two of the longest times between reports, so that all have been heard
+	// too. warmTime is the longest that this may last.
 	warmBins = 5
+	warmTime = time.Second
+	// riseBins is over how many bins a rise is looked for, two reports, and riseDeviations how
+	// many standard deviations of a count it must be not to be chance.
+	riseBins       = 2
+	riseDeviations = 3
 )
 
 // Forecast holds what is known of the online need of a pool. It is not safe for concurrent
@@ -108,12 +121,16 @@
 	if f.warm {
 		return
 	}
-	if value > f.most {
+	if value > f.most+math.Sqrt(f.most) {
 		f.most, f.since = value, number
 	}
-	f.warm = number-f.since >= warmBins
+	f.warm = number-f.since >= warmBins || time.Duration(number)*binTime >= warmTime
 }
 
+// Warm reports whether enough was heard: all had time to report, and the crowd of requests
+// that comes once processes are back has come.
+func (f *Forecast) Warm() bool { return f.warm }
+
 // counted returns the bins that waves are learnt from.
 func (f *Forecast) counted() []float64 {
 	if !f.warm {
@@ -143,20 +160,42 @@
 // Peak returns the highest need from now until so long ahead.
 func (f *Forecast) Peak(now time.Time, ahead time.Duration) Need {
 	need := Need{Slots: f.present, At: now}
-	if !f.pattern.sure || f.began.IsZero() {
+	if f.began.IsZero() {
 		return need
 	}
+	if !f.pattern.sure {
+		return f.rising(need, ahead)
+	}
 	need.Sure, need.Until = true, f.changeAfter(now)
 	open := f.number()
 	last := int(now.Add(ahead).Sub(f.began) / binTime)
 	for number := open + 1; number <= last; number++ {
-		if level, known := f.expect(number); known && level > need.Slots {
+		level, known := f.expect(number)
+		if !known {
+			continue
+		}
+		if level += f.score.margin(level); level > need.Slots {
 			need.Slots, need.At = level, f.timeOf(number)
 		}
 	}
 	return need
 }
 
+// rising adds what a rise that has just begun goes on to.
+func (f *Forecast) rising(need Need, ahead time.Duration) Need {
+	before, known := f.bin(f.number() - riseBins)
+	if !known || !f.warm {
+		return need
+	}
+	rise := f.present - before
+	if rise <= riseDeviations*math.Sqrt(max(before, 1)) {
+		return need
+	}
+	need.Rising = true
+	need.Slots += rise * float64(ahead) / float64(riseBins*binTime)
+	return need
+}
+
 // expect returns the need in a bin to come.
 func (f *Forecast) expect(number int) (float64, bool) {
 	usual, known := f.usual(number)
@@ -166,10 +205,10 @@
 	open := f.number()
 	before, known := f.usual(open)
 	if !known {
-		return usual + f.score.margin(), true
+		return usual, true
 	}
 	// What the present differs by lasts for a while: requests hold their slots.
-	return max(usual+f.score.lasting(number-open)*(f.present-before)+f.score.margin(), 0), true
+	return max(usual+f.score.lasting(number-open)*(f.present-before), 0), true
 }
 
 // timeOf returns the begin of a bin.
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -172,7 +172,7 @@
 	if !known {
 		return w.f.present
 	}
-	return level - w.f.score.margin()
+	return level
 }
 
 // offOf returns by how much a way is off in the mean, 200 ms ahead, after so long.
--- a/internal/forecast/pattern.go
+++ b/internal/forecast/pattern.go
@@ -27,7 +27,7 @@
 	// over before items have left and come back.
 	shortestCycle = 20
 	// profileCycles is how many cycles are averaged.
-	profileCycles = 3
+	profileCycles = 6
 	// lengthParts is the part of a new value in the mean length and height of waves.
 	lengthParts = 3
 )
@@ -265,17 +265,28 @@
 		return f.present, true
 	}
 	sum, count := 0.0, 0
+	f.before(number, func(known int) {
+		sum += f.bins[known-f.dropped]
+		count++
+	})
+	if count == 0 {
+		return 0, false
+	}
+	return sum / float64(count), true
+}
+
+// before calls take for the closed bins at the same distance from the begins of earlier
+// cycles, the last few of them.
+func (f *Forecast) before(number int, take func(known int)) {
+	p := &f.pattern
+	distance, count := number-p.anchor, 0
 	for i := len(p.begins) - 1; i >= 0 && count < profileCycles; i-- {
 		if (len(p.begins)-1-i)%p.waves != 0 && !p.skipped {
 			continue
 		}
-		if value, known := f.bin(p.begins[i] + distance); known {
-			sum += value
+		if known := p.begins[i] + distance; known >= f.dropped && known < len(f.bins)+f.dropped {
+			take(known)
 			count++
 		}
 	}
-	if count == 0 {
-		return 0, false
-	}
-	return sum / float64(count), true
 }
--- a/internal/forecast/score.go
+++ b/internal/forecast/score.go
@@ -12,6 +12,9 @@
 	// scoreParts is the part of a new value in the score, one in so many: some 12 seconds,
 	// so that calm parts and waves are both in it.
 	scoreParts = 256
+	// marginTimes is by how many times its mean error a forecast is raised. Errors go both
+	// ways, and a request that finds no slot waits for an item to leave.
+	marginTimes = 2.5
 )
 
 // score compares what was forecast with what came. The zero value is ready for use.
@@ -24,6 +27,8 @@
 	// from what came.
 	off      float64
 	plainOff float64
+	// chance is off in parts of the root of the need, by which counts vary.
+	chance float64
 	// last is by how much bins differed from what is usual, with and square the means of
 	// products of such differences scoredAhead bins apart and of their squares.
 	last   [scoredAhead]float64
@@ -47,7 +52,7 @@
 	if !known {
 		return
 	}
-	s.forecast[target%len(s.forecast)] = guess{number: target, need: need - s.margin(), plain: f.present}
+	s.forecast[target%len(s.forecast)] = guess{number: target, need: need, plain: f.present}
 }
 
 // compare takes in what came in a bin.
@@ -57,9 +62,11 @@
 	}
 	guess := &s.forecast[number%len(s.forecast)]
 	if guess.number == number && number > 0 {
+		off := math.Abs(guess.need - value)
 		s.scored++
 		part := 1 / float64(min(s.scored, scoreParts))
-		s.off += part * (math.Abs(guess.need-value) - s.off)
+		s.off += part * (off - s.off)
+		s.chance += part * (off/math.Sqrt(max(guess.need, 1)) - s.chance)
 		s.plainOff += part * (math.Abs(guess.plain-value) - s.plainOff)
 	}
 	if usual, known := f.usual(number); known {
@@ -83,8 +90,10 @@
 	return math.Pow(min(s.with/s.square, 1), float64(bins)/scoredAhead)
 }
 
-// margin is what is added to a forecast: by as much it is off in the mean.
-func (s *score) margin() float64 { return s.off }
+// margin returns what is added to a forecast of so much.
+func (s *score) margin(need float64) float64 {
+	return marginTimes * s.chance * math.Sqrt(max(need, 1))
+}
 
 // Score is how good forecasts were of late, in slots.
 type Score struct {
