Forecast: the switch, pools counted in one pass, tests of who leaves and who returns

Change: pools of which nothing is forecast are not counted at all; TestStopsGain compares what stops ahead cost with the waiting that they save; tests of the switch (nothing is forecast without tenants or a told pace, and plans are then those of before), of the order in which items leave, of the way back to the worker that read the prompt.

--- a/internal/balance/outlook.go
+++ b/internal/balance/outlook.go
@@ -8,40 +8,60 @@
 	"github.com/sedgemast/sedgemast/internal/batchroom"
 )
 
-// Outlooks returns what is known of the present of each pool: its slots, and the need of
+// Pools returns the names of all pools, sorted.
+func (t *Table) Pools() []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.Sorted(maps.Keys(t.pools))
+}
+
+// Outlooks returns what is known of the present of the pools: their slots, and the need of
 // online requests. Those that wait count as need, because each will hold a slot; the need
 // ends at the slots of the pool, because no more room could be made for it. Who forecasts
 // adds what is to come.
-func (t *Table) Outlooks(places *batchroom.Places) []batchroom.Outlook {
+func (t *Table) Outlooks(places *batchroom.Places, pools []string) []batchroom.Outlook {
+	if len(pools) == 0 {
+		return nil
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	outlooks := make([]batchroom.Outlook, 0, len(t.pools))
-	for _, name := range slices.Sorted(maps.Keys(t.pools)) {
-		outlooks = append(outlooks, t.outlookOf(name, places))
+	outlooks := make([]batchroom.Outlook, 0, len(pools))
+	numbers := make(map[string]int, len(pools))
+	most := make([]int, len(pools))
+	for _, name := range pools {
+		known := t.pools[name]
+		if known == nil {
+			continue
+		}
+		numbers[name] = len(outlooks)
+		most[len(outlooks)] = known.slots
+		outlooks = append(outlooks, batchroom.Outlook{Pool: name, Slots: known.slots, IdleSlots: known.slots})
 	}
-	return outlooks
-}
-
-func (t *Table) outlookOf(name string, places *batchroom.Places) batchroom.Outlook {
-	all := t.pools[name].slots
-	outlook := batchroom.Outlook{Pool: name, Slots: all, IdleSlots: all}
 	for i := range places.Busy {
 		place := &places.Busy[i]
-		if place.Pool != name {
-			continue
-		}
-		outlook.Online += place.Online
-		if known := t.byHash[place.Worker]; known == nil || !known.entered {
-			all += place.Slots
-			continue
-		}
-		outlook.IdleSlots -= place.Slots
-		if place.Closed {
-			outlook.Slots -= place.Slots
+		if number, wanted := numbers[place.Pool]; wanted {
+			most[number] += t.addTo(&outlooks[number], place)
 		}
 	}
-	outlook.Online = min(outlook.Online, all)
-	return outlook
+	for i := range outlooks {
+		outlooks[i].Online = min(outlooks[i].Online, most[i])
+	}
+	return outlooks
+}
+
+// addTo adds a place to its pool's outlook, and returns how many slots it has that are not
+// among the pool's: a worker that is leaving has some.
+func (t *Table) addTo(outlook *batchroom.Outlook, place *batchroom.Place) int {
+	outlook.Online += place.Online
+	known := t.byHash[place.Worker]
+	if known == nil || !known.entered {
+		return place.Slots
+	}
+	outlook.IdleSlots -= place.Slots
+	if place.Closed {
+		outlook.Slots -= place.Slots
+	}
+	return 0
 }
 
 // Overfull reports whether requests wait for a slot at the worker, as far as is known.
--- /dev/null
+++ b/internal/balance/outlook_test.go
@@ -0,0 +1,122 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/batchroom"
+	"github.com/sedgemast/sedgemast/internal/loadshare"
+	"github.com/sedgemast/sedgemast/internal/wire"
+	"github.com/sedgemast/sedgemast/internal/workerset"
+)
+
+// outlookTable holds two pools: three workers of four slots, the last of which is leaving,
+// and one worker of another pool.
+func outlookTable() *Table {
+	table := NewTable("z", rand.New(rand.NewPCG(1, 1)))
+	table.Update(workerset.Of([]wire.PoolWorker{
+		{ID: "a", Pool: "p", Zone: "z", Slots: 4},
+		{ID: "b", Pool: "p", Zone: "z", Slots: 4},
+		{ID: "c", Pool: "p", Zone: "z", Slots: 4, Leaving: true},
+		{ID: "d", Pool: "q", Zone: "z", Slots: 2},
+	}), nil)
+	return table
+}
+
+func noPatience(string) time.Duration { return 0 }
+
+// TestOutlooksCountByPool checks need and slots of pools: what waits counts, what runs at a
+// leaving worker too, and the need ends at the slots there are.
+func TestOutlooksCountByPool(t *testing.T) {
+	table := outlookTable()
+	online := func(id string, count int) wire.WorkerLoad {
+		return wire.WorkerLoad{Worker: loadshare.WorkerHash(id), Online: uint16(count)}
+	}
+	for _, test := range []struct {
+		name   string
+		loads  []wire.WorkerLoad
+		online int
+		idle   int
+	}{
+		{"nothing", nil, 0, 8},
+		{"some wait", []wire.WorkerLoad{online("a", 6)}, 6, 4},
+		{"at a leaving worker", []wire.WorkerLoad{online("a", 1), online("c", 3)}, 4, 4},
+		{"too much", []wire.WorkerLoad{online("a", 20), online("b", 20)}, 8, 0},
+	} {
+		table.SetOthers(start, test.loads, OfAll)
+		places := table.Places(start, noPatience)
+		outlooks := table.Outlooks(&places, table.Pools())
+		if len(outlooks) != 2 || outlooks[0].Pool != "p" || outlooks[1].Pool != "q" {
+			t.Fatalf("%s: %+v", test.name, outlooks)
+		}
+		if got := outlooks[0]; got.Online != test.online || got.IdleSlots != test.idle || got.Slots != 8 {
+			t.Errorf("%s: %+v", test.name, got)
+		}
+		if got := outlooks[1]; got.Online != 0 || got.Slots != 2 || got.IdleSlots != 2 {
+			t.Errorf("%s: the other pool: %+v", test.name, got)
+		}
+	}
+}
+
+// TestClosedWorkersAreNoRoom checks that the slots of a worker that gave no answer don't
+// count while it is avoided.
+func TestClosedWorkersAreNoRoom(t *testing.T) {
+	table := outlookTable()
+	table.SetOthers(start, nil, OfAll)
+	table.Acquire(start, &Demand{Pool: "p"}).Suspect(start)
+	places := table.Places(start, noPatience)
+	if got := table.Outlooks(&places, table.Pools())[0]; got.Slots != 4 {
+		t.Errorf("%d slots beside a worker that gave no answer", got.Slots)
+	}
+}
+
+// TestItemsReturn lets an item start where it ran before: there if that is granted, and
+// elsewhere if not.
+func TestItemsReturn(t *testing.T) {
+	for _, last := range []string{"a", "b"} {
+		for _, granted := range []bool{true, false} {
+			table := outlookTable()
+			table.SetOthers(start, nil, OfAll)
+			orders := map[uint32]batchroom.Order{}
+			for _, id := range []string{"a", "b"} {
+				if granted || id != last {
+					orders[loadshare.WorkerHash(id)] = batchroom.Order{Start: 1}
+				}
+			}
+			table.SetOrders(orders)
+			lease := table.Acquire(start, &Demand{Pool: "p", Batch: true, Last: last})
+			if lease == nil || (lease.Endpoint.ID == last) != granted {
+				t.Errorf("last at %s, granted there %t: %+v", last, granted, lease)
+			}
+		}
+	}
+	table := outlookTable()
+	if lease := table.Acquire(start, &Demand{Pool: "p", Batch: true, BatchShare: 100, Last: "d"}); lease.Endpoint.ID == "d" {
+		t.Error("an item went to another pool")
+	}
+}
+
+// TestOverfull checks who is taken to wait.
+func TestOverfull(t *testing.T) {
+	table := outlookTable()
+	for count, want := range map[uint16]bool{4: false, 5: true} {
+		table.SetOthers(start, []wire.WorkerLoad{{Worker: loadshare.WorkerHash("a"), Online: count - 2, Batch: 2}}, OfAll)
+		if got := table.Overfull(start, "a"); got != want {
+			t.Errorf("%d requests at 4 slots: %t", count, got)
+		}
+	}
+	if table.Overfull(start, "unknown") {
+		t.Error("somebody waits at a worker that is not listed")
+	}
+}
+
+// BenchmarkOutlooks is what a plan with an outlook takes more than one without.
+func BenchmarkOutlooks(b *testing.B) {
+	benchmark(b, func(b *testing.B, table *Table, _ int) {
+		places := table.Places(start, noPatience)
+		for b.Loop() {
+			table.Outlooks(&places, table.Pools())
+		}
+	})
+}
--- a/internal/batchplan/batchplan_test.go
+++ b/internal/batchplan/batchplan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -134,3 +135,46 @@
 		}
 	}
 }
+
+// TestWhoLeavesAhead checks the order in which items leave for requests that are still to
+// come.
+func TestWhoLeavesAhead(t *testing.T) {
+	const wait = 5 * time.Second
+	late := Item{Number: 0, Overdue: true, Slack: -time.Second, Remaining: time.Second}
+	begun := Item{Number: 1, Slack: 10 * time.Second, Remaining: 4 * time.Second}
+	ending := Item{Number: 2, Slack: 12 * time.Second, Remaining: time.Second}
+	tight := Item{Number: 3, Slack: 4 * time.Second, Remaining: 4 * time.Second}
+	tightest := Item{Number: 4, Slack: time.Second, Remaining: 5 * time.Second}
+	order := []Item{tightest, ending, tight, late, begun}
+	slices.SortFunc(order, func(a, b Item) int {
+		if LeavesBefore(a, b, wait) {
+			return -1
+		}
+		return 1
+	})
+	for i := range order {
+		if order[i].Number != i {
+			t.Fatalf("item %d leaves as number %d: %+v", order[i].Number, i, order)
+		}
+	}
+}
+
+// TestLeavingIsAnOrder draws items: no two leave before each other, and none before itself.
+func TestLeavingIsAnOrder(t *testing.T) {
+	proptest.Run(t, "leaving", func(random *rand.Rand) error {
+		draw := func() Item {
+			return Item{Order: uint64(random.Intn(4)), Overdue: random.Intn(2) == 0, Slack: time.Duration(random.Intn(4)) * time.Second, Remaining: time.Duration(random.Intn(3)) * time.Second}
+		}
+		a, b, c := draw(), draw(), draw()
+		const wait = 2 * time.Second
+		switch {
+		case LeavesBefore(a, a, wait):
+			return errors.Newf("%+v leaves before itself", a)
+		case LeavesBefore(a, b, wait) && LeavesBefore(b, a, wait):
+			return errors.Newf("%+v and %+v leave before each other", a, b)
+		case LeavesBefore(a, b, wait) && LeavesBefore(b, c, wait) && !LeavesBefore(a, c, wait):
+			return errors.Newf("%+v, %+v and %+v are in no order", a, b, c)
+		}
+		return nil
+	})
+}
--- a/internal/batchroom/play_test.go
+++ b/internal/batchroom/play_test.go
@@ -132,6 +132,8 @@
 	// longest is the longest that an online request waited behind items, idle the part of
 	// the slots that were idle while items waited.
 	longest time.Duration
+	// waiting is how long all of them waited together.
+	waiting time.Duration
 	idle    float64
 	// late counts those that waited longer than mayWait.
 	late   int
@@ -304,6 +306,7 @@
 			d.result.late++
 		}
 		d.result.longest = max(d.result.longest, waited)
+		d.result.waiting += waited
 	}
 	d.running[run.worker] = append(d.running[run.worker], run)
 }
@@ -563,6 +566,7 @@
 		all.inTime += result.inTime
 		all.cuts += result.cuts
 		all.longest = max(all.longest, result.longest)
+		all.waiting += result.waiting
 		all.idle += result.idle / plays
 	}
 	t.Logf("%s: %.4f of %d items in time, %d cut; %.4f of %d online waited, %d too long, %s at most; idle %.4f", name, all.inTimePart(), all.itemsDue, all.cuts, all.waitedPart(), all.online, all.late, all.longest, all.idle)
@@ -612,6 +616,17 @@
 	p.sums(t, "forecast").holds(t)
 }
 
+// TestStopsGain checks that stops ahead of waves save requests more time of waiting than
+// it takes to read the prompts of those that stopped again.
+func TestStopsGain(t *testing.T) {
+	p := fleet576()
+	before, after := p.present().sums(t, "present way"), p.sums(t, "forecast")
+	saved := before.waiting - after.waiting
+	if cost := time.Duration(after.cuts-before.cuts) * playReading; saved <= max(cost, 0) {
+		t.Errorf("%s of waiting saved for %s of reading", saved, cost)
+	}
+}
+
 // TestDrawnWaves draws period, height and length by seed.
 func TestDrawnWaves(t *testing.T) {
 	const shortest, drawn = 1500 * time.Millisecond, 4000
--- a/internal/batchstore/outlook.go
+++ b/internal/batchstore/outlook.go
@@ -19,12 +19,16 @@
 // foresee takes in the present need and returns what is known of the next moments. The
 // lock of the hubs is held.
 func (s *Store) foresee(now time.Time, table *routetable.Table, places *batchroom.Places) []batchroom.Outlook {
-	var foreseen []batchroom.Outlook
-	for _, outlook := range s.workers.Outlooks(places) {
-		if !s.foresees(table, outlook.Pool) {
-			delete(s.loads.forecasts, outlook.Pool)
-			continue
+	var pools []string
+	for _, pool := range s.workers.Pools() {
+		if s.foresees(table, pool) {
+			pools = append(pools, pool)
+		} else {
+			delete(s.loads.forecasts, pool)
 		}
+	}
+	var foreseen []batchroom.Outlook
+	for _, outlook := range s.workers.Outlooks(places, pools) {
 		known := s.forecastOf(outlook.Pool)
 		known.Take(now, float64(outlook.Online))
 		outlook.Lag = loadshare.HubPause(s.workers.PerSecond(), s.loads.listed.Len())
