Room is kept where the wave will need it: by zone

Cause: stops ahead took the same part of the slots everywhere. Where zones need unequal parts, requests found items in their own zone and room in others.

Change: the planner keeps the mean need by zone and weighs each worker's part with it. A forecast is raised by twice its mean error, no more by two and a half times: fewer items cut and fewer slots idle for somewhat more requests that wait.

--- a/internal/balance/outlook.go
+++ b/internal/balance/outlook.go
@@ -35,7 +35,7 @@
 		}
 		numbers[name] = len(outlooks)
 		most[len(outlooks)] = known.slots
-		outlooks = append(outlooks, batchroom.Outlook{Pool: name, Slots: known.slots, IdleSlots: known.slots})
+		outlooks = append(outlooks, batchroom.Outlook{Pool: name, Slots: known.slots, IdleSlots: known.slots, ZoneSlots: maps.Clone(known.zoneSlots)})
 	}
 	for i := range places.Busy {
 		place := &places.Busy[i]
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -12,8 +12,9 @@
 	near group
 	far  group
 	ring ring
-	// slots is how many slots all its workers have together.
-	slots int
+	// slots is how many slots all its workers have together, zoneSlots those by zone.
+	slots     int
+	zoneSlots map[string]int
 	// hold is how long an online request holds a slot, as learnt. nearRate and farRate are
 	// how many online requests are answered in ten seconds there, as told.
 	hold     time.Duration
@@ -58,6 +59,7 @@
 	w.entered = true
 	p.groupOf(t, w).add(w)
 	p.slots += w.listed.Slots
+	p.addSlots(w.listed.Zone, w.listed.Slots)
 	if t.away(w) == 0 {
 		p.ring.add(w)
 	}
@@ -71,11 +73,23 @@
 	w.entered = false
 	p.groupOf(t, w).remove(w)
 	p.slots -= w.listed.Slots
+	p.addSlots(w.listed.Zone, -w.listed.Slots)
 	if t.away(w) == 0 {
 		p.ring.remove(w)
 	}
 }
 
+// addSlots changes how many slots there are in a zone.
+func (p *pool) addSlots(zone string, change int) {
+	if p.zoneSlots == nil {
+		p.zoneSlots = map[string]int{}
+	}
+	p.zoneSlots[zone] += change
+	if p.zoneSlots[zone] == 0 {
+		delete(p.zoneSlots, zone)
+	}
+}
+
 // usable counts the workers for new requests.
 func (p *pool) usable() int {
 	if p == nil {
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -124,6 +124,7 @@
 	return batchroom.Place{
 		Worker:   w.hash,
 		Pool:     w.listed.Pool,
+		Zone:     w.listed.Zone,
 		Slots:    w.listed.Slots,
 		Online:   w.inFlight - w.batch + int(others.Online) + orphans,
 		Orphans:  orphans,
@@ -182,7 +183,7 @@
 	first := t.random.IntN(all)
 	for i := 0; i < all && count > 0; i++ {
 		if w := known.at((first + i) % all); !w.told && !w.busy && w.suspectUntil.IsZero() {
-			drawn = append(drawn, batchroom.Place{Worker: w.hash, Pool: w.listed.Pool, Slots: w.listed.Slots})
+			drawn = append(drawn, batchroom.Place{Worker: w.hash, Pool: w.listed.Pool, Zone: w.listed.Zone, Slots: w.listed.Slots})
 			count--
 		}
 	}
--- a/internal/batchroom/ahead.go
+++ b/internal/batchroom/ahead.go
@@ -33,6 +33,8 @@
 	// are idle.
 	Slots     int
 	IdleSlots int
+	// ZoneSlots are all slots of its workers by zone, nil where zones make no difference.
+	ZoneSlots map[string]int
 	// Online is the present need of online requests.
 	Online int
 	// Lag is how old the news of online requests are.
@@ -59,11 +61,21 @@
 	outlook *Outlook
 	// part is the part of each worker's slots that they need, left how many items may start,
 	// offered the room found.
+	// zones says by how many times it differs in each zone.
 	part    float64
+	zones   map[string]float64
 	left    int
 	offered int
 }
 
+// partAt returns the part of the slots that is needed in a zone, of the part in the pool.
+func (p *prospect) partAt(zone string, part float64) float64 {
+	if times, known := p.zones[zone]; known {
+		return min(part*times, 1)
+	}
+	return part
+}
+
 // prospects are those of the pools of which something is known, and few.
 type prospects []*prospect
 
@@ -118,12 +130,13 @@
 	open := func(need forecast.Need) int { return int(math.Ceil(max(need.Slots-float64(elsewhere), 0))) }
 	now, soon := open(need), open(outlook.Peak(lead+leastStay))
 	soon += int(startDeviations * math.Sqrt(float64(soon)))
-	result := &prospect{outlook: outlook}
+	result := &prospect{outlook: outlook, zones: p.zones.of(outlook)}
 	if outlook.Slots > 0 {
 		result.part = min(float64(soon)/float64(outlook.Slots), 1)
 	}
+	part := float64(now) / float64(max(outlook.Slots, 1))
 	if over := now + held - stopping - outlook.Slots; over > 0 {
-		p.summary.Ahead += stopAhead(outlook, places, items, stops, over, min(float64(now)/float64(max(outlook.Slots, 1)), 1))
+		p.summary.Ahead += stopAhead(outlook, places, items, stops, over, func(place *Place) float64 { return result.partAt(place.Zone, part) })
 	}
 	if !outlook.Hold {
 		result.left = max(outlook.Slots-soon-held, 0)
@@ -138,7 +151,7 @@
 	if known == nil {
 		return float64(place.Slots - taken - place.Online)
 	}
-	return float64(place.Slots-taken) - max(float64(place.Online), known.part*float64(place.Slots))
+	return float64(place.Slots-taken) - max(float64(place.Online), known.partAt(place.Zone, known.part)*float64(place.Slots))
 }
 
 // offer takes in room that was found.
@@ -203,14 +216,14 @@
 // stopAhead adds so many stops, each where items leave the least room for the part of the
 // slots that online requests will need there. All runners' plans add the same ones, of
 // which each gets its part.
-func stopAhead(outlook *Outlook, places *Places, items, stops []int, over int, part float64) int {
+func stopAhead(outlook *Outlook, places *Places, items, stops []int, over int, part func(place *Place) float64) int {
 	var heaped candidates
 	for i := range places.Busy {
 		place := &places.Busy[i]
 		if place.Pool != outlook.Pool || place.Closed || items[i] <= stops[i] {
 			continue
 		}
-		need := max(float64(place.Online), part*float64(place.Slots))
+		need := max(float64(place.Online), part(place)*float64(place.Slots))
 		heaped = append(heaped, candidate{place: i, rank: float64(items[i]-stops[i]-place.Slots) + need, tie: place.Worker})
 	}
 	heap.Init(&heaped)
--- a/internal/batchroom/batchroom.go
+++ b/internal/batchroom/batchroom.go
@@ -25,8 +25,9 @@
 type Place struct {
 	// Worker is the worker's short name.
 	Worker uint32
-	// Pool names its pool where an outlook is known of it.
+	// Pool and Zone name its pool and zone where an outlook is known of the pool.
 	Pool  string
+	Zone  string
 	Slots int
 	// Online counts the online requests of all processes, Orphans those of them that no
 	// living process answers for.
@@ -64,6 +65,7 @@
 // Planner holds what the runners have told. It is not safe for concurrent use.
 type Planner struct {
 	runners map[uint32]*runner
+	zones   zoneNeeds
 	summary Summary
 }
 
@@ -141,6 +143,7 @@
 		p.summary.add(place, items[i])
 		stops[i] = batchplan.Stops(batchplan.Place{Slots: place.Slots, Online: place.Online, Batch: items[i]}, place.Hold, place.Patience)
 	}
+	p.zones.take(own.at, &places)
 	prospects := p.lookAhead(name, own, &places, items, stops)
 	for i := range places.Busy {
 		place := &places.Busy[i]
--- a/internal/forecast/score.go
+++ b/internal/forecast/score.go
@@ -14,7 +14,7 @@
 	scoreParts = 256
 	// marginTimes is by how many times its mean error a forecast is raised. Errors go both
 	// ways, and a request that finds no slot waits for an item to leave.
-	marginTimes = 2.5
+	marginTimes = 2
 )
 
 // score compares what was forecast with what came. The zero value is ready for use.
