--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -152,6 +152,8 @@
 	// Repeatable is set for an online request that may run more than once. It may be sent to
 	// an avoided worker to learn whether that is well again.
 	Repeatable bool
+	// Last names the worker that an item ran at before, which it returns to if it may.
+	Last string
 }
 
 // Lease is a place of a request at a worker; it must be released.
@@ -182,6 +184,9 @@
 	defer t.mutex.Unlock()
 	t.readmit(now)
 	chosen := t.takeProbe(now, demand)
+	if chosen == nil {
+		chosen = t.lastOf(now, demand)
+	}
 	if chosen == nil {
 		chosen = t.choose(now, demand, false)
 	}
--- a/internal/batchstore/metrics.go
+++ b/internal/batchstore/metrics.go
@@ -11,6 +11,9 @@
 	runTime  prometheus.Histogram
 	// judged counts changes in the judgement of workers, by what they are now.
 	judged *prometheus.CounterVec
+	// forecastOff is by how many slots forecasts of the online need are off, and by how many
+	// the present need taken for what comes would be.
+	forecastOff *prometheus.GaugeVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -20,7 +23,8 @@
 		runTime:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "store_item_seconds", Help: "How long attempts took.", Buckets: []float64{.1, .3, 1, 2, 3, 5, 7, 10, 15, 20, 30}}),
 	}
 	m.judged = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "store_workers_judged_total", Help: "Changes in the judgement of workers that fail requests: avoided, probed, readmitted."}, []string{"change"})
-	registry.MustRegister(m.judged, m.jobs, m.attempts, m.runTime)
+	m.forecastOff = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "store_forecast_off_slots", Help: "By how many slots the online need differs from what was forecast 200 ms before, in the mean, by pool and way; zero without a pattern."}, []string{"pool", "way"})
+	registry.MustRegister(m.judged, m.jobs, m.attempts, m.runTime, m.forecastOff)
 	return m
 }
 
