Edge: a process that stood still answers truly, and asks for news first

Cause: a request that comes while an edge is stopped waits in its socket. The edge takes it for new when it goes on, and sends it to a worker though its caller's time is over; it chooses by news as old as the standstill. A worker that answered meanwhile is taken for silent, because the time of the read is over before its bytes are looked at; it is suspected, and its stream cut.

What had been taken in before, and not gone to a worker, is refused at once, not run. What is read within 0.25 s after it may have waited for as long; where that is all its time it is refused, else it waits for news of the coordinators (0.2 s at most) and goes on with the time that is left. A read from a worker that ends 0.1 s after its time looks for 20 ms at what has come. edge_standstills_total and the line stood_still count them.

Ruled out: the kernel's time of arrival (not told for what waits in a stream).

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -49,6 +49,8 @@
 	demand     balance.Demand
 	arrived    time.Time
 	deadline   time.Time
+	// came is when the request was taken in, by the clock that counts suspensions.
+	came time.Time
 	// due is the deadline by a clock that counts suspensions of this machine, during which
 	// deadline and context stand still.
 	due      time.Time
@@ -146,7 +148,7 @@
 			c.lastErr = failure.New(failure.NotRun, "try again", "pool %q has no worker for the request", c.demand.Pool)
 			break
 		}
-		if c.tooLate(lease) {
+		if c.stoodStill() || c.tooLate(lease) {
 			lease.Release()
 			return
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/settings"
+	"github.com/sedgemast/sedgemast/internal/standstill"
 	"github.com/sedgemast/sedgemast/internal/storeclient"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/upstream"
@@ -47,6 +48,8 @@
 	started time.Time
 	// room holds requests that came before the configuration and the workers were known.
 	room *room
+	// standstill notices that this process stood still.
+	standstill *standstill.Watch
 
 	// Stores hands jobs to the stores.
 	Stores *storeclient.Client
@@ -81,6 +84,8 @@
 		reserve:   ratelimit.NewReserve(config.Name),
 		started:   clock.Now(),
 		room:      newRoom(),
+
+		standstill: standstill.New(clock.Now()),
 	}
 	e.setHubs(nil)
 	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.report)
@@ -91,6 +96,7 @@
 	d.Go(e.watcher.Run)
 	e.loads = e.newLoads()
 	d.Go(e.shareLoads)
+	d.Go(e.watchStandstills)
 	d.BeforeStop(e.drain)
 	return e
 }
@@ -217,9 +223,11 @@
 	ended       prometheus.Counter
 	quarantined prometheus.Counter
 	// held counts requests that came before this process knew what they need.
-	held      *prometheus.CounterVec
-	firstTime *prometheus.HistogramVec
-	wholeTime *prometheus.HistogramVec
+	held *prometheus.CounterVec
+	// standstills counts how often this process stood still.
+	standstills prometheus.Counter
+	firstTime   *prometheus.HistogramVec
+	wholeTime   *prometheus.HistogramVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -231,9 +239,10 @@
 		ended:       prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_worker_ends_total", Help: "Requests whose worker ended under them."}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		held:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_held_total", Help: "Requests that came before the configuration or the workers were known, by what they needed and what came of it."}, []string{"need", "outcome"}),
+		standstills: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_standstills_total", Help: "Times for which this process stood still."}),
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.standstills, m.firstTime, m.wholeTime)
 	return m
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -62,7 +62,18 @@
 		e.Refuse(writer, request, err)
 		return
 	}
-	now, table := clock.Now(), e.Table()
+	now := clock.Now()
+	from, until := e.lookForStandstill(now)
+	waited, inside := missed(now.Add(-time.Since(arrived)), now, from, until)
+	if inside {
+		e.Refuse(writer, request, stoodStill())
+		return
+	}
+	if waited > 0 {
+		e.awaitNews(request.Context(), until)
+		now = clock.Now()
+	}
+	table := e.Table()
 	err := e.frozen(now)
 	if err == nil {
 		err = httpapi.CheckHead(request, table.Configuration.Limits.MaxHeaderBytes)
@@ -87,13 +98,18 @@
 		return
 	}
 	left := dialect.TimeLeft(request.Header.Get(e.dialect.Deadline), route.Timeout())
-	deadline := arrived.Add(left)
+	if waited >= left {
+		e.Refuse(writer, request, stoodStill())
+		return
+	}
+	deadline := arrived.Add(left - waited)
 	ctx, cancel := context.WithDeadline(request.Context(), deadline)
 	defer cancel()
 	controller := http.NewResponseController(writer)
 	// Writers without deadlines serve tests only.
 	_ = controller.SetWriteDeadline(deadline.Add(writeMargin))
 	call := newCall(e, ctx, table, route, tenant, writer, controller, request, body, arrived, deadline)
+	call.came = now
 	call.run()
 	_ = controller.SetWriteDeadline(time.Time{})
 	if call.broken {
--- /dev/null
+++ b/internal/edge/standstill.go
@@ -0,0 +1,81 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/daemon"
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/standstill"
+)
+
+const (
+	// wakeTime is how long after a standstill what is read may have come during it: all that
+	// waits is read by then, also with a small part of a processor.
+	wakeTime = 250 * time.Millisecond
+	// wakeNews is how long a request waits for the first news after a standstill: a few tries
+	// to reach a coordinator.
+	wakeNews = 200 * time.Millisecond
+	// wakeLook is the time between two looks for them.
+	wakeLook = 5 * time.Millisecond
+)
+
+// watchStandstills notices standstills of this process, also while no request comes.
+func (e *Edge) watchStandstills(ctx context.Context) {
+	daemon.Every(ctx, standstill.Interval, func() { e.lookForStandstill(clock.Now()) })
+}
+
+// lookForStandstill returns from when until when this process stood still last.
+func (e *Edge) lookForStandstill(now time.Time) (from, until time.Time) {
+	from, until, noticed := e.standstill.Look(now)
+	if noticed {
+		e.metrics.standstills.Inc()
+		logging.Warn(e.logger, "stood_still", "ms", until.Sub(from).Milliseconds())
+	}
+	return from, until
+}
+
+// missed returns for how long a request that was taken in at came may have waited before,
+// because this process stood still, zero where it did not. inside is set where it had been
+// taken in before that.
+func missed(came, now, from, until time.Time) (waited time.Duration, inside bool) {
+	switch {
+	case until.IsZero() || came.Sub(until) >= wakeTime:
+		return 0, false
+	case until.Sub(came) > wakeTime:
+		return 0, true
+	}
+	return now.Sub(from), false
+}
+
+// awaitNews waits, after a standstill, until the coordinators have been heard again.
+func (e *Edge) awaitNews(ctx context.Context, until time.Time) {
+	for end := until.Add(wakeNews); ctx.Err() == nil && clock.Now().Before(end); {
+		if e.watcher.Current().Heard.After(until) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wakeLook):
+		}
+	}
+}
+
+// stoodStill refuses the request if this process stood still since it came, before it went
+// to any worker: what it was to be decided by is old, and its caller may have given it up.
+func (c *call) stoodStill() bool {
+	if c.attempts > 0 || c.dials > 0 {
+		return false
+	}
+	if _, until := c.edge.lookForStandstill(clock.Now()); !until.After(c.came) {
+		return false
+	}
+	c.refuse(stoodStill())
+	return true
+}
+
+func stoodStill() *failure.Error {
+	return failure.New(failure.NotRun, "try again", "the process stood still before it sent the request on").WithRetryAfter(shortRetry)
+}
--- /dev/null
+++ b/internal/edge/standstill_test.go
@@ -0,0 +1,108 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/clock"
+)
+
+func TestMissed(t *testing.T) {
+	at := func(millis int) time.Time { return time.UnixMilli(int64(millis)) }
+	for _, test := range []struct {
+		name        string
+		came, now   int
+		from, until int
+		want        time.Duration
+		inside      bool
+	}{
+		{"taken in long before", 500, 4000, 1000, 4000, 0, true},
+		{"taken in just before, unseen since", 1040, 4000, 1000, 4000, 0, true},
+		{"read by the look that notices", 3999, 4000, 1000, 4000, 3 * time.Second, false},
+		{"read soon after", 4100, 4100, 1000, 4000, 3100 * time.Millisecond, false},
+		{"read later", 4250, 4250, 1000, 4000, 0, false},
+	} {
+		waited, inside := missed(at(test.came), at(test.now), at(test.from), at(test.until))
+		if waited != test.want || inside != test.inside {
+			t.Errorf("%s: waited %s, inside %t", test.name, waited, inside)
+		}
+	}
+	if waited, inside := missed(at(5), at(6), time.Time{}, time.Time{}); waited != 0 || inside {
+		t.Errorf("never: waited %s, inside %t", waited, inside)
+	}
+}
+
+// wake lets the edge notice that it stood still until now, for so long.
+func wake(e *Edge, length time.Duration) {
+	now := clock.Now()
+	e.standstill.Assume(now.Add(-length), now)
+}
+
+// serveAt sends a request straight to the edge as if it had arrived so long ago.
+func serveAt(e *Edge, ago time.Duration, left time.Duration) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodPost, "http://h.example/a", strings.NewReader("prompt"))
+	request.Header.Set("Request-Id", "a")
+	request.Header.Set("Token-Count", "10,3")
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	recorder := httptest.NewRecorder()
+	e.serve(recorder, request, time.Now().Add(-ago))
+	return recorder
+}
+
+// TestStandstillIsAnswered lets an edge stand still: what it had taken in before, and what it
+// reads afterwards whose caller's time may be over, is refused truly and sent to nobody; what
+// has time left is served.
+func TestStandstillIsAnswered(t *testing.T) {
+	const stood = 10 * time.Second
+	workers := startWorkers(t, 1)
+	_, e := startEdge(t, stream(false, 1), workers...)
+	for _, test := range []struct {
+		name      string
+		ago, left time.Duration
+		status    int
+	}{
+		{"taken in before", stood + time.Second, patience, http.StatusServiceUnavailable},
+		{"read afterwards, its time over", 0, stood, http.StatusServiceUnavailable},
+		{"read afterwards, with time left", 0, patience, http.StatusOK},
+	} {
+		wake(e, stood)
+		before := runs(workers)
+		answer := serveAt(e, test.ago, test.left)
+		if answer.Code != test.status || (answer.Code != http.StatusOK) != (answer.Header().Get("Retry-After") != "") {
+			t.Errorf("%s: status %d, Retry-After %q", test.name, answer.Code, answer.Header().Get("Retry-After"))
+		}
+		if ran := runs(workers) - before; ran != 0 && test.status != http.StatusOK {
+			t.Errorf("%s: %d runs", test.name, ran)
+		}
+	}
+}
+
+// TestStandstillBeforeTheFirstAttempt lets the edge stand still between taking a request in
+// and sending it: it is refused truly. Once a worker may have it, the request goes on.
+func TestStandstillBeforeTheFirstAttempt(t *testing.T) {
+	workers := startWorkers(t, 1)
+	_, e := startEdge(t, stream(false, 1), workers...)
+	request := httptest.NewRequest(http.MethodPost, "http://h.example/a", nil)
+	recorder := httptest.NewRecorder()
+	table := e.Table()
+	deadline := time.Now().Add(patience)
+	c := newCall(e, context.Background(), table, table.Match("h.example", "/a"), nil, recorder, http.NewResponseController(recorder), request, nil, time.Now(), deadline)
+	c.came = clock.Now()
+	if c.stoodStill() {
+		t.Error("refused without a standstill")
+	}
+	wake(e, time.Minute)
+	c.attempts = 1
+	if c.stoodStill() {
+		t.Error("refused though a worker may have it")
+	}
+	c.attempts = 0
+	if !c.stoodStill() || recorder.Code != http.StatusServiceUnavailable || recorder.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q", recorder.Code, recorder.Header().Get("Retry-After"))
+	}
+}
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -142,6 +142,16 @@
 	}
 }
 
+// patience returns for how long an answer may wait for news at a process that heard the
+// last one so long ago. One that was cut off, or stood still, wants to know at once that
+// what it has is right.
+func patience(silent time.Duration) time.Duration {
+	if silent > holdTime+replyTime {
+		return 0
+	}
+	return holdTime
+}
+
 func (w *Watcher) ask(ctx context.Context, target string) error {
 	ctx, cancel := context.WithTimeout(ctx, holdTime+replyTime)
 	defer cancel()
@@ -151,7 +161,7 @@
 		Version:    known.Version(),
 		View:       known.View,
 		Term:       known.Term,
-		WaitMillis: holdTime.Milliseconds(),
+		WaitMillis: patience(clock.Since(known.Heard)).Milliseconds(),
 		Quarantine: w.book.Revision(),
 		Lost:       w.lost > 0,
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -245,3 +245,42 @@
 		t.Error("the connection was kept")
 	}
 }
+
+// TestAnswerBeforeTheSilence reads from a connection whose time was over long ago, as after a
+// standstill of this process: what the worker sent meanwhile is read, and nothing is a
+// timeout still.
+func TestAnswerBeforeTheSilence(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialed.Close()
+	worker, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer worker.Close()
+	if _, err := worker.Write([]byte("event")); err != nil {
+		t.Fatal(err)
+	}
+	c := newConnection(dialed)
+	long := time.Now().Add(-time.Minute)
+	if err := c.SetReadDeadline(long); err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 16)
+	if count, err := c.Read(buffer); err != nil || string(buffer[:count]) != "event" {
+		t.Errorf("%q, %v", buffer[:count], err)
+	}
+	if err := c.SetReadDeadline(long); err != nil {
+		t.Fatal(err)
+	}
+	if count, err := c.Read(buffer); !TimedOut(err) {
+		t.Errorf("%q, %v", buffer[:count], err)
+	}
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -21,17 +21,39 @@
 	reused bool
 	// idleUntil is when the worker may close it.
 	idleUntil time.Time
+	// readBy is until when a read waits.
+	readBy time.Time
 }
 
+const (
+	// lateAfter is by how much a read may end after its time in a process that runs.
+	lateAfter = 100 * time.Millisecond
+	// lookTime is how long what has come meanwhile is read after a standstill.
+	lookTime = 20 * time.Millisecond
+)
+
 func newConnection(conn net.Conn) *connection {
 	c := &connection{Conn: conn}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
 
-// Read implements net.Conn.
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(at time.Time) error {
+	c.readBy = at
+	return c.Conn.SetReadDeadline(at)
+}
+
+// Read implements net.Conn. Where its time ends long after it should have, this process
+// stood still: the worker may have answered in time, so that is looked for before its
+// silence counts.
 func (c *connection) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
+	if late := time.Since(c.readBy); err != nil && count == 0 && !c.readBy.IsZero() && late > lateAfter && TimedOut(err) {
+		if c.SetReadDeadline(time.Now().Add(lookTime)) == nil {
+			count, err = c.Conn.Read(buffer)
+		}
+	}
 	c.received.Add(int64(count))
 	return count, err
 }
--- a/test/restart_test.go
+++ b/test/restart_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -41,17 +42,10 @@
 // SEDGEMAST_RESTART_BINARY another build is measured.
 func TestHostedRestart(t *testing.T) {
 	rounds, _ := strconv.Atoi(os.Getenv("SEDGEMAST_RESTARTS"))
-	binary := os.Getenv("SEDGEMAST_RESTART_BINARY")
-	if binary == "" {
-		binary = buildHosted(t)
-	}
-	f := newHostedFleetOf(t, binary, 6)
+	f := newHostedFleetOf(t, measuredBuild(t), 6)
 	f.add("front", "edge", 23)
 	fronts := append(f.ready(t), f.address(f.machines["front-23"], portFront))
-	eventually(t, "the third edge ready", func() bool {
-		status, _, _, err := f.call(http.MethodPost, fronts[2], "/stream/a", map[string]string{"Request-Id": "r", "Token-Count": "10,3", "Deadline-Ms": "3000"}, "prompt")
-		return err == nil && status == http.StatusOK
-	})
+	f.awaitServing(t, fronts[2])
 	random := rand.New(rand.NewPCG(1, 1))
 	var firsts, backs []time.Duration
 	unserved, all := 0, 0
@@ -72,6 +66,25 @@
 		len(firsts), middle(firsts), slices.Max(firsts), middle(backs), slices.Max(backs), unserved, all)
 }
 
+// measuredBuild returns the program named by SEDGEMAST_RESTART_BINARY, else this build.
+func measuredBuild(t *testing.T) string {
+	t.Helper()
+	if binary := os.Getenv("SEDGEMAST_RESTART_BINARY"); binary != "" {
+		return binary
+	}
+	return buildHosted(t)
+}
+
+// awaitServing waits until the edge at the address serves a request.
+func (f *hostedFleet) awaitServing(t *testing.T, front string) {
+	t.Helper()
+	headers := map[string]string{"Request-Id": "first", "Token-Count": "10,3", "Deadline-Ms": "3000"}
+	eventually(t, front+" serving", func() bool {
+		status, _, _, err := f.call(http.MethodPost, front, "/stream/a", headers, "prompt")
+		return err == nil && status == http.StatusOK
+	})
+}
+
 func middle(times []time.Duration) time.Duration {
 	slices.Sort(times)
 	return times[len(times)/2]
@@ -185,3 +198,44 @@
 	}
 	return caller
 }
+
+const (
+	// frozenFor is how long an edge stands still in TestHostedStandstill.
+	frozenFor = 2 * time.Second
+	// frozenCalls come meanwhile, with too little time or with enough.
+	frozenCalls = 6
+)
+
+// TestHostedStandstill stops an edge while requests come for it. When it goes on, those whose
+// callers' time is over are answered truly and reach no worker, and the others are served.
+func TestHostedStandstill(t *testing.T) {
+	f := newHostedFleetOf(t, measuredBuild(t), hostedWorkers)
+	fronts := f.ready(t)
+	f.awaitServing(t, fronts[0])
+	process := f.machines["front-21"].command.Process
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	var callers sync.WaitGroup
+	for number := range frozenCalls {
+		id, left, want := fmt.Sprintf("short-%d", number), "900", http.StatusServiceUnavailable
+		if number%2 == 1 {
+			id, left, want = fmt.Sprintf("long-%d", number), "20000", http.StatusOK
+		}
+		callers.Go(func() {
+			headers := map[string]string{"Request-Id": id, "Token-Count": "10,3", "Deadline-Ms": left}
+			status, header, body, err := f.call(http.MethodPost, fronts[0], "/stream/a", headers, "prompt")
+			switch {
+			case err != nil || status != want:
+				t.Errorf("%s: %d, %v, %q", id, status, err, body)
+			case status == http.StatusServiceUnavailable && (header.Get("Retry-After") == "" || f.runs(id) > 0):
+				t.Errorf("%s: Retry-After %q, %d runs", id, header.Get("Retry-After"), f.runs(id))
+			}
+		})
+	}
+	time.Sleep(frozenFor)
+	if err := process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	callers.Wait()
+}
