Daemon: the steps of a start, a line and a metric each

Cause: what a process waited for after its start was read from lines that stand there for other reasons, role by role.

Change: coordinators, stores and edges tell each step of a start once: settings read, storage open, peer heard, leader heard, configuration known, workers known, ready, first request served (line start_step with ms; process_start_seconds by step). TestHostedRestart prints median and slowest by role.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -103,6 +103,7 @@
 	if err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
+	d.Took(daemon.StepStorage)
 	d.Registry.MustRegister(c.changes, c.watches, c.oddEntries)
 	c.relay = newRelay(c)
 	c.list.Came = c.addWorkers
@@ -174,6 +175,10 @@
 		}
 		c.noteGenerations(processes)
 		var coordinators []string
+		if len(processes) > 1 {
+			// This process comes first, then those that were heard.
+			c.daemon.Took(daemon.StepPeer)
+		}
 		for i := range processes {
 			if processes[i].SilentMillis <= fleetview.ProcessFresh.Milliseconds() {
 				coordinators = append(coordinators, processes[i].Hello.Replica.Address)
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/fleetview"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -20,6 +21,7 @@
 // relay answers the watches of edges by what this process has heard of the leader. All
 // coordinators are relays; one that leads hears itself.
 type relay struct {
+	daemon  *daemon.Daemon
 	logger  logging.Logger
 	watcher *fleetwatch.Watcher
 	self    wire.ProcessReport
@@ -33,7 +35,7 @@
 }
 
 func newRelay(c *Coordinator) *relay {
-	r := &relay{logger: c.logger, mirror: fleetview.NewMirror(), changed: make(chan struct{})}
+	r := &relay{daemon: c.daemon, logger: c.logger, mirror: fleetview.NewMirror(), changed: make(chan struct{})}
 	r.self = wire.ProcessReport{Kind: wire.ProcessRelay, Name: c.settings.Name, Zone: c.settings.Zone}
 	r.self.Replica.Address = c.daemon.Address()
 	seeds := append([]string{c.daemon.Address()}, c.settings.Seeds...)
@@ -53,6 +55,7 @@
 
 // adopt takes in what is new, and wakes the edges that wait for news.
 func (r *relay) adopt(snapshot *fleetwatch.Snapshot) {
+	r.daemon.TookFleet(snapshot.Table != nil, snapshot.Fleet.Listed || snapshot.Fleet.Partial)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.mirror.Put(snapshot.Term, snapshot.View, &snapshot.Fleet, snapshot.Workers)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -91,6 +91,7 @@
 	appOnce    sync.Once
 	ready      atomic.Bool
 	stopping   atomic.Bool
+	steps      *steps
 	beforeStop []func(context.Context)
 	background sync.WaitGroup
 	cancel     context.CancelFunc
@@ -116,6 +117,7 @@
 		listener: listener,
 		context:  ctx,
 		cancel:   cancel,
+		steps:    newSteps(options.Embedded),
 	}
 	// Streams outlive kratos' default timeout; each request has a deadline of
 	// its own instead.
@@ -128,6 +130,7 @@
 		kratoshttp.MethodNotAllowedHandler(http.HandlerFunc(notFound)),
 	)
 	d.registerCommon()
+	d.Took(StepSettings)
 	return d, nil
 }
 
@@ -170,7 +173,7 @@
 }
 
 func (d *Daemon) registerCommon() {
-	d.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewBuildInfoCollector(), d.Traffic, unread.Messages)
+	d.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewBuildInfoCollector(), d.Traffic, unread.Messages, d.steps.seconds)
 	if !d.options.Embedded {
 		d.Registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	}
@@ -211,7 +214,12 @@
 func (d *Daemon) Context() context.Context { return d.context }
 
 // SetReady changes what /readyz answers.
-func (d *Daemon) SetReady(ready bool) { d.ready.Store(ready) }
+func (d *Daemon) SetReady(ready bool) {
+	d.ready.Store(ready)
+	if ready {
+		d.Took(StepReady)
+	}
+}
 
 // Ready reports what /readyz answers.
 func (d *Daemon) Ready() bool { return d.ready.Load() }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -9,6 +9,7 @@
 	"github.com/sedgemast/sedgemast/internal/clock"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpapi"
@@ -157,6 +158,7 @@
 		c.edge.metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result == delivered {
 			c.ranWell()
+			c.edge.served.Do(func() { c.edge.daemon.Took(daemon.StepServed) })
 			c.finish("delivered", nil)
 			return
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,6 +64,8 @@
 	reserve *ratelimit.Reserve
 	// counted holds the tenants that have counters.
 	counted map[tenancy.Name]bool
+	// served is done with the first request that was answered as it should be.
+	served sync.Once
 }
 
 // New prepares the process; d.Run serves it.
@@ -158,6 +160,7 @@
 	e.keepTenants(snapshot.Table)
 	listed := snapshot.Fleet.Listed || snapshot.Fleet.Partial
 	e.learnt(snapshot.Table, listed)
+	e.daemon.TookFleet(snapshot.Table != nil, listed)
 	if snapshot.Table != nil && listed && !e.daemon.Stopping() && !e.daemon.Ready() {
 		logging.Info(e.logger, "ready", "version", snapshot.Table.Configuration.Version)
 		e.daemon.SetReady(true)
--- a/test/restart_test.go
+++ b/test/restart_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"sync"
@@ -64,6 +66,44 @@
 	}
 	t.Logf("%d restarts of 9 processes: first served after the last start: median %s, slowest %s; nine in ten served in time from: median %s, slowest %s; %d of %d callers refused twice",
 		len(firsts), middle(firsts), slices.Max(firsts), middle(backs), slices.Max(backs), unserved, all)
+	for _, line := range f.startSteps(t, len(firsts)) {
+		t.Log(line)
+	}
+}
+
+// stepLine is a line of a log on a step of the start of a process.
+var stepLine = regexp.MustCompile(`role=(\S+) .*event=start_step step=(\S+) ms=(\d+)`)
+
+// startSteps returns a line for each role and step of the last starts of all processes: when
+// it was taken, in ms since the start of the process.
+func (f *hostedFleet) startSteps(t *testing.T, starts int) []string {
+	t.Helper()
+	taken := map[string][]time.Duration{}
+	for _, machine := range f.machines {
+		text, err := os.ReadFile(filepath.Join(machine.folder, "log"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		byStep := map[string][]time.Duration{}
+		for _, match := range stepLine.FindAllStringSubmatch(string(text), -1) {
+			millis, err := strconv.Atoi(match[3])
+			if err != nil {
+				t.Fatal(err)
+			}
+			name := match[1] + " " + match[2]
+			byStep[name] = append(byStep[name], time.Duration(millis)*time.Millisecond)
+		}
+		for name, times := range byStep {
+			// The first start of all formed the fleet.
+			taken[name] = append(taken[name], times[max(0, len(times)-starts):]...)
+		}
+	}
+	var lines []string
+	for name, times := range taken {
+		lines = append(lines, fmt.Sprintf("%s: median %s, slowest %s of %d", name, middle(times), slices.Max(times), len(times)))
+	}
+	slices.Sort(lines)
+	return lines
 }
 
 // measuredBuild returns the program named by SEDGEMAST_RESTART_BINARY, else this build.
