Balance: edges that have just begun don't crowd the homes of prompts

Cause: a request goes to the home of its prompt's beginning unless news say that it is busy there. Where all edges begin at once none has news, and each sends what it held, and what comes, to the same few homes.

Change: until an edge has heard any news of loads, and for 2 s after it began to choose at most, homes count for nothing: it spreads by what it sent itself. One that hears no news for longer has no hub, and goes by homes as before; so does everybody once there are news.

TestChoiceWithoutNewsSpreads: 24 edges place 72 requests with a shared beginning at 30 workers of 8 slots without news: the busiest has 5 where they have just begun, 48 where the rule is not in force (which is as before).

Ruled out: no homes whenever there are no news (TestSharedPartsMeetAcrossProcesses and TestHomesAreLeftWhereTheyAreBusy hold that a process without a hub goes by homes).

--- /dev/null
+++ b/internal/balance/cold_test.go
@@ -0,0 +1,66 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/dialect"
+	"github.com/sedgemast/sedgemast/internal/wire"
+	"github.com/sedgemast/sedgemast/internal/workerset"
+)
+
+// TestChoiceWithoutNewsSpreads lets many edges choose that have just begun and heard no news:
+// requests that share the beginning of their prompt don't crowd its home. Once there is news,
+// or none for long, they meet there.
+func TestChoiceWithoutNewsSpreads(t *testing.T) {
+	const slots = 8
+	parts := []dialect.Part{{ID: "shared", Tokens: 300}, {ID: "own", Tokens: 50}}
+	for _, test := range []struct {
+		name   string
+		parts  []dialect.Part
+		after  time.Duration
+		news   bool
+		spread bool
+	}{
+		{"nothing shared", nil, 0, false, true},
+		{"all share a beginning", parts, 0, false, true},
+		{"the same, later", parts, coldTime, false, false},
+		{"the same, with news", parts, 0, true, false},
+	} {
+		busiest := busiestOf(slots, test.parts, test.after, test.news)
+		t.Logf("%s: %d requests at the busiest worker", test.name, busiest)
+		if (busiest <= 2*slots) != test.spread {
+			t.Errorf("%s: the busiest worker of %d slots has %d requests", test.name, slots, busiest)
+		}
+	}
+}
+
+// busiestOf lets edges choose workers for a third of their slots, some time after they
+// began, and returns how many requests the busiest worker has.
+func busiestOf(slots int, parts []dialect.Part, after time.Duration, news bool) int {
+	const edges, workers = 24, 30
+	var rows []wire.PoolWorker
+	for i := range workers {
+		rows = append(rows, wire.PoolWorker{ID: fmt.Sprintf("w-%d", i), Pool: "p", Address: fmt.Sprintf("10.0.0.%d:1", i), Slots: slots, Zone: "a"})
+	}
+	set := workerset.Of(rows)
+	running := map[string]int{}
+	began := time.Unix(1000, 0)
+	busiest := 0
+	for i := range edges {
+		table := NewTable("a", rand.New(rand.NewPCG(uint64(i), 1)))
+		table.Update(set, map[string]int64{"p": 20_000})
+		table.Begin(began)
+		if news {
+			table.SetOthers(began, nil, OfAll)
+		}
+		for range workers * slots / 3 / edges {
+			lease := table.Acquire(began.Add(after), &Demand{Pool: "p", Parts: parts, PromptTokens: 350})
+			running[lease.Endpoint.ID]++
+			busiest = max(busiest, running[lease.Endpoint.ID])
+		}
+	}
+	return busiest
+}
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -64,6 +64,16 @@
 	return ids
 }
 
+// coldTime is how long after it began to choose a process that has heard no news of loads
+// may still be about to hear some. One that hears none for longer has no hub.
+const coldTime = 2 * time.Second
+
+// isCold reports whether this process has just begun and knows nothing of what others send.
+// All that began with it are as blind, and would crowd the homes of prompts.
+func (t *Table) isCold(now time.Time) bool {
+	return t.allAt.IsZero() && t.nearAt.IsZero() && len(t.told) == 0 && now.Sub(t.beganAt) < coldTime
+}
+
 // cachedTokens returns how many tokens of the prompt's beginning the worker has
 // probably read before: what this process sent there, or what all send there because
 // it is the prompt's home.
@@ -81,7 +91,7 @@
 		}
 	}
 	// The second home has read them where the first one was busy: perhaps.
-	if home := slices.Index(t.homes, candidate); home >= 0 {
+	if home := slices.Index(t.homes, candidate); home >= 0 && !t.cold {
 		return max(sent, sharedTokens>>home)
 	}
 	return sent
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -42,10 +42,14 @@
 	refusals []*worker
 	// compared is scratch space of choose.
 	compared []*worker
-	// homes are the homes of the prompt that is being placed.
+	// homes are the homes of the prompt that is being placed. cold is set while they count
+	// for nothing.
 	homes []*worker
+	cold  bool
 	// acquired counts the leases ever given.
 	acquired uint64
+	// beganAt is when a process began to choose that may have begun with many others.
+	beganAt time.Time
 }
 
 // NewTable returns an empty table of a process in the zone.
@@ -103,6 +107,14 @@
 	known.refused = true
 }
 
+// Begin takes in that this process begins to choose, as perhaps many others do that know no
+// more than it does.
+func (t *Table) Begin(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.beganAt = now
+}
+
 // Acquired returns how many leases have been given so far.
 func (t *Table) Acquired() uint64 {
 	t.mutex.Lock()
@@ -161,6 +173,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.readmit(now)
+	t.cold = t.isCold(now)
 	chosen := t.choose(now, demand, false)
 	if chosen == nil {
 		chosen = t.choose(now, demand, true)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -159,6 +159,9 @@
 	e.upstream.Forget(e.workers.Knows)
 	e.keepTenants(snapshot.Table)
 	listed := snapshot.Fleet.Listed || snapshot.Fleet.Partial
+	if !e.room.knows(needWorkers) {
+		e.workers.Begin(clock.Now())
+	}
 	e.learnt(snapshot.Table, listed)
 	e.daemon.TookFleet(snapshot.Table != nil, listed)
 	if snapshot.Table != nil && listed && !e.daemon.Stopping() && !e.daemon.Ready() {
