Soak: all machines killed at once, and a third of them standing still

In its second third the soak kills all machines, on whatever build they are, and starts them together; in its last third it stops a third of each class for 3 s. Both are checked by what the soak checks all the while (answers whole, once at most, not run is true, jobs, routes), and all edges must serve again. Both must have happened. No check is changed; the two promises are added.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -30,6 +30,10 @@
 	// mostCrossed is how many requests may cross the close of their connection at one
 	// planned stop.
 	mostCrossed = 3
+	// allDark is how long all machines are away at once, thirdFrozen how long a third of them
+	// stands still.
+	allDark     = 600 * time.Millisecond
+	thirdFrozen = 3 * time.Second
 )
 
 // soak is one run.
@@ -81,7 +85,7 @@
 	if len(s.violations) > 0 {
 		t.Logf("faults:\n%s", strings.Join(s.faults, "\n"))
 	}
-	for _, promise := range []string{"answers whole", "once at most", "not run is true", "routes in force", "jobs done", "positions last", "planned stops"} {
+	for _, promise := range []string{"answers whole", "once at most", "not run is true", "routes in force", "jobs done", "positions last", "planned stops", "all at once", "a third stood still"} {
 		if s.counts[promise] == 0 {
 			t.Errorf("the promise %q was not put to the test", promise)
 		}
@@ -137,7 +141,14 @@
 	clients.Go(func() { s.operator(stop) })
 	clients.Go(func() { s.batches(stop) })
 	var faults sync.WaitGroup
-	for end := time.Now().Add(length); time.Now().Before(end); {
+	began, whole := time.Now(), []func(){s.killAll, s.freezeThird}
+	for parts := len(whole) + 1; time.Since(began) < length; {
+		if len(whole) > 0 && time.Since(began) > length*time.Duration(parts-len(whole))/time.Duration(parts) {
+			// These are at all machines, so no other fault is at any.
+			faults.Wait()
+			whole[0]()
+			whole = whole[1:]
+		}
 		if fault := s.draw(); fault != nil {
 			faults.Go(fault)
 		}
@@ -169,7 +180,7 @@
 
 func (s *soak) summary() string {
 	var rows []string
-	for _, promise := range []string{"answers whole", "once at most", "not run is true", "routes in force", "jobs done", "positions last", "planned stops", "crossed", "cut", "refused"} {
+	for _, promise := range []string{"answers whole", "once at most", "not run is true", "routes in force", "jobs done", "positions last", "planned stops", "all at once", "a third stood still", "crossed", "cut", "refused"} {
 		rows = append(rows, fmt.Sprintf("%s %d", promise, s.counts[promise]))
 	}
 	return strings.Join(rows, ", ")
@@ -262,6 +273,49 @@
 	s.start(machine, false)
 }
 
+// killAll kills all machines at once and starts them together, on their disks and builds.
+// Each edge must serve again.
+func (s *soak) killAll() {
+	pause := allDark
+	s.note("kill all for %s", pause)
+	s.mutex.Lock()
+	for _, name := range s.names() {
+		s.killed[name] = time.Now()
+		s.lives[name]++
+	}
+	s.mutex.Unlock()
+	for _, name := range s.names() {
+		_ = s.machines[name].command.Process.Kill()
+	}
+	for _, name := range s.names() {
+		<-s.machines[name].exited
+	}
+	time.Sleep(pause)
+	for _, name := range s.names() {
+		s.start(s.machines[name], false)
+	}
+	for _, name := range s.fronts() {
+		s.awaitServing(s.t, s.address(s.machines[name], portFront))
+	}
+	s.note("all serve again")
+	s.count("all at once")
+}
+
+// freezeThird stops a third of each class of machines at the same time.
+func (s *soak) freezeThird() {
+	s.note("freeze a third for %s", thirdFrozen)
+	third := []string{"core-1", "store-11", "front-21"}
+	for _, name := range third {
+		_ = s.machines[name].command.Process.Signal(syscall.SIGSTOP)
+	}
+	time.Sleep(thirdFrozen)
+	for _, name := range third {
+		_ = s.machines[name].command.Process.Signal(syscall.SIGCONT)
+	}
+	s.awaitServing(s.t, s.address(s.machines["front-21"], portFront))
+	s.count("a third stood still")
+}
+
 // restart stops a machine as planned and starts it again, on the other build if that is
 // wanted and there.
 func (s *soak) restart(machine *hostedMachine, rebuild bool) {
