--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -9,6 +9,7 @@
 	"github.com/sedgemast/sedgemast/internal/clock"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpapi"
@@ -49,6 +50,8 @@
 	demand     balance.Demand
 	arrived    time.Time
 	deadline   time.Time
+	// came is when the request was taken in, by the clock that counts suspensions.
+	came time.Time
 	// due is the deadline by a clock that counts suspensions of this machine, during which
 	// deadline and context stand still.
 	due      time.Time
@@ -146,7 +149,7 @@
 			c.lastErr = failure.New(failure.NotRun, "try again", "pool %q has no worker for the request", c.demand.Pool)
 			break
 		}
-		if c.tooLate(lease) {
+		if c.stoodStill() || c.tooLate(lease) {
 			lease.Release()
 			return
 		}
@@ -155,6 +158,7 @@
 		c.edge.metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result == delivered {
 			c.ranWell()
+			c.edge.served.Do(func() { c.edge.daemon.Took(daemon.StepServed) })
 			c.finish("delivered", nil)
 			return
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/settings"
+	"github.com/sedgemast/sedgemast/internal/standstill"
 	"github.com/sedgemast/sedgemast/internal/storeclient"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/upstream"
@@ -47,6 +48,8 @@
 	started time.Time
 	// room holds requests that came before the configuration and the workers were known.
 	room *room
+	// standstill notices that this process stood still.
+	standstill *standstill.Watch
 
 	// Stores hands jobs to the stores.
 	Stores *storeclient.Client
@@ -63,6 +66,8 @@
 	reserve *ratelimit.Reserve
 	// counted holds the tenants that have counters.
 	counted map[tenancy.Name]bool
+	// served is done with the first request that was answered as it should be.
+	served sync.Once
 }
 
 // New prepares the process; d.Run serves it.
@@ -84,6 +89,8 @@
 		reserve:   ratelimit.NewReserve(config.Name),
 		started:   clock.Now(),
 		room:      newRoom(),
+
+		standstill: standstill.New(clock.Now()),
 	}
 	e.setHubs(nil)
 	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.report)
@@ -94,6 +101,7 @@
 	d.Go(e.watcher.Run)
 	e.loads = e.newLoads()
 	d.Go(e.shareLoads)
+	d.Go(e.watchStandstills)
 	d.BeforeStop(e.drain)
 	return e
 }
@@ -156,7 +164,11 @@
 	e.upstream.Forget(e.workers.Knows)
 	e.keepTenants(snapshot.Table)
 	listed := snapshot.Fleet.Listed || snapshot.Fleet.Partial
+	if !e.room.knows(needWorkers) {
+		e.workers.Begin(clock.Now())
+	}
 	e.learnt(snapshot.Table, listed)
+	e.daemon.TookFleet(snapshot.Table != nil, listed)
 	if snapshot.Table != nil && listed && !e.daemon.Stopping() && !e.daemon.Ready() {
 		logging.Info(e.logger, "ready", "version", snapshot.Table.Configuration.Version)
 		e.daemon.SetReady(true)
@@ -254,9 +266,11 @@
 	// probes counts requests sent to avoided workers.
 	probes prometheus.Counter
 	// choices counts choices of workers, by zone and by how they were compared.
-	choices   *prometheus.CounterVec
-	firstTime *prometheus.HistogramVec
-	wholeTime *prometheus.HistogramVec
+	choices *prometheus.CounterVec
+	// standstills counts how often this process stood still.
+	standstills prometheus.Counter
+	firstTime   *prometheus.HistogramVec
+	wholeTime   *prometheus.HistogramVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -270,10 +284,10 @@
 		held:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_held_total", Help: "Requests that came before the configuration or the workers were known, by what they needed and what came of it."}, []string{"need", "outcome"}),
 		probes:      prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_probes_total", Help: "Requests sent to avoided workers to learn whether these are well again."}),
 		choices:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_choices_total", Help: "Workers chosen, by their zone (own, other) and by how they were compared (cost, times)."}, []string{"zone", "by"}),
+		standstills: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_standstills_total", Help: "Times for which this process stood still."}),
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes, m.choices)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes, m.choices, m.standstills)
 	return m
 }
