Test: a worker that failed gets its part again, over real processes

It fails for 3 s, so that all avoid it and not one edge for a second. The time is logged, not bounded.

--- a/test/hosted_test.go
+++ b/test/hosted_test.go
@@ -50,6 +50,7 @@
 	t.Run("wrong input", func(t *testing.T) { f.testWrongInput(t, front) })
 	t.Run("job over a killed store", func(t *testing.T) { f.testJob(t, front, second) })
 	t.Run("in force", func(t *testing.T) { f.testInForce(t, front, second) })
+	t.Run("failing worker", func(t *testing.T) { f.testFailing(t, front) })
 	t.Run("leaving worker", func(t *testing.T) { f.testLeaving(t, front) })
 	t.Run("planned stop", func(t *testing.T) { f.testStop(t) })
 }
@@ -410,6 +411,37 @@
 	}
 }
 
+// testFailing lets a worker fail all that it gets until it is avoided, then be well again:
+// requests that may run more than once show that, no caller sees a failure, and soon it gets its
+// part of them again. The time that this takes is logged, not bounded: the machine may be busy.
+func (f *hostedFleet) testFailing(t *testing.T, front string) {
+	ill := f.workers[1]
+	ill.Behave(func(*emulator.HostedRequest) emulator.HostedFault {
+		return emulator.HostedFault{Status: http.StatusInternalServerError}
+	})
+	number := 0
+	ask := func(count int) (came int) {
+		before := len(ill.Seen())
+		for range count {
+			number++
+			headers := map[string]string{"Request-Id": fmt.Sprintf("f-%d", number), "Token-Count": "1,1"}
+			if status, _, _, err := f.call(http.MethodPost, front, "/stream/a", headers, "p"); err != nil || status != http.StatusOK {
+				t.Errorf("call %d: %d, %v", number, status, err)
+			}
+		}
+		return len(ill.Seen()) - before
+	}
+	// Long enough for all to avoid it, beyond the second for which an edge does so by itself.
+	for begun := time.Now(); time.Since(begun) < 3*time.Second; time.Sleep(20 * time.Millisecond) {
+		ask(1)
+	}
+	eventually(t, "an end of requests to the failing worker but for probes", func() bool { return ask(60) <= 2 })
+	ill.Behave(nil)
+	well := time.Now()
+	eventually(t, "requests to the worker that is well again", func() bool { return ask(20) >= 4 })
+	t.Logf("the worker got its part again after %v", time.Since(well))
+}
+
 // testStop stops an edge while streams run through it: none is cut, and it ends
 // as planned.
 func (f *hostedFleet) testStop(t *testing.T) {
