A plan without an outlook sorts no more than before

Cause: openings carried what only a forecast needs, and were sorted with it.

Change: it stands beside them, where an outlook is known.

--- a/internal/batchroom/ahead.go
+++ b/internal/batchroom/ahead.go
@@ -76,11 +76,23 @@
 	return part
 }
 
-// prospects are those of the pools of which something is known, and few.
-type prospects []*prospect
+// prospects are those of the pools of which something is known, and few; nil where there
+// are none.
+type prospects struct {
+	pools []*prospect
+	// spares says of each opening, in turn, what requests to come leave of it.
+	spares []spare
+}
+
+// spare is the room that online requests to come leave of a worker, pool what is known of
+// its pool, nil if nothing is.
+type spare struct {
+	room float64
+	pool *prospect
+}
 
-func (p prospects) of(pool string) *prospect {
-	for _, known := range p {
+func (p *prospects) of(pool string) *prospect {
+	for _, known := range p.pools {
 		if known.outlook.Pool == pool {
 			return known
 		}
@@ -88,10 +100,43 @@
 	return nil
 }
 
+// offer takes in room that was found at a worker, which is counted for its pool where it is
+// not an idle one.
+func (p *prospects) offer(place *Place, room int, counts bool) {
+	if p == nil {
+		return
+	}
+	known := p.of(place.Pool)
+	if known == nil {
+		p.spares = append(p.spares, spare{room: float64(room)})
+		return
+	}
+	if counts {
+		known.offered += room
+	}
+	// Requests that are there need no more of the part for those to come.
+	coming := max(known.partAt(place.Zone, known.part)*float64(place.Slots)-float64(place.Online), 0)
+	p.spares = append(p.spares, spare{room: float64(room) - coming, pool: known})
+}
+
+// withheld returns how much of the room found is kept for requests to come. So much room
+// at idle workers is taken.
+func (p *prospects) withheld(taken int) int {
+	if p == nil {
+		return 0
+	}
+	withheld := 0
+	for _, known := range p.pools {
+		idle := max(known.outlook.IdleSlots-taken, 0)
+		withheld += max(known.offered+idle-known.left, 0)
+	}
+	return withheld
+}
+
 // lookAhead finds what online requests to come leave of the pools, and adds the stops that
 // make room for them. Items and stops are those at the busy places.
-func (p *Planner) lookAhead(name uint32, own *runner, places *Places, items, stops []int) prospects {
-	var found prospects
+func (p *Planner) lookAhead(name uint32, own *runner, places *Places, items, stops []int) *prospects {
+	var pools []*prospect
 	for i := range places.Outlooks {
 		outlook := &places.Outlooks[i]
 		lead := outlook.Lag + own.gap + carryOut
@@ -101,16 +146,19 @@
 			if !p.summary.Need.Sure || need.Slots > p.summary.Need.Slots {
 				p.summary.Need = need
 			}
-			found = append(found, p.prospectOf(name, outlook, places, items, stops, need, lead))
+			pools = append(pools, p.prospectOf(name, outlook, places, items, stops, need, lead))
 		case need.Rising && !outlook.Hold:
 			p.summary.Rising = true
-			found = append(found, p.prospectOf(name, outlook, places, items, stops, need, lead))
+			pools = append(pools, p.prospectOf(name, outlook, places, items, stops, need, lead))
 		case outlook.Hold:
-			found = append(found, &prospect{outlook: outlook})
+			pools = append(pools, &prospect{outlook: outlook})
 		}
 		p.summary.Held = p.summary.Held || outlook.Hold
 	}
-	return found
+	if len(pools) == 0 {
+		return nil
+	}
+	return &prospects{pools: pools}
 }
 
 // prospectOf finds what is left of a pool, and adds the stops that it takes.
@@ -144,34 +192,6 @@
 	return result
 }
 
-// spare returns what requests to come leave of a worker's room when so much is taken by
-// items.
-func (p prospects) spare(place *Place, taken int) float64 {
-	known := p.of(place.Pool)
-	if known == nil {
-		return float64(place.Slots - taken - place.Online)
-	}
-	return float64(place.Slots-taken) - max(float64(place.Online), known.partAt(place.Zone, known.part)*float64(place.Slots))
-}
-
-// offer takes in room that was found.
-func (p prospects) offer(pool string, room int) {
-	if known := p.of(pool); known != nil {
-		known.offered += room
-	}
-}
-
-// withheld returns how much of the room found is kept for requests to come. So much room
-// at idle workers is taken.
-func (p prospects) withheld(taken int) int {
-	withheld := 0
-	for _, known := range p {
-		idle := max(known.outlook.IdleSlots-taken, 0)
-		withheld += max(known.offered+idle-known.left, 0)
-	}
-	return withheld
-}
-
 // candidate is a worker to stop items at, or to start some.
 type candidate struct {
 	place int
@@ -238,16 +258,16 @@
 
 // grantAhead gives out so much room, one slot after another where requests to come leave
 // the most.
-func grantAhead(open []opening, count int, known prospects) map[uint32]int {
+func grantAhead(open []opening, count int, spares []spare) map[uint32]int {
 	granted := map[uint32]int{}
 	heaped := make(candidates, 0, len(open))
 	for i := range open {
-		heaped = append(heaped, candidate{place: i, rank: open[i].spare, tie: open[i].tie})
+		heaped = append(heaped, candidate{place: i, rank: spares[i].room, tie: open[i].tie})
 	}
 	heap.Init(&heaped)
 	for count > 0 && len(heaped) > 0 {
 		opening := &open[heaped[0].place]
-		if prospect := known.of(opening.pool); prospect != nil {
+		if prospect := spares[heaped[0].place].pool; prospect != nil {
 			if prospect.left == 0 {
 				heap.Pop(&heaped)
 				continue
--- a/internal/batchroom/batchroom.go
+++ b/internal/batchroom/batchroom.go
@@ -131,7 +131,7 @@
 		return nil
 	}
 	orders := map[uint32]Order{}
-	var open []opening
+	open := make([]opening, 0, len(places.Busy))
 	p.summary = Summary{Waiting: p.waiting(), Slots: places.IdleSlots, Idle: places.IdleSlots}
 	busy := make(map[uint32]bool, len(places.Busy))
 	items := make([]int, len(places.Busy))
@@ -155,9 +155,9 @@
 			continue
 		}
 		if room := p.roomAt(name, place, items[i]); room > 0 {
-			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name, spare: prospects.spare(place, place.Slots-room-place.Online), pool: place.Pool})
+			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
 			p.summary.Free += room
-			prospects.offer(place.Pool, room)
+			prospects.offer(place, room, true)
 		}
 	}
 	taken := p.takenIdle(name, busy)
@@ -168,8 +168,8 @@
 		// As many as are taken may come up in vain.
 		open = append(open, p.openIdle(name, places.Draw(share+taken), prospects)...)
 	}
-	if len(prospects) > 0 {
-		own.granted = grantAhead(open, share, prospects)
+	if prospects != nil {
+		own.granted = grantAhead(open, share, prospects.spares)
 	} else {
 		own.granted = grant(open, share)
 	}
@@ -210,12 +210,13 @@
 }
 
 // openIdle returns the room at some of the idle workers.
-func (p *Planner) openIdle(name uint32, places []Place, prospects prospects) []opening {
+func (p *Planner) openIdle(name uint32, places []Place, prospects *prospects) []opening {
 	open := make([]opening, 0, len(places))
 	for i := range places {
 		place := &places[i]
 		if room := p.roomAt(name, place, p.itemsAt(place.Worker)); room > 0 {
-			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name, spare: prospects.spare(place, place.Slots-room), pool: place.Pool})
+			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
+			prospects.offer(place, room, false)
 		}
 	}
 	return open
@@ -303,9 +304,6 @@
 	room   int
 	// tie orders workers of equal room, differently for each runner.
 	tie uint32
-	// spare is the room that online requests to come leave of it, of the pool.
-	spare float64
-	pool  string
 }
 
 // grant gives out so much room, one slot after another where the most is left.
