--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -18,6 +18,7 @@
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quota"
 	"github.com/sedgemast/sedgemast/internal/ratelimit"
+	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
 	"github.com/sedgemast/sedgemast/internal/workerset"
@@ -280,7 +281,11 @@
 
 // order plans for a runner.
 func (s *Store) order(now time.Time, source uint32, waiting int, items map[uint32]int) map[uint32]batchroom.Order {
-	table := s.watcher.Current().Table
+	return s.orderBy(now, s.watcher.Current().Table, source, waiting, items)
+}
+
+// orderBy plans for a runner by a configuration.
+func (s *Store) orderBy(now time.Time, table *routetable.Table, source uint32, waiting int, items map[uint32]int) map[uint32]batchroom.Order {
 	places := s.workers.Places(now, func(pool string) time.Duration { return table.TightestGoal(pool) / patienceParts })
 	places.Outlooks = s.foresee(now, table, &places)
 	s.loads.planner.Take(now, source, waiting, items)
--- a/internal/batchstore/outlook_test.go
+++ b/internal/batchstore/outlook_test.go
@@ -1,6 +1,7 @@
 package batchstore
 
 import (
+	"fmt"
 	"maps"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/wire"
+	"github.com/sedgemast/sedgemast/internal/workerset"
 )
 
 // tenants is a configuration in which the job's route is used by a tenant.
@@ -113,3 +115,55 @@
 		t.Errorf("what was told is told again: %+v", news)
 	}
 }
+
+// TestItemsLeaveBeforeAWave feeds a store, as the top hub, with waves at 40 workers that are
+// full of items otherwise: once the pattern is known it orders stops before the wave begins,
+// about as many as it needs, spread over the workers; and none in the valley.
+func TestItemsLeaveBeforeAWave(t *testing.T) {
+	const (
+		workers     = 40
+		cycle, wave = 4 * time.Second, 2 * time.Second
+		low, high   = 1, 6
+		items       = 6
+		before      = 60 * time.Millisecond
+	)
+	r := testRunner(t, 1)
+	r.store.metrics = newMetrics(prometheus.NewRegistry())
+	var rows []wire.PoolWorker
+	running := map[uint32]int{}
+	for number := range workers {
+		id := fmt.Sprint(number)
+		rows = append(rows, wire.PoolWorker{ID: id, Pool: "p", Zone: "z", Slots: slots})
+		running[loadshare.WorkerHash(id)] = items
+	}
+	r.store.workers.Update(workerset.Of(rows), nil)
+	table := tenants()
+	planAt := func(at time.Duration) (stops, most int) {
+		count := low
+		if at%cycle >= cycle-wave {
+			count = high
+		}
+		now := start.Add(at)
+		loads := make([]wire.WorkerLoad, 0, workers)
+		for worker := range running {
+			loads = append(loads, wire.WorkerLoad{Worker: worker, Online: uint16(count)})
+		}
+		r.store.workers.SetOthers(now, loads, balance.OfAll)
+		for _, order := range r.store.orderBy(now, table, ownSource, 0, running) {
+			stops += order.Stop
+			most = max(most, order.Stop)
+		}
+		return stops, most
+	}
+	begin := 5*cycle - wave
+	for at := time.Duration(0); at < begin; at += runInterval {
+		stops, most := planAt(at)
+		switch {
+		case at >= 4*cycle+time.Second && at < begin-time.Second/2 && stops > 0:
+			t.Fatalf("%s: %d stops in the valley", at, stops)
+		case at < begin-before:
+		case stops < workers*(high+items-slots) || most > high+items-slots+1:
+			t.Errorf("%s before the wave: %d stops, %d at one worker", begin-at, stops, most)
+		}
+	}
+}
