--- /dev/null
+++ b/internal/fairshare/fairshare_test.go
@@ -0,0 +1,329 @@
+package fairshare
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/proptest"
+)
+
+// near bounds what rounding and the accuracy of levels may cost, in parts of the capacity.
+const near = 1e-6
+
+// draw returns a division of skewed claimants over some ranks.
+func draw(random *rand.Rand) (float64, Floors, []Claimant) {
+	claimants := make([]Claimant, 1+random.Intn(80))
+	ranks := 1 + random.Intn(4)
+	for i := range claimants {
+		c := &claimants[i]
+		c.Rank = random.Intn(ranks)
+		c.Demand = math.Pow(random.Float64(), 3) * 100
+		if random.Intn(8) == 0 {
+			c.Demand *= 8
+		}
+		switch random.Intn(6) {
+		case 0:
+			c.Weight = 0.1 + random.Float64()*10
+		case 1:
+			c.Reserve = random.Float64() * 20
+		case 2:
+			c.Ceiling = random.Float64() * 50
+		case 3:
+			c.Demand = 0
+		}
+		if c.Ceiling > 0 {
+			c.Reserve = min(c.Reserve, c.Ceiling)
+		}
+	}
+	floors := Floors{}
+	capacity := random.Float64() * 1500
+	for rank := range ranks {
+		if random.Intn(3) == 0 {
+			floors[rank] = capacity * random.Float64() / float64(ranks)
+		}
+	}
+	return capacity, floors, claimants
+}
+
+// divider is Divide, or one of its mutations.
+type divider func(capacity float64, floors Floors, claimants []Claimant) []Allotment
+
+// rules are what holds of each division.
+var rules = map[string]func(capacity float64, floors Floors, claimants []Claimant, divide divider) error{
+	"the sum is within the capacity": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+		if sum := total(divide(capacity, floors, claimants)); sum > capacity*(1+near) {
+			return errors.Newf("%g of %g given out", sum, capacity)
+		}
+		return nil
+	},
+	"nobody gets more than asked": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+		for i, a := range divide(capacity, floors, claimants) {
+			if a.Room < 0 || a.Room > claimants[i].Demand || a.Share < a.Room {
+				return errors.Newf("%+v gets %+v", claimants[i], a)
+			}
+		}
+		return nil
+	},
+	"nobody gets more than the ceiling": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+		for i, a := range divide(capacity, floors, claimants) {
+			if c := claimants[i].Ceiling; c > 0 && a.Share > c*(1+near) {
+				return errors.Newf("%+v gets %+v", claimants[i], a)
+			}
+		}
+		return nil
+	},
+	"no room is left while anybody wants it": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+		wanted := 0.0
+		for i := range claimants {
+			wanted += claimants[i].most()
+		}
+		if sum := total(divide(capacity, floors, claimants)); sum < min(wanted, capacity)*(1-near)-near {
+			return errors.Newf("%g given out of %g, %g wanted", sum, capacity, wanted)
+		}
+		return nil
+	},
+	"reserves come first": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+		reserved := 0.0
+		for i := range claimants {
+			reserved += min(claimants[i].Reserve, claimants[i].most())
+		}
+		for i, a := range divide(capacity, floors, claimants) {
+			if reserved <= capacity && a.Room < min(claimants[i].Reserve, claimants[i].most())*(1-near)-near {
+				return errors.Newf("%+v gets %+v of %g", claimants[i], a, capacity)
+			}
+		}
+		return nil
+	},
+	"who asks for less than its share gets all of it": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+		for i, a := range divide(capacity, floors, claimants) {
+			c := &claimants[i]
+			if c.Demand < a.Share*(1-near) && a.Room < c.Demand*(1-near)-near {
+				return errors.Newf("%+v gets %+v", *c, a)
+			}
+		}
+		return nil
+	},
+	"within a rank nobody gets less for its weight than another unless it asks for less": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+		for i := range claimants {
+			// Reserves, and what is kept for each claimant, go beside the weights.
+			if claimants[i].Reserve > 0 || claimants[i].Rank > 0 {
+				return nil
+			}
+		}
+		got := divide(capacity, floors, claimants)
+		for i := range claimants {
+			for j := range claimants {
+				one, other := &claimants[i], &claimants[j]
+				if got[i].Room < one.most()*(1-near)-near && got[i].Room/one.weight() < got[j].Room/other.weight()*(1-near)-near {
+					return errors.Newf("%+v gets %+v, %+v gets %+v", *one, got[i], *other, got[j])
+				}
+			}
+		}
+		return nil
+	},
+	"nobody starves": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+		together := make([]Claimant, len(claimants))
+		copy(together, claimants)
+		reserved := 0.0
+		for i := range together {
+			reserved += together[i].Reserve
+			together[i].Rank = 0
+		}
+		if reserved > capacity {
+			return nil
+		}
+		fair := divide(capacity, nil, together)
+		for i, a := range divide(capacity, nil, claimants) {
+			if a.Room < fair[i].Room*leastPart*(1-near)-near {
+				return errors.Newf("%+v gets %+v, %g if ranks were one", claimants[i], a, fair[i].Room)
+			}
+		}
+		return nil
+	},
+	"the floor of a rank is kept": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+		for i := range claimants {
+			if claimants[i].Reserve > 0 {
+				return nil
+			}
+		}
+		kept := 0.0
+		for _, floor := range floors {
+			kept += floor
+		}
+		if kept > capacity*(1-leastPart) {
+			return nil
+		}
+		asked, got := map[int]float64{}, map[int]float64{}
+		for i, a := range divide(capacity, floors, claimants) {
+			asked[claimants[i].Rank] += claimants[i].most()
+			got[claimants[i].Rank] += a.Room
+		}
+		for rank, floor := range floors {
+			if got[rank] < min(floor, asked[rank])*(1-near)-near {
+				return errors.Newf("rank %d gets %g of a floor of %g", rank, got[rank], floor)
+			}
+		}
+		return nil
+	},
+	"a rank goes before the next": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+		if len(floors) > 0 {
+			return nil
+		}
+		short := math.MaxInt
+		got := divide(capacity, floors, claimants)
+		for i := range claimants {
+			if got[i].Room < claimants[i].most()*(1-near)-near {
+				short = min(short, claimants[i].Rank)
+			}
+		}
+		together := make([]Claimant, len(claimants))
+		copy(together, claimants)
+		for i := range together {
+			together[i].Rank = 0
+		}
+		fair := divide(capacity, nil, together)
+		later := 0.0
+		for i := range claimants {
+			if claimants[i].Rank > short {
+				later += got[i].Room - max(leastPart*fair[i].Room, min(claimants[i].Reserve, claimants[i].most()))
+			}
+		}
+		if later > capacity*near+near {
+			return errors.Newf("rank %d is short of room, and later ones have %g beyond what is kept for them", short, later)
+		}
+		return nil
+	},
+}
+
+func total(allotments []Allotment) float64 {
+	sum := 0.0
+	for _, a := range allotments {
+		sum += a.Room
+	}
+	return sum
+}
+
+// TestDivide holds drawn divisions to the rules.
+func TestDivide(t *testing.T) {
+	for name, rule := range rules {
+		t.Run(name, func(t *testing.T) {
+			proptest.Run(t, "divide", func(random *rand.Rand) error {
+				capacity, floors, claimants := draw(random)
+				if random.Intn(2) == 0 {
+					oneRank(claimants)
+				}
+				if random.Intn(2) == 0 {
+					for i := range claimants {
+						claimants[i].Reserve = 0
+					}
+				}
+				return rule(capacity, floors, claimants, Divide)
+			})
+		})
+	}
+}
+
+func oneRank(claimants []Claimant) {
+	for i := range claimants {
+		claimants[i].Rank = 0
+	}
+}
+
+// TestMutationsAreSeen breaks the division in one way for each rule: the rule must see it.
+func TestMutationsAreSeen(t *testing.T) {
+	change := func(after func(capacity float64, claimants []Claimant, got []Allotment)) divider {
+		return func(capacity float64, floors Floors, claimants []Claimant) []Allotment {
+			got := Divide(capacity, floors, claimants)
+			after(capacity, claimants, got)
+			return got
+		}
+	}
+	alter := func(before func(c *Claimant)) divider {
+		return func(capacity float64, floors Floors, claimants []Claimant) []Allotment {
+			altered := make([]Claimant, len(claimants))
+			copy(altered, claimants)
+			for i := range altered {
+				before(&altered[i])
+			}
+			return Divide(capacity, floors, altered)
+		}
+	}
+	byDemand := change(func(capacity float64, claimants []Claimant, got []Allotment) {
+		wanted := 0.0
+		for i := range claimants {
+			wanted += claimants[i].most()
+		}
+		for i := range claimants {
+			got[i].Room = claimants[i].most() * min(capacity/wanted, 1)
+			got[i].Share = max(got[i].Room, got[i].Share)
+		}
+	})
+	strict := func(capacity float64, floors Floors, claimants []Claimant) []Allotment {
+		got := make([]Allotment, len(claimants))
+		for rank := range 8 {
+			for i := range claimants {
+				if claimants[i].Rank == rank {
+					room := min(claimants[i].most(), capacity)
+					got[i] = Allotment{room, room}
+					capacity -= room
+				}
+			}
+		}
+		return got
+	}
+	for name, mutation := range map[string]divider{
+		"the sum is within the capacity":                  change(func(_ float64, claimants []Claimant, got []Allotment) { demandAll(claimants, got) }),
+		"nobody gets more than asked":                     change(func(_ float64, _ []Claimant, got []Allotment) { got[0].Room++; got[0].Share++ }),
+		"nobody gets more than the ceiling":               alter(func(c *Claimant) { c.Ceiling = 0 }),
+		"no room is left while anybody wants it":          change(func(_ float64, _ []Claimant, got []Allotment) { got[len(got)-1].Room = 0 }),
+		"reserves come first":                             alter(func(c *Claimant) { c.Reserve = 0 }),
+		"who asks for less than its share gets all of it": byDemand,
+		"within a rank nobody gets less for its weight than another unless it asks for less": byDemand,
+		"nobody starves":              strict,
+		"the floor of a rank is kept": strict,
+		"a rank goes before the next": alter(func(c *Claimant) { c.Rank = 0 }),
+	} {
+		seen := false
+		for seed := int64(0); seed < 2000 && !seen; seed++ {
+			random := rand.New(rand.NewSource(seed))
+			capacity, floors, claimants := draw(random)
+			if seed%2 == 0 {
+				oneRank(claimants)
+			}
+			if seed%4 < 2 {
+				for i := range claimants {
+					claimants[i].Reserve = 0
+				}
+			}
+			seen = rules[name](capacity, floors, claimants, mutation) != nil
+		}
+		if !seen {
+			t.Errorf("%s: its mutation is not seen", name)
+		}
+	}
+}
+
+func demandAll(claimants []Claimant, got []Allotment) {
+	for i := range got {
+		got[i].Room = claimants[i].Demand
+	}
+}
+
+// BenchmarkDivide divides among a thousand claimants of three ranks.
+func BenchmarkDivide(b *testing.B) {
+	random := rand.New(rand.NewSource(1))
+	claimants := make([]Claimant, 1000)
+	wanted := 0.0
+	for i := range claimants {
+		claimants[i] = Claimant{Rank: i % 3, Demand: math.Pow(random.Float64(), 3) * 10}
+		wanted += claimants[i].Demand
+	}
+	var d division
+	b.ReportAllocs()
+	for b.Loop() {
+		d.divide(wanted/2, nil, claimants)
+	}
+}
