Shares: settings, messages and the judgement of a request over its share

Cause: operators can't say how scarce room is divided, and edges aren't told. Change: weight, reserve and ceiling of tenants, floor of routes (optional, checked with typed errors); RoomClaim and RoomStanding in new named fields of LoadMore, with counts of begun and short requests; admission.Judge sends who is over its share back at a quarter of the wait that others are let in for, never where it finds room. Decide is as it was for all others.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -17,6 +17,10 @@
 	// comebackParts is the part of a caller's time, one in so many, that it is
 	// asked to wait at most.
 	comebackParts = 3
+	// overParts is the part, one in so many, of the wait that others are let in for, for
+	// which a request over its tenant's share is. It may be none: a request that finds room
+	// doesn't wait, and is let in whatever its share.
+	overParts = 4
 	// LeastComeback is the shortest time after which a caller is asked to come
 	// back. A caller who has that much less than others has come back already.
 	LeastComeback = 250 * time.Millisecond
@@ -34,17 +38,48 @@
 	// request runs there, zero if unknown, and Wait how long it waits before.
 	Begin time.Duration
 	Wait  time.Duration
+	// Over is set where its tenant has more than its share of the room, and others ask.
+	Over bool
 	// Ends is in which time the overload will probably be over, zero if unknown.
 	Ends time.Duration
 }
 
+// Reason says why a request is taken in, or is not.
+type Reason uint8
+
+const (
+	// TakenIn requests are probably in time, or gain nothing by coming back.
+	TakenIn Reason = iota
+	// TooLate requests would probably miss their goal.
+	TooLate
+	// OverShare requests may be in time, but would wait at the cost of those whose tenants
+	// are within their shares.
+	OverShare
+)
+
+// String returns the reason as used in logs and metrics.
+func (r Reason) String() string { return [...]string{"taken_in", "too_late", "over_share"}[r] }
+
+// Judge says whether a request should come back rather than wait, if it can. A request that
+// doesn't wait never should.
+func Judge(request *Request) Reason {
+	if request.Wait <= 0 || request.Begin <= 0 || request.Goal <= 0 {
+		return TakenIn
+	}
+	tolerated := request.Goal*goalPart/hundreds - request.Begin
+	switch {
+	case request.Wait > tolerated:
+		return TooLate
+	case request.Over && request.Wait > tolerated/overParts:
+		return OverShare
+	}
+	return TakenIn
+}
+
 // Decide returns after which time the caller is to come back, or zero if the request
 // is taken in. random is from 0 to 1; it spreads those who come back.
 func Decide(request *Request, random float64) time.Duration {
-	if request.Wait <= 0 || request.Begin <= 0 || request.Goal <= 0 {
-		return 0
-	}
-	if request.Begin+request.Wait <= request.Goal*goalPart/hundreds {
+	if Judge(request) == TakenIn {
 		return 0
 	}
 	if request.Left <= request.Longest-LeastComeback {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -76,6 +76,51 @@
 	})
 }
 
+// TestOverShareIsSentBackFirst checks with random requests that who is over its share is
+// sent back where others are, and at a smaller wait; never where it finds room, nor twice;
+// and that nothing changes for the others.
+func TestOverShareIsSentBackFirst(t *testing.T) {
+	sooner := 0
+	proptest.Run(t, "over", func(random *rand.Rand) error {
+		some := func(most int) time.Duration { return time.Duration(random.Intn(most)) * ms }
+		within := Request{Left: some(6000), Longest: some(6000), Goal: some(2000), Begin: some(1000), Wait: some(800)}
+		over := within
+		over.Over = true
+		lot := random.Float64()
+		sent, sentOver := Decide(&within, lot), Decide(&over, lot)
+		switch {
+		case sent > 0 && sent != sentOver:
+			return errors.Newf("%+v comes back after %s, over its share after %s", within, sent, sentOver)
+		case sent == 0 && sentOver > 0:
+			sooner++
+			if over.Wait == 0 || over.Left <= over.Longest-LeastComeback || Judge(&over) != OverShare {
+				return errors.Newf("%+v is sent back", over)
+			}
+		}
+		return nil
+	})
+	if sooner == 0 {
+		t.Error("nobody was sent back for its share")
+	}
+}
+
+// TestReasons judges a request by its wait, within and over its share.
+func TestReasons(t *testing.T) {
+	for _, test := range []struct {
+		wait         time.Duration
+		within, over Reason
+	}{{0, TakenIn, TakenIn}, {47 * ms, TakenIn, TakenIn}, {48 * ms, TakenIn, OverShare}, {190 * ms, TakenIn, OverShare}, {191 * ms, TooLate, TooLate}} {
+		request := Request{Left: 5000 * ms, Longest: 5000 * ms, Goal: 300 * ms, Begin: 80 * ms, Wait: test.wait}
+		if got := Judge(&request); got != test.within {
+			t.Errorf("wait %s: %s", test.wait, got)
+		}
+		request.Over = true
+		if got := Judge(&request); got != test.over {
+			t.Errorf("wait %s, over the share: %s", test.wait, got)
+		}
+	}
+}
+
 func TestRouteLearns(t *testing.T) {
 	var route Route
 	if route.Begin() != 0 || route.Longest() != 0 {
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -100,11 +100,14 @@
 	answered chan struct{}
 	// questions holds who waits for verdicts, by ticket.
 	questions map[uint64]chan wire.TokenVerdict
+	// claims holds the standings told of requests that claim room, by ticket; nil while
+	// none was told.
+	claims map[uint64]*wire.RoomStanding
 }
 
 // NewExchange returns an exchange; Run runs it.
 func NewExchange(p *Reporter) *Exchange {
-	return &Exchange{reporter: p, began: clock.Now(), chooser: chooser{home: p.Home}, answered: make(chan struct{}), questions: map[uint64]chan wire.TokenVerdict{}}
+	return &Exchange{reporter: p, began: clock.Now(), chooser: chooser{home: p.Home}, answered: make(chan struct{}), questions: map[uint64]chan wire.TokenVerdict{}, claims: map[uint64]*wire.RoomStanding{}}
 }
 
 // Run reports at the reporter's pauses until ctx ends.
@@ -176,9 +179,15 @@
 )
 
 // Token asks the hub for a token of a tenant. The answer also tells what the hub knows of
-// the workers. It reports whether there was an answer.
-func (x *Exchange) Token(ctx context.Context, question wire.TokenQuestion) (wire.TokenVerdict, bool) {
+// the workers, and how the claim stands where one goes with the question: nil means within
+// the share. It reports whether there was an answer.
+func (x *Exchange) Token(ctx context.Context, question wire.TokenQuestion, claim *wire.RoomClaim) (wire.TokenVerdict, *wire.RoomStanding, bool) {
 	verdict := make(chan wire.TokenVerdict, 1)
+	m := message{choosing: true, tokens: []wire.TokenQuestion{question}}
+	if claim != nil {
+		m.claims = []wire.RoomClaim{*claim}
+		defer x.forgetClaim(x.expect(claim))
+	}
 	x.mutex.Lock()
 	x.questions[question.Ticket] = verdict
 	x.mutex.Unlock()
@@ -190,20 +199,74 @@
 	timer := time.NewTimer(tokenPause)
 	defer timer.Stop()
 	for try := 1; try <= tokenTries; try++ {
-		x.report(message{choosing: true, tokens: []wire.TokenQuestion{question}})
+		x.report(m)
 		select {
 		case answer := <-verdict:
-			return answer, true
+			return answer, x.standing(claim), true
 		case <-timer.C:
 			timer.Reset(tokenPause)
 		case <-ctx.Done():
-			return wire.TokenVerdict{}, false
+			return wire.TokenVerdict{}, nil, false
 		}
 		if try%tokenDoubt == 0 {
 			x.doubt()
 		}
 	}
-	return wire.TokenVerdict{}, false
+	return wire.TokenVerdict{}, nil, false
+}
+
+// roomTries is how many times a claim is sent within the patience of its request.
+const roomTries = 2
+
+// Room puts a request's claim of room to the hub with the question of what the others have
+// at the workers (Ask). It returns how the claim stands, nil for within the share, and
+// whether there was an answer in time.
+func (x *Exchange) Room(ctx context.Context, patience time.Duration, asked []uint32, claim *wire.RoomClaim) (*wire.RoomStanding, bool) {
+	x.mutex.Lock()
+	answered, silent := x.answered, clock.Since(x.began)-x.chooser.heard > Fresh || x.chooser.heard == 0
+	x.mutex.Unlock()
+	if silent {
+		return nil, false
+	}
+	defer x.forgetClaim(x.expect(claim))
+	timer := time.NewTimer(patience / roomTries)
+	defer timer.Stop()
+	for range roomTries {
+		x.report(message{choosing: true, asked: asked, claims: []wire.RoomClaim{*claim}})
+		select {
+		case <-answered:
+			return x.standing(claim), true
+		case <-timer.C:
+			timer.Reset(patience / roomTries)
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+	return nil, false
+}
+
+// expect lets the standing of a claim be kept, until forgetClaim.
+func (x *Exchange) expect(claim *wire.RoomClaim) uint64 {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.claims[claim.Ticket] = nil
+	return claim.Ticket
+}
+
+func (x *Exchange) forgetClaim(ticket uint64) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	delete(x.claims, ticket)
+}
+
+// standing returns what was told of a claim, which may be nil.
+func (x *Exchange) standing(claim *wire.RoomClaim) *wire.RoomStanding {
+	if claim == nil {
+		return nil
+	}
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.claims[claim.Ticket]
 }
 
 // doubt takes in that the hub has left questions unanswered.
@@ -226,6 +289,7 @@
 	choosing bool
 	asked    []uint32
 	tokens   []wire.TokenQuestion
+	claims   []wire.RoomClaim
 }
 
 // report sends a report to the hub chosen, if there is anything to tell.
@@ -234,7 +298,7 @@
 	if own == nil {
 		return
 	}
-	own.Quiet, own.Choosing, own.Asked, own.Tokens = m.quiet, m.choosing, m.asked, m.tokens
+	own.Quiet, own.Choosing, own.Asked, own.Tokens, own.Claims = m.quiet, m.choosing, m.asked, m.tokens, m.claims
 	hubs := x.reporter.Hubs()
 	x.mutex.Lock()
 	now := clock.Since(x.began)
@@ -287,7 +351,7 @@
 			continue
 		}
 		x.reporter.Learn(clock.Now(), report)
-		x.heard(report.Verdicts)
+		x.heard(report)
 	}
 }
 
@@ -299,12 +363,17 @@
 }
 
 // heard takes in that the hub has answered, and what it said has been learnt. The
-// verdicts go to those who wait for them.
-func (x *Exchange) heard(verdicts []wire.TokenVerdict) {
+// verdicts and standings go to those who wait for them.
+func (x *Exchange) heard(answer *wire.LoadReport) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	x.chooser.answered(clock.Since(x.began))
-	for _, verdict := range verdicts {
+	for i := range answer.Standings {
+		if _, claimed := x.claims[answer.Standings[i].Ticket]; claimed {
+			x.claims[answer.Standings[i].Ticket] = &answer.Standings[i]
+		}
+	}
+	for _, verdict := range answer.Verdicts {
 		if waiting := x.questions[verdict.Ticket]; waiting != nil {
 			select {
 			case waiting <- verdict:
--- a/internal/routetable/configuration.go
+++ b/internal/routetable/configuration.go
@@ -52,6 +52,10 @@
 	GapGoalMillis int64 `json:"gap_goal_ms"`
 	// Rank orders routes: 0 goes first.
 	Rank int `json:"rank"`
+	// Floor is the part of scarce room, from 0 to 1, that is kept for requests of the
+	// route's rank when they ask for it, whatever those of earlier ranks ask for. Floors of
+	// routes of one rank add up.
+	Floor float64 `json:"floor,omitempty"`
 	// MaxAttempts is to how many workers one request may be sent.
 	MaxAttempts int          `json:"max_attempts"`
 	Parts       []PoolWeight `json:"parts"`
@@ -116,6 +120,7 @@
 		pools[name] = true
 	}
 	places := map[string]bool{}
+	floors := 0.0
 	for i := range c.Routes {
 		if err := c.Routes[i].check(fmt.Sprintf("routes.%d", i), pools); err != nil {
 			return err
@@ -125,6 +130,9 @@
 			return fault(fmt.Sprintf("routes.%d", i), "give every route a host and prefix of its own", "another route has the same place %s", place)
 		}
 		places[place] = true
+		if floors += c.Routes[i].Floor; floors > wholeRoom {
+			return fault(fmt.Sprintf("routes.%d.floor", i), "let the floors of all routes add up to 1 at most", "they add up to %g", floors)
+		}
 	}
 	return c.checkTenants()
 }
@@ -146,6 +154,9 @@
 	if r.TimeoutMillis <= 0 {
 		return fault(path+".timeout_ms", "use 1 or more", "%d is no time-out", r.TimeoutMillis)
 	}
+	if !isPart(r.Floor) {
+		return fault(path+".floor", "use a part of the room, from 0 to 1", "%g is no part", r.Floor)
+	}
 	total := 0
 	for i, part := range r.Parts {
 		if !pools[part.Pool] {
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -52,6 +52,14 @@
 		{"a rate below 0", "tenants.0.rate_per_s", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", RatePerSecond: -1}} }},
 		{"a burst below 0", "tenants.0.burst", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", Burst: -1}} }},
 		{"a rate without end", "tenants.0.rate_per_s", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", RatePerSecond: math.Inf(1)}} }},
+		{"a weight below 0", "tenants.0.weight", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", Weight: -1}} }},
+		{"a weight without end", "tenants.0.weight", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", Weight: math.Inf(1)}} }},
+		{"a reserve over 1", "tenants.0.reserve", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", Reserve: 1.5}} }},
+		{"reserves over 1", "tenants.1.reserve", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", Reserve: 0.6}, {Name: "b", Reserve: 0.5}} }},
+		{"a ceiling below 0", "tenants.0.ceiling", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", Ceiling: -0.1}} }},
+		{"a ceiling below the reserve", "tenants.0.ceiling", func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", Reserve: 0.5, Ceiling: 0.4}} }},
+		{"a floor that is no number", "routes.0.floor", func(c *Configuration) { c.Routes[0].Floor = math.NaN() }},
+		{"floors over 1", "routes.2.floor", func(c *Configuration) { c.Routes[0].Floor, c.Routes[2].Floor = 0.5, 0.6 }},
 		{"two pools of one name", "pools.1.name", func(c *Configuration) { c.Pools[1].Name = "a" }},
 	}
 	for _, test := range cases {
@@ -191,3 +199,61 @@
 		t.Errorf("got %q where nothing is usable", got)
 	}
 }
+
+// TestSharesAreThoseOfTheConfiguration takes the settings of scarce room from tenants and
+// routes; without tenants there are none, whatever the routes say.
+func TestSharesAreThoseOfTheConfiguration(t *testing.T) {
+	configuration := valid()
+	configuration.Routes[0].Floor, configuration.Routes[1].Floor, configuration.Routes[2].Floor = 0.1, 0.2, 0.3
+	configuration.Routes[2].Rank = 3
+	if shares := NewTable(configuration).Shares(); shares != nil {
+		t.Errorf("without tenants: %+v", shares)
+	}
+	if shares := (*Table)(nil).Shares(); shares != nil {
+		t.Errorf("without a table: %+v", shares)
+	}
+	rank := 2
+	configuration.Tenants = []Tenant{{Name: "a", Weight: 3, Reserve: 0.1, Ceiling: 0.5}, {Name: "b", Rank: &rank}}
+	if err := configuration.Check(); err != nil {
+		t.Fatal(err)
+	}
+	document, err := configuration.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := Decode(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := NewTable(read)
+	shares := table.Shares()
+	if got := shares.Tenants[ShortName("a")]; len(shares.Tenants) != 1 || got.Weight != 3 || got.Reserve != 0.1 || got.Ceiling != 0.5 {
+		t.Errorf("tenants %+v", shares.Tenants)
+	}
+	if len(shares.Floors) != 2 || math.Abs(shares.Floors[0]-0.3) > 1e-9 || shares.Floors[3] != 0.3 {
+		t.Errorf("floors %v", shares.Floors)
+	}
+	route := &read.Routes[2]
+	if table.Tenant("a").RankOn(route) != 3 || table.Tenant("b").RankOn(route) != 2 || (*Tenant)(nil).RankOn(route) != 3 {
+		t.Error("ranks are not the tenants', or else the route's")
+	}
+	if table.WeightOf("a") != 3 || table.WeightOf("b") != 1 || table.WeightOf("") != 1 || (*Table)(nil).WeightOf("a") != 1 {
+		t.Error("weights differ")
+	}
+}
+
+// TestOlderDocumentsAreAsBefore encodes a configuration without shares: no field of them is
+// named.
+func TestOlderDocumentsAreAsBefore(t *testing.T) {
+	configuration := valid()
+	configuration.Tenants = []Tenant{{Name: "a"}}
+	document, err := configuration.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, field := range []string{"weight\":0", "reserve", "ceiling", "floor"} {
+		if strings.Contains(string(document), field) {
+			t.Errorf("%s stands in %s", field, document)
+		}
+	}
+}
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/fairshare"
 	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 )
@@ -25,6 +26,7 @@
 	owners map[tenancy.KeyHash]*Tenant
 	// limits holds the limits of the tenants that have one, by their short names.
 	limits map[ratelimit.Tenant]ratelimit.Limit
+	shares *fairshare.Settings
 }
 
 // NewTable prepares a checked configuration for look-ups.
@@ -56,6 +58,7 @@
 			table.owners[hash] = tenant
 		}
 	}
+	table.shares = sharesOf(configuration)
 	return table
 }
 
--- a/internal/routetable/tenant.go
+++ b/internal/routetable/tenant.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sedgemast/sedgemast/internal/fairshare"
 	"github.com/sedgemast/sedgemast/internal/ratelimit"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 )
@@ -15,13 +16,19 @@
 type Tenant struct {
 	Name      tenancy.Name      `json:"name"`
 	KeyHashes []tenancy.KeyHash `json:"key_hashes"`
-	// Rank goes before the routes' own where it is told. As with theirs, no decision
-	// rests on it yet.
+	// Rank goes before the routes' own where it is told: of scarce room smaller ranks get
+	// theirs first, less what is kept for others (package fairshare).
 	Rank *int `json:"rank,omitempty"`
 	// RatePerSecond is how many online requests a second the tenant may send to the
 	// whole fleet, zero for any number, and Burst how many more at once.
 	RatePerSecond float64 `json:"rate_per_s"`
 	Burst         float64 `json:"burst"`
+	// Weight is the tenant's part in scarce room beside others of its rank, zero counts as
+	// one. Reserve is the part of all room, from 0 to 1, that is kept for it when it asks,
+	// and Ceiling the most that it gets while there is too little, zero for no bound.
+	Weight  float64 `json:"weight,omitempty"`
+	Reserve float64 `json:"reserve,omitempty"`
+	Ceiling float64 `json:"ceiling,omitempty"`
 }
 
 // maxTenantName bounds a tenant's name in bytes: it travels in a header of each request.
@@ -29,6 +36,7 @@
 
 // checkTenants returns the first fault of the tenants, or nil.
 func (c *Configuration) checkTenants() error {
+	reserved := 0.0
 	names := map[tenancy.Name]bool{}
 	owners := map[tenancy.KeyHash]tenancy.Name{}
 	for i := range c.Tenants {
@@ -41,6 +49,9 @@
 			return fault(path+".name", "give every tenant a name of its own", "%q stands twice", tenant.Name)
 		}
 		names[tenant.Name] = true
+		if reserved += tenant.Reserve; reserved > wholeRoom {
+			return fault(path+".reserve", "let the reserves of all tenants add up to 1 at most", "they add up to %g", reserved)
+		}
 		for number, hash := range tenant.KeyHashes {
 			if owner, held := owners[hash]; held && owner != tenant.Name {
 				return fault(fmt.Sprintf("%s.key_hashes.%d", path, number), "give the key to one of the two", "tenant %q holds the key, too", owner)
@@ -69,9 +80,29 @@
 	if !isCount(t.Burst) {
 		return fault(path+".burst", "use 0 or more", "%g is no burst", t.Burst)
 	}
+	return t.checkShare(path)
+}
+
+// checkShare returns the first fault of the tenant's part in scarce room, or nil.
+func (t *Tenant) checkShare(path string) error {
+	switch {
+	case !isCount(t.Weight):
+		return fault(path+".weight", "use a number over 0, or leave it out for 1", "%g is no weight", t.Weight)
+	case !isPart(t.Reserve):
+		return fault(path+".reserve", "use a part of the room, from 0 to 1", "%g is no part", t.Reserve)
+	case !isPart(t.Ceiling):
+		return fault(path+".ceiling", "use a part of the room, from 0 to 1, or leave it out for no bound", "%g is no part", t.Ceiling)
+	case t.Ceiling > 0 && t.Ceiling < t.Reserve:
+		return fault(path+".ceiling", "use as much as the reserve or more", "%g is less than the reserve of %g", t.Ceiling, t.Reserve)
+	}
 	return nil
 }
 
+// wholeRoom is the sum of parts that is all of the room, and what adding them up errs by.
+const wholeRoom = 1 + 1e-9
+
+func isPart(value float64) bool { return value >= 0 && value <= 1 }
+
 func isCount(value float64) bool { return value >= 0 && !math.IsInf(value, 0) && !math.IsNaN(value) }
 
 // Limited reports whether the tenant has a limit of requests.
@@ -94,6 +125,52 @@
 	return t.limits
 }
 
+// RankOn returns the rank of the tenant's requests on a route: its own, or else the route's.
+func (t *Tenant) RankOn(route *Route) int {
+	if t == nil || t.Rank == nil {
+		return route.Rank
+	}
+	return *t.Rank
+}
+
+// Shares returns the settings by which scarce room is divided, nil where the configuration
+// names no tenants: then it isn't. They must not change.
+func (t *Table) Shares() *fairshare.Settings {
+	if t == nil {
+		return nil
+	}
+	return t.shares
+}
+
+// sharesOf returns the settings of a configuration.
+func sharesOf(c *Configuration) *fairshare.Settings {
+	if len(c.Tenants) == 0 {
+		return nil
+	}
+	settings := &fairshare.Settings{Tenants: map[fairshare.Tenant]fairshare.Setting{}, Floors: map[int]float64{}}
+	for i := range c.Tenants {
+		tenant := &c.Tenants[i]
+		if tenant.Weight == 0 && tenant.Reserve == 0 && tenant.Ceiling == 0 {
+			continue
+		}
+		settings.Tenants[ShortName(tenant.Name)] = fairshare.Setting{Weight: tenant.Weight, Reserve: tenant.Reserve, Ceiling: tenant.Ceiling}
+	}
+	for i := range c.Routes {
+		if c.Routes[i].Floor > 0 {
+			settings.Floors[c.Routes[i].Rank] += c.Routes[i].Floor
+		}
+	}
+	return settings
+}
+
+// WeightOf returns the weight of a tenant's items beside others', by its name.
+func (t *Table) WeightOf(name tenancy.Name) float64 {
+	if tenant := t.Tenant(name); tenant != nil && tenant.Weight > 0 {
+		return tenant.Weight
+	}
+	return 1
+}
+
 // Limit returns the tenant's limit of requests.
 func (t *Tenant) Limit() ratelimit.Limit {
 	return ratelimit.Limit{Rate: t.RatePerSecond, Burst: t.Burst}
--- a/internal/wire/corpus/types.go
+++ b/internal/wire/corpus/types.go
@@ -110,6 +110,8 @@
 		"ResumeRequest":         func() Message { return &wire.ResumeRequest{} },
 		"RetireStore":           func() Message { return &wire.RetireStore{} },
 		"Retirement":            func() Message { return &wire.Retirement{} },
+		"RoomClaim":             func() Message { return &wire.RoomClaim{} },
+		"RoomStanding":          func() Message { return &wire.RoomStanding{} },
 		"RouteSource":           func() Message { return &wire.RouteSource{} },
 		"RouteTokens":           func() Message { return &wire.RouteTokens{} },
 		"RunReport":             func() Message { return &wire.RunReport{} },
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -47,6 +47,14 @@
 	// Rest is set in the top hub's answers: how many online requests the workers that are
 	// left out, because they have no load, answer in ten seconds.
 	Rest uint32
+	// Claims are what requests of a process that serves callers claim of scarce room, and
+	// Standings the answers to those whose tenants are over their shares.
+	Claims    []RoomClaim
+	Standings []RoomStanding
+	// Begun and Short count the requests of such a process since its start: those that a
+	// worker began to answer, and those that found no worker with room.
+	Begun uint32
+	Short uint32
 	// First is set by the reader where the sender is of GenerationFirst.
 	First bool
 }
@@ -78,6 +86,11 @@
 	Asked    []uint32        `msg:"a,omitempty"`
 	Drawn    bool            `msg:"d,omitempty"`
 	Rest     uint32          `msg:"r,omitempty"`
+
+	Claims    []RoomClaim    `msg:"m,omitempty"`
+	Standings []RoomStanding `msg:"s,omitempty"`
+	Begun     uint32         `msg:"b,omitempty"`
+	Short     uint32         `msg:"o,omitempty"`
 }
 
 // MarshalMsg implements msgp.Marshaler.
@@ -89,6 +102,7 @@
 	more := LoadMore{
 		Tokens: r.Tokens, Verdicts: r.Verdicts, Tenants: r.Tenants,
 		Choosing: r.Choosing, Asked: r.Asked, Drawn: r.Drawn, Rest: r.Rest,
+		Claims: r.Claims, Standings: r.Standings, Begun: r.Begun, Short: r.Short,
 	}
 	encoded, err := base.MarshalMsg(before)
 	if err != nil {
@@ -116,6 +130,7 @@
 		Sums: base.Sums, Left: base.Left, Quiet: base.Quiet, Zone: base.Zone, Part: base.Part,
 		Tokens: more.Tokens, Verdicts: more.Verdicts, Tenants: more.Tenants,
 		Choosing: more.Choosing, Asked: more.Asked, Drawn: more.Drawn, Rest: more.Rest,
+		Claims: more.Claims, Standings: more.Standings, Begun: more.Begun, Short: more.Short,
 		First: first,
 	}
 	return rest, nil
@@ -146,6 +161,31 @@
 	AgeMillis uint32
 }
 
+// RoomClaim is what a request claims of scarce room.
+//
+//msgp:tuple RoomClaim
+type RoomClaim struct {
+	// Ticket names the request; one that claims again is counted once.
+	Ticket uint64
+	// Tenant is the hash of the tenant's name, zero for callers that are no tenant.
+	Tenant uint32
+	Rank   int32
+}
+
+// RoomStanding is the answer to a RoomClaim of a tenant that is over its share. Where none
+// comes the tenant is within it, or the hub is of an older build.
+//
+//msgp:tuple RoomStanding
+type RoomStanding struct {
+	Ticket uint64
+	// Asked and Share are the tenant's in the zone, Room is what all have there, in tenths
+	// of a request a second; AgeMillis is how old they are.
+	Asked     uint32
+	Share     uint32
+	Room      uint32
+	AgeMillis uint32
+}
+
 // TenantNews is ratelimit.News on the wire.
 //
 //msgp:tuple TenantNews
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -638,6 +638,76 @@
 				err = msgp.WrapError(err, "Rest")
 				return
 			}
+		case "m":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Claims")
+				return
+			}
+			if cap(z.Claims) >= int(zb0006) {
+				z.Claims = (z.Claims)[:zb0006]
+			} else {
+				z.Claims = make([]RoomClaim, zb0006)
+			}
+			for za0004 := range z.Claims {
+				var zb0007 uint32
+				zb0007, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004)
+					return
+				}
+				if zb0007 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0007}
+					return
+				}
+				z.Claims[za0004].Ticket, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004, "Ticket")
+					return
+				}
+				z.Claims[za0004].Tenant, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004, "Tenant")
+					return
+				}
+				z.Claims[za0004].Rank, err = dc.ReadInt32()
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004, "Rank")
+					return
+				}
+			}
+		case "s":
+			var zb0008 uint32
+			zb0008, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Standings")
+				return
+			}
+			if cap(z.Standings) >= int(zb0008) {
+				z.Standings = (z.Standings)[:zb0008]
+			} else {
+				z.Standings = make([]RoomStanding, zb0008)
+			}
+			for za0005 := range z.Standings {
+				err = z.Standings[za0005].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Standings", za0005)
+					return
+				}
+			}
+		case "b":
+			z.Begun, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Begun")
+				return
+			}
+		case "o":
+			z.Short, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Short")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -652,8 +722,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *LoadMore) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Tokens == nil {
 		zb0001Len--
@@ -683,6 +753,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Claims == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Standings == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Begun == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.Short == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -818,6 +904,83 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "m"
+			err = en.Append(0xa1, 0x6d)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Claims)))
+			if err != nil {
+				err = msgp.WrapError(err, "Claims")
+				return
+			}
+			for za0004 := range z.Claims {
+				// array header, size 3
+				err = en.Append(0x93)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.Claims[za0004].Ticket)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004, "Ticket")
+					return
+				}
+				err = en.WriteUint32(z.Claims[za0004].Tenant)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004, "Tenant")
+					return
+				}
+				err = en.WriteInt32(z.Claims[za0004].Rank)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004, "Rank")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "s"
+			err = en.Append(0xa1, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Standings)))
+			if err != nil {
+				err = msgp.WrapError(err, "Standings")
+				return
+			}
+			for za0005 := range z.Standings {
+				err = z.Standings[za0005].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Standings", za0005)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// write "b"
+			err = en.Append(0xa1, 0x62)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.Begun)
+			if err != nil {
+				err = msgp.WrapError(err, "Begun")
+				return
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// write "o"
+			err = en.Append(0xa1, 0x6f)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.Short)
+			if err != nil {
+				err = msgp.WrapError(err, "Short")
+				return
+			}
+		}
 	}
 	return
 }
@@ -826,8 +989,8 @@
 func (z *LoadMore) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Tokens == nil {
 		zb0001Len--
@@ -857,6 +1020,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Claims == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Standings == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Begun == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.Short == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -922,6 +1101,40 @@
 			o = append(o, 0xa1, 0x72)
 			o = msgp.AppendUint32(o, z.Rest)
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Claims)))
+			for za0004 := range z.Claims {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendUint64(o, z.Claims[za0004].Ticket)
+				o = msgp.AppendUint32(o, z.Claims[za0004].Tenant)
+				o = msgp.AppendInt32(o, z.Claims[za0004].Rank)
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Standings)))
+			for za0005 := range z.Standings {
+				o, err = z.Standings[za0005].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Standings", za0005)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			o = msgp.AppendUint32(o, z.Begun)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			o = msgp.AppendUint32(o, z.Short)
+		}
 	}
 	return
 }
@@ -1056,6 +1269,76 @@
 				err = msgp.WrapError(err, "Rest")
 				return
 			}
+		case "m":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claims")
+				return
+			}
+			if cap(z.Claims) >= int(zb0006) {
+				z.Claims = (z.Claims)[:zb0006]
+			} else {
+				z.Claims = make([]RoomClaim, zb0006)
+			}
+			for za0004 := range z.Claims {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004)
+					return
+				}
+				if zb0007 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0007}
+					return
+				}
+				z.Claims[za0004].Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004, "Ticket")
+					return
+				}
+				z.Claims[za0004].Tenant, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004, "Tenant")
+					return
+				}
+				z.Claims[za0004].Rank, bts, err = msgp.ReadInt32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0004, "Rank")
+					return
+				}
+			}
+		case "s":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Standings")
+				return
+			}
+			if cap(z.Standings) >= int(zb0008) {
+				z.Standings = (z.Standings)[:zb0008]
+			} else {
+				z.Standings = make([]RoomStanding, zb0008)
+			}
+			for za0005 := range z.Standings {
+				bts, err = z.Standings[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Standings", za0005)
+					return
+				}
+			}
+		case "b":
+			z.Begun, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Begun")
+				return
+			}
+		case "o":
+			z.Short, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Short")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1080,7 +1363,249 @@
 	} else {
 		s += z.Tenants.Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Asked) * (msgp.Uint32Size)) + 2 + msgp.BoolSize + 2 + msgp.Uint32Size
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Asked) * (msgp.Uint32Size)) + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Claims) * (20 + msgp.Uint64Size + msgp.Uint32Size + msgp.Int32Size)) + 2 + msgp.ArrayHeaderSize
+	for za0005 := range z.Standings {
+		s += z.Standings[za0005].Msgsize()
+	}
+	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RoomClaim) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Ticket, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Tenant, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Rank, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Rank")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RoomClaim) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ticket)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	err = en.WriteUint32(z.Tenant)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	err = en.WriteInt32(z.Rank)
+	if err != nil {
+		err = msgp.WrapError(err, "Rank")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RoomClaim) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Ticket)
+	o = msgp.AppendUint32(o, z.Tenant)
+	o = msgp.AppendInt32(o, z.Rank)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RoomClaim) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Tenant, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Rank, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rank")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RoomClaim) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Int32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RoomStanding) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Ticket, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Asked, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Asked")
+		return
+	}
+	z.Share, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	z.Room, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Room")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *RoomStanding) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ticket)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	err = en.WriteUint32(z.Asked)
+	if err != nil {
+		err = msgp.WrapError(err, "Asked")
+		return
+	}
+	err = en.WriteUint32(z.Share)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	err = en.WriteUint32(z.Room)
+	if err != nil {
+		err = msgp.WrapError(err, "Room")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RoomStanding) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendUint64(o, z.Ticket)
+	o = msgp.AppendUint32(o, z.Asked)
+	o = msgp.AppendUint32(o, z.Share)
+	o = msgp.AppendUint32(o, z.Room)
+	o = msgp.AppendUint32(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RoomStanding) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Asked, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Asked")
+		return
+	}
+	z.Share, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	z.Room, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Room")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RoomStanding) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
