Shares: the hub meters its zone and tells who is over, edges ask and send back, items take turns

The hub answers claims over their share. tooLate judges by it. Items: batchplan.Share interleaves tenants by weight once not all are expected in time; with one tenant, none, or room for all the order is today's. Metrics by rank at edges, of the 16 largest tenants at hubs; lines request_sent_back and room_divided.

--- a/internal/batchplan/batchplan.go
+++ b/internal/batchplan/batchplan.go
@@ -39,6 +39,9 @@
 	Overdue bool
 	// Slack is how much later than now it could begin and still be in time.
 	Slack time.Duration
+	// Remaining is how long it takes until its end, and Holder whose item it is, for Share.
+	Remaining time.Duration
+	Holder    Holder
 }
 
 // neverDue is the slack of an item whose result is due at no time.
--- a/internal/batchstore/limits.go
+++ b/internal/batchstore/limits.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/ratelimit"
@@ -30,7 +31,8 @@
 // newEpoch returns a number that tells the lives of a hub or top apart; zero is none.
 func newEpoch() uint32 { return rand.Uint32N(math.MaxUint32) + 1 }
 
-// setLimits takes in the limits of a configuration, and the zones that have stores.
+// setLimits takes in the limits of a configuration, the zones that have stores, and how
+// scarce room is divided.
 func (l *loads) setLimits(snapshot *fleetwatch.Snapshot) {
 	limits := snapshot.Table.Limits()
 	zones := map[string]bool{}
@@ -40,6 +42,7 @@
 	l.hubs.Lock()
 	defer l.hubs.Unlock()
 	l.limits.set(limits, len(zones))
+	l.room.set(clock.Now(), snapshot.Table)
 }
 
 func (l *limiter) set(limits map[ratelimit.Tenant]ratelimit.Limit, zones int) {
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -57,6 +57,7 @@
 	zones  map[uint32]string
 	random *rand.Rand
 	limits *limiter
+	room   *zoneRoom
 	// leftLogDue is from when on a line may say that loads were left out.
 	leftLogDue time.Time
 
@@ -74,6 +75,7 @@
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		zones:   map[uint32]string{},
 		limits:  newLimiter(clock.Now(), tolerance),
+		room:    newZoneRoom(),
 		quotas:  quota.New(0),
 	}
 }
@@ -174,10 +176,12 @@
 func (s *Store) answerZone(now time.Time, report *wire.LoadReport) *wire.LoadReport {
 	s.loads.zone.Take(now, report)
 	verdicts := s.loads.limits.answer(now, report.Tokens)
+	standings := s.loads.room.answer(now, report, verdicts)
+	s.logRoom(now)
 	if report.Left || report.Quiet {
 		return nil
 	}
-	answer := &wire.LoadReport{Verdicts: verdicts}
+	answer := &wire.LoadReport{Verdicts: verdicts, Standings: standings}
 	// An edge of wire.GenerationFirst would take what is not named for idle.
 	if loadshare.Large(&s.loads.near) && !report.First {
 		answer.Drawn = true
--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -89,17 +89,31 @@
 		}
 	})
 	batchplan.Sort(items)
+	// While all come in time the order by slack does best for everybody.
+	if table.Shares() != nil && !batchplan.InTime(items, len(r.running)) {
+		batchplan.Share(items, r.runningOf())
+	}
 	return items
 }
 
+// runningOf counts the items that run by their owners.
+func (r *runner) runningOf() map[string]int {
+	running := map[string]int{}
+	for _, task := range r.running {
+		running[string(task.owner)]++
+	}
+	return running
+}
+
 // planOf returns an item as the order sees it.
 func (r *runner) planOf(now time.Time, table *routetable.Table, job *batchstate.Job, number int) batchplan.Item {
-	planned := batchplan.Item{Job: job.ID, Number: number, Order: job.Order}
+	planned := batchplan.Item{Job: job.ID, Number: number, Order: job.Order, Holder: batchplan.Holder{Tenant: string(job.Owner), Weight: table.WeightOf(job.Owner)}}
 	if seen := r.seen[job.ID]; seen != nil {
 		age, due := now.Sub(seen.first), dueOf(table, job)
 		remaining := r.store.runTimes.remaining(r.eventsOf(job, number), job.Items[number].Expected)
 		planned.Overdue = batchplan.Overdue(age, due, remaining)
 		planned.Slack = batchplan.Slack(age, due, remaining)
+		planned.Remaining = remaining
 	}
 	return planned
 }
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -97,6 +97,7 @@
 	s.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, s.report)
 	s.watcher.OnChange(s.adopt)
 	s.upstream.Measure(d.Traffic)
+	d.Registry.MustRegister(newRoomCollector(s.loads))
 	s.client.Measure(d.Traffic)
 	s.register()
 	d.BeforeStop(s.handOver)
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -64,7 +64,7 @@
 	if c.attempts > 0 || c.dials > 0 {
 		return false
 	}
-	request := admission.Request{Left: time.Until(c.deadline), Goal: c.route.Goal(), Wait: lease.Wait}
+	request := admission.Request{Left: time.Until(c.deadline), Goal: c.route.Goal(), Wait: lease.Wait, Over: c.room.standing.Over}
 	request.Ends = c.edge.overload(c.demand.Pool, request.Wait, request.Goal)
 	c.edge.observe(c.route, func(known *admission.Route) {
 		request.Longest = known.Longest()
@@ -74,11 +74,24 @@
 	if comeback == 0 {
 		return false
 	}
-	logging.Info(c.edge.logger, "request_sent_back", "id", c.id, "route", c.route.Name, "worker", lease.Endpoint.ID, "slow", lease.Slow, "wait_ms", request.Wait.Milliseconds(), "begin_ms", request.Begin.Milliseconds(), "goal_ms", request.Goal.Milliseconds(), "left_ms", request.Left.Milliseconds(), "longest_ms", request.Longest.Milliseconds(), "ends_ms", request.Ends.Milliseconds(), "comeback_ms", comeback.Milliseconds())
-	c.refuse(failure.New(failure.NotRun, "come back after the time in Retry-After", "all workers are busy for longer than the request has").WithRetryAfter(comeback))
+	reason := admission.Judge(&request)
+	if reason == admission.OverShare {
+		c.countRoom("sent_back")
+	}
+	room := &c.room.standing
+	logging.Info(c.edge.logger, "request_sent_back", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "reason", reason, "rank", c.room.party.Rank, "over", room.Over, "told", c.room.told, "asked", room.Asked, "share", room.Share, "room", room.Room, "share_age_ms", room.Age.Milliseconds(), "worker", lease.Endpoint.ID, "slow", lease.Slow, "wait_ms", request.Wait.Milliseconds(), "begin_ms", request.Begin.Milliseconds(), "goal_ms", request.Goal.Milliseconds(), "left_ms", request.Left.Milliseconds(), "longest_ms", request.Longest.Milliseconds(), "ends_ms", request.Ends.Milliseconds(), "comeback_ms", comeback.Milliseconds())
+	c.refuse(sentBack(reason).WithRetryAfter(comeback))
 	return true
 }
 
+// sentBack returns what a request is told that is to come back.
+func sentBack(reason admission.Reason) *failure.Error {
+	if reason == admission.OverShare {
+		return failure.New(failure.NotRun, "come back after the time in Retry-After, or ask for a larger share", "there is too little room, and your share of it is used up")
+	}
+	return failure.New(failure.NotRun, "come back after the time in Retry-After", "all workers are busy for longer than the request has")
+}
+
 // limited refuses the request if its tenant sends more than it may. The token is taken from
 // the hub of the zone, which also tells what it knows of the workers. Where no hub answers
 // the edge's reserve decides, and a request that it does not cover may come back at once
@@ -88,9 +101,10 @@
 		return false
 	}
 	e := c.edge
-	c.token = wire.TokenQuestion{Ticket: rand.Uint64(), Tenant: routetable.ShortName(c.tenant.Name)}
-	verdict, answered := e.loads.Token(c.context, c.token)
+	c.token = wire.TokenQuestion{Ticket: c.room.claim.Ticket, Tenant: routetable.ShortName(c.tenant.Name)}
+	verdict, room, answered := e.loads.Token(c.context, c.token, c.claimOf())
 	c.informed = answered
+	c.stands(room, answered)
 	switch {
 	case answered && verdict.Granted:
 		c.hasToken = true
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -84,6 +84,7 @@
 	token    wire.TokenQuestion
 	hasToken bool
 	informed bool
+	room     room
 }
 
 func newCall(e *Edge, ctx context.Context, table *routetable.Table, route *routetable.Route, tenant *routetable.Tenant, writer http.ResponseWriter, controller *http.ResponseController, request *http.Request, body []byte, arrived, deadline time.Time) *call {
@@ -101,6 +102,7 @@
 		arrived:    arrived,
 		deadline:   deadline,
 		due:        clock.Now().Add(time.Until(deadline)),
+		room:       newRoom(table, tenant, route),
 		demand: balance.Demand{
 			Pool:         e.pool(route),
 			Exclude:      map[string]bool{},
@@ -180,10 +182,11 @@
 // by news of a report's age, and crowd the workers that looked idle then.
 func (c *call) acquire() *balance.Lease {
 	if !c.informed {
-		c.edge.loads.Ask(c.context, newsPatience, c.edge.workers.Homes(&c.demand))
+		c.learnRoom()
 	}
 	c.informed = false
 	lease := c.edge.workers.Acquire(clock.Now(), &c.demand)
+	c.foundRoom(lease)
 	if lease != nil {
 		c.edge.loads.Tell()
 	}
--- /dev/null
+++ b/internal/edge/claim.go
@@ -0,0 +1,149 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/admission"
+	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/fairshare"
+	"github.com/sedgemast/sedgemast/internal/routetable"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// room is what a request knows of the division of scarce room. It is divided only where
+// the configuration names tenants.
+type room struct {
+	divided bool
+	claim   wire.RoomClaim
+	party   fairshare.Party
+	// claimed is set once the hub was asked, told once it has answered.
+	claimed  bool
+	told     bool
+	standing fairshare.Standing
+	// counted is set once the request counts as begun.
+	counted bool
+}
+
+// newRoom returns what a request of the tenant on the route claims by.
+func newRoom(table *routetable.Table, tenant *routetable.Tenant, route *routetable.Route) room {
+	if !table.AsksForKeys() {
+		return room{}
+	}
+	party := fairshare.Party{Tenant: fairshare.Public, Rank: tenant.RankOn(route)}
+	if tenant != nil {
+		party.Tenant = routetable.ShortName(tenant.Name)
+	}
+	return room{
+		divided: true,
+		party:   party,
+		claim:   wire.RoomClaim{Ticket: rand.Uint64(), Tenant: party.Tenant, Rank: int32(party.Rank)},
+	}
+}
+
+// claim returns what the request brings to the order in which scarce room is given out.
+func (c *call) claim(now time.Time) admission.Claim {
+	left, longest := c.deadline.Sub(now), time.Duration(0)
+	c.edge.observe(c.route, func(known *admission.Route) { longest = known.Longest() })
+	claim := admission.Claim{
+		Rank:   c.tenant.RankOn(c.route),
+		Over:   c.room.standing.Over,
+		Due:    c.arrived.Add(c.route.Goal()),
+		Leaves: c.deadline,
+	}
+	// A caller with so much less time than others has been here before: its first attempt
+	// was about that much earlier.
+	if before := longest - left - now.Sub(c.arrived); c.route.Goal() > 0 && before >= admission.LeastComeback {
+		claim.Returned = true
+		claim.Due = claim.Due.Add(-before)
+	}
+	return claim
+}
+
+// claimOf returns the claim that goes with a question for a token, nil for none.
+func (c *call) claimOf() *wire.RoomClaim {
+	if !c.room.divided {
+		return nil
+	}
+	c.room.claimed = true
+	return &c.room.claim
+}
+
+// stands takes in the hub's answer to the claim, nil for within the share. Where none came
+// the request goes by those before it.
+func (c *call) stands(told *wire.RoomStanding, answered bool) {
+	if !c.room.divided {
+		return
+	}
+	c.room.told = answered
+	now := clock.Now()
+	e := c.edge
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if answered {
+		c.room.standing = standingFromWire(told)
+		e.recall.Heard(now, c.room.party, c.room.standing)
+	} else {
+		c.room.standing = e.recall.Standing(now, c.room.party, rand.Float64())
+	}
+}
+
+// rateParts is how a rate in requests a second travels: in tenths.
+const rateParts = 10
+
+func standingFromWire(told *wire.RoomStanding) fairshare.Standing {
+	if told == nil {
+		return fairshare.Standing{}
+	}
+	return fairshare.Standing{
+		Over:  true,
+		Asked: float64(told.Asked) / rateParts,
+		Share: float64(told.Share) / rateParts,
+		Room:  float64(told.Room) / rateParts,
+		Age:   time.Duration(told.AgeMillis) * time.Millisecond,
+	}
+}
+
+// learnRoom asks the hub what it knows of the workers, and where room is divided and the
+// claim was not told yet, how it stands.
+func (c *call) learnRoom() {
+	homes := c.edge.workers.Homes(&c.demand)
+	if !c.room.divided || c.room.claimed {
+		c.edge.loads.Ask(c.context, newsPatience, homes)
+		return
+	}
+	told, answered := c.edge.loads.Room(c.context, newsPatience, homes, c.claimOf())
+	c.stands(told, answered)
+}
+
+// foundRoom counts what the first choice of a worker for the request came to, nil for none.
+func (c *call) foundRoom(lease *balance.Lease) {
+	if !c.room.divided || c.attempts > 0 || c.dials > 0 {
+		return
+	}
+	c.countRoom("asked")
+	if lease == nil || lease.Wait > 0 {
+		c.edge.short.Add(1)
+		c.countRoom("short")
+	}
+	if c.room.standing.Over {
+		c.countRoom("over")
+	}
+}
+
+// gotRoom counts that the request began to run.
+func (c *call) gotRoom() {
+	if !c.room.divided || c.room.counted {
+		return
+	}
+	c.room.counted = true
+	c.edge.begun.Add(1)
+	c.countRoom("given")
+}
+
+// countRoom counts the request by its rank.
+func (c *call) countRoom(outcome string) {
+	c.edge.metrics.room.WithLabelValues(strconv.Itoa(c.room.party.Rank), outcome).Inc()
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
+	"github.com/sedgemast/sedgemast/internal/fairshare"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -45,6 +46,10 @@
 	hubs    atomic.Pointer[[]string]
 	metrics *metrics
 	started time.Time
+	// begun and short count the requests that began to run, and those that found no worker
+	// with room, where scarce room is divided.
+	begun atomic.Uint32
+	short atomic.Uint32
 
 	// Stores hands jobs to the stores.
 	Stores *storeclient.Client
@@ -57,6 +62,8 @@
 	overloads map[string]*admission.Overload
 	// reserve is what tenants may send while no hub answers.
 	reserve *ratelimit.Reserve
+	// recall holds how tenants stood in the division of scarce room.
+	recall *fairshare.Recall
 	// counted holds the tenants that have counters.
 	counted map[tenancy.Name]bool
 }
@@ -77,6 +84,7 @@
 
 		overloads: map[string]*admission.Overload{},
 		reserve:   ratelimit.NewReserve(config.Name),
+		recall:    fairshare.NewRecall(),
 		started:   clock.Now(),
 	}
 	e.setHubs(nil)
@@ -109,7 +117,7 @@
 		Hubs:  func() []string { return *e.hubs.Load() },
 		Home:  true,
 		Own: func() *wire.LoadReport {
-			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads()}
+			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads(), Begun: e.begun.Load(), Short: e.short.Load()}
 		},
 		Learn: func(now time.Time, answer *wire.LoadReport) {
 			e.workers.SetOthers(now, answer.Workers, scopeOf(answer))
@@ -207,6 +215,7 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	tenants  *prometheus.CounterVec
+	room     *prometheus.CounterVec
 	// ended counts runs under which their worker ended, quarantined the refusals of
 	// requests known for that.
 	ended       prometheus.Counter
@@ -221,11 +230,12 @@
 		requests:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_requests_total", Help: "Requests by route and outcome."}, []string{"route", "outcome"}),
 		attempts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_attempts_total", Help: "Requests sent to workers, by outcome."}, []string{"outcome"}),
 		tenants:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_tenant_requests_total", Help: "Requests of tenants with a limit, by what came of it."}, []string{"tenant", "outcome"}),
+		room:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_room_requests_total", Help: "Requests by rank where scarce room is divided: asked, short (no worker had room), over (their tenants' shares), given, sent_back (for the share)."}, []string{"rank", "outcome"}),
 		ended:       prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_worker_ends_total", Help: "Requests whose worker ended under them."}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.firstTime, m.wholeTime)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.room, m.ended, m.quarantined, m.firstTime, m.wholeTime)
 	return m
 }
