--- a/internal/edge/identity_test.go
+++ b/internal/edge/identity_test.go
@@ -38,6 +38,11 @@
 	// makes the hub refuse, silent makes it say nothing.
 	taken, back    int
 	refuse, silent bool
+	// claims holds what was claimed of scarce room, by ticket; over makes the hub call all
+	// of it over their tenants' shares. begun and short are the last counts told.
+	claims       map[uint64]wire.RoomClaim
+	over         bool
+	begun, short uint32
 }
 
 const (
@@ -61,7 +66,7 @@
 	open.Name, open.Host, open.Public = "open", "open.example", true
 	jobs := online
 	jobs.Name, jobs.Host, jobs.Kind, jobs.MaxQueuedTokens = "jobs", "jobs.example", routetable.KindBatch, 100
-	f := &tenantFleet{workers: startWorkers(t, 2), jobs: map[string]*wire.SubmitBatch{}, configuration: &routetable.Configuration{
+	f := &tenantFleet{workers: startWorkers(t, 2), jobs: map[string]*wire.SubmitBatch{}, claims: map[uint64]wire.RoomClaim{}, configuration: &routetable.Configuration{
 		Version: 1, Routes: []routetable.Route{online, open, jobs}, Pools: []routetable.Pool{{Name: "p"}},
 		Tenants: []routetable.Tenant{tenant("a", 0, keyA), tenant("b", 5, keyB)},
 	}}
@@ -130,6 +135,13 @@
 		f.taken++
 		answer.Verdicts = append(answer.Verdicts, wire.TokenVerdict{Ticket: question.Ticket, Granted: !f.refuse, RetryMillis: 700})
 	}
+	f.begun, f.short = report.Begun, report.Short
+	for _, claim := range report.Claims {
+		f.claims[claim.Ticket] = claim
+		if f.over {
+			answer.Standings = append(answer.Standings, wire.RoomStanding{Ticket: claim.Ticket, Asked: 80, Share: 10, Room: 100, AgeMillis: 7})
+		}
+	}
 	if f.silent || report.Quiet {
 		return nil
 	}
