--- a/internal/fairshare/meter.go
+++ b/internal/fairshare/meter.go
@@ -61,9 +61,9 @@
 	// room queues before everybody; what is shared out below it is lost to nobody, because
 	// who is over its share takes what is left.
 	usable = 0.9
-	// backlogTime is the time of the room for which requests within their shares may have
-	// come in excess of it, by their bursts: then only parties with their whole
-	// credit are within their shares.
+	// backlogTime bounds, in time of the room, how much may come in excess of it by credit:
+	// the full credits of many parties together would fill the queue of those within their
+	// shares. At the bound only parties with their whole credit are within their shares.
 	backlogTime = 200 * time.Millisecond
 	// burstTime is how much of its share a party may ask for at once, in time, and
 	// leastBurst in requests: callers come by chance. By chance a queue of so many
@@ -71,7 +71,7 @@
 	// of those within their shares at its begin.
 	burstTime  = 100 * time.Millisecond
 	leastBurst = 12
-	// calmTime is after how long with room for all nobody's credit is used any more.
+	// calmTime is after how long with room for all everybody has full credit.
 	calmTime = time.Second
 	// forgotten is the rate in requests a second below which a party is forgotten: the
 	// last of its requests is several askedTime old.
@@ -114,6 +114,7 @@
 	short decayed
 	given decayed
 	// room is how many requests a second are given while there is no room for more.
+	// It is roomCount in roomTime seconds, which fade.
 	room      float64
 	roomCount float64
 	roomTime  float64
@@ -132,17 +133,17 @@
 // account is that of a party.
 type account struct {
 	party Party
-	// asked is the rate of late, fresh what was asked for since the last division.
-	asked float64
-	fresh float64
-	over  float64
+	// asked is the rate of late, over the part of it beyond the share; fresh and freshOver
+	// count the requests since the last look.
+	asked     float64
+	over      float64
+	fresh     float64
+	freshOver float64
 	// share is the party's by the last division, in requests a second, or unknown.
 	share float64
 	// credit is how many requests it may ask for now within its share.
 	credit float64
 	at     time.Time
-	// freshOver counts the requests over the share since the last division.
-	freshOver float64
 }
 
 // unknown is the share of a party that came after the last division.
