--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -61,6 +61,7 @@
 	zones  map[uint32]string
 	random *rand.Rand
 	limits *limiter
+	room   *zoneRoom
 	// leftLogDue is from when on a line may say that loads were left out.
 	leftLogDue time.Time
 
@@ -75,13 +76,13 @@
 		zone:    loadshare.NewHub(),
 		top:     loadshare.NewHub(),
 		planner: batchroom.New(),
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		zones:   map[uint32]string{},
+		limits:  newLimiter(clock.Now(), tolerance),
+		room:    newZoneRoom(),
+		quotas:  quota.New(0),
 
 		forecasts: map[string]*forecast.Forecast{},
-
-		random: rand.New(rand.NewPCG(seed, seed)),
-		zones:  map[uint32]string{},
-		limits: newLimiter(clock.Now(), tolerance),
-		quotas: quota.New(0),
 	}
 }
 
@@ -185,10 +186,12 @@
 	s.loads.zone.Take(now, report)
 	s.noteJudged(s.loads.zone)
 	verdicts := s.loads.limits.answer(now, report.Tokens)
+	standings := s.loads.room.answer(now, report, verdicts)
+	s.logRoom(now)
 	if report.Left || report.Quiet {
 		return nil
 	}
-	answer := &wire.LoadReport{Verdicts: verdicts}
+	answer := &wire.LoadReport{Verdicts: verdicts, Standings: standings}
 	if report.Choosing && report.Repeatable {
 		answer.Probes = s.loads.zone.OnlineProbes(now, s.loads.isNear)
 		s.noteJudged(s.loads.zone)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
+	"github.com/sedgemast/sedgemast/internal/fairshare"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -46,10 +47,14 @@
 	hubs    atomic.Pointer[[]string]
 	metrics *metrics
 	started time.Time
-	// room holds requests that came before the configuration and the workers were known.
-	room *room
+	// holding keeps requests that came before the configuration and the workers were known.
+	holding *holding
 	// standstill notices that this process stood still.
 	standstill *standstill.Watch
+	// begun and short count the requests that began to run, and those that found no worker
+	// with room, where scarce room is divided.
+	begun atomic.Uint32
+	short atomic.Uint32
 
 	// Stores hands jobs to the stores.
 	Stores *storeclient.Client
@@ -64,6 +69,8 @@
 	byTimes map[string]bool
 	// reserve is what tenants may send while no hub answers.
 	reserve *ratelimit.Reserve
+	// recall holds how tenants stood in the division of scarce room.
+	recall *fairshare.Recall
 	// counted holds the tenants that have counters.
 	counted map[tenancy.Name]bool
 	// served is done with the first request that was answered as it should be.
@@ -87,8 +94,9 @@
 		overloads: map[string]*admission.Overload{},
 		byTimes:   map[string]bool{},
 		reserve:   ratelimit.NewReserve(config.Name),
+		recall:    fairshare.NewRecall(),
 		started:   clock.Now(),
-		room:      newRoom(),
+		holding:   newHolding(),
 
 		standstill: standstill.New(clock.Now()),
 	}
@@ -125,6 +133,7 @@
 		Own: func() *wire.LoadReport {
 			proofs := e.workers.Proofs()
 			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads(), Proofs: proofs}
+			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads(), Begun: e.begun.Load(), Short: e.short.Load()}
 		},
 		Learn: func(now time.Time, answer *wire.LoadReport) {
 			e.workers.SetOthers(now, answer.Workers, scopeOf(answer))
@@ -164,7 +173,7 @@
 	e.upstream.Forget(e.workers.Knows)
 	e.keepTenants(snapshot.Table)
 	listed := snapshot.Fleet.Listed || snapshot.Fleet.Partial
-	if !e.room.knows(needWorkers) {
+	if !e.holding.knows(needWorkers) {
 		e.workers.Begin(clock.Now())
 	}
 	e.learnt(snapshot.Table, listed)
@@ -204,7 +213,7 @@
 // drain is the first step of a planned stop: the process is not ready any more,
 // but goes on serving until callers are led elsewhere.
 func (e *Edge) drain(ctx context.Context) {
-	e.room.stop()
+	e.holding.stop()
 	select {
 	case <-ctx.Done():
 	case <-time.After(e.settings.UnreadyTime.Std()):
@@ -257,6 +266,7 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	tenants  *prometheus.CounterVec
+	room     *prometheus.CounterVec
 	// ended counts runs under which their worker ended, quarantined the refusals of
 	// requests known for that.
 	ended       prometheus.Counter
@@ -279,6 +289,7 @@
 		requests:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_requests_total", Help: "Requests by route and outcome."}, []string{"route", "outcome"}),
 		attempts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_attempts_total", Help: "Requests sent to workers, by outcome."}, []string{"outcome"}),
 		tenants:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_tenant_requests_total", Help: "Requests of tenants with a limit, by what came of it."}, []string{"tenant", "outcome"}),
+		room:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_room_requests_total", Help: "Requests by rank where scarce room is divided: asked, short (no worker had room), over (their tenants' shares), given, sent_back (for the share)."}, []string{"rank", "outcome"}),
 		ended:       prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_worker_ends_total", Help: "Requests whose worker ended under them."}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		held:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_held_total", Help: "Requests that came before the configuration or the workers were known, by what they needed and what came of it."}, []string{"need", "outcome"}),
@@ -288,6 +299,7 @@
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes, m.choices, m.standstills)
+
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes, m.choices, m.standstills, m.room)
 	return m
 }
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -53,9 +53,9 @@
 // String returns the need as used in logs and metrics.
 func (n need) String() string { return [...]string{"configuration", "workers"}[n] }
 
-// room holds the requests that came before this process knew what they need. It is safe
+// holding keeps the requests that came before this process knew what they need. It is safe
 // for concurrent use.
-type room struct {
+type holding struct {
 	// known are closed once the need is met, stopping once a planned stop begins.
 	known    [needs]chan struct{}
 	stopping chan struct{}
@@ -73,66 +73,66 @@
 	stopped bool
 }
 
-func newRoom() *room {
-	r := &room{stopping: make(chan struct{}), longest: holdTime, maxCount: maxHeld, maxBytes: maxHeldBytes}
-	for i := range r.known {
-		r.known[i] = make(chan struct{})
+func newHolding() *holding {
+	h := &holding{stopping: make(chan struct{}), longest: holdTime, maxCount: maxHeld, maxBytes: maxHeldBytes}
+	for i := range h.known {
+		h.known[i] = make(chan struct{})
 	}
-	return r
+	return h
 }
 
 // enter takes so many bytes of a new request in, and reports whether there is room.
-func (r *room) enter(bytes int64) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.stopped || r.count >= r.maxCount || r.bytes+bytes > r.maxBytes {
+func (h *holding) enter(bytes int64) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.stopped || h.count >= h.maxCount || h.bytes+bytes > h.maxBytes {
 		return false
 	}
-	r.count++
-	r.bytes += bytes
+	h.count++
+	h.bytes += bytes
 	return true
 }
 
-func (r *room) leave(bytes int64) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.count--
-	r.bytes -= bytes
+func (h *holding) leave(bytes int64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.count--
+	h.bytes -= bytes
 }
 
 // held returns how many requests are held, and their bytes.
-func (r *room) held() (count int, bytes int64) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.count, r.bytes
+func (h *holding) held() (count int, bytes int64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.count, h.bytes
 }
 
 // meet lets those go on that wait for the need. It returns how many are held, and whether
 // the need was not met before.
-func (r *room) meet(n need) (held int, first bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.met[n] {
+func (h *holding) meet(n need) (held int, first bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.met[n] {
 		return 0, false
 	}
-	r.met[n] = true
-	close(r.known[n])
-	return r.count, true
+	h.met[n] = true
+	close(h.known[n])
+	return h.count, true
 }
 
 // stop lets all go that are held, and takes none any more.
-func (r *room) stop() {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if !r.stopped {
-		r.stopped = true
-		close(r.stopping)
+func (h *holding) stop() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !h.stopped {
+		h.stopped = true
+		close(h.stopping)
 	}
 }
 
-func (r *room) knows(n need) bool {
+func (h *holding) knows(n need) bool {
 	select {
-	case <-r.known[n]:
+	case <-h.known[n]:
 		return true
 	default:
 		return false
@@ -141,8 +141,8 @@
 
 // holdFor returns for how long after its arrival, at a process of that age, a request may
 // be held whose caller has so much time left; zero or less for not at all.
-func (r *room) holdFor(age, left time.Duration) time.Duration {
-	return min(r.longest, left/holdShare, startTime-age)
+func (h *holding) holdFor(age, left time.Duration) time.Duration {
+	return min(h.longest, left/holdShare, startTime-age)
 }
 
 // outcomes of requests that came too early, for the metric.
@@ -160,7 +160,7 @@
 // connection for dead, and that it leaves is noticed behind the end of its body only.
 // Without a writer nothing is read: where a body counts for nothing.
 func (e *Edge) await(writer http.ResponseWriter, request *http.Request, arrived time.Time, n need) error {
-	if e.room.knows(n) {
+	if e.holding.knows(n) {
 		return nil
 	}
 	known, err := e.hold(writer, request, arrived, n)
@@ -182,28 +182,28 @@
 // that the request could not be read.
 func (e *Edge) hold(writer http.ResponseWriter, request *http.Request, arrived time.Time, n need) (known bool, err error) {
 	left := dialect.TimeLeft(request.Header.Get(e.dialect.Deadline), maxLeft)
-	until := arrived.Add(e.room.holdFor(clock.Now().Sub(e.started)-time.Since(arrived), left))
+	until := arrived.Add(e.holding.holdFor(clock.Now().Sub(e.started)-time.Since(arrived), left))
 	bound := int64(0)
 	if writer != nil {
 		bound = bodyBound(request)
 	}
 	size := int64(httpapi.HeadSize(request)) + bound
-	if !time.Now().Before(until) || bound > maxHeldBody || !e.room.enter(size) {
+	if !time.Now().Before(until) || bound > maxHeldBody || !e.holding.enter(size) {
 		return false, nil
 	}
-	defer e.room.leave(size)
+	defer e.holding.leave(size)
 	if err := readHeld(writer, request, bound, until); err != nil {
 		return false, err
 	}
 	timeout := time.NewTimer(time.Until(until))
 	defer timeout.Stop()
 	select {
-	case <-e.room.known[n]:
-	case <-e.room.stopping:
+	case <-e.holding.known[n]:
+	case <-e.holding.stopping:
 	case <-timeout.C:
 	case <-request.Context().Done():
 	}
-	return e.room.knows(n), nil
+	return e.holding.knows(n), nil
 }
 
 // bodyBound returns how long the body of a request may be at most, for all that is known
@@ -247,7 +247,7 @@
 }
 
 func (e *Edge) meet(n need) {
-	held, first := e.room.meet(n)
+	held, first := e.holding.meet(n)
 	if first && held > 0 {
 		logging.Info(e.logger, "held_requests", "held", held, "need", n, "since_start_ms", clock.Now().Sub(e.started).Milliseconds())
 	}
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -55,6 +55,14 @@
 	// workers to one of which it may go.
 	Repeatable bool
 	Probes     []uint32
+	// Claims are what requests of a process that serves callers claim of scarce room, and
+	// Standings the answers to those whose tenants are over their shares.
+	Claims    []RoomClaim
+	Standings []RoomStanding
+	// Begun and Short count the requests of such a process since its start: those that a
+	// worker began to answer, and those that found no worker with room.
+	Begun uint32
+	Short uint32
 	// First is set by the reader where the sender is of GenerationFirst.
 	First bool
 }
@@ -87,9 +95,13 @@
 	Drawn    bool            `msg:"d,omitempty"`
 	Rest     uint32          `msg:"r,omitempty"`
 
-	Proofs     []WorkerProof `msg:"p,omitempty"`
-	Repeatable bool          `msg:"e,omitempty"`
-	Probes     []uint32      `msg:"b,omitempty"`
+	Proofs     []WorkerProof  `msg:"p,omitempty"`
+	Repeatable bool           `msg:"e,omitempty"`
+	Probes     []uint32       `msg:"b,omitempty"`
+	Claims     []RoomClaim    `msg:"m,omitempty"`
+	Standings  []RoomStanding `msg:"s,omitempty"`
+	Begun      uint32         `msg:"g,omitempty"`
+	Short      uint32         `msg:"o,omitempty"`
 }
 
 // MarshalMsg implements msgp.Marshaler.
@@ -102,6 +114,7 @@
 		Tokens: r.Tokens, Verdicts: r.Verdicts, Tenants: r.Tenants,
 		Choosing: r.Choosing, Asked: r.Asked, Drawn: r.Drawn, Rest: r.Rest,
 		Proofs: r.Proofs, Repeatable: r.Repeatable, Probes: r.Probes,
+		Claims: r.Claims, Standings: r.Standings, Begun: r.Begun, Short: r.Short,
 	}
 	encoded, err := base.MarshalMsg(before)
 	if err != nil {
@@ -130,6 +143,7 @@
 		Tokens: more.Tokens, Verdicts: more.Verdicts, Tenants: more.Tenants,
 		Choosing: more.Choosing, Asked: more.Asked, Drawn: more.Drawn, Rest: more.Rest,
 		Proofs: more.Proofs, Repeatable: more.Repeatable, Probes: more.Probes,
+		Claims: more.Claims, Standings: more.Standings, Begun: more.Begun, Short: more.Short,
 		First: first,
 	}
 	return rest, nil
@@ -169,6 +183,31 @@
 	AgeMillis uint32
 }
 
+// RoomClaim is what a request claims of scarce room.
+//
+//msgp:tuple RoomClaim
+type RoomClaim struct {
+	// Ticket names the request; one that claims again is counted once.
+	Ticket uint64
+	// Tenant is the hash of the tenant's name, zero for callers that are no tenant.
+	Tenant uint32
+	Rank   int32
+}
+
+// RoomStanding is the answer to a RoomClaim of a tenant that is over its share. Where none
+// comes the tenant is within it, or the hub is of an older build.
+//
+//msgp:tuple RoomStanding
+type RoomStanding struct {
+	Ticket uint64
+	// Asked and Share are the tenant's in the zone, Room is what all have there, in tenths
+	// of a request a second; AgeMillis is how old they are.
+	Asked     uint32
+	Share     uint32
+	Room      uint32
+	AgeMillis uint32
+}
+
 // TenantNews is ratelimit.News on the wire.
 //
 //msgp:tuple TenantNews
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -697,6 +697,76 @@
 					return
 				}
 			}
+		case "m":
+			var zb0009 uint32
+			zb0009, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Claims")
+				return
+			}
+			if cap(z.Claims) >= int(zb0009) {
+				z.Claims = (z.Claims)[:zb0009]
+			} else {
+				z.Claims = make([]RoomClaim, zb0009)
+			}
+			for za0006 := range z.Claims {
+				var zb0010 uint32
+				zb0010, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006)
+					return
+				}
+				if zb0010 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0010}
+					return
+				}
+				z.Claims[za0006].Ticket, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006, "Ticket")
+					return
+				}
+				z.Claims[za0006].Tenant, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006, "Tenant")
+					return
+				}
+				z.Claims[za0006].Rank, err = dc.ReadInt32()
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006, "Rank")
+					return
+				}
+			}
+		case "s":
+			var zb0011 uint32
+			zb0011, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Standings")
+				return
+			}
+			if cap(z.Standings) >= int(zb0011) {
+				z.Standings = (z.Standings)[:zb0011]
+			} else {
+				z.Standings = make([]RoomStanding, zb0011)
+			}
+			for za0007 := range z.Standings {
+				err = z.Standings[za0007].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Standings", za0007)
+					return
+				}
+			}
+		case "g":
+			z.Begun, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Begun")
+				return
+			}
+		case "o":
+			z.Short, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Short")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -711,8 +781,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *LoadMore) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
 	_ = zb0001Mask
 	if z.Tokens == nil {
 		zb0001Len--
@@ -754,6 +824,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Claims == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.Standings == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.Begun == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	if z.Short == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -949,6 +1035,83 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// write "m"
+			err = en.Append(0xa1, 0x6d)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Claims)))
+			if err != nil {
+				err = msgp.WrapError(err, "Claims")
+				return
+			}
+			for za0006 := range z.Claims {
+				// array header, size 3
+				err = en.Append(0x93)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.Claims[za0006].Ticket)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006, "Ticket")
+					return
+				}
+				err = en.WriteUint32(z.Claims[za0006].Tenant)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006, "Tenant")
+					return
+				}
+				err = en.WriteInt32(z.Claims[za0006].Rank)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006, "Rank")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// write "s"
+			err = en.Append(0xa1, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Standings)))
+			if err != nil {
+				err = msgp.WrapError(err, "Standings")
+				return
+			}
+			for za0007 := range z.Standings {
+				err = z.Standings[za0007].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Standings", za0007)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// write "g"
+			err = en.Append(0xa1, 0x67)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.Begun)
+			if err != nil {
+				err = msgp.WrapError(err, "Begun")
+				return
+			}
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// write "o"
+			err = en.Append(0xa1, 0x6f)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.Short)
+			if err != nil {
+				err = msgp.WrapError(err, "Short")
+				return
+			}
+		}
 	}
 	return
 }
@@ -957,8 +1120,8 @@
 func (z *LoadMore) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
 	_ = zb0001Mask
 	if z.Tokens == nil {
 		zb0001Len--
@@ -1000,6 +1163,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Claims == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.Standings == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.Begun == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	if z.Short == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1089,6 +1268,40 @@
 				o = msgp.AppendUint32(o, z.Probes[za0005])
 			}
 		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Claims)))
+			for za0006 := range z.Claims {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendUint64(o, z.Claims[za0006].Ticket)
+				o = msgp.AppendUint32(o, z.Claims[za0006].Tenant)
+				o = msgp.AppendInt32(o, z.Claims[za0006].Rank)
+			}
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Standings)))
+			for za0007 := range z.Standings {
+				o, err = z.Standings[za0007].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Standings", za0007)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			o = msgp.AppendUint32(o, z.Begun)
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			o = msgp.AppendUint32(o, z.Short)
+		}
 	}
 	return
 }
@@ -1282,6 +1495,76 @@
 					return
 				}
 			}
+		case "m":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claims")
+				return
+			}
+			if cap(z.Claims) >= int(zb0009) {
+				z.Claims = (z.Claims)[:zb0009]
+			} else {
+				z.Claims = make([]RoomClaim, zb0009)
+			}
+			for za0006 := range z.Claims {
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006)
+					return
+				}
+				if zb0010 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0010}
+					return
+				}
+				z.Claims[za0006].Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006, "Ticket")
+					return
+				}
+				z.Claims[za0006].Tenant, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006, "Tenant")
+					return
+				}
+				z.Claims[za0006].Rank, bts, err = msgp.ReadInt32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Claims", za0006, "Rank")
+					return
+				}
+			}
+		case "s":
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Standings")
+				return
+			}
+			if cap(z.Standings) >= int(zb0011) {
+				z.Standings = (z.Standings)[:zb0011]
+			} else {
+				z.Standings = make([]RoomStanding, zb0011)
+			}
+			for za0007 := range z.Standings {
+				bts, err = z.Standings[za0007].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Standings", za0007)
+					return
+				}
+			}
+		case "g":
+			z.Begun, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Begun")
+				return
+			}
+		case "o":
+			z.Short, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Short")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1306,7 +1589,249 @@
 	} else {
 		s += z.Tenants.Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Asked) * (msgp.Uint32Size)) + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Proofs) * (13 + msgp.Uint32Size + msgp.Uint16Size)) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Probes) * (msgp.Uint32Size))
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Asked) * (msgp.Uint32Size)) + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Proofs) * (13 + msgp.Uint32Size + msgp.Uint16Size)) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Probes) * (msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Claims) * (20 + msgp.Uint64Size + msgp.Uint32Size + msgp.Int32Size)) + 2 + msgp.ArrayHeaderSize
+	for za0007 := range z.Standings {
+		s += z.Standings[za0007].Msgsize()
+	}
+	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RoomClaim) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Ticket, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Tenant, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Rank, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Rank")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RoomClaim) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ticket)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	err = en.WriteUint32(z.Tenant)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	err = en.WriteInt32(z.Rank)
+	if err != nil {
+		err = msgp.WrapError(err, "Rank")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RoomClaim) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Ticket)
+	o = msgp.AppendUint32(o, z.Tenant)
+	o = msgp.AppendInt32(o, z.Rank)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RoomClaim) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Tenant, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Rank, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rank")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RoomClaim) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Int32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RoomStanding) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Ticket, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Asked, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Asked")
+		return
+	}
+	z.Share, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	z.Room, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Room")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *RoomStanding) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ticket)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	err = en.WriteUint32(z.Asked)
+	if err != nil {
+		err = msgp.WrapError(err, "Asked")
+		return
+	}
+	err = en.WriteUint32(z.Share)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	err = en.WriteUint32(z.Room)
+	if err != nil {
+		err = msgp.WrapError(err, "Room")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RoomStanding) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendUint64(o, z.Ticket)
+	o = msgp.AppendUint32(o, z.Asked)
+	o = msgp.AppendUint32(o, z.Share)
+	o = msgp.AppendUint32(o, z.Room)
+	o = msgp.AppendUint32(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RoomStanding) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Ticket, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ticket")
+		return
+	}
+	z.Asked, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Asked")
+		return
+	}
+	z.Share, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	z.Room, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Room")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RoomStanding) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
