--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -131,9 +131,9 @@
 		Hubs:  func() []string { return *e.hubs.Load() },
 		Home:  true,
 		Own: func() *wire.LoadReport {
-			proofs := e.workers.Proofs()
-			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads(), Proofs: proofs}
-			return &wire.LoadReport{Source: source, Zone: e.settings.Zone, Workers: e.workers.Loads(), Begun: e.begun.Load(), Short: e.short.Load()}
+			report := &wire.LoadReport{Source: source, Zone: e.settings.Zone, Proofs: e.workers.Proofs(), Begun: e.begun.Load(), Short: e.short.Load()}
+			report.Workers = e.workers.Loads()
+			return report
 		},
 		Learn: func(now time.Time, answer *wire.LoadReport) {
 			e.workers.SetOthers(now, answer.Workers, scopeOf(answer))
