A forecast that is new waits for the crowd, not for the lack of one

Cause: without any need yet it counted as settled after a quarter of a second, so after a restart of all items would have started before the callers were back.

Change: it is warm once there is some need and it has stopped rising, a second at most (TestWarmOnceTheCrowdHasCome).

--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -124,7 +124,9 @@
 	if value > f.most+math.Sqrt(f.most) {
 		f.most, f.since = value, number
 	}
-	f.warm = number-f.since >= warmBins || time.Duration(number)*binTime >= warmTime
+	// While there is nothing the crowd is still to come.
+	settled := f.most > 0 && number-f.since >= warmBins
+	f.warm = settled || time.Duration(number)*binTime >= warmTime
 }
 
 // Warm reports whether enough was heard: all had time to report, and the crowd of requests
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -312,6 +312,33 @@
 	}
 }
 
+// TestWarmOnceTheCrowdHasCome checks when a forecast that is new has heard enough: once the
+// need stops rising, not while there is none, and after a second at the latest.
+func TestWarmOnceTheCrowdHasCome(t *testing.T) {
+	const late = 400 * time.Millisecond
+	for _, test := range []struct {
+		name  string
+		need  func(at time.Duration) float64
+		after time.Duration
+	}{
+		{"a steady need", func(time.Duration) float64 { return 50 }, (warmBins + 1) * binTime},
+		{"nothing", func(time.Duration) float64 { return 0 }, warmTime},
+		{"a crowd that comes late", func(at time.Duration) float64 {
+			return 200 * min(max((at-late).Seconds(), 0)/0.2, 1)
+		}, late + 200*time.Millisecond + warmBins*binTime},
+		{"a rise without an end", func(at time.Duration) float64 { return 1000 * at.Seconds() }, warmTime},
+	} {
+		f := New()
+		at := time.Duration(0)
+		for ; !f.Warm() && at < 10*warmTime; at += tick {
+			f.Take(start.Add(at), test.need(at))
+		}
+		if off := at - test.after; max(off, -off) > 3*binTime {
+			t.Errorf("%s: warm after %s, want %s", test.name, at, test.after)
+		}
+	}
+}
+
 // BenchmarkTake is a report, with a question, of a pattern that is known.
 func BenchmarkTake(b *testing.B) {
 	f := New()
