--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -233,6 +233,7 @@
 			r.store.runTimes.addLength(ended.expected, ended.carry.events)
 		}
 	case ended.yielded:
+		r.tellPrice(ended)
 		r.resting[ended.key] = clock.Now().Add(yieldPause)
 	case ended.rest > 0:
 		r.resting[ended.key] = clock.Now().Add(ended.rest)
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -12,6 +12,7 @@
 	"github.com/sedgemast/sedgemast/internal/quarantine"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/batchplan"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/life"
@@ -85,6 +86,10 @@
 	// unusable where its carry does not follow on the log.
 	yielded  bool
 	unusable bool
+	// ahead is set by the runner where it gives way to requests that are still to come,
+	// and plan is what it went by then.
+	ahead bool
+	plan  batchplan.Item
 	// The following say how the task ended.
 	finished bool
 	state    wire.ItemState
--- a/internal/batchstore/yield.go
+++ b/internal/batchstore/yield.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/batchplan"
+	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 )
 
@@ -48,9 +49,9 @@
 	}
 	wait := r.store.runTimes.remaining(0, 0)
 	sort.Slice(leaving, func(a, b int) bool { return batchplan.LeavesBefore(leaving[a].plan, leaving[b].plan, wait) })
-	r.stop(leaving)
+	r.stop(leaving, true)
 	sort.Slice(candidates, func(a, b int) bool { return batchplan.YieldsBefore(candidates[a].plan, candidates[b].plan) })
-	r.stop(candidates)
+	r.stop(candidates, false)
 }
 
 // leavesAhead reports whether items stop at the task's worker for requests that are still
@@ -61,11 +62,19 @@
 
 // stop stops as many of the candidates as the planner wants stopped at their workers, the
 // first ones first.
-func (r *runner) stop(candidates []yielding) {
+func (r *runner) stop(candidates []yielding, ahead bool) {
 	for _, candidate := range candidates {
 		if candidate.task.lease.Stop() {
-			candidate.task.yielded = true
+			candidate.task.yielded, candidate.task.ahead, candidate.task.plan = true, ahead, candidate.plan
 			candidate.task.cancel()
 		}
 	}
 }
+
+// tellPrice writes down what it costs that an item gave way ahead of requests: what its next
+// worker reads again beside the prompt, and the time that it has left to wait.
+func (r *runner) tellPrice(ended *task) {
+	if ended.ahead {
+		logging.Info(r.store.logger, "item_gave_way", "job", ended.key.job, "item", ended.id, "worker", ended.lease.Endpoint.ID, "events", ended.carry.events, "remaining_ms", ended.plan.Remaining.Milliseconds(), "slack_ms", ended.plan.Slack.Milliseconds(), "overdue", ended.plan.Overdue)
+	}
+}
