--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -62,19 +62,11 @@
 		e.Refuse(writer, request, err)
 		return
 	}
-	now := clock.Now()
-	from, until := e.lookForStandstill(now)
-	waited, inside := missed(now.Add(-time.Since(arrived)), now, from, until)
-	if inside {
-		e.Refuse(writer, request, stoodStill())
-		return
-	}
-	if waited > 0 {
-		e.awaitNews(request.Context(), until)
-		now = clock.Now()
+	waited, err := e.wake(request.Context(), arrived)
+	now, table := clock.Now(), e.Table()
+	if err == nil {
+		err = e.frozen(now)
 	}
-	table := e.Table()
-	err := e.frozen(now)
 	if err == nil {
 		err = httpapi.CheckHead(request, table.Configuration.Limits.MaxHeaderBytes)
 	}
--- a/internal/edge/standstill.go
+++ b/internal/edge/standstill.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// wake returns for how long a request that arrived at the given time may have waited before,
+// because this process stood still. After that it waits for news. It fails with NotRun where
+// the request had been taken in before the standstill.
+func (e *Edge) wake(ctx context.Context, arrived time.Time) (waited time.Duration, err error) {
+	now := clock.Now()
+	from, until := e.lookForStandstill(now)
+	waited, inside := missed(now.Add(-time.Since(arrived)), now, from, until)
+	if inside {
+		return 0, stoodStill()
+	}
+	if waited > 0 {
+		e.awaitNews(ctx, until)
+	}
+	return waited, nil
+}
+
 // stoodStill refuses the request if this process stood still since it came, before it went
 // to any worker: what it was to be decided by is old, and its caller may have given it up.
 func (c *call) stoodStill() bool {
