Admission: a queue of claims, and places that are looked for before they are taken

Cause: who has come back is always sent into a worker's own queue, first come first served, beyond anybody's reach.

Change: admission.Queue decides who goes, waits and is refused; balance.Table looks for a place without taking it, says whether a slot is free, and lets processes that see the same few slots draw lots for them. Nothing uses either yet.

--- a/internal/admission/claim.go
+++ b/internal/admission/claim.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Claim is what a request brings to the order in which scarce room is given out.
 type Claim struct {
@@ -14,4 +17,110 @@
 	Leaves time.Time
 	// Returned is set where the caller was sent back before.
 	Returned bool
+
+	// Arrived is when this attempt came, Goal the time to the first event that is aimed at,
+	// zero for none.
+	Arrived time.Time
+	Goal    time.Duration
+	// Begin is how long the first event takes once the request runs, zero if unknown.
+	Begin time.Duration
+	// Bytes is what the request keeps in memory while it waits.
+	Bytes int64
+	// number orders claims that are alike by when they came.
+	number uint64
+	// punctualUntil and returnedUntil are until when a request that is sent to a free slot
+	// is in time from the first attempt, and from the return.
+	punctualUntil time.Time
+	returnedUntil time.Time
+}
+
+// prepare works out what the order of claims rests on.
+func (c *Claim) prepare(number uint64) {
+	c.number = number
+	// Predictions err, so a part of the goal is left.
+	least := c.Begin + c.Goal - c.Goal*goalPart/hundreds
+	c.punctualUntil = c.Due.Add(-least)
+	c.returnedUntil = c.punctualUntil
+	if c.Returned {
+		c.returnedUntil = c.Arrived.Add(c.Goal - least)
+	}
+}
+
+// class orders claims before all else.
+type class uint8
+
+const (
+	// punctual claims can be in time from their caller's first attempt.
+	punctual class = iota
+	// returned claims can be in time from their caller's return.
+	returned
+	// late claims can't be in time any more.
+	late
+)
+
+// classAt returns the claim's class if its request waits so long for a slot from now on.
+func (c *Claim) classAt(now time.Time, wait time.Duration) class {
+	sent := now.Add(wait)
+	switch {
+	case c.Goal <= 0 || !sent.After(c.punctualUntil):
+		return punctual
+	case c.Returned && !sent.After(c.returnedUntil):
+		return returned
+	}
+	return late
+}
+
+// inTime reports whether the first event will be in time, from the first attempt or from the
+// return, if the request waits so long for a slot from now on. Where no time is aimed at,
+// nothing says that a wait is short enough.
+func (c *Claim) inTime(now time.Time, wait time.Duration) bool {
+	return c.classAt(now, wait) < late && (c.Goal > 0 || wait <= 0)
+}
+
+// compare orders claims of one class: the one that goes first is smaller.
+func (c *Claim) compare(other *Claim, of class) int {
+	if c.Rank != other.Rank {
+		return cmp.Compare(c.Rank, other.Rank)
+	}
+	if c.Over != other.Over {
+		if other.Over {
+			return -1
+		}
+		return 1
+	}
+	order := c.Due.Compare(other.Due)
+	if of == late || c.Goal <= 0 && other.Goal <= 0 {
+		order = c.Leaves.Compare(other.Leaves)
+	}
+	if order != 0 {
+		return order
+	}
+	return cmp.Compare(c.number, other.number)
+}
+
+// standing is a claim with its class at a moment.
+type standing struct {
+	claim *Claim
+	class class
+}
+
+func (s standing) before(other standing) bool {
+	if s.class != other.class {
+		return s.class < other.class
+	}
+	return s.claim.compare(other.claim, s.class) < 0
+}
+
+const (
+	// leastBearing, goalBearing and gapBearing say how long a caller waits for the first
+	// event of a stream before it gives up: so many times the goal and the goal of pauses,
+	// and a time below which nobody gives up.
+	leastBearing = 2 * time.Second
+	goalBearing  = 4
+	gapBearing   = 8
+)
+
+// Bears returns how long a caller waits for the first event of a stream with the goals.
+func Bears(goal, gapGoal time.Duration) time.Duration {
+	return max(leastBearing, goalBearing*goal, gapBearing*gapGoal)
 }
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,371 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Bounds limit what waits in a queue.
+type Bounds struct {
+	// Claims is how many requests may wait, Bytes what they may keep in memory together.
+	Claims int
+	Bytes  int64
+}
+
+// Queue holds the requests of a pool that wait at a process until a worker has room, and
+// decides who goes, who waits and who is refused. It is pure: times, randomness and what is
+// known of the workers come from the caller. It is not safe for concurrent use.
+type Queue struct {
+	bounds Bounds
+	claims []*Claim
+	bytes  int64
+	number uint64
+	// sent counts all that were sent to workers, first those among them that went before
+	// any that waited.
+	sent  flow
+	first flow
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(bounds Bounds) *Queue { return &Queue{bounds: bounds} }
+
+// Len returns how many requests wait.
+func (q *Queue) Len() int { return len(q.claims) }
+
+// Bytes returns what those that wait keep in memory.
+func (q *Queue) Bytes() int64 { return q.bytes }
+
+// Offer is the best place at a worker that was found for a request.
+type Offer struct {
+	// Full is set where all slots of the worker are held. Wait is how long the request
+	// would wait for one in the mean, WaitMost in nearly all cases; both are zero if that
+	// is unknown.
+	Full     bool
+	Wait     time.Duration
+	WaitMost time.Duration
+	// Spare is set where more slots are free than those that wait at other processes are
+	// about to take.
+	Spare bool
+	// Left is set where a slot is free, and is left to other processes by lot.
+	Left bool
+}
+
+// takes reports whether the claim's request may go to the place. What can be in time may
+// wait for a moment at the worker, so that no slot stays empty between two requests; what
+// is late goes only where a slot is free that nobody else is about to take, so that it stands
+// in nobody's way: those that are in time may wait at another process.
+func (o Offer) takes(now time.Time, claim *Claim) bool {
+	if o.Left {
+		return false
+	}
+	if o.Wait <= 0 {
+		return !o.Full && (o.Spare || claim.inTime(now, 0))
+	}
+	return claim.inTime(now, o.WaitMost)
+}
+
+// Room is what a process can expect of a pool.
+type Room struct {
+	// PerSecond is how many requests a second the workers can take of those that come to
+	// this process, zero if unknown.
+	PerSecond float64
+	// Ends is in which time the overload will probably be over, zero if unknown.
+	Ends time.Duration
+}
+
+// Result is what becomes of a request that came.
+type Result uint8
+
+const (
+	// Go sends it to the worker that was offered.
+	Go Result = iota
+	// Wait lets it wait.
+	Wait
+	// SentBack refuses it because it would be late now and its caller has the time to come
+	// back.
+	SentBack
+	// Hopeless refuses it because its caller will have left before its turn.
+	Hopeless
+	// Crowded refuses it because others that go before it fill the queue.
+	Crowded
+)
+
+// String returns the result as used in logs and metrics.
+func (r Result) String() string {
+	return [...]string{"go", "wait", "sent_back", "hopeless", "crowded"}[r]
+}
+
+// Decision is what becomes of a request that came, and of those that it displaced.
+type Decision struct {
+	Result Result
+	// Ahead is how many that wait go before it, Predicted how long it would wait here.
+	Ahead     int
+	Predicted time.Duration
+	// Comeback is when a caller that is refused is to come back.
+	Comeback time.Duration
+	// Displaced are those that waited and are refused in its favour.
+	Displaced []Displaced
+}
+
+// Displaced is a claim that waited and is refused.
+type Displaced struct {
+	Claim *Claim
+	Decision
+}
+
+// Arrival is a request that came.
+type Arrival struct {
+	Claim *Claim
+	// Offer is the best place that was found for it.
+	Offer Offer
+	Room  Room
+	// Left is how long its caller still waits, Longest how long callers of the route wait
+	// when they ask first.
+	Left    time.Duration
+	Longest time.Duration
+}
+
+// Arrive decides what becomes of a request that came. Its claim waits from now on if the
+// result is Wait. random is from 0 to 1; it spreads those who come back.
+func (q *Queue) Arrive(now time.Time, a *Arrival, random float64) Decision {
+	q.number++
+	a.Claim.prepare(q.number)
+	ahead := q.ahead(now, a.Claim)
+	if ahead == 0 && q.goes(now, a) {
+		q.Sent(now, a.Claim)
+		return Decision{Result: Go}
+	}
+	decision := Decision{Result: Wait, Ahead: ahead, Predicted: q.predict(now, a.Claim, ahead, a)}
+	if !a.Offer.free() {
+		if comeback := a.sendBack(decision.Predicted, random); comeback > 0 {
+			decision.Result, decision.Comeback = SentBack, comeback
+			return decision
+		}
+		if decision.Predicted > a.Claim.Leaves.Sub(now) {
+			decision.Result, decision.Comeback = Hopeless, Comeback(a.Left, a.Room.Ends, random)
+			return decision
+		}
+	}
+	q.enter(a.Claim)
+	decision.Displaced = q.displace(now, a, random)
+	last := len(decision.Displaced) - 1
+	if last >= 0 && decision.Displaced[last].Claim == a.Claim {
+		others := decision.Displaced[:last]
+		decision = decision.Displaced[last].Decision
+		decision.Displaced = others
+	}
+	return decision
+}
+
+// free reports whether a slot is free at the worker.
+func (o Offer) free() bool { return !o.Full && o.Wait <= 0 }
+
+// goes reports whether the request goes to the place though nobody says that it will be in
+// time there: where the workers don't tell their slots there is no moment to wait for.
+func (q *Queue) goes(now time.Time, a *Arrival) bool {
+	if a.Offer.takes(now, a.Claim) {
+		return true
+	}
+	return a.Offer.untold() && a.sendBack(a.Offer.Wait, 0) == 0
+}
+
+// sendBack returns after which time a caller who asks first and would wait so long is to come
+// back, or zero if it need not, or has not the time.
+func (a *Arrival) sendBack(wait time.Duration, random float64) time.Duration {
+	return Decide(&Request{
+		Left:    a.Left,
+		Longest: a.Longest,
+		Goal:    a.Claim.Goal,
+		Begin:   a.Claim.Begin,
+		Wait:    wait,
+		Ends:    a.Room.Ends,
+	}, random)
+}
+
+// enter lets the claim wait.
+func (q *Queue) enter(claim *Claim) {
+	q.claims = append(q.claims, claim)
+	q.bytes += claim.Bytes
+}
+
+// displace refuses those that would be served last until the rest can be kept. The claim of
+// the arrival may be among them, and is the last one then.
+func (q *Queue) displace(now time.Time, a *Arrival, random float64) []Displaced {
+	var displaced []Displaced
+	for len(q.claims) > 0 {
+		last, ahead := q.last(now)
+		predicted := q.predict(now, last, ahead, a)
+		result := Crowded
+		if !q.overflows() {
+			if a.Offer.free() || predicted <= last.Leaves.Sub(now) {
+				break
+			}
+			result = Hopeless
+		}
+		q.Remove(last)
+		left := last.Leaves.Sub(now)
+		displaced = append(displaced, Displaced{last, Decision{Result: result, Ahead: ahead, Predicted: predicted, Comeback: Comeback(left, a.Room.Ends, random)}})
+		if last == a.Claim {
+			break
+		}
+	}
+	return displaced
+}
+
+func (q *Queue) overflows() bool {
+	return len(q.claims) > q.bounds.Claims || q.bytes > q.bounds.Bytes
+}
+
+// Remove takes a claim out, and reports whether it waited.
+func (q *Queue) Remove(claim *Claim) bool {
+	at := slices.Index(q.claims, claim)
+	if at < 0 {
+		return false
+	}
+	last := len(q.claims) - 1
+	q.claims[at] = q.claims[last]
+	q.claims[last] = nil
+	q.claims = q.claims[:last]
+	q.bytes -= claim.Bytes
+	return true
+}
+
+// Expired takes out the claims whose callers have left by now, and returns them.
+func (q *Queue) Expired(now time.Time) []*Claim {
+	var expired []*Claim
+	for at := 0; at < len(q.claims); {
+		claim := q.claims[at]
+		if now.Before(claim.Leaves) {
+			at++
+			continue
+		}
+		q.Remove(claim)
+		expired = append(expired, claim)
+	}
+	return expired
+}
+
+// First returns the claim that goes first now, or nil if none waits.
+func (q *Queue) First(now time.Time) *Claim {
+	var first standing
+	for _, claim := range q.claims {
+		candidate := standing{claim, claim.classAt(now, 0)}
+		if first.claim == nil || candidate.before(first) {
+			first = candidate
+		}
+	}
+	return first.claim
+}
+
+// Take takes the claim that goes first out if its request may go to the place, and reports
+// whether it may.
+func (q *Queue) Take(now time.Time, first *Claim, offer Offer) bool {
+	if !offer.takes(now, first) && !offer.untold() {
+		return false
+	}
+	if !q.Remove(first) {
+		return false
+	}
+	q.sent.add(now)
+	return true
+}
+
+// untold reports whether the worker does not tell its slots.
+func (o Offer) untold() bool { return !o.Full && o.Wait > 0 }
+
+// Sent takes in that a request went to a worker without having waited.
+func (q *Queue) Sent(now time.Time, claim *Claim) {
+	q.sent.add(now)
+	if claim.classAt(now, 0) == punctual {
+		q.first.add(now)
+	}
+}
+
+// last returns the claim that goes last, and how many go before it.
+func (q *Queue) last(now time.Time) (claim *Claim, ahead int) {
+	var last standing
+	for _, claim := range q.claims {
+		candidate := standing{claim, claim.classAt(now, 0)}
+		if last.claim == nil || last.before(candidate) {
+			last = candidate
+		}
+	}
+	return last.claim, len(q.claims) - 1
+}
+
+// ahead returns how many of those that wait go before the claim.
+func (q *Queue) ahead(now time.Time, claim *Claim) int {
+	own := standing{claim, claim.classAt(now, 0)}
+	count := 0
+	for _, other := range q.claims {
+		if other != claim && (standing{other, other.classAt(now, 0)}).before(own) {
+			count++
+		}
+	}
+	return count
+}
+
+// leastSpare is the part, in hundredths, of what is sent that must be left by those that go
+// first for the wait to follow from it: less comes and goes by chance.
+const leastSpare = 10
+
+// predict returns how long a claim waits with so many ahead, as the arrival found the pool:
+// until those have been sent, beside others that come meanwhile and go before it, and a slot
+// is given back for itself. Where those who go before it take all, its turn comes after the
+// overload, if its end is known.
+func (q *Queue) predict(now time.Time, claim *Claim, ahead int, a *Arrival) time.Duration {
+	perSecond := max(a.Room.PerSecond, q.sent.perSecond(now))
+	if perSecond <= 0 {
+		return a.Offer.Wait
+	}
+	before := 0.0
+	if claim.classAt(now, 0) != punctual {
+		before = q.first.perSecond(now)
+	}
+	if spare := perSecond - before; spare*hundreds > perSecond*leastSpare {
+		return a.Offer.Wait + seconds(float64(ahead)/spare)
+	}
+	return a.Offer.Wait + a.Room.Ends + seconds(float64(ahead)/perSecond)
+}
+
+func seconds(count float64) time.Duration { return time.Duration(count * float64(time.Second)) }
+
+// Comeback returns after which time a caller that has so much time left and is refused, though
+// it came back before, is to ask again: after the overload if there is time, and otherwise
+// when a new request would find room.
+func Comeback(left, ends time.Duration, random float64) time.Duration {
+	latest := left / comebackParts
+	earliest := max(min(ends, latest), LeastComeback)
+	if latest < earliest {
+		earliest = max(ends, LeastComeback)
+		latest = 2 * earliest
+	}
+	return earliest + time.Duration(random*float64(latest-earliest))
+}
+
+// flow counts events, and forgets them with a half-life of some 0.7 s: about as long as a
+// request holds a slot, and shorter than anybody waits. The zero value is ready for use.
+type flow struct {
+	count float64
+	at    time.Time
+}
+
+// flowTime is in which time an event's weight falls to 1/e.
+const flowTime = time.Second
+
+func (f *flow) add(now time.Time) {
+	f.count = f.left(now) + 1
+	f.at = now
+}
+
+func (f *flow) left(now time.Time) float64 {
+	passed := now.Sub(f.at)
+	if f.count == 0 || passed <= 0 {
+		return f.count
+	}
+	return f.count * math.Exp(-passed.Seconds()/flowTime.Seconds())
+}
+
+// perSecond returns how many events there are in a second.
+func (f *flow) perSecond(now time.Time) float64 { return f.left(now) / flowTime.Seconds() }
--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,304 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/proptest"
+)
+
+var queueStart = time.Unix(1000, 0)
+
+const (
+	testGoal  = 300 * ms
+	testBegin = 80 * ms
+	testTime  = 5000 * ms
+)
+
+// claimOf returns the claim of a caller who asked first so long ago, and now.
+func claimOf(now time.Time, age time.Duration) *Claim {
+	claim := &Claim{
+		Due:      now.Add(testGoal - age),
+		Leaves:   now.Add(testTime - age),
+		Returned: age > 0,
+		Arrived:  now,
+		Goal:     testGoal,
+		Begin:    testBegin,
+		Bytes:    100,
+	}
+	claim.prepare(0)
+	return claim
+}
+
+// fullOffer is a place where a request waits for so long.
+func fullOffer(wait time.Duration) Offer { return Offer{Full: true, Wait: wait, WaitMost: wait} }
+
+// arrivalOf returns the arrival of a claim at the place.
+func arrivalOf(now time.Time, claim *Claim, offer Offer) *Arrival {
+	return &Arrival{Claim: claim, Offer: offer, Room: Room{PerSecond: 10}, Left: claim.Leaves.Sub(now), Longest: testTime}
+}
+
+// TestArrivals compares what becomes of requests with testdata/arrivals.txt.
+func TestArrivals(t *testing.T) {
+	var trace strings.Builder
+	for _, waiting := range []int{0, 20} {
+		for _, age := range []time.Duration{0, 1500 * ms, 4000 * ms} {
+			for _, offer := range []Offer{{Spare: true}, {}, {Left: true}, fullOffer(0), fullOffer(100 * ms), fullOffer(250 * ms), {Wait: 250 * ms, WaitMost: 250 * ms}} {
+				queue := NewQueue(Bounds{Claims: 64, Bytes: 1 << 20})
+				for range waiting {
+					queue.enter(claimOf(queueStart.Add(-time.Second), 1000*ms))
+				}
+				decision := queue.Arrive(queueStart, arrivalOf(queueStart, claimOf(queueStart, age), offer), 0.5)
+				fmt.Fprintf(&trace, "%d late ones wait, first asked %s ago, full %t wait %s spare %t left %t: %s, %d ahead, predicted %s, comeback %s, displaced %d\n",
+					waiting, age, offer.Full, offer.Wait, offer.Spare, offer.Left, decision.Result, decision.Ahead, decision.Predicted.Round(ms), decision.Comeback, len(decision.Displaced))
+			}
+		}
+	}
+	compareGolden(t, "arrivals.txt", trace.String())
+}
+
+// randomClaim returns some claim.
+func randomClaim(random *rand.Rand, now time.Time) *Claim {
+	claim := claimOf(now, time.Duration(random.Intn(4000))*ms)
+	if claim.Returned = random.Intn(2) == 0; !claim.Returned {
+		claim.Due = now.Add(testGoal)
+	}
+	claim.Arrived = now.Add(-time.Duration(random.Intn(500)) * ms)
+	claim.Rank, claim.Over = random.Intn(3), random.Intn(2) == 0
+	claim.Bytes = int64(random.Intn(1000))
+	return claim
+}
+
+// served takes all claims out in the order in which they go at the moment.
+func served(queue *Queue, now time.Time) (order []*Claim) {
+	for first := queue.First(now); first != nil; first = queue.First(now) {
+		if !queue.Take(now, first, Offer{Spare: true}) {
+			return order
+		}
+		order = append(order, first)
+	}
+	return order
+}
+
+// goesBefore is the order as the design tells it, written anew.
+func goesBefore(a, b *Claim, now time.Time) bool {
+	group := func(c *Claim) int {
+		first := now.Add(c.Begin + c.Goal/10)
+		switch {
+		case !first.After(c.Due):
+			return 0
+		case c.Returned && !first.After(c.Arrived.Add(c.Goal)):
+			return 1
+		}
+		return 2
+	}
+	over := map[bool]int{true: 1}
+	keys := func(c *Claim) []int64 {
+		last := c.Due
+		if group(c) == 2 {
+			last = c.Leaves
+		}
+		return []int64{int64(group(c)), int64(c.Rank), int64(over[c.Over]), last.UnixNano(), int64(c.number)}
+	}
+	return slices.Compare(keys(a), keys(b)) < 0
+}
+
+// TestOrder serves random claims: those in time from the first attempt, then those in time
+// from their return, then the late ones, and each by rank, share and time.
+func TestOrder(t *testing.T) {
+	proptest.Run(t, "order", func(random *rand.Rand) error {
+		queue := NewQueue(Bounds{Claims: 100, Bytes: 1 << 20})
+		for range 1 + random.Intn(40) {
+			queue.Arrive(queueStart, arrivalOf(queueStart, randomClaim(random, queueStart), Offer{Left: true}), 0)
+		}
+		waiting := queue.Len()
+		order := served(queue, queueStart)
+		if len(order) != waiting {
+			return errors.Newf("%d of %d were served", len(order), waiting)
+		}
+		for i := 1; i < len(order); i++ {
+			if !goesBefore(order[i-1], order[i], queueStart) {
+				return errors.Newf("%+v went before %+v", order[i-1], order[i])
+			}
+		}
+		return nil
+	})
+}
+
+// TestRefusedIsServedLast fills a small queue: its bounds hold, and whoever is displaced would
+// have been served after all who stay.
+func TestRefusedIsServedLast(t *testing.T) {
+	proptest.Run(t, "bounds", func(random *rand.Rand) error {
+		bounds := Bounds{Claims: 1 + random.Intn(10), Bytes: int64(1000 + random.Intn(3000))}
+		queue := NewQueue(bounds)
+		for range 50 {
+			claim := randomClaim(random, queueStart)
+			decision := queue.Arrive(queueStart, arrivalOf(queueStart, claim, fullOffer(time.Duration(random.Intn(400))*ms)), random.Float64())
+			if queue.Len() > bounds.Claims || queue.Bytes() > bounds.Bytes {
+				return errors.Newf("%d claims with %d bytes wait of %+v", queue.Len(), queue.Bytes(), bounds)
+			}
+			refused := make([]*Claim, 0, len(decision.Displaced))
+			for i := range decision.Displaced {
+				refused = append(refused, decision.Displaced[i].Claim)
+			}
+			if decision.Result == Crowded {
+				refused = append(refused, claim)
+			}
+			for _, last := range refused {
+				for _, other := range queue.claims {
+					if !goesBefore(other, last, queueStart) {
+						return errors.Newf("%+v was refused and %+v kept", last, other)
+					}
+				}
+			}
+		}
+		return nil
+	})
+}
+
+// TestNoRefusalBesideFreeSlots lets claims come while a slot is free: none is refused, but for
+// want of space to wait in.
+func TestNoRefusalBesideFreeSlots(t *testing.T) {
+	proptest.Run(t, "free slots", func(random *rand.Rand) error {
+		queue := NewQueue(Bounds{Claims: 50, Bytes: 1 << 20})
+		for range 50 {
+			offer := Offer{Spare: random.Intn(2) == 0, Left: random.Intn(2) == 0}
+			arrival := arrivalOf(queueStart, randomClaim(random, queueStart), offer)
+			arrival.Room = Room{PerSecond: random.Float64() * 10, Ends: time.Duration(random.Intn(5000)) * ms}
+			decision := queue.Arrive(queueStart, arrival, random.Float64())
+			if decision.Result != Go && decision.Result != Wait || len(decision.Displaced) > 0 {
+				return errors.Newf("%s of %+v, %d displaced, at %+v", decision.Result, arrival.Claim, len(decision.Displaced), offer)
+			}
+		}
+		return nil
+	})
+}
+
+// TestHopelessIsRefusedAtOnce refuses who can't be served before leaving, and nobody else:
+// where nothing is known of the workers, all wait.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	proptest.Run(t, "hopeless", func(random *rand.Rand) error {
+		queue := NewQueue(Bounds{Claims: 200, Bytes: 1 << 20})
+		perSecond := float64(random.Intn(20))
+		for range 100 {
+			claim := randomClaim(random, queueStart)
+			arrival := arrivalOf(queueStart, claim, fullOffer(250*ms))
+			arrival.Room.PerSecond, arrival.Longest = perSecond, 0
+			decision := queue.Arrive(queueStart, arrival, random.Float64())
+			switch bears := claim.Leaves.Sub(queueStart); {
+			case decision.Result == Hopeless && (decision.Predicted <= bears || decision.Comeback < LeastComeback):
+				return errors.Newf("refused though %s of %s are predicted, or without a time: %+v", decision.Predicted, bears, decision)
+			case decision.Result == Hopeless && perSecond == 0:
+				return errors.New("refused though nothing is known")
+			case decision.Result == Wait && decision.Predicted > bears:
+				return errors.Newf("%s are predicted, and the caller leaves after %s", decision.Predicted, bears)
+			}
+		}
+		return nil
+	})
+}
+
+// TestLateOnesAreServed lets late claims wait beside a load that leaves room: all are served
+// before they leave. While those who are in time take all, none is.
+func TestLateOnesAreServed(t *testing.T) {
+	queue := NewQueue(Bounds{Claims: 64, Bytes: 1 << 20})
+	for range 10 {
+		queue.Arrive(queueStart, arrivalOf(queueStart, claimOf(queueStart, 2000*ms), fullOffer(0)), 0)
+	}
+	late := queueStart.Add(testGoal)
+	if first := queue.First(late); queue.Take(late, first, Offer{}) || queue.Take(late, first, fullOffer(10*ms)) || queue.Take(late, first, Offer{Spare: true, Left: true}) {
+		t.Error("a late one went where others are about to go")
+	}
+	for tick := late; tick.Before(queueStart.Add(2500 * ms)); tick = tick.Add(100 * ms) {
+		fresh := claimOf(tick, 0)
+		if decision := queue.Arrive(tick, arrivalOf(tick, fresh, Offer{}), 0); decision.Result != Go {
+			t.Fatalf("one that is in time: %+v", decision)
+		}
+		if first := queue.First(tick); first != nil && !queue.Take(tick, first, Offer{Spare: true}) {
+			t.Fatalf("%+v is not served", first)
+		}
+	}
+	if queue.Len() > 0 || queue.Bytes() != 0 {
+		t.Errorf("%d still wait, %d bytes", queue.Len(), queue.Bytes())
+	}
+}
+
+// TestExpired takes out who has left, as after a suspension of the machine.
+func TestExpired(t *testing.T) {
+	queue := NewQueue(Bounds{Claims: 64, Bytes: 1 << 20})
+	soon, later := claimOf(queueStart, 4000*ms), claimOf(queueStart, 0)
+	queue.enter(soon)
+	queue.enter(later)
+	if expired := queue.Expired(queueStart.Add(1500 * ms)); len(expired) != 1 || expired[0] != soon || queue.Len() != 1 {
+		t.Errorf("%v expired, %d wait", expired, queue.Len())
+	}
+	if expired := queue.Expired(queueStart.Add(time.Minute)); len(expired) != 1 || queue.Len() != 0 || queue.Bytes() != 0 {
+		t.Errorf("%v expired, %d wait with %d bytes", expired, queue.Len(), queue.Bytes())
+	}
+}
+
+// TestComebacks tells callers who must be refused again to come after the overload, within a
+// third of their time, or, where that is over, when a new request would find room.
+func TestComebacks(t *testing.T) {
+	proptest.Run(t, "comebacks", func(random *rand.Rand) error {
+		left, ends := time.Duration(random.Intn(6000))*ms, time.Duration(random.Intn(3000))*ms
+		comeback := Comeback(left, ends, random.Float64())
+		latest := left / comebackParts
+		switch {
+		case comeback < LeastComeback:
+			return errors.Newf("%s", comeback)
+		case latest >= LeastComeback && comeback > latest:
+			return errors.Newf("%s of %s", comeback, left)
+		case latest < LeastComeback && comeback < ends:
+			return errors.Newf("%s, and the overload ends in %s", comeback, ends)
+		}
+		return nil
+	})
+}
+
+// BenchmarkArrive decides on a request that finds 64 waiting, and takes it out again.
+func BenchmarkArrive(b *testing.B) {
+	const waiting = 64
+	random := rand.New(rand.NewSource(1))
+	queue := NewQueue(Bounds{Claims: 2 * waiting, Bytes: 1 << 20})
+	for range waiting {
+		claim := randomClaim(random, queueStart)
+		claim.Leaves = queueStart.Add(time.Hour)
+		claim.prepare(0)
+		queue.enter(claim)
+	}
+	claim := claimOf(queueStart, 1500*ms)
+	claim.Leaves = queueStart.Add(time.Hour)
+	arrival := arrivalOf(queueStart, claim, fullOffer(250*ms))
+	arrival.Longest = claim.Leaves.Sub(queueStart) + time.Second
+	b.ReportAllocs()
+	for b.Loop() {
+		if decision := queue.Arrive(queueStart, arrival, 0.5); decision.Result != Wait {
+			b.Fatalf("%+v", decision)
+		}
+		queue.Remove(claim)
+	}
+}
+
+// BenchmarkFirst chooses who goes first of 64 that wait.
+func BenchmarkFirst(b *testing.B) {
+	random := rand.New(rand.NewSource(1))
+	queue := NewQueue(Bounds{Claims: 64, Bytes: 1 << 20})
+	for range 64 {
+		claim := randomClaim(random, queueStart)
+		claim.prepare(0)
+		queue.enter(claim)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if queue.First(queueStart) == nil {
+			b.Fatal("none waits")
+		}
+	}
+}
--- /dev/null
+++ b/internal/balance/free.go
@@ -0,0 +1,258 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/loadshare"
+)
+
+const (
+	// LookTime is the time between two looks for room of a process where something waits.
+	LookTime = 10 * time.Millisecond
+	// unseenTime is for how long others of the zone don't see a choice: until it is told, and
+	// until an answer that was on its way before has been used.
+	unseenTime = 1500 * time.Microsecond
+	// retakeTime is how long a slot is free at most where somebody waits for one in its zone:
+	// a look for room or two.
+	retakeTime = 2 * LookTime
+)
+
+// Search says how room is looked for.
+type Search struct {
+	// Peers is how many processes choose by the same news, this one included.
+	Peers int
+	// Given is the worker at which this process has just given a slot back, if any: nobody
+	// else has been told of that slot.
+	Given string
+}
+
+// Place is a place at a worker that a request may take, and what stands beside it.
+type Place struct {
+	// Worker is the worker's id, Slow how many times as long as elsewhere it takes.
+	Worker string
+	Slow   float64
+	// Full is set where online requests hold all slots of the worker. Wait is how long one
+	// more is predicted to wait for one in the mean, WaitMost in nearly all cases; both are
+	// zero if that is unknown.
+	Full     bool
+	Wait     time.Duration
+	WaitMost time.Duration
+	// Spare is set where more slots are free than those who wait elsewhere are about to
+	// take, Left where one is free and is left to others by lot.
+	Spare bool
+	Left  bool
+	// NewsAge is how old the news of the others is that this rests on, negative where there
+	// is none.
+	NewsAge time.Duration
+
+	worker *worker
+}
+
+// Look chooses a worker for a request that can wait at this process instead: as Acquire does,
+// but one that has a slot free for online requests before any other. Where few slots are
+// free, all processes see the same ones; so a request takes one by lot, and leaves it to
+// others otherwise. Slots of other zones are known by older news, and are drawn for as well.
+// It returns nil if there is no worker. Take takes the place.
+func (t *Table) Look(now time.Time, demand *Demand, search Search) *Place {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.readmit(now)
+	known := t.pools[demand.Pool]
+	if known == nil {
+		return nil
+	}
+	chosen := t.chooseGiven(now, demand, search.Given)
+	if chosen == nil {
+		chosen = t.chooseRoom(now, demand, known, search.Peers)
+	}
+	if chosen == nil {
+		return nil
+	}
+	place := &Place{
+		Worker:   chosen.listed.ID,
+		Slow:     chosen.slowness(now),
+		Full:     !t.hasFree(now, chosen),
+		Wait:     t.waitAt(now, chosen),
+		WaitMost: t.waitMostAt(now, chosen),
+		NewsAge:  t.newsAge(now, chosen),
+		worker:   chosen,
+	}
+	if place.Full {
+		return place
+	}
+	near := t.nearSlots(now, demand, known)
+	place.Spare = near > float64(known.nearRate)/rateSeconds*retakeTime.Seconds()
+	if t.away(chosen) == 0 && chosen.listed.ID != search.Given {
+		place.Left = t.leaves(near, search.Peers)
+	}
+	return place
+}
+
+// Take takes a place that Look has found a moment ago.
+func (t *Table) Take(now time.Time, demand *Demand, place *Place) *Lease {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.lease(now, place.worker, demand)
+}
+
+// chooseGiven returns the worker at which a slot was given back, if it may be taken.
+func (t *Table) chooseGiven(now time.Time, demand *Demand, id string) *worker {
+	given := t.workers[id]
+	if given == nil || given.listed.Pool != demand.Pool || !t.roomy(now, demand, given) {
+		return nil
+	}
+	return given
+}
+
+// roomy reports whether the demand may go to a free slot of the worker.
+func (t *Table) roomy(now time.Time, demand *Demand, w *worker) bool {
+	return t.hasFree(now, w) && t.admits(now, w, demand, false) && !t.failing(now, w)
+}
+
+// chooseRoom chooses a worker, one with a slot free if there is any.
+func (t *Table) chooseRoom(now time.Time, demand *Demand, known *pool, peers int) *worker {
+	t.nearOnly = len(known.near) > 0 && !t.drawsFar(now, demand, known, peers)
+	chosen := t.choose(now, demand, false)
+	if chosen == nil || !t.hasFree(now, chosen) {
+		if free := t.chooseFree(now, demand, known); free != nil {
+			chosen = free
+		}
+	}
+	t.nearOnly = false
+	if chosen == nil {
+		chosen = t.choose(now, demand, false)
+	}
+	if chosen == nil {
+		chosen = t.choose(now, demand, true)
+	}
+	return chosen
+}
+
+// leaves decides by lot whether one of so many free slots is left to others: within the time
+// in which a choice is not seen, more of the peers than that may look for one.
+func (t *Table) leaves(slots float64, peers int) bool {
+	looking := 1 + float64(peers-1)*float64(unseenTime)/float64(LookTime)
+	return t.random.Float64()*looking > slots
+}
+
+// drawsFar decides by lot whether the request may go to another zone: within the age of the
+// news of it as many of the peers as there are slots to spare.
+func (t *Table) drawsFar(now time.Time, demand *Demand, known *pool, peers int) bool {
+	passed := min(now.Sub(known.farDrawn), loadshare.Interval)
+	known.farDrawn = now
+	// Those that were given back a moment ago are for those who wait in that zone.
+	slots := t.farSlots(now, demand, known) - float64(known.farRate)/rateSeconds*retakeTime.Seconds()
+	chance := slots / float64(max(peers, 1)) * float64(passed) / float64(loadshare.Interval)
+	return t.random.Float64() < chance
+}
+
+// nearSlots returns how many slots are free in the zone, as many as it likes where nothing is
+// known of what the others have.
+func (t *Table) nearSlots(now time.Time, demand *Demand, known *pool) float64 {
+	t.compared = t.compared[:0]
+	if freshAt(now, later(t.allAt, t.nearAt)) {
+		t.drawGroup(known.near, mostCompared, anyWorker)
+	} else if t.drawTold(now, demand.Pool, 0, 0, anyWorker) == 0 {
+		return math.Inf(1)
+	}
+	return t.slotsOf(now, demand, len(known.near))
+}
+
+// farSlots returns how many slots are free in other zones.
+func (t *Table) farSlots(now time.Time, demand *Demand, known *pool) float64 {
+	t.compared = t.compared[:0]
+	if freshAt(now, t.allAt) {
+		t.drawGroup(known.far, mostCompared, anyWorker)
+	} else if t.drawTold(now, demand.Pool, 1, 0, anyWorker) == 0 {
+		return math.Inf(1)
+	}
+	return t.slotsOf(now, demand, len(known.far))
+}
+
+func anyWorker(*worker) bool { return true }
+
+// slotsOf returns how many slots so many workers have free, by those that are compared.
+func (t *Table) slotsOf(now time.Time, demand *Demand, all int) float64 {
+	if len(t.compared) == 0 {
+		return 0
+	}
+	slots := 0
+	for _, w := range t.compared {
+		if t.roomy(now, demand, w) {
+			slots += max(w.listed.Slots, 1) - min(t.onlineAt(now, w), w.listed.Slots)
+		}
+	}
+	return float64(slots) * float64(all) / float64(len(t.compared))
+}
+
+// chooseFree chooses among the workers with a slot free. Unlike choose it leaves none out of
+// a pool that is not larger than what is compared at most, so that nobody is kept waiting
+// beside a free slot by lot alone.
+func (t *Table) chooseFree(now time.Time, demand *Demand, known *pool) *worker {
+	fit := func(w *worker) bool { return t.roomy(now, demand, w) }
+	t.findHomes(demand, fit)
+	t.compared = t.compared[:0]
+	t.drawFree(now, demand.Pool, known, fit)
+	return t.best(now, demand, t.compared)
+}
+
+// drawFree takes the fit workers to compare. Where news tells of some workers only, the
+// others look idle and are left out, unless nothing is known of any.
+func (t *Table) drawFree(now time.Time, name string, known *pool, fit func(w *worker) bool) {
+	nearKnown := freshAt(now, later(t.allAt, t.nearAt))
+	if nearKnown {
+		t.drawGroup(known.near, mostCompared, fit)
+	} else {
+		t.drawTold(now, name, 0, 0, fit)
+	}
+	if t.nearOnly {
+		return
+	}
+	if freshAt(now, t.allAt) {
+		t.drawGroup(known.far, mostCompared, fit)
+		return
+	}
+	t.drawTold(now, name, 1, 0, fit)
+	if !nearKnown && !t.hearsOf(now, name) {
+		t.drawGroup(known.near, mostCompared, fit)
+		t.drawGroup(known.far, mostCompared, fit)
+	}
+}
+
+// hearsOf reports whether news of any worker of the pool is fresh.
+func (t *Table) hearsOf(now time.Time, name string) bool {
+	for _, candidate := range t.told {
+		if candidate.listed.Pool == name && t.fresh(now, candidate) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasFree reports whether the worker has a slot that no online request holds. Items of jobs
+// give theirs back. Where the number of slots is not known, it always has one.
+func (t *Table) hasFree(now time.Time, w *worker) bool {
+	return w.listed.Slots <= 0 || t.onlineAt(now, w) < w.listed.Slots
+}
+
+// newsAge returns how old the news is of what others have at the worker, negative where
+// there is none.
+func (t *Table) newsAge(now time.Time, w *worker) time.Duration {
+	if !t.fresh(now, w) {
+		return -1
+	}
+	return now.Sub(t.othersAt(w))
+}
+
+// Room returns how many slots the pool's usable workers have together, and how long an
+// online request holds one, zero where that is unknown.
+func (t *Table) Room(pool string) (slots int, hold time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.pools[pool]
+	if known == nil {
+		return 0, 0
+	}
+	return known.slots, known.hold
+}
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -144,13 +145,7 @@
 // waitAt predicts how long one more online request would wait for a slot at the
 // worker. Items of jobs don't count: they give way.
 func (t *Table) waitAt(now time.Time, candidate *worker) time.Duration {
-	others, known := t.toldByOthers(now, candidate)
-	slots := max(candidate.listed.Slots, 1)
-	online := candidate.inFlight - candidate.batch + t.orphaned(now, candidate)
-	if known {
-		online += int(others.Online)
-	}
-	over := online + 1 - slots
+	slots, over := t.overAt(now, candidate)
 	if over <= 0 {
 		return 0
 	}
@@ -159,3 +154,36 @@
 	wait := float64(t.holdOf(candidate)) * float64(over) / float64(slots+1)
 	return time.Duration(wait * candidate.slowness(now))
 }
+
+// mostOf is by how many standard deviations the bound lies above the mean: 49 of 50 waits that
+// are spread normally end below it.
+const mostOf = 2.05
+
+// waitMostAt predicts how long one more online request would wait for a slot at the worker
+// in nearly all cases: when the k-th of n evenly spread ends comes spreads by itself.
+func (t *Table) waitMostAt(now time.Time, candidate *worker) time.Duration {
+	slots, over := t.overAt(now, candidate)
+	if over <= 0 {
+		return 0
+	}
+	k, n := float64(over), float64(slots)
+	variance := max(k*(n+1-k), n) / ((n + 1) * (n + 1) * (n + 2))
+	wait := float64(t.holdOf(candidate)) * (k/(n+1) + mostOf*math.Sqrt(variance))
+	return time.Duration(wait * candidate.slowness(now))
+}
+
+// overAt returns the worker's slots, and how many must be given back before one more online
+// request begins.
+func (t *Table) overAt(now time.Time, candidate *worker) (slots, over int) {
+	slots = max(candidate.listed.Slots, 1)
+	return slots, t.onlineAt(now, candidate) + 1 - slots
+}
+
+// onlineAt returns how many online requests are at the worker, as far as is known.
+func (t *Table) onlineAt(now time.Time, candidate *worker) int {
+	online := candidate.inFlight - candidate.batch + t.orphaned(now, candidate)
+	if others, known := t.toldByOthers(now, candidate); known {
+		online += int(others.Online)
+	}
+	return online
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -19,6 +19,10 @@
 	hold     time.Duration
 	nearRate int
 	farRate  int
+	// farDrawn is when a request drew last whether it may go to another zone.
+	farDrawn time.Time
+	// tellsPace is set once a worker has told how fast it works.
+	tellsPace bool
 }
 
 // group is a set of workers in no special order. A worker stands in one group at most and
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -68,7 +68,9 @@
 func (t *Table) drawOnline(now time.Time, name string, known *pool, fit func(w *worker) bool) {
 	nearKnown := t.drawNear(now, name, known, fit)
 	near := len(t.compared)
-	t.drawFar(now, name, known, fit, near > 0 && nearKnown)
+	if !t.nearOnly {
+		t.drawFar(now, name, known, fit, near > 0 && nearKnown)
+	}
 	for _, home := range t.homes {
 		if !slices.Contains(t.compared, home) {
 			t.compared = append(t.compared, home)
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -44,6 +44,8 @@
 	compared []*worker
 	// homes are the homes of the prompt that is being placed.
 	homes []*worker
+	// nearOnly is set while the workers of other zones are left out of a choice.
+	nearOnly bool
 	// acquired counts the leases ever given.
 	acquired uint64
 }
@@ -168,6 +170,11 @@
 	if chosen == nil {
 		return nil
 	}
+	return t.lease(now, chosen, demand)
+}
+
+// lease gives a place at the worker to the request.
+func (t *Table) lease(now time.Time, chosen *worker, demand *Demand) *Lease {
 	lease := &Lease{
 		Wait:     t.waitAt(now, chosen),
 		Slow:     chosen.slowness(now),
