Edge: requests wait in one line a pool, and are refused from its end

Cause: what finds no room is sent into a worker's own queue, where nobody can order it, take it back or refuse it.

Change: where the configuration names tenants, or workers tell their pace, a request that finds no room waits at the edge (admission.Queue). Room is looked for when one of the edge's own requests gives a slot back, when the hub has told something, and each 10 ms while something waits. Callers who leave, stops and suspensions empty the line. Elsewhere decisions are as before (TestDecisionsWithoutLine). What an edge can expect of a pool is an equal part, or what it has there now, if that is more; while it isn't known how long a slot is held nothing is predicted, so nobody is refused for it.

--- a/internal/admission/collapse_test.go
+++ b/internal/admission/collapse_test.go
@@ -258,11 +258,7 @@
 	r.claim = admission.Claim{Due: p.clock().Add(playGoal - age), Leaves: p.clock().Add(left), Returned: age > 0, Arrived: p.clock(), Goal: playGoal, Begin: e.route.Begin(), Bytes: 1}
 	place, offer := p.look(e, "")
 	e.overload.Saw(p.clock(), place.Wait, playGoal)
-	slots, hold := e.table.Room("p")
-	room := admission.Room{Ends: e.overload.Ends(p.clock())}
-	if hold > 0 {
-		room.PerSecond = float64(slots) / hold.Seconds() / playEdges
-	}
+	room := admission.Room{PerSecond: e.table.Room("p", playEdges), Ends: e.overload.Ends(p.clock())}
 	decision := e.queue.Arrive(p.clock(), &admission.Arrival{Claim: &r.claim, Offer: offer, Room: room, Left: left, Longest: e.route.Longest()}, p.random.Float64())
 	for i := range decision.Displaced {
 		displaced := &decision.Displaced[i]
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -315,10 +315,10 @@
 // is given back for itself. Where those who go before it take all, its turn comes after the
 // overload, if its end is known.
 func (q *Queue) predict(now time.Time, claim *Claim, ahead int, a *Arrival) time.Duration {
-	perSecond := max(a.Room.PerSecond, q.sent.perSecond(now))
-	if perSecond <= 0 {
+	if a.Room.PerSecond <= 0 {
 		return a.Offer.Wait
 	}
+	perSecond := max(a.Room.PerSecond, q.sent.perSecond(now))
 	before := 0.0
 	if claim.classAt(now, 0) != punctual {
 		before = q.first.perSecond(now)
--- a/internal/balance/free.go
+++ b/internal/balance/free.go
@@ -245,14 +245,22 @@
 	return now.Sub(t.othersAt(w))
 }
 
-// Room returns how many slots the pool's usable workers have together, and how long an
-// online request holds one, zero where that is unknown.
-func (t *Table) Room(pool string) (slots int, hold time.Duration) {
+// Room returns how many online requests a second the pool's workers can take of this process,
+// one of so many peers: an equal part of what they can take at all, or what it has there now,
+// if that is more. It is zero where it is unknown how long a request holds a slot.
+func (t *Table) Room(pool string, peers int) float64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.pools[pool]
-	if known == nil {
-		return 0, 0
+	if known == nil || known.hold <= 0 {
+		return 0
+	}
+	own := 0
+	for _, w := range t.busy {
+		if w.listed.Pool == pool {
+			own += w.inFlight - w.batch
+		}
 	}
-	return known.slots, known.hold
+	slots := max(float64(known.slots)/float64(max(peers, 1)), float64(min(own, known.slots)))
+	return slots / known.hold.Seconds()
 }
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -51,7 +51,7 @@
 // began takes in that the first event has come, where nothing but the worker itself
 // stood before it.
 func (c *call) began(lease *balance.Lease) {
-	if c.attempts > 1 || lease.Wait > 0 || lease.Slow > 1 {
+	if c.attempts > 1 || c.waited || lease.Wait > 0 || lease.Slow > 1 {
 		return
 	}
 	took := time.Since(c.arrived)
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -84,6 +84,8 @@
 	token    wire.TokenQuestion
 	hasToken bool
 	informed bool
+	// waited is set once the request has waited in a line of this process.
+	waited bool
 }
 
 func newCall(e *Edge, ctx context.Context, table *routetable.Table, route *routetable.Route, tenant *routetable.Tenant, writer http.ResponseWriter, controller *http.ResponseController, request *http.Request, body []byte, arrived, deadline time.Time) *call {
@@ -141,17 +143,16 @@
 		return
 	}
 	for c.mayTry() {
-		lease := c.acquire()
+		lease, done := c.place()
+		if done {
+			return
+		}
 		if lease == nil {
 			c.lastErr = failure.New(failure.NotRun, "try again", "pool %q has no worker for the request", c.demand.Pool)
 			break
 		}
-		if c.tooLate(lease) {
-			lease.Release()
-			return
-		}
 		result := c.attempt(lease)
-		lease.Release()
+		c.release(lease)
 		c.edge.metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result == delivered {
 			c.ranWell()
@@ -179,10 +180,7 @@
 // came of it, so that the next one to choose knows. Otherwise all edges of a zone choose
 // by news of a report's age, and crowd the workers that looked idle then.
 func (c *call) acquire() *balance.Lease {
-	if !c.informed {
-		c.edge.loads.Ask(c.context, newsPatience, c.edge.workers.Homes(&c.demand))
-	}
-	c.informed = false
+	c.hear()
 	lease := c.edge.workers.Acquire(clock.Now(), &c.demand)
 	if lease != nil {
 		c.edge.loads.Tell()
@@ -190,6 +188,14 @@
 	return lease
 }
 
+// hear asks the hub for news of the workers, unless they came a moment ago.
+func (c *call) hear() {
+	if !c.informed {
+		c.edge.loads.Ask(c.context, newsPatience, c.edge.workers.Homes(&c.demand))
+	}
+	c.informed = false
+}
+
 // String returns the outcome as used in logs and metrics.
 func (o outcome) String() string { return [...]string{"delivered", "not_run", "failed"}[o] }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,6 +57,9 @@
 	overloads map[string]*admission.Overload
 	// reserve is what tenants may send while no hub answers.
 	reserve *ratelimit.Reserve
+	// lines holds those that wait, by pool; linesClosed is set once nobody may wait any more.
+	lines       map[string]*line
+	linesClosed bool
 	// counted holds the tenants that have counters.
 	counted map[tenancy.Name]bool
 }
@@ -76,6 +79,7 @@
 		observed: map[string]*admission.Route{},
 
 		overloads: map[string]*admission.Overload{},
+		lines:     map[string]*line{},
 		reserve:   ratelimit.NewReserve(config.Name),
 		started:   clock.Now(),
 	}
@@ -89,6 +93,7 @@
 	e.loads = e.newLoads()
 	d.Go(e.shareLoads)
 	d.BeforeStop(e.drain)
+	d.BeforeStop(e.closeLines)
 	return e
 }
 
@@ -113,6 +118,7 @@
 		},
 		Learn: func(now time.Time, answer *wire.LoadReport) {
 			e.workers.SetOthers(now, answer.Workers, scopeOf(answer))
+			e.heard()
 		},
 		Pause: func() time.Duration {
 			snapshot := e.watcher.Current()
@@ -209,7 +215,12 @@
 	tenants  *prometheus.CounterVec
 	// ended counts runs under which their worker ended, quarantined the refusals of
 	// requests known for that.
-	ended       prometheus.Counter
+	ended prometheus.Counter
+	// queued counts what became of requests that found no room at once, queueTime is how
+	// long those waited that were sent, queueLength how many wait, by pool.
+	queued      *prometheus.CounterVec
+	queueTime   *prometheus.HistogramVec
+	queueLength *prometheus.GaugeVec
 	quarantined prometheus.Counter
 	firstTime   *prometheus.HistogramVec
 	wholeTime   *prometheus.HistogramVec
@@ -222,10 +233,13 @@
 		attempts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_attempts_total", Help: "Requests sent to workers, by outcome."}, []string{"outcome"}),
 		tenants:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_tenant_requests_total", Help: "Requests of tenants with a limit, by what came of it."}, []string{"tenant", "outcome"}),
 		ended:       prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_worker_ends_total", Help: "Requests whose worker ended under them."}),
+		queued:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_queue_requests_total", Help: "Requests that found no room at once, by what came of it."}, []string{"outcome"}),
+		queueTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_queue_seconds", Help: "Time that requests waited here before they were sent to a worker.", Buckets: buckets}, []string{"route"}),
+		queueLength: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "edge_queue_length", Help: "Requests that wait here for a worker with room."}, []string{"pool"}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.firstTime, m.wholeTime)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.queued, m.queueTime, m.queueLength, m.firstTime, m.wholeTime)
 	return m
 }
