Admission: claims are compared by numbers

Change: the classes of all that wait are worked out once for a decision, and times compared as nanoseconds.

--- a/internal/admission/claim.go
+++ b/internal/admission/claim.go
@@ -29,9 +29,14 @@
 	// number orders claims that are alike by when they came.
 	number uint64
 	// punctualUntil and returnedUntil are until when a request that is sent to a free slot
-	// is in time from the first attempt, and from the return.
-	punctualUntil time.Time
-	returnedUntil time.Time
+	// is in time from the first attempt, and from the return. These, due and leaves are in
+	// nanoseconds: each decision compares them for all that wait.
+	punctualUntil int64
+	returnedUntil int64
+	due           int64
+	leaves        int64
+	// class is the claim's at the moment of the last decision.
+	class class
 }
 
 // prepare works out what the order of claims rests on.
@@ -39,10 +44,11 @@
 	c.number = number
 	// Predictions err, so a part of the goal is left.
 	least := c.Begin + c.Goal - c.Goal*goalPart/hundreds
-	c.punctualUntil = c.Due.Add(-least)
+	c.due, c.leaves = c.Due.UnixNano(), c.Leaves.UnixNano()
+	c.punctualUntil = c.due - int64(least)
 	c.returnedUntil = c.punctualUntil
 	if c.Returned {
-		c.returnedUntil = c.Arrived.Add(c.Goal - least)
+		c.returnedUntil = c.Arrived.Add(c.Goal - least).UnixNano()
 	}
 }
 
@@ -58,13 +64,14 @@
 	late
 )
 
-// classAt returns the claim's class if its request waits so long for a slot from now on.
-func (c *Claim) classAt(now time.Time, wait time.Duration) class {
-	sent := now.Add(wait)
+// classAt returns the claim's class if its request is sent to a free slot at that moment.
+func (c *Claim) classAt(sent time.Time) class { return c.classOf(sent.UnixNano()) }
+
+func (c *Claim) classOf(sent int64) class {
 	switch {
-	case c.Goal <= 0 || !sent.After(c.punctualUntil):
+	case c.Goal <= 0 || sent <= c.punctualUntil:
 		return punctual
-	case c.Returned && !sent.After(c.returnedUntil):
+	case sent <= c.returnedUntil:
 		return returned
 	}
 	return late
@@ -74,7 +81,7 @@
 // return, if the request waits so long for a slot from now on. Where no time is aimed at,
 // nothing says that a wait is short enough.
 func (c *Claim) inTime(now time.Time, wait time.Duration) bool {
-	return c.classAt(now, wait) < late && (c.Goal > 0 || wait <= 0)
+	return c.classAt(now.Add(wait)) < late && (c.Goal > 0 || wait <= 0)
 }
 
 // compare orders claims of one class: the one that goes first is smaller.
@@ -88,9 +95,9 @@
 		}
 		return 1
 	}
-	order := c.Due.Compare(other.Due)
+	order := cmp.Compare(c.due, other.due)
 	if of == late || c.Goal <= 0 && other.Goal <= 0 {
-		order = c.Leaves.Compare(other.Leaves)
+		order = cmp.Compare(c.leaves, other.leaves)
 	}
 	if order != 0 {
 		return order
@@ -98,17 +105,12 @@
 	return cmp.Compare(c.number, other.number)
 }
 
-// standing is a claim with its class at a moment.
-type standing struct {
-	claim *Claim
-	class class
-}
-
-func (s standing) before(other standing) bool {
-	if s.class != other.class {
-		return s.class < other.class
+// before reports whether the claim goes before the other, by the classes given.
+func (c *Claim) before(own class, other *Claim, others class) bool {
+	if own != others {
+		return own < others
 	}
-	return s.claim.compare(other.claim, s.class) < 0
+	return c.compare(other, own) < 0
 }
 
 const (
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -131,7 +131,9 @@
 func (q *Queue) Arrive(now time.Time, a *Arrival, random float64) Decision {
 	q.number++
 	a.Claim.prepare(q.number)
-	ahead := q.ahead(now, a.Claim, a.Claim.classAt(now, 0))
+	q.classify(now)
+	a.Claim.class = a.Claim.classAt(now)
+	ahead := q.ahead(a.Claim, a.Claim.class)
 	if ahead == 0 && q.goes(now, a) {
 		q.Sent(now, a.Claim)
 		return Decision{Result: Go}
@@ -142,9 +144,9 @@
 			decision.Result, decision.Comeback = SentBack, comeback
 			return decision
 		}
-		if a.Claim.classAt(now, decision.Predicted) == late {
+		if a.Claim.classAt(now.Add(decision.Predicted)) == late {
 			// By its turn it goes behind all that can be in time.
-			decision.Ahead = q.ahead(now, a.Claim, late)
+			decision.Ahead = q.ahead(a.Claim, late)
 			decision.Predicted = q.predict(now, a.Claim, decision.Ahead, a)
 		}
 		if decision.Predicted > a.Claim.Leaves.Sub(now) {
@@ -203,7 +205,7 @@
 func (q *Queue) displace(now time.Time, a *Arrival, random float64) []Displaced {
 	var displaced []Displaced
 	for len(q.claims) > 0 {
-		last, ahead := q.last(now)
+		last, ahead := q.last()
 		predicted := q.predict(now, last, ahead, a)
 		result := Crowded
 		if !q.overflows() {
@@ -255,16 +257,24 @@
 	return expired
 }
 
+// classify works out the classes of all that wait.
+func (q *Queue) classify(now time.Time) {
+	at := now.UnixNano()
+	for _, claim := range q.claims {
+		claim.class = claim.classOf(at)
+	}
+}
+
 // First returns the claim that goes first now, or nil if none waits.
 func (q *Queue) First(now time.Time) *Claim {
-	var first standing
+	q.classify(now)
+	var first *Claim
 	for _, claim := range q.claims {
-		candidate := standing{claim, claim.classAt(now, 0)}
-		if first.claim == nil || candidate.before(first) {
-			first = candidate
+		if first == nil || claim.before(claim.class, first, first.class) {
+			first = claim
 		}
 	}
-	return first.claim
+	return first
 }
 
 // Take takes the claim that goes first out if its request may go to the place, and reports
@@ -286,29 +296,26 @@
 // Sent takes in that a request went to a worker.
 func (q *Queue) Sent(now time.Time, claim *Claim) {
 	q.sent.add(now)
-	if claim.classAt(now, 0) == punctual {
+	if claim.classAt(now) == punctual {
 		q.first.add(now)
 	}
 }
 
 // last returns the claim that goes last, and how many go before it.
-func (q *Queue) last(now time.Time) (claim *Claim, ahead int) {
-	var last standing
+func (q *Queue) last() (last *Claim, ahead int) {
 	for _, claim := range q.claims {
-		candidate := standing{claim, claim.classAt(now, 0)}
-		if last.claim == nil || last.before(candidate) {
-			last = candidate
+		if last == nil || last.before(last.class, claim, claim.class) {
+			last = claim
 		}
 	}
-	return last.claim, len(q.claims) - 1
+	return last, len(q.claims) - 1
 }
 
 // ahead returns how many of those that wait go before the claim while it is of the class.
-func (q *Queue) ahead(now time.Time, claim *Claim, of class) int {
-	own := standing{claim, of}
+func (q *Queue) ahead(claim *Claim, of class) int {
 	count := 0
 	for _, other := range q.claims {
-		if other != claim && (standing{other, other.classAt(now, 0)}).before(own) {
+		if other != claim && other.before(other.class, claim, of) {
 			count++
 		}
 	}
@@ -329,7 +336,7 @@
 	}
 	perSecond := max(a.Room.PerSecond, q.sent.perSecond(now))
 	before := 0.0
-	if claim.classAt(now, 0) != punctual {
+	if claim.classAt(now) != punctual {
 		before = q.first.perSecond(now)
 	}
 	if spare := perSecond - before; spare*hundreds > perSecond*leastSpare {
