--- a/internal/admission/collapse_test.go
+++ b/internal/admission/collapse_test.go
@@ -121,7 +121,7 @@
 	// when those did that were not.
 	came, firsts, late       []time.Duration
 	back, refused, abandoned int
-	longestQueue             int
+	queued, longestQueue     int
 	asks                     int
 }
 
@@ -272,6 +272,7 @@
 	case admission.Wait:
 		e.waiting[&r.claim] = r
 		r.queued = true
+		p.queued++
 		p.longestQueue = max(p.longestQueue, e.queue.Len())
 		p.pump(e, "")
 		p.poll(e)
@@ -456,6 +457,32 @@
 	}
 }
 
+// TestNobodyWaitsBesideRoom plays loads that leave room, with and without a queue: as many are
+// in time, and the more room there is the fewer wait at an edge.
+func TestNobodyWaitsBesideRoom(t *testing.T) {
+	const length = 6 * time.Second
+	for _, test := range []struct {
+		load   float64
+		queued float64
+	}{{0.5, 0.01}, {0.7, 0.02}, {0.8, 0.05}} {
+		var inTime [2]float64
+		for mode, queues := range []bool{false, true} {
+			p := newPlay(4, queues)
+			p.usual = test.load * playMade
+			p.run(length)
+			came := float64(len(p.came))
+			inTime[mode] = float64(len(p.firsts)) / (float64(len(p.firsts)) + float64(len(p.late)))
+			t.Logf("load %g, queues %t: %.0f came, %.4f in time, %d waited, %d were sent back", test.load, queues, came, inTime[mode], p.queued, p.back)
+			if part := float64(p.queued) / came; part > test.queued {
+				t.Errorf("load %g: %.3f waited at an edge", test.load, part)
+			}
+		}
+		if inTime[1] < inTime[0]-0.002 {
+			t.Errorf("load %g: %.4f in time, %.4f without a queue", test.load, inTime[1], inTime[0])
+		}
+	}
+}
+
 const (
 	// returning is how many callers come at once when all processes have started anew, and
 	// returningLeft how long they still wait.
