Edge: a test of lines that share a worker through a hub

Three edges ask for 30 times what a worker runs at once: each request is run, or told that it was not and when to come back; the worker never has more than the edges' own knowledge allows.

--- a/internal/edge/line_test.go
+++ b/internal/edge/line_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"math/rand"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -41,8 +42,13 @@
 type heldWorker struct {
 	server *httptest.Server
 	end    chan struct{}
-	mutex  sync.Mutex
-	seen   []string
+	// pause is how long it takes for each request after that.
+	pause time.Duration
+	mutex sync.Mutex
+	seen  []string
+	// running counts the requests that are there, most those that were there at once.
+	running int
+	most    int
 }
 
 func startHeldWorker(t *testing.T) *heldWorker {
@@ -56,20 +62,33 @@
 // ServeHTTP implements http.Handler.
 func (w *heldWorker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("Request-Id")
-	w.mutex.Lock()
-	w.seen = append(w.seen, id)
-	w.mutex.Unlock()
+	w.count(id)
+	defer w.count("")
 	select {
 	case <-w.end:
 	case <-request.Context().Done():
 		return
 	}
+	time.Sleep(w.pause)
 	writer.Header().Set("Request-Id", id)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	// A failed write means that the caller has gone.
 	_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
 }
 
+// count takes in a request that came, or without an id one that ended.
+func (w *heldWorker) count(id string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if id == "" {
+		w.running--
+		return
+	}
+	w.seen = append(w.seen, id)
+	w.running++
+	w.most = max(w.most, w.running)
+}
+
 // Seen returns the ids of the requests that came.
 func (w *heldWorker) Seen() []string {
 	w.mutex.Lock()
@@ -108,7 +127,12 @@
 // startLine runs an edge whose requests wait in a line, if tenants are named.
 func startLine(t *testing.T, tenants ...routetable.Tenant) *lineFixture {
 	t.Helper()
-	worker := startHeldWorker(t)
+	return startLineAt(t, startHeldWorker(t), "edge-1", 1, tenants...)
+}
+
+// startLineAt runs an edge of the name that is told so many slots of the worker.
+func startLineAt(t *testing.T, worker *heldWorker, name string, slots int, tenants ...routetable.Tenant) *lineFixture {
+	t.Helper()
 	route := stream(false, 1)
 	route.Public = true
 	// Callers bear as long as a test waits.
@@ -122,14 +146,15 @@
 	if err := configuration.Check(); err != nil {
 		t.Fatal(err)
 	}
-	listed := []wire.PoolWorker{{ID: "w-0", Pool: "p", Address: worker.server.Listener.Addr().String(), Slots: 1}}
+	listed := []wire.PoolWorker{{ID: "w-0", Pool: "p", Address: worker.server.Listener.Addr().String(), Slots: slots}}
 	f := &lineFixture{worker: worker, log: &lockedBuffer{}}
-	d, err := daemon.New(daemon.Options{Role: "edge", Name: "edge-1", Listen: "127.0.0.1:0", Embedded: true, Logger: logging.New(f.log, "info")})
+	d, err := daemon.New(daemon.Options{Role: "edge", Name: name, Listen: "127.0.0.1:0", Embedded: true, Logger: logging.New(f.log, "info")})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = d.Kill() })
 	config := settings.DefaultEdge()
+	config.Name = name
 	config.Seeds = []string{startCoordinator(t, configuration, listed)}
 	config.UnreadyTime = settings.Duration(10 * time.Millisecond)
 	f.edge = New(d, config, standInNames())
@@ -443,3 +468,78 @@
 		}
 	}
 }
+
+// startHub answers reports of loads, and returns where.
+func startHub(t *testing.T) string {
+	t.Helper()
+	listener, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.LocalAddr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	hub := loadshare.NewHub()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		_ = loadshare.Serve(ctx, address, func(report *wire.LoadReport) *wire.LoadReport {
+			hub.Take(clock.Now(), report)
+			if report.Quiet {
+				return nil
+			}
+			return &wire.LoadReport{Workers: hub.Others(clock.Now(), report.Source)}
+		})
+	}()
+	return address
+}
+
+// TestLinesShareAWorker lets three edges with a hub ask for many times what a worker runs at
+// once: each is run, or told that it was not and when to come back. The worker never has more than the edges' own knowledge
+// allows, and no goroutine goes on looking when nothing waits.
+func TestLinesShareAWorker(t *testing.T) {
+	const edges, slots, count = 3, 2, 60
+	worker := startHeldWorker(t)
+	worker.pause = 5 * time.Millisecond
+	close(worker.end)
+	hub := startHub(t)
+	var fixtures []*lineFixture
+	for number := range edges {
+		f := startLineAt(t, worker, "edge-"+strconv.Itoa(number), slots, someTenant)
+		f.edge.setHubs([]wire.ProcessAddress{{Address: hub}})
+		fixtures = append(fixtures, f)
+	}
+	answers := make(chan answered, count)
+	for number := range count {
+		fixtures[number%edges].ask(context.Background(), t, strconv.Itoa(number), answers)
+	}
+	ran := map[string]bool{}
+	for range count {
+		switch a := <-answers; {
+		case a.err == nil && a.status == http.StatusOK:
+			ran[a.id] = true
+		case a.err != nil || a.status != http.StatusServiceUnavailable || a.retry == "":
+			t.Errorf("%+v", a)
+		}
+	}
+	worker.mutex.Lock()
+	t.Logf("%d of %d were run, %d at once at a worker of %d slots", len(ran), count, worker.most, slots)
+	if worker.most > edges*slots || len(worker.seen) != len(ran) {
+		t.Errorf("%d at once, %d in all", worker.most, len(worker.seen))
+	}
+	for _, id := range worker.seen {
+		if !ran[id] {
+			t.Errorf("%s was refused, and run", id)
+		}
+	}
+	worker.mutex.Unlock()
+	for _, f := range fixtures {
+		known := f.edge.lineOf("p")
+		await(t, "the end of the look", func() bool {
+			known.mutex.Lock()
+			defer known.mutex.Unlock()
+			return !known.looking && known.queue.Len() == 0
+		})
+	}
+}
