--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -28,6 +28,8 @@
 	hold     time.Duration
 	nearRate int
 	farRate  int
+	// farDrawn is when a request drew last whether it may go to another zone.
+	farDrawn time.Time
 }
 
 // group is a set of workers in no special order. A worker stands in one group at most and
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -40,6 +40,11 @@
 	} else {
 		t.drawOnline(now, demand.Pool, known, fit)
 	}
+	return t.pick(now, known, demand)
+}
+
+// pick takes the best of the workers to compare.
+func (t *Table) pick(now time.Time, known *pool, demand *Demand) *worker {
 	if !demand.Batch && t.byTimes(demand.Pool) {
 		return t.soonest(now, known, demand, t.compared)
 	}
@@ -71,7 +76,9 @@
 func (t *Table) drawOnline(now time.Time, name string, known *pool, fit func(w *worker) bool) {
 	nearKnown := t.drawNear(now, name, known, fit)
 	near := len(t.compared)
-	t.drawFar(now, name, known, fit, near > 0 && nearKnown)
+	if !t.nearOnly {
+		t.drawFar(now, name, known, fit, near > 0 && nearKnown)
+	}
 	for _, home := range t.homes {
 		if !slices.Contains(t.compared, home) {
 			t.compared = append(t.compared, home)
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -58,6 +58,8 @@
 	doubts []Doubt
 	// scoring is how workers are compared.
 	scoring scoring
+	// nearOnly is set while the workers of other zones are left out of a choice.
+	nearOnly bool
 	// acquired counts the leases ever given.
 	acquired uint64
 	// beganAt is when a process began to choose that may have begun with many others.
@@ -209,6 +211,11 @@
 	if chosen == nil {
 		return nil
 	}
+	return t.lease(now, chosen, demand)
+}
+
+// lease gives a place at the worker to the request.
+func (t *Table) lease(now time.Time, chosen *worker, demand *Demand) *Lease {
 	lease := &Lease{
 		Wait:     t.waitAt(now, chosen),
 		Slow:     t.slownessOf(now, chosen),
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -88,6 +88,8 @@
 	hasToken bool
 	informed bool
 	room     room
+	// waited is set once the request has waited in a line of this process.
+	waited bool
 }
 
 func newCall(e *Edge, ctx context.Context, table *routetable.Table, route *routetable.Route, tenant *routetable.Tenant, writer http.ResponseWriter, controller *http.ResponseController, request *http.Request, body []byte, arrived, deadline time.Time) *call {
@@ -146,17 +148,20 @@
 		return
 	}
 	for c.mayTry() {
-		lease := c.acquire()
+		lease, done := c.place()
+		if done {
+			return
+		}
 		if lease == nil {
 			c.lastErr = failure.New(failure.NotRun, "try again", "pool %q has no worker for the request", c.demand.Pool)
 			break
 		}
-		if c.stoodStill() || c.tooLate(lease) {
-			lease.Release()
+		if c.stoodStill() {
+			c.release(lease)
 			return
 		}
 		result := c.attempt(lease)
-		lease.Release()
+		c.release(lease)
 		c.edge.metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result == delivered {
 			c.ranWell()
@@ -185,13 +190,9 @@
 // came of it, so that the next one to choose knows. Otherwise all edges of a zone choose
 // by news of a report's age, and crowd the workers that looked idle then.
 func (c *call) acquire() *balance.Lease {
-	if !c.informed {
-		c.learnRoom()
-	}
-	c.informed = false
-	c.demand.Repeatable = c.mayProbe()
+	c.hear()
 	lease := c.edge.workers.Acquire(clock.Now(), &c.demand)
-	c.foundRoom(lease)
+	c.foundRoom(lease == nil || lease.Wait > 0)
 	if lease != nil {
 		c.edge.loads.Tell()
 		c.edge.noteChoice(c.demand.Pool, lease)
@@ -199,6 +200,15 @@
 	return lease
 }
 
+// hear asks the hub for news of the workers, unless they came a moment ago.
+func (c *call) hear() {
+	if !c.informed {
+		c.learnRoom()
+	}
+	c.informed = false
+	c.demand.Repeatable = c.mayProbe()
+}
+
 // mayProbe reports whether the request may be sent to a worker that is avoided: if that fails
 // it, another one takes it over.
 func (c *call) mayProbe() bool {
--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/admission"
-	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/fairshare"
 	"github.com/sedgemast/sedgemast/internal/routetable"
@@ -43,25 +42,41 @@
 	}
 }
 
-// claim returns what the request brings to the order in which scarce room is given out.
-func (c *call) claim(now time.Time) admission.Claim {
-	left, longest := c.deadline.Sub(now), time.Duration(0)
+// claim returns what the request brings to the order in which scarce room is given out. Its
+// times are by the clock that counts suspensions of this machine.
+func (c *call) claim() admission.Claim {
+	longest := time.Duration(0)
 	c.edge.observe(c.route, func(known *admission.Route) { longest = known.Longest() })
+	goal, allowed := c.route.Goal(), c.deadline.Sub(c.arrived)
+	arrived := c.due.Add(-allowed)
 	claim := admission.Claim{
-		Rank:   c.tenant.RankOn(c.route),
-		Over:   c.room.standing.Over,
-		Due:    c.arrived.Add(c.route.Goal()),
-		Leaves: c.deadline,
+		Rank:    c.tenant.RankOn(c.route),
+		Over:    c.room.standing.Over,
+		Due:     arrived.Add(goal),
+		Leaves:  c.due,
+		Arrived: arrived,
+		Goal:    goal,
+		Bytes:   int64(len(c.request.Body)),
+	}
+	if c.route.Kind == routetable.KindStream {
+		claim.Leaves = earliest(c.due, arrived.Add(admission.Bears(goal, c.route.GapGoal())))
 	}
 	// A caller with so much less time than others has been here before: its first attempt
 	// was about that much earlier.
-	if before := longest - left - now.Sub(c.arrived); c.route.Goal() > 0 && before >= admission.LeastComeback {
+	if before := longest - allowed; goal > 0 && before >= admission.LeastComeback {
 		claim.Returned = true
 		claim.Due = claim.Due.Add(-before)
 	}
 	return claim
 }
 
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // claimOf returns the claim that goes with a question for a token, nil for none.
 func (c *call) claimOf() *wire.RoomClaim {
 	if !c.room.divided {
@@ -118,13 +133,13 @@
 	c.stands(told, answered)
 }
 
-// foundRoom counts what the first choice of a worker for the request came to, nil for none.
-func (c *call) foundRoom(lease *balance.Lease) {
+// foundRoom counts what the first look for a worker came to; short says that none had room.
+func (c *call) foundRoom(short bool) {
 	if !c.room.divided || c.attempts > 0 || c.dials > 0 {
 		return
 	}
 	c.countRoom("asked")
-	if lease == nil || lease.Wait > 0 {
+	if short {
 		c.edge.short.Add(1)
 		c.countRoom("short")
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -71,6 +71,9 @@
 	reserve *ratelimit.Reserve
 	// recall holds how tenants stood in the division of scarce room.
 	recall *fairshare.Recall
+	// lines holds those that wait, by pool; linesClosed is set once nobody may wait any more.
+	lines       map[string]*line
+	linesClosed bool
 	// counted holds the tenants that have counters.
 	counted map[tenancy.Name]bool
 	// served is done with the first request that was answered as it should be.
@@ -93,6 +96,7 @@
 
 		overloads: map[string]*admission.Overload{},
 		byTimes:   map[string]bool{},
+		lines:     map[string]*line{},
 		reserve:   ratelimit.NewReserve(config.Name),
 		recall:    fairshare.NewRecall(),
 		started:   clock.Now(),
@@ -111,6 +115,7 @@
 	d.Go(e.shareLoads)
 	d.Go(e.watchStandstills)
 	d.BeforeStop(e.drain)
+	d.BeforeStop(e.closeLines)
 	return e
 }
 
@@ -138,6 +143,7 @@
 		Learn: func(now time.Time, answer *wire.LoadReport) {
 			e.workers.SetOthers(now, answer.Workers, scopeOf(answer))
 			e.workers.SetProbes(now, answer.Probes)
+			e.heard()
 		},
 		Pause: func() time.Duration {
 			snapshot := e.watcher.Current()
@@ -269,7 +275,12 @@
 	room     *prometheus.CounterVec
 	// ended counts runs under which their worker ended, quarantined the refusals of
 	// requests known for that.
-	ended       prometheus.Counter
+	ended prometheus.Counter
+	// queued counts what became of requests that found no room at once, queueTime is how
+	// long those waited that were sent, queueLength how many wait, by pool.
+	queued      *prometheus.CounterVec
+	queueTime   *prometheus.HistogramVec
+	queueLength *prometheus.GaugeVec
 	quarantined prometheus.Counter
 	// held counts requests that came before this process knew what they need.
 	held *prometheus.CounterVec
@@ -291,6 +302,9 @@
 		tenants:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_tenant_requests_total", Help: "Requests of tenants with a limit, by what came of it."}, []string{"tenant", "outcome"}),
 		room:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_room_requests_total", Help: "Requests by rank where scarce room is divided: asked, short (no worker had room), over (their tenants' shares), given, sent_back (for the share)."}, []string{"rank", "outcome"}),
 		ended:       prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_worker_ends_total", Help: "Requests whose worker ended under them."}),
+		queued:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_queue_requests_total", Help: "Requests that found no room at once, by what came of it."}, []string{"outcome"}),
+		queueTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_queue_seconds", Help: "Time that requests waited here before they were sent to a worker.", Buckets: buckets}, []string{"route"}),
+		queueLength: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "edge_queue_length", Help: "Requests that wait here for a worker with room."}, []string{"pool"}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		held:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_held_total", Help: "Requests that came before the configuration or the workers were known, by what they needed and what came of it."}, []string{"need", "outcome"}),
 		probes:      prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_probes_total", Help: "Requests sent to avoided workers to learn whether these are well again."}),
@@ -300,6 +314,6 @@
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
 
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes, m.choices, m.standstills, m.room)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes, m.choices, m.standstills, m.room, m.queued, m.queueTime, m.queueLength)
 	return m
 }
