--- a/internal/balance/uneven.go
+++ b/internal/balance/uneven.go
@@ -89,7 +89,7 @@
 
 // slownessNow returns how many times as long as in the middle of its pool an event takes at
 // the worker, by what was seen. What workers tell of their pace says less of a request than these
-// times do, once it is as old as it comes (docs/design/0017).
+// times do, once it is as old as it comes (docs/design/0020).
 func (w *worker) slownessNow(now time.Time) float64 {
 	if w.ratio == 0 {
 		return 1
