Balance: new choices act only where workers tell their pace

Cause: a pool whose workers tell nothing was compared by predicted times once an eighth of them looked slow, and slots that a worker told counted everywhere, so a fleet that tells no pace was not served as before. A pace told once counted for ever.

Change: the switch by learnt differences is gone; a pool counts as telling from an answer that tells a pace until a minute after the last one, by the newest time that callers gave. Told slots count only there. Doubts are still written down everywhere.

Tests: choices before workers that tell no pace equal those by cost, also for uneven ones (differed before); a pace lapses (didn't); told slots count for nothing without a pace (did).

Ruled out: a clock of the package's own: decisions get their time from callers.

--- a/internal/balance/free.go
+++ b/internal/balance/free.go
@@ -57,6 +57,7 @@
 func (t *Table) Look(now time.Time, demand *Demand, search Search) *Place {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.see(now)
 	t.readmit(now)
 	known := t.pools[demand.Pool]
 	if known == nil {
--- a/internal/balance/others.go
+++ b/internal/balance/others.go
@@ -40,6 +40,7 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.see(now)
 	t.dropTold(now, scope)
 	switch scope {
 	case OfAll:
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -56,7 +56,7 @@
 		}
 		middle := t.middleStep(active)
 		learnSlow(now, active, middle)
-		known.speeds.take(now, active, middle)
+		known.takeSteps(now, active, middle)
 		t.sumUp(now, known, active)
 	}
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -19,8 +19,9 @@
 	zoneSlots map[string]int
 	// nearSlots are those of the zone's.
 	nearSlots int
-	// speeds is what is learnt of its workers' speeds. near and far carry what can be done.
-	speeds  speeds
+	// middle is the time between events in the middle of its workers. nearSum and farSum are
+	// what these can carry.
+	middle  time.Duration
 	nearSum capacity.Sum
 	farSum  capacity.Sum
 	// hold is how long an online request holds a slot, as learnt. nearRate and farRate are
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -94,6 +94,7 @@
 func (t *Table) Places(now time.Time, patience func(pool string) time.Duration) batchroom.Places {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.see(now)
 	places := batchroom.Places{Draw: t.drawIdle}
 	busy := map[*worker]bool{}
 	for _, list := range [][]*worker{t.told, t.busy, t.suspected(now)} {
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -52,8 +52,10 @@
 	// for nothing.
 	homes []*worker
 	cold  bool
-	// telling holds the pools whose workers tell their pace.
-	telling map[string]bool
+	// telling holds when a worker of a pool told its pace last, newest is the newest time that
+	// a caller has told.
+	telling map[string]time.Time
+	newest  time.Time
 	// doubts holds workers that tell other slots than the list says, until they are taken.
 	doubts []Doubt
 	// scoring is how workers are compared.
@@ -68,7 +70,7 @@
 
 // NewTable returns an empty table of a process in the zone.
 func NewTable(zone string, random *rand.Rand) *Table {
-	return &Table{zone: zone, random: random, workers: map[string]*worker{}, byHash: map[uint32]*worker{}, pools: map[string]*pool{}, memory: map[string]int64{}, telling: map[string]bool{}}
+	return &Table{zone: zone, random: random, workers: map[string]*worker{}, byHash: map[uint32]*worker{}, pools: map[string]*pool{}, memory: map[string]int64{}, telling: map[string]time.Time{}}
 }
 
 // Update takes in the list of workers and how many tokens the workers of each pool hold.
@@ -196,6 +198,7 @@
 func (t *Table) Acquire(now time.Time, demand *Demand) *Lease {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.see(now)
 	t.readmit(now)
 	t.cold = t.isCold(now)
 	chosen := t.takeProbe(now, demand)
--- a/internal/balance/times.go
+++ b/internal/balance/times.go
@@ -12,9 +12,9 @@
 type scoring uint8
 
 const (
-	// byCostUnlessUneven compares by cost, and by predicted times where the workers tell their
-	// pace or differ clearly.
-	byCostUnlessUneven scoring = iota
+	// byCostUnlessTold compares by cost, and by predicted times where the workers tell their
+	// pace.
+	byCostUnlessTold scoring = iota
 	byCost
 	byTimes
 	// byFreeAt compares by the time to a slot alone.
@@ -117,7 +117,7 @@
 		hold = unknownHold
 	}
 	read := float64(hold) * thousand / (float64(t.memoryOf(demand.Pool)) * unreadShare)
-	return capacity.Pool{Hold: hold, Step: known.speeds.middle, Read: time.Duration(math.Min(read, float64(time.Second))), GiveWay: giveWay}
+	return capacity.Pool{Hold: hold, Step: known.middle, Read: time.Duration(math.Min(read, float64(time.Second))), GiveWay: giveWay}
 }
 
 // usualHold returns how long an online request holds a slot at a worker of the middle speed,
@@ -143,8 +143,14 @@
 	return model
 }
 
-// slotsOf returns how many requests a worker runs at once, by the list and by what it told.
-func (t *Table) slotsOf(w *worker) int { return capacity.SlotsOf(w.listed.Slots, w.toldSlots) }
+// slotsOf returns how many requests a worker runs at once: by the list, and by what it told
+// where its pool tells its pace.
+func (t *Table) slotsOf(w *worker) int {
+	if !t.tellsPace(w.listed.Pool) {
+		return w.listed.Slots
+	}
+	return capacity.SlotsOf(w.listed.Slots, w.toldSlots)
+}
 
 // slownessOf returns how many times as long as elsewhere an event takes at the worker, as the
 // scoring of its pool sees it.
--- a/internal/balance/told.go
+++ b/internal/balance/told.go
@@ -16,7 +16,7 @@
 // one that promises more than the list says would queue what it can't run.
 func (t *Table) takeTold(w *worker, told capacity.Told) {
 	if told.Pace > 0 {
-		t.telling[w.listed.Pool] = true
+		t.telling[w.listed.Pool] = t.newest
 	}
 	if told.Slots <= 0 || told.Slots == w.toldSlots || told.Running > told.Slots {
 		// It tells none, nothing new, or fewer than it runs.
@@ -39,9 +39,10 @@
 	return doubts
 }
 
-// TellsPace reports whether workers of the pool tell their pace.
+// TellsPace reports whether workers of the pool tell their pace: one did within the last
+// minute, as far as the table has been told the time.
 func (t *Table) TellsPace(pool string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.telling[pool]
+	return t.tellsPace(pool)
 }
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -75,9 +75,8 @@
 	probing int
 	silent  int
 	// ratio is how many times as long as in the middle an event takes here, as learnt at
-	// ratioAt; zero where nothing was learnt. lasting is its mean over some seconds.
+	// ratioAt; zero where nothing was learnt.
 	ratio   float64
-	lasting float64
 	ratioAt time.Time
 	// toldSlots is how many slots the worker told, zero where it did not.
 	toldSlots int
