Edge: no probe takes a caller's only attempt

Cause: mayProbe asked mayMove before the attempt is counted, so a route with one attempt looked as if another one were left.

Change: a request probes only on a route with more than one attempt. A test goes through attempts and dials; it failed for routes of none and of one attempt.

Ruled out: changing mayMove, which is asked while an attempt is under way.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -210,9 +210,9 @@
 }
 
 // mayProbe reports whether the request may be sent to a worker that is avoided: if that fails
-// it, another one takes it over.
+// it, another one takes it over. mayMove would not do: it is asked once the attempt is counted.
 func (c *call) mayProbe() bool {
-	return c.attempts == 0 && c.dials == 0 && c.mayMove()
+	return c.attempts == 0 && c.dials == 0 && c.route.Idempotent() && c.route.MaxAttempts > 1
 }
 
 // String returns the outcome as used in logs and metrics.
