Edge: only content proves that a probed worker is well

Cause: Answered runs at the response's head and proved a probe there, so a worker that sends heads but no events was readmitted; a stream that broke off by a reset counted for nothing.

Change: a probe counts as answered and as a proof at its first events, or at its whole body with a status under 500, once a lease. A probe whose answer breaks off while its caller is there counts as failed. Time-outs count as before.

Ruled out: counting caller's writes that fail: those end in the same function, so what fails while reading has one of its own.

--- a/internal/balance/answers.go
+++ b/internal/balance/answers.go
@@ -31,15 +31,17 @@
 	return int(others.Orphans)
 }
 
-// Answered takes in how a request at the worker ended: well, or by a failure of the
-// worker itself. Refusals that ran nothing are neither.
+// Answered takes in how a request at the worker was answered by the head of the answer: well,
+// or by a failure of the worker itself. Refusals that ran nothing are neither. A probe counts
+// as answered well once it has brought content, because a head alone proves nothing.
 func (l *Lease) Answered(now time.Time, well bool) {
 	l.table.mutex.Lock()
 	defer l.table.mutex.Unlock()
 	l.table.occupy(l.worker)
 	if well {
-		l.worker.answered++
-		l.proved()
+		if !l.probe {
+			l.worker.answered++
+		}
 		return
 	}
 	l.worker.failed++
--- a/internal/balance/probe.go
+++ b/internal/balance/probe.go
@@ -79,18 +79,48 @@
 	defer l.table.mutex.Unlock()
 	l.table.occupy(l.worker)
 	if well {
-		l.proved()
+		l.prove()
 		return
 	}
 	l.worker.failed++
 }
 
-// proved takes in that the worker answered well. The lock of the table is held.
-func (l *Lease) proved() {
-	if l.probe {
-		l.worker.proofs++
-		l.worker.silent = 0
+// Proved takes in that content of the answer to an online request has come, which proves that
+// the worker is well if this is a probe.
+func (l *Lease) Proved() {
+	if !l.probe {
+		return
+	}
+	l.table.mutex.Lock()
+	defer l.table.mutex.Unlock()
+	l.table.occupy(l.worker)
+	if l.prove() {
+		l.worker.answered++
+	}
+}
+
+// BrokeOff takes in that the worker broke its answer off, which counts against it if this is a
+// probe.
+func (l *Lease) BrokeOff() {
+	if !l.probe {
+		return
+	}
+	l.table.mutex.Lock()
+	defer l.table.mutex.Unlock()
+	l.table.occupy(l.worker)
+	l.worker.failed++
+}
+
+// prove takes in that the probe was answered well, and reports whether that is news: a lease
+// proves once. The lock of the table is held.
+func (l *Lease) prove() bool {
+	if !l.probe || l.proven {
+		return false
 	}
+	l.proven = true
+	l.worker.proofs++
+	l.worker.silent = 0
+	return true
 }
 
 // Proofs returns what probes have shown since the last call. It is called before Loads.
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -190,8 +190,10 @@
 	begun    bool
 	stopping bool
 	released bool
-	// probe is set where the worker was avoided when it was chosen.
-	probe bool
+	// probe is set where the worker was avoided when it was chosen, proven once it has shown
+	// that it is well.
+	probe  bool
+	proven bool
 }
 
 // Acquire chooses a worker, or returns nil if there is none.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -66,11 +66,19 @@
 			return c.endStream(response, &parser)
 		}
 		if err != nil {
-			return c.streamBroke(lease, err)
+			return c.readBroke(lease, err)
 		}
 	}
 }
 
+// readBroke takes in that no more can be read from the worker.
+func (c *call) readBroke(lease *balance.Lease, err error) outcome {
+	if upstream.BrokeOff(err) && c.context.Err() == nil {
+		lease.BrokeOff()
+	}
+	return c.streamBroke(lease, err)
+}
+
 func (c *call) streamBroke(lease *balance.Lease, err error) outcome {
 	c.lastErr = err
 	if upstream.TimedOut(err) && c.context.Err() == nil {
@@ -85,6 +93,7 @@
 		return nil
 	}
 	lease.Begun()
+	lease.Proved()
 	c.pace(lease, len(events))
 	written := false
 	for i := range events {
@@ -148,10 +157,11 @@
 		count, err := response.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+count]
 		if err == io.EOF {
+			c.cameWhole(lease, response)
 			return c.writeWhole(response, buffer)
 		}
 		if err != nil {
-			return c.streamBroke(lease, err)
+			return c.readBroke(lease, err)
 		}
 	}
 	lease.Begun()
@@ -159,7 +169,14 @@
 	if _, err := c.writer.Write(buffer); err != nil {
 		return c.brokeOff(err)
 	}
-	return c.copyRest(response)
+	return c.copyRest(lease, response)
+}
+
+// cameWhole takes in that the whole body of the answer has come.
+func (c *call) cameWhole(lease *balance.Lease, response *upstream.Response) {
+	if response.Status < http.StatusInternalServerError {
+		lease.Proved()
+	}
 }
 
 func (c *call) writeWhole(response *upstream.Response, body []byte) outcome {
@@ -173,7 +190,7 @@
 	return delivered
 }
 
-func (c *call) copyRest(response *upstream.Response) outcome {
+func (c *call) copyRest(lease *balance.Lease, response *upstream.Response) outcome {
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		if err := response.SetReadDeadline(c.deadline); err != nil {
@@ -184,9 +201,11 @@
 			return c.brokeOff(writeErr)
 		}
 		if err == io.EOF {
+			c.cameWhole(lease, response)
 			return delivered
 		}
 		if err != nil {
+			c.readBroke(lease, err)
 			return c.brokeOff(err)
 		}
 		// Writers that can't flush buffer nothing.
