Balance: pools of one-slot workers spill

Cause: a zone has room only where its best worker keeps a slot beside the request, which a worker of one slot never does, so the far zone never had room either and nothing crossed.

Change: a worker of one slot has room while it is idle. A test fails before for one slot only.

Ruled out: no margin for all, which the two zones' news are too old for.

--- a/internal/balance/times.go
+++ b/internal/balance/times.go
@@ -33,7 +33,8 @@
 	waitWeight = 3
 	// leastSpare is how many slots the best worker of a zone must have left beside the request
 	// for the zone to have room: its last one may be taken by a request that nobody has told
-	// of yet. A zone without room sends to one with room, so two never send to each other.
+	// of yet. Workers of one slot have none to leave. A zone without room sends to one with
+	// room, so two never send to each other.
 	leastSpare = 1
 	// unknownHold stands in for how long a request holds a slot until that is known, so that
 	// counts are compared meanwhile.
@@ -71,7 +72,7 @@
 			continue
 		}
 		prediction, score := t.score(now, candidate, usual, demand)
-		best.take(t, candidate, score, prediction.Spare >= leastSpare)
+		best.take(t, candidate, score, prediction.Spare >= min(leastSpare, max(t.slotsOf(candidate), 1)-1))
 	}
 	return best
 }
--- a/internal/balance/times_test.go
+++ b/internal/balance/times_test.go
@@ -395,6 +395,28 @@
 	}
 }
 
+// TestOneSlotWorkersSpill checks that a request goes to another zone where the zone's only worker
+// is full and an idle one is there, also if these run one request at a time, and stays where
+// the zone's worker is idle or the other is full, too.
+func TestOneSlotWorkersSpill(t *testing.T) {
+	for _, slots := range []int{1, 2, 8} {
+		for _, test := range []struct {
+			near, far uint16
+			want      string
+		}{{0, 0, "a"}, {2 * uint16(slots), 0, "b"}, {2 * uint16(slots), 2 * uint16(slots), "a"}} {
+			near, far := listed("a", "z1"), listed("b", "z2")
+			near.Slots, far.Slots = slots, slots
+			table := tableOf(near, far)
+			table.scoring = byTimes
+			table.SetOthers(start, []wire.WorkerLoad{told("a", test.near, 20_000, 10), told("b", test.far, 20_000, 10)}, OfAll)
+			lease := table.Acquire(start, &Demand{Pool: "p"})
+			if lease.Endpoint.ID != test.want {
+				t.Errorf("%d slots, %d and %d requests: %s", slots, test.near, test.far, lease.Endpoint.ID)
+			}
+		}
+	}
+}
+
 // TestOneWorker checks that the only worker of a pool is chosen whatever is known of it.
 func TestOneWorker(t *testing.T) {
 	table := tableOf(listed("a", "z2"))
