Batch store: an item whose probe failed does not probe again

Cause: a failed probe raises no failures and its item rests for 50 ms only, so the first item in order took each probe. If the item itself is at fault, the worker stayed avoided and the item, finding no worker, marked its route as full.

Change: the runner keeps the items whose probe failed until they are finished or given up or it leads no more. Such a demand takes no place at an avoided worker, in the round over suspects neither, and finding none does not mark the route as full.

Ruled out: raising the item's failures, which would give items up for faults of their workers.

--- a/internal/balance/probe.go
+++ b/internal/balance/probe.go
@@ -53,7 +53,7 @@
 // grantedProbe reports whether the planner of items let one start at the worker though it is
 // avoided.
 func (w *worker) grantedProbe(demand *Demand) bool {
-	return demand.Batch && w.starts > 0 && w.probing == 0
+	return demand.Batch && !demand.NoProbe && w.starts > 0 && w.probing == 0
 }
 
 // Probe reports whether the worker was avoided when it was chosen, so that this request shows
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -29,7 +29,7 @@
 	if known == nil {
 		return nil
 	}
-	avoid := !suspects && !t.mostFail(now, demand.Pool)
+	avoid := (!suspects || demand.NoProbe) && !t.mostFail(now, demand.Pool)
 	fit := func(w *worker) bool {
 		return t.admits(now, w, demand, suspects) && !(avoid && t.failing(now, w) && !w.grantedProbe(demand))
 	}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -168,6 +168,8 @@
 	// Repeatable is set for an online request that may run more than once. It may be sent to
 	// an avoided worker to learn whether that is well again.
 	Repeatable bool
+	// NoProbe is set for an item that has failed as a probe: it may be what the workers fail at.
+	NoProbe bool
 	// Last names the worker that an item ran at before, which it returns to if it may.
 	Last string
 }
--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -164,6 +164,7 @@
 		Parts:      dialect.Parts(dialect.Value(content.Headers, r.store.dialect.PromptParts)),
 		Batch:      true,
 		BatchShare: r.store.batchShare(),
+		NoProbe:    r.unproven[key],
 	}
 	demand.PromptTokens, _ = dialect.TokenCounts(dialect.Value(content.Headers, r.store.dialect.Tokens))
 	if r.store.foresees(table, demand.Pool) {
@@ -171,7 +172,8 @@
 	}
 	lease := r.store.workers.Acquire(now, demand)
 	if lease == nil {
-		full[job.Route] = true
+		// Where this one must not be a probe, another one may.
+		full[job.Route] = !demand.NoProbe
 		return nil
 	}
 	started := r.prepare(ctx, key, job, route, content, lease)
@@ -240,6 +242,7 @@
 func (r *runner) abandon(key itemKey, reason string) {
 	logging.Info(r.store.logger, "item_abandoned", "job", key.job, "item", key.item, "reason", reason)
 	r.pending[key] = true
+	delete(r.unproven, key)
 	if !r.enqueue(wire.ItemRecord{Job: key.job, Item: key.item, State: wire.ItemAbandoned}) {
 		delete(r.pending, key)
 	}
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -51,9 +51,11 @@
 	trials  chan itemKey
 	// waiting counts the items that could start, as of the last look.
 	waiting atomic.Int64
-	seen    map[string]*sighting
-	ended   chan *task
-	records chan wire.ItemRecord
+	// unproven holds the items that were a probe which failed.
+	unproven map[itemKey]bool
+	seen     map[string]*sighting
+	ended    chan *task
+	records  chan wire.ItemRecord
 	// pending holds items whose result is on its way to the log.
 	pending  map[itemKey]bool
 	recorded chan recordEnd
@@ -92,6 +94,7 @@
 		prints:   map[itemKey]quarantine.Fingerprint{},
 		granted:  map[itemKey]bool{},
 		trials:   make(chan itemKey),
+		unproven: map[itemKey]bool{},
 		seen:     map[string]*sighting{},
 		pending:  map[itemKey]bool{},
 		ended:    make(chan *task, queueLength),
@@ -222,10 +225,14 @@
 		// It gave way, or its worker would not take it: the trial is still to be made.
 		r.granted[ended.key] = true
 	}
+	if ended.probeFailed {
+		r.unproven[ended.key] = true
+	}
 	switch {
 	case ended.finished:
 		r.pending[ended.key] = true
 		delete(r.prints, ended.key)
+		delete(r.unproven, ended.key)
 		if ended.ranWhole {
 			r.store.runTimes.add(ended.ran, ended.carry.events)
 		}
@@ -297,6 +304,7 @@
 	r.pending = map[itemKey]bool{}
 	r.carried = map[itemKey]carry{}
 	r.resting = map[itemKey]time.Time{}
+	r.unproven = map[itemKey]bool{}
 	r.prints = map[itemKey]quarantine.Fingerprint{}
 	r.granted = map[itemKey]bool{}
 }
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -94,6 +94,8 @@
 	unusable bool
 	// begun is set once this run has brought an event.
 	begun bool
+	// probeFailed is set where the worker was avoided, and this run shows that it still fails.
+	probeFailed bool
 	// ahead is set by the runner where it gives way to requests that are still to come,
 	// and plan is what it went by then.
 	ahead bool
@@ -118,6 +120,7 @@
 	before := t.carry.events
 	failuresBefore := t.failures
 	err := t.attempt()
+	t.probeFailed = t.failedAsProbe(err)
 	t.lease.Release()
 	t.ran = clock.Since(t.started)
 	t.tellRun(err, t.carry.events > before)
@@ -144,6 +147,14 @@
 	t.runner.ended <- t
 }
 
+// failedAsProbe reports whether a run that ended so shows that an avoided worker still fails.
+func (t *task) failedAsProbe(err error) bool {
+	if err == nil || !t.lease.Probe() || t.begun || t.context.Err() != nil {
+		return false
+	}
+	return !failure.Is(err, failure.NotRun) && !failure.Is(err, failure.BadRequest)
+}
+
 // hopeless reports whether the item will never be done: the worker said so, or
 // it has failed as often as its route allows.
 func (t *task) hopeless(err error) bool {
