--- a/internal/balance/times.go
+++ b/internal/balance/times.go
@@ -12,9 +12,9 @@
 type scoring uint8
 
 const (
-	// byCostUnlessUneven compares by cost, and by predicted times where the workers tell their
-	// pace or differ clearly.
-	byCostUnlessUneven scoring = iota
+	// byCostUnlessTold compares by cost, and by predicted times where the workers tell their
+	// pace.
+	byCostUnlessTold scoring = iota
 	byCost
 	byTimes
 	// byFreeAt compares by the time to a slot alone.
@@ -33,7 +33,8 @@
 	waitWeight = 3
 	// leastSpare is how many slots the best worker of a zone must have left beside the request
 	// for the zone to have room: its last one may be taken by a request that nobody has told
-	// of yet. A zone without room sends to one with room, so two never send to each other.
+	// of yet. Workers of one slot have none to leave. A zone without room sends to one with
+	// room, so two never send to each other.
 	leastSpare = 1
 	// unknownHold stands in for how long a request holds a slot until that is known, so that
 	// counts are compared meanwhile.
@@ -71,7 +72,7 @@
 			continue
 		}
 		prediction, score := t.score(now, candidate, usual, demand)
-		best.take(t, candidate, score, prediction.Spare >= leastSpare)
+		best.take(t, candidate, score, prediction.Spare >= min(leastSpare, max(t.slotsOf(candidate), 1)-1))
 	}
 	return best
 }
@@ -117,7 +118,7 @@
 		hold = unknownHold
 	}
 	read := float64(hold) * thousand / (float64(t.memoryOf(demand.Pool)) * unreadShare)
-	return capacity.Pool{Hold: hold, Step: known.speeds.middle, Read: time.Duration(math.Min(read, float64(time.Second))), GiveWay: giveWay}
+	return capacity.Pool{Hold: hold, Step: known.middle, Read: time.Duration(math.Min(read, float64(time.Second))), GiveWay: giveWay}
 }
 
 // usualHold returns how long an online request holds a slot at a worker of the middle speed,
@@ -143,14 +144,20 @@
 	return model
 }
 
-// slotsOf returns how many requests a worker runs at once, by the list and by what it told.
-func (t *Table) slotsOf(w *worker) int { return capacity.SlotsOf(w.listed.Slots, w.toldSlots) }
+// slotsOf returns how many requests a worker runs at once: by the list, and by what it told
+// where its pool tells its pace.
+func (t *Table) slotsOf(w *worker) int {
+	if !t.tellsPace(w.listed.Pool) {
+		return w.listed.Slots
+	}
+	return capacity.SlotsOf(w.listed.Slots, w.toldSlots)
+}
 
 // slownessOf returns how many times as long as elsewhere an event takes at the worker, as the
 // scoring of its pool sees it.
 func (t *Table) slownessOf(now time.Time, w *worker) float64 {
 	if t.byTimes(w.listed.Pool) {
-		return w.slownessNow(now)
+		return capacity.Believable(w.slownessNow(now))
 	}
 	return w.slowness(now)
 }
--- a/internal/balance/told.go
+++ b/internal/balance/told.go
@@ -16,19 +16,31 @@
 // one that promises more than the list says would queue what it can't run.
 func (t *Table) takeTold(w *worker, told capacity.Told) {
 	if told.Pace > 0 {
-		t.telling[w.listed.Pool] = true
+		t.telling[w.listed.Pool] = t.newest
 	}
 	if told.Slots <= 0 || told.Slots == w.toldSlots || told.Running > told.Slots {
 		// It tells none, nothing new, or fewer than it runs.
 		return
 	}
 	w.toldSlots = told.Slots
+	if !w.gone(t) {
+		t.noteFewer(w)
+	}
 	if told.Slots != w.listed.Slots && !w.doubted && len(t.doubts) < mostDoubts {
 		w.doubted = true
 		t.doubts = append(t.doubts, Doubt{Worker: w.listed.ID, Listed: w.listed.Slots, Told: told.Slots})
 	}
 }
 
+// noteFewer keeps the worker among those that told fewer slots than the list says, or drops it.
+func (t *Table) noteFewer(w *worker) {
+	if w.toldSlots > 0 && w.toldSlots < w.listed.Slots {
+		t.fewer[w] = true
+		return
+	}
+	delete(t.fewer, w)
+}
+
 // Doubts returns the workers found since the last call to tell other slots than the list says,
 // each once.
 func (t *Table) Doubts() []Doubt {
@@ -39,9 +51,10 @@
 	return doubts
 }
 
-// TellsPace reports whether workers of the pool tell their pace.
+// TellsPace reports whether workers of the pool tell their pace: one did within the last
+// minute, as far as the table has been told the time.
 func (t *Table) TellsPace(pool string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.telling[pool]
+	return t.tellsPace(pool)
 }
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -94,6 +94,8 @@
 	unusable bool
 	// begun is set once this run has brought an event.
 	begun bool
+	// probeFailed is set where the worker was avoided, and this run shows that it still fails.
+	probeFailed bool
 	// ahead is set by the runner where it gives way to requests that are still to come,
 	// and plan is what it went by then.
 	ahead bool
@@ -118,6 +120,7 @@
 	before := t.carry.events
 	failuresBefore := t.failures
 	err := t.attempt()
+	t.probeFailed = t.failedAsProbe(err)
 	t.lease.Release()
 	t.ran = clock.Since(t.started)
 	t.tellRun(err, t.carry.events > before)
@@ -144,6 +147,14 @@
 	t.runner.ended <- t
 }
 
+// failedAsProbe reports whether a run that ended so shows that an avoided worker still fails.
+func (t *task) failedAsProbe(err error) bool {
+	if err == nil || !t.lease.Probe() || t.begun || t.context.Err() != nil {
+		return false
+	}
+	return !failure.Is(err, failure.NotRun) && !failure.Is(err, failure.BadRequest)
+}
+
 // hopeless reports whether the item will never be done: the worker said so, or
 // it has failed as often as its route allows.
 func (t *task) hopeless(err error) bool {
@@ -221,6 +232,9 @@
 			t.failures++
 		}
 		return t.pass(response, failure.New(failure.Internal, "", "the worker failed at it"))
+	case response.Status > http.StatusInternalServerError:
+		t.lease.BrokeOff()
+		return t.pass(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d", response.Status))
 	case response.Status != http.StatusOK:
 		return t.pass(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d", response.Status))
 	}
@@ -288,10 +302,13 @@
 		case err == io.EOF && parser.Rest() == 0 && t.carry.events > 0:
 			return nil
 		case err == io.EOF:
+			t.brokeOff()
 			return failure.Wrap(io.ErrUnexpectedEOF, failure.OutcomeUnknown, "", "the answer ended within an event")
 		case err != nil:
 			if upstream.TimedOut(err) {
 				t.lease.Suspect(clock.Now())
+			} else {
+				t.brokeOff()
 			}
 			return failure.Wrap(err, failure.OutcomeUnknown, "", "the worker broke off")
 		}
@@ -301,6 +318,14 @@
 	}
 }
 
+// brokeOff takes in that the worker ended its answer too early. After an event that says
+// nothing of it: the probe has proved what it can.
+func (t *task) brokeOff() {
+	if !t.begun && t.context.Err() == nil {
+		t.lease.BrokeOff()
+	}
+}
+
 // pace waits until more events have gathered: nobody waits for one of them, and
 // each reading costs processor time, whatever it brings. The first event is not
 // waited for, because it says that the prompt has been read.
