Planner: items hold no slot of a pool whose slots are all wanted online

Cause: with lines at the edges a request waits for a slot at a worker only where that is short, so behind each item one online request waited within the patience (half the tightest goal) and the item stayed, while the others waited at the edges, unseen by the planner.

Change: where the open workers of a pool have as many online requests as slots, patience with items is none. Only for pools with an outlook (tenants, or workers that tell their pace).

--- a/internal/batchroom/ahead.go
+++ b/internal/batchroom/ahead.go
@@ -45,6 +45,35 @@
 	Hold bool
 }
 
+// Crowded lets no online request wait for items in the pools of which an outlook is known and
+// whose online requests could hold all slots where items may start. Elsewhere a short wait
+// costs less than a stop; here others wait at the edges, unseen by the planner, for each slot
+// that an item holds on to.
+func (p *Places) Crowded() {
+	for i := range p.Outlooks {
+		outlook := &p.Outlooks[i]
+		if p.onlineIn(outlook.Pool) < outlook.Slots {
+			continue
+		}
+		for at := range p.Busy {
+			if p.Busy[at].Pool == outlook.Pool {
+				p.Busy[at].Patience = 0
+			}
+		}
+	}
+}
+
+// onlineIn counts the online requests at the pool's workers where items may start.
+func (p *Places) onlineIn(pool string) int {
+	online := 0
+	for i := range p.Busy {
+		if place := &p.Busy[i]; place.Pool == pool && !place.Closed {
+			online += place.Online
+		}
+	}
+	return online
+}
+
 // gapUntil returns the mean time between reports with the one that has just come.
 func (r *runner) gapUntil(now time.Time) time.Duration {
 	switch {
--- a/internal/batchroom/ahead_test.go
+++ b/internal/batchroom/ahead_test.go
@@ -203,3 +203,31 @@
 		return []Outlook{outlook}
 	})
 }
+
+// TestCrowdedPoolsKeepNoItems fills a pool with online requests, one item at each worker: it
+// held a slot for which a request waited, for as long as the wait at the worker was short.
+// With one request less than slots the short wait is borne, and so it is in another pool.
+func TestCrowdedPoolsKeepNoItems(t *testing.T) {
+	const workers, slots = 5, 8
+	for _, test := range []struct {
+		online, stops int
+		pool          string
+	}{{slots, 5, "p"}, {slots, 0, "q"}, {slots - 1, 0, "p"}} {
+		places := Places{Outlooks: []Outlook{{Pool: "p", Slots: workers * slots, Peak: func(time.Duration) forecast.Need { return forecast.Need{} }}}}
+		items := map[uint32]int{}
+		for worker := range uint32(workers) {
+			places.Busy = append(places.Busy, Place{Worker: worker, Pool: test.pool, Slots: slots, Online: test.online, Hold: 750 * time.Millisecond, Patience: 150 * time.Millisecond})
+			items[worker] = slots + 1 - test.online
+		}
+		places.Crowded()
+		planner := New()
+		planner.Take(time.Unix(1000, 0), 1, 10, items)
+		stops := 0
+		for _, order := range planner.Plan(1, places) {
+			stops += order.Stop
+		}
+		if stops != test.stops {
+			t.Errorf("%d online at each worker of pool %s: %d stops, want %d", test.online, test.pool, stops, test.stops)
+		}
+	}
+}
