--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -52,8 +52,12 @@
 	// for nothing.
 	homes []*worker
 	cold  bool
-	// telling holds the pools whose workers tell their pace.
-	telling map[string]bool
+	// telling holds when a worker of a pool told its pace last, newest is the newest time that
+	// a caller has told.
+	telling map[string]time.Time
+	newest  time.Time
+	// fewer holds the listed workers that told fewer slots than the list says.
+	fewer map[*worker]bool
 	// doubts holds workers that tell other slots than the list says, until they are taken.
 	doubts []Doubt
 	// scoring is how workers are compared.
@@ -68,7 +72,7 @@
 
 // NewTable returns an empty table of a process in the zone.
 func NewTable(zone string, random *rand.Rand) *Table {
-	return &Table{zone: zone, random: random, workers: map[string]*worker{}, byHash: map[uint32]*worker{}, pools: map[string]*pool{}, memory: map[string]int64{}, telling: map[string]bool{}}
+	return &Table{zone: zone, random: random, workers: map[string]*worker{}, byHash: map[uint32]*worker{}, pools: map[string]*pool{}, memory: map[string]int64{}, telling: map[string]time.Time{}, fewer: map[*worker]bool{}}
 }
 
 // Update takes in the list of workers and how many tokens the workers of each pool hold.
@@ -99,6 +103,7 @@
 	leaving := row.Leaving || known.listed.Leaving
 	known.listed = *row
 	known.listed.Leaving = leaving
+	t.noteFewer(known)
 	if t.pools[row.Pool] == nil {
 		t.pools[row.Pool] = &pool{}
 	}
@@ -115,6 +120,7 @@
 	}
 	t.pools[known.listed.Pool].leave(t, known)
 	delete(t.workers, row.ID)
+	delete(t.fewer, known)
 	if t.byHash[known.hash] == known {
 		delete(t.byHash, known.hash)
 	}
@@ -166,6 +172,8 @@
 	// Repeatable is set for an online request that may run more than once. It may be sent to
 	// an avoided worker to learn whether that is well again.
 	Repeatable bool
+	// NoProbe is set for an item that has failed as a probe: it may be what the workers fail at.
+	NoProbe bool
 	// Last names the worker that an item ran at before, which it returns to if it may.
 	Last string
 }
@@ -188,14 +196,17 @@
 	begun    bool
 	stopping bool
 	released bool
-	// probe is set where the worker was avoided when it was chosen.
-	probe bool
+	// probe is set where the worker was avoided when it was chosen, proven once it has shown
+	// that it is well.
+	probe  bool
+	proven bool
 }
 
 // Acquire chooses a worker, or returns nil if there is none.
 func (t *Table) Acquire(now time.Time, demand *Demand) *Lease {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.see(now)
 	t.readmit(now)
 	t.cold = t.isCold(now)
 	chosen := t.takeProbe(now, demand)
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -201,7 +201,10 @@
 		answer.Drawn = true
 		if report.Choosing {
 			drawn := loadshare.Draw(s.loads.random, report.Asked, &s.loads.near, &s.loads.far)
-			answer.Workers = s.loads.zone.Named(now, report.Source, drawn)
+			// An edge that is told of no failure of a worker does not probe it.
+			drawn = append(drawn, answer.Probes...)
+			slices.Sort(drawn)
+			answer.Workers = s.loads.zone.Named(now, report.Source, slices.Compact(drawn))
 		}
 		return answer
 	}
@@ -306,6 +309,7 @@
 		place.Probe = place.Probe && s.loads.top.ProbeDue(now, place.Worker)
 	}
 	places.Outlooks = s.foresee(now, table, &places)
+	places.Crowded()
 	s.loads.planner.Take(now, source, waiting, items)
 	orders := s.loads.planner.Plan(source, places)
 	s.noteProbes(now, places, orders)
