Shares go before ranks in a line, and who is over one is sent back first

Cause: claims were compared by rank before Over. The division that says Over serves the ranks already, less floors, reserves and the kept part of later ones; in a line a flood of the first rank stood before all that, so that nothing was kept for anybody. And the line did not tell Decide who is over its share, so that edge_room_requests_total{outcome="sent_back"} stayed at zero.

Change: Over counts first, then rank, then due time. A claim over its share is sent back at the shorter wait through the line, too (also where it would have gone to wait at a worker); the reason stands in the log line and the caller is told it, and it is counted.

Ruled out: comparing shares only among claims of one rank and holding back in the division: the division can't act on who stands in a line.

--- a/internal/admission/claim.go
+++ b/internal/admission/claim.go
@@ -9,7 +9,8 @@
 type Claim struct {
 	// Rank goes first where it is smaller: the tenant's, or else the route's.
 	Rank int
-	// Over is set where its tenant has more than its share of the room.
+	// Over is set where its tenant has more than its share of the room. It counts before the
+	// rank.
 	Over bool
 	// Due is until when the first event is in time, counted from the caller's first attempt,
 	// and Leaves until when the caller waits at all.
@@ -84,17 +85,19 @@
 	return c.classAt(now.Add(wait)) < late && (c.Goal > 0 || wait <= 0)
 }
 
-// compare orders claims of one class: the one that goes first is smaller.
+// compare orders claims of one class: the one that goes first is smaller. The shares are divided
+// by rank already, less what is kept for later ranks. So who is within its share goes before
+// all who are over theirs: otherwise nothing would be kept for anybody.
 func (c *Claim) compare(other *Claim, of class) int {
-	if c.Rank != other.Rank {
-		return cmp.Compare(c.Rank, other.Rank)
-	}
 	if c.Over != other.Over {
 		if other.Over {
 			return -1
 		}
 		return 1
 	}
+	if c.Rank != other.Rank {
+		return cmp.Compare(c.Rank, other.Rank)
+	}
 	order := cmp.Compare(c.due, other.due)
 	if of == late || c.Goal <= 0 && other.Goal <= 0 {
 		order = cmp.Compare(c.leaves, other.leaves)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -99,6 +99,8 @@
 // Decision is what becomes of a request that came, and of those that it displaced.
 type Decision struct {
 	Result Result
+	// Reason says why it is sent back, if it is.
+	Reason Reason
 	// Ahead is how many that wait go before it, Predicted how long it would wait here.
 	Ahead     int
 	Predicted time.Duration
@@ -142,6 +144,7 @@
 	if !a.Offer.free() {
 		if comeback := a.sendBack(decision.Predicted, random); comeback > 0 {
 			decision.Result, decision.Comeback = SentBack, comeback
+			decision.Reason = Judge(a.request(decision.Predicted))
 			return decision
 		}
 		if a.Claim.classAt(now.Add(decision.Predicted)) == late {
@@ -169,8 +172,12 @@
 func (o Offer) free() bool { return !o.Full && o.Wait <= 0 }
 
 // goes reports whether the request goes to the place though nobody says that it will be in
-// time there: where the workers don't tell their slots there is no moment to wait for.
+// time there: where the workers don't tell their slots there is no moment to wait for. One that
+// is over its share waits at a worker at the cost of others, so it is sent back if it can be.
 func (q *Queue) goes(now time.Time, a *Arrival) bool {
+	if a.Claim.Over && a.sendBack(a.Offer.Wait, 0) > 0 {
+		return false
+	}
 	if a.Offer.takes(now, a.Claim) {
 		return true
 	}
@@ -180,14 +187,20 @@
 // sendBack returns after which time a caller who asks first and would wait so long is to come
 // back, or zero if it need not, or has not the time.
 func (a *Arrival) sendBack(wait time.Duration, random float64) time.Duration {
-	return Decide(&Request{
+	return Decide(a.request(wait), random)
+}
+
+// request returns the request as it is judged if it would wait so long.
+func (a *Arrival) request(wait time.Duration) *Request {
+	return &Request{
 		Left:    a.Left,
 		Longest: a.Longest,
 		Goal:    a.Claim.Goal,
 		Begin:   a.Claim.Begin,
 		Wait:    wait,
+		Over:    a.Claim.Over,
 		Ends:    a.Room.Ends,
-	}, random)
+	}
 }
 
 // enter lets the claim wait.
--- a/internal/edge/claim_test.go
+++ b/internal/edge/claim_test.go
@@ -180,6 +180,25 @@
 	}
 }
 
+// TestOverShareIsCountedInTheLine sends requests back through the line: who is over its share
+// is told so and counted, who would be late is not.
+func TestOverShareIsCountedInTheLine(t *testing.T) {
+	f := startTenants(t)
+	tenant := f.edge.Table().Tenant("a")
+	for _, reason := range []admission.Reason{admission.TooLate, admission.OverShare} {
+		before := counted(t, f.edge.metrics.room)["sent_back 0"]
+		c, recorder := testCall(t, f, tenant, 5*time.Second)
+		c.refuseTurn(refusalOf(&admission.Decision{Result: admission.SentBack, Reason: reason, Comeback: time.Second}))
+		over := reason == admission.OverShare
+		if more := counted(t, f.edge.metrics.room)["sent_back 0"] - before; (more == 1) != over || more > 1 {
+			t.Errorf("%s: %g were counted", reason, more)
+		}
+		if strings.Contains(recorder.Body.String(), "your share") != over {
+			t.Errorf("%s: told %s", reason, recorder.Body)
+		}
+	}
+}
+
 // TestClaimOfACall fills a claim from tenant, route and standing. Its times are by the clock
 // that counts suspensions.
 func TestClaimOfACall(t *testing.T) {
--- a/internal/edge/line.go
+++ b/internal/edge/line.go
@@ -53,7 +53,9 @@
 
 // refusal says why a request in a line is refused, and when its caller is to come back.
 type refusal struct {
-	reason    string
+	reason string
+	// judged says why it is sent back, if it is.
+	judged    admission.Reason
 	ahead     int
 	predicted time.Duration
 	comeback  time.Duration
@@ -120,7 +122,7 @@
 }
 
 func refusalOf(decision *admission.Decision) *refusal {
-	return &refusal{reason: decision.Result.String(), ahead: decision.Ahead, predicted: decision.Predicted, comeback: decision.Comeback}
+	return &refusal{reason: decision.Result.String(), judged: decision.Reason, ahead: decision.Ahead, predicted: decision.Predicted, comeback: decision.Comeback}
 }
 
 // look returns the best place for the request, or nil if there is no worker.
--- a/internal/edge/turn.go
+++ b/internal/edge/turn.go
@@ -6,7 +6,6 @@
 	"github.com/sedgemast/sedgemast/internal/admission"
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/clock"
-	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
 )
 
@@ -111,7 +110,10 @@
 // refuseTurn tells the caller that nothing ran, and when to come back.
 func (c *call) refuseTurn(r *refusal) {
 	c.edge.metrics.queued.WithLabelValues(r.reason).Inc()
-	c.refuse(failure.New(failure.NotRun, "come back after the time in Retry-After", "all workers are busy for longer than the request has").WithRetryAfter(r.comeback))
+	if r.judged == admission.OverShare {
+		c.countRoom("sent_back")
+	}
+	c.refuse(sentBack(r.judged).WithRetryAfter(r.comeback))
 }
 
 // logRefused writes why a request that waited is refused.
@@ -127,7 +129,7 @@
 		event = "request_sent_back"
 	}
 	logging.Info(c.edge.logger, event, "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "pool", c.demand.Pool,
-		"result", decision.Result, "rank", t.claim.Rank, "over", t.claim.Over, "returned", t.claim.Returned,
+		"result", decision.Result, "reason", decision.Reason, "rank", t.claim.Rank, "over", t.claim.Over, "returned", t.claim.Returned,
 		"asked_ms_ago", t.claim.Arrived.Add(t.claim.Goal).Sub(t.claim.Due).Milliseconds(), "left_ms", t.left.Milliseconds(), "longest_ms", t.longest.Milliseconds(),
 		"goal_ms", t.claim.Goal.Milliseconds(), "begin_ms", t.claim.Begin.Milliseconds(), "ahead", decision.Ahead, "predicted_ms", decision.Predicted.Milliseconds(),
 		"worker", place.Worker, "full", place.Full, "slow", place.Slow, "wait_ms", place.Wait.Milliseconds(), "wait_most_ms", place.WaitMost.Milliseconds(),
