The hub's word to probe lasts until the place at the worker is taken

Cause: Look used up the permission to probe an avoided worker. weigh counts no slots of failing workers, so with few other slots free it left the place to others by lot, and the probe was lost: nobody else had the word.

Change: Look only finds the probe, its place is to spare and left to nobody, Take uses the word up. A probe where all slots are held is passed over, since its request could not go there.

Test: TestProbesAreKeptUntilTaken, red before.

Ruled out: giving the word back when the place is not taken: it would have to come back from each way in which a look ends.

--- a/internal/balance/free.go
+++ b/internal/balance/free.go
@@ -47,6 +47,8 @@
 	NewsAge time.Duration
 
 	worker *worker
+	// probe is set where the hub lets a request probe the worker, which is avoided.
+	probe bool
 }
 
 // Look chooses a worker for a request that can wait at this process instead: as Acquire does,
@@ -63,7 +65,8 @@
 		return nil
 	}
 	t.cold = t.isCold(now)
-	chosen := t.takeProbe(now, demand)
+	chosen := t.freeProbe(now, demand)
+	probe := chosen != nil
 	if chosen == nil {
 		chosen = t.chooseGiven(now, demand, search.Given)
 	}
@@ -81,8 +84,13 @@
 		WaitMost: t.waitMostAt(now, chosen),
 		NewsAge:  t.newsAge(now, chosen),
 		worker:   chosen,
+		probe:    probe,
 	}
-	if !place.Full {
+	switch {
+	case probe:
+		// The hub has let one request go there: nobody else is about to.
+		place.Spare = true
+	case !place.Full:
 		t.weigh(now, demand, known, place, search)
 	}
 	return place
@@ -108,9 +116,21 @@
 func (t *Table) Take(now time.Time, demand *Demand, place *Place) *Lease {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if place.probe {
+		t.removeProbe(place.worker)
+	}
 	return t.lease(now, place.worker, demand)
 }
 
+// freeProbe returns an avoided worker that the request is to probe, if a slot is free there.
+func (t *Table) freeProbe(now time.Time, demand *Demand) *worker {
+	probed := t.findProbe(now, demand)
+	if probed == nil || !t.hasFree(now, probed) {
+		return nil
+	}
+	return probed
+}
+
 // chooseGiven returns the worker at which a slot was given back, if it may be taken.
 func (t *Table) chooseGiven(now time.Time, demand *Demand, id string) *worker {
 	given := t.workers[id]
--- a/internal/balance/free_test.go
+++ b/internal/balance/free_test.go
@@ -96,6 +96,35 @@
 	}
 }
 
+// TestProbesAreKeptUntilTaken looks at an avoided worker that the hub lets a request probe: the
+// word lasts until the place is taken, and the place is left to nobody.
+func TestProbesAreKeptUntilTaken(t *testing.T) {
+	const looks = 100
+	table := zonesOf(3, 1)
+	loads := []wire.WorkerLoad{failing("w1", 0)}
+	for _, id := range []string{"w0", "w2"} {
+		loads = append(loads, wire.WorkerLoad{Worker: loadshare.WorkerHash(id), Online: freeSlots})
+	}
+	table.SetOthers(start, loads, OfAll)
+	table.SetProbes(start, []uint32{loadshare.WorkerHash("w1")})
+	demand := &Demand{Pool: "p", Repeatable: true}
+	var place *Place
+	for look := range looks {
+		place = table.Look(start, demand, Search{Peers: 51})
+		if place.Worker != "w1" || !place.Spare || place.Left || place.Full {
+			t.Fatalf("look %d: %+v", look, place)
+		}
+	}
+	lease := table.Take(start, demand, place)
+	if !lease.Probe() {
+		t.Error("the lease is no probe")
+	}
+	lease.Release()
+	if place := table.Look(start, demand, Search{Peers: 51}); place.Worker == "w1" && place.Spare {
+		t.Errorf("a second probe by one word: %+v", place)
+	}
+}
+
 // TestRoomElsewhereIsUsed fills the zone while another has much room: it is gone to, by as many
 // as there is room for.
 func TestRoomElsewhereIsUsed(t *testing.T) {
--- a/internal/balance/probe.go
+++ b/internal/balance/probe.go
@@ -27,24 +27,38 @@
 // takeProbe returns an avoided worker that the request is to probe, or nil. Each word of the
 // hub serves one request.
 func (t *Table) takeProbe(now time.Time, demand *Demand) *worker {
+	probed := t.findProbe(now, demand)
+	if probed != nil {
+		t.removeProbe(probed)
+	}
+	return probed
+}
+
+// findProbe returns what takeProbe does, and leaves the hub's word to whoever takes it.
+func (t *Table) findProbe(now time.Time, demand *Demand) *worker {
 	if demand.Batch || !demand.Repeatable || len(t.probes) == 0 {
 		return nil
 	}
-	named := t.probes
 	if now.Sub(t.probesAt) > probesFresh {
 		t.probes = nil
 		return nil
 	}
-	for i, hash := range named {
+	for _, hash := range t.probes {
 		probed := t.byHash[hash]
 		if probed != nil && probed.listed.Pool == demand.Pool && t.mayProbe(now, probed, demand) {
-			t.probes = slices.Delete(slices.Clone(named), i, i+1)
 			return probed
 		}
 	}
 	return nil
 }
 
+// removeProbe takes in that the hub's word to probe the worker is used.
+func (t *Table) removeProbe(w *worker) {
+	if i := slices.Index(t.probes, w.hash); i >= 0 {
+		t.probes = slices.Delete(slices.Clone(t.probes), i, i+1)
+	}
+}
+
 // mayProbe reports whether the request would run at once at an avoided worker.
 func (t *Table) mayProbe(now time.Time, w *worker, demand *Demand) bool {
 	return t.failing(now, w) && w.probing == 0 && t.admits(now, w, demand, false) && t.waitAt(now, w) == 0
