The slot of a worker that failed or refused is not handed to the next in line

Cause: the end of each attempt named its worker to the line, which takes such a slot without a lot. After a failure or a refusal that sent the next request in line to the same worker at once, before anybody else had looked.

Change: the worker is named only where the attempt was delivered with a status under 500. Otherwise the line looks as it does at any time.

Test: TestSlotsOfFailedWorkersAreNotHandedOn, red before.

Ruled out: leaving suspected workers out of what is given: they are already (roomy), but refusals and answers of 500 make nobody suspected.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -141,6 +141,16 @@
 	failed
 )
 
+// freedAt returns the worker at which the end of an attempt has left a slot that who waits here
+// may take unseen, empty for none: one that has just failed or refused is no better for the next
+// request, and others may know more of it.
+func freedAt(worker string, result outcome, status int) string {
+	if result != delivered || status >= http.StatusInternalServerError {
+		return ""
+	}
+	return worker
+}
+
 // run makes attempts until the caller has an answer.
 func (c *call) run() {
 	c.arrive()
@@ -161,7 +171,8 @@
 			return
 		}
 		result := c.attempt(lease)
-		c.release(lease)
+		lease.Release()
+		c.edge.released(c.demand.Pool, freedAt(lease.Endpoint.ID, result, c.status))
 		c.edge.metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result == delivered {
 			c.ranWell()
--- a/internal/edge/line_test.go
+++ b/internal/edge/line_test.go
@@ -446,6 +446,28 @@
 	}
 }
 
+// TestSlotsOfFailedWorkersAreNotHandedOn ends attempts in all ways: only after an answer that
+// shows the worker well its slot goes to the next in line at once.
+func TestSlotsOfFailedWorkersAreNotHandedOn(t *testing.T) {
+	for _, test := range []struct {
+		result outcome
+		status int
+		want   string
+	}{
+		{delivered, http.StatusOK, "w"},
+		{delivered, http.StatusBadRequest, "w"},
+		{delivered, http.StatusInternalServerError, ""},
+		{delivered, http.StatusServiceUnavailable, ""},
+		{notRun, http.StatusMisdirectedRequest, ""},
+		{failed, http.StatusOK, ""},
+		{failed, 0, ""},
+	} {
+		if got := freedAt("w", test.result, test.status); got != test.want {
+			t.Errorf("%s with %d: %q", test.result, test.status, got)
+		}
+	}
+}
+
 // TestClaimsOfCalls works out the claims of a first and of a returned caller.
 func TestClaimsOfCalls(t *testing.T) {
 	f := startLine(t, someTenant)
