Claims without a goal are due when their callers leave, and the order is transitive

Cause: a claim without a goal was due at once, so it stood before all who are aimed at a goal, for as long as it waited. Two of them were compared by when their callers leave, and each with others by due time: claims could stand in a ring, so that who went first hung on the order of the slice.

Change: what has no goal is due when its caller leaves; the special case of the comparison is gone.

Tests: randomClaim draws claims without a goal, so that all properties of the line hold for them, too; goesBefore says their due time. TestOrderIsTransitive compares in threes, TestNoGoalsTakeTheirTurn lets one with a goal go first.

Ruled out: a class of their own behind all others: they would starve in a time of overload.

--- a/internal/admission/claim.go
+++ b/internal/admission/claim.go
@@ -46,6 +46,10 @@
 	// Predictions err, so a part of the goal is left.
 	least := c.Begin + c.Goal - c.Goal*goalPart/hundreds
 	c.due, c.leaves = c.Due.UnixNano(), c.Leaves.UnixNano()
+	if c.Goal <= 0 {
+		// Nothing is due before the caller leaves.
+		c.due = c.leaves
+	}
 	c.punctualUntil = c.due - int64(least)
 	c.returnedUntil = c.punctualUntil
 	if c.Returned {
@@ -99,7 +103,7 @@
 		return cmp.Compare(c.Rank, other.Rank)
 	}
 	order := cmp.Compare(c.due, other.due)
-	if of == late || c.Goal <= 0 && other.Goal <= 0 {
+	if of == late {
 		order = cmp.Compare(c.leaves, other.leaves)
 	}
 	if order != 0 {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -72,6 +72,10 @@
 	claim.Arrived = now.Add(-time.Duration(random.Intn(500)) * ms)
 	claim.Rank, claim.Over = random.Intn(3), random.Intn(2) == 0
 	claim.Bytes = int64(random.Intn(1000))
+	if random.Intn(4) == 0 {
+		// Without a goal the due time that is told counts for nothing.
+		claim.Goal, claim.Due = 0, claim.Arrived.Add(time.Duration(random.Intn(1000))*ms)
+	}
 	return claim
 }
 
@@ -91,7 +95,7 @@
 	group := func(c *Claim) int {
 		first := now.Add(c.Begin + c.Goal/10)
 		switch {
-		case !first.After(c.Due):
+		case c.Goal == 0 || !first.After(c.Due):
 			return 0
 		case c.Returned && !first.After(c.Arrived.Add(c.Goal)):
 			return 1
@@ -101,7 +105,7 @@
 	over := map[bool]int{true: 1}
 	keys := func(c *Claim) []int64 {
 		last := c.Due
-		if group(c) == 2 {
+		if group(c) == 2 || c.Goal == 0 {
 			last = c.Leaves
 		}
 		return []int64{int64(group(c)), int64(over[c.Over]), int64(c.Rank), last.UnixNano(), int64(c.number)}
@@ -131,6 +135,48 @@
 	})
 }
 
+// TestOrderIsTransitive compares random claims of one kind in threes, with and without goals.
+func TestOrderIsTransitive(t *testing.T) {
+	proptest.Run(t, "transitive", func(random *rand.Rand) error {
+		claims := make([]*Claim, 30)
+		for i := range claims {
+			claims[i] = randomClaim(random, queueStart)
+			claims[i].Rank, claims[i].Over = 0, false
+			claims[i].prepare(uint64(i))
+		}
+		before := func(a, b *Claim) bool { return a.before(a.classAt(queueStart), b, b.classAt(queueStart)) }
+		for i, a := range claims {
+			for _, b := range claims[:i] {
+				if before(a, b) == before(b, a) {
+					return errors.Newf("no order: %+v, %+v", a, b)
+				}
+				for _, c := range claims {
+					if before(a, b) && before(b, c) && before(c, a) {
+						return errors.Newf("a ring: %+v, %+v, %+v", a, b, c)
+					}
+				}
+			}
+		}
+		return nil
+	})
+}
+
+// TestNoGoalsTakeTheirTurn lets claims without a goal come again and again beside one that is
+// due sooner than their callers leave: that goes first.
+func TestNoGoalsTakeTheirTurn(t *testing.T) {
+	queue := NewQueue(Bounds{Claims: 64, Bytes: 1 << 20})
+	for range 10 {
+		claim := claimOf(queueStart.Add(-time.Second), 0)
+		claim.Goal, claim.Due = 0, claim.Arrived
+		queue.Arrive(queueStart, arrivalOf(queueStart, claim, Offer{Left: true}), 0)
+	}
+	aimed := claimOf(queueStart, 0)
+	queue.Arrive(queueStart, arrivalOf(queueStart, aimed, Offer{Left: true}), 0)
+	if first := queue.First(queueStart); first != aimed {
+		t.Errorf("%+v goes first", first)
+	}
+}
+
 // TestSharesGoBeforeRanks lets a flood of the first rank, which is over its share, wait beside
 // claims of later ranks within theirs: those go first.
 func TestSharesGoBeforeRanks(t *testing.T) {
