Callers with a shorter deadline than others are not taken for returned ones

Cause: whoever had a quarter of a second less than others of the route counted as one that was sent back so long ago. A caller with a third of the others' time was late from its first attempt, and went last.

Change: admission.CameBack bounds it: one that is sent back is asked to wait a third of its time at most and hears so within the goal.

Tests: TestCameBack and TestAllWhoAreSentBackCameBack (the bound holds for each comeback that Decide gives), and a case of TestClaimsOfCalls that was red.

Ruled out: a header that tells a return: callers would have to bring it.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -44,6 +44,15 @@
 	Ends time.Duration
 }
 
+// CameBack returns by how much less time than its route's callers have, who wait for longest
+// when they ask first, a caller has that still waits for left. It reports whether that shows
+// that the caller was sent back before: one is asked to wait for a part of its time, and gets
+// that answer within the goal. Who has less time still has a shorter deadline than others.
+func CameBack(longest, left, goal time.Duration) (before time.Duration, returned bool) {
+	before = longest - left
+	return before, before >= LeastComeback && before <= longest/comebackParts+goal
+}
+
 // Reason says why a request is taken in, or is not.
 type Reason uint8
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -169,3 +169,38 @@
 	fmt.Fprintf(&trace, "after 5s of another wave: ends in %s\n", overload.Ends(now))
 	compareGolden(t, "overload.txt", trace.String())
 }
+
+// TestCameBack tells callers that were sent back from those with a shorter deadline than others.
+func TestCameBack(t *testing.T) {
+	const longest, goal = 6000 * ms, 300 * ms
+	for _, test := range []struct {
+		left time.Duration
+		want bool
+	}{
+		{longest, false},
+		{longest - LeastComeback + ms, false},
+		{longest - LeastComeback, true},
+		{longest - longest/3 - goal, true},
+		{longest - longest/3 - goal - ms, false},
+		{1000 * ms, false},
+		{longest + 1000*ms, false},
+	} {
+		before, returned := CameBack(longest, test.left, goal)
+		if returned != test.want || before != longest-test.left {
+			t.Errorf("%s left: %s before, returned %t", test.left, before, returned)
+		}
+	}
+}
+
+// TestAllWhoAreSentBackCameBack sends callers back, who return when they are asked to: each is
+// known by the time that is left then.
+func TestAllWhoAreSentBackCameBack(t *testing.T) {
+	proptest.Run(t, "came back", func(random *rand.Rand) error {
+		longest := time.Duration(1000+random.Intn(20000)) * ms
+		comeback := Decide(&Request{Left: longest, Longest: longest, Goal: testGoal, Begin: testBegin, Wait: time.Second, Ends: time.Duration(random.Intn(8000)) * ms}, random.Float64())
+		if _, returned := CameBack(longest, longest-comeback-time.Duration(random.Intn(100))*ms, testGoal); !returned {
+			return errors.Newf("sent back for %s of %s", comeback, longest)
+		}
+		return nil
+	})
+}
--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -63,7 +63,7 @@
 	}
 	// A caller with so much less time than others has been here before: its first attempt
 	// was about that much earlier.
-	if before := longest - allowed; goal > 0 && before >= admission.LeastComeback {
+	if before, returned := admission.CameBack(longest, allowed, goal); goal > 0 && returned {
 		claim.Returned = true
 		claim.Due = claim.Due.Add(-before)
 	}
--- a/internal/edge/line_test.go
+++ b/internal/edge/line_test.go
@@ -480,6 +480,8 @@
 		{longest, false, 50 * time.Millisecond},
 		{longest - 200*time.Millisecond, false, 50 * time.Millisecond},
 		{longest - time.Second, true, -950 * time.Millisecond},
+		// A shorter deadline than others have.
+		{time.Second, false, 50 * time.Millisecond},
 	} {
 		c := f.call(httptest.NewRecorder(), test.left, longest)
 		turn, _ := c.newTurn()
