Nobody waits beside idle slots in small pools

Cause: the lot for free slots counted the edges of all zones for the slots of one, and was drawn however many were free: of 51 edges before an idle worker of four slots half the looks left a slot to others. A zone without workers drew for the slots of others by a few at a time, idle as they were. Where the slots are not told, one was counted and drawn for.

Change: slots not told are to spare, without a lot. While more than half of the slots are free there is no lot, in the zone and for other zones. The lot in the zone counts the zone's part of the edges: all, by the zones with workers, since where edges stand is not known.

Ruled out: the number of edges by zone in a message: a new field for a guess that is within a zone's unevenness.

--- a/internal/balance/free.go
+++ b/internal/balance/free.go
@@ -20,7 +20,7 @@
 
 // Search says how room is looked for.
 type Search struct {
-	// Peers is how many processes choose by the same news, this one included.
+	// Peers is how many processes of all zones choose workers, this one included.
 	Peers int
 	// Given is the worker at which this process has just given a slot back, if any: nobody
 	// else has been told of that slot.
@@ -98,6 +98,11 @@
 
 // weigh finds out whether a free slot is to spare, and whether it is left to others.
 func (t *Table) weigh(now time.Time, demand *Demand, known *pool, place *Place, search Search) {
+	if t.slotsOf(place.worker) <= 0 {
+		// Nothing says how many slots there are to wait for.
+		place.Spare = true
+		return
+	}
 	if t.away(place.worker) > 0 {
 		place.Spare = t.farSlots(now, demand, known) > retaken(known.farRate)
 		place.Left = len(known.near) == 0 && !t.drawsFar(now, demand, known, search.Peers)
@@ -105,7 +110,17 @@
 	}
 	near := t.nearSlots(now, demand, known)
 	place.Spare = near > retaken(known.nearRate)
-	place.Left = place.Worker != search.Given && t.leaves(near, search.Peers)
+	place.Left = place.Worker != search.Given && !mostly(near, known.nearSlots) && t.leaves(near, known.nearPeers(search.Peers))
+}
+
+// mostly reports whether more than half of the slots are free: then nobody waits, and who would
+// leave one to others by lot would wait beside it.
+func mostly(free float64, slots int) bool { return 2*free > float64(slots) }
+
+// nearPeers returns how many of the processes look for the same slots of a zone as this one does:
+// where they stand is not known, so each zone that has workers is taken to have as many.
+func (p *pool) nearPeers(peers int) float64 {
+	return max(float64(peers)/float64(max(len(p.zoneSlots), 1)), 1)
 }
 
 // retaken returns how many slots are free at a moment because those who wait have not taken
@@ -166,18 +181,18 @@
 
 // leaves decides by lot whether one of so many free slots is left to others: within the time
 // in which a choice is not seen, more of the peers than that may look for one.
-func (t *Table) leaves(slots float64, peers int) bool {
-	looking := 1 + float64(peers-1)*float64(unseenTime)/float64(LookTime)
+func (t *Table) leaves(slots, peers float64) bool {
+	looking := 1 + (peers-1)*float64(unseenTime)/float64(LookTime)
 	return t.random.Float64()*looking > slots
 }
 
 // drawsFar decides by lot whether the request may go to another zone: within the age of the
-// news of it as many of the peers as there are slots to spare.
+// news of it as many of the peers as there are slots to spare, and all while most are free.
 func (t *Table) drawsFar(now time.Time, demand *Demand, known *pool, peers int) bool {
 	passed := min(now.Sub(known.farDrawn), loadshare.Interval)
 	known.farDrawn = now
 	free := t.farSlots(now, demand, known)
-	if math.IsInf(free, 1) {
+	if math.IsInf(free, 1) || mostly(free, known.slots-known.nearSlots) {
 		return true
 	}
 	slots := free - retaken(known.farRate)
--- a/internal/balance/free_test.go
+++ b/internal/balance/free_test.go
@@ -96,6 +96,61 @@
 	}
 }
 
+// poolOf returns the table of a process in zone z0 before workers of the zones with so many slots
+// each, of which others have some.
+func poolOf(slots int, online []int, zones ...string) *Table {
+	var rows []wire.PoolWorker
+	for number, zone := range zones {
+		rows = append(rows, wire.PoolWorker{ID: fmt.Sprintf("w%d", number), Pool: "p", Zone: zone, Slots: slots})
+	}
+	t := NewTable("z0", randv2.New(randv2.NewPCG(1, 2)))
+	t.Update(workerset.Of(rows), nil)
+	tellOnline(t, online)
+	return t
+}
+
+// TestNobodyWaitsBesideIdleSlots looks for room in small pools: while more than half of the
+// slots are free, or nobody tells how many there are, nobody leaves one to others.
+func TestNobodyWaitsBesideIdleSlots(t *testing.T) {
+	const looks, peers = 1000, 51
+	for _, test := range []struct {
+		name   string
+		slots  int
+		online []int
+		zones  []string
+		// least and most are how many looks may find a place.
+		least, most int
+	}{
+		{"four slots", 4, []int{0}, []string{"z0"}, looks, looks},
+		{"one of four held", 4, []int{1}, []string{"z0"}, looks, looks},
+		{"three of four held", 4, []int{3}, []string{"z0"}, looks / 20, looks / 4},
+		{"eight slots", 8, []int{0}, []string{"z0"}, looks, looks},
+		{"three of eight held", 4, []int{2, 1}, []string{"z0", "z0"}, looks, looks},
+		{"seven of eight held", 4, []int{3, 4}, []string{"z0", "z0"}, looks / 20, looks / 4},
+		{"one slot free here, none in two more zones", 8, []int{7, 8, 8}, []string{"z0", "z1", "z2"}, looks / 5, looks / 2},
+		{"a zone without workers", 8, []int{0}, []string{"z1"}, looks, looks},
+		{"a zone without workers, three of eight held there", 8, []int{3}, []string{"z1"}, looks, looks},
+		{"a zone without workers, seven of eight held there", 8, []int{7}, []string{"z1"}, 0, looks / 20},
+		{"slots not told", 0, []int{1, 5}, []string{"z0", "z0"}, looks, looks},
+		{"slots not told, elsewhere", 0, []int{1}, []string{"z1"}, looks, looks},
+	} {
+		table := poolOf(test.slots, test.online, test.zones...)
+		found := 0
+		for look := range looks {
+			place := table.Look(start.Add(time.Duration(look)*time.Microsecond), &Demand{Pool: "p"}, Search{Peers: peers})
+			if !place.Full && !place.Left {
+				found++
+			}
+			if test.slots == 0 && !place.Spare {
+				t.Fatalf("%s: %+v", test.name, place)
+			}
+		}
+		if found < test.least || found > test.most {
+			t.Errorf("%s: %d of %d looks find a place", test.name, found, looks)
+		}
+	}
+}
+
 // TestProbesAreKeptUntilTaken looks at an avoided worker that the hub lets a request probe: the
 // word lasts until the place is taken, and the place is left to nobody.
 func TestProbesAreKeptUntilTaken(t *testing.T) {
