At most an eighth of the slots is reserved, and what can't be in time takes any

Cause: the slots left for those who wait were what is answered in 20 ms. Where requests hold slots for a moment, that is most of them or more than all, and late requests never found one to spare. And where the first event takes longer than the part of the goal that counts as in time, all are late: each waited for a slot to spare beside free ones.

Change: reserved bounds it by an eighth of the slots, in the zone and elsewhere. A claim whose goal no send keeps takes a free slot as one without a goal does.

Tests: TestAnEighthIsReservedAtMost, TestSlowBeginsTakeFreeSlots, red before.

Ruled out: a shorter retakeTime: it is two looks, whatever the holds are.

--- a/internal/admission/claim.go
+++ b/internal/admission/claim.go
@@ -89,6 +89,10 @@
 	return c.classAt(now.Add(wait)) < late && (c.Goal > 0 || wait <= 0)
 }
 
+// aimless reports whether no wait is short enough or too long for the claim: it has no goal, or
+// one that no request of its kind keeps, however soon it is sent.
+func (c *Claim) aimless() bool { return c.Begin >= c.Goal*goalPart/hundreds }
+
 // compare orders claims of one class: the one that goes first is smaller. The shares are divided
 // by rank already, less what is kept for later ranks. So who is within its share goes before
 // all who are over theirs: otherwise nothing would be kept for anybody.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -54,13 +54,14 @@
 // takes reports whether the claim's request may go to the place. What can be in time may
 // wait for a moment at the worker, so that no slot stays empty between two requests; what
 // is late goes only where a slot is free that nobody else is about to take, so that it stands
-// in nobody's way: those that are in time may wait at another process.
+// in nobody's way: those that are in time may wait at another process. What is aimless gains
+// nothing by that, and is not made later still.
 func (o Offer) takes(now time.Time, claim *Claim) bool {
 	if o.Left {
 		return false
 	}
 	if o.Wait <= 0 {
-		return !o.Full && (o.Spare || claim.inTime(now, 0))
+		return !o.Full && (o.Spare || claim.inTime(now, 0) || claim.aimless())
 	}
 	return claim.inTime(now, o.WaitMost)
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -302,6 +302,33 @@
 	})
 }
 
+// TestSlowBeginsTakeFreeSlots lets claims come whose first event takes longer than the goal, as no
+// goal at all: they take a free slot that is not to spare, but don't wait at a worker.
+func TestSlowBeginsTakeFreeSlots(t *testing.T) {
+	for _, test := range []struct {
+		begin, goal time.Duration
+		want        bool
+	}{
+		{0, 0, true},
+		{testGoal, testGoal, true},
+		{testGoal*goalPart/hundreds + ms, testGoal, true},
+		{testGoal*goalPart/hundreds - ms, testGoal, false},
+		{0, testGoal, false},
+	} {
+		claim := claimOf(queueStart.Add(-time.Second), 0)
+		claim.Begin, claim.Goal = test.begin, test.goal
+		claim.prepare(0)
+		if got := (Offer{}).takes(queueStart, claim); got != test.want {
+			t.Errorf("%s of %s: takes a free slot: %t", test.begin, test.goal, got)
+		}
+		for _, offer := range []Offer{{Left: true}, fullOffer(0), fullOffer(ms)} {
+			if offer.takes(queueStart, claim) {
+				t.Errorf("%s of %s: takes %+v", test.begin, test.goal, offer)
+			}
+		}
+	}
+}
+
 // TestLateOnesAreServed lets late claims wait beside a load that leaves room: all are served
 // before they leave. While those who are in time take all, none is.
 func TestLateOnesAreServed(t *testing.T) {
--- a/internal/balance/free.go
+++ b/internal/balance/free.go
@@ -16,6 +16,9 @@
 	// retakeTime is how long a slot is free at most where somebody waits for one in its zone:
 	// until the next look for room, and for what is asked and told then.
 	retakeTime = 2 * LookTime
+	// reservedParts is the part of the slots, one in so many, that is left at most for those who
+	// are about to take what is given back.
+	reservedParts = 8
 )
 
 // Search says how room is looked for.
@@ -104,12 +107,12 @@
 		return
 	}
 	if t.away(place.worker) > 0 {
-		place.Spare = t.farSlots(now, demand, known) > retaken(known.farRate)
+		place.Spare = t.farSlots(now, demand, known) > reserved(known.farRate, known.slots-known.nearSlots)
 		place.Left = len(known.near) == 0 && !t.drawsFar(now, demand, known, search.Peers)
 		return
 	}
 	near := t.nearSlots(now, demand, known)
-	place.Spare = near > retaken(known.nearRate)
+	place.Spare = near > reserved(known.nearRate, known.nearSlots)
 	place.Left = place.Worker != search.Given && !mostly(near, known.nearSlots) && t.leaves(near, known.nearPeers(search.Peers))
 }
 
@@ -127,6 +130,13 @@
 // them yet, where so many requests are answered in ten seconds.
 func retaken(rate int) float64 { return float64(rate) / rateSeconds * retakeTime.Seconds() }
 
+// reserved returns how many free slots are left for those who wait for them: what comes and goes,
+// but where slots are held for a moment only that may be all there are, and then nobody else would
+// ever find one to spare.
+func reserved(rate, slots int) float64 {
+	return min(retaken(rate), float64(slots)/reservedParts)
+}
+
 // Take takes a place that Look has found a moment ago.
 func (t *Table) Take(now time.Time, demand *Demand, place *Place) *Lease {
 	t.mutex.Lock()
@@ -195,7 +205,7 @@
 	if math.IsInf(free, 1) || mostly(free, known.slots-known.nearSlots) {
 		return true
 	}
-	slots := free - retaken(known.farRate)
+	slots := free - reserved(known.farRate, known.slots-known.nearSlots)
 	chance := slots / float64(max(peers, 1)) * float64(passed) / float64(loadshare.Interval)
 	return t.random.Float64() < chance
 }
--- a/internal/balance/free_test.go
+++ b/internal/balance/free_test.go
@@ -151,6 +151,29 @@
 	}
 }
 
+// TestAnEighthIsReservedAtMost answers many requests a second at workers, as where slots are held
+// for a moment: more than an eighth of the slots free is room to spare, here and elsewhere.
+func TestAnEighthIsReservedAtMost(t *testing.T) {
+	for _, zone := range []string{"z0", "z1"} {
+		for free := 1; free <= freeSlots; free++ {
+			table := poolOf(freeSlots, nil, zone, zone)
+			var loads []wire.WorkerLoad
+			for number := range 2 {
+				held := freeSlots
+				if number == 0 {
+					held -= free
+				}
+				loads = append(loads, wire.WorkerLoad{Worker: loadshare.WorkerHash(fmt.Sprintf("w%d", number)), Online: uint16(held), Rate: 20000})
+			}
+			table.SetOthers(start, loads, OfAll)
+			place := table.Look(start, &Demand{Pool: "p"}, Search{Peers: 1})
+			if want := free > 2*freeSlots/reservedParts; place.Spare != want {
+				t.Errorf("%d of %d free in %s: %+v", free, 2*freeSlots, zone, place)
+			}
+		}
+	}
+}
+
 // TestProbesAreKeptUntilTaken looks at an avoided worker that the hub lets a request probe: the
 // word lasts until the place is taken, and the place is left to nobody.
 func TestProbesAreKeptUntilTaken(t *testing.T) {
