Callers of streams without a goal may wait as long as they say

Cause: Leaves came from Bears for all streams: without goals that is 2 s, so that a request without any goal was refused after 2 s in line, though nothing says that its caller gives up before its deadline.

Change: Bears counts only where the route has a goal.

Test: TestCallersWithoutGoalStay, red before.

Ruled out: the goal of pauses alone as a bound: it is aimed at between events, and says nothing of the first one where none is aimed at.

--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -58,7 +58,8 @@
 		Goal:    goal,
 		Bytes:   int64(len(c.request.Body)),
 	}
-	if c.route.Kind == routetable.KindStream {
+	// Without a goal nothing tells when a caller gives up before its time is over.
+	if goal > 0 && c.route.Kind == routetable.KindStream {
 		claim.Leaves = earliest(c.due, arrived.Add(admission.Bears(goal, c.route.GapGoal())))
 	}
 	// A caller with so much less time than others has been here before: its first attempt
--- a/internal/edge/line_test.go
+++ b/internal/edge/line_test.go
@@ -493,6 +493,26 @@
 	}
 }
 
+// TestCallersWithoutGoalStay works out until when callers of a stream wait for its first event:
+// without a goal as long as they say.
+func TestCallersWithoutGoalStay(t *testing.T) {
+	f := startLine(t, someTenant)
+	const left = 30 * time.Second
+	for _, test := range []struct{ goal, want time.Duration }{
+		{0, left},
+		{50 * time.Millisecond, admission.Bears(50*time.Millisecond, 0)},
+	} {
+		c := f.call(httptest.NewRecorder(), left, left)
+		route := *c.route
+		route.GoalMillis, route.GapGoalMillis = test.goal.Milliseconds(), 0
+		c.route = &route
+		claim := c.claim()
+		if got := claim.Leaves.Sub(claim.Arrived); (got - test.want).Abs() > 10*time.Millisecond {
+			t.Errorf("goal %s: leaves after %s", test.goal, got)
+		}
+	}
+}
+
 // startHub answers reports of loads, and returns where.
 func startHub(t *testing.T) string {
 	t.Helper()
