Who leaves a line gives the token back, and refusals of a line are spread

Cause: giveUp kept the token of a caller that had gone though nothing ran. Refusals through the line left connections open while the process stops, unlike Refuse. Those that come all at once, when the process stops or wakes after the time of all is over, named one moment to come back at.

Change: the token goes back where nothing may have run; refuseTurn calls closeWhenStopping; the constant comebacks are spread by lot, up to twice.

Tests: TestGoneCallersGiveTokensBack, TestRefusalsOfTheLineEndConnections, TestComebacksOfTheLineAreSpread, red before.

Ruled out: spreading by queue length: the callers ask other processes.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -251,6 +251,9 @@
 		c.finish("broken", c.lastErr)
 	case c.context.Err() != nil && !c.late():
 		c.broken = true
+		if !c.mayHaveRun {
+			c.giveBack()
+		}
 		c.finish("caller_gone", nil)
 	case c.mayHaveRun && c.late():
 		c.refuse(failure.New(failure.DeadlineExceeded, "allow more time", "no worker answered in time"))
--- a/internal/edge/line.go
+++ b/internal/edge/line.go
@@ -177,10 +177,14 @@
 // a process that was frozen sends nothing whose time is over.
 func (l *line) expire(now time.Time) {
 	for _, claim := range l.queue.Expired(now) {
-		l.refuse(claim, &refusal{reason: reasonExpired, comeback: admission.LeastComeback})
+		l.refuse(claim, &refusal{reason: reasonExpired, comeback: spread(admission.LeastComeback)})
 	}
 }
 
+// spread returns a time from the least to twice as much by lot: who is refused at one moment is
+// not to come back at one.
+func spread(least time.Duration) time.Duration { return least + rand.N(least) }
+
 func (l *line) refuse(claim *admission.Claim, r *refusal) { l.answer(claim, answer{refusal: r}) }
 
 // answer ends the wait of a request that is not in the queue any more.
@@ -210,7 +214,7 @@
 	l.closed = true
 	for claim := range l.waiting {
 		l.queue.Remove(claim)
-		l.refuse(claim, &refusal{reason: reasonStopping, comeback: shortRetry})
+		l.refuse(claim, &refusal{reason: reasonStopping, comeback: spread(shortRetry)})
 	}
 	l.measure()
 }
--- a/internal/edge/line_test.go
+++ b/internal/edge/line_test.go
@@ -355,6 +355,83 @@
 	}
 }
 
+// TestRefusalsOfTheLineEndConnections refuses requests of the line before and while the process
+// stops: then their callers are to take other connections.
+func TestRefusalsOfTheLineEndConnections(t *testing.T) {
+	f := startLine(t, someTenant)
+	refuse := func() string {
+		recorder := httptest.NewRecorder()
+		f.call(recorder, patience, patience).refuseTurn(&refusal{reason: reasonStopping, comeback: shortRetry})
+		return recorder.Header().Get("Connection")
+	}
+	if got := refuse(); got != "" {
+		t.Errorf("told %q while it serves", got)
+	}
+	ran := make(chan error, 1)
+	go func() { ran <- f.edge.daemon.Run() }()
+	await(t, "the daemon", func() bool { return f.edge.daemon.Ready() })
+	if err := f.edge.daemon.Stop(); err != nil {
+		t.Error(err)
+	}
+	if got := refuse(); got != "close" {
+		t.Errorf("told %q while it stops", got)
+	}
+	if err := <-ran; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestComebacksOfTheLineAreSpread refuses all that wait, because their time is over or because
+// the process stops: they are to come back within a time, not at one moment.
+func TestComebacksOfTheLineAreSpread(t *testing.T) {
+	const count = 20
+	f := startLine(t, someTenant)
+	for _, test := range []struct {
+		least  time.Duration
+		refuse func(l *line)
+	}{
+		{admission.LeastComeback, func(l *line) { l.expire(clock.Now().Add(time.Hour)) }},
+		{shortRetry, (*line).close},
+	} {
+		l := newLine(f.edge, "p")
+		turns := make([]*turn, 0, count)
+		for range count {
+			turn, _ := f.call(httptest.NewRecorder(), patience, patience).newTurn()
+			l.queue.Arrive(clock.Now(), &admission.Arrival{Claim: &turn.claim, Offer: admission.Offer{Left: true}}, 0)
+			l.waiting[&turn.claim] = turn
+			turns = append(turns, turn)
+		}
+		test.refuse(l)
+		seen := map[time.Duration]bool{}
+		for _, turn := range turns {
+			a := <-turn.answers
+			if a.refusal == nil || a.refusal.comeback < test.least || a.refusal.comeback >= 2*test.least {
+				t.Fatalf("%+v", a.refusal)
+			}
+			seen[a.refusal.comeback] = true
+		}
+		if len(seen) < count/2 {
+			t.Errorf("%s at least: %d comebacks of %d differ", test.least, len(seen), count)
+		}
+	}
+}
+
+// TestGoneCallersGiveTokensBack lets callers go who were granted a token: it is given back
+// where nothing may have run.
+func TestGoneCallersGiveTokensBack(t *testing.T) {
+	f := startLine(t, someTenant)
+	for _, mayHaveRun := range []bool{false, true} {
+		c := f.call(httptest.NewRecorder(), patience, patience)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		c.context, c.hasToken, c.mayHaveRun = ctx, true, mayHaveRun
+		c.giveUp()
+		if c.hasToken != mayHaveRun {
+			t.Errorf("may have run %t: the token is kept %t", mayHaveRun, c.hasToken)
+		}
+	}
+}
+
 // TestFrozenProcessSendsNothingLate looks for room as a process does that was suspended until
 // the time of all that wait is over, while a slot is free: none goes to the worker.
 func TestFrozenProcessSendsNothingLate(t *testing.T) {
--- a/internal/edge/turn.go
+++ b/internal/edge/turn.go
@@ -48,7 +48,7 @@
 	}
 	r := refusalOf(&found.decision)
 	if found.closed {
-		r.reason, r.comeback = reasonStopping, shortRetry
+		r.reason, r.comeback = reasonStopping, spread(shortRetry)
 	}
 	c.refuseTurn(r)
 	return nil, true
@@ -113,6 +113,7 @@
 	if r.judged == admission.OverShare {
 		c.countRoom("sent_back")
 	}
+	c.edge.closeWhenStopping(c.writer)
 	c.refuse(sentBack(r.judged).WithRetryAfter(r.comeback))
 }
 
