The plays of the line tell returned callers as the edge does

Cause: the plays of internal/admission had a copy of the rule by which the edge takes a caller for a returned one, without its new bound.

Change: they use admission.CameBack.

--- a/internal/admission/collapse_test.go
+++ b/internal/admission/collapse_test.go
@@ -251,11 +251,11 @@
 func (p *play) decideInTurn(r *playRequest) {
 	e := r.edge
 	left := r.leaves() - p.now
-	age := max(e.route.Longest()-left, 0)
-	if age < admission.LeastComeback {
+	age, returned := admission.CameBack(e.route.Longest(), left, playGoal)
+	if !returned {
 		age = 0
 	}
-	r.claim = admission.Claim{Due: p.clock().Add(playGoal - age), Leaves: p.clock().Add(left), Returned: age > 0, Arrived: p.clock(), Goal: playGoal, Begin: e.route.Begin(), Bytes: 1}
+	r.claim = admission.Claim{Due: p.clock().Add(playGoal - age), Leaves: p.clock().Add(left), Returned: returned, Arrived: p.clock(), Goal: playGoal, Begin: e.route.Begin(), Bytes: 1}
 	place, offer := p.look(e, "")
 	e.overload.Saw(p.clock(), place.Wait, playGoal)
 	room := admission.Room{PerSecond: e.table.Room("p", playEdges), Ends: e.overload.Ends(p.clock())}
