Edge: slots given back are told at once while a pool is crowded

Cause: a slot that an edge gives back is known to others with its next report, 50 to 125 ms later.

Change: an edge where nobody waits tells the hub of its zone of the slot at once, for 250 ms after a request of its own found the pool full. One datagram more for each request, in the zone, under overload.

--- a/internal/edge/line.go
+++ b/internal/edge/line.go
@@ -30,8 +30,14 @@
 	// looking is set while a goroutine looks for room, closed once nobody may wait any more.
 	looking bool
 	closed  bool
+	// fullAt is when a request that came found all slots of the pool held.
+	fullAt time.Time
 }
 
+// crowdedTime is for how long after that slots given back are told to the hub at once: about
+// as long as a request waits for one. With room for all the next report is soon enough.
+const crowdedTime = 250 * time.Millisecond
+
 // turn is a request in a line.
 type turn struct {
 	claim  admission.Claim
@@ -91,6 +97,9 @@
 	if found.place == nil {
 		return found
 	}
+	if found.place.Full {
+		l.fullAt = now
+	}
 	t.claim.Begin = time.Duration(float64(begin) * found.place.Slow)
 	found.room = l.room(found.place, t.claim.Goal)
 	found.decision = l.queue.Arrive(now, &admission.Arrival{
@@ -321,11 +330,23 @@
 	e.mutex.Lock()
 	known := e.lines[pool]
 	e.mutex.Unlock()
-	if known != nil {
-		known.serve(clock.Now(), worker)
+	if known == nil {
+		return
+	}
+	now := clock.Now()
+	if !known.serve(now, worker) && known.crowded(now) {
+		// Others wait for the slot, and would not hear of it before the next report.
+		e.loads.Tell()
 	}
 }
 
+// crowded reports whether all slots of the pool were held a moment ago.
+func (l *line) crowded(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !l.fullAt.IsZero() && now.Sub(l.fullAt) < crowdedTime
+}
+
 // heard takes in that the hub has told something.
 func (e *Edge) heard() {
 	for _, known := range e.allLines() {
--- a/internal/edge/line_test.go
+++ b/internal/edge/line_test.go
@@ -616,6 +616,22 @@
 	return address
 }
 
+// TestSlotsAreToldWhileOthersWait gives a slot back where nobody waits: the hub is told at once
+// while the pool was full a moment ago, and with the next report otherwise.
+func TestSlotsAreToldWhileOthersWait(t *testing.T) {
+	l := newLine(&Edge{}, "p")
+	now := time.Unix(1000, 0)
+	if l.crowded(now) {
+		t.Error("crowded before anything came")
+	}
+	l.fullAt = now
+	for after, want := range map[time.Duration]bool{0: true, crowdedTime - 1: true, crowdedTime: false} {
+		if got := l.crowded(now.Add(after)); got != want {
+			t.Errorf("%s after a request found the pool full: crowded %t", after, got)
+		}
+	}
+}
+
 // TestLinesShareAWorker lets three edges with a hub ask for many times what a worker runs at
 // once: each is run, or told that it was not and when to come back. The worker never has more than the edges' own knowledge
 // allows, and no goroutine goes on looking when nothing waits.
