Batch store: item probes that end with any 5xx or break off count as failed

Cause: an item that probed an avoided worker and got a 502 or 503, or an answer that ended before its first event, said nothing, so the worker was probed again and again at the least pause's due time and its silence looked like no answer.

Change: these count against the worker if the item is a probe. Time-outs and failures to send count as before; what was not run, can't be done or was stopped says nothing. A test plays eleven ends; four of them were not counted.

Ruled out: counting 4xx, which are the item's own.

--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -232,6 +232,9 @@
 			t.failures++
 		}
 		return t.pass(response, failure.New(failure.Internal, "", "the worker failed at it"))
+	case response.Status > http.StatusInternalServerError:
+		t.lease.BrokeOff()
+		return t.pass(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d", response.Status))
 	case response.Status != http.StatusOK:
 		return t.pass(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d", response.Status))
 	}
@@ -299,10 +302,13 @@
 		case err == io.EOF && parser.Rest() == 0 && t.carry.events > 0:
 			return nil
 		case err == io.EOF:
+			t.brokeOff()
 			return failure.Wrap(io.ErrUnexpectedEOF, failure.OutcomeUnknown, "", "the answer ended within an event")
 		case err != nil:
 			if upstream.TimedOut(err) {
 				t.lease.Suspect(clock.Now())
+			} else {
+				t.brokeOff()
 			}
 			return failure.Wrap(err, failure.OutcomeUnknown, "", "the worker broke off")
 		}
@@ -312,6 +318,14 @@
 	}
 }
 
+// brokeOff takes in that the worker ended its answer too early. After an event that says
+// nothing of it: the probe has proved what it can.
+func (t *task) brokeOff() {
+	if !t.begun && t.context.Err() == nil {
+		t.lease.BrokeOff()
+	}
+}
+
 // pace waits until more events have gathered: nobody waits for one of them, and
 // each reading costs processor time, whatever it brings. The first event is not
 // waited for, because it says that the prompt has been read.
--- a/internal/batchstore/task_test.go
+++ b/internal/batchstore/task_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -102,3 +105,71 @@
 		t.Error("an item is kept by who leads no more")
 	}
 }
+
+// TestItemProbesCount checks what an item that is a probe says of its worker by how it ends.
+func TestItemProbesCount(t *testing.T) {
+	const event = "id: 1\ndata: x\n\n"
+	var leave context.CancelFunc
+	status := func(code int) http.HandlerFunc {
+		return func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(code) }
+	}
+	head := func(writer http.ResponseWriter, body string) {
+		writer.Header().Set("Content-Length", "1000")
+		_, _ = io.WriteString(writer, body)
+		_ = http.NewResponseController(writer).Flush()
+	}
+	for _, test := range []struct {
+		name           string
+		serve          http.HandlerFunc
+		proofs, failed int
+		unproven       bool
+	}{
+		{"events", func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, event) }, 1, 0, false},
+		{"500", status(http.StatusInternalServerError), 0, 1, true},
+		{"502", status(http.StatusBadGateway), 0, 1, true},
+		{"503", status(http.StatusServiceUnavailable), 0, 1, true},
+		{"503, not run", func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Not-Run", "1")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}, 0, 0, false},
+		{"422", status(http.StatusUnprocessableEntity), 0, 0, false},
+		{"an empty answer", status(http.StatusOK), 0, 1, true},
+		{"a head, then a reset", func(writer http.ResponseWriter, _ *http.Request) {
+			head(writer, "")
+			panic(http.ErrAbortHandler)
+		}, 0, 1, true},
+		{"an event, then a reset", func(writer http.ResponseWriter, _ *http.Request) {
+			head(writer, event)
+			panic(http.ErrAbortHandler)
+		}, 1, 0, false},
+		{"a head, then silence", func(writer http.ResponseWriter, request *http.Request) {
+			head(writer, "")
+			<-request.Context().Done()
+		}, 0, 1, true},
+		{"a head, then it is stopped", func(writer http.ResponseWriter, request *http.Request) {
+			head(writer, "")
+			leave()
+			<-request.Context().Done()
+		}, 0, 0, false},
+	} {
+		server := httptest.NewServer(test.serve)
+		r := probeRunner(t, 1, server.Listener.Addr().String())
+		probe := r.considered(t, 0, map[string]bool{})
+		if probe == nil || !probe.lease.Probe() {
+			t.Fatalf("%s: no probe", test.name)
+		}
+		leave = probe.cancel
+		probe.run()
+		proofs, failed := 0, 0
+		for _, proof := range r.store.workers.Proofs() {
+			proofs += int(proof.Well)
+		}
+		for _, load := range r.store.workers.Loads() {
+			failed += int(load.Failed)
+		}
+		if proofs != test.proofs || failed != test.failed || probe.probeFailed != test.unproven {
+			t.Errorf("%s: %d proofs, %d failed, failed as a probe %t", test.name, proofs, failed, probe.probeFailed)
+		}
+		server.Close()
+	}
+}
