Batch store: edges of large zones are told of the workers that they may probe

Cause: the answer named a worker to probe, but its row was not among the drawn ones, so the edge did not know that it fails and the word was wasted.

Change: the probes are added to what is drawn, in order. A test of a zone of 1000 workers failed for each word.

Ruled out: passing them as asked, which are bounded and would lose others.

--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -201,7 +201,10 @@
 		answer.Drawn = true
 		if report.Choosing {
 			drawn := loadshare.Draw(s.loads.random, report.Asked, &s.loads.near, &s.loads.far)
-			answer.Workers = s.loads.zone.Named(now, report.Source, drawn)
+			// An edge that is told of no failure of a worker does not probe it.
+			drawn = append(drawn, answer.Probes...)
+			slices.Sort(drawn)
+			answer.Workers = s.loads.zone.Named(now, report.Source, slices.Compact(drawn))
 		}
 		return answer
 	}
--- a/internal/batchstore/probe_test.go
+++ b/internal/batchstore/probe_test.go
@@ -1,7 +1,9 @@
 package batchstore
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,6 +65,40 @@
 	}
 }
 
+// TestProbesAreTold lets an edge of a zone too large to be told of whole ask for news: the
+// worker that it may probe is among those that it is told of.
+func TestProbesAreTold(t *testing.T) {
+	s := testRunner(t, 0).store
+	s.metrics = newMetrics(prometheus.NewRegistry())
+	var rows []wire.PoolWorker
+	for number := range 1000 {
+		rows = append(rows, wire.PoolWorker{ID: fmt.Sprintf("w%d", number), Pool: "p", Zone: "z", Slots: slots})
+	}
+	s.loads.setWorkers(workerset.Of(rows), "z")
+	ill, named := loadshare.Hash("w7"), 0
+	for after := time.Duration(0); after < 10*time.Second; after += loadshare.Interval {
+		now := start.Add(after)
+		s.loads.zone.SetAbove(now, []wire.WorkerLoad{{Worker: ill, Failing: true}}, 0, false)
+		answer := s.answerZone(now, &wire.LoadReport{Source: 1, Choosing: true, Repeatable: true})
+		if !answer.Drawn {
+			t.Fatal("the zone is told of whole")
+		}
+		for _, worker := range answer.Probes {
+			named++
+			at := slices.IndexFunc(answer.Workers, func(load wire.WorkerLoad) bool { return load.Worker == worker })
+			if at < 0 || !answer.Workers[at].Failing {
+				t.Errorf("after %v worker %d may be probed, and is not told of", after, worker)
+			}
+		}
+		if !slices.IsSortedFunc(answer.Workers, func(a, b wire.WorkerLoad) int { return cmp.Compare(a.Worker, b.Worker) }) {
+			t.Errorf("after %v the workers are in no order", after)
+		}
+	}
+	if named == 0 {
+		t.Error("no worker may be probed")
+	}
+}
+
 // open reports whether items may start at the worker.
 func open(s *Store, now time.Time, worker uint32) bool {
 	for _, place := range s.workers.Places(now, func(string) time.Duration { return 0 }).Busy {
