Balance: outlooks count the slots that places count

Cause: an outlook took a pool's slots by the list and took off those of busy workers by what they told, so IdleSlots was too high, and Overfull and the drawn idle workers went by the list.

Change: Slots, IdleSlots, ZoneSlots, the end of the need, Overfull, and the idle slots and drawn workers of Places go by the same count as placeOf. The table keeps the workers that told fewer than listed, so a plan does not grow with the list.

Ruled out: the list everywhere, by which items would start beside a full worker.

--- a/internal/balance/outlook.go
+++ b/internal/balance/outlook.go
@@ -34,8 +34,9 @@
 			continue
 		}
 		numbers[name] = len(outlooks)
-		most[len(outlooks)] = known.slots
-		outlooks = append(outlooks, batchroom.Outlook{Pool: name, Slots: known.slots, IdleSlots: known.slots, ZoneSlots: maps.Clone(known.zoneSlots)})
+		slots, byZone := t.slotsOfPool(known, name)
+		most[len(outlooks)] = slots
+		outlooks = append(outlooks, batchroom.Outlook{Pool: name, Slots: slots, IdleSlots: slots, ZoneSlots: byZone})
 	}
 	for i := range places.Busy {
 		place := &places.Busy[i]
@@ -73,7 +74,7 @@
 		return false
 	}
 	others, _ := t.toldByOthers(now, known)
-	return known.inFlight+int(others.Online)+int(others.Batch)+t.orphaned(now, known) > known.listed.Slots
+	return known.inFlight+int(others.Online)+int(others.Batch)+t.orphaned(now, known) > t.slotsOf(known)
 }
 
 // lastOf returns the worker that an item ran at before, if it may start there again: its
--- a/internal/balance/outlook_test.go
+++ b/internal/balance/outlook_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/batchroom"
+	"github.com/sedgemast/sedgemast/internal/capacity"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/wire"
 	"github.com/sedgemast/sedgemast/internal/workerset"
@@ -111,6 +112,51 @@
 	}
 }
 
+// TestOutlooksCountToldSlots lets a worker tell fewer slots than it is listed with: all of the
+// outlook goes by what places go by, whether it is idle or not, and by the list again once it
+// is listed with as many as it told.
+func TestOutlooksCountToldSlots(t *testing.T) {
+	table := outlookTable()
+	lease := table.Acquire(start, &Demand{Pool: "p", Exclude: map[string]bool{"b": true}})
+	lease.Told(capacity.Told{Running: 1, Slots: 3, Pace: 100})
+	if table.Overfull(start, "a") {
+		t.Error("somebody waits at a worker with two slots left")
+	}
+	table.SetOthers(start, []wire.WorkerLoad{{Worker: loadshare.WorkerHash("a"), Online: 3}}, OfAll)
+	places := table.Places(start, noPatience)
+	if got := table.Outlooks(&places, []string{"p"})[0]; got.Slots != 7 || got.IdleSlots != 4 || got.ZoneSlots["z"] != 7 || got.Online != 4 {
+		t.Errorf("while it is busy: %+v", got)
+	}
+	if !table.Overfull(start, "a") {
+		t.Error("nobody waits at a worker with a request too many")
+	}
+	table.SetOthers(start, []wire.WorkerLoad{{Worker: loadshare.WorkerHash("a"), Online: 30}}, OfAll)
+	places = table.Places(start, noPatience)
+	if got := table.Outlooks(&places, []string{"p"})[0]; got.Online != 7 {
+		t.Errorf("need beyond the slots: %+v", got)
+	}
+	lease.Release()
+	table.Loads()
+	table.Loads()
+	table.SetOthers(start, nil, OfAll)
+	places = table.Places(start, noPatience)
+	if got := table.Outlooks(&places, []string{"p"})[0]; got.Slots != 7 || got.IdleSlots != 7 || places.IdleSlots != 9 {
+		t.Errorf("while it is idle: %+v, %d idle slots", got, places.IdleSlots)
+	}
+	drawn := 0
+	for _, place := range places.Draw(3) {
+		drawn += place.Slots
+	}
+	if drawn != 9 {
+		t.Errorf("%d slots drawn", drawn)
+	}
+	table.Update(workerset.Of([]wire.PoolWorker{{ID: "a", Pool: "p", Zone: "z", Slots: 3}}), nil)
+	places = table.Places(start, noPatience)
+	if got := table.Outlooks(&places, []string{"p"})[0]; got.Slots != 3 || got.IdleSlots != 3 {
+		t.Errorf("listed with as many as it told: %+v", got)
+	}
+}
+
 // BenchmarkOutlooks is what a plan with an outlook takes more than one without.
 func BenchmarkOutlooks(b *testing.B) {
 	benchmark(b, func(b *testing.B, table *Table, _ int) {
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -90,6 +91,23 @@
 	}
 }
 
+// slotsOfPool returns how many slots all the pool's workers have together, and those by zone: by
+// the list, and by what they told where that counts.
+func (t *Table) slotsOfPool(p *pool, name string) (slots int, byZone map[string]int) {
+	slots, byZone = p.slots, maps.Clone(p.zoneSlots)
+	if !t.tellsPace(name) {
+		return slots, byZone
+	}
+	for w := range t.fewer {
+		if w.entered && w.listed.Pool == name {
+			less := w.listed.Slots - t.slotsOf(w)
+			slots -= less
+			byZone[w.listed.Zone] -= less
+		}
+	}
+	return slots, byZone
+}
+
 // addSlots changes how many slots there are in a zone.
 func (p *pool) addSlots(zone string, change int) {
 	if p.zoneSlots == nil {
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -105,14 +105,15 @@
 			}
 		}
 	}
-	for _, known := range t.pools {
+	for name, known := range t.pools {
+		slots, _ := t.slotsOfPool(known, name)
 		places.IdleWorkers += known.usable()
-		places.IdleSlots += known.slots
+		places.IdleSlots += slots
 	}
 	for known := range busy {
 		if known.entered {
 			places.IdleWorkers--
-			places.IdleSlots -= known.listed.Slots
+			places.IdleSlots -= t.slotsOf(known)
 		}
 	}
 	slices.SortFunc(places.Busy, func(a, b batchroom.Place) int { return cmp.Compare(a.Worker, b.Worker) })
@@ -185,7 +186,7 @@
 	first := t.random.IntN(all)
 	for i := 0; i < all && count > 0; i++ {
 		if w := known.at((first + i) % all); !w.told && !w.busy && w.suspectUntil.IsZero() {
-			drawn = append(drawn, batchroom.Place{Worker: w.hash, Pool: w.listed.Pool, Zone: w.listed.Zone, Slots: w.listed.Slots})
+			drawn = append(drawn, batchroom.Place{Worker: w.hash, Pool: w.listed.Pool, Zone: w.listed.Zone, Slots: t.slotsOf(w)})
 			count--
 		}
 	}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -56,6 +56,8 @@
 	// a caller has told.
 	telling map[string]time.Time
 	newest  time.Time
+	// fewer holds the listed workers that told fewer slots than the list says.
+	fewer map[*worker]bool
 	// doubts holds workers that tell other slots than the list says, until they are taken.
 	doubts []Doubt
 	// scoring is how workers are compared.
@@ -70,7 +72,7 @@
 
 // NewTable returns an empty table of a process in the zone.
 func NewTable(zone string, random *rand.Rand) *Table {
-	return &Table{zone: zone, random: random, workers: map[string]*worker{}, byHash: map[uint32]*worker{}, pools: map[string]*pool{}, memory: map[string]int64{}, telling: map[string]time.Time{}}
+	return &Table{zone: zone, random: random, workers: map[string]*worker{}, byHash: map[uint32]*worker{}, pools: map[string]*pool{}, memory: map[string]int64{}, telling: map[string]time.Time{}, fewer: map[*worker]bool{}}
 }
 
 // Update takes in the list of workers and how many tokens the workers of each pool hold.
@@ -101,6 +103,7 @@
 	leaving := row.Leaving || known.listed.Leaving
 	known.listed = *row
 	known.listed.Leaving = leaving
+	t.noteFewer(known)
 	if t.pools[row.Pool] == nil {
 		t.pools[row.Pool] = &pool{}
 	}
@@ -117,6 +120,7 @@
 	}
 	t.pools[known.listed.Pool].leave(t, known)
 	delete(t.workers, row.ID)
+	delete(t.fewer, known)
 	if t.byHash[known.hash] == known {
 		delete(t.byHash, known.hash)
 	}
--- a/internal/balance/told.go
+++ b/internal/balance/told.go
@@ -23,12 +23,24 @@
 		return
 	}
 	w.toldSlots = told.Slots
+	if !w.gone(t) {
+		t.noteFewer(w)
+	}
 	if told.Slots != w.listed.Slots && !w.doubted && len(t.doubts) < mostDoubts {
 		w.doubted = true
 		t.doubts = append(t.doubts, Doubt{Worker: w.listed.ID, Listed: w.listed.Slots, Told: told.Slots})
 	}
 }
 
+// noteFewer keeps the worker among those that told fewer slots than the list says, or drops it.
+func (t *Table) noteFewer(w *worker) {
+	if w.toldSlots > 0 && w.toldSlots < w.listed.Slots {
+		t.fewer[w] = true
+		return
+	}
+	delete(t.fewer, w)
+}
+
 // Doubts returns the workers found since the last call to tell other slots than the list says,
 // each once.
 func (t *Table) Doubts() []Doubt {
