Edge: what a request was held after a standstill is taken off once

Cause: missed returned the time from the standstill's begin until now, and serve took that off arrived plus what is left, which counts the time since it arrived already.

Ruled out: counting from now on and dropping arrived, which breaks requests that no standstill held.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -90,11 +90,11 @@
 		return
 	}
 	left := dialect.TimeLeft(request.Header.Get(e.dialect.Deadline), route.Timeout())
-	if waited >= left {
+	deadline := arrived.Add(left - waited)
+	if waited > 0 && !time.Now().Before(deadline) {
 		e.Refuse(writer, request, stoodStill())
 		return
 	}
-	deadline := arrived.Add(left - waited)
 	ctx, cancel := context.WithDeadline(request.Context(), deadline)
 	defer cancel()
 	controller := http.NewResponseController(writer)
--- a/internal/edge/standstill.go
+++ b/internal/edge/standstill.go
@@ -40,14 +40,15 @@
 // missed returns for how long a request that was taken in at came may have waited before,
 // because this process stood still, zero where it did not. inside is set where it had been
 // taken in before that.
-func missed(came, now, from, until time.Time) (waited time.Duration, inside bool) {
+func missed(came, from, until time.Time) (waited time.Duration, inside bool) {
 	switch {
 	case until.IsZero() || came.Sub(until) >= wakeTime:
 		return 0, false
 	case until.Sub(came) > wakeTime:
 		return 0, true
 	}
-	return now.Sub(from), false
+	// What passed since then, its deadline counts already.
+	return max(came.Sub(from), 0), false
 }
 
 // awaitNews waits, after a standstill, until the coordinators have been heard again.
@@ -69,7 +70,7 @@
 func (e *Edge) wake(ctx context.Context, arrived time.Time) (waited time.Duration, err error) {
 	now := clock.Now()
 	from, until := e.lookForStandstill(now)
-	waited, inside := missed(now.Add(-time.Since(arrived)), now, from, until)
+	waited, inside := missed(now.Add(-time.Since(arrived)), from, until)
 	if inside {
 		return 0, stoodStill()
 	}
