Balance: a slowness that can't be divides nothing

Cause: began divides by Lease.Slow, which by times was what was seen, unbounded: a worker whose steps were reported as next to nothing made every first event look endless.

Change: slownessOf bounds it by capacity.Believable in the branch by times, as the prediction does.

Ruled out: a bound in began alone; tooLate multiplies by the same figure.

--- a/internal/balance/times.go
+++ b/internal/balance/times.go
@@ -157,7 +157,7 @@
 // scoring of its pool sees it.
 func (t *Table) slownessOf(now time.Time, w *worker) float64 {
 	if t.byTimes(w.listed.Pool) {
-		return w.slownessNow(now)
+		return capacity.Believable(w.slownessNow(now))
 	}
 	return w.slowness(now)
 }
--- a/internal/balance/times_test.go
+++ b/internal/balance/times_test.go
@@ -417,6 +417,26 @@
 	}
 }
 
+// TestSlownessIsBounded checks that a lease tells no slowness that can't be, by which times would
+// be divided: a worker whose events take no time or an hour.
+func TestSlownessIsBounded(t *testing.T) {
+	for _, test := range []struct {
+		step uint32
+		want float64
+	}{{1, 1.0 / 8}, {20_000, 1}, {3_600_000_000, 16}} {
+		table := tableOf(listed("a", "z1"), listed("b", "z1"), listed("c", "z1"))
+		table.scoring = byTimes
+		table.SetOthers(start, []wire.WorkerLoad{told("a", 0, test.step, 10), told("b", 0, 20_000, 10), told("c", 0, 20_000, 10)}, OfAll)
+		demand := &Demand{Pool: "p", Exclude: map[string]bool{"b": true, "c": true}}
+		if got := table.Acquire(start, demand).Slow; got != test.want {
+			t.Errorf("a step of %d µs: slowness %g", test.step, got)
+		}
+		if got := table.Look(start, demand, Search{Peers: 1}).Slow; got != test.want {
+			t.Errorf("a step of %d µs: slowness %g of a place", test.step, got)
+		}
+	}
+}
+
 // TestOneWorker checks that the only worker of a pool is chosen whatever is known of it.
 func TestOneWorker(t *testing.T) {
 	table := tableOf(listed("a", "z2"))
