Consensus: a learner that has led does not stand again

Cause: it steps down after its first commit, but what it refused before let it stand on, and win again, for three election timeouts.

Change: advanceCommit forgets the refusal as the leader steps down. A test of the group that only a learner can lead found that it might stand again.

Ruled out: forgetting it at the election, which a lost majority would then end for good.

--- a/internal/consensus/append.go
+++ b/internal/consensus/append.go
@@ -213,7 +213,9 @@
 	r.log.commit = index
 	r.leaveJoint()
 	if r.membershipIndex <= r.log.commit && len(r.membership.Outgoing) == 0 && !IsVoter(&r.membership, r.config.ID) {
-		// The leader has been replaced by the change that it has committed.
+		// The leader has been replaced by the change that it has committed, or is a learner: then
+		// a voter has its log now, and what it refused before is no reason to stand again.
+		r.refusedAt = time.Time{}
 		r.becomeFollower(r.now, r.term, 0)
 	}
 }
--- a/internal/consensus/replica_test.go
+++ b/internal/consensus/replica_test.go
@@ -190,6 +190,27 @@
 	}
 }
 
+// TestLearnerLeadsOnce: a learner that has led and stepped down leaves the lead to the voters,
+// which have its log by then.
+func TestLearnerLeadsOnce(t *testing.T) {
+	c := lostWithinAChange(t)
+	r := c.replicas[3]
+	for step := 0; r.leaderSince.IsZero() || r.Role() == Leader; step++ {
+		if step > 1000 {
+			t.Fatalf("the learner has not led and stepped down:\n%s", c.state())
+		}
+		c.pass(time.Millisecond)
+	}
+	if r.mayStand(r.now) {
+		t.Error("it may stand again")
+	}
+	led := r.leaderSince
+	c.pass(20 * testElection)
+	if !r.leaderSince.Equal(led) {
+		t.Error("it has led again")
+	}
+}
+
 // TestLearnerStandsForNothing: a learner that refused nobody does not stand, however long it
 // hears no leader, and neither does one whose group has a leader.
 func TestLearnerStandsForNothing(t *testing.T) {
