Forecast: a rise is expected to go no higher than waves have been

Cause: a rise that has just begun was extrapolated without bound, so a few requests more than usual stopped items for a need that never came.

Change: it ends at the high level where levels are known, or at the present need where that is higher.

Ruled out: a bound by the slots of the pool, which is far above what waves reach in a fleet with room.

--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -194,7 +194,12 @@
 		return need
 	}
 	need.Rising = true
-	need.Slots += rise * float64(ahead) / float64(riseBins*binTime)
+	reached := f.present + rise*float64(ahead)/float64(riseBins*binTime)
+	if f.levels.known {
+		// Waves have not been higher so far.
+		reached = min(reached, max(f.levels.high, f.present))
+	}
+	need.Slots = reached
 	return need
 }
 
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -312,6 +312,33 @@
 	}
 }
 
+// TestRisesEndAtTheKnownLevel lets the need rise steeply: it is expected to go on rising, up to
+// the high level where one is known, and to what it is at least.
+func TestRisesEndAtTheKnownLevel(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		known levels
+		want  float64
+	}{
+		{"nothing known", levels{}, 250},
+		{"a higher level", levels{low: 10, high: 400, known: true}, 250},
+		{"a level between", levels{low: 10, high: 90, known: true}, 90},
+		{"a level that is passed", levels{low: 10, high: 30, known: true}, 50},
+	} {
+		f := New()
+		for now := time.Duration(0); now <= 2*time.Second; now += binTime {
+			f.Take(start.Add(now), 10)
+		}
+		now := start.Add(2*time.Second + binTime)
+		f.Take(now, 50)
+		f.levels = test.known
+		// Forty slots in two bins; ten more bins are looked ahead.
+		if need := f.Peak(now, 10*binTime); !need.Rising || need.Slots != test.want {
+			t.Errorf("%s: %+v", test.name, need)
+		}
+	}
+}
+
 // TestWarmOnceTheCrowdHasCome checks when a forecast that is new has heard enough: once the
 // need stops rising, not while there is none, and after a second at the latest.
 func TestWarmOnceTheCrowdHasCome(t *testing.T) {
