Run log: requests that lines refuse count as sent back

Cause: only request_sent_back and request_refused were counted, so a run with lines seemed to refuse next to nobody.

Change: queue_refused, and queue_decided with hopeless or crowded, count as sent back, too; those that wait or are sent don't.

--- a/internal/routetable/tenant.go
+++ b/internal/routetable/tenant.go
@@ -16,8 +16,9 @@
 type Tenant struct {
 	Name      tenancy.Name      `json:"name"`
 	KeyHashes []tenancy.KeyHash `json:"key_hashes"`
-	// Rank goes before the routes' own where it is told: of scarce room smaller ranks get
-	// theirs first, less what is kept for others (package fairshare).
+	// Rank goes before the routes' own where it is told. Smaller ranks go first in the lines of
+	// an edge (package admission), and of scarce room they get theirs first, less what is kept
+	// for others (package fairshare).
 	Rank *int `json:"rank,omitempty"`
 	// RatePerSecond is how many online requests a second the tenant may send to the
 	// whole fleet, zero for any number, and Burst how many more at once.
--- a/internal/runlog/runlog.go
+++ b/internal/runlog/runlog.go
@@ -15,6 +15,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/admission"
 	"github.com/sedgemast/sedgemast/internal/record"
 	"github.com/sedgemast/sedgemast/internal/traffic"
 )
@@ -23,7 +24,8 @@
 type Second struct {
 	// At is the second, counted from the first event.
 	At int
-	// Arrived counts requests that came, Refused and SentBack those that were not run.
+	// Arrived counts requests that came, Refused and SentBack those that were not run:
+	// the latter for want of room, as they came or while they waited.
 	Arrived  int
 	Refused  int
 	SentBack int
@@ -114,8 +116,12 @@
 		r.spread(began, event.At, func(second *Second, part float64) { second.InFlight += part })
 	case "request_refused":
 		r.second(event.At).Refused++
-	case "request_sent_back":
+	case "request_sent_back", "queue_refused":
 		r.second(event.At).SentBack++
+	case "queue_decided":
+		if result := event.Text("result"); result == hopeless || result == crowded {
+			r.second(event.At).SentBack++
+		}
 	case "job_submitted":
 		if event.Text("error") == "null" && event.Text("repeated") == "false" {
 			r.second(event.At).Submitted += int(event.Number("items"))
@@ -197,6 +203,12 @@
 	return exchanges, sent, received, err == nil
 }
 
+// hopeless and crowded are the results of requests that a line refuses as they come.
+var (
+	hopeless = admission.Hopeless.String()
+	crowded  = admission.Crowded.String()
+)
+
 const hundredths = 100
 
 // quantile returns the value below which so many hundredths of the sorted values lie.
