Load share: online requests probe where items don't

Cause: a zone's hub lets online requests probe an avoided worker only while no items run anywhere, so items of any pool switched that off, and a grant to a runner whose items wait for another pool brought nothing for good.

Change: the top hub notes where a granted probe brought neither proof nor failure by its due time, or none was granted for as long, until an item's news come; it tells zones' hubs by Start at that row, which they keep from edges. There online requests probe though items run.

Ruled out: a field of its own on the wire, and items per pool at the zone's hub, which does not know the pools of those that wait.

--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -224,7 +224,11 @@
 	if report.Left || report.Quiet {
 		return nil
 	}
-	told := s.loads.top.Loaded(now, report.Source)
+	loaded := s.loads.top.Loaded
+	if report.Sums {
+		loaded = s.loads.top.LoadedForHub
+	}
+	told := loaded(now, report.Source)
 	s.noteLeft(now, "told", told.Left)
 	answer := &wire.LoadReport{Workers: told.Rows, Rest: uint32(told.Rest), Part: told.Left > 0, Sources: uint16(s.loads.reporting.Load())}
 	if report.Tenants != nil {
@@ -277,7 +281,7 @@
 		s.loads.limits.tellSelf(now, s.zoneSource(), s.settings.Zone, int(sums.Sources))
 	}
 	s.noteJudged(top)
-	above := top.Loaded(now, s.zoneSource())
+	above := top.LoadedForHub(now, s.zoneSource())
 	zone.SetAbove(now, above.Rows, above.Rest, above.Left > 0)
 	s.loads.reporting.Store(int64(top.Sources(now)) - 1)
 	own := top.Loaded(now, ownSource)
--- a/internal/loadshare/health.go
+++ b/internal/loadshare/health.go
@@ -55,8 +55,12 @@
 }
 
 // outcomes is how a worker answered since the last report: requests that were answered well,
-// those that failed, and well answered probes.
-type outcomes struct{ well, failed, proofs int }
+// those that failed, and well answered probes. online is set where a zone's hub told of them,
+// to whom only processes with online requests report.
+type outcomes struct {
+	well, failed, proofs int
+	online               bool
+}
 
 // take takes in how requests were answered. It returns what this changed.
 func (h *health) take(now time.Time, got outcomes) Change {
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -62,9 +62,11 @@
 	probations map[uint32]*probation
 	judgements []Judgement
 	// failingAbove are the workers that the hub above calls failing, itemsRun is set where
-	// it told of items at any worker.
-	failingAbove []uint32
-	itemsRun     bool
+	// it told of items at any worker, and unprobedAbove are those failing ones that items
+	// don't probe all the same.
+	failingAbove  []uint32
+	itemsRun      bool
+	unprobedAbove map[uint32]bool
 }
 
 // source is the last report of a process, or of a zone's hub.
@@ -132,12 +134,16 @@
 
 	h.above = make(map[uint32]wire.WorkerLoad, len(rows))
 	h.failingAbove, h.itemsRun = h.failingAbove[:0], false
-	for i := range rows {
-		h.above[rows[i].Worker] = rows[i]
-		if rows[i].Failing {
-			h.failingAbove = append(h.failingAbove, rows[i].Worker)
+	h.unprobedAbove = map[uint32]bool{}
+	for _, row := range rows {
+		if row.Failing {
+			h.failingAbove = append(h.failingAbove, row.Worker)
+			h.unprobedAbove[row.Worker] = row.Start > 0
 		}
-		h.itemsRun = h.itemsRun || rows[i].Batch > 0
+		h.itemsRun = h.itemsRun || row.Batch > 0
+		// That was for this hub alone.
+		row.Start = 0
+		h.above[row.Worker] = row
 	}
 	h.aboveAt = now
 }
@@ -206,7 +212,7 @@
 			continue
 		}
 		known := h.watchedAt(load.Worker)
-		h.takeAnswers(now, known, load.Worker, outcomes{well: int(load.Answered), failed: int(load.Failed)})
+		h.takeAnswers(now, known, load.Worker, outcomes{well: int(load.Answered), failed: int(load.Failed), online: report.Sums})
 		known.pace.take(now, load)
 		known.gathered.take(load)
 		if load.Told > 0 {
@@ -215,7 +221,7 @@
 	}
 	for _, proof := range report.Proofs {
 		known := h.watchedAt(proof.Worker)
-		h.takeAnswers(now, known, proof.Worker, outcomes{proofs: int(proof.Well)})
+		h.takeAnswers(now, known, proof.Worker, outcomes{proofs: int(proof.Well), online: report.Sums})
 		known.gathered.proofs += int(proof.Well)
 	}
 }
--- a/internal/loadshare/probe.go
+++ b/internal/loadshare/probe.go
@@ -57,6 +57,11 @@
 type probation struct {
 	since time.Time
 	due   time.Time
+	// granted is set while a probe is under way. unprobed is set once items bring no news of
+	// the worker though they should: none of those that wait can be the probe. News of an item
+	// ends that, news of online requests don't.
+	granted  bool
+	unprobed bool
 }
 
 func newProbation(now time.Time) *probation {
@@ -71,10 +76,28 @@
 }
 
 // sent takes in that a probe is sent. Without any answer it is given up.
-func (p *probation) sent(now time.Time) { p.due = now.Add(answerTime + p.pause(now)) }
+func (p *probation) sent(now time.Time) {
+	p.unprobed = p.unprobed || p.granted
+	p.granted, p.due = true, now.Add(answerTime+p.pause(now))
+}
+
+// lacksItems reports whether items don't probe the worker: a probe brought nothing by its due
+// time, or none was sent for as long.
+func (p *probation) lacksItems(now time.Time) bool {
+	last := p.due
+	if !p.granted {
+		last = last.Add(answerTime)
+	}
+	p.unprobed = p.unprobed || !now.Before(last)
+	return p.unprobed
+}
 
 // take takes in how requests at the worker ended.
 func (p *probation) take(now time.Time, got outcomes) {
+	if got.failed > 0 || got.proofs > 0 {
+		p.granted = false
+		p.unprobed = p.unprobed && got.online
+	}
 	switch {
 	case got.failed > 0:
 		p.due = now.Add(p.pause(now))
@@ -109,14 +132,17 @@
 }
 
 // OnlineProbes returns the avoided workers to one of which an online request may go that may
-// run more than once. That is for when no items run that could be the probes: these wait for
-// nobody. Only workers that the hub above calls failing are named, of those for which near
+// run more than once. That is for when no items run that could be the probes, which wait for
+// nobody, or where the hub above has said that these bring no news of the worker. Only workers that the hub above calls failing are named, of those for which near
 // returns true, so that one hub alone decides on each.
 func (h *Hub) OnlineProbes(now time.Time, near func(worker uint32) bool) []uint32 {
-	if !h.knowsAbove(now) || h.itemsRun {
+	if !h.knowsAbove(now) {
 		return nil
 	}
 	for _, worker := range h.failingAbove {
+		if h.itemsRun && !h.unprobedAbove[worker] {
+			continue
+		}
 		if near(worker) && h.ProbeDue(now, worker) {
 			h.Probe(now, worker)
 			return []uint32{worker}
@@ -125,6 +151,25 @@
 	return nil
 }
 
+// LoadedForHub returns what Loaded does, for a zone's hub: Start is set at an avoided worker
+// that items don't probe, so that one request may start there.
+func (h *Hub) LoadedForHub(now time.Time, except uint32) Told {
+	told := h.Loaded(now, except)
+	for i := range told.Rows {
+		if row := &told.Rows[i]; row.Failing && h.lacksItems(now, row.Worker) {
+			row.Start = 1
+		}
+	}
+	return told
+}
+
+func (h *Hub) lacksItems(now time.Time, worker uint32) bool {
+	// This begins the probation of a worker that no runner has asked for.
+	h.ProbeDue(now, worker)
+	known := h.probations[worker]
+	return known != nil && known.lacksItems(now)
+}
+
 // avoids reports whether the worker is avoided, by what the hub above told if it is heard.
 func (h *Hub) avoids(now time.Time, worker uint32) bool {
 	if h.knowsAbove(now) {
--- a/internal/loadshare/probe_test.go
+++ b/internal/loadshare/probe_test.go
@@ -182,3 +182,65 @@
 		t.Errorf("%v are named, which are well or of other zones", named)
 	}
 }
+
+// TestOnlineProbesTakeOver lets items run while a worker is avoided. While their probes bring
+// news of it, bad or good, its zone's hub names it for no online request; where they bring none,
+// or none is sent, it does from the due time of the first on. Then online probes alone bring
+// the worker back, and soon.
+func TestOnlineProbesTakeOver(t *testing.T) {
+	const runner, zoneName = 50, 60
+	near := func(worker uint32) bool { return worker == patientWorker }
+	for _, test := range []struct {
+		name            string
+		granted, answer bool
+		want            bool
+	}{
+		{"items tell of it", true, true, false},
+		{"items don't come", true, false, true},
+		{"none may start", false, false, true},
+	} {
+		top, zone := NewHub(), NewHub()
+		items := []wire.WorkerLoad{{Worker: 9, Batch: 1}}
+		zone.Take(start, &wire.LoadReport{Source: 1, Workers: []wire.WorkerLoad{{Worker: patientWorker, Failed: 5}}})
+		first, back, named, toldOn := time.Duration(0), time.Duration(0), 0, false
+		for after := Interval; after < 10*time.Second && back == 0; after += Interval {
+			now := start.Add(after)
+			report := &wire.LoadReport{Source: runner, Workers: items}
+			if top.ProbeDue(now, patientWorker) && test.granted {
+				top.Probe(now, patientWorker)
+				if test.answer {
+					report.Workers = append([]wire.WorkerLoad{{Worker: patientWorker, Failed: 1}}, items...)
+				}
+			}
+			top.Take(now, report)
+			if sums := zone.Sums(now, zoneName); sums != nil {
+				top.Take(now, sums)
+			}
+			zone.SetAbove(now, top.LoadedForHub(now, zoneName).Rows, 0, false)
+			zone.Take(now, &wire.LoadReport{Source: 1})
+			for range zone.OnlineProbes(now, near) {
+				named++
+				if first == 0 {
+					first = after
+				}
+				zone.Take(now, &wire.LoadReport{Source: 1, Proofs: []wire.WorkerProof{{Worker: patientWorker, Well: 1}}})
+			}
+			for _, row := range zone.Others(now, 1) {
+				toldOn = toldOn || row.Start > 0
+			}
+			if first > 0 && !top.avoids(now, patientWorker) {
+				back = after
+			}
+		}
+		t.Logf("%s: first named after %v, %d times, back after %v", test.name, first, named, back)
+		if toldOn {
+			t.Errorf("%s: edges are told of items that may start", test.name)
+		}
+		if (named > 0) != test.want {
+			t.Errorf("%s: named %d times", test.name, named)
+		}
+		if test.want && (first > 2*time.Second || back == 0 || back > first+time.Second) {
+			t.Errorf("%s: first named after %v, back after %v", test.name, first, back)
+		}
+	}
+}
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -283,7 +283,8 @@
 	Rate uint16
 	// Start and Stop are set by the hub in answers to stores: how many items the
 	// store may start at the worker until its next report, and how many it is to
-	// stop there.
+	// stop there. Start is also set in answers to zones' hubs, at an avoided worker that items
+	// don't probe: one online request may start there, to learn whether it is well.
 	Start uint16
 	Stop  uint16
 	// Orphans is set by the hub: how many requests the worker seems to have
