Tests of the room of items: plays run side by side and name zones once

Change: tests and cases that play by themselves run in parallel, and so do the seeds of a play; zones' names and slots are reckoned once a day of play.

What is left is the planner's own work.

--- a/internal/batchroom/play_test.go
+++ b/internal/batchroom/play_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -182,6 +183,9 @@
 	shift time.Duration
 	// learnt is when a pattern was sure.
 	learnt time.Duration
+	// zoneNames are the names of the workers' zones, slotsOf the slots by zone.
+	zoneNames []string
+	slotsOf   map[string]int
 }
 
 func newDay(p *play, seed int64) *day {
@@ -191,6 +195,12 @@
 		d.from = 10 * time.Second
 	}
 	d.online, d.items = make([]int, p.workers), make([]int, p.workers)
+	d.slotsOf = map[string]int{}
+	for worker := range p.workers {
+		name := fmt.Sprint(d.zoneOf(worker))
+		d.zoneNames = append(d.zoneNames, name)
+		d.slotsOf[name] += p.slots
+	}
 	d.running, d.queues = make([][]*playRun, p.workers), make([][]*playRun, p.workers)
 	for i, pause := range []time.Duration{ownReports, reports, reports} {
 		d.runners = append(d.runners, &playRunner{name: uint32(i + 1), pause: pause, due: time.Duration(i) * 7 * time.Millisecond})
@@ -405,11 +415,11 @@
 
 // places returns the workers as the planner sees them.
 func (d *day) places() Places {
-	places := Places{Draw: func(int) []Place { return nil }}
+	places := Places{Busy: make([]Place, 0, d.workers), Draw: func(int) []Place { return nil }}
 	total := 0
 	for worker, online := range d.seen[0] {
 		total += online
-		places.Busy = append(places.Busy, Place{Worker: uint32(worker + 1), Pool: "p", Zone: fmt.Sprint(d.zoneOf(worker)), Slots: d.slots, Online: online, Hold: d.hold, Patience: playPatience})
+		places.Busy = append(places.Busy, Place{Worker: uint32(worker + 1), Pool: "p", Zone: d.zoneNames[worker], Slots: d.slots, Online: online, Hold: d.hold, Patience: playPatience})
 	}
 	if d.foresees {
 		now := start.Add(d.now)
@@ -425,21 +435,12 @@
 			},
 		}}
 		if !d.mixed {
-			places.Outlooks[0].ZoneSlots = d.zoneSlots()
+			places.Outlooks[0].ZoneSlots = d.slotsOf
 		}
 	}
 	return places
 }
 
-// zoneSlots returns the slots by zone.
-func (d *day) zoneSlots() map[string]int {
-	slots := map[string]int{}
-	for worker := range d.workers {
-		slots[fmt.Sprint(d.zoneOf(worker))] += d.slots
-	}
-	return slots
-}
-
 // mayWait is how long an online request may wait for an item.
 const mayWait = 50 * time.Millisecond
 
@@ -604,9 +605,14 @@
 // sums returns what came of a play with several seeds, together.
 func (p *play) sums(t *testing.T, name string) outcome {
 	t.Helper()
+	var results [plays]outcome
+	var group sync.WaitGroup
+	for seed := range results {
+		group.Go(func() { results[seed] = p.run(int64(seed)) })
+	}
+	group.Wait()
 	var all outcome
-	for seed := range int64(plays) {
-		result := p.run(seed)
+	for _, result := range results {
 		all.online += result.online
 		all.waited += result.waited
 		all.late += result.late
@@ -649,6 +655,7 @@
 
 // TestWavesFindTheirRoom plays a day of waves that fit in beside the items.
 func TestWavesFindTheirRoom(t *testing.T) {
+	t.Parallel()
 	p := fleet360()
 	p.present().sums(t, "present way")
 	result := p.sums(t, "forecast")
@@ -662,6 +669,7 @@
 // ahead of them save requests more time of waiting than it takes to read the prompts of
 // those that stopped again.
 func TestStopsGain(t *testing.T) {
+	t.Parallel()
 	p := fleet576()
 	before, after := p.present().sums(t, "present way"), p.sums(t, "forecast")
 	after.holds(t)
@@ -674,6 +682,7 @@
 // TestZonesKeepTheirRoom plays waves that come to zones unevenly: where the planner knows of
 // zones, fewer requests wait for items and fewer go to another zone than where it does not.
 func TestZonesKeepTheirRoom(t *testing.T) {
+	t.Parallel()
 	p := fleet576()
 	p.zones = []float64{92, 82, 64, 63}
 	p.present().sums(t, "present way")
@@ -687,6 +696,7 @@
 
 // TestDrawnWaves draws period, height and length by seed.
 func TestDrawnWaves(t *testing.T) {
+	t.Parallel()
 	const shortest, drawn = 1500 * time.Millisecond, 4000
 	for seed := range int64(6) {
 		random := rand.New(rand.NewSource(seed))
@@ -698,24 +708,34 @@
 		// So the mean is what it was, where the fleet has that many slots.
 		p.high = min((cycle.Seconds()-p.low*p.calm.Seconds())/p.wave.Seconds(), 2.3)
 		p.length = 12 * cycle
-		t.Logf("%s at %.2f, %s at %.2f", p.calm, p.low, p.wave, p.high)
-		p.sums(t, "forecast").holds(t)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			t.Logf("%s at %.2f, %s at %.2f", p.calm, p.low, p.wave, p.high)
+			p.sums(t, "forecast").holds(t)
+		})
 	}
 }
 
 // TestNoPeriod plays waves without a period, and none at all.
 func TestNoPeriod(t *testing.T) {
-	for _, p := range []*play{fleet360(), fleet576()} {
-		p.erratic = true
-		p.sums(t, "erratic").noWorse(t, p.present().sums(t, "present way"))
-		p.wave, p.length = 0, p.length/2
-		p.sums(t, "flat").noWorse(t, p.present().sums(t, "present way"))
+	t.Parallel()
+	for _, fleet := range []*play{fleet360(), fleet576()} {
+		erratic, flat := *fleet, *fleet
+		erratic.erratic, flat.erratic = true, true
+		flat.wave, flat.length = 0, fleet.length/2
+		for name, p := range map[string]*play{"erratic": &erratic, "flat": &flat} {
+			t.Run(fmt.Sprint(name, " ", fleet.slots*fleet.workers), func(t *testing.T) {
+				t.Parallel()
+				p.sums(t, name).noWorse(t, p.present().sums(t, "present way"))
+			})
+		}
 	}
 }
 
 // TestRisesAreSeen compares waves without a period with plays in which a rise that begins
 // is not looked at: fewer requests wait.
 func TestRisesAreSeen(t *testing.T) {
+	t.Parallel()
 	p := fleet576()
 	p.erratic = true
 	blind := *p
@@ -732,6 +752,7 @@
 // TestTrouble lets one thing go wrong in each play: it is no worse than the present way
 // with the same trouble.
 func TestTrouble(t *testing.T) {
+	t.Parallel()
 	once := func(act func(d *day)) func(d *day, now time.Duration) {
 		return func(d *day, now time.Duration) {
 			if now == troubleAt {
@@ -761,6 +782,7 @@
 		})},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			p := fleet360()
 			p.at = test.at
 			p.sums(t, "forecast").noWorse(t, p.present().sums(t, "present way"))
@@ -787,6 +809,7 @@
 // TestSuccessorStartsLittleAtOnce loses the planner in a wave: its successor starts nothing
 // until all had time to report, and goes on within a second.
 func TestSuccessorStartsLittleAtOnce(t *testing.T) {
+	t.Parallel()
 	const silence, listens, goesOn = 100 * time.Millisecond, 250 * time.Millisecond, time.Second
 	p := fleet360()
 	p.length = troubleAt + 2*time.Second
