--- a/internal/admission/collapse_test.go
+++ b/internal/admission/collapse_test.go
@@ -238,13 +238,13 @@
 }
 
 // look returns the best place at a worker.
-func (p *play) look(e *playEdge, given string) (*balance.Place, admission.Offer) {
+func (p *play) look(e *playEdge, given string) (*balance.Choice, admission.Offer) {
 	place := e.table.Look(p.clock(), &balance.Demand{Pool: "p"}, balance.Search{Peers: playEdges, Given: given})
 	return place, admission.Offer{Full: place.Full, Wait: place.Wait, WaitMost: place.WaitMost, Spare: place.Spare, Left: place.Left}
 }
 
 // take sends a request to the place.
-func (p *play) take(r *playRequest, place *balance.Place) {
+func (p *play) take(r *playRequest, place *balance.Choice) {
 	p.send(r, r.edge.table.Take(p.clock(), &balance.Demand{Pool: "p"}, place))
 }
 
@@ -258,8 +258,8 @@
 	r.claim = admission.Claim{Due: p.clock().Add(playGoal - age), Leaves: p.clock().Add(left), Returned: returned, Arrived: p.clock(), Goal: playGoal, Begin: e.route.Begin(), Bytes: 1}
 	place, offer := p.look(e, "")
 	e.overload.Saw(p.clock(), place.Wait, playGoal)
-	room := admission.Room{PerSecond: e.table.Room("p", playEdges), Ends: e.overload.Ends(p.clock())}
-	decision := e.queue.Arrive(p.clock(), &admission.Arrival{Claim: &r.claim, Offer: offer, Room: room, Left: left, Longest: e.route.Longest()}, p.random.Float64())
+	room := admission.Supply{PerSecond: e.table.Throughput("p", playEdges), Ends: e.overload.Ends(p.clock())}
+	decision := e.queue.Arrive(p.clock(), &admission.Arrival{Claim: &r.claim, Offer: offer, Supply: room, Left: left, Longest: e.route.Longest()}, p.random.Float64())
 	for i := range decision.Displaced {
 		displaced := &decision.Displaced[i]
 		other := e.waiting[displaced.Claim]
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -36,7 +36,8 @@
 // Bytes returns what those that wait keep in memory.
 func (q *Queue) Bytes() int64 { return q.bytes }
 
-// Offer is the best place at a worker that was found for a request.
+// Offer is what the best worker that was found offers to a request: balance.Choice, as far as the
+// queue decides by it.
 type Offer struct {
 	// Full is set where all slots of the worker are held. Wait is how long the request
 	// would wait for one in the mean, WaitMost in nearly all cases; both are zero if that
@@ -51,7 +52,7 @@
 	Left bool
 }
 
-// takes reports whether the claim's request may go to the place. What can be in time may
+// takes reports whether the claim's request may go to the worker. What can be in time may
 // wait for a moment at the worker, so that no slot stays empty between two requests; what
 // is late goes only where a slot is free that nobody else is about to take, so that it stands
 // in nobody's way: those that are in time may wait at another process. What is aimless gains
@@ -66,8 +67,8 @@
 	return claim.inTime(now, o.WaitMost)
 }
 
-// Room is what a process can expect of a pool.
-type Room struct {
+// Supply is what a process can expect of a pool.
+type Supply struct {
 	// PerSecond is how many requests a second the workers can take of those that come to
 	// this process, zero if unknown.
 	PerSecond float64
@@ -120,9 +121,9 @@
 // Arrival is a request that came.
 type Arrival struct {
 	Claim *Claim
-	// Offer is the best place that was found for it.
-	Offer Offer
-	Room  Room
+	// Offer is that of the best worker that was found for it.
+	Offer  Offer
+	Supply Supply
 	// Left is how long its caller still waits, Longest how long callers of the route wait
 	// when they ask first.
 	Left    time.Duration
@@ -154,7 +155,7 @@
 			decision.Predicted = q.predict(now, a.Claim, decision.Ahead, a)
 		}
 		if decision.Predicted > a.Claim.Leaves.Sub(now) {
-			decision.Result, decision.Comeback = Hopeless, Comeback(a.Left, a.Room.Ends, random)
+			decision.Result, decision.Comeback = Hopeless, Comeback(a.Left, a.Supply.Ends, random)
 			return decision
 		}
 	}
@@ -172,8 +173,8 @@
 // free reports whether a slot is free at the worker.
 func (o Offer) free() bool { return !o.Full && o.Wait <= 0 }
 
-// goes reports whether the request goes to the place though nobody says that it will be in
-// time there: where the workers don't tell their slots there is no moment to wait for. One that
+// goes reports whether the request goes to the worker offered though nobody says that it will be
+// in time there: where the workers don't tell their slots there is no moment to wait for. One that
 // is over its share waits at a worker at the cost of others, so it is sent back if it can be.
 func (q *Queue) goes(now time.Time, a *Arrival) bool {
 	if a.Claim.Over && a.sendBack(a.Offer.Wait, 0) > 0 {
@@ -200,7 +201,7 @@
 		Begin:   a.Claim.Begin,
 		Wait:    wait,
 		Over:    a.Claim.Over,
-		Ends:    a.Room.Ends,
+		Ends:    a.Supply.Ends,
 	}
 }
 
@@ -230,7 +231,7 @@
 		}
 		q.Remove(last)
 		left := last.Leaves.Sub(now)
-		displaced = append(displaced, Displaced{last, Decision{Result: result, Ahead: ahead, Predicted: predicted, Comeback: Comeback(left, a.Room.Ends, random)}})
+		displaced = append(displaced, Displaced{last, Decision{Result: result, Ahead: ahead, Predicted: predicted, Comeback: Comeback(left, a.Supply.Ends, random)}})
 		if last == a.Claim {
 			break
 		}
@@ -291,7 +292,7 @@
 	return first
 }
 
-// Take takes the claim that goes first out if its request may go to the place, and reports
+// Take takes the claim that goes first out if its request may go to the worker offered, and reports
 // whether it may.
 func (q *Queue) Take(now time.Time, first *Claim, offer Offer) bool {
 	if !offer.takes(now, first) && !offer.untold() {
@@ -345,10 +346,10 @@
 // is given back for itself. Where those who go before it take all, its turn comes after the
 // overload, if its end is known.
 func (q *Queue) predict(now time.Time, claim *Claim, ahead int, a *Arrival) time.Duration {
-	if a.Room.PerSecond <= 0 {
+	if a.Supply.PerSecond <= 0 {
 		return a.Offer.Wait
 	}
-	perSecond := max(a.Room.PerSecond, q.sent.perSecond(now))
+	perSecond := max(a.Supply.PerSecond, q.sent.perSecond(now))
 	before := 0.0
 	if claim.classAt(now) != punctual {
 		before = q.first.perSecond(now)
@@ -356,7 +357,7 @@
 	if spare := perSecond - before; spare*hundreds > perSecond*leastSpare {
 		return a.Offer.Wait + seconds(float64(ahead)/spare)
 	}
-	return a.Offer.Wait + a.Room.Ends + seconds(float64(ahead)/perSecond)
+	return a.Offer.Wait + a.Supply.Ends + seconds(float64(ahead)/perSecond)
 }
 
 func seconds(count float64) time.Duration { return time.Duration(count * float64(time.Second)) }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -41,7 +41,7 @@
 
 // arrivalOf returns the arrival of a claim at the place.
 func arrivalOf(now time.Time, claim *Claim, offer Offer) *Arrival {
-	return &Arrival{Claim: claim, Offer: offer, Room: Room{PerSecond: 10}, Left: claim.Leaves.Sub(now), Longest: testTime}
+	return &Arrival{Claim: claim, Offer: offer, Supply: Supply{PerSecond: 10}, Left: claim.Leaves.Sub(now), Longest: testTime}
 }
 
 // TestArrivals compares what becomes of requests with testdata/arrivals.txt.
@@ -211,7 +211,7 @@
 				queue.enter(claimOf(queueStart.Add(-time.Millisecond), 0))
 			}
 			arrival := arrivalOf(queueStart, claimOf(queueStart, 0), fullOffer(short))
-			arrival.Claim.Over, arrival.Room.PerSecond = over, 100
+			arrival.Claim.Over, arrival.Supply.PerSecond = over, 100
 			decision := queue.Arrive(queueStart, arrival, 0.5)
 			if (decision.Result == SentBack) != over || over && decision.Reason != OverShare {
 				t.Errorf("over %t, %d wait: %+v", over, waiting, decision)
@@ -266,7 +266,7 @@
 		for range 50 {
 			offer := Offer{Spare: random.Intn(2) == 0, Left: random.Intn(2) == 0}
 			arrival := arrivalOf(queueStart, randomClaim(random, queueStart), offer)
-			arrival.Room = Room{PerSecond: random.Float64() * 10, Ends: time.Duration(random.Intn(5000)) * ms}
+			arrival.Supply = Supply{PerSecond: random.Float64() * 10, Ends: time.Duration(random.Intn(5000)) * ms}
 			decision := queue.Arrive(queueStart, arrival, random.Float64())
 			if decision.Result != Go && decision.Result != Wait || len(decision.Displaced) > 0 {
 				return errors.Newf("%s of %+v, %d displaced, at %+v", decision.Result, arrival.Claim, len(decision.Displaced), offer)
@@ -285,7 +285,7 @@
 		for range 100 {
 			claim := randomClaim(random, queueStart)
 			arrival := arrivalOf(queueStart, claim, fullOffer(250*ms))
-			arrival.Room.PerSecond, arrival.Longest = perSecond, 0
+			arrival.Supply.PerSecond, arrival.Longest = perSecond, 0
 			decision := queue.Arrive(queueStart, arrival, random.Float64())
 			switch bears := claim.Leaves.Sub(queueStart); {
 			case decision.Result == Hopeless && (decision.Predicted <= bears || decision.Comeback < LeastComeback):
--- a/internal/balance/free.go
+++ b/internal/balance/free.go
@@ -30,8 +30,10 @@
 	Given string
 }
 
-// Place is a place at a worker that a request may take, and what stands beside it.
-type Place struct {
+// Choice is the worker that Look chose for one request, and what is known of it. It holds no
+// slot; Take makes a lease of it. (batchroom.Place is another thing: a worker, as the planner of
+// items sees it.)
+type Choice struct {
 	// Worker is the worker's id, Slow how many times as long as elsewhere it takes.
 	Worker string
 	Slow   float64
@@ -58,8 +60,8 @@
 // but one that has a slot free for online requests before any other. Where few slots are
 // free, all processes see the same ones; so a request takes one by lot, and leaves it to
 // others otherwise. Slots of other zones are known by older news, and are drawn for as well.
-// It returns nil if there is no worker. Take takes the place.
-func (t *Table) Look(now time.Time, demand *Demand, search Search) *Place {
+// It returns nil if there is no worker.
+func (t *Table) Look(now time.Time, demand *Demand, search Search) *Choice {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.see(now)
@@ -80,7 +82,7 @@
 	if chosen == nil {
 		return nil
 	}
-	place := &Place{
+	choice := &Choice{
 		Worker:   chosen.listed.ID,
 		Slow:     t.slownessOf(now, chosen),
 		Full:     !t.hasFree(now, chosen),
@@ -93,28 +95,28 @@
 	switch {
 	case probe:
 		// The hub has let one request go there: nobody else is about to.
-		place.Spare = true
-	case !place.Full:
-		t.weigh(now, demand, known, place, search)
+		choice.Spare = true
+	case !choice.Full:
+		t.weigh(now, demand, known, choice, search)
 	}
-	return place
+	return choice
 }
 
 // weigh finds out whether a free slot is to spare, and whether it is left to others.
-func (t *Table) weigh(now time.Time, demand *Demand, known *pool, place *Place, search Search) {
-	if t.slotsOf(place.worker) <= 0 {
+func (t *Table) weigh(now time.Time, demand *Demand, known *pool, choice *Choice, search Search) {
+	if t.slotsOf(choice.worker) <= 0 {
 		// Nothing says how many slots there are to wait for.
-		place.Spare = true
+		choice.Spare = true
 		return
 	}
-	if t.away(place.worker) > 0 {
-		place.Spare = t.farSlots(now, demand, known) > reserved(known.farRate, known.slots-known.nearSlots)
-		place.Left = len(known.near) == 0 && !t.drawsFar(now, demand, known, search.Peers)
+	if t.away(choice.worker) > 0 {
+		choice.Spare = t.farSlots(now, demand, known) > reserved(known.farRate, known.slots-known.nearSlots)
+		choice.Left = len(known.near) == 0 && !t.drawsFar(now, demand, known, search.Peers)
 		return
 	}
 	near := t.nearSlots(now, demand, known)
-	place.Spare = near > reserved(known.nearRate, known.nearSlots)
-	place.Left = place.Worker != search.Given && !mostly(near, known.nearSlots) && t.leaves(near, known.nearPeers(search.Peers))
+	choice.Spare = near > reserved(known.nearRate, known.nearSlots)
+	choice.Left = choice.Worker != search.Given && !mostly(near, known.nearSlots) && t.leaves(near, known.nearPeers(search.Peers))
 }
 
 // mostly reports whether more than half of the slots are free: then nobody waits, and who would
@@ -138,14 +140,14 @@
 	return min(retaken(rate), float64(slots)/reservedParts)
 }
 
-// Take takes a place that Look has found a moment ago.
-func (t *Table) Take(now time.Time, demand *Demand, place *Place) *Lease {
+// Take gives the request a lease of the worker that Look chose a moment ago.
+func (t *Table) Take(now time.Time, demand *Demand, choice *Choice) *Lease {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if place.probe {
-		t.removeProbe(place.worker)
+	if choice.probe {
+		t.removeProbe(choice.worker)
 	}
-	return t.lease(now, place.worker, demand)
+	return t.lease(now, choice.worker, demand)
 }
 
 // freeProbe returns an avoided worker that the request is to probe, if a slot is free there.
@@ -311,10 +313,10 @@
 	return now.Sub(t.othersAt(w))
 }
 
-// Room returns how many online requests a second the pool's workers can take of this process,
+// Throughput returns how many online requests a second the pool's workers can take of this process,
 // one of so many peers: an equal part of what they can take at all, or what it has there now,
 // if that is more. It is zero where it is unknown how long a request holds a slot.
-func (t *Table) Room(pool string, peers int) float64 {
+func (t *Table) Throughput(pool string, peers int) float64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.pools[pool]
--- a/internal/balance/free_test.go
+++ b/internal/balance/free_test.go
@@ -186,7 +186,7 @@
 	table.SetOthers(start, loads, OfAll)
 	table.SetProbes(start, []uint32{loadshare.WorkerHash("w1")})
 	demand := &Demand{Pool: "p", Repeatable: true}
-	var place *Place
+	var place *Choice
 	for look := range looks {
 		place = table.Look(start, demand, Search{Peers: 51})
 		if place.Worker != "w1" || !place.Spare || place.Left || place.Full {
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -65,7 +65,7 @@
 	if c.attempts > 0 || c.dials > 0 {
 		return false
 	}
-	request := admission.Request{Left: time.Until(c.deadline), Goal: c.route.Goal(), Wait: lease.Wait, Over: c.room.standing.Over}
+	request := admission.Request{Left: time.Until(c.deadline), Goal: c.route.Goal(), Wait: lease.Wait, Over: c.share.standing.Over}
 	request.Ends = c.edge.overload(c.demand.Pool, request.Wait, request.Goal)
 	c.edge.observe(c.route, func(known *admission.Route) {
 		request.Longest = known.Longest()
@@ -77,10 +77,10 @@
 	}
 	reason := admission.Judge(&request)
 	if reason == admission.OverShare {
-		c.countRoom("sent_back")
+		c.countByRank("sent_back")
 	}
-	room := &c.room.standing
-	logging.Info(c.edge.logger, "request_sent_back", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "reason", reason, "rank", c.room.party.Rank, "over", room.Over, "told", c.room.told, "asked", room.Asked, "share", room.Share, "room", room.Room, "share_age_ms", room.Age.Milliseconds(), "worker", lease.Endpoint.ID, "slow", lease.Slow, "wait_ms", request.Wait.Milliseconds(), "begin_ms", request.Begin.Milliseconds(), "goal_ms", request.Goal.Milliseconds(), "left_ms", request.Left.Milliseconds(), "longest_ms", request.Longest.Milliseconds(), "ends_ms", request.Ends.Milliseconds(), "comeback_ms", comeback.Milliseconds())
+	standing := &c.share.standing
+	logging.Info(c.edge.logger, "request_sent_back", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "reason", reason, "rank", c.share.party.Rank, "over", standing.Over, "told", c.share.told, "asked", standing.Asked, "share", standing.Share, "room", standing.Room, "share_age_ms", standing.Age.Milliseconds(), "worker", lease.Endpoint.ID, "slow", lease.Slow, "wait_ms", request.Wait.Milliseconds(), "begin_ms", request.Begin.Milliseconds(), "goal_ms", request.Goal.Milliseconds(), "left_ms", request.Left.Milliseconds(), "longest_ms", request.Longest.Milliseconds(), "ends_ms", request.Ends.Milliseconds(), "comeback_ms", comeback.Milliseconds())
 	c.refuse(sentBack(reason).WithRetryAfter(comeback))
 	return true
 }
@@ -102,10 +102,10 @@
 		return false
 	}
 	e := c.edge
-	c.token = wire.TokenQuestion{Ticket: c.room.claim.Ticket, Tenant: routetable.ShortName(c.tenant.Name)}
-	verdict, room, answered := e.loads.Token(c.context, c.token, c.claimOf(), c.mayProbe())
+	c.token = wire.TokenQuestion{Ticket: c.share.claim.Ticket, Tenant: routetable.ShortName(c.tenant.Name)}
+	verdict, standing, answered := e.loads.Token(c.context, c.token, c.roomClaim(), c.mayProbe())
 	c.informed = answered
-	c.stands(room, answered)
+	c.setStanding(standing, answered)
 	switch {
 	case answered && verdict.Granted:
 		c.hasToken = true
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -87,8 +87,8 @@
 	token    wire.TokenQuestion
 	hasToken bool
 	informed bool
-	room     room
-	// waited is set once the request has waited in a line of this process.
+	share    shareState
+	// waited is set once the request has waited in a queue of this process.
 	waited bool
 }
 
@@ -107,7 +107,7 @@
 		arrived:    arrived,
 		deadline:   deadline,
 		due:        clock.Now().Add(time.Until(deadline)),
-		room:       newRoom(table, tenant, route),
+		share:      newShareState(table, tenant, route),
 		demand: balance.Demand{
 			Pool:         e.pool(route),
 			Exclude:      map[string]bool{},
@@ -203,7 +203,7 @@
 func (c *call) acquire() *balance.Lease {
 	c.hear()
 	lease := c.edge.workers.Acquire(clock.Now(), &c.demand)
-	c.foundRoom(lease == nil || lease.Wait > 0)
+	c.countAsked(lease == nil || lease.Wait > 0)
 	if lease != nil {
 		c.edge.loads.Tell()
 		c.edge.noteChoice(c.demand.Pool, lease)
@@ -214,7 +214,7 @@
 // hear asks the hub for news of the workers, unless they came a moment ago.
 func (c *call) hear() {
 	if !c.informed {
-		c.learnRoom()
+		c.learnLoads()
 	}
 	c.informed = false
 	c.demand.Repeatable = c.mayProbe()
--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -12,9 +12,10 @@
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
-// room is what a request knows of the division of scarce room. It is divided only where
+// shareState is what a request knows of the division of its zone's room: how many online
+// requests a second the zone's workers can begin (package fairshare). It is divided only where
 // the configuration names tenants.
-type room struct {
+type shareState struct {
 	divided bool
 	claim   wire.RoomClaim
 	party   fairshare.Party
@@ -26,16 +27,16 @@
 	counted bool
 }
 
-// newRoom returns what a request of the tenant on the route claims by.
-func newRoom(table *routetable.Table, tenant *routetable.Tenant, route *routetable.Route) room {
+// newShareState returns what a request of the tenant on the route claims by.
+func newShareState(table *routetable.Table, tenant *routetable.Tenant, route *routetable.Route) shareState {
 	if !table.AsksForKeys() {
-		return room{}
+		return shareState{}
 	}
 	party := fairshare.Party{Tenant: fairshare.Public, Rank: tenant.RankOn(route)}
 	if tenant != nil {
 		party.Tenant = routetable.ShortName(tenant.Name)
 	}
-	return room{
+	return shareState{
 		divided: true,
 		party:   party,
 		claim:   wire.RoomClaim{Ticket: rand.Uint64(), Tenant: party.Tenant, Rank: int32(party.Rank)},
@@ -51,7 +52,7 @@
 	arrived := c.due.Add(-allowed)
 	claim := admission.Claim{
 		Rank:    c.tenant.RankOn(c.route),
-		Over:    c.room.standing.Over,
+		Over:    c.share.standing.Over,
 		Due:     arrived.Add(goal),
 		Leaves:  c.due,
 		Arrived: arrived,
@@ -78,31 +79,32 @@
 	return a
 }
 
-// claimOf returns the claim that goes with a question for a token, nil for none.
-func (c *call) claimOf() *wire.RoomClaim {
-	if !c.room.divided {
+// roomClaim returns the claim that goes with a question to the hub, nil for none. Unlike claim it
+// is the hub's to judge, and says nothing of this process's queue.
+func (c *call) roomClaim() *wire.RoomClaim {
+	if !c.share.divided {
 		return nil
 	}
-	c.room.claimed = true
-	return &c.room.claim
+	c.share.claimed = true
+	return &c.share.claim
 }
 
-// stands takes in the hub's answer to the claim, nil for within the share. Where none came
+// setStanding takes in the hub's answer to the claim, nil for within the share. Where none came
 // the request goes by those before it.
-func (c *call) stands(told *wire.RoomStanding, answered bool) {
-	if !c.room.divided {
+func (c *call) setStanding(told *wire.RoomStanding, answered bool) {
+	if !c.share.divided {
 		return
 	}
-	c.room.told = answered
+	c.share.told = answered
 	now := clock.Now()
 	e := c.edge
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if answered {
-		c.room.standing = standingFromWire(told)
-		e.recall.Heard(now, c.room.party, c.room.standing)
+		c.share.standing = standingFromWire(told)
+		e.recall.Heard(now, c.share.party, c.share.standing)
 	} else {
-		c.room.standing = e.recall.Standing(now, c.room.party, rand.Float64())
+		c.share.standing = e.recall.Standing(now, c.share.party, rand.Float64())
 	}
 }
 
@@ -122,44 +124,44 @@
 	}
 }
 
-// learnRoom asks the hub what it knows of the workers, and where room is divided and the
+// learnLoads asks the hub what it knows of the workers, and where room is divided and the
 // claim was not told yet, how it stands.
-func (c *call) learnRoom() {
+func (c *call) learnLoads() {
 	homes := c.edge.workers.Homes(&c.demand)
-	if !c.room.divided || c.room.claimed {
+	if !c.share.divided || c.share.claimed {
 		c.edge.loads.Ask(c.context, newsPatience, homes, c.mayProbe())
 		return
 	}
-	told, answered := c.edge.loads.Room(c.context, newsPatience, homes, c.claimOf(), c.mayProbe())
-	c.stands(told, answered)
+	told, answered := c.edge.loads.Claim(c.context, newsPatience, homes, c.roomClaim(), c.mayProbe())
+	c.setStanding(told, answered)
 }
 
-// foundRoom counts what the first look for a worker came to; short says that none had room.
-func (c *call) foundRoom(short bool) {
-	if !c.room.divided || c.attempts > 0 || c.dials > 0 {
+// countAsked counts what the first look for a worker came to; short says that none had room.
+func (c *call) countAsked(short bool) {
+	if !c.share.divided || c.attempts > 0 || c.dials > 0 {
 		return
 	}
-	c.countRoom("asked")
+	c.countByRank("asked")
 	if short {
 		c.edge.short.Add(1)
-		c.countRoom("short")
+		c.countByRank("short")
 	}
-	if c.room.standing.Over {
-		c.countRoom("over")
+	if c.share.standing.Over {
+		c.countByRank("over")
 	}
 }
 
-// gotRoom counts that the request began to run.
-func (c *call) gotRoom() {
-	if !c.room.divided || c.room.counted {
+// countGiven counts that the request began to run.
+func (c *call) countGiven() {
+	if !c.share.divided || c.share.counted {
 		return
 	}
-	c.room.counted = true
+	c.share.counted = true
 	c.edge.begun.Add(1)
-	c.countRoom("given")
+	c.countByRank("given")
 }
 
-// countRoom counts the request by its rank.
-func (c *call) countRoom(outcome string) {
-	c.edge.metrics.room.WithLabelValues(strconv.Itoa(c.room.party.Rank), outcome).Inc()
+// countByRank counts the request by its rank.
+func (c *call) countByRank(outcome string) {
+	c.edge.metrics.room.WithLabelValues(strconv.Itoa(c.share.party.Rank), outcome).Inc()
 }
--- a/internal/edge/claim_test.go
+++ b/internal/edge/claim_test.go
@@ -169,7 +169,7 @@
 		{"within its share, too late", nil, 900 * time.Millisecond, 5 * time.Second, true},
 	} {
 		c, recorder := testCall(t, f, tenant, test.left)
-		c.stands(test.standing, true)
+		c.setStanding(test.standing, true)
 		got := c.tooLate(&balance.Lease{Wait: test.wait, Slow: 1})
 		if got != test.want || got && recorder.Code != http.StatusServiceUnavailable {
 			t.Errorf("%s: sent back %t, status %d", test.name, got, recorder.Code)
@@ -188,7 +188,7 @@
 	for _, reason := range []admission.Reason{admission.TooLate, admission.OverShare} {
 		before := counted(t, f.edge.metrics.room)["sent_back 0"]
 		c, recorder := testCall(t, f, tenant, 5*time.Second)
-		c.refuseTurn(refusalOf(&admission.Decision{Result: admission.SentBack, Reason: reason, Comeback: time.Second}))
+		c.refuseQueued(refusalOf(&admission.Decision{Result: admission.SentBack, Reason: reason, Comeback: time.Second}))
 		over := reason == admission.OverShare
 		if more := counted(t, f.edge.metrics.room)["sent_back 0"] - before; (more == 1) != over || more > 1 {
 			t.Errorf("%s: %g were counted", reason, more)
@@ -206,7 +206,7 @@
 	rank := 2
 	tenant := &routetable.Tenant{Name: "a", Rank: &rank}
 	c, _ := testCall(t, f, tenant, 5*time.Second)
-	c.stands(&wire.RoomStanding{Share: 1}, true)
+	c.setStanding(&wire.RoomStanding{Share: 1}, true)
 	arrived := c.due.Add(c.arrived.Sub(c.deadline))
 	if got := c.claim(); got.Rank != 2 || !got.Over || got.Returned || !got.Arrived.Equal(arrived) || !got.Due.Equal(arrived.Add(300*time.Millisecond)) || got.Leaves.After(c.due) {
 		t.Errorf("%+v", got)
@@ -224,13 +224,13 @@
 	tenant := f.edge.Table().Tenant("a")
 	for range 5 {
 		c, _ := testCall(t, f, tenant, 5*time.Second)
-		c.stands(&wire.RoomStanding{Share: 30}, true)
+		c.setStanding(&wire.RoomStanding{Share: 30}, true)
 	}
 	over := 0
 	for range 100 {
 		c, _ := testCall(t, f, tenant, 5*time.Second)
-		c.stands(nil, false)
-		if c.room.standing.Over && c.room.standing.Share == 3 && !c.room.told {
+		c.setStanding(nil, false)
+		if c.share.standing.Over && c.share.standing.Share == 3 && !c.share.told {
 			over++
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,8 +47,8 @@
 	hubs    atomic.Pointer[[]string]
 	metrics *metrics
 	started time.Time
-	// holding keeps requests that came before the configuration and the workers were known.
-	holding *holding
+	// gate holds requests that came before the configuration and the workers were known.
+	gate *startGate
 	// standstill notices that this process stood still.
 	standstill *standstill.Watch
 	// begun and short count the requests that began to run, and those that found no worker
@@ -71,9 +71,9 @@
 	reserve *ratelimit.Reserve
 	// recall holds how tenants stood in the division of scarce room.
 	recall *fairshare.Recall
-	// lines holds those that wait, by pool; linesClosed is set once nobody may wait any more.
-	lines       map[string]*line
-	linesClosed bool
+	// poolQueues holds those that wait for workers, by pool; queuesClosed is set once nobody may wait any more.
+	poolQueues   map[string]*poolQueue
+	queuesClosed bool
 	// counted holds the tenants that have counters.
 	counted map[tenancy.Name]bool
 	// served is done with the first request that was answered as it should be.
@@ -94,13 +94,13 @@
 		splitter: routetable.NewSplitter(),
 		observed: map[string]*admission.Route{},
 
-		overloads: map[string]*admission.Overload{},
-		byTimes:   map[string]bool{},
-		lines:     map[string]*line{},
-		reserve:   ratelimit.NewReserve(config.Name),
-		recall:    fairshare.NewRecall(),
-		started:   clock.Now(),
-		holding:   newHolding(),
+		overloads:  map[string]*admission.Overload{},
+		byTimes:    map[string]bool{},
+		poolQueues: map[string]*poolQueue{},
+		reserve:    ratelimit.NewReserve(config.Name),
+		recall:     fairshare.NewRecall(),
+		started:    clock.Now(),
+		gate:       newStartGate(),
 
 		standstill: standstill.New(clock.Now()),
 	}
@@ -115,7 +115,7 @@
 	d.Go(e.shareLoads)
 	d.Go(e.watchStandstills)
 	d.BeforeStop(e.drain)
-	d.BeforeStop(e.closeLines)
+	d.BeforeStop(e.closeQueues)
 	return e
 }
 
@@ -179,7 +179,7 @@
 	e.upstream.Forget(e.workers.Knows)
 	e.keepTenants(snapshot.Table)
 	listed := snapshot.Fleet.Listed || snapshot.Fleet.Partial
-	if !e.holding.knows(needWorkers) {
+	if !e.gate.knows(needWorkers) {
 		e.workers.Begin(clock.Now())
 	}
 	e.learnt(snapshot.Table, listed)
@@ -219,7 +219,7 @@
 // drain is the first step of a planned stop: the process is not ready any more,
 // but goes on serving until callers are led elsewhere.
 func (e *Edge) drain(ctx context.Context) {
-	e.holding.stop()
+	e.gate.stop()
 	select {
 	case <-ctx.Done():
 	case <-time.After(e.settings.UnreadyTime.Std()):
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -29,8 +29,8 @@
 	// maxLeft is what is taken for the time left where the caller tells none, or more: the
 	// configuration, which bounds it, is not known yet.
 	maxLeft = time.Minute
-	// maxHeld bounds the requests held. Each has a connection and a goroutine of some
-	// 30 kB beside its bytes, so that all take less than 16 MB.
+	// maxHeld bounds the requests held. Each has a connection and a goroutine beside its
+	// bytes, which the smallest process must have the memory for.
 	maxHeld = 512
 	// maxHeldBytes bounds the heads and bodies held together.
 	maxHeldBytes = 8 << 20
@@ -53,9 +53,9 @@
 // String returns the need as used in logs and metrics.
 func (n need) String() string { return [...]string{"configuration", "workers"}[n] }
 
-// holding keeps the requests that came before this process knew what they need. It is safe
-// for concurrent use.
-type holding struct {
+// startGate holds the requests that came before this process knew what they need. It is not
+// the queue of those that wait for a worker (poolQueue). It is safe for concurrent use.
+type startGate struct {
 	// known are closed once the need is met, stopping once a planned stop begins.
 	known    [needs]chan struct{}
 	stopping chan struct{}
@@ -73,16 +73,16 @@
 	stopped bool
 }
 
-func newHolding() *holding {
-	h := &holding{stopping: make(chan struct{}), longest: holdTime, maxCount: maxHeld, maxBytes: maxHeldBytes}
+func newStartGate() *startGate {
+	h := &startGate{stopping: make(chan struct{}), longest: holdTime, maxCount: maxHeld, maxBytes: maxHeldBytes}
 	for i := range h.known {
 		h.known[i] = make(chan struct{})
 	}
 	return h
 }
 
-// enter takes so many bytes of a new request in, and reports whether there is room.
-func (h *holding) enter(bytes int64) bool {
+// admit takes so many bytes of a new request in, and reports whether the bounds allow it.
+func (h *startGate) admit(bytes int64) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.stopped || h.count >= h.maxCount || h.bytes+bytes > h.maxBytes {
@@ -93,7 +93,7 @@
 	return true
 }
 
-func (h *holding) leave(bytes int64) {
+func (h *startGate) release(bytes int64) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.count--
@@ -101,7 +101,7 @@
 }
 
 // held returns how many requests are held, and their bytes.
-func (h *holding) held() (count int, bytes int64) {
+func (h *startGate) held() (count int, bytes int64) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return h.count, h.bytes
@@ -109,7 +109,7 @@
 
 // meet lets those go on that wait for the need. It returns how many are held, and whether
 // the need was not met before.
-func (h *holding) meet(n need) (held int, first bool) {
+func (h *startGate) meet(n need) (held int, first bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.met[n] {
@@ -121,7 +121,7 @@
 }
 
 // stop lets all go that are held, and takes none any more.
-func (h *holding) stop() {
+func (h *startGate) stop() {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if !h.stopped {
@@ -130,7 +130,7 @@
 	}
 }
 
-func (h *holding) knows(n need) bool {
+func (h *startGate) knows(n need) bool {
 	select {
 	case <-h.known[n]:
 		return true
@@ -141,7 +141,7 @@
 
 // holdFor returns for how long after its arrival, at a process of that age, a request may
 // be held whose caller has so much time left; zero or less for not at all.
-func (h *holding) holdFor(age, left time.Duration) time.Duration {
+func (h *startGate) holdFor(age, left time.Duration) time.Duration {
 	return min(h.longest, left/holdShare, startTime-age)
 }
 
@@ -153,14 +153,14 @@
 )
 
 // await returns once this process knows what the request needs. Where that is not so yet,
-// the request is held, if there is room, until the time since its arrival is over for which
+// the request is held, if the bounds allow it, until the time since its arrival is over for which
 // it may be. A failure says that it was not run, and when to come back.
 //
 // What is held has been read whole: a caller whose request is not read takes the
 // connection for dead, and that it leaves is noticed behind the end of its body only.
 // Without a writer nothing is read: where a body counts for nothing.
 func (e *Edge) await(writer http.ResponseWriter, request *http.Request, arrived time.Time, n need) error {
-	if e.holding.knows(n) {
+	if e.gate.knows(n) {
 		return nil
 	}
 	known, err := e.hold(writer, request, arrived, n)
@@ -182,28 +182,28 @@
 // that the request could not be read.
 func (e *Edge) hold(writer http.ResponseWriter, request *http.Request, arrived time.Time, n need) (known bool, err error) {
 	left := dialect.TimeLeft(request.Header.Get(e.dialect.Deadline), maxLeft)
-	until := arrived.Add(e.holding.holdFor(clock.Now().Sub(e.started)-time.Since(arrived), left))
+	until := arrived.Add(e.gate.holdFor(clock.Now().Sub(e.started)-time.Since(arrived), left))
 	bound := int64(0)
 	if writer != nil {
 		bound = bodyBound(request)
 	}
 	size := int64(httpapi.HeadSize(request)) + bound
-	if !time.Now().Before(until) || bound > maxHeldBody || !e.holding.enter(size) {
+	if !time.Now().Before(until) || bound > maxHeldBody || !e.gate.admit(size) {
 		return false, nil
 	}
-	defer e.holding.leave(size)
+	defer e.gate.release(size)
 	if err := readHeld(writer, request, bound, until); err != nil {
 		return false, err
 	}
 	timeout := time.NewTimer(time.Until(until))
 	defer timeout.Stop()
 	select {
-	case <-e.holding.known[n]:
-	case <-e.holding.stopping:
+	case <-e.gate.known[n]:
+	case <-e.gate.stopping:
 	case <-timeout.C:
 	case <-request.Context().Done():
 	}
-	return e.holding.knows(n), nil
+	return e.gate.knows(n), nil
 }
 
 // bodyBound returns how long the body of a request may be at most, for all that is known
@@ -247,7 +247,7 @@
 }
 
 func (e *Edge) meet(n need) {
-	held, first := e.holding.meet(n)
+	held, first := e.gate.meet(n)
 	if first && held > 0 {
 		logging.Info(e.logger, "held_requests", "held", held, "need", n, "since_start_ms", clock.Now().Sub(e.started).Milliseconds())
 	}
--- a/internal/edge/hold_test.go
+++ b/internal/edge/hold_test.go
@@ -77,7 +77,7 @@
 	tb.Helper()
 	e := newEdge(tb, seed)
 	e.started = clock.Now().Add(patience)
-	e.holding.longest = patience
+	e.gate.longest = patience
 	server := httptest.NewServer(&API{Edge: e})
 	tb.Cleanup(server.Close)
 	return server, e
@@ -85,7 +85,7 @@
 
 func awaitHeld(tb testing.TB, e *Edge, want int) {
 	tb.Helper()
-	await(tb, strconv.Itoa(want)+" requests held", func() bool { count, _ := e.holding.held(); return count == want })
+	await(tb, strconv.Itoa(want)+" requests held", func() bool { count, _ := e.gate.held(); return count == want })
 }
 
 // answerOf is what a caller got.
@@ -141,7 +141,7 @@
 		t.Errorf("%d runs of %d requests", runs(workers), requests)
 	}
 	awaitHeld(t, e, 0)
-	if _, bytes := e.holding.held(); bytes != 0 {
+	if _, bytes := e.gate.held(); bytes != 0 {
 		t.Errorf("%d bytes are counted as held", bytes)
 	}
 }
@@ -150,7 +150,7 @@
 // truly, and what comes later is too.
 func TestHeldOnlyForAWhile(t *testing.T) {
 	server, e := startNew(t, "127.0.0.1:1")
-	e.holding.longest = holdTime
+	e.gate.longest = holdTime
 	for i, answer := range sendAll(context.Background(), t, server, 5) {
 		if got := <-answer; !refusedTruly(got) {
 			t.Errorf("request %d: status %d, %v", i, got.status, got.err)
@@ -175,7 +175,7 @@
 		{"a start that is nearly over", startTime - time.Millisecond, time.Minute, time.Millisecond},
 		{"a process that has been here for long", time.Hour, time.Minute, startTime - time.Hour},
 	} {
-		if got := newHolding().holdFor(test.age, test.left); got != test.want {
+		if got := newStartGate().holdFor(test.age, test.left); got != test.want {
 			t.Errorf("%s: %s, want %s", test.name, got, test.want)
 		}
 	}
@@ -184,16 +184,16 @@
 // TestHeldAreBounded fills the room, by count and by bytes: one more is refused at once,
 // while the others are held.
 func TestHeldAreBounded(t *testing.T) {
-	for name, bound := range map[string]func(h *holding){
-		"count": func(h *holding) { h.maxCount = 2 },
-		"bytes": func(h *holding) { _, bytes := h.held(); h.maxBytes = bytes + 1 },
+	for name, bound := range map[string]func(h *startGate){
+		"count": func(h *startGate) { h.maxCount = 2 },
+		"bytes": func(h *startGate) { _, bytes := h.held(); h.maxBytes = bytes + 1 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			coordinator := startLateCoordinator(t, stream(false, 1), startWorkers(t, 1))
 			server, e := startNew(t, coordinator.address)
 			answers := sendAll(context.Background(), t, server, 2)
 			awaitHeld(t, e, 2)
-			bound(e.holding)
+			bound(e.gate)
 			if got := <-sendAll(context.Background(), t, server, 1)[0]; !refusedTruly(got) {
 				t.Errorf("the third: status %d, %v", got.status, got.err)
 			}
@@ -246,7 +246,7 @@
 			t.Errorf("request %d: status %d, %v", i, got.status, got.err)
 		}
 	}
-	if e.holding.enter(0) {
+	if e.gate.admit(0) {
 		t.Error("a stopping process takes a request to hold")
 	}
 }
--- a/internal/edge/line_test.go
+++ b/internal/edge/queue_test.go
@@ -199,7 +199,7 @@
 
 // waits returns how many requests wait in the line.
 func (f *lineFixture) waits() int {
-	known := f.edge.lineOf("p")
+	known := f.edge.queueOf("p")
 	known.mutex.Lock()
 	defer known.mutex.Unlock()
 	return known.queue.Len()
@@ -361,7 +361,7 @@
 	f := startLine(t, someTenant)
 	refuse := func() string {
 		recorder := httptest.NewRecorder()
-		f.call(recorder, patience, patience).refuseTurn(&refusal{reason: reasonStopping, comeback: shortRetry})
+		f.call(recorder, patience, patience).refuseQueued(&refusal{reason: reasonStopping, comeback: shortRetry})
 		return recorder.Header().Get("Connection")
 	}
 	if got := refuse(); got != "" {
@@ -388,15 +388,15 @@
 	f := startLine(t, someTenant)
 	for _, test := range []struct {
 		least  time.Duration
-		refuse func(l *line)
+		refuse func(l *poolQueue)
 	}{
-		{admission.LeastComeback, func(l *line) { l.expire(clock.Now().Add(time.Hour)) }},
-		{shortRetry, (*line).close},
+		{admission.LeastComeback, func(l *poolQueue) { l.expire(clock.Now().Add(time.Hour)) }},
+		{shortRetry, (*poolQueue).close},
 	} {
-		l := newLine(f.edge, "p")
-		turns := make([]*turn, 0, count)
+		l := newPoolQueue(f.edge, "p")
+		turns := make([]*waiter, 0, count)
 		for range count {
-			turn, _ := f.call(httptest.NewRecorder(), patience, patience).newTurn()
+			turn, _ := f.call(httptest.NewRecorder(), patience, patience).newWaiter()
 			l.queue.Arrive(clock.Now(), &admission.Arrival{Claim: &turn.claim, Offer: admission.Offer{Left: true}}, 0)
 			l.waiting[&turn.claim] = turn
 			turns = append(turns, turn)
@@ -440,7 +440,7 @@
 	release := f.hold(t)
 	answers := make(chan answered, count+1)
 	f.occupy(context.Background(), t, count, answers)
-	f.edge.lineOf("p").serve(clock.Now().Add(time.Hour), "w-0")
+	f.edge.queueOf("p").serve(clock.Now().Add(time.Hour), "w-0")
 	for range count {
 		if a := <-answers; a.err != nil || a.status != http.StatusServiceUnavailable || a.retry == "" {
 			t.Errorf("%+v", a)
@@ -499,7 +499,7 @@
 			longest = known.Longest()
 		})
 		wait := time.Duration(0)
-		if perSecond := f.edge.workers.Room("p", 1); perSecond > 0 {
+		if perSecond := f.edge.workers.Throughput("p", 1); perSecond > 0 {
 			wait = time.Duration(float64(time.Second) * slots / perSecond * float64(max(int(online)+1-slots, 0)) / (slots + 1))
 		}
 		want := admission.Decide(&admission.Request{Left: left, Longest: longest, Goal: c.route.Goal(), Begin: begin, Wait: wait}, 0) > 0
@@ -513,7 +513,7 @@
 			sent++
 			c.release(lease)
 		}
-		if len(f.edge.allLines()) > 0 {
+		if len(f.edge.allQueues()) > 0 {
 			return errors.New("there is a line")
 		}
 		return nil
@@ -561,7 +561,7 @@
 		{time.Second, false, 50 * time.Millisecond},
 	} {
 		c := f.call(httptest.NewRecorder(), test.left, longest)
-		turn, _ := c.newTurn()
+		turn, _ := c.newWaiter()
 		claim := &turn.claim
 		due := claim.Due.Sub(claim.Arrived)
 		if claim.Returned != test.returned || (due-test.due).Abs() > 10*time.Millisecond || (claim.Leaves.Sub(claim.Arrived)-test.left).Abs() > 10*time.Millisecond {
@@ -619,7 +619,7 @@
 // TestSlotsAreToldWhileOthersWait gives a slot back where nobody waits: the hub is told at once
 // while the pool was full a moment ago, and with the next report otherwise.
 func TestSlotsAreToldWhileOthersWait(t *testing.T) {
-	l := newLine(&Edge{}, "p")
+	l := newPoolQueue(&Edge{}, "p")
 	now := time.Unix(1000, 0)
 	if l.crowded(now) {
 		t.Error("crowded before anything came")
@@ -672,7 +672,7 @@
 	}
 	worker.mutex.Unlock()
 	for _, f := range fixtures {
-		known := f.edge.lineOf("p")
+		known := f.edge.queueOf("p")
 		await(t, "the end of the look", func() bool {
 			known.mutex.Lock()
 			defer known.mutex.Unlock()
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -34,7 +34,7 @@
 	}
 	c.started = true
 	c.firstAt = time.Now()
-	c.gotRoom()
+	c.countGiven()
 	header := c.writer.Header()
 	for _, field := range dialect.Forwardable(response.Header) {
 		header.Add(field.Name, field.Value)
--- a/internal/edge/turn.go
+++ b/internal/edge/waiting.go
@@ -12,8 +12,8 @@
 // place finds a worker for an attempt. It returns no lease where there is none, or where the
 // caller has its final answer, which done says.
 func (c *call) place() (lease *balance.Lease, done bool) {
-	if c.attempts == 0 && c.dials == 0 && c.edge.queues(c.demand.Pool) {
-		return c.takeTurn()
+	if c.attempts == 0 && c.dials == 0 && c.edge.usesQueue(c.demand.Pool) {
+		return c.placeQueued()
 	}
 	lease = c.acquire()
 	if lease != nil && c.tooLate(lease) {
@@ -29,28 +29,28 @@
 	c.edge.released(c.demand.Pool, lease.Endpoint.ID)
 }
 
-// takeTurn finds a worker in the order of all that wait here.
-func (c *call) takeTurn() (lease *balance.Lease, done bool) {
+// placeQueued finds a worker in the order of all that wait here.
+func (c *call) placeQueued() (lease *balance.Lease, done bool) {
 	c.hear()
-	t, begin := c.newTurn()
-	l := c.edge.lineOf(c.demand.Pool)
-	found := l.arrive(clock.Now(), t, begin)
-	c.foundRoom(found.place == nil || found.place.Wait > 0)
+	w, begin := c.newWaiter()
+	q := c.edge.queueOf(c.demand.Pool)
+	found := q.arrive(clock.Now(), w, begin)
+	c.countAsked(found.choice == nil || found.choice.Wait > 0)
 	switch {
-	case found.place == nil:
+	case found.choice == nil:
 		return nil, false
 	case found.lease != nil:
 		return c.goes(found.lease)
 	}
-	c.logArrival(t, &found)
+	c.logArrival(w, &found)
 	if found.decision.Result == admission.Wait && !found.closed {
-		return c.await(l, t)
+		return c.await(q, w)
 	}
 	r := refusalOf(&found.decision)
 	if found.closed {
 		r.reason, r.comeback = reasonStopping, spread(shortRetry)
 	}
-	c.refuseTurn(r)
+	c.refuseQueued(r)
 	return nil, true
 }
 
@@ -67,82 +67,82 @@
 	return lease, false
 }
 
-// newTurn returns the request as it stands in a line, and how long its first event takes once
+// newWaiter returns the request as it stands in a queue, and how long its first event takes once
 // it runs at a usual worker, zero if unknown.
-func (c *call) newTurn() (t *turn, begin time.Duration) {
-	t = &turn{demand: &c.demand, left: time.Until(c.deadline), answers: make(chan answer, 1)}
-	c.edge.observe(c.route, func(known *admission.Route) { t.longest, begin = known.Longest(), known.Begin() })
-	t.claim = c.claim()
-	return t, begin
+func (c *call) newWaiter() (w *waiter, begin time.Duration) {
+	w = &waiter{demand: &c.demand, left: time.Until(c.deadline), answers: make(chan answer, 1)}
+	c.edge.observe(c.route, func(known *admission.Route) { w.longest, begin = known.Longest(), known.Begin() })
+	w.claim = c.claim()
+	return w, begin
 }
 
 // await waits for the request's turn.
-func (c *call) await(l *line, t *turn) (lease *balance.Lease, done bool) {
+func (c *call) await(q *poolQueue, w *waiter) (lease *balance.Lease, done bool) {
 	c.waited = true
 	c.edge.metrics.queued.WithLabelValues("waits").Inc()
 	var a answer
 	answered := true
 	select {
-	case a = <-t.answers:
+	case a = <-w.answers:
 	case <-c.context.Done():
-		a, answered = l.leave(t)
+		a, answered = q.leave(w)
 	}
 	switch {
 	case !answered:
 		c.edge.metrics.queued.WithLabelValues("left").Inc()
-		logging.Info(c.edge.logger, "queue_left", "id", c.id, "route", c.route.Name, "waited_ms", waitedIn(t).Milliseconds())
+		logging.Info(c.edge.logger, "queue_left", "id", c.id, "route", c.route.Name, "waited_ms", waitedIn(w).Milliseconds())
 		c.giveUp()
 		return nil, true
 	case a.refusal != nil:
-		c.logRefused(t, a.refusal)
-		c.refuseTurn(a.refusal)
+		c.logRefused(w, a.refusal)
+		c.refuseQueued(a.refusal)
 		return nil, true
 	case a.lease == nil:
 		return nil, false
 	}
-	c.logSent(t, a.place)
+	c.logSent(w, a.choice)
 	return c.goes(a.lease)
 }
 
 // waitedIn returns for how long the request has been here.
-func waitedIn(t *turn) time.Duration { return clock.Since(t.claim.Arrived) }
+func waitedIn(w *waiter) time.Duration { return clock.Since(w.claim.Arrived) }
 
-// refuseTurn tells the caller that nothing ran, and when to come back.
-func (c *call) refuseTurn(r *refusal) {
+// refuseQueued tells the caller that nothing ran, and when to come back.
+func (c *call) refuseQueued(r *refusal) {
 	c.edge.metrics.queued.WithLabelValues(r.reason).Inc()
 	if r.judged == admission.OverShare {
-		c.countRoom("sent_back")
+		c.countByRank("sent_back")
 	}
 	c.edge.closeWhenStopping(c.writer)
 	c.refuse(sentBack(r.judged).WithRetryAfter(r.comeback))
 }
 
 // logRefused writes why a request that waited is refused.
-func (c *call) logRefused(t *turn, r *refusal) {
-	logging.Info(c.edge.logger, "queue_refused", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "reason", r.reason, "ahead", r.ahead, "predicted_ms", r.predicted.Milliseconds(), "bears_ms", t.claim.Leaves.Sub(t.claim.Arrived).Milliseconds(), "waited_ms", waitedIn(t).Milliseconds(), "comeback_ms", r.comeback.Milliseconds())
+func (c *call) logRefused(w *waiter, r *refusal) {
+	logging.Info(c.edge.logger, "queue_refused", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "reason", r.reason, "ahead", r.ahead, "predicted_ms", r.predicted.Milliseconds(), "bears_ms", w.claim.Leaves.Sub(w.claim.Arrived).Milliseconds(), "waited_ms", waitedIn(w).Milliseconds(), "comeback_ms", r.comeback.Milliseconds())
 }
 
 // logArrival writes what was decided on a request that did not go at once, and by what.
-func (c *call) logArrival(t *turn, found *arrival) {
-	decision, place := &found.decision, found.place
+func (c *call) logArrival(w *waiter, found *arrival) {
+	decision, choice := &found.decision, found.choice
 	event := "queue_decided"
 	if decision.Result == admission.SentBack {
 		event = "request_sent_back"
 	}
 	logging.Info(c.edge.logger, event, "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "pool", c.demand.Pool,
-		"result", decision.Result, "reason", decision.Reason, "rank", t.claim.Rank, "over", t.claim.Over, "returned", t.claim.Returned,
-		"asked_ms_ago", t.claim.Arrived.Add(t.claim.Goal).Sub(t.claim.Due).Milliseconds(), "left_ms", t.left.Milliseconds(), "longest_ms", t.longest.Milliseconds(),
-		"goal_ms", t.claim.Goal.Milliseconds(), "begin_ms", t.claim.Begin.Milliseconds(), "ahead", decision.Ahead, "predicted_ms", decision.Predicted.Milliseconds(),
-		"worker", place.Worker, "full", place.Full, "slow", place.Slow, "wait_ms", place.Wait.Milliseconds(), "wait_most_ms", place.WaitMost.Milliseconds(),
-		"spare", place.Spare, "lot", place.Left, "news_age_ms", place.NewsAge.Milliseconds(),
-		"per_second", found.room.PerSecond, "ends_ms", found.room.Ends.Milliseconds(), "bears_ms", t.claim.Leaves.Sub(t.claim.Arrived).Milliseconds(),
+		"result", decision.Result, "reason", decision.Reason, "rank", w.claim.Rank, "over", w.claim.Over, "returned", w.claim.Returned,
+		"asked_ms_ago", w.claim.Arrived.Add(w.claim.Goal).Sub(w.claim.Due).Milliseconds(), "left_ms", w.left.Milliseconds(), "longest_ms", w.longest.Milliseconds(),
+		"goal_ms", w.claim.Goal.Milliseconds(), "begin_ms", w.claim.Begin.Milliseconds(), "ahead", decision.Ahead, "predicted_ms", decision.Predicted.Milliseconds(),
+		"worker", choice.Worker, "full", choice.Full, "slow", choice.Slow, "wait_ms", choice.Wait.Milliseconds(), "wait_most_ms", choice.WaitMost.Milliseconds(),
+		"spare", choice.Spare, "lot", choice.Left, "news_age_ms", choice.NewsAge.Milliseconds(),
+		"per_second", found.supply.PerSecond, "ends_ms", found.supply.Ends.Milliseconds(), "bears_ms", w.claim.Leaves.Sub(w.claim.Arrived).Milliseconds(),
 		"stopping", found.closed, "comeback_ms", decision.Comeback.Milliseconds())
 }
 
 // logSent writes that a request that waited goes to a worker.
-func (c *call) logSent(t *turn, place *balance.Place) {
-	waited := waitedIn(t)
+func (c *call) logSent(w *waiter, choice *balance.Choice) {
+	waited := waitedIn(w)
 	c.edge.metrics.queued.WithLabelValues("sent").Inc()
 	c.edge.metrics.queueTime.WithLabelValues(c.route.Name).Observe(waited.Seconds())
-	logging.Info(c.edge.logger, "queue_sent", "id", c.id, "route", c.route.Name, "worker", place.Worker, "waited_ms", waited.Milliseconds(), "full", place.Full, "wait_ms", place.Wait.Milliseconds(), "spare", place.Spare, "news_age_ms", place.NewsAge.Milliseconds())
+	logging.Info(c.edge.logger, "queue_sent", "id", c.id, "route", c.route.Name, "worker", choice.Worker, "waited_ms", waited.Milliseconds(), "full", choice.Full, "wait_ms", choice.Wait.Milliseconds(), "spare", choice.Spare, "news_age_ms", choice.NewsAge.Milliseconds())
 }
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -223,11 +223,11 @@
 // roomTries is how many times a claim is sent within the patience of its request.
 const roomTries = 2
 
-// Room puts a request's claim of room to the hub with the question of what the others have
+// Claim puts a request's claim of room to the hub with the question of what the others have
 // at the workers (Ask). It returns how the claim stands, nil for within the share, and
 // whether there was an answer in time, to a report that was sent with the claim or after it: the
 // answer to an earlier one says nothing of it. repeatable is as for Ask.
-func (x *Exchange) Room(ctx context.Context, patience time.Duration, asked []uint32, claim *wire.RoomClaim, repeatable bool) (*wire.RoomStanding, bool) {
+func (x *Exchange) Claim(ctx context.Context, patience time.Duration, asked []uint32, claim *wire.RoomClaim, repeatable bool) (*wire.RoomStanding, bool) {
 	x.mutex.Lock()
 	silent := clock.Since(x.began)-x.chooser.heard > Fresh || x.chooser.heard == 0
 	x.mutex.Unlock()
--- a/internal/loadshare/replies_test.go
+++ b/internal/loadshare/replies_test.go
@@ -61,7 +61,7 @@
 		}
 		h.hold <- struct{}{}
 	}()
-	standing, answered := x.Room(context.Background(), patience, nil, &wire.RoomClaim{Ticket: 8}, false)
+	standing, answered := x.Claim(context.Background(), patience, nil, &wire.RoomClaim{Ticket: 8}, false)
 	if !answered || standing == nil || standing.Ticket != 8 {
 		t.Errorf("%+v, answered %t", standing, answered)
 	}
--- a/internal/loadshare/room_test.go
+++ b/internal/loadshare/room_test.go
@@ -78,14 +78,14 @@
 	x := exchangeWith(t, h, Interval)
 	ctx := context.Background()
 	claim := &wire.RoomClaim{Ticket: 40, Tenant: 3}
-	if standing, answered := x.Room(ctx, patience, nil, claim, false); standing != nil || !answered {
+	if standing, answered := x.Claim(ctx, patience, nil, claim, false); standing != nil || !answered {
 		t.Errorf("an older hub: %+v, %t", standing, answered)
 	}
 	h.over.Store(true)
 	// A report's answer that takes longer than replyTime may be taken for the claim's.
 	told := 0
 	for range 20 {
-		if standing, answered := x.Room(ctx, patience, nil, claim, false); answered && standing != nil && standing.Share == 7 && standing.Ticket == 40 {
+		if standing, answered := x.Claim(ctx, patience, nil, claim, false); answered && standing != nil && standing.Share == 7 && standing.Ticket == 40 {
 			told++
 		}
 	}
@@ -113,17 +113,17 @@
 	h.over.Store(true)
 	x := exchangeWith(t, h, time.Hour)
 	h.leave.Store(1)
-	standing, answered := x.Room(context.Background(), patience, nil, &wire.RoomClaim{Ticket: 1}, false)
+	standing, answered := x.Claim(context.Background(), patience, nil, &wire.RoomClaim{Ticket: 1}, false)
 	if asked := h.asked.Load(); !answered || standing == nil || asked != 2 {
 		t.Errorf("%+v, %t, asked %d times", standing, answered, asked)
 	}
 	h.leave.Store(1000)
-	if _, answered := x.Room(context.Background(), patience, nil, &wire.RoomClaim{Ticket: 2}, false); answered {
+	if _, answered := x.Claim(context.Background(), patience, nil, &wire.RoomClaim{Ticket: 2}, false); answered {
 		t.Error("answered by a silent hub")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if _, answered := x.Room(ctx, time.Hour, nil, &wire.RoomClaim{Ticket: 3}, false); answered {
+	if _, answered := x.Claim(ctx, time.Hour, nil, &wire.RoomClaim{Ticket: 3}, false); answered {
 		t.Error("answered though nobody waits")
 	}
 }
