Names: patience, mean error and counts of a meter say what they are

Would have stopped a reader: Bears (how long a caller waits), aimless, "off", "chance", "with" and "square" for a mean error, its standard deviations, a covariance and a variance, lessons for patterns given up, a pattern method that took its Forecast, and a meter's field roomTime in seconds beside a constant roomTime that is something else.

go vet ./internal/..., staticcheck and go test of admission, fairshare, forecast, edge and batchstore pass.

--- a/internal/admission/claim.go
+++ b/internal/admission/claim.go
@@ -89,9 +89,9 @@
 	return c.classAt(now.Add(wait)) < late && (c.Goal > 0 || wait <= 0)
 }
 
-// aimless reports whether no wait is short enough or too long for the claim: it has no goal, or
+// indifferent reports whether no wait is short enough or too long for the claim: it has no goal, or
 // one that no request of its kind keeps, however soon it is sent.
-func (c *Claim) aimless() bool { return c.Begin >= c.Goal*goalPart/hundreds }
+func (c *Claim) indifferent() bool { return c.Begin >= c.Goal*goalPart/hundreds }
 
 // compare orders claims of one class: the one that goes first is smaller. The shares are divided
 // by rank already, less what is kept for later ranks. So who is within its share goes before
@@ -125,15 +125,15 @@
 }
 
 const (
-	// leastBearing, goalBearing and gapBearing say how long a caller waits for the first
-	// event of a stream before it gives up: so many times the goal and the goal of pauses,
-	// and a time below which nobody gives up.
-	leastBearing = 2 * time.Second
-	goalBearing  = 4
-	gapBearing   = 8
+	// goalPatience and gapPatience are how many times the goal, and the goal of pauses, a
+	// caller waits for the first event of a stream before it gives up; nobody gives up in less
+	// than leastPatience.
+	leastPatience = 2 * time.Second
+	goalPatience  = 4
+	gapPatience   = 8
 )
 
-// Bears returns how long a caller waits for the first event of a stream with the goals.
-func Bears(goal, gapGoal time.Duration) time.Duration {
-	return max(leastBearing, goalBearing*goal, gapBearing*gapGoal)
+// Patience returns how long a caller waits for the first event of a stream with the goals.
+func Patience(goal, gapGoal time.Duration) time.Duration {
+	return max(leastPatience, goalPatience*goal, gapPatience*gapGoal)
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -55,14 +55,14 @@
 // takes reports whether the claim's request may go to the worker. What can be in time may
 // wait for a moment at the worker, so that no slot stays empty between two requests; what
 // is late goes only where a slot is free that nobody else is about to take, so that it stands
-// in nobody's way: those that are in time may wait at another process. What is aimless gains
+// in nobody's way: those that are in time may wait at another process. What is indifferent gains
 // nothing by that, and is not made later still.
 func (o Offer) takes(now time.Time, claim *Claim) bool {
 	if o.Left {
 		return false
 	}
 	if o.Wait <= 0 {
-		return !o.Full && (o.Spare || claim.inTime(now, 0) || claim.aimless())
+		return !o.Full && (o.Spare || claim.inTime(now, 0) || claim.indifferent())
 	}
 	return claim.inTime(now, o.WaitMost)
 }
@@ -375,14 +375,15 @@
 	return earliest + time.Duration(random*float64(latest-earliest))
 }
 
-// flow counts events, and forgets them with a half-life of some 0.7 s: about as long as a
-// request holds a slot, and shorter than anybody waits. The zero value is ready for use.
+// flow tells how many events there are in a second. An event counts less the older it is, by
+// flowTime. The zero value is ready for use.
 type flow struct {
 	count float64
 	at    time.Time
 }
 
-// flowTime is in which time an event's weight falls to 1/e.
+// flowTime is in which time an event's weight falls to 1/e: about as long as a request holds a
+// slot, and shorter than anybody waits.
 const flowTime = time.Second
 
 func (f *flow) add(now time.Time) {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -368,14 +368,14 @@
 	}
 }
 
-// TestBears works out how long callers wait for a first event.
-func TestBears(t *testing.T) {
+// TestPatience works out how long callers wait for a first event.
+func TestPatience(t *testing.T) {
 	for _, test := range []struct{ goal, gap, want time.Duration }{
 		{300 * ms, 100 * ms, 2000 * ms},
 		{1000 * ms, 100 * ms, 4000 * ms},
 		{300 * ms, 500 * ms, 4000 * ms},
 	} {
-		if got := Bears(test.goal, test.gap); got != test.want {
+		if got := Patience(test.goal, test.gap); got != test.want {
 			t.Errorf("%+v: %s", test, got)
 		}
 	}
--- a/internal/batchstore/outlook.go
+++ b/internal/batchstore/outlook.go
@@ -53,8 +53,8 @@
 // tellForecast writes down what a forecast has learnt or given up, and how good it is.
 func (s *Store) tellForecast(pool string, known *forecast.Forecast) {
 	score := known.Score()
-	s.metrics.forecastOff.WithLabelValues(pool, "forecast").Set(score.Off)
-	s.metrics.forecastOff.WithLabelValues(pool, "present").Set(score.PlainOff)
+	s.metrics.forecastOff.WithLabelValues(pool, "forecast").Set(score.MeanError)
+	s.metrics.forecastOff.WithLabelValues(pool, "present").Set(score.PlainError)
 	switch news := known.News(); {
 	case news.Learnt:
 		logging.Info(s.logger, "pattern_learnt", "pool", pool, "cycle_ms", news.Cycle.Milliseconds(), "waves", news.Waves, "length_ms", news.Length.Milliseconds(), "height", int(news.Height))
--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -61,7 +61,7 @@
 	}
 	// Without a goal nothing tells when a caller gives up before its time is over.
 	if goal > 0 && c.route.Kind == routetable.KindStream {
-		claim.Leaves = earliest(c.due, arrived.Add(admission.Bears(goal, c.route.GapGoal())))
+		claim.Leaves = earliest(c.due, arrived.Add(admission.Patience(goal, c.route.GapGoal())))
 	}
 	// A caller with so much less time than others has been here before: its first attempt
 	// was about that much earlier.
--- a/internal/edge/queue_test.go
+++ b/internal/edge/queue_test.go
@@ -577,7 +577,7 @@
 	const left = 30 * time.Second
 	for _, test := range []struct{ goal, want time.Duration }{
 		{0, left},
-		{50 * time.Millisecond, admission.Bears(50*time.Millisecond, 0)},
+		{50 * time.Millisecond, admission.Patience(50*time.Millisecond, 0)},
 	} {
 		c := f.call(httptest.NewRecorder(), left, left)
 		route := *c.route
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -1,9 +1,10 @@
 // Package fairshare divides room that doesn't suffice for all who ask for it, and keeps
 // account of who asks for how much. It is pure: times come from the caller.
 //
-// Room is whatever is scarce in one place, told as a rate: requests a second. Divide says
-// how much of it each claimant gets; Meter (meter.go) is the running account at the hub
-// of a zone, and says of each request whether its tenant is over its share.
+// Room is whatever is scarce in one place, told as a rate: requests a second. A division says
+// how much of it each claimant gets. Meter (meter.go) is the running account at the hub of a
+// zone, and says of each request whether its tenant is over its share. Recall (recall.go) stands
+// in for that at an edge that is left without an answer.
 package fairshare
 
 import (
@@ -12,8 +13,8 @@
 	"slices"
 )
 
-// Claimant is who claims room, and by which right.
-type Claimant struct {
+// claimant is who claims room, and by which right.
+type claimant struct {
 	// Rank goes first where it is smaller.
 	Rank int
 	// Weight is the claimant's part in the room of its rank, beside the others'; zero
@@ -27,7 +28,7 @@
 }
 
 // weight returns the weight in use.
-func (c *Claimant) weight() float64 {
+func (c *claimant) weight() float64 {
 	if c.Weight > 0 {
 		return c.Weight
 	}
@@ -35,44 +36,33 @@
 }
 
 // most returns the most that the claimant may get.
-func (c *Claimant) most() float64 {
+func (c *claimant) most() float64 {
 	if c.Ceiling > 0 {
 		return min(c.Demand, c.Ceiling)
 	}
 	return c.Demand
 }
 
-// Allotment is what a claimant gets.
-type Allotment struct {
+// allotment is what a claimant gets.
+type allotment struct {
 	// Room is never more than the claimant's demand.
 	Room float64
 	// Share is what it would get if it asked for more: at least Room.
 	Share float64
 }
 
-// Floors is the room that is kept for the claimants of a rank if they ask for it.
-type Floors map[int]float64
+// rankFloors is the room that is kept for the claimants of a rank if they ask for it.
+type rankFloors map[int]float64
 
 // leastPart is the part of the room that a claimant would have if all ranks were one, which
 // it keeps whatever other ranks ask for: nobody starves, and a rank goes before the next in
 // the other half.
 const leastPart = 0.5
 
-// Divide divides the capacity. Reserves come first. Then ranks are served in their order,
-// less what is kept for later ones: the floor of each, and for each claimant leastPart of
-// what it would have if all ranks were one. Within a rank room is given by weighted
-// max-min: who asks for less than its share gets all of it, and the others get what it
-// leaves.
-func Divide(capacity float64, floors Floors, claimants []Claimant) []Allotment {
-	var d division
-	d.divide(capacity, floors, claimants)
-	return d.allotments
-}
-
 // division is a division under way. Its slices are kept for the next one.
 type division struct {
-	claimants  []Claimant
-	allotments []Allotment
+	claimants  []claimant
+	allotments []allotment
 	// least and most bound what each claimant gets, weights are those in use.
 	least   []float64
 	most    []float64
@@ -92,7 +82,12 @@
 	kept    float64
 }
 
-func (d *division) divide(capacity float64, floors Floors, claimants []Claimant) {
+// divide divides the capacity. Reserves come first. Then ranks are served in their order,
+// less what is kept for later ones: the floor of each, and for each claimant leastPart of
+// what it would have if all ranks were one. Within a rank room is given by weighted
+// max-min: who asks for less than its share gets all of it, and the others get what it
+// leaves.
+func (d *division) divide(capacity float64, floors rankFloors, claimants []claimant) {
 	d.reset(claimants)
 	capacity = max(capacity, 0)
 	d.reserve(capacity)
@@ -109,7 +104,7 @@
 }
 
 // reset takes in the claimants.
-func (d *division) reset(claimants []Claimant) {
+func (d *division) reset(claimants []claimant) {
 	count := len(claimants)
 	d.claimants = claimants
 	d.allotments = slices.Grow(d.allotments[:0], count)[:count]
@@ -121,7 +116,7 @@
 		d.weights[i] = claimants[i].weight()
 		d.most[i] = max(claimants[i].most(), 0)
 		d.least[i] = min(max(claimants[i].Reserve, 0), d.most[i])
-		d.allotments[i] = Allotment{}
+		d.allotments[i] = allotment{}
 	}
 	d.sortByRank()
 }
@@ -179,7 +174,7 @@
 }
 
 // keepFloors says how much room is kept for each rank.
-func (d *division) keepFloors(capacity float64, floors Floors) {
+func (d *division) keepFloors(capacity float64, floors rankFloors) {
 	kept, least := 0.0, 0.0
 	for i := range d.ranks {
 		rank := &d.ranks[i]
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -14,8 +14,8 @@
 const near = 1e-6
 
 // draw returns a division of skewed claimants over some ranks.
-func draw(random *rand.Rand) (float64, Floors, []Claimant) {
-	claimants := make([]Claimant, 1+random.Intn(80))
+func draw(random *rand.Rand) (float64, rankFloors, []claimant) {
+	claimants := make([]claimant, 1+random.Intn(80))
 	ranks := 1 + random.Intn(4)
 	for i := range claimants {
 		c := &claimants[i]
@@ -38,7 +38,7 @@
 			c.Reserve = min(c.Reserve, c.Ceiling)
 		}
 	}
-	floors := Floors{}
+	floors := rankFloors{}
 	capacity := random.Float64() * 1500
 	for rank := range ranks {
 		if random.Intn(3) == 0 {
@@ -48,18 +48,25 @@
 	return capacity, floors, claimants
 }
 
-// divider is Divide, or one of its mutations.
-type divider func(capacity float64, floors Floors, claimants []Claimant) []Allotment
+// divide returns what each claimant gets in a division of its own.
+func divide(capacity float64, floors rankFloors, claimants []claimant) []allotment {
+	var d division
+	d.divide(capacity, floors, claimants)
+	return d.allotments
+}
+
+// divider is divide, or one of its mutations.
+type divider func(capacity float64, floors rankFloors, claimants []claimant) []allotment
 
 // rules are what holds of each division.
-var rules = map[string]func(capacity float64, floors Floors, claimants []Claimant, divide divider) error{
-	"the sum is within the capacity": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+var rules = map[string]func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error{
+	"the sum is within the capacity": func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error {
 		if sum := total(divide(capacity, floors, claimants)); sum > capacity*(1+near) {
 			return errors.Newf("%g of %g given out", sum, capacity)
 		}
 		return nil
 	},
-	"nobody gets more than asked": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+	"nobody gets more than asked": func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error {
 		for i, a := range divide(capacity, floors, claimants) {
 			if a.Room < 0 || a.Room > claimants[i].Demand || a.Share < a.Room {
 				return errors.Newf("%+v gets %+v", claimants[i], a)
@@ -67,7 +74,7 @@
 		}
 		return nil
 	},
-	"nobody gets more than the ceiling": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+	"nobody gets more than the ceiling": func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error {
 		for i, a := range divide(capacity, floors, claimants) {
 			if c := claimants[i].Ceiling; c > 0 && a.Share > c*(1+near) {
 				return errors.Newf("%+v gets %+v", claimants[i], a)
@@ -75,7 +82,7 @@
 		}
 		return nil
 	},
-	"no room is left while anybody wants it": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+	"no room is left while anybody wants it": func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error {
 		wanted := 0.0
 		for i := range claimants {
 			wanted += claimants[i].most()
@@ -85,7 +92,7 @@
 		}
 		return nil
 	},
-	"reserves come first": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+	"reserves come first": func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error {
 		reserved := 0.0
 		for i := range claimants {
 			reserved += min(claimants[i].Reserve, claimants[i].most())
@@ -97,7 +104,7 @@
 		}
 		return nil
 	},
-	"who asks for less than its share gets all of it": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+	"who asks for less than its share gets all of it": func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error {
 		for i, a := range divide(capacity, floors, claimants) {
 			c := &claimants[i]
 			if c.Demand < a.Share*(1-near) && a.Room < c.Demand*(1-near)-near {
@@ -106,7 +113,7 @@
 		}
 		return nil
 	},
-	"within a rank nobody gets less for its weight than another unless it asks for less": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+	"within a rank nobody gets less for its weight than another unless it asks for less": func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error {
 		for i := range claimants {
 			// Reserves, and what is kept for each claimant, go beside the weights.
 			if claimants[i].Reserve > 0 || claimants[i].Rank > 0 {
@@ -124,8 +131,8 @@
 		}
 		return nil
 	},
-	"nobody starves": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
-		together := make([]Claimant, len(claimants))
+	"nobody starves": func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error {
+		together := make([]claimant, len(claimants))
 		copy(together, claimants)
 		reserved := 0.0
 		for i := range together {
@@ -143,7 +150,7 @@
 		}
 		return nil
 	},
-	"the floor of a rank is kept": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+	"the floor of a rank is kept": func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error {
 		for i := range claimants {
 			if claimants[i].Reserve > 0 {
 				return nil
@@ -168,7 +175,7 @@
 		}
 		return nil
 	},
-	"a rank goes before the next": func(capacity float64, floors Floors, claimants []Claimant, divide divider) error {
+	"a rank goes before the next": func(capacity float64, floors rankFloors, claimants []claimant, divide divider) error {
 		if len(floors) > 0 {
 			return nil
 		}
@@ -179,7 +186,7 @@
 				short = min(short, claimants[i].Rank)
 			}
 		}
-		together := make([]Claimant, len(claimants))
+		together := make([]claimant, len(claimants))
 		copy(together, claimants)
 		for i := range together {
 			together[i].Rank = 0
@@ -198,7 +205,7 @@
 	},
 }
 
-func total(allotments []Allotment) float64 {
+func total(allotments []allotment) float64 {
 	sum := 0.0
 	for _, a := range allotments {
 		sum += a.Room
@@ -220,13 +227,13 @@
 						claimants[i].Reserve = 0
 					}
 				}
-				return rule(capacity, floors, claimants, Divide)
+				return rule(capacity, floors, claimants, divide)
 			})
 		})
 	}
 }
 
-func oneRank(claimants []Claimant) {
+func oneRank(claimants []claimant) {
 	for i := range claimants {
 		claimants[i].Rank = 0
 	}
@@ -234,24 +241,24 @@
 
 // TestMutationsAreSeen breaks the division in one way for each rule: the rule must see it.
 func TestMutationsAreSeen(t *testing.T) {
-	change := func(after func(capacity float64, claimants []Claimant, got []Allotment)) divider {
-		return func(capacity float64, floors Floors, claimants []Claimant) []Allotment {
-			got := Divide(capacity, floors, claimants)
+	change := func(after func(capacity float64, claimants []claimant, got []allotment)) divider {
+		return func(capacity float64, floors rankFloors, claimants []claimant) []allotment {
+			got := divide(capacity, floors, claimants)
 			after(capacity, claimants, got)
 			return got
 		}
 	}
-	alter := func(before func(c *Claimant)) divider {
-		return func(capacity float64, floors Floors, claimants []Claimant) []Allotment {
-			altered := make([]Claimant, len(claimants))
+	alter := func(before func(c *claimant)) divider {
+		return func(capacity float64, floors rankFloors, claimants []claimant) []allotment {
+			altered := make([]claimant, len(claimants))
 			copy(altered, claimants)
 			for i := range altered {
 				before(&altered[i])
 			}
-			return Divide(capacity, floors, altered)
+			return divide(capacity, floors, altered)
 		}
 	}
-	byDemand := change(func(capacity float64, claimants []Claimant, got []Allotment) {
+	byDemand := change(func(capacity float64, claimants []claimant, got []allotment) {
 		wanted := 0.0
 		for i := range claimants {
 			wanted += claimants[i].most()
@@ -261,13 +268,13 @@
 			got[i].Share = max(got[i].Room, got[i].Share)
 		}
 	})
-	strict := func(capacity float64, floors Floors, claimants []Claimant) []Allotment {
-		got := make([]Allotment, len(claimants))
+	strict := func(capacity float64, floors rankFloors, claimants []claimant) []allotment {
+		got := make([]allotment, len(claimants))
 		for rank := range 8 {
 			for i := range claimants {
 				if claimants[i].Rank == rank {
 					room := min(claimants[i].most(), capacity)
-					got[i] = Allotment{room, room}
+					got[i] = allotment{room, room}
 					capacity -= room
 				}
 			}
@@ -275,16 +282,16 @@
 		return got
 	}
 	for name, mutation := range map[string]divider{
-		"the sum is within the capacity":                  change(func(_ float64, claimants []Claimant, got []Allotment) { demandAll(claimants, got) }),
-		"nobody gets more than asked":                     change(func(_ float64, _ []Claimant, got []Allotment) { got[0].Room++; got[0].Share++ }),
-		"nobody gets more than the ceiling":               alter(func(c *Claimant) { c.Ceiling = 0 }),
-		"no room is left while anybody wants it":          change(func(_ float64, _ []Claimant, got []Allotment) { got[len(got)-1].Room = 0 }),
-		"reserves come first":                             alter(func(c *Claimant) { c.Reserve = 0 }),
+		"the sum is within the capacity":                  change(func(_ float64, claimants []claimant, got []allotment) { demandAll(claimants, got) }),
+		"nobody gets more than asked":                     change(func(_ float64, _ []claimant, got []allotment) { got[0].Room++; got[0].Share++ }),
+		"nobody gets more than the ceiling":               alter(func(c *claimant) { c.Ceiling = 0 }),
+		"no room is left while anybody wants it":          change(func(_ float64, _ []claimant, got []allotment) { got[len(got)-1].Room = 0 }),
+		"reserves come first":                             alter(func(c *claimant) { c.Reserve = 0 }),
 		"who asks for less than its share gets all of it": byDemand,
 		"within a rank nobody gets less for its weight than another unless it asks for less": byDemand,
 		"nobody starves":              strict,
 		"the floor of a rank is kept": strict,
-		"a rank goes before the next": alter(func(c *Claimant) { c.Rank = 0 }),
+		"a rank goes before the next": alter(func(c *claimant) { c.Rank = 0 }),
 	} {
 		seen := false
 		for seed := int64(0); seed < 2000 && !seen; seed++ {
@@ -306,7 +313,7 @@
 	}
 }
 
-func demandAll(claimants []Claimant, got []Allotment) {
+func demandAll(claimants []claimant, got []allotment) {
 	for i := range got {
 		got[i].Room = claimants[i].Demand
 	}
@@ -315,10 +322,10 @@
 // BenchmarkDivide divides among a thousand claimants of three ranks.
 func BenchmarkDivide(b *testing.B) {
 	random := rand.New(rand.NewSource(1))
-	claimants := make([]Claimant, 1000)
+	claimants := make([]claimant, 1000)
 	wanted := 0.0
 	for i := range claimants {
-		claimants[i] = Claimant{Rank: i % 3, Demand: math.Pow(random.Float64(), 3) * 10}
+		claimants[i] = claimant{Rank: i % 3, Demand: math.Pow(random.Float64(), 3) * 10}
 		wanted += claimants[i].Demand
 	}
 	var d division
--- a/internal/fairshare/fleet_test.go
+++ b/internal/fairshare/fleet_test.go
@@ -333,12 +333,12 @@
 	for _, z := range f.hubs {
 		room += float64(z.slots) / hold.Seconds()
 	}
-	claimants := make([]Claimant, f.tenants)
+	claimants := make([]claimant, f.tenants)
 	for tenant := range claimants {
 		claimants[tenant].Demand = f.rate(tenant)
 	}
 	var others []int
-	for tenant, a := range Divide(room*usable, nil, claimants) {
+	for tenant, a := range divide(room*usable, nil, claimants) {
 		if !slices.Contains(f.floods, tenant) && f.rate(tenant) <= modest*a.Share {
 			others = append(others, tenant)
 		}
--- a/internal/fairshare/meter.go
+++ b/internal/fairshare/meter.go
@@ -66,9 +66,9 @@
 	// shares. At the bound only parties with their whole credit are within their shares.
 	backlogTime = 200 * time.Millisecond
 	// burstTime is how much of its share a party may ask for at once, in time, and
-	// leastBurst in requests: callers come by chance. By chance a queue of so many
-	// requests comes up as often at any rate; more time would let a flood fill the queue
-	// of those within their shares at its begin.
+	// leastBurst in requests: callers come by chance, and run ahead of an even flow by as
+	// many requests at a low rate as at a high one. More time would let a flood fill the
+	// queue of those within their shares at its begin.
 	burstTime  = 100 * time.Millisecond
 	leastBurst = 12
 	// calmTime is after how long with room for all everybody has full credit.
@@ -113,12 +113,12 @@
 	asked decayed
 	short decayed
 	given decayed
-	// room is how many requests a second are given while there is no room for more.
-	// It is roomCount in roomTime seconds, which fade.
-	room      float64
-	roomCount float64
-	roomTime  float64
-	scarce    bool
+	// room is how many requests a second are given while there is no room for more:
+	// scarceCount requests in scarceSeconds, both of which fade with roomTime.
+	room          float64
+	scarceCount   float64
+	scarceSeconds float64
+	scarce        bool
 	// backlog counts the requests within their shares that came in excess of the room.
 	backlog float64
 	// dividedAt is when the room was divided last.
@@ -127,7 +127,7 @@
 	calmAt time.Time
 	// division is kept for the next one.
 	division  division
-	claimants []Claimant
+	claimants []claimant
 }
 
 // account is that of a party.
@@ -355,11 +355,11 @@
 	}
 	m.scarce = now.Sub(m.began) >= learnTime && m.short.count > 0 && m.short.count*shortParts >= m.asked.count
 	if wasScarce && m.scarce {
-		m.roomCount, m.roomTime = m.roomCount+given, m.roomTime+passed.Seconds()
-		m.room = m.roomCount / m.roomTime
+		m.scarceCount, m.scarceSeconds = m.scarceCount+given, m.scarceSeconds+passed.Seconds()
+		m.room = m.scarceCount / m.scarceSeconds
 		// What lies further back than that counts less.
 		factor := math.Exp(-passed.Seconds() / roomTime.Seconds())
-		m.roomCount, m.roomTime = m.roomCount*factor, m.roomTime*factor
+		m.scarceCount, m.scarceSeconds = m.scarceCount*factor, m.scarceSeconds*factor
 	}
 	if m.room == 0 && m.scarce {
 		m.guessRoom(now, passed, given)
@@ -384,11 +384,11 @@
 // it, for that filled the pool. A meter that has just begun may have seen nothing but how
 // an empty pool fills up: then it goes by the last moment.
 func (m *Meter) guessRoom(now time.Time, passed time.Duration, given float64) {
-	m.roomCount, m.roomTime = given, passed.Seconds()
+	m.scarceCount, m.scarceSeconds = given, passed.Seconds()
 	if now.Sub(m.began) > 2*givenTime {
-		m.roomCount, m.roomTime = m.given.count, m.span(now, givenTime)
+		m.scarceCount, m.scarceSeconds = m.given.count, m.span(now, givenTime)
 	}
-	m.room = m.roomCount / m.roomTime
+	m.room = m.scarceCount / m.scarceSeconds
 }
 
 // divide divides the room among the parties.
@@ -404,7 +404,7 @@
 		if all, several := asked[party.Tenant]; several && all > 0 {
 			part = known.asked / all
 		}
-		m.claimants = append(m.claimants, Claimant{
+		m.claimants = append(m.claimants, claimant{
 			Rank:    party.Rank,
 			Weight:  setting.Weight,
 			Reserve: setting.Reserve * room * part,
@@ -412,7 +412,7 @@
 			Demand:  known.asked,
 		})
 	}
-	floors := Floors{}
+	floors := rankFloors{}
 	for rank, part := range m.settings.Floors {
 		floors[rank] = part * room
 	}
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -253,7 +253,7 @@
 		if off := time.Duration(f.pattern.cycle)*binTime - cycle; max(off, -off) > cycle/toleranceParts {
 			return errors.Newf("a cycle of %s is taken for one of %s", cycle, time.Duration(f.pattern.cycle)*binTime)
 		}
-		if s := f.Score(); s.Off > s.PlainOff {
+		if s := f.Score(); s.MeanError > s.PlainError {
 			return errors.Newf("off by %+v", s)
 		}
 		return nil
--- a/internal/forecast/pattern.go
+++ b/internal/forecast/pattern.go
@@ -7,11 +7,11 @@
 	// recur together.
 	mostWaves = 3
 	// leastCycles is how many cycles of equal length must have come before a pattern is
-	// sure, and mostLessons how many more once it has failed.
+	// sure, and mostGivenUp how many more at most once some have failed.
 	leastCycles = 2
-	mostLessons = 2
+	mostGivenUp = 2
 	// keptBegins is how many begins of waves are kept.
-	keptBegins = mostWaves*(leastCycles+mostLessons) + 1
+	keptBegins = mostWaves*(leastCycles+mostGivenUp) + 1
 	// toleranceParts is the part of a cycle, one in so many, by which a begin may be early or
 	// late, leastTolerance the least in bins: a report's time at both ends, and one more
 	// because a count that varies crosses the middle by chance a bin sooner or later.
@@ -50,11 +50,11 @@
 	// length is that of waves in bins, height the need in them.
 	length int
 	height float64
-	// misses counts waves in a row that did not come in time, hits those that did;
-	// lessons how often a pattern was given up.
+	// misses counts waves in a row that did not come in time, hits those that did; givenUp is
+	// how often a pattern was given up since one last held.
 	misses  int
 	hits    int
-	lessons int
+	givenUp int
 }
 
 // expect finds where the next wave should begin.
@@ -106,16 +106,16 @@
 	p.high = f.levels.crossed(p.high, value)
 	switch {
 	case p.high && !before:
-		p.begun(number)
+		p.addBegin(number)
 		return true
 	case before && !p.high:
-		p.ended(number, f)
+		f.waveEnded(number)
 	}
 	return false
 }
 
-// begun keeps the begin of a wave.
-func (p *pattern) begun(number int) {
+// addBegin keeps the begin of a wave.
+func (p *pattern) addBegin(number int) {
 	p.begins = append(p.begins, number)
 	if surplus := len(p.begins) - keptBegins; surplus > 0 {
 		p.begins = append(p.begins[:0], p.begins[surplus:]...)
@@ -130,7 +130,7 @@
 	}
 	if len(p.begins) == 0 {
 		// The pattern was given up just now.
-		p.begun(number)
+		p.addBegin(number)
 	}
 	p.anchor, p.skipped = number, false
 	f.seek()
@@ -148,7 +148,7 @@
 		p.misses = 0
 		p.hits++
 		if p.hits >= failures {
-			p.lessons = 0
+			p.givenUp = 0
 		}
 		return
 	}
@@ -177,9 +177,9 @@
 	if !p.sure {
 		return
 	}
-	lessons := min(p.lessons+1, mostLessons)
+	givenUp := min(p.givenUp+1, mostGivenUp)
 	f.news = News{GivenUp: true, Cycle: time.Duration(p.cycle) * binTime, Waves: p.waves}
-	f.pattern = pattern{high: p.high, lessons: lessons}
+	f.pattern = pattern{high: p.high, givenUp: givenUp}
 	f.since = f.number() - 1
 	f.levels.cycle = 0
 	f.score = score{}
@@ -204,7 +204,7 @@
 
 // repeats returns the mean length of the last cycles of so many waves, if they are alike.
 func (p *pattern) repeats(waves int) (int, bool) {
-	cycles := leastCycles + p.lessons
+	cycles := leastCycles + p.givenUp
 	if len(p.begins) <= cycles*waves {
 		return 0, false
 	}
@@ -237,8 +237,9 @@
 	return count
 }
 
-// ended takes in the end of a wave.
-func (p *pattern) ended(number int, f *Forecast) {
+// waveEnded takes in the end of a wave: its length, and the mean need in it.
+func (f *Forecast) waveEnded(number int) {
+	p := &f.pattern
 	if len(p.begins) == 0 {
 		return
 	}
@@ -265,7 +266,7 @@
 		return f.present, true
 	}
 	sum, count := 0.0, 0
-	f.before(number, func(known int) {
+	f.eachEarlier(number, func(known int) {
 		sum += f.bins[known-f.dropped]
 		count++
 	})
@@ -275,9 +276,9 @@
 	return sum / float64(count), true
 }
 
-// before calls take for the closed bins at the same distance from the begins of earlier
+// eachEarlier calls take for the closed bins at the same distance from the begins of earlier
 // cycles, the last few of them.
-func (f *Forecast) before(number int, take func(known int)) {
+func (f *Forecast) eachEarlier(number int, take func(known int)) {
 	p := &f.pattern
 	distance, count := number-p.anchor, 0
 	for i := len(p.begins) - 1; i >= 0 && count < profileCycles; i-- {
--- a/internal/forecast/score.go
+++ b/internal/forecast/score.go
@@ -23,19 +23,21 @@
 	// done, both by the bin's number.
 	forecast [scoredAhead + 1]guess
 	scored   int
-	// off and plainOff are the mean differences of the forecast and of the need at its time
-	// from what came.
-	off      float64
-	plainOff float64
-	// chance is off in parts of the root of the need, by which counts vary.
-	chance float64
-	// last is by how much bins differed from what is usual, with and square the means of
-	// products of such differences scoredAhead bins apart and of their squares.
-	last   [scoredAhead]float64
-	with   float64
-	square float64
+	// meanError and plainError are the mean differences of the forecast, and of the need when
+	// it was made, from what came, in slots.
+	meanError  float64
+	plainError float64
+	// deviations is meanError in standard deviations of a count: the root of the need.
+	deviations float64
+	// last is by how much the last bins differed from what is usual; covariance and variance
+	// are the means of the products of such differences scoredAhead bins apart, and of their
+	// squares.
+	last       [scoredAhead]float64
+	covariance float64
+	variance   float64
 }
 
+// guess is a forecast for the bin of a number, and the need when it was made.
 type guess struct {
 	number int
 	need   float64
@@ -62,12 +64,12 @@
 	}
 	guess := &s.forecast[number%len(s.forecast)]
 	if guess.number == number && number > 0 {
-		off := math.Abs(guess.need - value)
+		miss := math.Abs(guess.need - value)
 		s.scored++
 		part := 1 / float64(min(s.scored, scoreParts))
-		s.off += part * (off - s.off)
-		s.chance += part * (off/math.Sqrt(max(guess.need, 1)) - s.chance)
-		s.plainOff += part * (math.Abs(guess.plain-value) - s.plainOff)
+		s.meanError += part * (miss - s.meanError)
+		s.deviations += part * (miss/math.Sqrt(max(guess.need, 1)) - s.deviations)
+		s.plainError += part * (math.Abs(guess.plain-value) - s.plainError)
 	}
 	if usual, known := f.usual(number); known {
 		s.learnLasting(number, value-usual)
@@ -77,34 +79,36 @@
 // learnLasting takes in by how much a bin differs from what is usual.
 func (s *score) learnLasting(number int, difference float64) {
 	at := number % scoredAhead
-	s.with += (difference*s.last[at] - s.with) / scoreParts
-	s.square += (difference*difference - s.square) / scoreParts
+	s.covariance += (difference*s.last[at] - s.covariance) / scoreParts
+	s.variance += (difference*difference - s.variance) / scoreParts
 	s.last[at] = difference
 }
 
 // lasting returns which part of a difference from what is usual is left so many bins later.
 func (s *score) lasting(bins int) float64 {
-	if s.square <= 0 || s.with <= 0 {
+	if s.variance <= 0 || s.covariance <= 0 {
 		return 0
 	}
-	return math.Pow(min(s.with/s.square, 1), float64(bins)/scoredAhead)
+	return math.Pow(min(s.covariance/s.variance, 1), float64(bins)/scoredAhead)
 }
 
 // margin returns what is added to a forecast of so much.
 func (s *score) margin(need float64) float64 {
-	return marginTimes * s.chance * math.Sqrt(max(need, 1))
+	return marginTimes * s.deviations * math.Sqrt(max(need, 1))
 }
 
 // Score is how good forecasts were of late, in slots.
 type Score struct {
-	// Off is by how much they differ from what came in the mean, PlainOff by how much the
-	// need at their time did.
-	Off      float64
-	PlainOff float64
+	// MeanError is by how much they differ from what came in the mean, PlainError by how much
+	// the need at their time did.
+	MeanError  float64
+	PlainError float64
 }
 
 // Score returns how good forecasts were, zeros without a pattern.
-func (f *Forecast) Score() Score { return Score{Off: f.score.off, PlainOff: f.score.plainOff} }
+func (f *Forecast) Score() Score {
+	return Score{MeanError: f.score.meanError, PlainError: f.score.plainError}
+}
 
 // News is what has changed in what is learnt.
 type News struct {
