Planner of items: Plan in three steps, and what an opening's spare counts

Plan was one function of sixty lines with six collections under way; counting what is there and opening busy places are functions now, in the same order. Crowded, a verb nowhere, is ClearPatience. Comments of prospect, spare and offer said "room" for slots, and Place did not say which of the three places it is.

--- a/internal/batchroom/ahead.go
+++ b/internal/batchroom/ahead.go
@@ -45,11 +45,11 @@
 	Hold bool
 }
 
-// Crowded lets no online request wait for items in the pools of which an outlook is known and
+// ClearPatience lets no online request wait for items in the pools of which an outlook is known and
 // whose online requests could hold all slots where items may start. Elsewhere a short wait
 // costs less than a stop; here others wait at the edges, unseen by the planner, for each slot
 // that an item holds on to.
-func (p *Places) Crowded() {
+func (p *Places) ClearPatience() {
 	for i := range p.Outlooks {
 		outlook := &p.Outlooks[i]
 		if p.onlineIn(outlook.Pool) < outlook.Slots {
@@ -74,7 +74,8 @@
 	return online
 }
 
-// gapUntil returns the mean time between reports with the one that has just come.
+// gapUntil returns the mean time between reports with the one that has just come. r is nil for
+// a runner that had not reported before.
 func (r *runner) gapUntil(now time.Time) time.Duration {
 	switch {
 	case r == nil:
@@ -88,9 +89,9 @@
 // prospect is what online requests to come leave of a pool.
 type prospect struct {
 	outlook *Outlook
-	// part is the part of each worker's slots that they need, left how many items may start,
-	// offered the room found.
-	// zones says by how many times it differs in each zone.
+	// part is the part of each worker's slots that they need, and zones by how many times
+	// that differs in each zone. left is how many items may start, offered how many slots were
+	// found for them.
 	part    float64
 	zones   map[string]float64
 	left    int
@@ -113,10 +114,11 @@
 	spares []spare
 }
 
-// spare is the room that online requests to come leave of a worker, pool what is known of
-// its pool, nil if nothing is.
+// spare is what online requests to come leave of an opening: so many slots, below zero where
+// they need more than are open.
 type spare struct {
 	room float64
+	// pool is what is known of the worker's pool, nil if nothing is.
 	pool *prospect
 }
 
@@ -129,8 +131,8 @@
 	return nil
 }
 
-// offer takes in room that was found at a worker, which is counted for its pool where it is
-// not an idle one.
+// offer takes in so many slots that were found at a worker. Those of busy workers count for
+// their pool; what idle ones have is known beforehand (Outlook.IdleSlots).
 func (p *prospects) offer(place *Place, room int, counts bool) {
 	if p == nil {
 		return
--- a/internal/batchroom/ahead_test.go
+++ b/internal/batchroom/ahead_test.go
@@ -219,7 +219,7 @@
 			places.Busy = append(places.Busy, Place{Worker: worker, Pool: test.pool, Slots: slots, Online: test.online, Hold: 750 * time.Millisecond, Patience: 150 * time.Millisecond})
 			items[worker] = slots + 1 - test.online
 		}
-		places.Crowded()
+		places.ClearPatience()
 		planner := New()
 		planner.Take(time.Unix(1000, 0), 1, 10, items)
 		stops := 0
--- a/internal/batchroom/batchroom.go
+++ b/internal/batchroom/batchroom.go
@@ -21,7 +21,8 @@
 	runnerFresh = 400 * time.Millisecond
 )
 
-// Place is a worker as the planner sees it.
+// Place is a worker as the planner sees it. (batchplan.Place is what of it decides on stops at
+// one worker; balance.Choice is the worker chosen for one request.)
 type Place struct {
 	// Worker is the worker's short name.
 	Worker uint32
@@ -92,7 +93,7 @@
 	Need  forecast.Need
 	// Rising is set where the stops rest on a rise that has just begun.
 	Rising bool
-	// Held is set while nothing may start because a new planner has not seen enough.
+	// Held is set while nothing may start in some pool because a new planner has not seen enough.
 	Held bool
 }
 
@@ -132,42 +133,14 @@
 	if own == nil {
 		return nil
 	}
-	orders := map[uint32]Order{}
-	open := make([]opening, 0, len(places.Busy))
-	var probes []uint32
 	p.summary = Summary{Waiting: p.waiting(), Slots: places.IdleSlots, Idle: places.IdleSlots}
-	busy := make(map[uint32]bool, len(places.Busy))
-	items := make([]int, len(places.Busy))
-	stops := make([]int, len(places.Busy))
-	for i := range places.Busy {
-		place := &places.Busy[i]
-		busy[place.Worker] = true
-		items[i] = p.itemsAt(place.Worker)
-		p.summary.add(place, items[i])
-		stops[i] = batchplan.Stops(batchplan.Place{Slots: place.Slots, Online: place.Online, Batch: items[i]}, place.Hold, place.Patience)
-	}
+	items, stops := p.survey(&places)
 	p.zones.take(own.at, &places)
 	prospects := p.lookAhead(name, own, &places, items, stops)
-	for i := range places.Busy {
-		place := &places.Busy[i]
-		if stops[i] > 0 {
-			p.summary.Stops += stops[i]
-			if part := p.partOf(name, place.Worker, stops[i]); part > 0 {
-				orders[place.Worker] = Order{Stop: part}
-			}
-			continue
-		}
-		if p.mayProbe(name, place, items[i]) {
-			probes = append(probes, place.Worker)
-		}
-		if room := p.roomAt(name, place, items[i]); room > 0 {
-			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
-			p.summary.Free += room
-			prospects.offer(place, room, true)
-		}
-	}
+	orders := map[uint32]Order{}
+	open, probes := p.openBusy(name, &places, items, stops, prospects, orders)
 	probes = probes[:min(len(probes), own.waiting)]
-	taken := p.takenIdle(name, busy)
+	taken := p.takenIdle(name, &places)
 	p.summary.Free += max(places.IdleSlots-taken, 0)
 	p.summary.Free -= prospects.withheld(taken)
 	share := p.shareOf(own, p.summary.Free)
@@ -191,6 +164,45 @@
 	return orders
 }
 
+// survey counts the items at each busy place, and how many of them are to stop there for the
+// online requests that are there by now.
+func (p *Planner) survey(places *Places) (items, stops []int) {
+	items = make([]int, len(places.Busy))
+	stops = make([]int, len(places.Busy))
+	for i := range places.Busy {
+		place := &places.Busy[i]
+		items[i] = p.itemsAt(place.Worker)
+		p.summary.add(place, items[i])
+		stops[i] = batchplan.Stops(batchplan.Place{Slots: place.Slots, Online: place.Online, Batch: items[i]}, place.Hold, place.Patience)
+	}
+	return items, stops
+}
+
+// openBusy orders the runner's part of the stops at busy places. Of the others it returns those
+// where items may start, and the avoided workers where one may as a probe.
+func (p *Planner) openBusy(name uint32, places *Places, items, stops []int, prospects *prospects, orders map[uint32]Order) (open []opening, probes []uint32) {
+	open = make([]opening, 0, len(places.Busy))
+	for i := range places.Busy {
+		place := &places.Busy[i]
+		if stops[i] > 0 {
+			p.summary.Stops += stops[i]
+			if part := p.partOf(name, place.Worker, stops[i]); part > 0 {
+				orders[place.Worker] = Order{Stop: part}
+			}
+			continue
+		}
+		if p.mayProbe(name, place, items[i]) {
+			probes = append(probes, place.Worker)
+		}
+		if room := p.roomAt(name, place, items[i]); room > 0 {
+			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
+			p.summary.Free += room
+			prospects.offer(place, room, true)
+		}
+	}
+	return open, probes
+}
+
 // roomAt returns how many items the runner could be granted at a worker. Nothing is left
 // free for online requests that may come: items give way to them within three reports, and
 // a slot that stays empty until then is lost.
@@ -209,7 +221,11 @@
 
 // takenIdle counts the room at idle workers that others were granted, or have taken since
 // the loads were told.
-func (p *Planner) takenIdle(name uint32, busy map[uint32]bool) int {
+func (p *Planner) takenIdle(name uint32, places *Places) int {
+	busy := make(map[uint32]bool, len(places.Busy))
+	for i := range places.Busy {
+		busy[places.Busy[i].Worker] = true
+	}
 	taken := 0
 	for other, r := range p.runners {
 		for worker, count := range r.items {
--- a/internal/batchstore/planner.go
+++ b/internal/batchstore/planner.go
@@ -23,7 +23,7 @@
 		place.Probe = place.Probe && s.loads.top.ProbeDue(now, place.Worker)
 	}
 	places.Outlooks = s.foresee(now, table, &places)
-	places.Crowded()
+	places.ClearPatience()
 	s.loads.planner.Take(now, source, waiting, items)
 	orders := s.loads.planner.Plan(source, places)
 	s.noteProbes(now, places, orders)
