Comments: constants by their reasons, fields by what they mean, stray lines out

Would have stopped a reader: constants explained by figures that follow from other constants (a fifth, fifteen requests a minute, 20 ms, 2 s), a comment of 160 columns, "the standing of a claim until forgetClaim" for a function that returns a ticket, fields without a word (ownDue, earlyDue, the two "room"s of a store), a metric parted from its comment, ways of scoring that only tests use and did not say so, Slow with and without ByTimes, a field set twice, blank lines within literals and imports.

--- a/internal/balance/probe.go
+++ b/internal/balance/probe.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// probesFresh is how long the hub's word counts that a request may probe a worker: until
-	// the choice that asked for it.
+	// probesFresh is how long the hub's word that a request may probe a worker counts: until
+	// the request that asked has chosen.
 	probesFresh = 50 * time.Millisecond
-	// mostSilentDoublings bounds how often the patience with a silent probe is doubled.
+	// mostSilentDoublings bounds how often the patience with a silent probe is doubled, so
+	// that the shift in Patience can't overflow.
 	mostSilentDoublings = 10
 )
 
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -186,8 +186,9 @@
 	// times as long as elsewhere the worker takes.
 	Wait time.Duration
 	Slow float64
-	// ByTimes is set where workers were compared by predicted times. Slow is no threshold's
-	// then, but what the worker was seen to take.
+	// ByTimes is set where workers were compared by predicted times. Slow then is what the
+	// worker was seen to take, however near to that of the others; without it Slow is 1 below
+	// slowFrom.
 	ByTimes  bool
 	table    *Table
 	worker   *worker
--- a/internal/balance/times.go
+++ b/internal/balance/times.go
@@ -13,7 +13,7 @@
 
 const (
 	// byCostUnlessTold compares by cost, and by predicted times where the workers tell their
-	// pace.
+	// pace. All processes do. The others are what tests compare it with.
 	byCostUnlessTold scoring = iota
 	byCost
 	byTimes
--- a/internal/batchplan/share.go
+++ b/internal/batchplan/share.go
@@ -9,7 +9,7 @@
 // Holder is who an item belongs to: a tenant, or nobody in particular.
 type Holder struct {
 	Tenant string
-	// Weight is the tenant's part beside others', at least over 0.
+	// Weight is the tenant's part beside others', more than zero.
 	Weight float64
 }
 
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -49,7 +49,8 @@
 	planLogDue time.Time
 	// forecasts holds those of the pools that something is forecast for.
 	forecasts map[string]*forecast.Forecast
-	ownDue    time.Time
+	// ownDue is from when on this process's own loads are taken in again.
+	ownDue time.Time
 	// listed is the list of workers taken in last, near and far the short names of those of
 	// this process's zone and of others.
 	listed *workerset.Set
@@ -59,7 +60,8 @@
 	zones  map[uint32]string
 	random *rand.Rand
 	limits *limiter
-	room   *zoneRoom
+	// room is the account of the zone's room, which is divided among tenants.
+	room *zoneRoom
 	// leftLogDue is from when on a line may say that loads were left out.
 	leftLogDue time.Time
 
@@ -71,16 +73,15 @@
 func newLoads(tolerance ratelimit.Tolerance) *loads {
 	seed := uint64(time.Now().UnixNano())
 	return &loads{
-		zone:    loadshare.NewHub(),
-		top:     loadshare.NewHub(),
-		planner: batchroom.New(),
-		random:  rand.New(rand.NewPCG(seed, seed)),
-		zones:   map[uint32]string{},
-		limits:  newLimiter(clock.Now(), tolerance),
-		room:    newZoneRoom(),
-		quotas:  quota.New(0),
-
+		zone:      loadshare.NewHub(),
+		top:       loadshare.NewHub(),
+		planner:   batchroom.New(),
 		forecasts: map[string]*forecast.Forecast{},
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		zones:     map[uint32]string{},
+		limits:    newLimiter(clock.Now(), tolerance),
+		room:      newZoneRoom(),
+		quotas:    quota.New(0),
 	}
 }
 
--- a/internal/batchstore/metrics.go
+++ b/internal/batchstore/metrics.go
@@ -11,8 +11,8 @@
 	runTime  prometheus.Histogram
 	// judged counts changes in the judgement of workers, by what they are now.
 	judged *prometheus.CounterVec
-	// forecastOff is by how many slots forecasts of the online need are off, and by how many
-	// the present need taken for what comes would be.
+	// forecastOff is by how many slots forecasts of the online need miss, and by how many the
+	// need when they were made does, taken for a forecast.
 	forecastOff *prometheus.GaugeVec
 }
 
--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -111,7 +111,6 @@
 	if seen := r.seen[job.ID]; seen != nil {
 		age, due := now.Sub(seen.first), dueOf(table, job)
 		remaining := r.store.runTimes.remaining(r.eventsOf(job, number), job.Items[number].Expected)
-		planned.Remaining = remaining
 		planned.Overdue = batchplan.Overdue(age, due, remaining)
 		planned.Slack = batchplan.Slack(age, due, remaining)
 		planned.Remaining = remaining
--- a/internal/batchstore/planner.go
+++ b/internal/batchstore/planner.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// planLogInterval is the shortest time between two lines on the plans, which are made each
-// 20 ms.
+// planLogInterval is the shortest time between two lines on the plans, which are made with each
+// report of a runner.
 const planLogInterval = 200 * time.Millisecond
 
 // logPlan writes down now and then what a plan rested on. The lock of the hubs is held.
--- a/internal/batchstore/room.go
+++ b/internal/batchstore/room.go
@@ -26,7 +26,9 @@
 	roomParts = 10
 )
 
-// zoneRoom is the account of the zone's room at its hub. Locks are its owner's.
+// zoneRoom is the account of the zone's room at its hub: how many online requests a second the
+// zone's workers can begin (package fairshare; batchroom's room is free slots). The lock of the
+// hubs guards it.
 type zoneRoom struct {
 	meter *fairshare.Meter
 	// names holds the tenants' names by their short ones.
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -8,15 +8,14 @@
 	"strings"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/clock"
-	"github.com/sedgemast/sedgemast/internal/quarantine"
-
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/batchplan"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/life"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/upstream"
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -78,7 +78,8 @@
 
 	// holder is who alone may hold a lease that this replica granted in its last life, zero
 	// if that is not known, and once it has followed a leader in this one.
-	holder           uint64
+	holder uint64
+	// earlyDue is from when on it may stand early again (standsEarly).
 	earlyDue         time.Time
 	started          time.Time
 	lastContact      time.Time
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -71,7 +71,8 @@
 	reserve *ratelimit.Reserve
 	// recall holds how tenants stood in the division of scarce room.
 	recall *fairshare.Recall
-	// poolQueues holds those that wait for workers, by pool; queuesClosed is set once nobody may wait any more.
+	// poolQueues holds those that wait for workers, by pool; queuesClosed is set once nobody
+	// may wait any more.
 	poolQueues   map[string]*poolQueue
 	queuesClosed bool
 	// counted holds the tenants that have counters.
@@ -84,16 +85,15 @@
 func New(d *daemon.Daemon, config *settings.Edge, names *dialect.Dialect) *Edge {
 	seed := uint64(time.Now().UnixNano())
 	e := &Edge{
-		daemon:   d,
-		settings: config,
-		logger:   d.Logger,
-		dialect:  names,
-		workers:  balance.NewTable(config.Zone, rand.New(rand.NewPCG(seed, seed))),
-		upstream: upstream.NewClient(names),
-		metrics:  newMetrics(d.Registry),
-		splitter: routetable.NewSplitter(),
-		observed: map[string]*admission.Route{},
-
+		daemon:     d,
+		settings:   config,
+		logger:     d.Logger,
+		dialect:    names,
+		workers:    balance.NewTable(config.Zone, rand.New(rand.NewPCG(seed, seed))),
+		upstream:   upstream.NewClient(names),
+		metrics:    newMetrics(d.Registry),
+		splitter:   routetable.NewSplitter(),
+		observed:   map[string]*admission.Route{},
 		overloads:  map[string]*admission.Overload{},
 		byTimes:    map[string]bool{},
 		poolQueues: map[string]*poolQueue{},
@@ -272,16 +272,17 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	tenants  *prometheus.CounterVec
-	room     *prometheus.CounterVec
+	// room counts requests by rank where scarce room is divided, by what came of it.
+	room *prometheus.CounterVec
 	// ended counts runs under which their worker ended, quarantined the refusals of
 	// requests known for that.
-	ended prometheus.Counter
+	ended       prometheus.Counter
+	quarantined prometheus.Counter
 	// queued counts what became of requests that found no room at once, queueTime is how
 	// long those waited that were sent, queueLength how many wait, by pool.
 	queued      *prometheus.CounterVec
 	queueTime   *prometheus.HistogramVec
 	queueLength *prometheus.GaugeVec
-	quarantined prometheus.Counter
 	// held counts requests that came before this process knew what they need.
 	held *prometheus.CounterVec
 	// probes counts requests sent to avoided workers.
@@ -313,7 +314,6 @@
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-
 	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes, m.choices, m.standstills, m.room, m.queued, m.queueTime, m.queueLength)
 	return m
 }
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -184,8 +184,7 @@
 
 // Token asks the hub for a token of a tenant. The answer also tells what the hub knows of
 // the workers, and how the claim stands where one goes with the question: nil means within
-// the share. It reports whether there was an answer. repeatable is as
-// for Ask.
+// the share. It reports whether there was an answer. repeatable is as for Ask.
 func (x *Exchange) Token(ctx context.Context, question wire.TokenQuestion, claim *wire.RoomClaim, repeatable bool) (wire.TokenVerdict, *wire.RoomStanding, bool) {
 	verdict := make(chan wire.TokenVerdict, 1)
 	m := message{choosing: true, tokens: []wire.TokenQuestion{question}, repeatable: repeatable}
@@ -220,8 +219,8 @@
 	return wire.TokenVerdict{}, nil, false
 }
 
-// roomTries is how many times a claim is sent within the patience of its request.
-const roomTries = 2
+// claimTries is how many times a claim is sent within the patience of its request.
+const claimTries = 2
 
 // Claim puts a request's claim of room to the hub with the question of what the others have
 // at the workers (Ask). It returns how the claim stands, nil for within the share, and
@@ -235,10 +234,10 @@
 		return nil, false
 	}
 	defer x.forgetClaim(x.expect(claim))
-	timer := time.NewTimer(patience / roomTries)
+	timer := time.NewTimer(patience / claimTries)
 	defer timer.Stop()
 	first := uint64(0)
-	for range roomTries {
+	for range claimTries {
 		number := x.report(message{choosing: true, asked: asked, claims: []wire.RoomClaim{*claim}, repeatable: repeatable})
 		first = cmp.Or(first, number)
 		if x.awaitStanding(ctx, timer, first, claim) {
@@ -247,13 +246,14 @@
 		if ctx.Err() != nil {
 			return nil, false
 		}
-		timer.Reset(patience / roomTries)
+		timer.Reset(patience / claimTries)
 	}
 	return nil, false
 }
 
-// awaitStanding waits for the answer to the claim, which went with the report of the number
-// first, zero for none, at the earliest, until the timer fires or ctx ends. It reports whether it came.
+// awaitStanding waits until the claim is answered, the timer fires or ctx ends. It reports
+// whether the answer came. first is the number of the first report that the claim went with, zero
+// where none was sent.
 func (x *Exchange) awaitStanding(ctx context.Context, timer *time.Timer, first uint64, claim *wire.RoomClaim) bool {
 	for {
 		x.mutex.Lock()
@@ -272,7 +272,7 @@
 	}
 }
 
-// expect lets the standing of a claim be kept, until forgetClaim.
+// expect lets the standing of a claim be kept until forgetClaim, and returns its ticket.
 func (x *Exchange) expect(claim *wire.RoomClaim) uint64 {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
--- a/internal/loadshare/health.go
+++ b/internal/loadshare/health.go
@@ -19,9 +19,9 @@
 	// proofWeight is what a good answer to a probe weighs against one to a request that was
 	// sent before the worker was avoided: a worker that fails some requests answers others.
 	proofWeight = 4
-	// readmitWeight is the weight of good answers in a row that lifts the avoidance: three
-	// probes. Each relapse asks for one probe more, up to mostRelapses, because a worker that
-	// fails one request in three passes three probes now and then.
+	// readmitWeight is the weight of good answers in a row that lifts the avoidance, that of a
+	// few probes. Each relapse asks for one probe more, up to mostRelapses, because a worker
+	// that fails some requests passes a few probes by chance.
 	readmitWeight = 3 * proofWeight
 	mostRelapses  = 5
 	// relapseTime is for how long a readmitted worker that fails again counts as one that was
--- a/internal/loadshare/probe.go
+++ b/internal/loadshare/probe.go
@@ -4,12 +4,12 @@
 
 const (
 	// illParts is the part of the time that a worker has been ill, one in so many, that
-	// passes between two probes: a worker that was ill for long is well again a fifth of
-	// that too late at most, and the number of probes grows with the logarithm of the time.
+	// passes between two probes: that is by how much too late a worker that is well again is
+	// readmitted at most, and the number of probes grows with the logarithm of the time.
 	illParts = 5
-	// leastProbePause and mostProbePause bound that: below, a report of how the last probe
-	// ended may still be under way; above, a worker that is ill for hours costs
-	// fifteen requests a minute, each of which runs elsewhere then.
+	// leastProbePause and mostProbePause bound that: in less a report of how the last probe
+	// ended may still be under way; in more a worker would stay idle for long after it is
+	// well. Each probe that fails costs its request a second attempt elsewhere.
 	leastProbePause = 4 * Interval
 	mostProbePause  = 4 * time.Second
 	// answerTime is how long an answer to a probe takes at most, to be reported too, before
@@ -41,8 +41,8 @@
 	// Worker is the worker's short name.
 	Worker uint32
 	Change Change
-	// Failed and Answered are the weights of failures and good answers, where they count
-	// half after 2 s, and Relapses how often it was readmitted too soon.
+	// Failed and Answered are the weights of failures and good answers, which count half
+	// after each healthHalf, and Relapses how often it was readmitted too soon.
 	Failed   float64
 	Answered float64
 	Relapses int
@@ -132,9 +132,10 @@
 }
 
 // OnlineProbes returns the avoided workers to one of which an online request may go that may
-// run more than once. That is for when no items run that could be the probes, which wait for
-// nobody, or where the hub above has said that these bring no news of the worker. Only workers that the hub above calls failing are named, of those for which near
-// returns true, so that one hub alone decides on each.
+// run more than once. Items are the better probes, since nobody waits for them; so this is for
+// when none run, or where the hub above has said that they bring no news of the worker. Only
+// workers that the hub above calls failing are named, of those for which near returns true, so
+// that one hub alone decides on each.
 func (h *Hub) OnlineProbes(now time.Time, near func(worker uint32) bool) []uint32 {
 	if !h.knowsAbove(now) {
 		return nil
@@ -163,6 +164,7 @@
 	return told
 }
 
+// lacksItems reports whether items don't probe an avoided worker (probation.lacksItems).
 func (h *Hub) lacksItems(now time.Time, worker uint32) bool {
 	// This begins the probation of a worker that no runner has asked for.
 	h.ProbeDue(now, worker)
--- a/internal/routetable/tenant.go
+++ b/internal/routetable/tenant.go
@@ -16,7 +16,7 @@
 type Tenant struct {
 	Name      tenancy.Name      `json:"name"`
 	KeyHashes []tenancy.KeyHash `json:"key_hashes"`
-	// Rank goes before the routes' own where it is told. Smaller ranks go first in the lines of
+	// Rank goes before the routes' own where it is told. Smaller ranks go first in the queues of
 	// an edge (package admission), and of scarce room they get theirs first, less what is kept
 	// for others (package fairshare).
 	Rank *int `json:"rank,omitempty"`
--- a/internal/runlog/runlog.go
+++ b/internal/runlog/runlog.go
@@ -203,7 +203,7 @@
 	return exchanges, sent, received, err == nil
 }
 
-// hopeless and crowded are the results of requests that a line refuses as they come.
+// hopeless and crowded are the results of requests that an edge's queue refuses as they come.
 var (
 	hopeless = admission.Hopeless.String()
 	crowded  = admission.Crowded.String()
