--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -5,11 +5,10 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/batchplan"
 	"github.com/sedgemast/sedgemast/internal/batchstate"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -6,9 +6,8 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
-	"github.com/sedgemast/sedgemast/internal/quarantine"
-
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/storage"
@@ -240,7 +239,7 @@
 			r.store.runTimes.addLength(ended.expected, ended.carry.events)
 		}
 	case ended.yielded:
-		r.tellPrice(ended)
+		r.logYield(ended)
 		r.resting[ended.key] = clock.Now().Add(yieldPause)
 	case ended.rest > 0:
 		r.resting[ended.key] = clock.Now().Add(ended.rest)
--- a/internal/batchstore/yield.go
+++ b/internal/batchstore/yield.go
@@ -71,9 +71,9 @@
 	}
 }
 
-// tellPrice writes down what it costs that an item gave way ahead of requests: what its next
+// logYield writes down what it costs that an item gave way ahead of requests: what its next
 // worker reads again beside the prompt, and the time that it has left to wait.
-func (r *runner) tellPrice(ended *task) {
+func (r *runner) logYield(ended *task) {
 	if ended.ahead {
 		logging.Info(r.store.logger, "item_gave_way", "job", ended.key.job, "item", ended.id, "worker", ended.lease.Endpoint.ID, "events", ended.carry.events, "remaining_ms", ended.plan.Remaining.Milliseconds(), "slack_ms", ended.plan.Slack.Milliseconds(), "overdue", ended.plan.Overdue)
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Exact returns the present time by a system call, 0.3 us. Leases count by it.
+// Exact returns the present time by a system call. Leases count by it.
 func Exact() time.Time {
 	if !counts() {
 		return time.Now()
@@ -26,9 +26,8 @@
 	return time.Unix(now.Unix())
 }
 
-// Now returns the present time, as a rule without a system call, 0.1 us: some ten readings
-// for each request at an edge took 4% of its processor as system calls (139 to 145 s on a
-// day of 28,000 requests). It is some milliseconds off at most. A suspension is seen at the
+// Now returns the present time, as a rule without a system call: each request at an edge
+// takes many readings. It is some milliseconds off at most. A suspension is seen at the
 // first reading after it, because the time of day has moved on; if that was stepped back by
 // just as much, within refreshTime.
 func Now() time.Time {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -9,13 +9,12 @@
 	"sync"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/failure"
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -4,10 +4,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/sedgemast/sedgemast/internal/admission"
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/ratelimit"
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -47,13 +47,14 @@
 	id         string
 	request    upstream.Request
 	demand     balance.Demand
-	arrived    time.Time
-	deadline   time.Time
-	// came is when the request was taken in, by the clock that counts suspensions.
-	came time.Time
-	// due is the deadline by a clock that counts suspensions of this machine, during which
-	// deadline and context stand still.
-	due      time.Time
+	// arrived and deadline go by the clock of connections and contexts, which stands still
+	// while the machine is suspended. bootDeadline is the same moment as deadline by package
+	// clock, which goes on.
+	arrived      time.Time
+	deadline     time.Time
+	bootDeadline time.Time
+	// takenIn is when the request went on from where it was held, by package clock.
+	takenIn  time.Time
 	attempts int
 	dials    int
 	dialTime time.Duration
@@ -95,18 +96,18 @@
 	header := request.Header
 	prompt, _ := dialect.TokenCounts(header.Get(e.dialect.Tokens))
 	c := &call{
-		edge:       e,
-		context:    ctx,
-		version:    table.Configuration.Version,
-		route:      route,
-		tenant:     tenant,
-		writer:     writer,
-		controller: controller,
-		id:         header.Get(e.dialect.RequestID),
-		arrived:    arrived,
-		deadline:   deadline,
-		due:        clock.Now().Add(time.Until(deadline)),
-		share:      newShareState(table, tenant, route),
+		edge:         e,
+		context:      ctx,
+		version:      table.Configuration.Version,
+		route:        route,
+		tenant:       tenant,
+		writer:       writer,
+		controller:   controller,
+		id:           header.Get(e.dialect.RequestID),
+		arrived:      arrived,
+		deadline:     deadline,
+		bootDeadline: clock.Now().Add(time.Until(deadline)),
+		share:        newShareState(table, tenant, route),
 		demand: balance.Demand{
 			Pool:         e.pool(route),
 			Exclude:      map[string]bool{},
@@ -238,7 +239,9 @@
 }
 
 // late reports whether the caller's time is over.
-func (c *call) late() bool { return !time.Now().Before(c.deadline) || !clock.Now().Before(c.due) }
+func (c *call) late() bool {
+	return !time.Now().Before(c.deadline) || !clock.Now().Before(c.bootDeadline)
+}
 
 func (c *call) elapsed() int64 { return time.Since(c.arrived).Milliseconds() }
 
@@ -293,7 +296,7 @@
 			fields = append(fields, field)
 		}
 	}
-	left := max(min(time.Until(c.deadline), c.due.Sub(clock.Now())).Milliseconds(), 1)
+	left := max(min(time.Until(c.deadline), c.bootDeadline.Sub(clock.Now())).Milliseconds(), 1)
 	fields = append(fields,
 		wire.HeaderField{Name: names.Deadline, Value: strconv.FormatInt(left, 10)},
 		wire.HeaderField{Name: names.ExpectWorker, Value: life.Worker(lease.Endpoint.ID)},
--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -49,19 +49,19 @@
 	longest := time.Duration(0)
 	c.edge.observe(c.route, func(known *admission.Route) { longest = known.Longest() })
 	goal, allowed := c.route.Goal(), c.deadline.Sub(c.arrived)
-	arrived := c.due.Add(-allowed)
+	arrived := c.bootDeadline.Add(-allowed)
 	claim := admission.Claim{
 		Rank:    c.tenant.RankOn(c.route),
 		Over:    c.share.standing.Over,
 		Due:     arrived.Add(goal),
-		Leaves:  c.due,
+		Leaves:  c.bootDeadline,
 		Arrived: arrived,
 		Goal:    goal,
 		Bytes:   int64(len(c.request.Body)),
 	}
 	// Without a goal nothing tells when a caller gives up before its time is over.
 	if goal > 0 && c.route.Kind == routetable.KindStream {
-		claim.Leaves = earliest(c.due, arrived.Add(admission.Patience(goal, c.route.GapGoal())))
+		claim.Leaves = earliest(c.bootDeadline, arrived.Add(admission.Patience(goal, c.route.GapGoal())))
 	}
 	// A caller with so much less time than others has been here before: its first attempt
 	// was about that much earlier.
--- a/internal/edge/claim_test.go
+++ b/internal/edge/claim_test.go
@@ -207,8 +207,8 @@
 	tenant := &routetable.Tenant{Name: "a", Rank: &rank}
 	c, _ := testCall(t, f, tenant, 5*time.Second)
 	c.setStanding(&wire.RoomStanding{Share: 1}, true)
-	arrived := c.due.Add(c.arrived.Sub(c.deadline))
-	if got := c.claim(); got.Rank != 2 || !got.Over || got.Returned || !got.Arrived.Equal(arrived) || !got.Due.Equal(arrived.Add(300*time.Millisecond)) || got.Leaves.After(c.due) {
+	arrived := c.bootDeadline.Add(c.arrived.Sub(c.deadline))
+	if got := c.claim(); got.Rank != 2 || !got.Over || got.Returned || !got.Arrived.Equal(arrived) || !got.Due.Equal(arrived.Add(300*time.Millisecond)) || got.Leaves.After(c.bootDeadline) {
 		t.Errorf("%+v", got)
 	}
 	c, _ = testCall(t, f, nil, 4*time.Second)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,12 +11,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sedgemast/sedgemast/internal/admission"
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/fairshare"
@@ -182,7 +181,7 @@
 	if !e.gate.knows(needWorkers) {
 		e.workers.Begin(clock.Now())
 	}
-	e.learnt(snapshot.Table, listed)
+	e.openGate(snapshot.Table, listed)
 	e.daemon.TookFleet(snapshot.Table != nil, listed)
 	if snapshot.Table != nil && listed && !e.daemon.Stopping() && !e.daemon.Ready() {
 		logging.Info(e.logger, "ready", "version", snapshot.Table.Configuration.Version)
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -235,8 +235,9 @@
 	return nil
 }
 
-// learnt lets requests go on that are held for what the table and the list hold.
-func (e *Edge) learnt(table *routetable.Table, listed bool) {
+// openGate lets the requests go on that were held until the table, or the table and the list of
+// workers, are known.
+func (e *Edge) openGate(table *routetable.Table, listed bool) {
 	if table == nil {
 		return
 	}
--- a/internal/edge/queue_test.go
+++ b/internal/edge/queue_test.go
@@ -460,7 +460,7 @@
 	f := startLine(t, someTenant)
 	recorder := httptest.NewRecorder()
 	c := f.call(recorder, patience, patience)
-	c.due = clock.Now().Add(-time.Millisecond)
+	c.bootDeadline = clock.Now().Add(-time.Millisecond)
 	lease := f.edge.workers.Acquire(clock.Now(), &c.demand)
 	if got, done := c.goes(lease); got != nil || !done {
 		t.Error("the request goes to the worker")
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -6,9 +6,8 @@
 	"strconv"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/upstream"
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpapi"
@@ -101,7 +100,7 @@
 	// Writers without deadlines serve tests only.
 	_ = controller.SetWriteDeadline(deadline.Add(writeMargin))
 	call := newCall(e, ctx, table, route, tenant, writer, controller, request, body, arrived, deadline)
-	call.came = now
+	call.takenIn = now
 	call.run()
 	_ = controller.SetWriteDeadline(time.Time{})
 	if call.broken {
--- a/internal/edge/standstill.go
+++ b/internal/edge/standstill.go
@@ -24,11 +24,11 @@
 
 // watchStandstills notices standstills of this process, also while no request comes.
 func (e *Edge) watchStandstills(ctx context.Context) {
-	daemon.Every(ctx, standstill.Interval, func() { e.lookForStandstill(clock.Now()) })
+	daemon.Every(ctx, standstill.Interval, func() { e.checkStandstill(clock.Now()) })
 }
 
-// lookForStandstill returns from when until when this process stood still last.
-func (e *Edge) lookForStandstill(now time.Time) (from, until time.Time) {
+// checkStandstill returns from when until when this process stood still last.
+func (e *Edge) checkStandstill(now time.Time) (from, until time.Time) {
 	from, until, noticed := e.standstill.Look(now)
 	if noticed {
 		e.metrics.standstills.Inc()
@@ -69,7 +69,7 @@
 // the request had been taken in before the standstill.
 func (e *Edge) wake(ctx context.Context, arrived time.Time) (waited time.Duration, err error) {
 	now := clock.Now()
-	from, until := e.lookForStandstill(now)
+	from, until := e.checkStandstill(now)
 	waited, inside := missed(now.Add(-time.Since(arrived)), from, until)
 	if inside {
 		return 0, stoodStill()
@@ -86,7 +86,7 @@
 	if c.attempts > 0 || c.dials > 0 {
 		return false
 	}
-	if _, until := c.edge.lookForStandstill(clock.Now()); !until.After(c.came) {
+	if _, until := c.edge.checkStandstill(clock.Now()); !until.After(c.takenIn) {
 		return false
 	}
 	c.refuse(stoodStill())
--- a/internal/edge/standstill_test.go
+++ b/internal/edge/standstill_test.go
@@ -122,7 +122,7 @@
 	table := e.Table()
 	deadline := time.Now().Add(patience)
 	c := newCall(e, context.Background(), table, table.Match("h.example", "/a"), nil, recorder, http.NewResponseController(recorder), request, nil, time.Now(), deadline)
-	c.came = clock.Now()
+	c.takenIn = clock.Now()
 	if c.stoodStill() {
 		t.Error("refused without a standstill")
 	}
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/unread"
