Names: slots to spare, lots and steps of a start

Would have stopped a reader: Left as a duration in Arrival and Request and as "left to others by lot" in Offer and in the chosen worker; roomy, mostly, leaves, chooseRoom, and scored.room for slots; Took and TookFleet for a step of a start; capacity.Told for what a worker reports beside loadshare.Told.

--- a/internal/admission/collapse_test.go
+++ b/internal/admission/collapse_test.go
@@ -240,7 +240,7 @@
 // look returns the best place at a worker.
 func (p *play) look(e *playEdge, given string) (*balance.Choice, admission.Offer) {
 	place := e.table.Look(p.clock(), &balance.Demand{Pool: "p"}, balance.Search{Peers: playEdges, Given: given})
-	return place, admission.Offer{Full: place.Full, Wait: place.Wait, WaitMost: place.WaitMost, Spare: place.Spare, Left: place.Left}
+	return place, admission.Offer{Full: place.Full, Wait: place.Wait, WaitMost: place.WaitMost, Spare: place.Spare, LeftToOthers: place.LeftToOthers}
 }
 
 // take sends a request to the place.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -49,14 +49,14 @@
 	var trace strings.Builder
 	for _, waiting := range []int{0, 20} {
 		for _, age := range []time.Duration{0, 1500 * ms, 4000 * ms} {
-			for _, offer := range []Offer{{Spare: true}, {}, {Left: true}, fullOffer(0), fullOffer(100 * ms), fullOffer(250 * ms), {Wait: 250 * ms, WaitMost: 250 * ms}} {
+			for _, offer := range []Offer{{Spare: true}, {}, {LeftToOthers: true}, fullOffer(0), fullOffer(100 * ms), fullOffer(250 * ms), {Wait: 250 * ms, WaitMost: 250 * ms}} {
 				queue := NewQueue(Bounds{Claims: 64, Bytes: 1 << 20})
 				for range waiting {
 					queue.enter(claimOf(queueStart.Add(-time.Second), 1000*ms))
 				}
 				decision := queue.Arrive(queueStart, arrivalOf(queueStart, claimOf(queueStart, age), offer), 0.5)
 				fmt.Fprintf(&trace, "%d late ones wait, first asked %s ago, full %t wait %s spare %t left %t: %s, %d ahead, predicted %s, comeback %s, displaced %d\n",
-					waiting, age, offer.Full, offer.Wait, offer.Spare, offer.Left, decision.Result, decision.Ahead, decision.Predicted.Round(ms), decision.Comeback, len(decision.Displaced))
+					waiting, age, offer.Full, offer.Wait, offer.Spare, offer.LeftToOthers, decision.Result, decision.Ahead, decision.Predicted.Round(ms), decision.Comeback, len(decision.Displaced))
 			}
 		}
 	}
@@ -119,7 +119,7 @@
 	proptest.Run(t, "order", func(random *rand.Rand) error {
 		queue := NewQueue(Bounds{Claims: 100, Bytes: 1 << 20})
 		for range 1 + random.Intn(40) {
-			queue.Arrive(queueStart, arrivalOf(queueStart, randomClaim(random, queueStart), Offer{Left: true}), 0)
+			queue.Arrive(queueStart, arrivalOf(queueStart, randomClaim(random, queueStart), Offer{LeftToOthers: true}), 0)
 		}
 		waiting := queue.Len()
 		order := served(queue, queueStart)
@@ -168,10 +168,10 @@
 	for range 10 {
 		claim := claimOf(queueStart.Add(-time.Second), 0)
 		claim.Goal, claim.Due = 0, claim.Arrived
-		queue.Arrive(queueStart, arrivalOf(queueStart, claim, Offer{Left: true}), 0)
+		queue.Arrive(queueStart, arrivalOf(queueStart, claim, Offer{LeftToOthers: true}), 0)
 	}
 	aimed := claimOf(queueStart, 0)
-	queue.Arrive(queueStart, arrivalOf(queueStart, aimed, Offer{Left: true}), 0)
+	queue.Arrive(queueStart, arrivalOf(queueStart, aimed, Offer{LeftToOthers: true}), 0)
 	if first := queue.First(queueStart); first != aimed {
 		t.Errorf("%+v goes first", first)
 	}
@@ -264,7 +264,7 @@
 	proptest.Run(t, "free slots", func(random *rand.Rand) error {
 		queue := NewQueue(Bounds{Claims: 50, Bytes: 1 << 20})
 		for range 50 {
-			offer := Offer{Spare: random.Intn(2) == 0, Left: random.Intn(2) == 0}
+			offer := Offer{Spare: random.Intn(2) == 0, LeftToOthers: random.Intn(2) == 0}
 			arrival := arrivalOf(queueStart, randomClaim(random, queueStart), offer)
 			arrival.Supply = Supply{PerSecond: random.Float64() * 10, Ends: time.Duration(random.Intn(5000)) * ms}
 			decision := queue.Arrive(queueStart, arrival, random.Float64())
@@ -321,7 +321,7 @@
 		if got := (Offer{}).takes(queueStart, claim); got != test.want {
 			t.Errorf("%s of %s: takes a free slot: %t", test.begin, test.goal, got)
 		}
-		for _, offer := range []Offer{{Left: true}, fullOffer(0), fullOffer(ms)} {
+		for _, offer := range []Offer{{LeftToOthers: true}, fullOffer(0), fullOffer(ms)} {
 			if offer.takes(queueStart, claim) {
 				t.Errorf("%s of %s: takes %+v", test.begin, test.goal, offer)
 			}
@@ -337,7 +337,7 @@
 		queue.Arrive(queueStart, arrivalOf(queueStart, claimOf(queueStart, 2000*ms), fullOffer(0)), 0)
 	}
 	late := queueStart.Add(testGoal)
-	if first := queue.First(late); queue.Take(late, first, Offer{}) || queue.Take(late, first, fullOffer(10*ms)) || queue.Take(late, first, Offer{Spare: true, Left: true}) {
+	if first := queue.First(late); queue.Take(late, first, Offer{}) || queue.Take(late, first, fullOffer(10*ms)) || queue.Take(late, first, Offer{Spare: true, LeftToOthers: true}) {
 		t.Error("a late one went where others are about to go")
 	}
 	for tick := late; tick.Before(queueStart.Add(2500 * ms)); tick = tick.Add(100 * ms) {
--- a/internal/balance/answers.go
+++ b/internal/balance/answers.go
@@ -13,12 +13,12 @@
 
 // Told takes in what the worker says that it has, in the head of an answer. It is
 // passed on with the next report of loads.
-func (l *Lease) Told(told capacity.Told) {
+func (l *Lease) Told(told capacity.Report) {
 	l.table.mutex.Lock()
 	defer l.table.mutex.Unlock()
 	l.table.occupy(l.worker)
 	l.worker.claimed = told.Running + told.Waiting + 1
-	l.table.takeTold(l.worker, told)
+	l.table.takeReport(l.worker, told)
 }
 
 // orphaned returns how many requests the worker has that no living process answers
--- a/internal/balance/free.go
+++ b/internal/balance/free.go
@@ -44,9 +44,9 @@
 	Wait     time.Duration
 	WaitMost time.Duration
 	// Spare is set where more slots are free than those who wait elsewhere are about to
-	// take, Left where one is free and is left to others by lot.
-	Spare bool
-	Left  bool
+	// take, LeftToOthers where one is free and is left to others by lot.
+	Spare        bool
+	LeftToOthers bool
 	// NewsAge is how old the news of the others is that this rests on, negative where there
 	// is none.
 	NewsAge time.Duration
@@ -77,7 +77,7 @@
 		chosen = t.chooseGiven(now, demand, search.Given)
 	}
 	if chosen == nil {
-		chosen = t.chooseRoom(now, demand, known, search.Peers)
+		chosen = t.chooseBySlots(now, demand, known, search.Peers)
 	}
 	if chosen == nil {
 		return nil
@@ -111,17 +111,17 @@
 	}
 	if t.away(choice.worker) > 0 {
 		choice.Spare = t.farSlots(now, demand, known) > reserved(known.farRate, known.slots-known.nearSlots)
-		choice.Left = len(known.near) == 0 && !t.drawsFar(now, demand, known, search.Peers)
+		choice.LeftToOthers = len(known.near) == 0 && !t.drawsFar(now, demand, known, search.Peers)
 		return
 	}
 	near := t.nearSlots(now, demand, known)
 	choice.Spare = near > reserved(known.nearRate, known.nearSlots)
-	choice.Left = choice.Worker != search.Given && !mostly(near, known.nearSlots) && t.leaves(near, known.nearPeers(search.Peers))
+	choice.LeftToOthers = choice.Worker != search.Given && !mostFree(near, known.nearSlots) && t.leavesByLot(near, known.nearPeers(search.Peers))
 }
 
-// mostly reports whether more than half of the slots are free: then nobody waits, and who would
+// mostFree reports whether more than half of the slots are free: then nobody waits, and who would
 // leave one to others by lot would wait beside it.
-func mostly(free float64, slots int) bool { return 2*free > float64(slots) }
+func mostFree(free float64, slots int) bool { return 2*free > float64(slots) }
 
 // nearPeers returns how many of the processes look for the same slots of a zone as this one does:
 // where they stand is not known, so each zone that has workers is taken to have as many.
@@ -162,19 +162,19 @@
 // chooseGiven returns the worker at which a slot was given back, if it may be taken.
 func (t *Table) chooseGiven(now time.Time, demand *Demand, id string) *worker {
 	given := t.workers[id]
-	if given == nil || given.listed.Pool != demand.Pool || !t.roomy(now, demand, given) {
+	if given == nil || given.listed.Pool != demand.Pool || !t.hasSlotFor(now, demand, given) {
 		return nil
 	}
 	return given
 }
 
-// roomy reports whether the demand may go to a free slot of the worker.
-func (t *Table) roomy(now time.Time, demand *Demand, w *worker) bool {
+// hasSlotFor reports whether the demand may go to a free slot of the worker.
+func (t *Table) hasSlotFor(now time.Time, demand *Demand, w *worker) bool {
 	return t.hasFree(now, w) && t.admits(now, w, demand, false) && !t.failing(now, w)
 }
 
-// chooseRoom chooses a worker, one with a slot free if there is any.
-func (t *Table) chooseRoom(now time.Time, demand *Demand, known *pool, peers int) *worker {
+// chooseBySlots chooses a worker, one with a slot free if there is any.
+func (t *Table) chooseBySlots(now time.Time, demand *Demand, known *pool, peers int) *worker {
 	t.nearOnly = len(known.near) > 0 && !t.drawsFar(now, demand, known, peers)
 	chosen := t.choose(now, demand, false)
 	if chosen == nil || !t.hasFree(now, chosen) {
@@ -192,9 +192,9 @@
 	return chosen
 }
 
-// leaves decides by lot whether one of so many free slots is left to others: within the time
+// leavesByLot decides whether one of so many free slots is left to others: within the time
 // in which a choice is not seen, more of the peers than that may look for one.
-func (t *Table) leaves(slots, peers float64) bool {
+func (t *Table) leavesByLot(slots, peers float64) bool {
 	looking := 1 + (peers-1)*float64(unseenTime)/float64(LookTime)
 	return t.random.Float64()*looking > slots
 }
@@ -205,7 +205,7 @@
 	passed := min(now.Sub(known.farDrawn), loadshare.Interval)
 	known.farDrawn = now
 	free := t.farSlots(now, demand, known)
-	if math.IsInf(free, 1) || mostly(free, known.slots-known.nearSlots) {
+	if math.IsInf(free, 1) || mostFree(free, known.slots-known.nearSlots) {
 		return true
 	}
 	slots := free - reserved(known.farRate, known.slots-known.nearSlots)
@@ -245,7 +245,7 @@
 	}
 	slots := 0
 	for _, w := range t.compared {
-		if t.roomy(now, demand, w) {
+		if t.hasSlotFor(now, demand, w) {
 			own := t.slotsOf(w)
 			slots += max(own, 1) - min(t.onlineAt(now, w), own)
 		}
@@ -257,7 +257,7 @@
 // a pool that is not larger than what is compared at most, so that nobody is kept waiting
 // beside a free slot by lot alone.
 func (t *Table) chooseFree(now time.Time, demand *Demand, known *pool) *worker {
-	fit := func(w *worker) bool { return t.roomy(now, demand, w) }
+	fit := func(w *worker) bool { return t.hasSlotFor(now, demand, w) }
 	t.findHomes(demand, fit)
 	t.compared = t.compared[:0]
 	t.drawFree(now, demand.Pool, known, fit)
@@ -313,8 +313,8 @@
 	return now.Sub(t.othersAt(w))
 }
 
-// Throughput returns how many online requests a second the pool's workers can take of this process,
-// one of so many peers: an equal part of what they can take at all, or what it has there now,
+// Throughput returns how many online requests a second the pool's workers can take of this
+// process, one of so many peers: an equal part of what they can take at all, or what it has there now,
 // if that is more. It is zero where it is unknown how long a request holds a slot.
 func (t *Table) Throughput(pool string, peers int) float64 {
 	t.mutex.Lock()
--- a/internal/balance/free_test.go
+++ b/internal/balance/free_test.go
@@ -55,7 +55,7 @@
 		tellOnline(table, online)
 		demand := &Demand{Pool: "p"}
 		place := table.Look(start, demand, Search{Peers: 1})
-		if place.Full != (free == 0) || place.Left || place.Full != (place.Wait > 0) || place.WaitMost < place.Wait {
+		if place.Full != (free == 0) || place.LeftToOthers || place.Full != (place.Wait > 0) || place.WaitMost < place.Wait {
 			return errors.Newf("%d workers have a slot free: %+v", free, place)
 		}
 		if loads := table.Loads(); len(loads) > 0 || table.Acquired() > 0 {
@@ -79,7 +79,7 @@
 	tellOnline(table, online)
 	taken := func(search Search) (count int) {
 		for range looks {
-			if place := table.Look(start, &Demand{Pool: "p"}, search); !place.Left && !place.Full {
+			if place := table.Look(start, &Demand{Pool: "p"}, search); !place.LeftToOthers && !place.Full {
 				count++
 			}
 		}
@@ -138,7 +138,7 @@
 		found := 0
 		for look := range looks {
 			place := table.Look(start.Add(time.Duration(look)*time.Microsecond), &Demand{Pool: "p"}, Search{Peers: peers})
-			if !place.Full && !place.Left {
+			if !place.Full && !place.LeftToOthers {
 				found++
 			}
 			if test.slots == 0 && !place.Spare {
@@ -189,7 +189,7 @@
 	var place *Choice
 	for look := range looks {
 		place = table.Look(start, demand, Search{Peers: 51})
-		if place.Worker != "w1" || !place.Spare || place.Left || place.Full {
+		if place.Worker != "w1" || !place.Spare || place.LeftToOthers || place.Full {
 			t.Fatalf("look %d: %+v", look, place)
 		}
 	}
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -164,9 +164,9 @@
 	return time.Duration(float64(t.holdAt(now, candidate)) * float64(over) / float64(slots+1))
 }
 
-// mostOf is by how many standard deviations the bound lies above the mean: 19 of 20 waits end
+// mostDeviations is by how many standard deviations waitMostAt lies above the mean: 19 of 20 waits end
 // below it (TestWaitsAtMost).
-const mostOf = 2.05
+const mostDeviations = 2.05
 
 // waitMostAt predicts how long one more online request would wait for a slot at the worker
 // in nearly all cases: when the k-th of n evenly spread ends comes spreads by itself.
@@ -177,7 +177,7 @@
 	}
 	k, n := float64(over), float64(slots)
 	variance := max(k*(n+1-k), n) / ((n + 1) * (n + 1) * (n + 2))
-	return time.Duration(float64(t.holdAt(now, candidate)) * (k/(n+1) + mostOf*math.Sqrt(variance)))
+	return time.Duration(float64(t.holdAt(now, candidate)) * (k/(n+1) + mostDeviations*math.Sqrt(variance)))
 }
 
 // overAt returns the worker's slots, and how many must be given back before one more online
--- a/internal/balance/times.go
+++ b/internal/balance/times.go
@@ -31,10 +31,10 @@
 	// waitWeight is what a predicted wait weighs against a time that is known: it is a mean, of
 	// waits from nothing to several times as much.
 	waitWeight = 3
-	// leastSpare is how many slots the best worker of a zone must have left beside the request
-	// for the zone to have room: its last one may be taken by a request that nobody has told
-	// of yet. Workers of one slot have none to leave. A zone without room sends to one with
-	// room, so two never send to each other.
+	// leastSpare is how many slots some worker of a zone must have left beside the request for
+	// the zone to have one to spare: its last one may be taken by a request that nobody has told
+	// of yet. Workers of one slot have none to leave. A zone without one sends to one with
+	// it, so two never send to each other.
 	leastSpare = 1
 	// unknownHold stands in for how long a request holds a slot until that is known, so that
 	// counts are compared meanwhile.
@@ -42,23 +42,23 @@
 	// thousand is the number of tokens that the time to read them is told for.
 	thousand = 1000
 	// zonePrice is what another zone costs, in time. It counts only where the own zone has no
-	// room in time, and then says that a little waiting is better than the bytes.
+	// slot to spare, and then says that a little waiting is better than the bytes.
 	zonePrice = 20 * time.Millisecond
 )
 
 // soonest returns the worker of the least score, by lot among equals: one of the zone where
-// one of these has room in time, whatever idles elsewhere.
+// any of these has a slot to spare, whatever idles elsewhere.
 func (t *Table) soonest(now time.Time, known *pool, demand *Demand, fit []*worker) *worker {
 	usual := t.usualOf(known, demand)
 	near := t.bestOf(now, demand, usual, fit, 0)
-	if near.room {
+	if near.spare {
 		return near.best
 	}
 	far := t.bestOf(now, demand, usual, fit, 1)
 	switch {
 	case near.best == nil:
 		return far.best
-	case far.room && far.score+zonePrice.Seconds() < near.score:
+	case far.spare && far.score+zonePrice.Seconds() < near.score:
 		return far.best
 	}
 	return near.best
@@ -82,12 +82,12 @@
 	best   *worker
 	score  float64
 	equals int
-	// room is set where any of them has room.
-	room bool
+	// spare is set where any of them has a slot to spare (leastSpare).
+	spare bool
 }
 
-func (s *scored) take(t *Table, candidate *worker, score float64, room bool) {
-	s.room = s.room || room
+func (s *scored) take(t *Table, candidate *worker, score float64, spare bool) {
+	s.spare = s.spare || spare
 	switch {
 	case s.best == nil || score < s.score-tieMargin:
 		s.best, s.score, s.equals = candidate, score, 1
--- a/internal/balance/times_test.go
+++ b/internal/balance/times_test.go
@@ -230,16 +230,16 @@
 // where no worker of its pool tells its pace, but for the doubt.
 func TestFalseSlotsAreNotBelieved(t *testing.T) {
 	for _, test := range []struct {
-		told   capacity.Told
+		told   capacity.Report
 		want   int
 		doubts int
 	}{
-		{capacity.Told{}, 4, 0},
-		{capacity.Told{Slots: 4}, 4, 0},
-		{capacity.Told{Running: 1, Slots: 3}, 3, 1},
-		{capacity.Told{Slots: 60_000}, 4, 1},
-		{capacity.Told{Slots: -3}, 4, 0},
-		{capacity.Told{Running: 4, Slots: 1}, 4, 0},
+		{capacity.Report{}, 4, 0},
+		{capacity.Report{Slots: 4}, 4, 0},
+		{capacity.Report{Running: 1, Slots: 3}, 3, 1},
+		{capacity.Report{Slots: 60_000}, 4, 1},
+		{capacity.Report{Slots: -3}, 4, 0},
+		{capacity.Report{Running: 4, Slots: 1}, 4, 0},
 	} {
 		table := tableOf(listed("a", "z1"))
 		lease := table.Acquire(start, &Demand{Pool: "p"})
@@ -251,7 +251,7 @@
 		if table.TellsPace("p") {
 			t.Errorf("%+v: tells its pace", test.told)
 		}
-		lease.Told(capacity.Told{Pace: 100})
+		lease.Told(capacity.Report{Pace: 100})
 		if got := table.slotsOf(lease.worker); got != test.want {
 			t.Errorf("%+v: %d slots", test.told, got)
 		}
@@ -275,7 +275,7 @@
 		{62 * time.Second, 100, true},
 	} {
 		lease := table.Acquire(start.Add(test.after), &Demand{Pool: "p"})
-		lease.Told(capacity.Told{Pace: test.pace})
+		lease.Told(capacity.Report{Pace: test.pace})
 		if table.TellsPace("p") != test.want || table.byTimes("p") != test.want || table.TellsPace("q") {
 			t.Errorf("after %v: tells its pace %t, compared by times %t", test.after, table.TellsPace("p"), table.byTimes("p"))
 		}
--- a/internal/balance/told.go
+++ b/internal/balance/told.go
@@ -12,9 +12,9 @@
 // mostDoubts bounds the doubts that are kept for who writes them down.
 const mostDoubts = 64
 
-// takeTold takes in what a worker told of itself. Of its slots the smaller count is believed:
+// takeReport takes in what a worker told of itself. Of its slots the smaller count is believed:
 // one that promises more than the list says would queue what it can't run.
-func (t *Table) takeTold(w *worker, told capacity.Told) {
+func (t *Table) takeReport(w *worker, told capacity.Report) {
 	if told.Pace > 0 {
 		t.telling[w.listed.Pool] = t.newest
 	}
--- a/internal/balance/uneven_test.go
+++ b/internal/balance/uneven_test.go
@@ -243,7 +243,7 @@
 		if f.plan.tells {
 			pace := f.paceOf(w)
 			f.after(trip, func() {
-				r.lease.Told(capacity.Told{Running: running, Waiting: waiting, Slots: f.plan.slots, Pace: pace})
+				r.lease.Told(capacity.Report{Running: running, Waiting: waiting, Slots: f.plan.slots, Pace: pace})
 			})
 		}
 		if f.wave() {
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
-	d.Took(daemon.StepStorage)
+	d.MarkStep(daemon.StepStorage)
 	if s.identity, err = s.host.Identity(d.Context()); err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
@@ -170,7 +170,7 @@
 	s.loads.setLimits(snapshot)
 	s.loads.setGroups(s.groupCount())
 	s.upstream.Forget(s.workers.Knows)
-	s.daemon.TookFleet(snapshot.Table != nil, snapshot.Fleet.Listed || snapshot.Fleet.Partial)
+	s.daemon.MarkFleet(snapshot.Table != nil, snapshot.Fleet.Listed || snapshot.Fleet.Partial)
 	ctx := s.daemon.Context()
 	err := s.host.ListPeers(ctx, snapshot.Fleet.StoreAddresses())
 	err = errors.CombineErrors(err, s.host.SetRetiring(ctx, snapshot.Fleet.Retiring))
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -2,9 +2,9 @@
 // fast, and when one more would begin. It is pure.
 package capacity
 
-// Told is what a worker says of itself in the head of an answer. It is true of the moment
+// Report is what a worker says of itself in the head of an answer. It is true of the moment
 // at which the worker said it.
-type Told struct {
+type Report struct {
 	// Running and Waiting count its requests.
 	Running int
 	Waiting int
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
-	d.Took(daemon.StepStorage)
+	d.MarkStep(daemon.StepStorage)
 	d.Registry.MustRegister(c.changes, c.watches, c.oddEntries)
 	c.relay = newRelay(c)
 	c.list.Came = c.addWorkers
@@ -176,7 +176,7 @@
 		var coordinators []string
 		if len(processes) > 1 {
 			// This process comes first, then those that were heard.
-			c.daemon.Took(daemon.StepPeer)
+			c.daemon.MarkStep(daemon.StepPeer)
 		}
 		for i := range processes {
 			if processes[i].SilentMillis <= fleetview.ProcessFresh.Milliseconds() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -130,7 +130,7 @@
 		kratoshttp.MethodNotAllowedHandler(http.HandlerFunc(notFound)),
 	)
 	d.registerCommon()
-	d.Took(StepSettings)
+	d.MarkStep(StepSettings)
 	return d, nil
 }
 
@@ -217,7 +217,7 @@
 func (d *Daemon) SetReady(ready bool) {
 	d.ready.Store(ready)
 	if ready {
-		d.Took(StepReady)
+		d.MarkStep(StepReady)
 	}
 }
 
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -72,20 +72,20 @@
 	return after, true
 }
 
-// Took takes in that a step of the start is done; repeated, it does nothing.
-func (d *Daemon) Took(step Step) {
+// MarkStep takes in that a step of the start is done; repeated, it does nothing.
+func (d *Daemon) MarkStep(step Step) {
 	if after, first := d.steps.take(clock.Now(), step); first {
 		logging.Info(d.Logger, "start_step", "step", string(step), "ms", after.Milliseconds())
 	}
 }
 
-// TookFleet takes in what is known of the fleet: a leader has told it.
-func (d *Daemon) TookFleet(configuration, workers bool) {
-	d.Took(StepLeader)
+// MarkFleet takes in what is known of the fleet: a leader has told it.
+func (d *Daemon) MarkFleet(configuration, workers bool) {
+	d.MarkStep(StepLeader)
 	if configuration {
-		d.Took(StepConfiguration)
+		d.MarkStep(StepConfiguration)
 	}
 	if workers {
-		d.Took(StepWorkers)
+		d.MarkStep(StepWorkers)
 	}
 }
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -135,20 +135,20 @@
 // Load reads what a worker tells of itself. It reports whether it tells anything: the
 // requests that it runs and those that wait at least. Slots and pace are zero where they are
 // missing, or no positive whole number.
-func Load(value string) (told capacity.Told, found bool) {
+func Load(value string) (told capacity.Report, found bool) {
 	fields := strings.Split(value, ",")
 	if len(fields) < 2 {
-		return capacity.Told{}, false
+		return capacity.Report{}, false
 	}
 	running, err := strconv.Atoi(strings.TrimSpace(fields[0]))
 	if err != nil || running < 0 {
-		return capacity.Told{}, false
+		return capacity.Report{}, false
 	}
 	waiting, err := strconv.Atoi(strings.TrimSpace(fields[1]))
 	if err != nil || waiting < 0 {
-		return capacity.Told{}, false
+		return capacity.Report{}, false
 	}
-	return capacity.Told{Running: running, Waiting: waiting, Slots: positive(fields, 2), Pace: positive(fields, 3)}, true
+	return capacity.Report{Running: running, Waiting: waiting, Slots: positive(fields, 2), Pace: positive(fields, 3)}, true
 }
 
 // mostTold bounds what is believed of a figure that a worker tells.
--- a/internal/edge/queue.go
+++ b/internal/edge/queue.go
@@ -140,7 +140,7 @@
 }
 
 func offerOf(choice *balance.Choice) admission.Offer {
-	return admission.Offer{Full: choice.Full, Wait: choice.Wait, WaitMost: choice.WaitMost, Spare: choice.Spare, Left: choice.Left}
+	return admission.Offer{Full: choice.Full, Wait: choice.Wait, WaitMost: choice.WaitMost, Spare: choice.Spare, LeftToOthers: choice.LeftToOthers}
 }
 
 // supply returns what this process can expect of the pool.
--- a/internal/edge/queue_test.go
+++ b/internal/edge/queue_test.go
@@ -397,7 +397,7 @@
 		turns := make([]*waiter, 0, count)
 		for range count {
 			turn, _ := f.call(httptest.NewRecorder(), patience, patience).newWaiter()
-			l.queue.Arrive(clock.Now(), &admission.Arrival{Claim: &turn.claim, Offer: admission.Offer{Left: true}}, 0)
+			l.queue.Arrive(clock.Now(), &admission.Arrival{Claim: &turn.claim, Offer: admission.Offer{LeftToOthers: true}}, 0)
 			l.waiting[&turn.claim] = turn
 			turns = append(turns, turn)
 		}
--- a/internal/edge/waiting.go
+++ b/internal/edge/waiting.go
@@ -134,7 +134,7 @@
 		"asked_ms_ago", w.claim.Arrived.Add(w.claim.Goal).Sub(w.claim.Due).Milliseconds(), "left_ms", w.left.Milliseconds(), "longest_ms", w.longest.Milliseconds(),
 		"goal_ms", w.claim.Goal.Milliseconds(), "begin_ms", w.claim.Begin.Milliseconds(), "ahead", decision.Ahead, "predicted_ms", decision.Predicted.Milliseconds(),
 		"worker", choice.Worker, "full", choice.Full, "slow", choice.Slow, "wait_ms", choice.Wait.Milliseconds(), "wait_most_ms", choice.WaitMost.Milliseconds(),
-		"spare", choice.Spare, "lot", choice.Left, "news_age_ms", choice.NewsAge.Milliseconds(),
+		"spare", choice.Spare, "lot", choice.LeftToOthers, "news_age_ms", choice.NewsAge.Milliseconds(),
 		"per_second", found.supply.PerSecond, "ends_ms", found.supply.Ends.Milliseconds(), "bears_ms", w.claim.Leaves.Sub(w.claim.Arrived).Milliseconds(),
 		"stopping", found.closed, "comeback_ms", decision.Comeback.Milliseconds())
 }
