Names: the planner of items counts slots, not room

In batchroom room was a count of slots and in fairshare it is a rate; a reader who came from one to the other took Summary.Free or opening.room for requests a second. Fields of a meter without a word have one; "asked and short count ..., short ..." named short twice.

--- a/internal/batchplan/batchplan.go
+++ b/internal/batchplan/batchplan.go
@@ -3,8 +3,8 @@
 //
 // The order is by slack among the items that can still be done in time: how much later
 // they could begin. So long items begin sooner than short ones that are due with them, and
-// both come in time alike. The others come after them, in the same order. So an overload makes some items late
-// rather than all of them, and what is late runs as soon as there is room.
+// both come in time alike. The others come after them, in the same order. So an overload makes
+// some items late rather than all of them, and what is late runs as soon as a slot is free.
 package batchplan
 
 import (
--- a/internal/batchroom/ahead.go
+++ b/internal/batchroom/ahead.go
@@ -117,7 +117,7 @@
 // spare is what online requests to come leave of an opening: so many slots, below zero where
 // they need more than are open.
 type spare struct {
-	room float64
+	slots float64
 	// pool is what is known of the worker's pool, nil if nothing is.
 	pool *prospect
 }
@@ -133,25 +133,25 @@
 
 // offer takes in so many slots that were found at a worker. Those of busy workers count for
 // their pool; what idle ones have is known beforehand (Outlook.IdleSlots).
-func (p *prospects) offer(place *Place, room int, counts bool) {
+func (p *prospects) offer(place *Place, free int, counts bool) {
 	if p == nil {
 		return
 	}
 	known := p.of(place.Pool)
 	if known == nil {
-		p.spares = append(p.spares, spare{room: float64(room)})
+		p.spares = append(p.spares, spare{slots: float64(free)})
 		return
 	}
 	if counts {
-		known.offered += room
+		known.offered += free
 	}
 	// Requests that are there need no more of the part for those to come.
 	coming := max(known.partAt(place.Zone, known.part)*float64(place.Slots)-float64(place.Online), 0)
-	p.spares = append(p.spares, spare{room: float64(room) - coming, pool: known})
+	p.spares = append(p.spares, spare{slots: float64(free) - coming, pool: known})
 }
 
-// withheld returns how much of the room found is kept for requests to come. So much room
-// at idle workers is taken.
+// withheld returns how many of the slots found are kept for requests to come. So many slots
+// at idle workers are taken.
 func (p *prospects) withheld(taken int) int {
 	if p == nil {
 		return 0
@@ -264,7 +264,7 @@
 	heap.Fix(c, 0)
 }
 
-// stopAhead adds so many stops, each where items leave the least room for the part of the
+// stopAhead adds so many stops, each where items leave the fewest slots for the part of the
 // slots that online requests will need there. All runners' plans add the same ones, of
 // which each gets its part.
 func stopAhead(outlook *Outlook, places *Places, items, stops []int, over int, part func(place *Place) float64) int {
@@ -287,13 +287,13 @@
 	return added
 }
 
-// grantAhead gives out so much room, one slot after another where requests to come leave
+// grantAhead gives out so many slots, one after another where requests to come leave
 // the most.
 func grantAhead(open []opening, count int, spares []spare) map[uint32]int {
 	granted := map[uint32]int{}
 	heaped := make(candidates, 0, len(open))
 	for i := range open {
-		heaped = append(heaped, candidate{place: i, rank: spares[i].room, tie: open[i].tie})
+		heaped = append(heaped, candidate{place: i, rank: spares[i].slots, tie: open[i].tie})
 	}
 	heap.Init(&heaped)
 	for count > 0 && len(heaped) > 0 {
@@ -306,9 +306,9 @@
 			prospect.left--
 		}
 		granted[opening.worker]++
-		opening.room--
+		opening.slots--
 		count--
-		heaped.lower(opening.room == 0)
+		heaped.lower(opening.slots == 0)
 	}
 	return granted
 }
--- a/internal/batchroom/batchroom.go
+++ b/internal/batchroom/batchroom.go
@@ -2,7 +2,7 @@
 // processes that run items of jobs. It is pure.
 //
 // One planner sees what all have at each worker. It orders runners to stop items where
-// online requests would wait behind them, and grants them room to start others, so
+// online requests would wait behind them, and grants them slots to start others, so
 // that two runners never take the same slot. A grant holds until the runner's next
 // report, which shows what became of it.
 package batchroom
@@ -82,7 +82,7 @@
 	// nothing holds at other workers.
 	Queued int
 	Idle   int
-	// Free is the room found, Granted what the runner got of it, Stops how many items
+	// Free counts the slots found for items, Granted those that the runner got, Stops how many items
 	// stood in the way.
 	Free    int
 	Granted int
@@ -109,7 +109,7 @@
 	waiting int
 	// items counts those that run, by worker, less those about to stop.
 	items map[uint32]int
-	// granted is the room given at the last report.
+	// granted counts the slots given at the last report, by worker.
 	granted map[uint32]int
 }
 
@@ -194,19 +194,19 @@
 		if p.mayProbe(name, place, items[i]) {
 			probes = append(probes, place.Worker)
 		}
-		if room := p.roomAt(name, place, items[i]); room > 0 {
-			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
-			p.summary.Free += room
-			prospects.offer(place, room, true)
+		if free := p.openAt(name, place, items[i]); free > 0 {
+			open = append(open, opening{worker: place.Worker, slots: free, tie: place.Worker ^ name})
+			p.summary.Free += free
+			prospects.offer(place, free, true)
 		}
 	}
 	return open, probes
 }
 
-// roomAt returns how many items the runner could be granted at a worker. Nothing is left
+// openAt returns how many items the runner could be granted at a worker. Nothing is left
 // free for online requests that may come: items give way to them within three reports, and
 // a slot that stays empty until then is lost.
-func (p *Planner) roomAt(name uint32, place *Place, items int) int {
+func (p *Planner) openAt(name uint32, place *Place, items int) int {
 	if place.Closed {
 		return 0
 	}
@@ -219,7 +219,7 @@
 	return place.Closed && place.Probe && place.Online+items+p.grantedAt(place.Worker, name) < place.Slots
 }
 
-// takenIdle counts the room at idle workers that others were granted, or have taken since
+// takenIdle counts the slots at idle workers that others were granted, or have taken since
 // the loads were told.
 func (p *Planner) takenIdle(name uint32, places *Places) int {
 	busy := make(map[uint32]bool, len(places.Busy))
@@ -242,14 +242,14 @@
 	return taken
 }
 
-// openIdle returns the room at some of the idle workers.
+// openIdle returns those of some idle workers where items may start.
 func (p *Planner) openIdle(name uint32, places []Place, prospects *prospects) []opening {
 	open := make([]opening, 0, len(places))
 	for i := range places {
 		place := &places[i]
-		if room := p.roomAt(name, place, p.itemsAt(place.Worker)); room > 0 {
-			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
-			prospects.offer(place, room, false)
+		if free := p.openAt(name, place, p.itemsAt(place.Worker)); free > 0 {
+			open = append(open, opening{worker: place.Worker, slots: free, tie: place.Worker ^ name})
+			prospects.offer(place, free, false)
 		}
 	}
 	return open
@@ -276,7 +276,7 @@
 	return items
 }
 
-// grantedAt counts the room that is granted to other runners at a worker.
+// grantedAt counts the slots that are granted to other runners at a worker.
 func (p *Planner) grantedAt(worker, except uint32) int {
 	granted := 0
 	for name, r := range p.runners {
@@ -312,8 +312,8 @@
 	return part
 }
 
-// shareOf returns how much of the free room goes to the runner: by how many items
-// wait there, rounded up so that no room is left while any item waits.
+// shareOf returns how many of the free slots go to the runner: by how many items
+// wait there, rounded up so that no slot is left while any item waits.
 func (p *Planner) shareOf(own *runner, free int) int {
 	waiting := p.waiting()
 	if waiting == 0 {
@@ -331,23 +331,23 @@
 	return waiting
 }
 
-// opening is a worker with room.
+// opening is a worker with slots for items.
 type opening struct {
 	worker uint32
-	room   int
-	// tie orders workers of equal room, differently for each runner.
+	slots  int
+	// tie orders workers of as many slots, differently for each runner.
 	tie uint32
 }
 
-// grant gives out so much room, one slot after another where the most is left.
+// grant gives out so many slots, one after another where the most are left.
 func grant(open []opening, count int) map[uint32]int {
 	granted := map[uint32]int{}
-	slices.SortFunc(open, func(a, b opening) int { return cmp.Or(cmp.Compare(b.room, a.room), cmp.Compare(a.tie, b.tie)) })
+	slices.SortFunc(open, func(a, b opening) int { return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(a.tie, b.tie)) })
 	if len(open) == 0 {
 		return granted
 	}
-	for level := open[0].room; level > 0 && count > 0; level-- {
-		for i := 0; i < len(open) && open[i].room >= level && count > 0; i++ {
+	for level := open[0].slots; level > 0 && count > 0; level-- {
+		for i := 0; i < len(open) && open[i].slots >= level && count > 0; i++ {
 			granted[open[i].worker]++
 			count--
 		}
--- a/internal/batchstore/limits.go
+++ b/internal/batchstore/limits.go
@@ -42,7 +42,7 @@
 	l.hubs.Lock()
 	defer l.hubs.Unlock()
 	l.limits.set(limits, len(zones))
-	l.room.set(clock.Now(), snapshot.Table)
+	l.room.configure(clock.Now(), snapshot.Table)
 }
 
 func (l *limiter) set(limits map[ratelimit.Tenant]ratelimit.Limit, zones int) {
--- a/internal/batchstore/room.go
+++ b/internal/batchstore/room.go
@@ -39,9 +39,9 @@
 
 func newZoneRoom() *zoneRoom { return &zoneRoom{meter: fairshare.NewMeter()} }
 
-// set takes in the configuration in force, which may be nil. Without tenants nobody's room
+// configure takes in the configuration in force, which may be nil. Without tenants nobody's room
 // is divided.
-func (z *zoneRoom) set(now time.Time, table *routetable.Table) {
+func (z *zoneRoom) configure(now time.Time, table *routetable.Table) {
 	z.meter.Set(now, table.Shares())
 	z.names = nil
 	if table.Shares() == nil {
--- a/internal/batchstore/room_test.go
+++ b/internal/batchstore/room_test.go
@@ -22,7 +22,7 @@
 // hubOf returns a store as the hub of a zone, with the tenants.
 func hubOf(now time.Time, tenants ...routetable.Tenant) *Store {
 	s := &Store{logger: logging.Discard(), loads: newLoads(ratelimit.Tolerance{})}
-	s.loads.room.set(now, routetable.NewTable(&routetable.Configuration{Tenants: tenants}))
+	s.loads.room.configure(now, routetable.NewTable(&routetable.Configuration{Tenants: tenants}))
 	return s
 }
 
@@ -66,7 +66,7 @@
 	if err != nil || len(families) != 3 {
 		t.Errorf("%v: %v", err, families)
 	}
-	s.loads.room.set(now, routetable.NewTable(&routetable.Configuration{}))
+	s.loads.room.configure(now, routetable.NewTable(&routetable.Configuration{}))
 	if told, _, _ = crowdZone(s, now, large, small); len(told) > 0 {
 		t.Errorf("told %v after the tenants were taken away", told)
 	}
@@ -104,7 +104,7 @@
 	s := hubOf(now)
 	tenant := routetable.Tenant{Name: "a", RatePerSecond: 1, Burst: 1}
 	table := routetable.NewTable(&routetable.Configuration{Tenants: []routetable.Tenant{tenant}})
-	s.loads.room.set(now, table)
+	s.loads.room.configure(now, table)
 	s.loads.limits.set(table.Limits(), 1)
 	short := routetable.ShortName("a")
 	granted := 0
--- a/internal/fairshare/meter.go
+++ b/internal/fairshare/meter.go
@@ -100,16 +100,19 @@
 // Meter keeps account of the room of a zone: who asks for it, how much there is, and who
 // is over its share. It is not safe for concurrent use.
 type Meter struct {
+	// settings is nil where nothing is metered.
 	settings *Settings
 	began    time.Time
+	// tickedAt is up to when the account is brought.
 	tickedAt time.Time
 	parties  map[Party]*account
 	// list holds the parties' accounts, too: they are gone over often.
-	list    []*account
+	list []*account
+	// sources holds what edges have told, by the edges' short names.
 	sources map[uint32]*source
 	tickets tickets
-	// asked and short count the requests of late, short those that found no room, and given
-	// those that began to run.
+	// asked counts the requests of late, short those that found no room, and given those that
+	// began to run.
 	asked decayed
 	short decayed
 	given decayed
