--- a/internal/edge/claim_test.go
+++ b/internal/edge/claim_test.go
@@ -180,9 +180,9 @@
 	}
 }
 
-// TestOverShareIsCountedInTheLine sends requests back through the line: who is over its share
+// TestOverShareIsCountedInTheQueue sends requests back through the queue: who is over its share
 // is told so and counted, who would be late is not.
-func TestOverShareIsCountedInTheLine(t *testing.T) {
+func TestOverShareIsCountedInTheQueue(t *testing.T) {
 	f := startTenants(t)
 	tenant := f.edge.Table().Tenant("a")
 	for _, reason := range []admission.Reason{admission.TooLate, admission.OverShare} {
--- a/internal/edge/queue_test.go
+++ b/internal/edge/queue_test.go
@@ -29,9 +29,9 @@
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
-// lineFixture is an edge before one worker that runs one request at a time, as the edge is
+// queueFixture is an edge before one worker that runs one request at a time, as the edge is
 // told, and ends a request when the test says so.
-type lineFixture struct {
+type queueFixture struct {
 	server *httptest.Server
 	edge   *Edge
 	worker *heldWorker
@@ -124,14 +124,14 @@
 	return events
 }
 
-// startLine runs an edge whose requests wait in a line, if tenants are named.
-func startLine(t *testing.T, tenants ...routetable.Tenant) *lineFixture {
+// startQueue runs an edge whose requests wait in a queue, if tenants are named.
+func startQueue(t *testing.T, tenants ...routetable.Tenant) *queueFixture {
 	t.Helper()
 	return startLineAt(t, startHeldWorker(t), "edge-1", 1, tenants...)
 }
 
 // startLineAt runs an edge of the name that is told so many slots of the worker.
-func startLineAt(t *testing.T, worker *heldWorker, name string, slots int, tenants ...routetable.Tenant) *lineFixture {
+func startLineAt(t *testing.T, worker *heldWorker, name string, slots int, tenants ...routetable.Tenant) *queueFixture {
 	t.Helper()
 	route := stream(false, 1)
 	route.Public = true
@@ -147,7 +147,7 @@
 		t.Fatal(err)
 	}
 	listed := []wire.PoolWorker{{ID: "w-0", Pool: "p", Address: worker.server.Listener.Addr().String(), Slots: slots}}
-	f := &lineFixture{worker: worker, log: &lockedBuffer{}}
+	f := &queueFixture{worker: worker, log: &lockedBuffer{}}
 	d, err := daemon.New(daemon.Options{Role: "edge", Name: name, Listen: "127.0.0.1:0", Embedded: true, Logger: logging.New(f.log, "info")})
 	if err != nil {
 		t.Fatal(err)
@@ -179,7 +179,7 @@
 }
 
 // ask sends a request; how it ended comes over the channel.
-func (f *lineFixture) ask(ctx context.Context, t *testing.T, id string, answers chan<- answered) {
+func (f *queueFixture) ask(ctx context.Context, t *testing.T, id string, answers chan<- answered) {
 	t.Helper()
 	go func() {
 		status, header, _, err := send(ctx, t, f.server, id, 1, patience)
@@ -189,7 +189,7 @@
 
 // hold lets requests hang at the worker, and returns how to end them. All that come after the
 // end run at once.
-func (f *lineFixture) hold(t *testing.T) (release func()) {
+func (f *queueFixture) hold(t *testing.T) (release func()) {
 	t.Helper()
 	var once sync.Once
 	release = func() { once.Do(func() { close(f.worker.end) }) }
@@ -197,8 +197,8 @@
 	return release
 }
 
-// waits returns how many requests wait in the line.
-func (f *lineFixture) waits() int {
+// waits returns how many requests wait in the queue.
+func (f *queueFixture) waits() int {
 	known := f.edge.queueOf("p")
 	known.mutex.Lock()
 	defer known.mutex.Unlock()
@@ -206,7 +206,7 @@
 }
 
 // inFlight returns how many requests the edge has at the worker.
-func (f *lineFixture) inFlight() int {
+func (f *queueFixture) inFlight() int {
 	count := 0
 	for _, load := range f.edge.workers.Loads() {
 		count += int(load.Online)
@@ -215,7 +215,7 @@
 }
 
 // metric returns the value of the metric with the label.
-func (f *lineFixture) metric(t *testing.T, name, label string) float64 {
+func (f *queueFixture) metric(t *testing.T, name, label string) float64 {
 	t.Helper()
 	families, err := f.edge.daemon.Registry.Gather()
 	if err != nil {
@@ -232,7 +232,7 @@
 }
 
 // occupy sends a request that holds the only slot, and count more that have to wait.
-func (f *lineFixture) occupy(ctx context.Context, t *testing.T, count int, answers chan<- answered) {
+func (f *queueFixture) occupy(ctx context.Context, t *testing.T, count int, answers chan<- answered) {
 	t.Helper()
 	f.ask(context.Background(), t, "first", answers)
 	await(t, "the first request", func() bool { return f.inFlight() == 1 })
@@ -246,7 +246,7 @@
 // them one by one, and each is told of by the log and counted.
 func TestWaitingRequestsAreSent(t *testing.T) {
 	const count = 5
-	f := startLine(t, someTenant)
+	f := startQueue(t, someTenant)
 	release := f.hold(t)
 	answers := make(chan answered, count+1)
 	f.occupy(context.Background(), t, count, answers)
@@ -273,11 +273,11 @@
 	}
 }
 
-// TestWithoutTenantsNothingWaits sends the same requests where the line is off: all go to the
+// TestWithoutTenantsNothingWaits sends the same requests where the queue is off: all go to the
 // worker's own queue.
 func TestWithoutTenantsNothingWaits(t *testing.T) {
 	const count = 5
-	f := startLine(t)
+	f := startQueue(t)
 	release := f.hold(t)
 	answers := make(chan answered, count)
 	for i := range count {
@@ -296,13 +296,13 @@
 // no worker sees them.
 func TestGoneCallersLeaveTheLine(t *testing.T) {
 	const count = 3
-	f := startLine(t, someTenant)
+	f := startQueue(t, someTenant)
 	release := f.hold(t)
 	answers := make(chan answered, count+1)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.occupy(ctx, t, count, answers)
 	cancel()
-	await(t, "an empty line", func() bool { return f.waits() == 0 })
+	await(t, "an empty queue", func() bool { return f.waits() == 0 })
 	release()
 	for range count + 1 {
 		if a := <-answers; (a.err == nil) != (a.id == "first") {
@@ -317,12 +317,12 @@
 	}
 }
 
-// TestStopAnswersTheLine stops the process with a full line: all that wait are told that
+// TestStopAnswersTheQueue stops the process with a full queue: all that wait are told that
 // nothing ran and when to come back, before what runs has ended. Who would have to wait after
 // that is refused as well.
-func TestStopAnswersTheLine(t *testing.T) {
+func TestStopAnswersTheQueue(t *testing.T) {
 	const count = 20
-	f := startLine(t, someTenant)
+	f := startQueue(t, someTenant)
 	release := f.hold(t)
 	answers := make(chan answered, count+2)
 	f.occupy(context.Background(), t, count, answers)
@@ -355,10 +355,10 @@
 	}
 }
 
-// TestRefusalsOfTheLineEndConnections refuses requests of the line before and while the process
+// TestRefusalsOfTheQueueEndConnections refuses requests of the queue before and while the process
 // stops: then their callers are to take other connections.
-func TestRefusalsOfTheLineEndConnections(t *testing.T) {
-	f := startLine(t, someTenant)
+func TestRefusalsOfTheQueueEndConnections(t *testing.T) {
+	f := startQueue(t, someTenant)
 	refuse := func() string {
 		recorder := httptest.NewRecorder()
 		f.call(recorder, patience, patience).refuseQueued(&refusal{reason: reasonStopping, comeback: shortRetry})
@@ -385,7 +385,7 @@
 // the process stops: they are to come back within a time, not at one moment.
 func TestComebacksOfTheLineAreSpread(t *testing.T) {
 	const count = 20
-	f := startLine(t, someTenant)
+	f := startQueue(t, someTenant)
 	for _, test := range []struct {
 		least  time.Duration
 		refuse func(l *poolQueue)
@@ -419,7 +419,7 @@
 // TestGoneCallersGiveTokensBack lets callers go who were granted a token: it is given back
 // where nothing may have run.
 func TestGoneCallersGiveTokensBack(t *testing.T) {
-	f := startLine(t, someTenant)
+	f := startQueue(t, someTenant)
 	for _, mayHaveRun := range []bool{false, true} {
 		c := f.call(httptest.NewRecorder(), patience, patience)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -436,7 +436,7 @@
 // the time of all that wait is over, while a slot is free: none goes to the worker.
 func TestFrozenProcessSendsNothingLate(t *testing.T) {
 	const count = 5
-	f := startLine(t, someTenant)
+	f := startQueue(t, someTenant)
 	release := f.hold(t)
 	answers := make(chan answered, count+1)
 	f.occupy(context.Background(), t, count, answers)
@@ -457,7 +457,7 @@
 // that counts suspensions, though its deadline has not come: nothing is sent, and the slot is
 // free again.
 func TestTurnAfterTimeIsGivenBack(t *testing.T) {
-	f := startLine(t, someTenant)
+	f := startQueue(t, someTenant)
 	recorder := httptest.NewRecorder()
 	c := f.call(recorder, patience, patience)
 	c.bootDeadline = clock.Now().Add(-time.Millisecond)
@@ -471,7 +471,7 @@
 }
 
 // call returns a call whose caller still waits so long, and would have waited so long first.
-func (f *lineFixture) call(writer http.ResponseWriter, left, longest time.Duration) *call {
+func (f *queueFixture) call(writer http.ResponseWriter, left, longest time.Duration) *call {
 	table := f.edge.Table()
 	route := &table.Configuration.Routes[0]
 	f.edge.observe(route, func(known *admission.Route) { known.Arrived(longest) })
@@ -480,10 +480,10 @@
 	return newCall(f.edge, request.Context(), table, route, nil, writer, http.NewResponseController(writer), request, nil, now, now.Add(left))
 }
 
-// TestDecisionsWithoutLine asks random questions of a process whose line is off: the worker
-// and the refusal are those that one prediction gives, as they are without a line.
-func TestDecisionsWithoutLine(t *testing.T) {
-	f := startLine(t)
+// TestDecisionsWithoutQueue asks random questions of a process whose queue is off: the worker
+// and the refusal are those that one prediction gives, as they are without a queue.
+func TestDecisionsWithoutQueue(t *testing.T) {
+	f := startQueue(t)
 	const slots, begin = 1, 10 * time.Millisecond
 	refused, sent := 0, 0
 	hash := loadshare.WorkerHash("w-0")
@@ -514,7 +514,7 @@
 			c.release(lease)
 		}
 		if len(f.edge.allQueues()) > 0 {
-			return errors.New("there is a line")
+			return errors.New("there is a queue")
 		}
 		return nil
 	})
@@ -524,7 +524,7 @@
 }
 
 // TestSlotsOfFailedWorkersAreNotHandedOn ends attempts in all ways: only after an answer that
-// shows the worker well its slot goes to the next in line at once.
+// shows the worker well its slot goes to the next in the queue at once.
 func TestSlotsOfFailedWorkersAreNotHandedOn(t *testing.T) {
 	for _, test := range []struct {
 		result outcome
@@ -547,7 +547,7 @@
 
 // TestClaimsOfCalls works out the claims of a first and of a returned caller.
 func TestClaimsOfCalls(t *testing.T) {
-	f := startLine(t, someTenant)
+	f := startQueue(t, someTenant)
 	const longest = 5 * time.Second
 	for _, test := range []struct {
 		left     time.Duration
@@ -573,7 +573,7 @@
 // TestCallersWithoutGoalStay works out until when callers of a stream wait for its first event:
 // without a goal as long as they say.
 func TestCallersWithoutGoalStay(t *testing.T) {
-	f := startLine(t, someTenant)
+	f := startQueue(t, someTenant)
 	const left = 30 * time.Second
 	for _, test := range []struct{ goal, want time.Duration }{
 		{0, left},
@@ -641,7 +641,7 @@
 	worker.pause = 5 * time.Millisecond
 	close(worker.end)
 	hub := startHub(t)
-	var fixtures []*lineFixture
+	var fixtures []*queueFixture
 	for number := range edges {
 		f := startLineAt(t, worker, "edge-"+strconv.Itoa(number), slots, someTenant)
 		f.edge.setHubs([]wire.ProcessAddress{{Address: hub}})
