--- a/internal/balance/free.go
+++ b/internal/balance/free.go
@@ -30,8 +30,10 @@
 	Given string
 }
 
-// Place is a place at a worker that a request may take, and what stands beside it.
-type Place struct {
+// Choice is the worker that Look chose for one request, and what is known of it. It holds no
+// slot; Take makes a lease of it. (batchroom.Place is another thing: a worker, as the planner of
+// items sees it.)
+type Choice struct {
 	// Worker is the worker's id, Slow how many times as long as elsewhere it takes.
 	Worker string
 	Slow   float64
@@ -42,9 +44,9 @@
 	Wait     time.Duration
 	WaitMost time.Duration
 	// Spare is set where more slots are free than those who wait elsewhere are about to
-	// take, Left where one is free and is left to others by lot.
-	Spare bool
-	Left  bool
+	// take, LeftToOthers where one is free and is left to others by lot.
+	Spare        bool
+	LeftToOthers bool
 	// NewsAge is how old the news of the others is that this rests on, negative where there
 	// is none.
 	NewsAge time.Duration
@@ -58,8 +60,8 @@
 // but one that has a slot free for online requests before any other. Where few slots are
 // free, all processes see the same ones; so a request takes one by lot, and leaves it to
 // others otherwise. Slots of other zones are known by older news, and are drawn for as well.
-// It returns nil if there is no worker. Take takes the place.
-func (t *Table) Look(now time.Time, demand *Demand, search Search) *Place {
+// It returns nil if there is no worker.
+func (t *Table) Look(now time.Time, demand *Demand, search Search) *Choice {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.see(now)
@@ -75,12 +77,12 @@
 		chosen = t.chooseGiven(now, demand, search.Given)
 	}
 	if chosen == nil {
-		chosen = t.chooseRoom(now, demand, known, search.Peers)
+		chosen = t.chooseBySlots(now, demand, known, search.Peers)
 	}
 	if chosen == nil {
 		return nil
 	}
-	place := &Place{
+	choice := &Choice{
 		Worker:   chosen.listed.ID,
 		Slow:     t.slownessOf(now, chosen),
 		Full:     !t.hasFree(now, chosen),
@@ -93,33 +95,33 @@
 	switch {
 	case probe:
 		// The hub has let one request go there: nobody else is about to.
-		place.Spare = true
-	case !place.Full:
-		t.weigh(now, demand, known, place, search)
+		choice.Spare = true
+	case !choice.Full:
+		t.weigh(now, demand, known, choice, search)
 	}
-	return place
+	return choice
 }
 
 // weigh finds out whether a free slot is to spare, and whether it is left to others.
-func (t *Table) weigh(now time.Time, demand *Demand, known *pool, place *Place, search Search) {
-	if t.slotsOf(place.worker) <= 0 {
+func (t *Table) weigh(now time.Time, demand *Demand, known *pool, choice *Choice, search Search) {
+	if t.slotsOf(choice.worker) <= 0 {
 		// Nothing says how many slots there are to wait for.
-		place.Spare = true
+		choice.Spare = true
 		return
 	}
-	if t.away(place.worker) > 0 {
-		place.Spare = t.farSlots(now, demand, known) > reserved(known.farRate, known.slots-known.nearSlots)
-		place.Left = len(known.near) == 0 && !t.drawsFar(now, demand, known, search.Peers)
+	if t.away(choice.worker) > 0 {
+		choice.Spare = t.farSlots(now, demand, known) > reserved(known.farRate, known.slots-known.nearSlots)
+		choice.LeftToOthers = len(known.near) == 0 && !t.drawsFar(now, demand, known, search.Peers)
 		return
 	}
 	near := t.nearSlots(now, demand, known)
-	place.Spare = near > reserved(known.nearRate, known.nearSlots)
-	place.Left = place.Worker != search.Given && !mostly(near, known.nearSlots) && t.leaves(near, known.nearPeers(search.Peers))
+	choice.Spare = near > reserved(known.nearRate, known.nearSlots)
+	choice.LeftToOthers = choice.Worker != search.Given && !mostFree(near, known.nearSlots) && t.leavesByLot(near, known.nearPeers(search.Peers))
 }
 
-// mostly reports whether more than half of the slots are free: then nobody waits, and who would
+// mostFree reports whether more than half of the slots are free: then nobody waits, and who would
 // leave one to others by lot would wait beside it.
-func mostly(free float64, slots int) bool { return 2*free > float64(slots) }
+func mostFree(free float64, slots int) bool { return 2*free > float64(slots) }
 
 // nearPeers returns how many of the processes look for the same slots of a zone as this one does:
 // where they stand is not known, so each zone that has workers is taken to have as many.
@@ -138,14 +140,14 @@
 	return min(retaken(rate), float64(slots)/reservedParts)
 }
 
-// Take takes a place that Look has found a moment ago.
-func (t *Table) Take(now time.Time, demand *Demand, place *Place) *Lease {
+// Take gives the request a lease of the worker that Look chose a moment ago.
+func (t *Table) Take(now time.Time, demand *Demand, choice *Choice) *Lease {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if place.probe {
-		t.removeProbe(place.worker)
+	if choice.probe {
+		t.removeProbe(choice.worker)
 	}
-	return t.lease(now, place.worker, demand)
+	return t.lease(now, choice.worker, demand)
 }
 
 // freeProbe returns an avoided worker that the request is to probe, if a slot is free there.
@@ -160,19 +162,19 @@
 // chooseGiven returns the worker at which a slot was given back, if it may be taken.
 func (t *Table) chooseGiven(now time.Time, demand *Demand, id string) *worker {
 	given := t.workers[id]
-	if given == nil || given.listed.Pool != demand.Pool || !t.roomy(now, demand, given) {
+	if given == nil || given.listed.Pool != demand.Pool || !t.hasSlotFor(now, demand, given) {
 		return nil
 	}
 	return given
 }
 
-// roomy reports whether the demand may go to a free slot of the worker.
-func (t *Table) roomy(now time.Time, demand *Demand, w *worker) bool {
+// hasSlotFor reports whether the demand may go to a free slot of the worker.
+func (t *Table) hasSlotFor(now time.Time, demand *Demand, w *worker) bool {
 	return t.hasFree(now, w) && t.admits(now, w, demand, false) && !t.failing(now, w)
 }
 
-// chooseRoom chooses a worker, one with a slot free if there is any.
-func (t *Table) chooseRoom(now time.Time, demand *Demand, known *pool, peers int) *worker {
+// chooseBySlots chooses a worker, one with a slot free if there is any.
+func (t *Table) chooseBySlots(now time.Time, demand *Demand, known *pool, peers int) *worker {
 	t.nearOnly = len(known.near) > 0 && !t.drawsFar(now, demand, known, peers)
 	chosen := t.choose(now, demand, false)
 	if chosen == nil || !t.hasFree(now, chosen) {
@@ -190,9 +192,9 @@
 	return chosen
 }
 
-// leaves decides by lot whether one of so many free slots is left to others: within the time
+// leavesByLot decides whether one of so many free slots is left to others: within the time
 // in which a choice is not seen, more of the peers than that may look for one.
-func (t *Table) leaves(slots, peers float64) bool {
+func (t *Table) leavesByLot(slots, peers float64) bool {
 	looking := 1 + (peers-1)*float64(unseenTime)/float64(LookTime)
 	return t.random.Float64()*looking > slots
 }
@@ -203,7 +205,7 @@
 	passed := min(now.Sub(known.farDrawn), loadshare.Interval)
 	known.farDrawn = now
 	free := t.farSlots(now, demand, known)
-	if math.IsInf(free, 1) || mostly(free, known.slots-known.nearSlots) {
+	if math.IsInf(free, 1) || mostFree(free, known.slots-known.nearSlots) {
 		return true
 	}
 	slots := free - reserved(known.farRate, known.slots-known.nearSlots)
@@ -243,7 +245,7 @@
 	}
 	slots := 0
 	for _, w := range t.compared {
-		if t.roomy(now, demand, w) {
+		if t.hasSlotFor(now, demand, w) {
 			own := t.slotsOf(w)
 			slots += max(own, 1) - min(t.onlineAt(now, w), own)
 		}
@@ -255,7 +257,7 @@
 // a pool that is not larger than what is compared at most, so that nobody is kept waiting
 // beside a free slot by lot alone.
 func (t *Table) chooseFree(now time.Time, demand *Demand, known *pool) *worker {
-	fit := func(w *worker) bool { return t.roomy(now, demand, w) }
+	fit := func(w *worker) bool { return t.hasSlotFor(now, demand, w) }
 	t.findHomes(demand, fit)
 	t.compared = t.compared[:0]
 	t.drawFree(now, demand.Pool, known, fit)
@@ -311,10 +313,10 @@
 	return now.Sub(t.othersAt(w))
 }
 
-// Room returns how many online requests a second the pool's workers can take of this process,
-// one of so many peers: an equal part of what they can take at all, or what it has there now,
+// Throughput returns how many online requests a second the pool's workers can take of this
+// process, one of so many peers: an equal part of what they can take at all, or what it has there now,
 // if that is more. It is zero where it is unknown how long a request holds a slot.
-func (t *Table) Room(pool string, peers int) float64 {
+func (t *Table) Throughput(pool string, peers int) float64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.pools[pool]
--- a/internal/batchroom/batchroom.go
+++ b/internal/batchroom/batchroom.go
@@ -2,7 +2,7 @@
 // processes that run items of jobs. It is pure.
 //
 // One planner sees what all have at each worker. It orders runners to stop items where
-// online requests would wait behind them, and grants them room to start others, so
+// online requests would wait behind them, and grants them slots to start others, so
 // that two runners never take the same slot. A grant holds until the runner's next
 // report, which shows what became of it.
 package batchroom
@@ -21,7 +21,8 @@
 	runnerFresh = 400 * time.Millisecond
 )
 
-// Place is a worker as the planner sees it.
+// Place is a worker as the planner sees it. (batchplan.Place is what of it decides on stops at
+// one worker; balance.Choice is the worker chosen for one request.)
 type Place struct {
 	// Worker is the worker's short name.
 	Worker uint32
@@ -81,7 +82,7 @@
 	// nothing holds at other workers.
 	Queued int
 	Idle   int
-	// Free is the room found, Granted what the runner got of it, Stops how many items
+	// Free counts the slots found for items, Granted those that the runner got, Stops how many items
 	// stood in the way.
 	Free    int
 	Granted int
@@ -92,7 +93,7 @@
 	Need  forecast.Need
 	// Rising is set where the stops rest on a rise that has just begun.
 	Rising bool
-	// Held is set while nothing may start because a new planner has not seen enough.
+	// Held is set while nothing may start in some pool because a new planner has not seen enough.
 	Held bool
 }
 
@@ -108,7 +109,7 @@
 	waiting int
 	// items counts those that run, by worker, less those about to stop.
 	items map[uint32]int
-	// granted is the room given at the last report.
+	// granted counts the slots given at the last report, by worker.
 	granted map[uint32]int
 }
 
@@ -132,42 +133,14 @@
 	if own == nil {
 		return nil
 	}
-	orders := map[uint32]Order{}
-	open := make([]opening, 0, len(places.Busy))
-	var probes []uint32
 	p.summary = Summary{Waiting: p.waiting(), Slots: places.IdleSlots, Idle: places.IdleSlots}
-	busy := make(map[uint32]bool, len(places.Busy))
-	items := make([]int, len(places.Busy))
-	stops := make([]int, len(places.Busy))
-	for i := range places.Busy {
-		place := &places.Busy[i]
-		busy[place.Worker] = true
-		items[i] = p.itemsAt(place.Worker)
-		p.summary.add(place, items[i])
-		stops[i] = batchplan.Stops(batchplan.Place{Slots: place.Slots, Online: place.Online, Batch: items[i]}, place.Hold, place.Patience)
-	}
+	items, stops := p.survey(&places)
 	p.zones.take(own.at, &places)
 	prospects := p.lookAhead(name, own, &places, items, stops)
-	for i := range places.Busy {
-		place := &places.Busy[i]
-		if stops[i] > 0 {
-			p.summary.Stops += stops[i]
-			if part := p.partOf(name, place.Worker, stops[i]); part > 0 {
-				orders[place.Worker] = Order{Stop: part}
-			}
-			continue
-		}
-		if p.mayProbe(name, place, items[i]) {
-			probes = append(probes, place.Worker)
-		}
-		if room := p.roomAt(name, place, items[i]); room > 0 {
-			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
-			p.summary.Free += room
-			prospects.offer(place, room, true)
-		}
-	}
+	orders := map[uint32]Order{}
+	open, probes := p.openBusy(name, &places, items, stops, prospects, orders)
 	probes = probes[:min(len(probes), own.waiting)]
-	taken := p.takenIdle(name, busy)
+	taken := p.takenIdle(name, &places)
 	p.summary.Free += max(places.IdleSlots-taken, 0)
 	p.summary.Free -= prospects.withheld(taken)
 	share := p.shareOf(own, p.summary.Free)
@@ -191,10 +164,49 @@
 	return orders
 }
 
-// roomAt returns how many items the runner could be granted at a worker. Nothing is left
+// survey counts the items at each busy place, and how many of them are to stop there for the
+// online requests that are there by now.
+func (p *Planner) survey(places *Places) (items, stops []int) {
+	items = make([]int, len(places.Busy))
+	stops = make([]int, len(places.Busy))
+	for i := range places.Busy {
+		place := &places.Busy[i]
+		items[i] = p.itemsAt(place.Worker)
+		p.summary.add(place, items[i])
+		stops[i] = batchplan.Stops(batchplan.Place{Slots: place.Slots, Online: place.Online, Batch: items[i]}, place.Hold, place.Patience)
+	}
+	return items, stops
+}
+
+// openBusy orders the runner's part of the stops at busy places. Of the others it returns those
+// where items may start, and the avoided workers where one may as a probe.
+func (p *Planner) openBusy(name uint32, places *Places, items, stops []int, prospects *prospects, orders map[uint32]Order) (open []opening, probes []uint32) {
+	open = make([]opening, 0, len(places.Busy))
+	for i := range places.Busy {
+		place := &places.Busy[i]
+		if stops[i] > 0 {
+			p.summary.Stops += stops[i]
+			if part := p.partOf(name, place.Worker, stops[i]); part > 0 {
+				orders[place.Worker] = Order{Stop: part}
+			}
+			continue
+		}
+		if p.mayProbe(name, place, items[i]) {
+			probes = append(probes, place.Worker)
+		}
+		if free := p.openAt(name, place, items[i]); free > 0 {
+			open = append(open, opening{worker: place.Worker, slots: free, tie: place.Worker ^ name})
+			p.summary.Free += free
+			prospects.offer(place, free, true)
+		}
+	}
+	return open, probes
+}
+
+// openAt returns how many items the runner could be granted at a worker. Nothing is left
 // free for online requests that may come: items give way to them within three reports, and
 // a slot that stays empty until then is lost.
-func (p *Planner) roomAt(name uint32, place *Place, items int) int {
+func (p *Planner) openAt(name uint32, place *Place, items int) int {
 	if place.Closed {
 		return 0
 	}
@@ -207,9 +219,13 @@
 	return place.Closed && place.Probe && place.Online+items+p.grantedAt(place.Worker, name) < place.Slots
 }
 
-// takenIdle counts the room at idle workers that others were granted, or have taken since
+// takenIdle counts the slots at idle workers that others were granted, or have taken since
 // the loads were told.
-func (p *Planner) takenIdle(name uint32, busy map[uint32]bool) int {
+func (p *Planner) takenIdle(name uint32, places *Places) int {
+	busy := make(map[uint32]bool, len(places.Busy))
+	for i := range places.Busy {
+		busy[places.Busy[i].Worker] = true
+	}
 	taken := 0
 	for other, r := range p.runners {
 		for worker, count := range r.items {
@@ -226,14 +242,14 @@
 	return taken
 }
 
-// openIdle returns the room at some of the idle workers.
+// openIdle returns those of some idle workers where items may start.
 func (p *Planner) openIdle(name uint32, places []Place, prospects *prospects) []opening {
 	open := make([]opening, 0, len(places))
 	for i := range places {
 		place := &places[i]
-		if room := p.roomAt(name, place, p.itemsAt(place.Worker)); room > 0 {
-			open = append(open, opening{worker: place.Worker, room: room, tie: place.Worker ^ name})
-			prospects.offer(place, room, false)
+		if free := p.openAt(name, place, p.itemsAt(place.Worker)); free > 0 {
+			open = append(open, opening{worker: place.Worker, slots: free, tie: place.Worker ^ name})
+			prospects.offer(place, free, false)
 		}
 	}
 	return open
@@ -260,7 +276,7 @@
 	return items
 }
 
-// grantedAt counts the room that is granted to other runners at a worker.
+// grantedAt counts the slots that are granted to other runners at a worker.
 func (p *Planner) grantedAt(worker, except uint32) int {
 	granted := 0
 	for name, r := range p.runners {
@@ -296,8 +312,8 @@
 	return part
 }
 
-// shareOf returns how much of the free room goes to the runner: by how many items
-// wait there, rounded up so that no room is left while any item waits.
+// shareOf returns how many of the free slots go to the runner: by how many items
+// wait there, rounded up so that no slot is left while any item waits.
 func (p *Planner) shareOf(own *runner, free int) int {
 	waiting := p.waiting()
 	if waiting == 0 {
@@ -315,23 +331,23 @@
 	return waiting
 }
 
-// opening is a worker with room.
+// opening is a worker with slots for items.
 type opening struct {
 	worker uint32
-	room   int
-	// tie orders workers of equal room, differently for each runner.
+	slots  int
+	// tie orders workers of as many slots, differently for each runner.
 	tie uint32
 }
 
-// grant gives out so much room, one slot after another where the most is left.
+// grant gives out so many slots, one after another where the most are left.
 func grant(open []opening, count int) map[uint32]int {
 	granted := map[uint32]int{}
-	slices.SortFunc(open, func(a, b opening) int { return cmp.Or(cmp.Compare(b.room, a.room), cmp.Compare(a.tie, b.tie)) })
+	slices.SortFunc(open, func(a, b opening) int { return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(a.tie, b.tie)) })
 	if len(open) == 0 {
 		return granted
 	}
-	for level := open[0].room; level > 0 && count > 0; level-- {
-		for i := 0; i < len(open) && open[i].room >= level && count > 0; i++ {
+	for level := open[0].slots; level > 0 && count > 0; level-- {
+		for i := 0; i < len(open) && open[i].slots >= level && count > 0; i++ {
 			granted[open[i].worker]++
 			count--
 		}
--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -5,11 +5,10 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/batchplan"
 	"github.com/sedgemast/sedgemast/internal/batchstate"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
@@ -111,7 +110,6 @@
 	if seen := r.seen[job.ID]; seen != nil {
 		age, due := now.Sub(seen.first), dueOf(table, job)
 		remaining := r.store.runTimes.remaining(r.eventsOf(job, number), job.Items[number].Expected)
-		planned.Remaining = remaining
 		planned.Overdue = batchplan.Overdue(age, due, remaining)
 		planned.Slack = batchplan.Slack(age, due, remaining)
 		planned.Remaining = remaining
--- a/internal/batchstore/planner.go
+++ b/internal/batchstore/planner.go
@@ -23,7 +23,7 @@
 		place.Probe = place.Probe && s.loads.top.ProbeDue(now, place.Worker)
 	}
 	places.Outlooks = s.foresee(now, table, &places)
-	places.Crowded()
+	places.ClearPatience()
 	s.loads.planner.Take(now, source, waiting, items)
 	orders := s.loads.planner.Plan(source, places)
 	s.noteProbes(now, places, orders)
@@ -59,8 +59,8 @@
 	}
 }
 
-// planLogInterval is the shortest time between two lines on the plans, which are made each
-// 20 ms.
+// planLogInterval is the shortest time between two lines on the plans, which are made with each
+// report of a runner.
 const planLogInterval = 200 * time.Millisecond
 
 // logPlan writes down now and then what a plan rested on. The lock of the hubs is held.
--- a/internal/batchstore/room.go
+++ b/internal/batchstore/room.go
@@ -26,7 +26,9 @@
 	roomParts = 10
 )
 
-// zoneRoom is the account of the zone's room at its hub. Locks are its owner's.
+// zoneRoom is the account of the zone's room at its hub: how many online requests a second the
+// zone's workers can begin (package fairshare; batchroom's room is free slots). The lock of the
+// hubs guards it.
 type zoneRoom struct {
 	meter *fairshare.Meter
 	// names holds the tenants' names by their short ones.
@@ -37,9 +39,9 @@
 
 func newZoneRoom() *zoneRoom { return &zoneRoom{meter: fairshare.NewMeter()} }
 
-// set takes in the configuration in force, which may be nil. Without tenants nobody's room
+// configure takes in the configuration in force, which may be nil. Without tenants nobody's room
 // is divided.
-func (z *zoneRoom) set(now time.Time, table *routetable.Table) {
+func (z *zoneRoom) configure(now time.Time, table *routetable.Table) {
 	z.meter.Set(now, table.Shares())
 	z.names = nil
 	if table.Shares() == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,12 +11,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sedgemast/sedgemast/internal/admission"
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/fairshare"
@@ -47,8 +46,8 @@
 	hubs    atomic.Pointer[[]string]
 	metrics *metrics
 	started time.Time
-	// holding keeps requests that came before the configuration and the workers were known.
-	holding *holding
+	// gate holds requests that came before the configuration and the workers were known.
+	gate *startGate
 	// standstill notices that this process stood still.
 	standstill *standstill.Watch
 	// begun and short count the requests that began to run, and those that found no worker
@@ -71,9 +70,10 @@
 	reserve *ratelimit.Reserve
 	// recall holds how tenants stood in the division of scarce room.
 	recall *fairshare.Recall
-	// lines holds those that wait, by pool; linesClosed is set once nobody may wait any more.
-	lines       map[string]*line
-	linesClosed bool
+	// poolQueues holds those that wait for workers, by pool; queuesClosed is set once nobody
+	// may wait any more.
+	poolQueues   map[string]*poolQueue
+	queuesClosed bool
 	// counted holds the tenants that have counters.
 	counted map[tenancy.Name]bool
 	// served is done with the first request that was answered as it should be.
@@ -84,23 +84,22 @@
 func New(d *daemon.Daemon, config *settings.Edge, names *dialect.Dialect) *Edge {
 	seed := uint64(time.Now().UnixNano())
 	e := &Edge{
-		daemon:   d,
-		settings: config,
-		logger:   d.Logger,
-		dialect:  names,
-		workers:  balance.NewTable(config.Zone, rand.New(rand.NewPCG(seed, seed))),
-		upstream: upstream.NewClient(names),
-		metrics:  newMetrics(d.Registry),
-		splitter: routetable.NewSplitter(),
-		observed: map[string]*admission.Route{},
-
-		overloads: map[string]*admission.Overload{},
-		byTimes:   map[string]bool{},
-		lines:     map[string]*line{},
-		reserve:   ratelimit.NewReserve(config.Name),
-		recall:    fairshare.NewRecall(),
-		started:   clock.Now(),
-		holding:   newHolding(),
+		daemon:     d,
+		settings:   config,
+		logger:     d.Logger,
+		dialect:    names,
+		workers:    balance.NewTable(config.Zone, rand.New(rand.NewPCG(seed, seed))),
+		upstream:   upstream.NewClient(names),
+		metrics:    newMetrics(d.Registry),
+		splitter:   routetable.NewSplitter(),
+		observed:   map[string]*admission.Route{},
+		overloads:  map[string]*admission.Overload{},
+		byTimes:    map[string]bool{},
+		poolQueues: map[string]*poolQueue{},
+		reserve:    ratelimit.NewReserve(config.Name),
+		recall:     fairshare.NewRecall(),
+		started:    clock.Now(),
+		gate:       newStartGate(),
 
 		standstill: standstill.New(clock.Now()),
 	}
@@ -115,7 +114,7 @@
 	d.Go(e.shareLoads)
 	d.Go(e.watchStandstills)
 	d.BeforeStop(e.drain)
-	d.BeforeStop(e.closeLines)
+	d.BeforeStop(e.closeQueues)
 	return e
 }
 
@@ -179,11 +178,11 @@
 	e.upstream.Forget(e.workers.Knows)
 	e.keepTenants(snapshot.Table)
 	listed := snapshot.Fleet.Listed || snapshot.Fleet.Partial
-	if !e.holding.knows(needWorkers) {
+	if !e.gate.knows(needWorkers) {
 		e.workers.Begin(clock.Now())
 	}
-	e.learnt(snapshot.Table, listed)
-	e.daemon.TookFleet(snapshot.Table != nil, listed)
+	e.openGate(snapshot.Table, listed)
+	e.daemon.MarkFleet(snapshot.Table != nil, listed)
 	if snapshot.Table != nil && listed && !e.daemon.Stopping() && !e.daemon.Ready() {
 		logging.Info(e.logger, "ready", "version", snapshot.Table.Configuration.Version)
 		e.daemon.SetReady(true)
@@ -219,7 +218,7 @@
 // drain is the first step of a planned stop: the process is not ready any more,
 // but goes on serving until callers are led elsewhere.
 func (e *Edge) drain(ctx context.Context) {
-	e.holding.stop()
+	e.gate.stop()
 	select {
 	case <-ctx.Done():
 	case <-time.After(e.settings.UnreadyTime.Std()):
@@ -272,16 +271,17 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	tenants  *prometheus.CounterVec
-	room     *prometheus.CounterVec
+	// room counts requests by rank where scarce room is divided, by what came of it.
+	room *prometheus.CounterVec
 	// ended counts runs under which their worker ended, quarantined the refusals of
 	// requests known for that.
-	ended prometheus.Counter
+	ended       prometheus.Counter
+	quarantined prometheus.Counter
 	// queued counts what became of requests that found no room at once, queueTime is how
 	// long those waited that were sent, queueLength how many wait, by pool.
 	queued      *prometheus.CounterVec
 	queueTime   *prometheus.HistogramVec
 	queueLength *prometheus.GaugeVec
-	quarantined prometheus.Counter
 	// held counts requests that came before this process knew what they need.
 	held *prometheus.CounterVec
 	// probes counts requests sent to avoided workers.
@@ -313,7 +313,6 @@
 		firstTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		wholeTime:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-
 	registry.MustRegister(m.requests, m.attempts, m.tenants, m.ended, m.quarantined, m.held, m.firstTime, m.wholeTime, m.probes, m.choices, m.standstills, m.room, m.queued, m.queueTime, m.queueLength)
 	return m
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -6,9 +6,8 @@
 	"strconv"
 	"time"
 
-	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/dialect"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/upstream"
@@ -34,7 +33,7 @@
 	}
 	c.started = true
 	c.firstAt = time.Now()
-	c.gotRoom()
+	c.countGiven()
 	header := c.writer.Header()
 	for _, field := range dialect.Forwardable(response.Header) {
 		header.Add(field.Name, field.Value)
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
-
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/unread"
@@ -184,8 +183,7 @@
 
 // Token asks the hub for a token of a tenant. The answer also tells what the hub knows of
 // the workers, and how the claim stands where one goes with the question: nil means within
-// the share. It reports whether there was an answer. repeatable is as
-// for Ask.
+// the share. It reports whether there was an answer. repeatable is as for Ask.
 func (x *Exchange) Token(ctx context.Context, question wire.TokenQuestion, claim *wire.RoomClaim, repeatable bool) (wire.TokenVerdict, *wire.RoomStanding, bool) {
 	verdict := make(chan wire.TokenVerdict, 1)
 	m := message{choosing: true, tokens: []wire.TokenQuestion{question}, repeatable: repeatable}
@@ -220,14 +218,14 @@
 	return wire.TokenVerdict{}, nil, false
 }
 
-// roomTries is how many times a claim is sent within the patience of its request.
-const roomTries = 2
+// claimTries is how many times a claim is sent within the patience of its request.
+const claimTries = 2
 
-// Room puts a request's claim of room to the hub with the question of what the others have
+// Claim puts a request's claim of room to the hub with the question of what the others have
 // at the workers (Ask). It returns how the claim stands, nil for within the share, and
 // whether there was an answer in time, to a report that was sent with the claim or after it: the
 // answer to an earlier one says nothing of it. repeatable is as for Ask.
-func (x *Exchange) Room(ctx context.Context, patience time.Duration, asked []uint32, claim *wire.RoomClaim, repeatable bool) (*wire.RoomStanding, bool) {
+func (x *Exchange) Claim(ctx context.Context, patience time.Duration, asked []uint32, claim *wire.RoomClaim, repeatable bool) (*wire.RoomStanding, bool) {
 	x.mutex.Lock()
 	silent := clock.Since(x.began)-x.chooser.heard > Fresh || x.chooser.heard == 0
 	x.mutex.Unlock()
@@ -235,10 +233,10 @@
 		return nil, false
 	}
 	defer x.forgetClaim(x.expect(claim))
-	timer := time.NewTimer(patience / roomTries)
+	timer := time.NewTimer(patience / claimTries)
 	defer timer.Stop()
 	first := uint64(0)
-	for range roomTries {
+	for range claimTries {
 		number := x.report(message{choosing: true, asked: asked, claims: []wire.RoomClaim{*claim}, repeatable: repeatable})
 		first = cmp.Or(first, number)
 		if x.awaitStanding(ctx, timer, first, claim) {
@@ -247,13 +245,14 @@
 		if ctx.Err() != nil {
 			return nil, false
 		}
-		timer.Reset(patience / roomTries)
+		timer.Reset(patience / claimTries)
 	}
 	return nil, false
 }
 
-// awaitStanding waits for the answer to the claim, which went with the report of the number
-// first, zero for none, at the earliest, until the timer fires or ctx ends. It reports whether it came.
+// awaitStanding waits until the claim is answered, the timer fires or ctx ends. It reports
+// whether the answer came. first is the number of the first report that the claim went with, zero
+// where none was sent.
 func (x *Exchange) awaitStanding(ctx context.Context, timer *time.Timer, first uint64, claim *wire.RoomClaim) bool {
 	for {
 		x.mutex.Lock()
@@ -272,7 +271,7 @@
 	}
 }
 
-// expect lets the standing of a claim be kept, until forgetClaim.
+// expect lets the standing of a claim be kept until forgetClaim, and returns its ticket.
 func (x *Exchange) expect(claim *wire.RoomClaim) uint64 {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
