Wire: the unit of a standing's rates stands once; edge: one choice of the earlier moment

The hub's store and the edge each had a constant of their own for the tenths in which a standing's rates travel, and call.earlier compared times beside earliest. No behaviour is meant to change.

--- a/internal/batchstore/room.go
+++ b/internal/batchstore/room.go
@@ -22,8 +22,6 @@
 	// others are told together.
 	namedParties  = 16
 	loggedParties = 4
-	// roomParts is how rates in requests a second travel: in tenths.
-	roomParts = 10
 )
 
 // zoneRoom is the account of the zone's room at its hub: how many online requests a second the
@@ -97,7 +95,7 @@
 }
 
 func roomToWire(rate float64) uint32 {
-	return uint32(min(max(rate*roomParts, 0), math.MaxUint32))
+	return uint32(min(max(rate*wire.RoomRateParts, 0), math.MaxUint32))
 }
 
 // nameOf names a tenant for people.
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -383,9 +383,5 @@
 }
 
 func (c *call) earlier(wait time.Duration) time.Time {
-	at := time.Now().Add(wait)
-	if at.After(c.deadline) {
-		return c.deadline
-	}
-	return at
+	return earliest(time.Now().Add(wait), c.deadline)
 }
--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -108,18 +108,15 @@
 	}
 }
 
-// rateParts is how a rate in requests a second travels: in tenths.
-const rateParts = 10
-
 func standingFromWire(told *wire.RoomStanding) fairshare.Standing {
 	if told == nil {
 		return fairshare.Standing{}
 	}
 	return fairshare.Standing{
 		Over:  true,
-		Asked: float64(told.Asked) / rateParts,
-		Share: float64(told.Share) / rateParts,
-		Room:  float64(told.Room) / rateParts,
+		Asked: float64(told.Asked) / wire.RoomRateParts,
+		Share: float64(told.Share) / wire.RoomRateParts,
+		Room:  float64(told.Room) / wire.RoomRateParts,
 		Age:   time.Duration(told.AgeMillis) * time.Millisecond,
 	}
 }
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -194,6 +194,9 @@
 	Rank   int32
 }
 
+// RoomRateParts is how the rates of a RoomStanding travel: one request a second is so many.
+const RoomRateParts = 10
+
 // RoomStanding is the answer to a RoomClaim of a tenant that is over its share. Where none
 // comes the tenant is within it, or the hub is of an older build.
 //
