Log and count at which worker version streams and items go on

Now the platform's version is read and becomes part of the incarnation's name (an unknown one stays empty, an entry without it stays usable), which every line on a worker has; stream_continued and edge_continued_streams_total tell who resumed a stream and whether the version is the one that began it; item_attempt tells the version that began the text. No choice depends on it yet.

--- a/cmd/sedgemast/fleet.go
+++ b/cmd/sedgemast/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/sedgemast/sedgemast/internal/edge"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpheader"
+	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/listreader"
 	"github.com/sedgemast/sedgemast/internal/settings"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -148,7 +149,11 @@
 		if row.Incarnation > 0 {
 			id = fmt.Sprintf("%s.%d", row.ID, row.Incarnation)
 		}
-		page.Rows = append(page.Rows, wire.PoolWorker{ID: id, Pool: row.Pool, Address: row.Address, Zone: row.Zone, Slots: row.Slots, Leaving: row.Leaving})
+		version := incarnation.Version(row.Version)
+		if !version.Valid() {
+			version = ""
+		}
+		page.Rows = append(page.Rows, wire.PoolWorker{ID: incarnation.Name(id, 0, version), Pool: row.Pool, Address: row.Address, Zone: row.Zone, Slots: row.Slots, Leaving: row.Leaving})
 	}
 	return page, nil
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -78,7 +78,7 @@
 // TestNewIncarnationIsAnotherWorker restarts a leaving worker under its id. The new incarnation
 // gets requests at once, and the state of the old one doesn't apply to it.
 func TestNewIncarnationIsAnotherWorker(t *testing.T) {
-	old, again := poolWorker(incarnation.Name("a", 1), "z1"), poolWorker(incarnation.Name("a", 2), "z1")
+	old, again := poolWorker(incarnation.Name("a", 1, ""), "z1"), poolWorker(incarnation.Name("a", 2, ""), "z1")
 	table := tableOf(old)
 	request := &Request{Pool: "p", Parts: []httpheader.Part{{ID: "x", Tokens: 500}, {ID: "own", Tokens: 5}}}
 	lease := table.Acquire(start, request)
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -50,6 +50,8 @@
 	// recordedEvents events.
 	text           string
 	recordedEvents int
+	// version is the software version of the worker that sent the first event, empty if unknown.
+	version incarnation.Version
 	// chain identifies this run together with the earlier runs at this store that it continues.
 	// opened is set once the first record of the chain has been enqueued.
 	chain  uint64
@@ -144,7 +146,7 @@
 	}
 	t.runner.store.metrics.attempts.WithLabelValues(t.outcome(err)).Inc()
 	t.runner.store.metrics.runTime.Observe(t.runTime.Seconds())
-	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.lease.Endpoint.ID, "from_event", before, "events", t.progress.events, "failures", t.failures, "state", t.state, "yielded", t.context.Err() != nil, "ms", clock.Since(t.started).Milliseconds(), "error", err)
+	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.lease.Endpoint.ID, "from_event", before, "began", string(t.progress.version), "events", t.progress.events, "failures", t.failures, "state", t.state, "yielded", t.context.Err() != nil, "ms", clock.Since(t.started).Milliseconds(), "error", err)
 	t.runner.ended <- t
 }
 
@@ -365,6 +367,8 @@
 		}
 		if t.progress.events > 0 {
 			text.WriteByte('\n')
+		} else {
+			t.progress.version = incarnation.VersionOf(t.lease.Endpoint.ID)
 		}
 		text.WriteString(event.Data)
 		t.progress.events++
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -73,6 +73,7 @@
 	lastEventsAt time.Time
 	lastEventID  int64
 	hasLastEvent bool
+	stream       streamState
 	// mayHaveRun is set once a worker may have started to run the request.
 	mayHaveRun bool
 	lastErr    error
@@ -129,6 +130,7 @@
 	if last, err := strconv.ParseInt(header.Get(e.headerNames.LastEvent), 10, 64); err == nil {
 		c.lastEventID, c.hasLastEvent = last, true
 	}
+	c.stream = streamState{resumes: header.Get(e.headerNames.Resumes), resumedAfter: c.lastEventID, resumed: c.hasLastEvent}
 	return c
 }
 
@@ -289,7 +291,7 @@
 		firstMillis = c.firstByteAt.Sub(c.arrived).Milliseconds()
 		e.metrics.firstByteTime.WithLabelValues(c.route.Name).Observe(c.firstByteAt.Sub(c.arrived).Seconds())
 	}
-	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "attempts", c.attempts, "outcome", result, "first_ms", firstMillis, "ms", c.elapsed(), "error", err)
+	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "attempts", c.attempts, "outcome", result, "first_ms", firstMillis, "ms", c.elapsed(), "resumes", c.stream.resumes, "resumed_after", c.stream.resumedAfter, "error", err)
 }
 
 // headers returns the headers of one attempt: the caller's and those that the edge sets.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -290,6 +290,9 @@
 	held *prometheus.CounterVec
 	// probes counts requests sent to avoided workers.
 	probes prometheus.Counter
+	// continued counts workers that continued a stream which another worker began, by who resumed
+	// the stream and by the worker's version.
+	continued *prometheus.CounterVec
 	// choices counts selected workers, by zone and by how they were compared.
 	choices *prometheus.CounterVec
 	// stalls counts how often this process stalled.
@@ -312,11 +315,12 @@
 		quarantined:   prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		held:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_held_total", Help: "Requests that came before the configuration or the workers were known, by what they needed and what came of it."}, []string{"need", "outcome"}),
 		probes:        prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_probes_total", Help: "Requests sent to avoided workers to learn whether these are well again."}),
+		continued:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_continued_streams_total", Help: "Streams that went on at another worker, by who resumed them (edge, caller) and by that worker's software version compared with the one that began them (same, other, unknown)."}, []string{"by", "version"}),
 		choices:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_choices_total", Help: "Workers chosen, by their zone (own, other) and by how they were compared (cost, times)."}, []string{"zone", "by"}),
 		stalls:        prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_standstills_total", Help: "Times for which this process stood still."}),
 		firstByteTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		responseTime:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.workerExits, m.quarantined, m.held, m.firstByteTime, m.responseTime, m.probes, m.choices, m.stalls, m.capacity, m.queued, m.queueTime, m.queueLength)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.workerExits, m.quarantined, m.held, m.firstByteTime, m.responseTime, m.probes, m.continued, m.choices, m.stalls, m.capacity, m.queued, m.queueTime, m.queueLength)
 	return m
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -108,6 +108,7 @@
 		if !c.responseStarted {
 			c.recordFirstEvent(lease)
 		}
+		c.recordStreamWorker(lease)
 		c.writeHead(response, -1)
 		if _, err := c.writer.Write(event.Raw); err != nil {
 			return err
--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -27,6 +27,9 @@
 	// KeepID makes the worker keep its ID when it restarts; set it before the first request.
 	// Otherwise each incarnation has its own id.
 	KeepID bool
+	// Version is the version of the worker's software, which its list entry and its events tell. It
+	// changes only with a restart.
+	Version string
 
 	server *httptest.Server
 	mutex  sync.Mutex
@@ -34,6 +37,8 @@
 	// set between an exit and the restart.
 	exits       int
 	incarnation int
+	// nextVersion is the version after the next restart, empty for the same.
+	nextVersion string
 	// startedAt is when the current incarnation started.
 	startedAt time.Time
 	down      bool
@@ -73,9 +78,12 @@
 	RestartAfter time.Duration
 }
 
+// HostedVersion is the software version of a new worker.
+const HostedVersion = "v1"
+
 // NewHostedWorker starts a worker that sends an event every eventInterval. Close stops it.
 func NewHostedWorker(id string, slots int, eventInterval time.Duration) *HostedWorker {
-	w := &HostedWorker{ID: id, Slots: slots, EventInterval: eventInterval, HeaderNames: platformHeaderNames(), startedAt: time.Now()}
+	w := &HostedWorker{ID: id, Slots: slots, EventInterval: eventInterval, HeaderNames: platformHeaderNames(), Version: HostedVersion, startedAt: time.Now()}
 	w.server = httptest.NewServer(http.HandlerFunc(w.serve))
 	return w
 }
@@ -87,6 +95,7 @@
 		ExpectWorker: "Expect-Instance",
 		NotRun:       "Not-Run",
 		LastEvent:    "Last-Event-Id",
+		Resumes:      "Resumes",
 		Load:         "Server-Load",
 		Tokens:       "Token-Count",
 	}
@@ -239,9 +248,11 @@
 	return fmt.Sprintf("%d,0,%d", w.running, w.Slots)
 }
 
-// HostedEvent returns the data of a request's event, from which a test computes the expected
-// text.
-func HostedEvent(id string, number int) string { return fmt.Sprintf("%s-%d", id, number) }
+// HostedEvent returns the data of a request's event at a worker of the version, from which a test
+// computes the expected text.
+func HostedEvent(version, id string, number int) string {
+	return fmt.Sprintf("%s-%d@%s", id, number, version)
+}
 
 // stream sends the events that follow the last one that the caller received.
 func (w *HostedWorker) stream(writer http.ResponseWriter, httpRequest *http.Request, request *HostedRequest, fault HostedFault) {
@@ -249,6 +260,7 @@
 	_, outputTokens, _ := strings.Cut(request.Header.Get(w.HeaderNames.Tokens), ",")
 	count, _ := strconv.Atoi(outputTokens)
 	flusher, _ := writer.(http.Flusher)
+	version := w.version()
 	for sent, number := 0, request.LastEventID+1; number <= count; number++ {
 		select {
 		case <-httpRequest.Context().Done():
@@ -259,7 +271,7 @@
 		if fault.BreakAfter > 0 && sent >= fault.BreakAfter {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, HostedEvent(request.ID, number)); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, HostedEvent(version, request.ID, number)); err != nil {
 			return
 		}
 		if flusher != nil {
@@ -301,6 +313,7 @@
 	Zone    string `json:"zone"`
 	Slots   int    `json:"slots"`
 	State   string `json:"state"`
+	Version string `json:"version"`
 }
 
 // hostedPage is one page of the list.
@@ -322,7 +335,7 @@
 			state = "draining"
 		}
 		worker.mutex.Unlock()
-		page.Instances = append(page.Instances, hostedRow{ID: worker.Incarnation(), Service: l.service, Address: worker.Address(), Zone: "zone-a", Slots: worker.Slots, State: state})
+		page.Instances = append(page.Instances, hostedRow{ID: worker.Incarnation(), Service: l.service, Address: worker.Address(), Zone: "zone-a", Slots: worker.Slots, State: state, Version: worker.version()})
 	}
 	if next := first + hostedPageRows; next < len(l.workers) {
 		token := strconv.Itoa(next)
--- a/internal/emulator/hosted_exit.go
+++ b/internal/emulator/hosted_exit.go
@@ -19,6 +19,21 @@
 	return fmt.Sprintf("%s.%d", w.ID, w.incarnation)
 }
 
+// version returns the version of the worker's software.
+func (w *HostedWorker) version() string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.Version
+}
+
+// Restart emulates a crash, after which the worker runs the given version.
+func (w *HostedWorker) Restart(version string, restartAfter time.Duration) {
+	w.mutex.Lock()
+	w.nextVersion = version
+	w.mutex.Unlock()
+	w.exit(restartAfter)
+}
+
 // Exits returns the number of times that the worker has exited.
 func (w *HostedWorker) Exits() int {
 	w.mutex.Lock()
@@ -63,6 +78,9 @@
 	next.Start()
 	w.server = next
 	w.incarnation++
+	if w.nextVersion != "" {
+		w.Version, w.nextVersion = w.nextVersion, ""
+	}
 	w.startedAt = time.Now()
 	w.down = false
 }
--- a/internal/httpheader/httpheader.go
+++ b/internal/httpheader/httpheader.go
@@ -27,6 +27,9 @@
 	NotRun string
 	// LastEvent carries the id of the last event that was received of a stream.
 	LastEvent string
+	// Resumes carries, in a request that takes up a stream, the id of the request that brought its
+	// first event.
+	Resumes string
 	// Load carries the load that a worker reports, see capacity.Report: running, waiting, slots and
 	// pace, separated by commas. The last two are optional.
 	Load string
@@ -70,6 +73,7 @@
 		ExpectWorker: "Sedgemast-Expect-Worker",
 		NotRun:       "Sedgemast-Not-Run",
 		LastEvent:    "Last-Event-Id",
+		Resumes:      "Sedgemast-Resumes",
 		Load:         "Sedgemast-Load",
 		PromptParts:  "Sedgemast-Prompt-Parts",
 		Tokens:       "Sedgemast-Tokens",
--- a/internal/listreader/entries.go
+++ b/internal/listreader/entries.go
@@ -17,7 +17,7 @@
 
 // add adds a row to those read. A row may occur twice if the list shifts while it is read.
 // Of two incarnations of a worker the later one is used. Two entries of the same incarnation
-// with different endpoints come from different writers and are a conflict.
+// with different endpoints or versions come from different writers and are a conflict.
 func (z *zoneReading) add(rows rowsByID, row *wire.PoolWorker) {
 	id := incarnation.WorkerID(row.ID)
 	if z.conflicting[id] {
@@ -25,8 +25,13 @@
 	}
 	before, found := rows[id]
 	switch {
-	case !found || sameEndpoint(&before, row) && incarnation.StartTime(row.ID) == incarnation.StartTime(before.ID):
+	case !found:
 		rows[id] = *row
+	case sameEndpoint(&before, row) && sameIncarnation(before.ID, row.ID):
+		rows[id] = *row
+		if incarnation.VersionOf(row.ID) == "" {
+			rows[id] = before
+		}
 	case incarnation.StartTime(row.ID) != incarnation.StartTime(before.ID):
 		if incarnation.StartTime(row.ID) > incarnation.StartTime(before.ID) {
 			rows[id] = *row
@@ -49,6 +54,13 @@
 	}
 }
 
+// sameIncarnation reports whether two names of a worker may mean the same incarnation: they have the
+// same start time, and not two different versions.
+func sameIncarnation(a, b string) bool {
+	versions := [2]incarnation.Version{incarnation.VersionOf(a), incarnation.VersionOf(b)}
+	return incarnation.StartTime(a) == incarnation.StartTime(b) && (versions[0] == versions[1] || versions[0] == "" || versions[1] == "")
+}
+
 // sameEndpoint reports whether two rows have the same pool, address and zone.
 func sameEndpoint(a, b *wire.PoolWorker) bool {
 	return a.Pool == b.Pool && a.Address == b.Address && a.Zone == b.Zone
--- a/internal/listreader/incarnations.go
+++ b/internal/listreader/incarnations.go
@@ -43,9 +43,14 @@
 	resolved := *row
 	if listedStart == 0 {
 		// The list has no start times: assume the known incarnation, unless the worker was
-		// leaving and is ready again.
-		resolved.ID, listedStart = known.ID, knownStart
+		// leaving and is ready again, or runs another version.
+		listedStart = knownStart
 	}
+	version := incarnation.VersionOf(row.ID)
+	if version == "" && listedStart == knownStart {
+		version = incarnation.VersionOf(known.ID)
+	}
+	resolved.ID = incarnation.Name(id, listedStart, version)
 	earlier := listedStart < knownStart
 	restarted := listedStart == knownStart && known.Leaving && !row.Leaving
 	if !earlier && !restarted {
@@ -60,7 +65,7 @@
 	}
 	delete(r.contradictions, id)
 	if restarted {
-		resolved.ID = incarnation.Name(id, max(clock.Now().UnixMilli(), knownStart+1))
+		resolved.ID = incarnation.Name(id, max(clock.Now().UnixMilli(), knownStart+1), incarnation.VersionOf(row.ID))
 	}
 	return resolved, nil
 }
--- a/internal/workerlist/client.go
+++ b/internal/workerlist/client.go
@@ -32,6 +32,8 @@
 	// and how many requests it runs at a time.
 	Pool  string `json:"pool,omitempty"`
 	Slots int    `json:"slots,omitempty"`
+	// Version is the version of the worker's software.
+	Version string `json:"version,omitempty"`
 }
 
 // List is the platform's answer.
--- a/test/hosted_test.go
+++ b/test/hosted_test.go
@@ -24,7 +24,7 @@
 func events(id string, from, to int) string {
 	var text strings.Builder
 	for number := from; number <= to; number++ {
-		fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", number, emulator.HostedEvent(id, number))
+		fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", number, emulator.HostedEvent(emulator.HostedVersion, id, number))
 	}
 	return text.String()
 }
@@ -317,7 +317,7 @@
 	for _, row := range page.Results {
 		var want []string
 		for number := 1; number <= tokens; number++ {
-			want = append(want, emulator.HostedEvent(row.ID, number))
+			want = append(want, emulator.HostedEvent(emulator.HostedVersion, row.ID, number))
 		}
 		if row.State != "completed" || row.Message != strings.Join(want, "\n") {
 			t.Errorf("item %s is %s with a result of %d bytes", row.ID, row.State, len(row.Message))
--- a/test/soak_clients_test.go
+++ b/test/soak_clients_test.go
@@ -246,7 +246,7 @@
 		job.results = append(job.results, row.ID)
 		var want []string
 		for number := 1; number <= 20; number++ {
-			want = append(want, emulator.HostedEvent(row.ID, number))
+			want = append(want, emulator.HostedEvent(emulator.HostedVersion, row.ID, number))
 		}
 		if row.State != "completed" || row.Message != strings.Join(want, "\n") {
 			s.violations = append(s.violations, fmt.Sprintf("%s of %s is %s with %q", row.ID, name, row.State, row.Message))
