--- /dev/null
+++ b/test/versions_test.go
@@ -0,0 +1,180 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sedgemast/sedgemast/internal/emulator"
+)
+
+// versionPattern matches the version that an event of a HostedWorker tells.
+var versionPattern = regexp.MustCompile(`@(\S+)`)
+
+// versionsIn returns the versions of the workers that wrote the events of a text.
+func versionsIn(text string) map[string]bool {
+	versions := map[string]bool{}
+	for _, match := range versionPattern.FindAllStringSubmatch(text, -1) {
+		versions[match[1]] = true
+	}
+	return versions
+}
+
+// newFleetOfVersions starts a fleet with four workers, two of each of two versions.
+func newFleetOfVersions(t *testing.T) (f *hostedFleet, edges []string) {
+	f = newHostedFleet(t, 4)
+	for i, worker := range f.workers {
+		worker.Version = []string{"v1", "v1.1"}[i%2]
+	}
+	return f, f.configure(t)
+}
+
+// breakFirstRuns makes workers break off each run that starts at the first event.
+func (f *hostedFleet) breakFirstRuns(after int) {
+	f.injectFaults(func(request *emulator.HostedRequest) emulator.HostedFault {
+		if request.LastEventID == 0 {
+			return emulator.HostedFault{BreakAfter: after}
+		}
+		return emulator.HostedFault{}
+	})
+}
+
+// TestAnswerGoesOnAtAnotherVersion guards against answers that a worker of another version
+// continues after the first worker broke off.
+func TestAnswerGoesOnAtAnotherVersion(t *testing.T) {
+	f, edges := newFleetOfVersions(t)
+	f.breakFirstRuns(3)
+	const calls = 40
+	complete := 0
+	for number := range calls {
+		headers := map[string]string{"Request-Id": fmt.Sprintf("a-%d", number), "Token-Count": "10,8"}
+		status, _, body, err := f.call(http.MethodPost, edges[number%2], "/stream/a", headers, "p")
+		if versions := versionsIn(body); len(versions) > 1 {
+			t.Errorf("answer %d has events of %v", number, versions)
+		}
+		if err == nil && status == http.StatusOK && strings.Count(body, "id: ") == 8 {
+			complete++
+		}
+	}
+	if complete < calls {
+		t.Errorf("%d of %d answers are complete, though each version has a second worker", complete, calls)
+	}
+}
+
+// brokenStream is what a client has of a stream whose edge was killed.
+type brokenStream struct {
+	id   string
+	text string
+}
+
+// TestRetryGoesOnAtAnotherVersion guards against streams that, after their edge was killed, another
+// edge continues at a worker of another version.
+func TestRetryGoesOnAtAnotherVersion(t *testing.T) {
+	const streams, tokens = 16, 200
+	f, edges := newFleetOfVersions(t)
+	broken := make(chan brokenStream, streams)
+	var begun, clients sync.WaitGroup
+	begun.Add(streams)
+	for number := range streams {
+		clients.Go(func() {
+			id := fmt.Sprintf("b-%d", number)
+			broken <- brokenStream{id, f.readUntilBroken(edges[0], id, tokens, begun.Done)}
+		})
+	}
+	begun.Wait()
+	f.kill(f.machines["front-21"])
+	clients.Wait()
+	close(broken)
+	var goOn atomic.Int64
+	for stream := range broken {
+		clients.Go(func() {
+			last := strings.Count(stream.text, "\n\n")
+			status, _, rest, err := f.call(http.MethodPost, edges[1], "/stream/a", resumeHeaders(stream.id, tokens, last), "p")
+			if versions := versionsIn(stream.text + rest); len(versions) > 1 {
+				t.Errorf("stream %s, taken up after event %d, has events of %v", stream.id, last, versions)
+			}
+			if err == nil && status == http.StatusOK && last+strings.Count(rest, "\n\n") == tokens {
+				goOn.Add(1)
+			}
+		})
+	}
+	clients.Wait()
+	if goOn.Load() < streams {
+		t.Errorf("%d of %d streams go on, though all workers serve", goOn.Load(), streams)
+	}
+}
+
+// resumeHeaders returns the headers of a request that takes up a stream after the event last.
+func resumeHeaders(id string, tokens, last int) map[string]string {
+	return map[string]string{
+		"Request-Id": id + "-again", "Token-Count": fmt.Sprintf("10,%d", tokens),
+		"Last-Event-Id": fmt.Sprint(last), "Resumes": id,
+	}
+}
+
+// readUntilBroken reads a stream until its connection breaks, and returns the complete events. It
+// calls begun after the first event, or if there is none.
+func (f *hostedFleet) readUntilBroken(edge, id string, tokens int, begun func()) string {
+	var once sync.Once
+	defer once.Do(begun)
+	ctx, cancel := context.WithTimeout(context.Background(), hostedTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+edge+"/stream/a", strings.NewReader("p"))
+	if err != nil {
+		f.t.Error(err)
+		return ""
+	}
+	request.Host = hostedHost
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Token-Count", fmt.Sprintf("10,%d", tokens))
+	response, err := hostedClient.Do(request)
+	if err != nil {
+		f.t.Error(err)
+		return ""
+	}
+	defer response.Body.Close()
+	var text strings.Builder
+	buffer := make([]byte, 4096)
+	for {
+		count, err := response.Body.Read(buffer)
+		text.Write(buffer[:count])
+		if strings.Contains(text.String(), "\n\n") {
+			once.Do(begun)
+		}
+		if err == io.EOF {
+			f.t.Errorf("stream %s ended before its edge was killed", id)
+		}
+		if err != nil {
+			complete := text.String()
+			return complete[:strings.LastIndex(complete, "\n\n")+len("\n\n")]
+		}
+	}
+}
+
+// TestItemGoesOnAtAnotherVersion guards against results with text of two versions, after the first
+// worker of an item broke off.
+func TestItemGoesOnAtAnotherVersion(t *testing.T) {
+	const items, tokens = 20, 40
+	f, edges := newFleetOfVersions(t)
+	f.breakFirstRuns(15)
+	eventually(t, "the job accepted", func() bool {
+		status, _, _, err := f.call(http.MethodPost, edges[0], "/batch/j1", map[string]string{"Request-Id": "j1"}, jobDocument("j1", items, tokens))
+		return err == nil && status == http.StatusAccepted
+	})
+	var page *hostedPage
+	eventually(t, "all results", func() bool {
+		page, _ = f.readResults(edges[1], "j1", 0)
+		return page != nil && len(page.Results) == items
+	})
+	for _, row := range page.Results {
+		if versions := versionsIn(row.Message); len(versions) != 1 || strings.Count(row.Message, "\n") != tokens-1 {
+			t.Errorf("item %s is %s with events of %v, %d of %d", row.ID, row.State, versions, strings.Count(row.Message, "\n")+1, tokens)
+		}
+	}
+}
