Continue an answer only at workers of the version that began it

Callers saw: answers whose first events come from a worker of one software version and the rest from another, with a complete body and no sign of the change. Cause: after a worker broke off, the edge sent the rest of the request with Last-Event-Id to any worker of the pool; the choice knew no version. Fix: from its first event on, a call is bound to its origin, and balance.Request.Version limits every way to choose a worker. An unknown version equals none, so such a stream ends when its worker breaks off. While no other worker of the origin could take over, a silent worker is given until the caller's deadline instead of the failover time.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -57,7 +57,7 @@
 func (t *Table) AffinityWorkers(request *Request) []uint32 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.findAffinity(request, func(w *worker) bool { return w.usable() && !request.Exclude[w.listed.ID] })
+	t.findAffinity(request, func(w *worker) bool { return w.usable() && !request.Exclude[w.listed.ID] && request.fitsVersion(w) })
 	var names []uint32
 	for _, w := range t.affinity {
 		names = append(names, w.hash)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/capacity"
+	"github.com/sedgemast/sedgemast/internal/incarnation"
 )
 
 // pool holds the usable workers of one pool. They are in two groups, from which a choice takes
@@ -19,6 +20,8 @@
 	// slots is the total number of slots of the workers. zoneSlots is the number of slots by zone.
 	slots     int
 	zoneSlots map[string]int
+	// usableVersions is the number of usable workers by version.
+	usableVersions map[incarnation.Version]int
 	// nearSlots is the number of slots in this process's zone.
 	nearSlots int
 	// medianInterval is the median time between events of the pool's workers. nearSum and farSum
@@ -70,6 +73,7 @@
 	w.inGroup = true
 	p.groupOf(t, w).add(w)
 	p.slots += w.listed.Slots
+	p.countVersion(w.version, 1)
 	p.addSlots(w.listed.Zone, w.listed.Slots)
 	if t.zoneDistance(w) == 0 {
 		p.nearSlots += w.listed.Slots
@@ -85,6 +89,7 @@
 	w.inGroup = false
 	p.groupOf(t, w).remove(w)
 	p.slots -= w.listed.Slots
+	p.countVersion(w.version, -1)
 	p.addSlots(w.listed.Zone, -w.listed.Slots)
 	if t.zoneDistance(w) == 0 {
 		p.nearSlots -= w.listed.Slots
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/httpheader"
+	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/upstream"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -96,7 +97,7 @@
 	w := t.workers[row.ID]
 	if w == nil {
 		hash := loadshare.WorkerHash(row.ID)
-		w = &worker{hash: hash, point: splitMix64(uint64(hash))}
+		w = &worker{hash: hash, version: incarnation.VersionOf(row.ID), point: splitMix64(uint64(hash))}
 		t.workers[row.ID], t.byHash[hash] = w, w
 	} else {
 		t.pools[w.listed.Pool].remove(t, w)
@@ -165,6 +166,8 @@
 // Request describes a request for the choice of a worker.
 type Request struct {
 	Pool string
+	// Version, if set, limits the choice to the workers of that software version.
+	Version incarnation.Version
 	// Exclude holds the ids of workers that were tried already.
 	Exclude map[string]bool
 	Parts   []httpheader.Part
@@ -281,7 +284,7 @@
 }
 
 func (t *Table) admits(now time.Time, candidate *worker, request *Request, suspects bool) bool {
-	if !candidate.usable() || request.Exclude[candidate.listed.ID] {
+	if !candidate.usable() || request.Exclude[candidate.listed.ID] || !request.fitsVersion(candidate) {
 		return false
 	}
 	if !suspects && now.Before(candidate.suspectUntil) {
--- a/internal/balance/worker.go
+++ b/internal/balance/worker.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -26,6 +27,8 @@
 // worker holds what this process knows of one worker.
 type worker struct {
 	listed wire.PoolWorker
+	// version is the version in the name of the incarnation.
+	version incarnation.Version
 	// hash is the worker's short name. point is its position on the ring.
 	hash  uint32
 	point uint64
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -238,12 +238,15 @@
 func (o outcome) String() string { return [...]string{"delivered", "not_run", "failed"}[o] }
 
 func (c *call) canAttempt() bool {
-	return c.context.Err() == nil && !c.expired() && c.attempts < max(c.route.MaxAttempts, 1) && c.failedDials < maxFailedDials && c.failedDialTime < maxFailedDialTime
+	return c.context.Err() == nil && !c.expired() && !c.hasLostOrigin() && c.attempts < max(c.route.MaxAttempts, 1) && c.failedDials < maxFailedDials && c.failedDialTime < maxFailedDialTime
 }
 
 // canFailOver reports whether another worker could take over.
 func (c *call) canFailOver() bool {
-	return c.route.Idempotent() && c.attempts < max(c.route.MaxAttempts, 1)
+	if !c.route.Idempotent() || c.attempts >= max(c.route.MaxAttempts, 1) {
+		return false
+	}
+	return !c.stream.bound || !c.hasLostOrigin() && c.edge.workers.VersionUsable(&c.demand, c.worker)
 }
 
 // expired reports whether the caller's deadline has passed.
--- a/test/fleet_api_test.go
+++ b/test/fleet_api_test.go
@@ -84,7 +84,7 @@
 	platform := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		list := &workerlist.List{}
 		for _, worker := range f.workers {
-			list.Workers = append(list.Workers, workerlist.Worker{ID: worker.Incarnation(), Address: worker.Address(), Zone: "zone-a", Pool: "pool", Slots: 8})
+			list.Workers = append(list.Workers, workerlist.Worker{ID: worker.Incarnation(), Address: worker.Address(), Zone: "zone-a", Pool: "pool", Slots: 8, Version: worker.Version})
 		}
 		// A failed write means that the caller disconnected.
 		_ = json.NewEncoder(writer).Encode(list)
