--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -2,13 +2,16 @@
 
 //msgp:limit arrays:1048576 maps:65536
 
-// BatchCommand is a command of the batch group's log. Exactly one field is set: Submit accepts
-// a job, Record records results, End ends a job, and Forget removes a job from the store.
+// BatchCommand is a command of the batch group's log. One field is set, or both Save and Record:
+// Submit accepts a job, Record records results, End ends a job, and Forget removes a job from the
+// store. Save saves the progress of items, from which another store may continue them; a build that
+// doesn't know Save starts them anew. Builds before Save used Record for progress, too.
 type BatchCommand struct {
 	Submit *SubmitBatch `msg:"submit"`
 	Record *RecordItems `msg:"record"`
 	End    *BatchName   `msg:"end"`
 	Forget *BatchName   `msg:"forget"`
+	Save   *RecordItems `msg:"save,omitempty"`
 }
 
 // SubmitBatch submits a job of opaque items.
@@ -89,6 +92,11 @@
 	// chain's first run continues from the progress that was in the log.
 	Chain uint64 `msg:"chain"`
 	Opens bool   `msg:"opens"`
+	// Version is the software version of the workers that wrote the text, in records of progress.
+	// Restarts is set in the first record of a chain that began at the item's first event again: the
+	// text replaces the one in the log.
+	Version  string `msg:"version,omitempty"`
+	Restarts bool   `msg:"restarts,omitempty"`
 }
 
 // BatchName names a job.
--- a/internal/wire/batch_gen.go
+++ b/internal/wire/batch_gen.go
@@ -204,6 +204,68 @@
 					}
 				}
 			}
+		case "save":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Save")
+					return
+				}
+				z.Save = nil
+			} else {
+				if z.Save == nil {
+					z.Save = new(RecordItems)
+				}
+				var zb0006 uint32
+				zb0006, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Save")
+					return
+				}
+				if zb0006 > z38816a7flimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Save")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "items":
+						var zb0007 uint32
+						zb0007, err = dc.ReadArrayHeader()
+						if err != nil {
+							err = msgp.WrapError(err, "Save", "Items")
+							return
+						}
+						if zb0007 > z38816a7flimitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Save.Items) >= int(zb0007) {
+							z.Save.Items = (z.Save.Items)[:zb0007]
+						} else {
+							z.Save.Items = make([]ItemRecord, zb0007)
+						}
+						for za0002 := range z.Save.Items {
+							err = z.Save.Items[za0002].DecodeMsg(dc)
+							if err != nil {
+								err = msgp.WrapError(err, "Save", "Items", za0002)
+								return
+							}
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Save")
+							return
+						}
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -217,98 +279,146 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *BatchCommand) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "submit"
-	err = en.Append(0x84, 0xa6, 0x73, 0x75, 0x62, 0x6d, 0x69, 0x74)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Save == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	if z.Submit == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		err = z.Submit.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Submit")
-			return
-		}
-	}
-	// write "record"
-	err = en.Append(0xa6, 0x72, 0x65, 0x63, 0x6f, 0x72, 0x64)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	if z.Record == nil {
-		err = en.WriteNil()
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "submit"
+		err = en.Append(0xa6, 0x73, 0x75, 0x62, 0x6d, 0x69, 0x74)
 		if err != nil {
 			return
 		}
-	} else {
-		// map header, size 1
-		// write "items"
-		err = en.Append(0x81, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
-		if err != nil {
-			return
+		if z.Submit == nil {
+			err = en.WriteNil()
+			if err != nil {
+				return
+			}
+		} else {
+			err = z.Submit.EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Submit")
+				return
+			}
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Record.Items)))
+		// write "record"
+		err = en.Append(0xa6, 0x72, 0x65, 0x63, 0x6f, 0x72, 0x64)
 		if err != nil {
-			err = msgp.WrapError(err, "Record", "Items")
 			return
 		}
-		for za0001 := range z.Record.Items {
-			err = z.Record.Items[za0001].EncodeMsg(en)
+		if z.Record == nil {
+			err = en.WriteNil()
+			if err != nil {
+				return
+			}
+		} else {
+			// map header, size 1
+			// write "items"
+			err = en.Append(0x81, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Record.Items)))
 			if err != nil {
-				err = msgp.WrapError(err, "Record", "Items", za0001)
+				err = msgp.WrapError(err, "Record", "Items")
 				return
 			}
+			for za0001 := range z.Record.Items {
+				err = z.Record.Items[za0001].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Record", "Items", za0001)
+					return
+				}
+			}
 		}
-	}
-	// write "end"
-	err = en.Append(0xa3, 0x65, 0x6e, 0x64)
-	if err != nil {
-		return
-	}
-	if z.End == nil {
-		err = en.WriteNil()
+		// write "end"
+		err = en.Append(0xa3, 0x65, 0x6e, 0x64)
 		if err != nil {
 			return
 		}
-	} else {
-		// map header, size 1
-		// write "id"
-		err = en.Append(0x81, 0xa2, 0x69, 0x64)
-		if err != nil {
-			return
+		if z.End == nil {
+			err = en.WriteNil()
+			if err != nil {
+				return
+			}
+		} else {
+			// map header, size 1
+			// write "id"
+			err = en.Append(0x81, 0xa2, 0x69, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.End.ID)
+			if err != nil {
+				err = msgp.WrapError(err, "End", "ID")
+				return
+			}
 		}
-		err = en.WriteString(z.End.ID)
+		// write "forget"
+		err = en.Append(0xa6, 0x66, 0x6f, 0x72, 0x67, 0x65, 0x74)
 		if err != nil {
-			err = msgp.WrapError(err, "End", "ID")
 			return
 		}
-	}
-	// write "forget"
-	err = en.Append(0xa6, 0x66, 0x6f, 0x72, 0x67, 0x65, 0x74)
-	if err != nil {
-		return
-	}
-	if z.Forget == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		// map header, size 1
-		// write "id"
-		err = en.Append(0x81, 0xa2, 0x69, 0x64)
-		if err != nil {
-			return
+		if z.Forget == nil {
+			err = en.WriteNil()
+			if err != nil {
+				return
+			}
+		} else {
+			// map header, size 1
+			// write "id"
+			err = en.Append(0x81, 0xa2, 0x69, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Forget.ID)
+			if err != nil {
+				err = msgp.WrapError(err, "Forget", "ID")
+				return
+			}
 		}
-		err = en.WriteString(z.Forget.ID)
-		if err != nil {
-			err = msgp.WrapError(err, "Forget", "ID")
-			return
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "save"
+			err = en.Append(0xa4, 0x73, 0x61, 0x76, 0x65)
+			if err != nil {
+				return
+			}
+			if z.Save == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 1
+				// write "items"
+				err = en.Append(0x81, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+				if err != nil {
+					return
+				}
+				err = en.WriteArrayHeader(uint32(len(z.Save.Items)))
+				if err != nil {
+					err = msgp.WrapError(err, "Save", "Items")
+					return
+				}
+				for za0002 := range z.Save.Items {
+					err = z.Save.Items[za0002].EncodeMsg(en)
+					if err != nil {
+						err = msgp.WrapError(err, "Save", "Items", za0002)
+						return
+					}
+				}
+			}
 		}
 	}
 	return
@@ -317,54 +427,86 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *BatchCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "submit"
-	o = append(o, 0x84, 0xa6, 0x73, 0x75, 0x62, 0x6d, 0x69, 0x74)
-	if z.Submit == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Submit.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Submit")
-			return
-		}
-	}
-	// string "record"
-	o = append(o, 0xa6, 0x72, 0x65, 0x63, 0x6f, 0x72, 0x64)
-	if z.Record == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 1
-		// string "items"
-		o = append(o, 0x81, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Record.Items)))
-		for za0001 := range z.Record.Items {
-			o, err = z.Record.Items[za0001].MarshalMsg(o)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Save == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "submit"
+		o = append(o, 0xa6, 0x73, 0x75, 0x62, 0x6d, 0x69, 0x74)
+		if z.Submit == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Submit.MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Record", "Items", za0001)
+				err = msgp.WrapError(err, "Submit")
 				return
 			}
 		}
-	}
-	// string "end"
-	o = append(o, 0xa3, 0x65, 0x6e, 0x64)
-	if z.End == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 1
-		// string "id"
-		o = append(o, 0x81, 0xa2, 0x69, 0x64)
-		o = msgp.AppendString(o, z.End.ID)
-	}
-	// string "forget"
-	o = append(o, 0xa6, 0x66, 0x6f, 0x72, 0x67, 0x65, 0x74)
-	if z.Forget == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 1
-		// string "id"
-		o = append(o, 0x81, 0xa2, 0x69, 0x64)
-		o = msgp.AppendString(o, z.Forget.ID)
+		// string "record"
+		o = append(o, 0xa6, 0x72, 0x65, 0x63, 0x6f, 0x72, 0x64)
+		if z.Record == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			// map header, size 1
+			// string "items"
+			o = append(o, 0x81, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Record.Items)))
+			for za0001 := range z.Record.Items {
+				o, err = z.Record.Items[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Record", "Items", za0001)
+					return
+				}
+			}
+		}
+		// string "end"
+		o = append(o, 0xa3, 0x65, 0x6e, 0x64)
+		if z.End == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			// map header, size 1
+			// string "id"
+			o = append(o, 0x81, 0xa2, 0x69, 0x64)
+			o = msgp.AppendString(o, z.End.ID)
+		}
+		// string "forget"
+		o = append(o, 0xa6, 0x66, 0x6f, 0x72, 0x67, 0x65, 0x74)
+		if z.Forget == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			// map header, size 1
+			// string "id"
+			o = append(o, 0x81, 0xa2, 0x69, 0x64)
+			o = msgp.AppendString(o, z.Forget.ID)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "save"
+			o = append(o, 0xa4, 0x73, 0x61, 0x76, 0x65)
+			if z.Save == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "items"
+				o = append(o, 0x81, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+				o = msgp.AppendArrayHeader(o, uint32(len(z.Save.Items)))
+				for za0002 := range z.Save.Items {
+					o, err = z.Save.Items[za0002].MarshalMsg(o)
+					if err != nil {
+						err = msgp.WrapError(err, "Save", "Items", za0002)
+						return
+					}
+				}
+			}
+		}
 	}
 	return
 }
@@ -557,6 +699,67 @@
 					}
 				}
 			}
+		case "save":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Save = nil
+			} else {
+				if z.Save == nil {
+					z.Save = new(RecordItems)
+				}
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Save")
+					return
+				}
+				if zb0006 > z38816a7flimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Save")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "items":
+						var zb0007 uint32
+						zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Save", "Items")
+							return
+						}
+						if zb0007 > z38816a7flimitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Save.Items) >= int(zb0007) {
+							z.Save.Items = (z.Save.Items)[:zb0007]
+						} else {
+							z.Save.Items = make([]ItemRecord, zb0007)
+						}
+						for za0002 := range z.Save.Items {
+							bts, err = z.Save.Items[za0002].UnmarshalMsg(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Save", "Items", za0002)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Save")
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -598,6 +801,15 @@
 	} else {
 		s += 1 + 3 + msgp.StringPrefixSize + len(z.Forget.ID)
 	}
+	s += 5
+	if z.Save == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 6 + msgp.ArrayHeaderSize
+		for za0002 := range z.Save.Items {
+			s += z.Save.Items[za0002].Msgsize()
+		}
+	}
 	return
 }
 
@@ -3397,6 +3609,18 @@
 				err = msgp.WrapError(err, "Opens")
 				return
 			}
+		case "version":
+			z.Version, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "restarts":
+			z.Restarts, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Restarts")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3410,106 +3634,150 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ItemRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
-	// write "job"
-	err = en.Append(0x8a, 0xa3, 0x6a, 0x6f, 0x62)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
+	_ = zb0001Mask
+	if z.Version == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400
 	}
-	err = en.WriteString(z.Job)
-	if err != nil {
-		err = msgp.WrapError(err, "Job")
-		return
+	if z.Restarts == false {
+		zb0001Len--
+		zb0001Mask |= 0x800
 	}
-	// write "item"
-	err = en.Append(0xa4, 0x69, 0x74, 0x65, 0x6d)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Item)
-	if err != nil {
-		err = msgp.WrapError(err, "Item")
-		return
-	}
-	// write "state"
-	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint8(uint8(z.State))
-	if err != nil {
-		err = msgp.WrapError(err, "State")
-		return
-	}
-	// write "from"
-	err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "text"
-	err = en.Append(0xa4, 0x74, 0x65, 0x78, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Text)
-	if err != nil {
-		err = msgp.WrapError(err, "Text")
-		return
-	}
-	// write "events"
-	err = en.Append(0xa6, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Events)
-	if err != nil {
-		err = msgp.WrapError(err, "Events")
-		return
-	}
-	// write "last_event"
-	err = en.Append(0xaa, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x65, 0x76, 0x65, 0x6e, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.LastEvent)
-	if err != nil {
-		err = msgp.WrapError(err, "LastEvent")
-		return
-	}
-	// write "failures"
-	err = en.Append(0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Failures)
-	if err != nil {
-		err = msgp.WrapError(err, "Failures")
-		return
-	}
-	// write "chain"
-	err = en.Append(0xa5, 0x63, 0x68, 0x61, 0x69, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Chain)
-	if err != nil {
-		err = msgp.WrapError(err, "Chain")
-		return
-	}
-	// write "opens"
-	err = en.Append(0xa5, 0x6f, 0x70, 0x65, 0x6e, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Opens)
-	if err != nil {
-		err = msgp.WrapError(err, "Opens")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "job"
+		err = en.Append(0xa3, 0x6a, 0x6f, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Job)
+		if err != nil {
+			err = msgp.WrapError(err, "Job")
+			return
+		}
+		// write "item"
+		err = en.Append(0xa4, 0x69, 0x74, 0x65, 0x6d)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Item)
+		if err != nil {
+			err = msgp.WrapError(err, "Item")
+			return
+		}
+		// write "state"
+		err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint8(uint8(z.State))
+		if err != nil {
+			err = msgp.WrapError(err, "State")
+			return
+		}
+		// write "from"
+		err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "text"
+		err = en.Append(0xa4, 0x74, 0x65, 0x78, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Text)
+		if err != nil {
+			err = msgp.WrapError(err, "Text")
+			return
+		}
+		// write "events"
+		err = en.Append(0xa6, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Events)
+		if err != nil {
+			err = msgp.WrapError(err, "Events")
+			return
+		}
+		// write "last_event"
+		err = en.Append(0xaa, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x65, 0x76, 0x65, 0x6e, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.LastEvent)
+		if err != nil {
+			err = msgp.WrapError(err, "LastEvent")
+			return
+		}
+		// write "failures"
+		err = en.Append(0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Failures)
+		if err != nil {
+			err = msgp.WrapError(err, "Failures")
+			return
+		}
+		// write "chain"
+		err = en.Append(0xa5, 0x63, 0x68, 0x61, 0x69, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Chain)
+		if err != nil {
+			err = msgp.WrapError(err, "Chain")
+			return
+		}
+		// write "opens"
+		err = en.Append(0xa5, 0x6f, 0x70, 0x65, 0x6e, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Opens)
+		if err != nil {
+			err = msgp.WrapError(err, "Opens")
+			return
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// write "version"
+			err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Version)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// write "restarts"
+			err = en.Append(0xa8, 0x72, 0x65, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Restarts)
+			if err != nil {
+				err = msgp.WrapError(err, "Restarts")
+				return
+			}
+		}
 	}
 	return
 }
@@ -3517,37 +3785,64 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ItemRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
-	// string "job"
-	o = append(o, 0x8a, 0xa3, 0x6a, 0x6f, 0x62)
-	o = msgp.AppendString(o, z.Job)
-	// string "item"
-	o = append(o, 0xa4, 0x69, 0x74, 0x65, 0x6d)
-	o = msgp.AppendInt(o, z.Item)
-	// string "state"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	o = msgp.AppendUint8(o, uint8(z.State))
-	// string "from"
-	o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	o = msgp.AppendInt(o, z.From)
-	// string "text"
-	o = append(o, 0xa4, 0x74, 0x65, 0x78, 0x74)
-	o = msgp.AppendString(o, z.Text)
-	// string "events"
-	o = append(o, 0xa6, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x73)
-	o = msgp.AppendInt(o, z.Events)
-	// string "last_event"
-	o = append(o, 0xaa, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x65, 0x76, 0x65, 0x6e, 0x74)
-	o = msgp.AppendInt64(o, z.LastEvent)
-	// string "failures"
-	o = append(o, 0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
-	o = msgp.AppendInt(o, z.Failures)
-	// string "chain"
-	o = append(o, 0xa5, 0x63, 0x68, 0x61, 0x69, 0x6e)
-	o = msgp.AppendUint64(o, z.Chain)
-	// string "opens"
-	o = append(o, 0xa5, 0x6f, 0x70, 0x65, 0x6e, 0x73)
-	o = msgp.AppendBool(o, z.Opens)
+	// check for omitted fields
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
+	_ = zb0001Mask
+	if z.Version == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.Restarts == false {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "job"
+		o = append(o, 0xa3, 0x6a, 0x6f, 0x62)
+		o = msgp.AppendString(o, z.Job)
+		// string "item"
+		o = append(o, 0xa4, 0x69, 0x74, 0x65, 0x6d)
+		o = msgp.AppendInt(o, z.Item)
+		// string "state"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+		o = msgp.AppendUint8(o, uint8(z.State))
+		// string "from"
+		o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+		o = msgp.AppendInt(o, z.From)
+		// string "text"
+		o = append(o, 0xa4, 0x74, 0x65, 0x78, 0x74)
+		o = msgp.AppendString(o, z.Text)
+		// string "events"
+		o = append(o, 0xa6, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x73)
+		o = msgp.AppendInt(o, z.Events)
+		// string "last_event"
+		o = append(o, 0xaa, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x65, 0x76, 0x65, 0x6e, 0x74)
+		o = msgp.AppendInt64(o, z.LastEvent)
+		// string "failures"
+		o = append(o, 0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
+		o = msgp.AppendInt(o, z.Failures)
+		// string "chain"
+		o = append(o, 0xa5, 0x63, 0x68, 0x61, 0x69, 0x6e)
+		o = msgp.AppendUint64(o, z.Chain)
+		// string "opens"
+		o = append(o, 0xa5, 0x6f, 0x70, 0x65, 0x6e, 0x73)
+		o = msgp.AppendBool(o, z.Opens)
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "version"
+			o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.Version)
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "restarts"
+			o = append(o, 0xa8, 0x72, 0x65, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
+			o = msgp.AppendBool(o, z.Restarts)
+		}
+	}
 	return
 }
 
@@ -3637,6 +3932,18 @@
 				err = msgp.WrapError(err, "Opens")
 				return
 			}
+		case "version":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "restarts":
+			z.Restarts, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Restarts")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3651,7 +3958,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ItemRecord) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 5 + msgp.IntSize + 6 + msgp.Uint8Size + 5 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Text) + 7 + msgp.IntSize + 11 + msgp.Int64Size + 9 + msgp.IntSize + 6 + msgp.Uint64Size + 6 + msgp.BoolSize
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 5 + msgp.IntSize + 6 + msgp.Uint8Size + 5 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Text) + 7 + msgp.IntSize + 11 + msgp.Int64Size + 9 + msgp.IntSize + 6 + msgp.Uint64Size + 6 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Version) + 9 + msgp.BoolSize
 	return
 }
 
--- a/internal/wire/corpus/types.go
+++ b/internal/wire/corpus/types.go
@@ -118,6 +118,7 @@
 		"SnapshotChunk":         func() Message { return &wire.SnapshotChunk{} },
 		"StatusRequest":         func() Message { return &wire.StatusRequest{} },
 		"StatusResponse":        func() Message { return &wire.StatusResponse{} },
+		"StreamOrigin":          func() Message { return &wire.StreamOrigin{} },
 		"SubmitBatch":           func() Message { return &wire.SubmitBatch{} },
 		"TenantNews":            func() Message { return &wire.TenantNews{} },
 		"TenantRow":             func() Message { return &wire.TenantRow{} },
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -66,6 +66,12 @@
 	// which no worker had free capacity.
 	Begun uint32
 	Short uint32
+	// Origins are the origins of streams: in reports those to keep, in responses those asked for.
+	// Lookups are the streams whose origin the sender asks for. Unknown are the streams among them
+	// of which the hub knows none.
+	Origins []StreamOrigin
+	Lookups []uint64
+	Unknown []uint64
 	// First is set on decoding if the sender is of GenerationFirst. It is not sent.
 	First bool
 }
@@ -105,6 +111,10 @@
 	Standings  []RoomStanding `msg:"s,omitempty"`
 	Begun      uint32         `msg:"g,omitempty"`
 	Short      uint32         `msg:"o,omitempty"`
+
+	Origins []StreamOrigin `msg:"x,omitempty"`
+	Lookups []uint64       `msg:"q,omitempty"`
+	Unknown []uint64       `msg:"u,omitempty"`
 }
 
 // MarshalMsg implements msgp.Marshaler.
@@ -118,6 +128,7 @@
 		Choosing: r.Choosing, Asked: r.Asked, Drawn: r.Drawn, Rest: r.Rest,
 		Proofs: r.Proofs, Repeatable: r.Repeatable, Probes: r.Probes,
 		Claims: r.Claims, Standings: r.Standings, Begun: r.Begun, Short: r.Short,
+		Origins: r.Origins, Lookups: r.Lookups, Unknown: r.Unknown,
 	}
 	encoded, err := base.MarshalMsg(buffer)
 	if err != nil {
@@ -147,11 +158,24 @@
 		Choosing: more.Choosing, Asked: more.Asked, Drawn: more.Drawn, Rest: more.Rest,
 		Proofs: more.Proofs, Repeatable: more.Repeatable, Probes: more.Probes,
 		Claims: more.Claims, Standings: more.Standings, Begun: more.Begun, Short: more.Short,
+		Origins: more.Origins, Lookups: more.Lookups, Unknown: more.Unknown,
 		First: firstGeneration,
 	}
 	return rest, nil
 }
 
+// StreamOrigin is where a stream began: the pool and the software version of the worker that sent its
+// first event. Stream is the hash of the tenant and the request's id.
+//
+//msgp:tuple StreamOrigin
+type StreamOrigin struct {
+	Stream  uint64
+	Pool    string
+	Version string
+	// KeepMillis is for how long the stream's caller may take it up, counted from the report.
+	KeepMillis uint32
+}
+
 // WorkerProof is the result of probes of an avoided worker since the last report. Well is the
 // number of probes that it answered successfully; failed probes are counted in
 // WorkerLoad.Failed like other requests. Worker is the hash of the worker's id.
--- a/internal/wire/load_gen.go
+++ b/internal/wire/load_gen.go
@@ -767,6 +767,63 @@
 				err = msgp.WrapError(err, "Short")
 				return
 			}
+		case "x":
+			var zb0012 uint32
+			zb0012, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Origins")
+				return
+			}
+			if cap(z.Origins) >= int(zb0012) {
+				z.Origins = (z.Origins)[:zb0012]
+			} else {
+				z.Origins = make([]StreamOrigin, zb0012)
+			}
+			for za0008 := range z.Origins {
+				err = z.Origins[za0008].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Origins", za0008)
+					return
+				}
+			}
+		case "q":
+			var zb0013 uint32
+			zb0013, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Lookups")
+				return
+			}
+			if cap(z.Lookups) >= int(zb0013) {
+				z.Lookups = (z.Lookups)[:zb0013]
+			} else {
+				z.Lookups = make([]uint64, zb0013)
+			}
+			for za0009 := range z.Lookups {
+				z.Lookups[za0009], err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Lookups", za0009)
+					return
+				}
+			}
+		case "u":
+			var zb0014 uint32
+			zb0014, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+			if cap(z.Unknown) >= int(zb0014) {
+				z.Unknown = (z.Unknown)[:zb0014]
+			} else {
+				z.Unknown = make([]uint64, zb0014)
+			}
+			for za0010 := range z.Unknown {
+				z.Unknown[za0010], err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Unknown", za0010)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -781,8 +838,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *LoadMore) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(17)
+	var zb0001Mask uint32 /* 17 bits */
 	_ = zb0001Mask
 	if z.Tokens == nil {
 		zb0001Len--
@@ -840,8 +897,20 @@
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
+	if z.Origins == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
+	if z.Lookups == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	if z.Unknown == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
 	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
+	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
 		return
 	}
@@ -1112,6 +1181,63 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// write "x"
+			err = en.Append(0xa1, 0x78)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Origins)))
+			if err != nil {
+				err = msgp.WrapError(err, "Origins")
+				return
+			}
+			for za0008 := range z.Origins {
+				err = z.Origins[za0008].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Origins", za0008)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// write "q"
+			err = en.Append(0xa1, 0x71)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Lookups)))
+			if err != nil {
+				err = msgp.WrapError(err, "Lookups")
+				return
+			}
+			for za0009 := range z.Lookups {
+				err = en.WriteUint64(z.Lookups[za0009])
+				if err != nil {
+					err = msgp.WrapError(err, "Lookups", za0009)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// write "u"
+			err = en.Append(0xa1, 0x75)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Unknown)))
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+			for za0010 := range z.Unknown {
+				err = en.WriteUint64(z.Unknown[za0010])
+				if err != nil {
+					err = msgp.WrapError(err, "Unknown", za0010)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -1120,8 +1246,8 @@
 func (z *LoadMore) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(17)
+	var zb0001Mask uint32 /* 17 bits */
 	_ = zb0001Mask
 	if z.Tokens == nil {
 		zb0001Len--
@@ -1179,8 +1305,20 @@
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
+	if z.Origins == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
+	if z.Lookups == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	if z.Unknown == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
 	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
@@ -1302,6 +1440,34 @@
 			o = append(o, 0xa1, 0x6f)
 			o = msgp.AppendUint32(o, z.Short)
 		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "x"
+			o = append(o, 0xa1, 0x78)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Origins)))
+			for za0008 := range z.Origins {
+				o, err = z.Origins[za0008].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Origins", za0008)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// string "q"
+			o = append(o, 0xa1, 0x71)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Lookups)))
+			for za0009 := range z.Lookups {
+				o = msgp.AppendUint64(o, z.Lookups[za0009])
+			}
+		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Unknown)))
+			for za0010 := range z.Unknown {
+				o = msgp.AppendUint64(o, z.Unknown[za0010])
+			}
+		}
 	}
 	return
 }
@@ -1565,6 +1731,63 @@
 				err = msgp.WrapError(err, "Short")
 				return
 			}
+		case "x":
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Origins")
+				return
+			}
+			if cap(z.Origins) >= int(zb0012) {
+				z.Origins = (z.Origins)[:zb0012]
+			} else {
+				z.Origins = make([]StreamOrigin, zb0012)
+			}
+			for za0008 := range z.Origins {
+				bts, err = z.Origins[za0008].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Origins", za0008)
+					return
+				}
+			}
+		case "q":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lookups")
+				return
+			}
+			if cap(z.Lookups) >= int(zb0013) {
+				z.Lookups = (z.Lookups)[:zb0013]
+			} else {
+				z.Lookups = make([]uint64, zb0013)
+			}
+			for za0009 := range z.Lookups {
+				z.Lookups[za0009], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Lookups", za0009)
+					return
+				}
+			}
+		case "u":
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+			if cap(z.Unknown) >= int(zb0014) {
+				z.Unknown = (z.Unknown)[:zb0014]
+			} else {
+				z.Unknown = make([]uint64, zb0014)
+			}
+			for za0010 := range z.Unknown {
+				z.Unknown[za0010], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Unknown", za0010)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1579,7 +1802,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LoadMore) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize + (len(z.Tokens) * (20 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize)) + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.ArrayHeaderSize + (len(z.Tokens) * (20 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize)) + 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Verdicts {
 		s += z.Verdicts[za0002].Msgsize()
 	}
@@ -1593,7 +1816,11 @@
 	for za0007 := range z.Standings {
 		s += z.Standings[za0007].Msgsize()
 	}
-	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize
+	for za0008 := range z.Origins {
+		s += z.Origins[za0008].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Lookups) * (msgp.Uint64Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Unknown) * (msgp.Uint64Size))
 	return
 }
 
@@ -1922,6 +2149,125 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *StreamOrigin) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Stream, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	z.Pool, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Pool")
+		return
+	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.KeepMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "KeepMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamOrigin) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Stream)
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	err = en.WriteString(z.Pool)
+	if err != nil {
+		err = msgp.WrapError(err, "Pool")
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteUint32(z.KeepMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "KeepMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamOrigin) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint64(o, z.Stream)
+	o = msgp.AppendString(o, z.Pool)
+	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendUint32(o, z.KeepMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamOrigin) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Stream, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	z.Pool, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pool")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.KeepMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "KeepMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamOrigin) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Pool) + msgp.StringPrefixSize + len(z.Version) + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *TenantNews) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
