Continue a stream that a caller takes up only at the version that began it

Callers saw: after their edge was killed they sent the request again with the last event they had, and the answer went on with events of another software version. Cause: Last-Event-Id was taken as it came; no process knew at which version a stream began at another edge, and Resumes was not read. Fix: before an edge passes on a stream's first event, it sends the origin, pool and version, to the first two stores in its order, which keep it in memory for as long as the caller can wait. A request that takes a stream up is bound to the origin known here or at a hub; it is asked for in two rounds, the two stores and then all. Edges send their origins again when these two stores change. Without an origin, the stream goes on only where the list has shown a single version for as long as the caller can have waited, or since this process first read it. Otherwise, and if the version has no worker, the request is rejected at once; Retry-After is sent only if a hub or the list may still answer. Bound requests are not queued: the head of the queue would hold up those that any worker can serve.

--- a/internal/balance/affinity_test.go
+++ b/internal/balance/affinity_test.go
@@ -26,7 +26,7 @@
 	got := map[string]int{}
 	for process := range 100 {
 		table := NewTable("z1", rand.New(rand.NewPCG(uint64(process), 1)))
-		table.Update(workerset.Of(list), nil)
+		table.Update(start, workerset.Of(list), nil)
 		got[table.Acquire(start, longPrompt("part")).Endpoint.ID]++
 	}
 	if len(got) > affinityCount {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -20,7 +20,7 @@
 
 func tableOf(workers ...wire.PoolWorker) *Table {
 	table := NewTable("z1", randv2.New(randv2.NewPCG(1, 1)))
-	table.Update(workerset.Of(workers), map[string]int64{"p": 100_000})
+	table.Update(start, workerset.Of(workers), map[string]int64{"p": 100_000})
 	return table
 }
 
@@ -32,8 +32,8 @@
 	table := tableOf(poolWorker("a", "z1"))
 	leaving := poolWorker("a", "z1")
 	leaving.Leaving = true
-	table.Update(workerset.Of([]wire.PoolWorker{leaving}), nil)
-	table.Update(workerset.Of([]wire.PoolWorker{poolWorker("a", "z1")}), nil)
+	table.Update(start, workerset.Of([]wire.PoolWorker{leaving}), nil)
+	table.Update(start, workerset.Of([]wire.PoolWorker{poolWorker("a", "z1")}), nil)
 	if lease := table.Acquire(start, &Request{Pool: "p"}); lease != nil || table.Usable("p") {
 		t.Error("a worker that is leaving got a request")
 	}
@@ -47,7 +47,7 @@
 	if table.Acquire(start, &Request{Pool: "p"}) != nil {
 		t.Error("a blocked worker got a request")
 	}
-	table.Update(workerset.Of([]wire.PoolWorker{poolWorker("b", "z1")}), nil)
+	table.Update(start, workerset.Of([]wire.PoolWorker{poolWorker("b", "z1")}), nil)
 	if table.Acquire(start, &Request{Pool: "p"}) == nil {
 		t.Error("the worker that replaced it got no request")
 	}
@@ -69,7 +69,7 @@
 			t.Errorf("round %d: the worker gets a request before its blocking time has passed", round)
 		}
 	}
-	table.Update(workerset.Of(nil), nil)
+	table.Update(start, workerset.Of(nil), nil)
 	if table.Acquire(start.Add(time.Hour), &Request{Pool: "p"}) != nil {
 		t.Error("a worker that is no longer listed got a request")
 	}
@@ -83,11 +83,11 @@
 	request := &Request{Pool: "p", Parts: []httpheader.Part{{ID: "x", Tokens: 500}, {ID: "own", Tokens: 5}}}
 	lease := table.Acquire(start, request)
 	old.Leaving = true
-	table.Update(workerset.Of([]wire.PoolWorker{old}), nil)
+	table.Update(start, workerset.Of([]wire.PoolWorker{old}), nil)
 	if table.Usable("p") {
 		t.Fatal("a worker that is leaving is usable")
 	}
-	table.Update(workerset.Of([]wire.PoolWorker{again}), nil)
+	table.Update(start, workerset.Of([]wire.PoolWorker{again}), nil)
 	next := table.Acquire(start, request)
 	if next == nil || next.Endpoint.ID != again.ID || len(next.worker.parts) != 1 || next.worker.inFlight != 1 {
 		t.Fatalf("lease at the new incarnation: %+v", next)
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -52,7 +52,7 @@
 	busiest := 0
 	for i := range edges {
 		table := NewTable("a", rand.New(rand.NewPCG(uint64(i), 1)))
-		table.Update(set, map[string]int64{"p": 20_000})
+		table.Update(start, set, map[string]int64{"p": 20_000})
 		table.Start(startTime)
 		if hasLoads {
 			table.SetPeerLoads(startTime, nil, ScopeAll)
--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -16,7 +16,7 @@
 // leaving, and one of a single worker.
 func forecastTable() *Table {
 	table := NewTable("z", rand.New(rand.NewPCG(1, 1)))
-	table.Update(workerset.Of([]wire.PoolWorker{
+	table.Update(start, workerset.Of([]wire.PoolWorker{
 		{ID: "a", Pool: "p", Zone: "z", Slots: 4},
 		{ID: "b", Pool: "p", Zone: "z", Slots: 4},
 		{ID: "c", Pool: "p", Zone: "z", Slots: 4, Leaving: true},
@@ -150,7 +150,7 @@
 	if sampled != 9 {
 		t.Errorf("%d slots sampled", sampled)
 	}
-	table.Update(workerset.Of([]wire.PoolWorker{{ID: "a", Pool: "p", Zone: "z", Slots: 3}}), nil)
+	table.Update(start, workerset.Of([]wire.PoolWorker{{ID: "a", Pool: "p", Zone: "z", Slots: 3}}), nil)
 	workers = table.Workers(start, noWait)
 	if got := table.Forecasts(&workers, []string{"p"})[0]; got.Slots != 3 || got.IdleSlots != 3 {
 		t.Errorf("listed with the reported number of slots: %+v", got)
--- a/internal/balance/free_test.go
+++ b/internal/balance/free_test.go
@@ -27,7 +27,7 @@
 		rows = append(rows, wire.PoolWorker{ID: fmt.Sprintf("w%d", number), Pool: "p", Zone: fmt.Sprintf("z%d", number%zones), Slots: freeSlots})
 	}
 	t := NewTable("z0", randv2.New(randv2.NewPCG(1, 2)))
-	t.Update(workerset.Of(rows), nil)
+	t.Update(start, workerset.Of(rows), nil)
 	return t
 }
 
@@ -106,7 +106,7 @@
 		rows = append(rows, wire.PoolWorker{ID: fmt.Sprintf("w%d", number), Pool: "p", Zone: zone, Slots: slots})
 	}
 	t := NewTable("z0", randv2.New(randv2.NewPCG(1, 2)))
-	t.Update(workerset.Of(rows), nil)
+	t.Update(start, workerset.Of(rows), nil)
 	setPeerOnline(t, online)
 	return t
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -22,6 +22,12 @@
 	zoneSlots map[string]int
 	// usableVersions is the number of usable workers by version.
 	usableVersions map[incarnation.Version]int
+	// listedVersions is the number of listed workers by version, whether usable or not.
+	listedVersions map[incarnation.Version]int
+	// soleVersion is the only version of the listed workers since soleSince, empty if there are
+	// several or an unknown one.
+	soleVersion incarnation.Version
+	soleSince   time.Time
 	// nearSlots is the number of slots in this process's zone.
 	nearSlots int
 	// medianInterval is the median time between events of the pool's workers. nearSum and farSum
@@ -73,7 +79,7 @@
 	w.inGroup = true
 	p.groupOf(t, w).add(w)
 	p.slots += w.listed.Slots
-	p.countVersion(w.version, 1)
+	changeCount(&p.usableVersions, w.version, 1)
 	p.addSlots(w.listed.Zone, w.listed.Slots)
 	if t.zoneDistance(w) == 0 {
 		p.nearSlots += w.listed.Slots
@@ -89,7 +95,7 @@
 	w.inGroup = false
 	p.groupOf(t, w).remove(w)
 	p.slots -= w.listed.Slots
-	p.countVersion(w.version, -1)
+	changeCount(&p.usableVersions, w.version, -1)
 	p.addSlots(w.listed.Zone, -w.listed.Slots)
 	if t.zoneDistance(w) == 0 {
 		p.nearSlots -= w.listed.Slots
--- a/internal/balance/sample_test.go
+++ b/internal/balance/sample_test.go
@@ -26,7 +26,7 @@
 	got := map[string]int{}
 	for process := range processes {
 		table := NewTable("z1", rand.New(rand.NewPCG(uint64(process), 1)))
-		table.Update(workerset.Of(list), nil)
+		table.Update(start, workerset.Of(list), nil)
 		table.SetPeerLoads(start, rows, ScopeAll)
 		got[table.Acquire(start.Add(50*time.Millisecond), &Request{Pool: "p"}).Endpoint.ID]++
 	}
@@ -81,7 +81,7 @@
 			got, near := map[string]int{}, 0
 			for process := range processes {
 				table := NewTable("z1", rand.New(rand.NewPCG(uint64(process), 1)))
-				table.Update(workerset.Of(list), nil)
+				table.Update(start, workerset.Of(list), nil)
 				table.SetPeerLoads(start, rows, ScopeAll)
 				id := table.Acquire(start.Add(100*time.Millisecond), &Request{Pool: "p"}).Endpoint.ID
 				got[id]++
@@ -142,7 +142,7 @@
 			rows = append(rows, wire.WorkerLoad{Worker: loadshare.Hash(row.ID), Online: online[row.ID], Rate: 100})
 		}
 		table := NewTable("z1", rand.New(rand.NewPCG(uint64(process), 1)))
-		table.Update(workerset.Of(list), nil)
+		table.Update(start, workerset.Of(list), nil)
 		table.SetPeerLoads(start, rows, ScopeZone)
 		online[table.Acquire(start.Add(time.Millisecond), &Request{Pool: "p"}).Endpoint.ID]++
 	}
--- a/internal/balance/size_test.go
+++ b/internal/balance/size_test.go
@@ -24,7 +24,7 @@
 
 func fleetTable(count int) *Table {
 	table := NewTable("z1", rand.New(rand.NewPCG(1, 1)))
-	table.Update(workerset.Of(fleetRows(count)), map[string]int64{"p": 100_000})
+	table.Update(start, workerset.Of(fleetRows(count)), map[string]int64{"p": 100_000})
 	return table
 }
 
@@ -83,7 +83,7 @@
 			left[loadshare.Hash(row.ID)] = true
 		}
 		rows = rows[100:]
-		table.Update(workerset.Of(rows), nil)
+		table.Update(start, workerset.Of(rows), nil)
 		workers := table.Workers(start, func(string) time.Duration { return 0 })
 		for _, w := range append(workers.Busy, workers.Sample(1000)...) {
 			if left[w.ShortName] {
@@ -194,7 +194,7 @@
 			slots++
 			changed := fleetRows(1)
 			changed[0].Slots = slots
-			table.Update(set.With(changed, nil), nil)
+			table.Update(start, set.With(changed, nil), nil)
 		}
 	})
 }
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -84,12 +84,15 @@
 
 // Update applies the list of workers, and the number of tokens that a worker of each pool holds.
 // A worker that is no longer listed gets no new requests; running ones continue.
-func (t *Table) Update(set *workerset.Set, memory map[string]int64) {
+func (t *Table) Update(now time.Time, set *workerset.Set, memory map[string]int64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.memory = memory
 	set.Diff(t.set, t.addWorker, t.removeWorker)
 	t.set = set
+	for _, p := range t.pools {
+		p.updateSoleVersion(now)
+	}
 }
 
 // addWorker applies a new or changed row of the list.
@@ -101,6 +104,7 @@
 		t.workers[row.ID], t.byHash[hash] = w, w
 	} else {
 		t.pools[w.listed.Pool].remove(t, w)
+		changeCount(&t.pools[w.listed.Pool].listedVersions, w.version, -1)
 	}
 	if w.listed.Address != row.Address && !w.blockedUntil.IsZero() {
 		// Another worker answered at the previous address; the new one may be right.
@@ -114,6 +118,7 @@
 	if t.pools[row.Pool] == nil {
 		t.pools[row.Pool] = &pool{}
 	}
+	changeCount(&t.pools[row.Pool].listedVersions, w.version, 1)
 	if w.usable() {
 		t.pools[row.Pool].add(t, w)
 	}
@@ -126,6 +131,7 @@
 		return
 	}
 	t.pools[w.listed.Pool].remove(t, w)
+	changeCount(&t.pools[w.listed.Pool].listedVersions, w.version, -1)
 	delete(t.workers, row.ID)
 	delete(t.fewerSlots, w)
 	if t.byHash[w.hash] == w {
--- a/internal/balance/times_test.go
+++ b/internal/balance/times_test.go
@@ -147,7 +147,7 @@
 		for edge := range edges {
 			table := NewTable("z0", rand.New(rand.NewPCG(uint64(edge), 1)))
 			table.scoring = scoringPredictedTime
-			table.Update(workerset.Of(list), nil)
+			table.Update(start, workerset.Of(list), nil)
 			table.SetPeerLoads(start, rows, ScopeAll)
 			got[table.Acquire(start.Add(50*time.Millisecond), &Request{Pool: "p"}).Endpoint.ID]++
 		}
--- a/internal/balance/uneven_test.go
+++ b/internal/balance/uneven_test.go
@@ -157,7 +157,7 @@
 		zone := edge % zones
 		table := NewTable(fmt.Sprintf("z%d", zone), rand.New(rand.NewPCG(seed, uint64(edge))))
 		table.scoring = scenario.scoring
-		table.Update(set, map[string]int64{"p": 100_000})
+		table.Update(start, set, map[string]int64{"p": 100_000})
 		f.tables, f.zones = append(f.tables, table), append(f.zones, zone)
 	}
 	return f
@@ -283,7 +283,7 @@
 	}
 	set := workerset.Of(rows)
 	for _, table := range f.tables {
-		table.Update(set, map[string]int64{"p": 100_000})
+		table.Update(start, set, map[string]int64{"p": 100_000})
 	}
 }
 
--- a/internal/balance/version.go
+++ b/internal/balance/version.go
@@ -1,19 +1,56 @@
 package balance
 
-import "github.com/sedgemast/sedgemast/internal/incarnation"
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/incarnation"
+)
 
 // fitsVersion reports whether the worker has the version that the request needs.
 func (r *Request) fitsVersion(w *worker) bool { return r.Version == "" || w.version == r.Version }
 
-// countVersion changes the number of usable workers of a version.
-func (p *pool) countVersion(version incarnation.Version, change int) {
-	if p.usableVersions == nil {
-		p.usableVersions = map[incarnation.Version]int{}
+// changeCount changes the number of workers of a version.
+func changeCount(counts *map[incarnation.Version]int, version incarnation.Version, change int) {
+	if *counts == nil {
+		*counts = map[incarnation.Version]int{}
+	}
+	(*counts)[version] += change
+	if (*counts)[version] == 0 {
+		delete(*counts, version)
+	}
+}
+
+// updateSoleVersion updates the only version of the pool's listed workers after a change of the list.
+func (p *pool) updateSoleVersion(now time.Time) {
+	sole := incarnation.Version("")
+	if len(p.listedVersions) == 1 {
+		for version := range p.listedVersions {
+			sole = version
+		}
 	}
-	p.usableVersions[version] += change
-	if p.usableVersions[version] == 0 {
-		delete(p.usableVersions, version)
+	if sole != p.soleVersion {
+		p.soleVersion, p.soleSince = sole, now
+	}
+}
+
+// SoleVersion returns the version of all listed workers of the pool and since when they all have it.
+// The version is empty if there are several or an unknown one.
+func (t *Table) SoleVersion(pool string) (version incarnation.Version, since time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	p := t.pools[pool]
+	if p == nil {
+		return "", time.Time{}
 	}
+	return p.soleVersion, p.soleSince
+}
+
+// VersionListed reports whether the list has a worker of the version in the pool, usable or not.
+func (t *Table) VersionListed(pool string, version incarnation.Version) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	p := t.pools[pool]
+	return p != nil && p.listedVersions[version] > 0
 }
 
 // VersionUsable reports whether the pool has a usable worker of the request's version that the
--- a/internal/balance/version_test.go
+++ b/internal/balance/version_test.go
@@ -61,9 +61,9 @@
 	table.Acquire(start, &Request{Pool: "p", Version: "v1", Exclude: map[string]bool{a.ID: true}}).RecordWrongWorker(start)
 	check("the other one is blocked", request(), a.ID, false)
 	b.Leaving = true
-	table.Update(workerset.Of([]wire.PoolWorker{a, b, other}), nil)
+	table.Update(start, workerset.Of([]wire.PoolWorker{a, b, other}), nil)
 	check("the other one is leaving", request(), a.ID, false)
 	check("without exception", request(), "", true)
-	table.Update(workerset.Of([]wire.PoolWorker{other}), nil)
+	table.Update(start, workerset.Of([]wire.PoolWorker{other}), nil)
 	check("none listed", request(), "", false)
 }
--- a/internal/balance/wave_test.go
+++ b/internal/balance/wave_test.go
@@ -102,7 +102,7 @@
 		f.hubs = append(f.hubs, loadshare.NewHub())
 		for range zoneEdges {
 			table := NewTable(fmt.Sprintf("z%d", zone), rand.New(rand.NewPCG(seed, uint64(len(f.tables)))))
-			table.Update(set, nil)
+			table.Update(start, set, nil)
 			f.tables = append(f.tables, table)
 		}
 	}
--- a/internal/batchstore/forecast_test.go
+++ b/internal/batchstore/forecast_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/batchroom"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
@@ -137,7 +138,7 @@
 		rows = append(rows, wire.PoolWorker{ID: id, Pool: "p", Zone: "z", Slots: slots})
 		running[loadshare.WorkerHash(id)] = items
 	}
-	r.store.workers.Update(workerset.Of(rows), nil)
+	r.store.workers.Update(clock.Now(), workerset.Of(rows), nil)
 	table := tenantTable()
 	planAt := func(at time.Duration) (stops, maxAtOneWorker int) {
 		count := low
--- a/internal/batchstore/loads.go
+++ b/internal/batchstore/loads.go
@@ -132,6 +132,9 @@
 func (s *Store) serveLoads(ctx context.Context) {
 	err := loadshare.Serve(ctx, s.daemon.Address(), func(report *wire.LoadReport) *wire.LoadReport {
 		now := clock.Now()
+		if isOriginReport(report) {
+			return s.origins.answer(now, report)
+		}
 		err := s.groups[hubGroup].read(func(storage.Reader) error { return nil })
 		s.loads.hubsMutex.Lock()
 		defer s.loads.hubsMutex.Unlock()
--- a/internal/batchstore/probe_test.go
+++ b/internal/batchstore/probe_test.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/settings"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -29,7 +30,7 @@
 	}
 	set := workerset.Of(rows)
 	s.loads.setWorkers(set, "z")
-	s.workers.Update(set, nil)
+	s.workers.Update(clock.Now(), set, nil)
 	failing := loadshare.Hash("w0")
 	s.loads.topHub.ApplyReport(start, &wire.LoadReport{Source: 9, Workers: []wire.WorkerLoad{{Worker: failing, Failed: 5}}})
 	const recoversAfter, step = time.Second, 20 * time.Millisecond
--- a/internal/batchstore/runner_test.go
+++ b/internal/batchstore/runner_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -31,7 +32,7 @@
 		workers: balance.NewTable("z", rand.New(rand.NewPCG(1, 1))),
 		watcher: fleetwatch.New(logging.Discard(), nil, []string{"127.0.0.1:1"}, nil),
 	}
-	s.workers.Update(workerset.Of([]wire.PoolWorker{{ID: "w", Pool: "p", Zone: "z", Slots: slots}}), nil)
+	s.workers.Update(clock.Now(), workerset.Of([]wire.PoolWorker{{ID: "w", Pool: "p", Zone: "z", Slots: slots}}), nil)
 	submit := &wire.SubmitBatch{ID: "j", Route: "r", Host: "h"}
 	for i := range items {
 		submit.Items = append(submit.Items, wire.BatchItem{ID: fmt.Sprint(i), Path: "/"})
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/pebble/v2/vfs"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
@@ -53,6 +54,7 @@
 	identity    wire.Hello
 	metrics     *metrics
 	loads       *loads
+	origins     *origins
 	runTimes    runTimes
 	client      *rpc.Client
 
@@ -79,6 +81,7 @@
 		upstream:    upstream.NewClient(names),
 		headerNames: names,
 		loads:       newLoads(config.RateTolerance.Limits()),
+		origins:     newOrigins(),
 		client:      rpc.NewClient(),
 		metrics:     newMetrics(d.Registry),
 		changed:     make(chan struct{}),
@@ -165,7 +168,7 @@
 
 // applySnapshot applies a new snapshot of the fleet.
 func (s *Store) applySnapshot(snapshot *fleetwatch.Snapshot) {
-	s.workers.Update(snapshot.Workers, snapshot.Table.MemoryTokens())
+	s.workers.Update(clock.Now(), snapshot.Workers, snapshot.Table.MemoryTokens())
 	s.loads.setWorkers(snapshot.Workers, s.settings.Zone)
 	s.loads.setLimits(snapshot)
 	s.loads.setGroupCount(s.groupCount())
--- a/internal/batchstore/task_test.go
+++ b/internal/batchstore/task_test.go
@@ -40,7 +40,7 @@
 	s.metrics = newMetrics(prometheus.NewRegistry())
 	s.headerNames = &httpheader.Names{NotRun: "Not-Run", Load: "Load", RequestID: "Request-Id", ExpectWorker: "Expect-Worker", LastEvent: "Last-Event"}
 	s.upstream = upstream.NewClient(s.headerNames)
-	s.workers.Update(workerset.Of([]wire.PoolWorker{
+	s.workers.Update(clock.Now(), workerset.Of([]wire.PoolWorker{
 		{ID: "w", Pool: "p", Zone: "z", Slots: slots, Address: address},
 		{ID: "x", Pool: "p", Zone: "z", Slots: slots},
 		{ID: "y", Pool: "p", Zone: "z", Slots: slots},
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -130,7 +130,7 @@
 	if last, err := strconv.ParseInt(header.Get(e.headerNames.LastEvent), 10, 64); err == nil {
 		c.lastEventID, c.hasLastEvent = last, true
 	}
-	c.stream = streamState{resumes: header.Get(e.headerNames.Resumes), resumedAfter: c.lastEventID, resumed: c.hasLastEvent}
+	c.stream = e.newStreamState(header, c.lastEventID, c.hasLastEvent)
 	return c
 }
 
@@ -160,7 +160,7 @@
 // run makes attempts until the caller has an answer.
 func (c *call) run() {
 	c.recordArrival()
-	if c.rejectedByQuarantine() || c.rejectedByLimit() {
+	if c.rejectedByQuarantine() || c.rejectedByOrigin() || c.rejectedByLimit() {
 		return
 	}
 	for c.canAttempt() {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,8 @@
 	started time.Time
 	// gate holds requests that arrived before the configuration and the workers were known.
 	gate *startGate
+	// origins holds the origins of the streams that this process passed on.
+	origins *streamOrigins
 	// stallDetector detects that this process did not run for a while.
 	stallDetector *stall.Detector
 	// startedRequests counts requests that began to run. shortages counts requests that found no
@@ -102,6 +105,7 @@
 		shareFallback:   fairshare.NewFallback(),
 		started:         clock.Now(),
 		gate:            newStartGate(),
+		origins:         newStreamOrigins(),
 
 		stallDetector: stall.New(clock.Now()),
 	}
@@ -175,7 +179,7 @@
 // full or partial list of workers, and remains ready when the coordinators can't be reached.
 func (e *Edge) applySnapshot(snapshot *fleetwatch.Snapshot) {
 	e.setHubs(snapshot.Fleet.Stores)
-	e.workers.Update(snapshot.Workers, snapshot.Table.MemoryTokens())
+	e.workers.Update(clock.Now(), snapshot.Workers, snapshot.Table.MemoryTokens())
 	e.upstream.CloseIdle(e.workers.Contains)
 	e.retainTenants(snapshot.Table)
 	listed := snapshot.Fleet.Listed || snapshot.Fleet.Partial
@@ -190,10 +194,14 @@
 	}
 }
 
-// setHubs sets the hubs from the list of live stores.
+// setHubs sets the hubs from the list of live stores. If other hubs keep the origins of streams from
+// now on, or one of them has restarted, they get the origins known here.
 func (e *Edge) setHubs(stores []wire.ProcessAddress) {
 	hubs := loadshare.HubOrder(e.settings.Zone, stores)
-	e.hubs.Store(&hubs)
+	before := e.hubs.Swap(&hubs)
+	if before != nil && !slices.Equal(loadshare.OriginHubs(*before), loadshare.OriginHubs(hubs)) {
+		e.loads.SendOrigins(e.origins.rows())
+	}
 }
 
 // retainTenants drops the state and the counters of tenants that were removed from the
@@ -290,6 +298,8 @@
 	held *prometheus.CounterVec
 	// probes counts requests sent to avoided workers.
 	probes prometheus.Counter
+	// resumed counts requests of callers that take up a stream.
+	resumed *prometheus.CounterVec
 	// continued counts workers that continued a stream which another worker began, by who resumed
 	// the stream and by the worker's version.
 	continued *prometheus.CounterVec
@@ -315,12 +325,13 @@
 		quarantined:   prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		held:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_held_total", Help: "Requests that came before the configuration or the workers were known, by what they needed and what came of it."}, []string{"need", "outcome"}),
 		probes:        prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_probes_total", Help: "Requests sent to avoided workers to learn whether these are well again."}),
+		resumed:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_resumed_requests_total", Help: "Requests of callers that take up a stream, by how its origin was found: local, hub, sole (one version is listed); unknown and gone are rejected."}, []string{"origin"}),
 		continued:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_continued_streams_total", Help: "Streams that went on at another worker, by who resumed them (edge, caller) and by that worker's software version compared with the one that began them (same, other, unknown)."}, []string{"by", "version"}),
 		choices:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_choices_total", Help: "Workers chosen, by their zone (own, other) and by how they were compared (cost, times)."}, []string{"zone", "by"}),
 		stalls:        prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_standstills_total", Help: "Times for which this process stood still."}),
 		firstByteTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		responseTime:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.workerExits, m.quarantined, m.held, m.firstByteTime, m.responseTime, m.probes, m.continued, m.choices, m.stalls, m.capacity, m.queued, m.queueTime, m.queueLength)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.workerExits, m.quarantined, m.held, m.firstByteTime, m.responseTime, m.probes, m.resumed, m.continued, m.choices, m.stalls, m.capacity, m.queued, m.queueTime, m.queueLength)
 	return m
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -17,6 +17,7 @@
 	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpheader"
+	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/rpc/rpctest"
@@ -70,7 +71,7 @@
 	var listed []wire.PoolWorker
 	for i, worker := range workers {
 		pool := route.Parts[min(i, len(route.Parts)-1)].Pool
-		listed = append(listed, wire.PoolWorker{ID: worker.ID, Pool: pool, Address: worker.Address(), Slots: worker.Slots})
+		listed = append(listed, wire.PoolWorker{ID: incarnation.Name(worker.ID, 0, incarnation.Version(worker.Version)), Pool: pool, Address: worker.Address(), Slots: worker.Slots})
 	}
 	for _, part := range route.Parts {
 		configuration.Pools = append(configuration.Pools, routetable.Pool{Name: part.Pool})
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -52,7 +52,7 @@
 	for _, id := range []string{"b", "c"} {
 		rows = append(rows, wire.PoolWorker{ID: id, Pool: "p", Zone: "z", Slots: 4})
 	}
-	table.Update(workerset.Of(rows), nil)
+	table.Update(clock.Now(), workerset.Of(rows), nil)
 	now := clock.Now()
 	avoided := loadshare.Hash("a")
 	table.SetPeerLoads(now, []wire.WorkerLoad{{Worker: avoided, Failing: true}}, balance.ScopeAll)
--- a/internal/edge/waiting.go
+++ b/internal/edge/waiting.go
@@ -10,9 +10,10 @@
 )
 
 // selectWorker finds a worker for an attempt. It returns no lease if there is no worker or if the
-// caller already has its final answer; done is set in the second case.
+// caller already has its final answer; done is set in the second case. A request bound to a version is
+// not queued, because it would hold up requests that any worker can serve.
 func (c *call) selectWorker() (lease *balance.Lease, done bool) {
-	if c.attempts == 0 && c.failedDials == 0 && c.edge.usesQueue(c.demand.Pool) {
+	if c.attempts == 0 && c.failedDials == 0 && !c.stream.bound && c.edge.usesQueue(c.demand.Pool) {
 		return c.selectQueued()
 	}
 	lease = c.acquire()
--- a/internal/loadshare/datagrams.go
+++ b/internal/loadshare/datagrams.go
@@ -106,11 +106,13 @@
 	tokenWaiters map[uint64]chan wire.TokenVerdict
 	// standings holds the answers to capacity claims by ticket, nil until the hub sends a standing.
 	standings map[uint64]*wire.RoomStanding
+	// lookups holds the lookups of origins in progress, by stream.
+	lookups map[uint64][]chan originAnswer
 }
 
 // NewExchange returns an exchange that starts when Run is called.
 func NewExchange(r *Reporter) *Exchange {
-	return &Exchange{reporter: r, startedAt: clock.Now(), hubs: hubSelector{preferFirst: r.PreferFirst}, answerReceived: make(chan struct{}), replies: replyTracker{timeout: replyTimeout}, tokenWaiters: map[uint64]chan wire.TokenVerdict{}, standings: map[uint64]*wire.RoomStanding{}}
+	return &Exchange{reporter: r, startedAt: clock.Now(), hubs: hubSelector{preferFirst: r.PreferFirst}, answerReceived: make(chan struct{}), replies: replyTracker{timeout: replyTimeout}, tokenWaiters: map[uint64]chan wire.TokenVerdict{}, standings: map[uint64]*wire.RoomStanding{}, lookups: map[uint64][]chan originAnswer{}}
 }
 
 // Run sends reports at the reporter's intervals until ctx ends. It returns an error if no socket
@@ -390,6 +392,10 @@
 			x.handleReferral(report.Hub)
 			continue
 		}
+		if isOriginAnswer(report) {
+			x.handleOrigins(net.UDPAddrFromAddrPort(sender), report)
+			continue
+		}
 		x.reporter.OnAnswer(clock.Now(), report)
 		x.handleAnswer(report)
 	}
--- a/test/versions_test.go
+++ b/test/versions_test.go
@@ -78,6 +78,7 @@
 func TestRetryGoesOnAtAnotherVersion(t *testing.T) {
 	const streams, tokens = 16, 200
 	f, edges := newFleetOfVersions(t)
+	f.awaitOrigins(t, edges)
 	broken := make(chan brokenStream, streams)
 	var begun, clients sync.WaitGroup
 	begun.Add(streams)
@@ -101,6 +102,8 @@
 			}
 			if err == nil && status == http.StatusOK && last+strings.Count(rest, "\n\n") == tokens {
 				goOn.Add(1)
+			} else {
+				t.Logf("stream %s, taken up after event %d: %d, %v: %.300s", stream.id, last, status, err, rest)
 			}
 		})
 	}
@@ -110,6 +113,19 @@
 	}
 }
 
+// awaitOrigins waits until the second edge knows where a stream of the first one began, which means
+// that both know the stores.
+func (f *hostedFleet) awaitOrigins(t *testing.T, edges []string) {
+	tries := 0
+	eventually(t, "a stream taken up at the other edge", func() bool {
+		tries++
+		id := fmt.Sprintf("first-%d", tries)
+		_, _, _, err := f.call(http.MethodPost, edges[0], "/stream/a", map[string]string{"Request-Id": id, "Token-Count": "10,2"}, "p")
+		status, _, _, _ := f.call(http.MethodPost, edges[1], "/stream/a", resumeHeaders(id, 2, 1), "p")
+		return err == nil && status == http.StatusOK
+	})
+}
+
 // resumeHeaders returns the headers of a request that takes up a stream after the event last.
 func resumeHeaders(id string, tokens, last int) map[string]string {
 	return map[string]string{
