Continue an item only at the version of its text, and start it again if that is gone

Callers saw: results of batch jobs with text of two software versions, complete and in order. Cause: a store continued an item from its progress, in memory or in the log, at any worker. Fix: progress names its version, and only workers of that version continue it. If none is usable, or none had room for as long as the text took to write, the item starts again. The log could only append to a text, so a new start could not be recorded; now progress is saved apart from results, may be replaced by a new chain, and each result is recorded with its whole text.

--- a/internal/batchstate/keys.go
+++ b/internal/batchstate/keys.go
@@ -8,6 +8,7 @@
 	sectionContent  = 'c'
 	sectionProgress = 'p'
 	sectionResult   = 'r'
+	sectionSaved    = 's'
 )
 
 func prefix(section byte, id string) []byte {
@@ -29,6 +30,14 @@
 	return binary.BigEndian.AppendUint32(itemProgressPrefix(id, item), uint32(from))
 }
 
+func savedPrefix(id string) []byte               { return prefix(sectionSaved, id) }
+func itemSavedPrefix(id string, item int) []byte { return numberedKey(sectionSaved, id, item) }
+
+// savedKey returns the key of the part of an item's saved text that follows its first from events.
+func savedKey(id string, item, from int) []byte {
+	return binary.BigEndian.AppendUint32(itemSavedPrefix(id, item), uint32(from))
+}
+
 func resultPrefix(id string) []byte                    { return prefix(sectionResult, id) }
 func resultKey(id string, position int) []byte         { return numberedKey(sectionResult, id, position) }
 func sectionBounds(section byte) (lower, upper []byte) { return []byte{section}, []byte{section + 1} }
--- a/internal/batchstate/machine.go
+++ b/internal/batchstate/machine.go
@@ -21,6 +21,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -60,14 +61,24 @@
 	State    wire.ItemState
 	// Failures is the number of attempts that failed.
 	Failures int
-	// Events and LastEvent are the number of events in Text and the id of the last one. Text
-	// is kept until there is a result.
+	// Saved is the progress from which a run may continue the item, until there is a result.
+	// Recorded is the progress of an item that a build before wire.BatchCommand.Save ran: its text
+	// is the beginning of the result, whatever follows. Saved is unused then.
+	Saved    Progress
+	Recorded Progress
+}
+
+// Progress is the beginning of an item's text.
+type Progress struct {
+	// Events and LastEvent are the number of events in Text and the id of the last one.
 	Events    int
 	LastEvent int64
 	Text      string
 	// Chain identifies the chain of runs that the text comes from. A chain is a series of runs at
 	// one store, each of which continued from the run before it.
 	Chain uint64
+	// Version is the software version of the workers that wrote the text, empty if unknown.
+	Version incarnation.Version
 }
 
 // Open reports whether the job still takes results.
@@ -108,10 +119,17 @@
 	switch {
 	case command.Submit != nil:
 		return m.submit(command.Submit, result)
-	case command.Record != nil:
-		for i := range command.Record.Items {
-			if !m.record(&command.Record.Items[i]) {
-				result.Dropped = append(result.Dropped, i)
+	case command.Record != nil || command.Save != nil:
+		if command.Save != nil {
+			for i := range command.Save.Items {
+				m.save(&command.Save.Items[i])
+			}
+		}
+		if command.Record != nil {
+			for i := range command.Record.Items {
+				if !m.record(&command.Record.Items[i]) {
+					result.Dropped = append(result.Dropped, i)
+				}
 			}
 		}
 	case command.End != nil:
@@ -181,6 +199,8 @@
 		m.put(contentKey(submit.ID, i), &wire.ItemContent{Path: item.Path, Headers: item.Headers, Body: item.Body})
 	}
 	m.jobs[submit.ID] = job
+	// A build that doesn't know Save leaves saved progress behind when it forgets a job of this id.
+	m.removeAll(savedPrefix(submit.ID))
 	m.put(jobKey(submit.ID), &meta)
 	return nil
 }
@@ -203,25 +223,54 @@
 	j.Items = append(j.Items, Item{ID: row.ID, Tokens: row.Tokens, Expected: row.Expected})
 }
 
-// record applies the record of one item and reports whether it was accepted. Records that come
-// too late, or that don't continue from the item's state, are dropped.
-func (m *Machine) record(record *wire.ItemRecord) bool {
+// waitingItem returns the item of a record, or nil if it has a result or can't get one any more.
+func (m *Machine) waitingItem(record *wire.ItemRecord) (*Job, *Item) {
 	job := m.jobs[record.Job]
 	if job == nil || job.Ended || record.Item < 0 || record.Item >= len(job.Items) {
-		return false
+		return nil, nil
 	}
 	item := &job.Items[record.Item]
 	if item.State != wire.ItemWaiting {
+		return nil, nil
+	}
+	return job, item
+}
+
+// save applies a record of progress. Records that come too late, or that don't continue from the
+// saved progress, are dropped.
+func (m *Machine) save(record *wire.ItemRecord) {
+	job, item := m.waitingItem(record)
+	if item == nil {
+		return
+	}
+	item.Failures = max(item.Failures, record.Failures)
+	restarts := record.Restarts && record.Opens && record.From == 0
+	if item.Recorded.Events > 0 || !restarts && !item.Saved.follows(record) {
+		return
+	}
+	if restarts {
+		item.Saved = Progress{}
+		m.removeAll(itemSavedPrefix(job.ID, record.Item))
+	}
+	item.Saved.appendRecord(record)
+	m.put(savedKey(job.ID, record.Item, record.From), record)
+}
+
+// record applies the record of one item and reports whether it was accepted. Records that come
+// too late, or that don't continue from the item's state, are dropped.
+func (m *Machine) record(record *wire.ItemRecord) bool {
+	job, item := m.waitingItem(record)
+	if item == nil {
 		return false
 	}
 	item.Failures = max(item.Failures, record.Failures)
 	switch {
 	case record.State == wire.ItemAbandoned:
 		m.finish(job, item, record)
-	case !item.follows(record):
+	case !item.Recorded.follows(record):
 		return false
 	case record.State == wire.ItemWaiting:
-		item.appendRecord(record)
+		item.Recorded.appendRecord(record)
 		m.put(progressKey(job.ID, record.Item, record.From), record)
 	default:
 		m.finish(job, item, record)
@@ -229,34 +278,40 @@
 	return true
 }
 
-// follows reports whether the record continues from the item's state. The record must continue from
-// the item's last event, and it must belong either to the chain of runs that wrote that event or to
-// a new chain that began there. An equal number of events is not enough, because the records of two
-// chains may be interleaved.
-func (i *Item) follows(record *wire.ItemRecord) bool {
-	return record.From == i.Events && (record.Opens || record.Chain == i.Chain)
+// follows reports whether the record continues from the progress. The record must continue from the
+// last event, and it must belong either to the chain of runs that wrote that event or to a new chain
+// that began there. An equal number of events is not enough, because the records of two chains may
+// be interleaved.
+func (p *Progress) follows(record *wire.ItemRecord) bool {
+	return record.From == p.Events && (record.Opens || record.Chain == p.Chain)
 }
 
-func (i *Item) appendRecord(record *wire.ItemRecord) {
-	i.Events, i.LastEvent, i.Chain = record.Events, record.LastEvent, record.Chain
-	i.Text += record.Text
+func (p *Progress) appendRecord(record *wire.ItemRecord) {
+	p.Events, p.LastEvent, p.Chain = record.Events, record.LastEvent, record.Chain
+	p.Version = incarnation.Version(record.Version)
+	p.Text += record.Text
 }
 
 func (m *Machine) finish(job *Job, item *Item, record *wire.ItemRecord) {
 	stored := *record
 	stored.From = 0
-	stored.Text = item.Text + record.Text
+	stored.Text = item.Recorded.Text + record.Text
 	if stored.State == wire.ItemAbandoned {
 		stored.Text = ""
 	}
-	item.State, item.Text = record.State, ""
+	item.State = record.State
+	item.dropProgress()
 	m.addWaiting(job, -item.Tokens)
 	m.put(resultKey(job.ID, job.Results), &stored)
 	job.Results++
 	m.removeAll(itemProgressPrefix(job.ID, record.Item))
+	m.removeAll(itemSavedPrefix(job.ID, record.Item))
 	m.remove(contentKey(job.ID, record.Item))
 }
 
+// dropProgress drops the texts, which are of no use once the item has a result or its job has ended.
+func (i *Item) dropProgress() { i.Saved.Text, i.Recorded.Text = "", "" }
+
 func (m *Machine) end(id string) error {
 	job := m.jobs[id]
 	if job == nil {
@@ -268,7 +323,7 @@
 	m.releaseTokens(job)
 	job.Ended = true
 	for i := range job.Items {
-		job.Items[i].Text = ""
+		job.Items[i].dropProgress()
 	}
 	meta := wire.BatchMeta{ID: id, Route: job.Route, Host: job.Host, Owner: string(job.Owner), Order: job.Sequence, Ended: true}
 	for i := range job.Items {
@@ -277,6 +332,7 @@
 	m.put(jobKey(id), &meta)
 	m.removeAll(contentPrefix(id))
 	m.removeAll(progressPrefix(id))
+	m.removeAll(savedPrefix(id))
 	return nil
 }
 
@@ -302,6 +358,7 @@
 	m.remove(jobKey(id))
 	m.removeAll(contentPrefix(id))
 	m.removeAll(progressPrefix(id))
+	m.removeAll(savedPrefix(id))
 	m.removeAll(resultPrefix(id))
 }
 
--- a/internal/batchstate/machine_test.go
+++ b/internal/batchstate/machine_test.go
@@ -49,6 +49,10 @@
 	return &wire.BatchCommand{Record: &wire.RecordItems{Items: []wire.ItemRecord{{Job: id, Item: item, State: state, Text: text}}}}
 }
 
+func saveCommand(records ...wire.ItemRecord) *wire.BatchCommand {
+	return &wire.BatchCommand{Save: &wire.RecordItems{Items: records}}
+}
+
 func TestQuotaCountsWaitingTokens(t *testing.T) {
 	machine, store := New(), storage.NewMemory()
 	mustApply(t, machine, store, submitCommand("a", 2, 40, 100))
@@ -109,7 +113,7 @@
 		t.Fatal(err)
 	}
 	found, err := machine.Job("a")
-	if err != nil || found.Items[0].Events != 2 || found.Items[0].Text != "one\ntwo" || found.Items[0].Failures != 1 {
+	if err != nil || found.Items[0].Recorded.Events != 2 || found.Items[0].Recorded.Text != "one\ntwo" || found.Items[0].Failures != 1 {
 		t.Fatalf("%+v, %v", found, err)
 	}
 	record(2, 3, "\nthree", wire.ItemWaiting)
@@ -189,6 +193,9 @@
 				if err := restored.Restore(store); err != nil {
 					return err
 				}
+				if err := sameProgress(machine, restored); err != nil {
+					return errors.Wrapf(err, "step %d", step)
+				}
 				machine = restored
 			}
 			if err := seen.check(machine, store); err != nil {
@@ -199,11 +206,27 @@
 	})
 }
 
+// sameProgress returns an error if the items of a restored machine have other texts.
+func sameProgress(machine, restored *Machine) error {
+	for id, job := range machine.jobs {
+		for number := range job.Items {
+			before, after := &job.Items[number], &restored.jobs[id].Items[number]
+			if !job.Ended && before.State == wire.ItemWaiting && (before.Saved != after.Saved || before.Recorded.Events != after.Recorded.Events || before.Failures != after.Failures) {
+				return fmt.Errorf("item %d of %s was %+v and is restored as %+v", number, id, before, after)
+			}
+		}
+	}
+	return nil
+}
+
 func randomCommand(random *rand.Rand) *wire.BatchCommand {
 	id := fmt.Sprintf("job-%d", random.Intn(4))
-	switch random.Intn(8) {
+	switch random.Intn(10) {
 	case 0, 1:
 		return submitCommand(id, 1+random.Intn(4), int64(random.Intn(50)), 150)
+	case 8, 9:
+		from := random.Intn(3)
+		return saveCommand(wire.ItemRecord{Job: id, Item: random.Intn(5) - 1, From: from, Events: from + 1, Text: fmt.Sprint(random.Intn(100)), Chain: uint64(random.Intn(3)), Opens: random.Intn(2) == 0, Restarts: random.Intn(4) == 0})
 	case 2:
 		if random.Intn(3) == 0 {
 			return &wire.BatchCommand{End: &wire.BatchName{ID: id}}
--- a/internal/batchstate/read.go
+++ b/internal/batchstate/read.go
@@ -18,6 +18,9 @@
 	if err := m.restoreRecords(reader, sectionProgress, (*Job).restoreProgress); err != nil {
 		return err
 	}
+	if err := m.restoreRecords(reader, sectionSaved, (*Job).restoreSaved); err != nil {
+		return err
+	}
 	if err := m.restoreRecords(reader, sectionResult, (*Job).restoreResult); err != nil {
 		return err
 	}
@@ -73,11 +76,21 @@
 func (j *Job) restoreProgress(record *wire.ItemRecord) {
 	item := &j.Items[record.Item]
 	item.Failures = max(item.Failures, record.Failures)
-	item.appendRecord(record)
+	item.Recorded.appendRecord(record)
+}
+
+// restoreSaved ignores progress that an earlier build has left although the item went on otherwise.
+func (j *Job) restoreSaved(record *wire.ItemRecord) {
+	item := &j.Items[record.Item]
+	item.Failures = max(item.Failures, record.Failures)
+	if item.Recorded.Events == 0 && item.Saved.follows(record) {
+		item.Saved.appendRecord(record)
+	}
 }
 
 func (j *Job) restoreResult(record *wire.ItemRecord) {
 	j.Items[record.Item].State = record.State
+	j.Items[record.Item].dropProgress()
 	j.Results++
 }
 
--- a/internal/batchstore/metrics.go
+++ b/internal/batchstore/metrics.go
@@ -9,6 +9,8 @@
 	jobs     *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	runTime  prometheus.Histogram
+	// restarted counts items that started again because no worker of their text's version had room.
+	restarted prometheus.Counter
 	// healthChanges counts changes in the health rating of workers, by the new rating.
 	healthChanges *prometheus.CounterVec
 	// forecastError is the mean error, in slots, of the forecasts of online demand. As a baseline
@@ -24,7 +26,8 @@
 	}
 	m.healthChanges = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "store_workers_judged_total", Help: "Changes in the judgement of workers that fail requests: avoided, probed, readmitted."}, []string{"change"})
 	m.forecastError = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "store_forecast_off_slots", Help: "By how many slots the online need differs from what was forecast 200 ms before, in the mean, by pool and way; zero without a pattern."}, []string{"pool", "way"})
-	registry.MustRegister(m.healthChanges, m.jobs, m.attempts, m.runTime, m.forecastError)
+	m.restarted = prometheus.NewCounter(prometheus.CounterOpts{Name: "store_items_restarted_total", Help: "Items that started again from their first event, because no worker of their text's software version had room."})
+	registry.MustRegister(m.restarted, m.healthChanges, m.jobs, m.attempts, m.runTime, m.forecastError)
 	return m
 }
 
--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -121,7 +121,8 @@
 
 // eventCount returns how many events of an item are known, from the log or from a run here.
 func (r *runner) eventCount(job *batchstate.Job, number int) int {
-	return max(job.Items[number].Events, r.savedProgress[itemKey{job.ID, number}].events)
+	item := &job.Items[number]
+	return max(item.Recorded.Events, item.Saved.Events, r.savedProgress[itemKey{job.ID, number}].events)
 }
 
 // runGoal returns the age at which a job's results are due, or zero if it has no goal.
@@ -170,15 +171,16 @@
 	if r.store.forecastEnabled(table, request.Pool) {
 		request.LastWorker = r.savedProgress[key].lastWorker
 	}
-	lease := r.store.workers.Acquire(now, request)
+	resumed := r.startProgress(key, &job.Items[number])
+	lease := r.acquire(now, key, request, &resumed)
 	if lease == nil {
 		// If this item must not be a probe, because it failed as one, another item of the route may
 		// still start as a probe. So the route counts as full only if this item was allowed to be a
-		// probe.
-		full[job.Route] = !request.NoProbe
+		// probe, and at any worker.
+		full[job.Route] = !request.NoProbe && request.Version == "" && !resumed.recorded
 		return nil
 	}
-	prepared := r.prepare(ctx, key, job, route, content, lease)
+	prepared := r.prepare(ctx, key, job, route, content, lease, resumed)
 	prepared.goal = table.ShortestGoal(request.Pool)
 	prepared.pool, prepared.progress.lastWorker = request.Pool, lease.Endpoint.ID
 	return prepared
@@ -194,9 +196,8 @@
 	return found
 }
 
-func (r *runner) prepare(ctx context.Context, key itemKey, job *batchstate.Job, route *routetable.Route, content *wire.ItemContent, lease *balance.Lease) *task {
+func (r *runner) prepare(ctx context.Context, key itemKey, job *batchstate.Job, route *routetable.Route, content *wire.ItemContent, lease *balance.Lease, resumed progress) *task {
 	itemContext, cancel := context.WithCancel(ctx)
-	resumed := r.startProgress(key, &job.Items[key.item])
 	prepared := &task{
 		runner:      r,
 		key:         key,
@@ -221,15 +222,22 @@
 	return prepared
 }
 
-// startProgress returns the progress from which an item continues. It is the progress saved from a
-// run at this store if that run builds on all events in the log. Otherwise it is the progress in
-// the log.
+// startProgress returns the progress from which an item continues: that of its last run at this store
+// or, if there is none, that in the log. If an earlier build has recorded the beginning of the result,
+// only a run that builds on all of it counts.
 func (r *runner) startProgress(key itemKey, item *batchstate.Item) progress {
 	saved, found := r.savedProgress[key]
-	if found && saved.recordedEvents >= item.Events {
+	if recorded := &item.Recorded; recorded.Events > 0 {
+		if found && saved.recorded && saved.recordedEvents >= recorded.Events {
+			return saved
+		}
+		return progress{events: recorded.Events, lastEvent: recorded.LastEvent, recordedEvents: recorded.Events, chain: rand.Uint64(), recorded: true}
+	}
+	if found {
 		return saved
 	}
-	return progress{events: item.Events, lastEvent: item.LastEvent, recordedEvents: item.Events, chain: rand.Uint64()}
+	logged := &item.Saved
+	return progress{events: logged.Events, lastEvent: logged.LastEvent, prefix: logged.Text, recordedEvents: logged.Events, version: logged.Version, chain: rand.Uint64()}
 }
 
 // handleMissingRoute abandons an item once its route has been missing for routeGrace.
@@ -246,13 +254,13 @@
 	logging.Info(r.store.logger, "item_abandoned", "job", key.job, "item", key.item, "reason", reason)
 	r.pending[key] = true
 	delete(r.failedProbes, key)
-	if !r.enqueue(wire.ItemRecord{Job: key.job, Item: key.item, State: wire.ItemAbandoned}) {
+	if !r.enqueue(itemRecord{ItemRecord: wire.ItemRecord{Job: key.job, Item: key.item, State: wire.ItemAbandoned}}) {
 		delete(r.pending, key)
 	}
 }
 
 // enqueue hands a record to the record loop and reports whether the channel had space.
-func (r *runner) enqueue(record wire.ItemRecord) bool {
+func (r *runner) enqueue(record itemRecord) bool {
 	select {
 	case r.records <- record:
 		return true
--- a/internal/batchstore/record.go
+++ b/internal/batchstore/record.go
@@ -23,6 +23,13 @@
 	maxRecordAttempts = 20
 )
 
+// itemRecord is a record on its way to the log. saves is set for progress, which the log keeps apart
+// from results.
+type itemRecord struct {
+	wire.ItemRecord
+	saves bool
+}
+
 // recordLoop writes progress and results to the log in batches.
 func (r *runner) recordLoop(ctx context.Context) {
 	for {
@@ -35,8 +42,8 @@
 	}
 }
 
-func (r *runner) collectRecords(first wire.ItemRecord) []wire.ItemRecord {
-	records := []wire.ItemRecord{first}
+func (r *runner) collectRecords(first itemRecord) []itemRecord {
+	records := []itemRecord{first}
 	size := len(first.Text)
 	timeout := time.NewTimer(batchDelay)
 	defer timeout.Stop()
@@ -52,14 +59,30 @@
 	return records
 }
 
-func (r *runner) commitRecords(ctx context.Context, records []wire.ItemRecord) {
+// commitRecords commits records through the log. The outcome of progress is not reported to the
+// runner, because a run whose progress is not saved goes on and has its whole text.
+func (r *runner) commitRecords(ctx context.Context, batch []itemRecord) {
+	command, records := &wire.BatchCommand{}, []wire.ItemRecord(nil)
+	for i := range batch {
+		if !batch[i].saves {
+			records = append(records, batch[i].ItemRecord)
+			continue
+		}
+		if command.Save == nil {
+			command.Save = &wire.RecordItems{}
+		}
+		command.Save.Items = append(command.Save.Items, batch[i].ItemRecord)
+	}
+	if len(records) > 0 {
+		command.Record = &wire.RecordItems{Items: records}
+	}
 	failed := make([]bool, len(records))
 	for i := range failed {
 		failed[i] = true
 	}
 	defer func() { r.notifyRecorded(ctx, records, failed) }()
 	for attempt := 0; attempt < maxRecordAttempts && ctx.Err() == nil; attempt++ {
-		result, err := r.group.propose(ctx, &wire.BatchCommand{Record: &wire.RecordItems{Items: records}})
+		result, err := r.group.propose(ctx, command)
 		if err == nil {
 			clear(failed)
 			for _, dropped := range result.Dropped {
@@ -67,7 +90,7 @@
 			}
 			return
 		}
-		logging.Warn(r.store.logger, "record_failed", "records", len(records), "error", err)
+		logging.Warn(r.store.logger, "record_failed", "records", len(batch), "error", err)
 		if failure.Is(err, failure.NotRun) {
 			// Another store leads now and runs the items itself.
 			return
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -54,9 +54,11 @@
 	waiting atomic.Int64
 	// failedProbes holds the items whose run as a probe failed.
 	failedProbes map[itemKey]bool
+	// versionWaits holds since when items have found no room at a worker of their text's version.
+	versionWaits map[itemKey]time.Time
 	seen         map[string]*observedJob
 	ended        chan *task
-	records      chan wire.ItemRecord
+	records      chan itemRecord
 	// pending holds the items whose result is being written to the log.
 	pending  map[itemKey]bool
 	recorded chan recordOutcome
@@ -97,12 +99,13 @@
 		grantedTrials:  map[itemKey]bool{},
 		trials:         make(chan itemKey),
 		failedProbes:   map[itemKey]bool{},
+		versionWaits:   map[itemKey]time.Time{},
 		seen:           map[string]*observedJob{},
 		pending:        map[itemKey]bool{},
 		ended:          make(chan *task, channelCapacity),
 		drainRequests:  make(chan chan struct{}),
 		resumeRequests: make(chan struct{}),
-		records:        make(chan wire.ItemRecord, channelCapacity),
+		records:        make(chan itemRecord, channelCapacity),
 		recorded:       make(chan recordOutcome, channelCapacity),
 	}
 }
@@ -237,6 +240,7 @@
 		r.pending[ended.key] = true
 		delete(r.fingerprints, ended.key)
 		delete(r.failedProbes, ended.key)
+		delete(r.versionWaits, ended.key)
 		if ended.ranUninterrupted {
 			r.store.runTimes.addRun(ended.runTime, ended.progress.events)
 		}
@@ -309,6 +313,7 @@
 	r.savedProgress = map[itemKey]progress{}
 	r.backoffUntil = map[itemKey]time.Time{}
 	r.failedProbes = map[itemKey]bool{}
+	r.versionWaits = map[itemKey]time.Time{}
 	r.fingerprints = map[itemKey]quarantine.Fingerprint{}
 	r.grantedTrials = map[itemKey]bool{}
 }
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -46,12 +46,22 @@
 	// events is the number of events received, and lastEvent is the id of the last one.
 	events    int
 	lastEvent int64
-	// text is the text of the events that the log does not have yet. The log has the first
-	// recordedEvents events.
-	text           string
+	// prefix is the text in the log from which the chain continues, and text is the text after it.
+	// The log has the first recordedEvents events and the first recordedBytes bytes of text.
+	prefix         string
+	text           []byte
 	recordedEvents int
-	// version is the software version of the worker that sent the first event, empty if unknown.
+	recordedBytes  int
+	// version is the software version of the workers that sent the events, empty if unknown. Only
+	// workers of this version may continue the text.
 	version incarnation.Version
+	// recorded is set if the log has the beginning of the text as part of the result, see
+	// batchstate.Item.Recorded. restarts is set if the log has the text of an earlier chain, which
+	// the first record replaces.
+	recorded bool
+	restarts bool
+	// runTime is how long the runs of the chain took.
+	runTime time.Duration
 	// chain identifies this run together with the earlier runs at this store that it continues.
 	// opened is set once the first record of the chain has been enqueued.
 	chain  uint64
@@ -126,6 +136,7 @@
 	t.probeFailed = t.failedAsProbe(err)
 	t.lease.Release()
 	t.runTime = clock.Since(t.started)
+	t.progress.runTime += t.runTime
 	t.reportOutcome(err, t.progress.events > before)
 	t.ranUninterrupted = err == nil && before == 0
 	switch {
@@ -133,7 +144,7 @@
 		t.finish(wire.ItemCompleted)
 	case t.context.Err() != nil:
 		// The progress of a stopped item must survive this store while the item waits.
-		if t.progress.text != "" {
+		if t.progress.recordedBytes < len(t.progress.text) {
 			t.enqueueRecord(wire.ItemWaiting)
 		}
 	case t.isPermanentFailure(err):
@@ -173,23 +184,34 @@
 }
 
 // enqueueRecord hands the item's new state to the record loop and reports whether there was
-// space for it.
+// space for it. A result holds the whole text, unless the log has its beginning as part of the result.
 func (t *task) enqueueRecord(state wire.ItemState) bool {
 	t.recordedAt = time.Now()
-	enqueued := t.runner.enqueue(wire.ItemRecord{
-		Job:       t.key.job,
-		Item:      t.key.item,
-		State:     state,
-		From:      t.progress.recordedEvents,
-		Text:      t.progress.text,
-		Events:    t.progress.events,
-		LastEvent: t.progress.lastEvent,
-		Failures:  t.failures,
-		Chain:     t.progress.chain,
-		Opens:     !t.progress.opened,
-	})
+	p := &t.progress
+	record := itemRecord{
+		ItemRecord: wire.ItemRecord{
+			Job:       t.key.job,
+			Item:      t.key.item,
+			State:     state,
+			From:      p.recordedEvents,
+			Text:      string(p.text[p.recordedBytes:]),
+			Events:    p.events,
+			LastEvent: p.lastEvent,
+			Failures:  t.failures,
+			Chain:     p.chain,
+			Opens:     !p.opened,
+		},
+		saves: state == wire.ItemWaiting && !p.recorded,
+	}
+	switch {
+	case record.saves:
+		record.Version, record.Restarts = string(p.version), p.restarts && !p.opened
+	case !p.recorded:
+		record.From, record.Opens, record.Text = 0, true, p.prefix+string(p.text)
+	}
+	enqueued := t.runner.enqueue(record)
 	if enqueued {
-		t.progress.recordedEvents, t.progress.text, t.progress.opened = t.progress.events, "", true
+		p.recordedEvents, p.recordedBytes, p.opened = p.events, len(p.text), true
 	}
 	return enqueued
 }
@@ -354,9 +376,6 @@
 		t.lease.RecordItemStart(clock.Now(), true)
 	}
 	t.recordPace(len(events))
-	var text strings.Builder
-	text.WriteString(t.progress.text)
-	defer func() { t.progress.text = text.String() }()
 	for i := range events {
 		event := &events[i]
 		if !event.HasID || t.progress.events > 0 && event.ID <= t.progress.lastEvent {
@@ -366,11 +385,11 @@
 			return failure.New(failure.OutcomeUnknown, "", "event %d came after event %d", event.ID, t.progress.lastEvent)
 		}
 		if t.progress.events > 0 {
-			text.WriteByte('\n')
+			t.progress.text = append(t.progress.text, '\n')
 		} else {
 			t.progress.version = incarnation.VersionOf(t.lease.Endpoint.ID)
 		}
-		text.WriteString(event.Data)
+		t.progress.text = append(t.progress.text, event.Data...)
 		t.progress.events++
 		t.progress.lastEvent = event.ID
 	}
--- a/internal/fleetsim/builds.go
+++ b/internal/fleetsim/builds.go
@@ -40,6 +40,28 @@
 	return current
 }
 
+// earlierBatchMachine is a state machine of a store group as in a build that doesn't know saved
+// progress.
+type earlierBatchMachine struct{ replication.StateMachine }
+
+// Apply implements replication.StateMachine.
+func (e earlierBatchMachine) Apply(command []byte) ([]byte, []storage.Mutation) {
+	var batch wire.BatchCommand
+	if _, err := batch.UnmarshalMsg(command); err == nil && batch.Save != nil {
+		batch.Save = nil
+		command = encode(&batch)
+	}
+	return e.StateMachine.Apply(command)
+}
+
+// batchMachineOfBuild returns the state machine of a store group as the store's build executes it.
+func (m *machine) batchMachineOfBuild(current replication.StateMachine) replication.StateMachine {
+	if m.earlierBuild {
+		return earlierBatchMachine{current}
+	}
+	return current
+}
+
 // hello returns the hello message of the machine's build.
 func (m *machine) hello() wire.Hello {
 	hello := m.node.Hello()
@@ -59,7 +81,7 @@
 	m.gate.ApplyProcesses(m.node.Processes(m.clock()))
 }
 
-// startUpgrades schedules the upgrades of the coordinators, which start on the older build.
+// startUpgrades schedules the upgrades of the coordinators and the stores, which start on older builds.
 func (w *World) startUpgrades() {
 	if !w.twoBuilds {
 		return
@@ -68,6 +90,12 @@
 	for i, coordinator := range coordinators {
 		w.after(faultsFrom+time.Duration(i+1)*upgradeInterval, func() { coordinator.switchBuild(false) })
 	}
+	stores := w.machinesOf(kindStore)
+	for i, store := range stores {
+		w.after(faultsFrom+time.Duration(2*i+1)*upgradeInterval, func() { store.switchBuild(false) })
+	}
+	w.after(downgradeAt, func() { stores[0].switchBuild(true) })
+	w.after(secondUpgradeAt, func() { stores[0].switchBuild(false) })
 	downgraded := coordinators[w.extraRandom.IntN(len(coordinators))]
 	w.after(downgradeAt, func() { downgraded.switchBuild(true) })
 	w.after(secondUpgradeAt, func() { downgraded.switchBuild(false) })
@@ -75,17 +103,21 @@
 
 // switchBuild restarts the machine on the given build. A machine that is down gets the build at
 // its next start.
-func (m *machine) switchBuild(firstGeneration bool) {
+func (m *machine) switchBuild(older bool) {
 	w := m.world
-	if m.removed || m.firstGeneration == firstGeneration {
+	runsOlder := &m.firstGeneration
+	if m.kind == kindStore {
+		runsOlder = &m.earlierBuild
+	}
+	if m.removed || *runsOlder == older {
 		return
 	}
 	if m.alive && m.frozen {
-		w.after(upgradeDowntime, func() { m.switchBuild(firstGeneration) })
+		w.after(upgradeDowntime, func() { m.switchBuild(older) })
 		return
 	}
-	w.log("%s switches builds, first generation: %v", m.name, firstGeneration)
-	m.firstGeneration = firstGeneration
+	w.log("%s switches builds, to the older one: %v", m.name, older)
+	*runsOlder = older
 	if m.alive {
 		m.kill()
 		w.after(upgradeDowntime, func() { m.restart(false) })
--- a/internal/fleetsim/ledger.go
+++ b/internal/fleetsim/ledger.go
@@ -53,7 +53,7 @@
 }
 
 func newLedger(w *World) *ledger {
-	return &ledger{world: w, jobs: map[string]*jobRecord{}, chains: newChains()}
+	return &ledger{world: w, jobs: map[string]*jobRecord{}, chains: newChains(w.versionRandom, w.mutation)}
 }
 
 // recordViolation records a violation with its time in the run. Only the first five are kept.
@@ -172,35 +172,42 @@
 		return
 	}
 	for group := range groups {
-		var records []wire.ItemRecord
+		command := &wire.BatchCommand{Record: &wire.RecordItems{}, Save: &wire.RecordItems{}}
 		_ = m.node.Read(m.clock(), group, func(uint64, storage.Reader) error {
 			for _, id := range l.jobIDs {
 				if job, err := m.batch[group].Job(id); err == nil && job.Open() && l.world.random.IntN(3) == 0 {
-					records = append(records, l.nextRecord(job))
+					l.addRecord(command, job, m.earlierBuild)
 				}
 			}
 			return nil
 		})
-		if len(records) > 0 {
-			m.propose(group, &wire.BatchCommand{Record: &wire.RecordItems{Items: records}}, nil)
+		if len(command.Record.Items)+len(command.Save.Items) > 0 {
+			m.propose(group, command, nil)
 		}
 	}
 }
 
-func (l *ledger) nextRecord(job *batchstate.Job) wire.ItemRecord {
+// addRecord adds the next record of a random item to the command.
+func (l *ledger) addRecord(command *wire.BatchCommand, job *batchstate.Job, earlierBuild bool) {
 	number := l.world.random.IntN(len(job.Items))
 	item := &job.Items[number]
 	random := l.world.random
-	record := l.chains.pick(item, random.IntN(4) == 0, random.IntN(maxChainsPerItem)).next(job.ID, number, item.ID)
+	serving := servingVersions(l.world.now.Sub(startTime))
+	picked := l.chains.pick(item, serving, earlierBuild, random.IntN(4) == 0, random.IntN(maxChainsPerItem))
+	record := picked.next(job.ID, number, item.ID, l.chains.versions[picked.id])
 	switch l.world.random.IntN(4) {
 	case 0:
-		record.State = wire.ItemCompleted
+		picked.complete(&record)
 	case 1:
 		if l.world.random.IntN(4) == 0 {
 			record.State = wire.ItemAbandoned
 		}
 	}
-	return record
+	if record.State == wire.ItemWaiting && !picked.recorded {
+		command.Save.Items = append(command.Save.Items, record)
+		return
+	}
+	command.Record.Items = append(command.Record.Items, record)
 }
 
 // endJob asks a random store to end a random job.
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -65,8 +65,10 @@
 	view             *fleetview.View
 	quarantineTimers *quarantine.Timers
 	gate             quarantine.Gate
-	// firstGeneration is set while the machine runs a build of the first generation.
+	// firstGeneration is set while a coordinator runs a build of the first generation, earlierBuild
+	// while a store runs one that doesn't know saved progress.
 	firstGeneration bool
+	earlierBuild    bool
 	// knownTerm, knownView and fleetView are the last view of the fleet that a store received.
 	knownTerm, knownView uint64
 	fleetView            wire.FleetView
@@ -78,6 +80,7 @@
 	m := &machine{world: w, kind: kind, name: fmt.Sprintf("%s-%d", prefix, len(w.machines)+1), disk: storage.NewMemory(), blocked: map[string]bool{}}
 	w.machines = append(w.machines, m)
 	m.firstGeneration = w.twoBuilds && kind == kindCoordinator && w.now.Equal(startTime)
+	m.earlierBuild = w.twoBuilds && kind == kindStore && w.now.Equal(startTime)
 	m.start(bootstrap)
 	return m
 }
@@ -145,7 +148,7 @@
 		m.batch = nil
 		for range groups {
 			m.batch = append(m.batch, batchstate.New())
-			options.Machines = append(options.Machines, w.mutation.mutate(m.batch[len(m.batch)-1]))
+			options.Machines = append(options.Machines, m.batchMachineOfBuild(w.mutation.mutate(m.batch[len(m.batch)-1])))
 		}
 		options.BootstrapMode, options.Voters = replication.BootstrapManual, 2*toleratedFailures+1
 		options.FullMeshLimit = w.fullMeshLimit
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -50,10 +50,12 @@
 	// MutationEarlyVotes lets restarted replicas vote for any candidate and stand for election
 	// at once, without waiting for leases that they may have helped to grant.
 	MutationEarlyVotes Mutation = "early_votes"
+	// MutationAnyWorkerVersion continues the saved text of an item at a worker of any version.
+	MutationAnyWorkerVersion Mutation = "any_worker_version"
 )
 
 // Mutations lists all mutations except MutationNone.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion}
 
 // mutatedStore returns the machine's disk, or one that never syncs with MutationForgetSync.
 func (m *machine) mutatedStore() storage.Store {
@@ -169,11 +171,13 @@
 // withRecords changes the item records of a command.
 func withRecords(command []byte, change func(record *wire.ItemRecord)) []byte {
 	var batch wire.BatchCommand
-	if _, err := batch.UnmarshalMsg(command); err != nil || batch.Record == nil {
+	if _, err := batch.UnmarshalMsg(command); err != nil {
 		return command
 	}
-	for i := range batch.Record.Items {
-		change(&batch.Record.Items[i])
+	for _, records := range []*wire.RecordItems{batch.Record, batch.Save} {
+		for i := 0; records != nil && i < len(records.Items); i++ {
+			change(&records.Items[i])
+		}
 	}
 	return encode(&batch)
 }
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -22,6 +22,8 @@
 	// seeds with fastRestarts.
 	restartRandom *rand.Rand
 	fastRestarts  bool
+	// versionRandom supplies the random worker versions of items.
+	versionRandom *rand.Rand
 	mutation      Mutation
 	now           time.Time
 	events        eventQueue
@@ -40,7 +42,8 @@
 	// fixedIDs is set in every fourth seed: there are few workers, which restart under their ids.
 	fixedIDs bool
 	// twoBuilds is set in two of eight seeds: the coordinators start on a build of the first
-	// generation and are upgraded one after the other. One is downgraded again for a while.
+	// generation, the stores on one that doesn't know saved progress. They are upgraded one after the
+	// other, and one of each is downgraded again for a while.
 	twoBuilds bool
 	// crashingSent is how often the crashing request was sent to a worker. crashExits is how many
 	// workers exited under it. thresholdExitAt is the time of the exit that reached
@@ -124,7 +127,7 @@
 
 // Run simulates a seed with a mutation and returns the world and the violations found.
 func Run(seed uint64, mutation Mutation) (*World, []string) {
-	w := &World{random: rand.New(rand.NewPCG(seed, 7)), extraRandom: rand.New(rand.NewPCG(seed, 8)), restartRandom: rand.New(rand.NewPCG(seed, 9)), fastRestarts: seed%5 == 2, mutation: mutation, now: startTime, fixedIDs: seed%4 == 2, twoBuilds: seed%8 == 1 || seed%8 == 3}
+	w := &World{random: rand.New(rand.NewPCG(seed, 7)), extraRandom: rand.New(rand.NewPCG(seed, 8)), restartRandom: rand.New(rand.NewPCG(seed, 9)), fastRestarts: seed%5 == 2, versionRandom: rand.New(rand.NewPCG(seed, 10)), mutation: mutation, now: startTime, fixedIDs: seed%4 == 2, twoBuilds: seed%8 == 1 || seed%8 == 3}
 	if seed%2 == 1 {
 		w.fullMeshLimit = 1
 	}
