--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -124,7 +124,7 @@
 	w.faultFor = faultFor
 }
 
-// Drain makes HostedList report the worker as draining.
+// Drain makes HostedList report the worker as draining until it restarts.
 func (w *HostedWorker) Drain() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/emulator/hosted_exit.go
+++ b/internal/emulator/hosted_exit.go
@@ -26,6 +26,13 @@
 	return w.Version
 }
 
+// TakesRequests returns the worker's version, and whether it is up and not draining.
+func (w *HostedWorker) TakesRequests() (version string, takes bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.Version, !w.down && !w.draining && !w.closed
+}
+
 // Restart emulates a crash, after which the worker runs the given version.
 func (w *HostedWorker) Restart(version string, restartAfter time.Duration) {
 	w.mutex.Lock()
@@ -78,6 +85,7 @@
 	next.Start()
 	w.server = next
 	w.incarnation++
+	w.draining = false
 	if w.nextVersion != "" {
 		w.Version, w.nextVersion = w.nextVersion, ""
 	}
