--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -40,7 +40,7 @@
 			// Workers in pools serve opaque requests and belong to the edge processes.
 			continue
 		}
-		rows = append(rows, membership.ListedWorker{ID: row.ID, Address: row.Address, Zone: row.Zone, Incarnation: row.Incarnation, Leaving: row.Leaving})
+		rows = append(rows, membership.ListedWorker{ID: row.ID, Address: row.Address, Zone: row.Zone, Incarnation: row.Incarnation, Leaving: row.Leaving, Version: row.Version})
 	}
 	// An error means that another process leads now; that process reads the list itself.
 	_ = c.readMeta(func(now time.Time, leader *coordination.MetaLeader, _ *metastate.Machine) error {
--- a/internal/dispatcher/task.go
+++ b/internal/dispatcher/task.go
@@ -31,8 +31,10 @@
 	maxOnlineAttempts = 3
 )
 
-// answer is the output of a task so far, over all its attempts.
+// answer is the output of a task so far, over all its attempts. version is the software version of
+// the workers that generated it.
 type answer struct {
+	version      string
 	tokens       int
 	text         strings.Builder
 	finishReason string
@@ -79,7 +81,7 @@
 		deadline:   deadline,
 		policy:     retry.Policy{MaxAttempts: maxAttempts, NotRepeatable: request.NotRepeatable, Deadline: deadline},
 	}
-	t.answer.tokens = request.ContinueTokens
+	t.answer.version, t.answer.tokens = request.ContinueVersion, request.ContinueTokens
 	t.answer.text.WriteString(request.ContinueText)
 	return t
 }
@@ -103,6 +105,9 @@
 		if err := t.checkQuarantine(index); err != nil {
 			return err
 		}
+		if err := t.checkVersion(); err != nil {
+			return err
+		}
 		err := t.runAttempt(ctx, index, exclude)
 		t.recordOutcome(err)
 		switch {
@@ -123,6 +128,23 @@
 	}
 }
 
+// checkVersion returns a failure if no worker here may continue the answer so far. The answer of a
+// batch item has no reader yet, so the item starts again instead.
+func (t *task) checkVersion() error {
+	if t.answer.tokens == 0 || t.dispatcher.workers.mayContinue(t.answer.version) {
+		return nil
+	}
+	logging.Info(t.dispatcher.logger, "version_gone", "request", t.request.RequestID, "version", t.answer.version, "tokens", t.answer.tokens, "restarts", t.request.Class == wire.Batch)
+	if t.request.Class == wire.Batch {
+		t.answer = answer{}
+		return nil
+	}
+	if t.started {
+		return failure.New(failure.OutcomeUnknown, "send it again if it may be repeated", "no worker here runs version %q, which began the answer", t.answer.version)
+	}
+	return failure.New(failure.NotRun, "ask another dispatcher", "no worker here runs version %q, which began the answer", t.answer.version)
+}
+
 // contextFailure returns the failure of a task whose context was cancelled or has expired.
 func (t *task) contextFailure(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -151,6 +173,9 @@
 			return errPreempted
 		}
 		t.worker, t.address, t.startedAt = action.Worker, action.Address, clock.Now()
+		if t.answer.tokens == 0 {
+			t.answer.version = t.dispatcher.workers.versionOf(t.worker)
+		}
 		end, err := t.generate(ctx, action)
 		if end != nil {
 			cached = end.CachedTokens / engine.BlockTokens
@@ -159,6 +184,14 @@
 	}
 }
 
+// requiredVersion returns the version of the answer so far, empty if it has no text.
+func (t *task) requiredVersion() string {
+	if t.answer.tokens == 0 {
+		return ""
+	}
+	return t.answer.version
+}
+
 func (t *task) newAttempt(index int, exclude map[string]bool) *scheduling.Attempt {
 	request := t.request
 	excluded := make(map[string]bool, len(exclude))
@@ -181,6 +214,7 @@
 		Blocks:       engine.PrefixBlocks(request.Model, request.Adapter, request.Prompt),
 		Deadline:     t.deadline,
 		Exclude:      excluded,
+		Version:      t.requiredVersion(),
 	}
 }
 
@@ -283,6 +317,7 @@
 		Offset:        t.answer.tokens,
 		Worker:        t.worker,
 		WorkerAddress: t.address,
+		WorkerVersion: t.answer.version,
 	})
 }
 
--- a/internal/dispatcher/workers.go
+++ b/internal/dispatcher/workers.go
@@ -16,7 +16,7 @@
 type workerSet struct {
 	dispatcher *Dispatcher
 	mutex      sync.Mutex
-	version    uint64
+	revision   uint64
 	owned      map[string]*ownedWorker
 }
 
@@ -41,10 +41,10 @@
 func (w *workerSet) assign(version uint64, assignments []wire.Assignment) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if version == w.version {
+	if version == w.revision {
 		return
 	}
-	w.version = version
+	w.revision = version
 	wanted := map[string]wire.Assignment{}
 	for _, assignment := range assignments {
 		wanted[assignment.Worker] = assignment
@@ -64,6 +64,29 @@
 	}
 }
 
+// versionOf returns the software version of a worker, empty if it is unknown.
+func (w *workerSet) versionOf(name string) string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if owned := w.owned[name]; owned != nil {
+		return owned.assignment.Version
+	}
+	return ""
+}
+
+// mayContinue reports whether a worker here may continue text of the version. If the version is
+// unknown, that is so only if all workers' versions are, because the platform tells none.
+func (w *workerSet) mayContinue(version string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	known, found := false, false
+	for _, owned := range w.owned {
+		known = known || owned.assignment.Version != ""
+		found = found || owned.assignment.Version == version && !owned.assignment.Leaving && !owned.load.Leaving
+	}
+	return found && (version != "" || !known)
+}
+
 // release drops a worker that is no longer assigned. Its attempts continue unless the machine was
 // replaced.
 func (w *workerSet) release(owned *ownedWorker, replacement wire.Assignment) {
@@ -168,6 +191,7 @@
 		Models:             setOf(load.Models),
 		Adapters:           setOf(load.Adapters),
 		Leaving:            owned.assignment.Leaving || load.Leaving,
+		Version:            owned.assignment.Version,
 		PreviousOwnerSlots: max(0, previousOwnerSlots),
 	}
 }
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,11 +14,13 @@
 type EngineOptions struct {
 	Worker      string
 	Incarnation uint64
-	Models      []string
-	Adapters    []string
-	Capacity    Capacity
-	Seed        uint64
-	Faults      Faults
+	// Version, if set, is the version of the engine's software, which each token of its text tells.
+	Version  string
+	Models   []string
+	Adapters []string
+	Capacity Capacity
+	Seed     uint64
+	Faults   Faults
 	// LoadLag is the age of load reports. EventLag is the age of cache events.
 	LoadLag  time.Duration
 	EventLag time.Duration
@@ -152,6 +155,9 @@
 	}
 	outputs, duration := e.model.Step()
 	for _, output := range outputs {
+		if e.options.Version != "" && !output.Ended {
+			output.Text = strings.TrimSuffix(output.Text, " ") + "@" + e.options.Version + " "
+		}
 		if found := e.attempts[output.Sequence.ID]; found != nil {
 			found.push(output)
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,6 +35,8 @@
 	Faults   emulator.Faults
 	// ExitOnPrompt, if set, makes an engine exit when it starts a prompt that contains this text.
 	ExitOnPrompt string
+	// Versions, if set, are the software versions of the engines, in turn.
+	Versions []string
 	// OperatorKeySHA256 is the SHA-256 digest of the first operator's key.
 	OperatorKeySHA256 string
 }
@@ -155,6 +157,14 @@
 	return member, nil
 }
 
+// versionOf returns the version of an engine by its index, empty if the engines have none.
+func (o *Options) versionOf(index int) string {
+	if len(o.Versions) == 0 {
+		return ""
+	}
+	return o.Versions[index%len(o.Versions)]
+}
+
 func zoneOf(number int) string { return fmt.Sprintf("zone-%c", 'a'+number%zones) }
 
 func (f *Fleet) startEngine(number int, platformAddress string) error {
@@ -164,6 +174,7 @@
 		emulated = emulator.NewEngine(emulator.EngineOptions{
 			Worker:       name,
 			Incarnation:  1,
+			Version:      f.options.versionOf(number - 1),
 			Models:       f.options.Models,
 			Capacity:     f.options.Capacity,
 			Seed:         uint64(number),
@@ -192,7 +203,7 @@
 func (f *Fleet) PublishWorkers() {
 	var workers []workerlist.Worker
 	for index, member := range f.Engines {
-		workers = append(workers, workerlist.Worker{ID: member.Name, Address: member.Address(), Zone: zoneOf(index), Incarnation: 1})
+		workers = append(workers, workerlist.Worker{ID: member.Name, Address: member.Address(), Zone: zoneOf(index), Incarnation: 1, Version: f.options.versionOf(index)})
 	}
 	f.Platform.SetWorkers(workers)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,8 +33,10 @@
 	exclude map[string]bool
 	// attemptID and workerAddress identify the running attempt. tokens and text are what the caller
 	// has received so far, over all attempts.
+	// version is the software version of the workers that generated the text.
 	attemptID     string
 	workerAddress string
+	version       string
 	tokens        int
 	text          strings.Builder
 	finishReason  string
@@ -108,6 +110,9 @@
 	request.TimeLeftMillis = time.Until(r.deadline).Milliseconds()
 	request.ContinueTokens = r.tokens
 	request.ContinueText = r.text.String()
+	if r.tokens > 0 {
+		request.ContinueVersion = r.version
+	}
 	stream, err := rpc.OpenStream(ctx, r.gateway.rpc, address, dispatcher.MethodGenerate, &request, request.NotRepeatable)
 	if err != nil {
 		r.mayHaveRun = r.mayHaveRun || !failure.Is(err, failure.NotRun)
@@ -165,6 +170,9 @@
 		case wire.FrameStarted:
 			r.mayHaveRun = true
 			r.attemptID, r.workerAddress = frame.AttemptID, frame.WorkerAddress
+			if r.tokens == 0 {
+				r.version = frame.WorkerVersion
+			}
 		case wire.FrameTokens:
 			if err := r.deliverFrame(frame); err != nil {
 				return err
--- a/internal/membership/plan.go
+++ b/internal/membership/plan.go
@@ -90,6 +90,7 @@
 		Zone:        known.listed.Zone,
 		Incarnation: known.listed.Incarnation,
 		Leaving:     known.leaving || p.drained(id),
+		Version:     known.listed.Version,
 	}
 }
 
--- a/internal/membership/workers.go
+++ b/internal/membership/workers.go
@@ -13,6 +13,8 @@
 	Zone        string
 	Incarnation uint64
 	Leaving     bool
+	// Version is the software version, empty if the platform doesn't tell it.
+	Version string
 }
 
 // Workers merges the platform's lagging list with the reports that dispatchers get from the engines
@@ -48,6 +50,9 @@
 			continue
 		}
 		current.lastListed = now
+		if listed.Version != "" {
+			current.listed.Version = listed.Version
+		}
 		current.leaving = current.leaving || listed.Leaving
 	}
 	for id, current := range w.known {
@@ -74,6 +79,7 @@
 				Address:     assignment.Address,
 				Zone:        assignment.Zone,
 				Incarnation: assignment.Incarnation,
+				Version:     assignment.Version,
 			},
 			leaving:    assignment.Leaving,
 			lastListed: now,
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -24,6 +24,17 @@
 	return request.Adapter == "" || candidate.Adapters == nil || candidate.Adapters[request.Adapter]
 }
 
+// VersionFilter drops workers of another software version than the request needs.
+type VersionFilter struct{}
+
+// Name implements Filter.
+func (VersionFilter) Name() string { return "version" }
+
+// Keep implements Filter.
+func (VersionFilter) Keep(request *Request, candidate *Candidate) bool {
+	return request.Version == "" || candidate.Version == request.Version
+}
+
 // ExcludeFilter drops endpoints that earlier attempts of the request used.
 type ExcludeFilter struct{}
 
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -27,6 +27,8 @@
 	Key uint64
 	// Exclude holds the names of endpoints that earlier attempts used.
 	Exclude map[string]bool
+	// Version, if set, is the only software version of workers that may serve the request.
+	Version string
 }
 
 // Candidate is an endpoint that may be chosen: a worker in a dispatcher's
@@ -34,6 +36,7 @@
 type Candidate struct {
 	Name     string
 	Zone     string
+	Version  string
 	Models   map[string]bool
 	Adapters map[string]bool
 	// Unavailable is set while the endpoint is leaving, draining or
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -104,3 +104,20 @@
 		})
 	}
 }
+
+// TestVersionFilter checks that a request which needs a version gets no worker of another one, nor one
+// whose version is unknown.
+func TestVersionFilter(t *testing.T) {
+	candidates := newCandidates(3)
+	candidates[0].Version, candidates[1].Version = "v1", "v2"
+	pipeline := NewPipeline([]Filter{VersionFilter{}}, []WeightedScorer{{Scorer: LoadScorer{}, Weight: 1}}, BestPicker{})
+	random := rand.New(rand.NewPCG(1, 1))
+	for version, want := range map[string]*Candidate{"v1": candidates[0], "v2": candidates[1], "v3": nil} {
+		if chosen := pipeline.Choose(&Request{Version: version}, candidates, random); chosen != want {
+			t.Errorf("version %s: chose %v", version, chosen)
+		}
+	}
+	if pipeline.Choose(&Request{}, candidates, random) == nil {
+		t.Error("a request without a version got no worker")
+	}
+}
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -51,6 +51,8 @@
 	Deadline time.Time
 	// Exclude names the workers on which this request has failed.
 	Exclude map[string]bool
+	// Version, if set, is the only software version of workers that may run the attempt.
+	Version string
 }
 
 // kvTokens returns the KV cache memory, in tokens, that an attempt may need.
@@ -86,7 +88,7 @@
 		workers: map[string]*worker{},
 		running: map[string]*runningAttempt{},
 		pipeline: routing.NewPipeline(
-			[]routing.Filter{routing.AvailableFilter{}, routing.ModelFilter{}, routing.ExcludeFilter{}},
+			[]routing.Filter{routing.AvailableFilter{}, routing.ModelFilter{}, routing.VersionFilter{}, routing.ExcludeFilter{}},
 			[]routing.WeightedScorer{
 				{Scorer: routing.PrefixScorer{}, Weight: weightPrefix},
 				{Scorer: routing.LoadScorer{}, Weight: weightLoad},
@@ -247,7 +249,7 @@
 }
 
 func (a *Attempt) request() *routing.Request {
-	return &routing.Request{Batch: a.Class == wire.Batch, Model: a.Model, Adapter: a.Adapter, Blocks: a.Blocks, Exclude: a.Exclude}
+	return &routing.Request{Batch: a.Class == wire.Batch, Model: a.Model, Adapter: a.Adapter, Blocks: a.Blocks, Exclude: a.Exclude, Version: a.Version}
 }
 
 func (s *Scheduler) start(w *worker, attempt *Attempt) {
--- a/internal/scheduling/worker.go
+++ b/internal/scheduling/worker.go
@@ -23,6 +23,7 @@
 	Models   map[string]bool
 	Adapters map[string]bool
 	Leaving  bool
+	Version  string
 	// PreviousOwnerSlots is the number of slots in use by attempts of a previous owner.
 	PreviousOwnerSlots int
 }
@@ -152,6 +153,7 @@
 	return &routing.Candidate{
 		Name:        w.spec.ID,
 		Zone:        w.spec.Zone,
+		Version:     w.spec.Version,
 		Models:      w.spec.Models,
 		Adapters:    w.spec.Adapters,
 		Unavailable: !w.available(),
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -108,6 +108,8 @@
 	Dispatcher  string `msg:"dispatcher"`
 	Epoch       uint64 `msg:"epoch"`
 	Leaving     bool   `msg:"leaving"`
+	// Version is the software version of the worker, empty if the platform doesn't tell it.
+	Version string `msg:"version,omitempty"`
 }
 
 // DaemonStatus is one row of the operators' status table. LeaseLeft is the time for which the
--- a/internal/wire/control_gen.go
+++ b/internal/wire/control_gen.go
@@ -76,6 +76,12 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "version":
+			z.Version, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -89,76 +95,104 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Assignment) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "worker"
-	err = en.Append(0x87, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Worker)
-	if err != nil {
-		err = msgp.WrapError(err, "Worker")
-		return
-	}
-	// write "address"
-	err = en.Append(0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Version == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	err = en.WriteString(z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	// write "zone"
-	err = en.Append(0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Zone)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	// write "incarnation"
-	err = en.Append(0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Incarnation)
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
-	}
-	// write "dispatcher"
-	err = en.Append(0xaa, 0x64, 0x69, 0x73, 0x70, 0x61, 0x74, 0x63, 0x68, 0x65, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Dispatcher)
-	if err != nil {
-		err = msgp.WrapError(err, "Dispatcher")
-		return
-	}
-	// write "epoch"
-	err = en.Append(0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Epoch)
-	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
-		return
-	}
-	// write "leaving"
-	err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Leaving)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "worker"
+		err = en.Append(0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Worker)
+		if err != nil {
+			err = msgp.WrapError(err, "Worker")
+			return
+		}
+		// write "address"
+		err = en.Append(0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Address")
+			return
+		}
+		// write "zone"
+		err = en.Append(0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Zone)
+		if err != nil {
+			err = msgp.WrapError(err, "Zone")
+			return
+		}
+		// write "incarnation"
+		err = en.Append(0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Incarnation)
+		if err != nil {
+			err = msgp.WrapError(err, "Incarnation")
+			return
+		}
+		// write "dispatcher"
+		err = en.Append(0xaa, 0x64, 0x69, 0x73, 0x70, 0x61, 0x74, 0x63, 0x68, 0x65, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Dispatcher)
+		if err != nil {
+			err = msgp.WrapError(err, "Dispatcher")
+			return
+		}
+		// write "epoch"
+		err = en.Append(0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Epoch)
+		if err != nil {
+			err = msgp.WrapError(err, "Epoch")
+			return
+		}
+		// write "leaving"
+		err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Leaving)
+		if err != nil {
+			err = msgp.WrapError(err, "Leaving")
+			return
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "version"
+			err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Version)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		}
 	}
 	return
 }
@@ -166,28 +200,46 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Assignment) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "worker"
-	o = append(o, 0x87, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
-	o = msgp.AppendString(o, z.Worker)
-	// string "address"
-	o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, z.Address)
-	// string "zone"
-	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-	o = msgp.AppendString(o, z.Zone)
-	// string "incarnation"
-	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Incarnation)
-	// string "dispatcher"
-	o = append(o, 0xaa, 0x64, 0x69, 0x73, 0x70, 0x61, 0x74, 0x63, 0x68, 0x65, 0x72)
-	o = msgp.AppendString(o, z.Dispatcher)
-	// string "epoch"
-	o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
-	o = msgp.AppendUint64(o, z.Epoch)
-	// string "leaving"
-	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-	o = msgp.AppendBool(o, z.Leaving)
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Version == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "worker"
+		o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Worker)
+		// string "address"
+		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.Address)
+		// string "zone"
+		o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendString(o, z.Zone)
+		// string "incarnation"
+		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Incarnation)
+		// string "dispatcher"
+		o = append(o, 0xaa, 0x64, 0x69, 0x73, 0x70, 0x61, 0x74, 0x63, 0x68, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Dispatcher)
+		// string "epoch"
+		o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendUint64(o, z.Epoch)
+		// string "leaving"
+		o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+		o = msgp.AppendBool(o, z.Leaving)
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "version"
+			o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.Version)
+		}
+	}
 	return
 }
 
@@ -255,6 +307,12 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "version":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -269,7 +327,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Assignment) Msgsize() (s int) {
-	s = 1 + 7 + msgp.StringPrefixSize + len(z.Worker) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 12 + msgp.Uint64Size + 11 + msgp.StringPrefixSize + len(z.Dispatcher) + 6 + msgp.Uint64Size + 8 + msgp.BoolSize
+	s = 1 + 7 + msgp.StringPrefixSize + len(z.Worker) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 12 + msgp.Uint64Size + 11 + msgp.StringPrefixSize + len(z.Dispatcher) + 6 + msgp.Uint64Size + 8 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Version)
 	return
 }
 
--- a/internal/wire/generate.go
+++ b/internal/wire/generate.go
@@ -39,6 +39,9 @@
 	// generated; the answer continues after them.
 	ContinueTokens int    `msg:"continue_tokens"`
 	ContinueText   string `msg:"continue_text"`
+	// ContinueVersion is the software version of the workers that generated this text. Only workers
+	// of that version may continue it.
+	ContinueVersion string `msg:"continue_version,omitempty"`
 	// NotRepeatable forbids a second start once any byte has been sent to an engine.
 	NotRepeatable bool `msg:"not_repeatable"`
 }
@@ -81,6 +84,8 @@
 	PromptTokens  int    `msg:"prompt_tokens"`
 	Worker        string `msg:"worker"`
 	WorkerAddress string `msg:"worker_address"`
+	// WorkerVersion is the worker's software version.
+	WorkerVersion string `msg:"worker_version,omitempty"`
 	// Utilization is the dispatcher's utilization when the frame was sent, from 0 to 255.
 	Utilization uint8    `msg:"utilization"`
 	Failure     *Failure `msg:"failure"`
--- a/internal/wire/generate_gen.go
+++ b/internal/wire/generate_gen.go
@@ -413,6 +413,12 @@
 				err = msgp.WrapError(err, "WorkerAddress")
 				return
 			}
+		case "worker_version":
+			z.WorkerVersion, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "WorkerVersion")
+				return
+			}
 		case "utilization":
 			z.Utilization, err = dc.ReadUint8()
 			if err != nil {
@@ -450,133 +456,161 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *GenerateFrame) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 12
-	// write "attempt"
-	err = en.Append(0x8c, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.AttemptID)
-	if err != nil {
-		err = msgp.WrapError(err, "AttemptID")
-		return
-	}
-	// write "kind"
-	err = en.Append(0xa4, 0x6b, 0x69, 0x6e, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint8(uint8(z.Kind))
-	if err != nil {
-		err = msgp.WrapError(err, "Kind")
-		return
-	}
-	// write "sequence"
-	err = en.Append(0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Sequence)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	// write "offset"
-	err = en.Append(0xa6, 0x6f, 0x66, 0x66, 0x73, 0x65, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Offset)
-	if err != nil {
-		err = msgp.WrapError(err, "Offset")
-		return
-	}
-	// write "tokens"
-	err = en.Append(0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Tokens)
-	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
-		return
-	}
-	// write "text"
-	err = en.Append(0xa4, 0x74, 0x65, 0x78, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Text)
-	if err != nil {
-		err = msgp.WrapError(err, "Text")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
+	_ = zb0001Mask
+	if z.WorkerVersion == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400
 	}
-	// write "finish_reason"
-	err = en.Append(0xad, 0x66, 0x69, 0x6e, 0x69, 0x73, 0x68, 0x5f, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.FinishReason)
-	if err != nil {
-		err = msgp.WrapError(err, "FinishReason")
-		return
-	}
-	// write "prompt_tokens"
-	err = en.Append(0xad, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.PromptTokens)
-	if err != nil {
-		err = msgp.WrapError(err, "PromptTokens")
-		return
-	}
-	// write "worker"
-	err = en.Append(0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Worker)
-	if err != nil {
-		err = msgp.WrapError(err, "Worker")
-		return
-	}
-	// write "worker_address"
-	err = en.Append(0xae, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.WorkerAddress)
-	if err != nil {
-		err = msgp.WrapError(err, "WorkerAddress")
-		return
-	}
-	// write "utilization"
-	err = en.Append(0xab, 0x75, 0x74, 0x69, 0x6c, 0x69, 0x7a, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint8(z.Utilization)
-	if err != nil {
-		err = msgp.WrapError(err, "Utilization")
-		return
-	}
-	// write "failure"
-	err = en.Append(0xa7, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65)
-	if err != nil {
-		return
-	}
-	if z.Failure == nil {
-		err = en.WriteNil()
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "attempt"
+		err = en.Append(0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
 		if err != nil {
 			return
 		}
-	} else {
-		err = z.Failure.EncodeMsg(en)
+		err = en.WriteString(z.AttemptID)
+		if err != nil {
+			err = msgp.WrapError(err, "AttemptID")
+			return
+		}
+		// write "kind"
+		err = en.Append(0xa4, 0x6b, 0x69, 0x6e, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint8(uint8(z.Kind))
+		if err != nil {
+			err = msgp.WrapError(err, "Kind")
+			return
+		}
+		// write "sequence"
+		err = en.Append(0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
 		if err != nil {
-			err = msgp.WrapError(err, "Failure")
 			return
 		}
+		err = en.WriteUint32(z.Sequence)
+		if err != nil {
+			err = msgp.WrapError(err, "Sequence")
+			return
+		}
+		// write "offset"
+		err = en.Append(0xa6, 0x6f, 0x66, 0x66, 0x73, 0x65, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Offset)
+		if err != nil {
+			err = msgp.WrapError(err, "Offset")
+			return
+		}
+		// write "tokens"
+		err = en.Append(0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Tokens)
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens")
+			return
+		}
+		// write "text"
+		err = en.Append(0xa4, 0x74, 0x65, 0x78, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Text)
+		if err != nil {
+			err = msgp.WrapError(err, "Text")
+			return
+		}
+		// write "finish_reason"
+		err = en.Append(0xad, 0x66, 0x69, 0x6e, 0x69, 0x73, 0x68, 0x5f, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.FinishReason)
+		if err != nil {
+			err = msgp.WrapError(err, "FinishReason")
+			return
+		}
+		// write "prompt_tokens"
+		err = en.Append(0xad, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.PromptTokens)
+		if err != nil {
+			err = msgp.WrapError(err, "PromptTokens")
+			return
+		}
+		// write "worker"
+		err = en.Append(0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Worker)
+		if err != nil {
+			err = msgp.WrapError(err, "Worker")
+			return
+		}
+		// write "worker_address"
+		err = en.Append(0xae, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.WorkerAddress)
+		if err != nil {
+			err = msgp.WrapError(err, "WorkerAddress")
+			return
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// write "worker_version"
+			err = en.Append(0xae, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.WorkerVersion)
+			if err != nil {
+				err = msgp.WrapError(err, "WorkerVersion")
+				return
+			}
+		}
+		// write "utilization"
+		err = en.Append(0xab, 0x75, 0x74, 0x69, 0x6c, 0x69, 0x7a, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint8(z.Utilization)
+		if err != nil {
+			err = msgp.WrapError(err, "Utilization")
+			return
+		}
+		// write "failure"
+		err = en.Append(0xa7, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65)
+		if err != nil {
+			return
+		}
+		if z.Failure == nil {
+			err = en.WriteNil()
+			if err != nil {
+				return
+			}
+		} else {
+			err = z.Failure.EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Failure")
+				return
+			}
+		}
 	}
 	return
 }
@@ -584,49 +618,67 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GenerateFrame) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
-	// string "attempt"
-	o = append(o, 0x8c, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-	o = msgp.AppendString(o, z.AttemptID)
-	// string "kind"
-	o = append(o, 0xa4, 0x6b, 0x69, 0x6e, 0x64)
-	o = msgp.AppendUint8(o, uint8(z.Kind))
-	// string "sequence"
-	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint32(o, z.Sequence)
-	// string "offset"
-	o = append(o, 0xa6, 0x6f, 0x66, 0x66, 0x73, 0x65, 0x74)
-	o = msgp.AppendInt(o, z.Offset)
-	// string "tokens"
-	o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	o = msgp.AppendInt(o, z.Tokens)
-	// string "text"
-	o = append(o, 0xa4, 0x74, 0x65, 0x78, 0x74)
-	o = msgp.AppendString(o, z.Text)
-	// string "finish_reason"
-	o = append(o, 0xad, 0x66, 0x69, 0x6e, 0x69, 0x73, 0x68, 0x5f, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.FinishReason)
-	// string "prompt_tokens"
-	o = append(o, 0xad, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	o = msgp.AppendInt(o, z.PromptTokens)
-	// string "worker"
-	o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
-	o = msgp.AppendString(o, z.Worker)
-	// string "worker_address"
-	o = append(o, 0xae, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, z.WorkerAddress)
-	// string "utilization"
-	o = append(o, 0xab, 0x75, 0x74, 0x69, 0x6c, 0x69, 0x7a, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint8(o, z.Utilization)
-	// string "failure"
-	o = append(o, 0xa7, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65)
-	if z.Failure == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Failure.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Failure")
-			return
+	// check for omitted fields
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
+	_ = zb0001Mask
+	if z.WorkerVersion == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "attempt"
+		o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+		o = msgp.AppendString(o, z.AttemptID)
+		// string "kind"
+		o = append(o, 0xa4, 0x6b, 0x69, 0x6e, 0x64)
+		o = msgp.AppendUint8(o, uint8(z.Kind))
+		// string "sequence"
+		o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint32(o, z.Sequence)
+		// string "offset"
+		o = append(o, 0xa6, 0x6f, 0x66, 0x66, 0x73, 0x65, 0x74)
+		o = msgp.AppendInt(o, z.Offset)
+		// string "tokens"
+		o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.Tokens)
+		// string "text"
+		o = append(o, 0xa4, 0x74, 0x65, 0x78, 0x74)
+		o = msgp.AppendString(o, z.Text)
+		// string "finish_reason"
+		o = append(o, 0xad, 0x66, 0x69, 0x6e, 0x69, 0x73, 0x68, 0x5f, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.FinishReason)
+		// string "prompt_tokens"
+		o = append(o, 0xad, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.PromptTokens)
+		// string "worker"
+		o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Worker)
+		// string "worker_address"
+		o = append(o, 0xae, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.WorkerAddress)
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "worker_version"
+			o = append(o, 0xae, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.WorkerVersion)
+		}
+		// string "utilization"
+		o = append(o, 0xab, 0x75, 0x74, 0x69, 0x6c, 0x69, 0x7a, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint8(o, z.Utilization)
+		// string "failure"
+		o = append(o, 0xa7, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65)
+		if z.Failure == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Failure.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Failure")
+				return
+			}
 		}
 	}
 	return
@@ -718,6 +770,12 @@
 				err = msgp.WrapError(err, "WorkerAddress")
 				return
 			}
+		case "worker_version":
+			z.WorkerVersion, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WorkerVersion")
+				return
+			}
 		case "utilization":
 			z.Utilization, bts, err = msgp.ReadUint8Bytes(bts)
 			if err != nil {
@@ -755,7 +813,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GenerateFrame) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.AttemptID) + 5 + msgp.Uint8Size + 9 + msgp.Uint32Size + 7 + msgp.IntSize + 7 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Text) + 14 + msgp.StringPrefixSize + len(z.FinishReason) + 14 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Worker) + 15 + msgp.StringPrefixSize + len(z.WorkerAddress) + 12 + msgp.Uint8Size + 8
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.AttemptID) + 5 + msgp.Uint8Size + 9 + msgp.Uint32Size + 7 + msgp.IntSize + 7 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Text) + 14 + msgp.StringPrefixSize + len(z.FinishReason) + 14 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Worker) + 15 + msgp.StringPrefixSize + len(z.WorkerAddress) + 15 + msgp.StringPrefixSize + len(z.WorkerVersion) + 12 + msgp.Uint8Size + 8
 	if z.Failure == nil {
 		s += msgp.NilSize
 	} else {
@@ -862,6 +920,12 @@
 				err = msgp.WrapError(err, "ContinueText")
 				return
 			}
+		case "continue_version":
+			z.ContinueVersion, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "ContinueVersion")
+				return
+			}
 		case "not_repeatable":
 			z.NotRepeatable, err = dc.ReadBool()
 			if err != nil {
@@ -881,136 +945,164 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *GenerateRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 13
-	// write "request"
-	err = en.Append(0x8d, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.RequestID)
-	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
-		return
-	}
-	// write "attempt"
-	err = en.Append(0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.AttemptID)
-	if err != nil {
-		err = msgp.WrapError(err, "AttemptID")
-		return
-	}
-	// write "tenant"
-	err = en.Append(0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Tenant)
-	if err != nil {
-		err = msgp.WrapError(err, "Tenant")
-		return
-	}
-	// write "class"
-	err = en.Append(0xa5, 0x63, 0x6c, 0x61, 0x73, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint8(uint8(z.Class))
-	if err != nil {
-		err = msgp.WrapError(err, "Class")
-		return
-	}
-	// write "rank"
-	err = en.Append(0xa4, 0x72, 0x61, 0x6e, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Rank)
-	if err != nil {
-		err = msgp.WrapError(err, "Rank")
-		return
-	}
-	// write "model"
-	err = en.Append(0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Model)
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	// write "adapter"
-	err = en.Append(0xa7, 0x61, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Adapter)
-	if err != nil {
-		err = msgp.WrapError(err, "Adapter")
-		return
-	}
-	// write "prompt"
-	err = en.Append(0xa6, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Prompt)
-	if err != nil {
-		err = msgp.WrapError(err, "Prompt")
-		return
-	}
-	// write "max_tokens"
-	err = en.Append(0xaa, 0x6d, 0x61, 0x78, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.MaxTokens)
-	if err != nil {
-		err = msgp.WrapError(err, "MaxTokens")
-		return
-	}
-	// write "time_left"
-	err = en.Append(0xa9, 0x74, 0x69, 0x6d, 0x65, 0x5f, 0x6c, 0x65, 0x66, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.TimeLeftMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "TimeLeftMillis")
-		return
-	}
-	// write "continue_tokens"
-	err = en.Append(0xaf, 0x63, 0x6f, 0x6e, 0x74, 0x69, 0x6e, 0x75, 0x65, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.ContinueTokens)
-	if err != nil {
-		err = msgp.WrapError(err, "ContinueTokens")
-		return
-	}
-	// write "continue_text"
-	err = en.Append(0xad, 0x63, 0x6f, 0x6e, 0x74, 0x69, 0x6e, 0x75, 0x65, 0x5f, 0x74, 0x65, 0x78, 0x74)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
+	_ = zb0001Mask
+	if z.ContinueVersion == "" {
+		zb0001Len--
+		zb0001Mask |= 0x1000
 	}
-	err = en.WriteString(z.ContinueText)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "ContinueText")
 		return
 	}
-	// write "not_repeatable"
-	err = en.Append(0xae, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x65, 0x70, 0x65, 0x61, 0x74, 0x61, 0x62, 0x6c, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.NotRepeatable)
-	if err != nil {
-		err = msgp.WrapError(err, "NotRepeatable")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "request"
+		err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.RequestID)
+		if err != nil {
+			err = msgp.WrapError(err, "RequestID")
+			return
+		}
+		// write "attempt"
+		err = en.Append(0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.AttemptID)
+		if err != nil {
+			err = msgp.WrapError(err, "AttemptID")
+			return
+		}
+		// write "tenant"
+		err = en.Append(0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Tenant)
+		if err != nil {
+			err = msgp.WrapError(err, "Tenant")
+			return
+		}
+		// write "class"
+		err = en.Append(0xa5, 0x63, 0x6c, 0x61, 0x73, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint8(uint8(z.Class))
+		if err != nil {
+			err = msgp.WrapError(err, "Class")
+			return
+		}
+		// write "rank"
+		err = en.Append(0xa4, 0x72, 0x61, 0x6e, 0x6b)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Rank)
+		if err != nil {
+			err = msgp.WrapError(err, "Rank")
+			return
+		}
+		// write "model"
+		err = en.Append(0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Model)
+		if err != nil {
+			err = msgp.WrapError(err, "Model")
+			return
+		}
+		// write "adapter"
+		err = en.Append(0xa7, 0x61, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Adapter)
+		if err != nil {
+			err = msgp.WrapError(err, "Adapter")
+			return
+		}
+		// write "prompt"
+		err = en.Append(0xa6, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Prompt)
+		if err != nil {
+			err = msgp.WrapError(err, "Prompt")
+			return
+		}
+		// write "max_tokens"
+		err = en.Append(0xaa, 0x6d, 0x61, 0x78, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.MaxTokens)
+		if err != nil {
+			err = msgp.WrapError(err, "MaxTokens")
+			return
+		}
+		// write "time_left"
+		err = en.Append(0xa9, 0x74, 0x69, 0x6d, 0x65, 0x5f, 0x6c, 0x65, 0x66, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.TimeLeftMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "TimeLeftMillis")
+			return
+		}
+		// write "continue_tokens"
+		err = en.Append(0xaf, 0x63, 0x6f, 0x6e, 0x74, 0x69, 0x6e, 0x75, 0x65, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.ContinueTokens)
+		if err != nil {
+			err = msgp.WrapError(err, "ContinueTokens")
+			return
+		}
+		// write "continue_text"
+		err = en.Append(0xad, 0x63, 0x6f, 0x6e, 0x74, 0x69, 0x6e, 0x75, 0x65, 0x5f, 0x74, 0x65, 0x78, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.ContinueText)
+		if err != nil {
+			err = msgp.WrapError(err, "ContinueText")
+			return
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// write "continue_version"
+			err = en.Append(0xb0, 0x63, 0x6f, 0x6e, 0x74, 0x69, 0x6e, 0x75, 0x65, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.ContinueVersion)
+			if err != nil {
+				err = msgp.WrapError(err, "ContinueVersion")
+				return
+			}
+		}
+		// write "not_repeatable"
+		err = en.Append(0xae, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x65, 0x70, 0x65, 0x61, 0x74, 0x61, 0x62, 0x6c, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.NotRepeatable)
+		if err != nil {
+			err = msgp.WrapError(err, "NotRepeatable")
+			return
+		}
 	}
 	return
 }
@@ -1018,46 +1110,64 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GenerateRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
-	// string "request"
-	o = append(o, 0x8d, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-	o = msgp.AppendString(o, z.RequestID)
-	// string "attempt"
-	o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-	o = msgp.AppendString(o, z.AttemptID)
-	// string "tenant"
-	o = append(o, 0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
-	o = msgp.AppendString(o, z.Tenant)
-	// string "class"
-	o = append(o, 0xa5, 0x63, 0x6c, 0x61, 0x73, 0x73)
-	o = msgp.AppendUint8(o, uint8(z.Class))
-	// string "rank"
-	o = append(o, 0xa4, 0x72, 0x61, 0x6e, 0x6b)
-	o = msgp.AppendInt(o, z.Rank)
-	// string "model"
-	o = append(o, 0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
-	o = msgp.AppendString(o, z.Model)
-	// string "adapter"
-	o = append(o, 0xa7, 0x61, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
-	o = msgp.AppendString(o, z.Adapter)
-	// string "prompt"
-	o = append(o, 0xa6, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74)
-	o = msgp.AppendString(o, z.Prompt)
-	// string "max_tokens"
-	o = append(o, 0xaa, 0x6d, 0x61, 0x78, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	o = msgp.AppendInt(o, z.MaxTokens)
-	// string "time_left"
-	o = append(o, 0xa9, 0x74, 0x69, 0x6d, 0x65, 0x5f, 0x6c, 0x65, 0x66, 0x74)
-	o = msgp.AppendInt64(o, z.TimeLeftMillis)
-	// string "continue_tokens"
-	o = append(o, 0xaf, 0x63, 0x6f, 0x6e, 0x74, 0x69, 0x6e, 0x75, 0x65, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	o = msgp.AppendInt(o, z.ContinueTokens)
-	// string "continue_text"
-	o = append(o, 0xad, 0x63, 0x6f, 0x6e, 0x74, 0x69, 0x6e, 0x75, 0x65, 0x5f, 0x74, 0x65, 0x78, 0x74)
-	o = msgp.AppendString(o, z.ContinueText)
-	// string "not_repeatable"
-	o = append(o, 0xae, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x65, 0x70, 0x65, 0x61, 0x74, 0x61, 0x62, 0x6c, 0x65)
-	o = msgp.AppendBool(o, z.NotRepeatable)
+	// check for omitted fields
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
+	_ = zb0001Mask
+	if z.ContinueVersion == "" {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "request"
+		o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+		o = msgp.AppendString(o, z.RequestID)
+		// string "attempt"
+		o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+		o = msgp.AppendString(o, z.AttemptID)
+		// string "tenant"
+		o = append(o, 0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
+		o = msgp.AppendString(o, z.Tenant)
+		// string "class"
+		o = append(o, 0xa5, 0x63, 0x6c, 0x61, 0x73, 0x73)
+		o = msgp.AppendUint8(o, uint8(z.Class))
+		// string "rank"
+		o = append(o, 0xa4, 0x72, 0x61, 0x6e, 0x6b)
+		o = msgp.AppendInt(o, z.Rank)
+		// string "model"
+		o = append(o, 0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+		o = msgp.AppendString(o, z.Model)
+		// string "adapter"
+		o = append(o, 0xa7, 0x61, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Adapter)
+		// string "prompt"
+		o = append(o, 0xa6, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74)
+		o = msgp.AppendString(o, z.Prompt)
+		// string "max_tokens"
+		o = append(o, 0xaa, 0x6d, 0x61, 0x78, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.MaxTokens)
+		// string "time_left"
+		o = append(o, 0xa9, 0x74, 0x69, 0x6d, 0x65, 0x5f, 0x6c, 0x65, 0x66, 0x74)
+		o = msgp.AppendInt64(o, z.TimeLeftMillis)
+		// string "continue_tokens"
+		o = append(o, 0xaf, 0x63, 0x6f, 0x6e, 0x74, 0x69, 0x6e, 0x75, 0x65, 0x5f, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.ContinueTokens)
+		// string "continue_text"
+		o = append(o, 0xad, 0x63, 0x6f, 0x6e, 0x74, 0x69, 0x6e, 0x75, 0x65, 0x5f, 0x74, 0x65, 0x78, 0x74)
+		o = msgp.AppendString(o, z.ContinueText)
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "continue_version"
+			o = append(o, 0xb0, 0x63, 0x6f, 0x6e, 0x74, 0x69, 0x6e, 0x75, 0x65, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.ContinueVersion)
+		}
+		// string "not_repeatable"
+		o = append(o, 0xae, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x65, 0x70, 0x65, 0x61, 0x74, 0x61, 0x62, 0x6c, 0x65)
+		o = msgp.AppendBool(o, z.NotRepeatable)
+	}
 	return
 }
 
@@ -1159,6 +1269,12 @@
 				err = msgp.WrapError(err, "ContinueText")
 				return
 			}
+		case "continue_version":
+			z.ContinueVersion, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ContinueVersion")
+				return
+			}
 		case "not_repeatable":
 			z.NotRepeatable, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1179,7 +1295,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GenerateRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.RequestID) + 8 + msgp.StringPrefixSize + len(z.AttemptID) + 7 + msgp.StringPrefixSize + len(z.Tenant) + 6 + msgp.Uint8Size + 5 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Model) + 8 + msgp.StringPrefixSize + len(z.Adapter) + 7 + msgp.StringPrefixSize + len(z.Prompt) + 11 + msgp.IntSize + 10 + msgp.Int64Size + 16 + msgp.IntSize + 14 + msgp.StringPrefixSize + len(z.ContinueText) + 15 + msgp.BoolSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.RequestID) + 8 + msgp.StringPrefixSize + len(z.AttemptID) + 7 + msgp.StringPrefixSize + len(z.Tenant) + 6 + msgp.Uint8Size + 5 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Model) + 8 + msgp.StringPrefixSize + len(z.Adapter) + 7 + msgp.StringPrefixSize + len(z.Prompt) + 11 + msgp.IntSize + 10 + msgp.Int64Size + 16 + msgp.IntSize + 14 + msgp.StringPrefixSize + len(z.ContinueText) + 17 + msgp.StringPrefixSize + len(z.ContinueVersion) + 15 + msgp.BoolSize
 	return
 }
 
--- a/test/bad_input_test.go
+++ b/test/bad_input_test.go
@@ -34,7 +34,7 @@
 func startEmbeddedWith(t testing.TB, ctx context.Context, options fleet.Options) (*fleet.Fleet, string, string) {
 	t.Helper()
 	operatorKey, tenantKey := "operator-secret", "tenant-secret"
-	options.Gateways, options.Dispatchers = 1, 1
+	options.Gateways, options.Dispatchers = 1, max(options.Dispatchers, 1)
 	options.Models, options.Folder = []string{testModel}, t.TempDir()
 	options.Capacity, options.OperatorKeySHA256 = emulator.DefaultCapacity(), configuration.Digest(operatorKey)
 	started, err := fleet.Start(ctx, options)
