Keep origins of streams over a kill of the stores

Change: hubs append origins to a file, in frames with checksums, not synced; a slow disk delays nobody.

--- /dev/null
+++ b/internal/batchstore/originlog.go
@@ -0,0 +1,134 @@
+package batchstore
+
+import (
+	"context"
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/daemon"
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+const (
+	// originFolder is the folder of the origin log in the data folder.
+	originFolder = "origins"
+	// originWriteInterval is the time between two writes of the origin log.
+	originWriteInterval = 25 * time.Millisecond
+	// originFileTime is how long a file of the origin log is written. The file before is kept.
+	originFileTime = time.Minute
+	// originFrameHeader is the length of a frame's header: length and checksum of the rows.
+	originFrameHeader = 8
+)
+
+// originLog keeps the origins of streams over a kill of the process. It is not synced: after a power
+// failure the origins may be gone, and their streams are rejected.
+type originLog struct {
+	folder    string
+	file      *os.File
+	startedAt time.Time
+}
+
+func (l *originLog) path(name string) string { return filepath.Join(l.folder, name) }
+
+// Names of the files of the origin log.
+const (
+	currentOrigins  = "current"
+	previousOrigins = "previous"
+)
+
+// openOriginLog opens the log in the data folder and returns the origins in it.
+func openOriginLog(dataFolder string, now time.Time) (*originLog, []wire.StreamOrigin, error) {
+	l := &originLog{folder: filepath.Join(dataFolder, originFolder)}
+	if err := os.MkdirAll(l.folder, 0o700); err != nil {
+		return nil, nil, failure.Wrap(err, failure.Internal, "check the data folder", "the origins of streams can't be stored")
+	}
+	rows := append(readOrigins(l.path(previousOrigins)), readOrigins(l.path(currentOrigins))...)
+	return l, rows, l.rotate(now)
+}
+
+// rotate starts a new file.
+func (l *originLog) rotate(now time.Time) error {
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+	l.startedAt = now
+	err := os.Rename(l.path(currentOrigins), l.path(previousOrigins))
+	if err == nil || os.IsNotExist(err) {
+		l.file, err = os.Create(l.path(currentOrigins))
+	}
+	if err != nil {
+		l.file = nil
+		return failure.Wrap(err, failure.Internal, "check the data folder", "the origins of streams can't be stored")
+	}
+	return nil
+}
+
+// append writes origins to the log.
+func (l *originLog) append(now time.Time, rows []wire.StreamOrigin) error {
+	if l.file == nil || now.Sub(l.startedAt) > originFileTime {
+		if err := l.rotate(now); err != nil {
+			return err
+		}
+	}
+	_, err := l.file.Write(encodeOrigins(rows))
+	return err
+}
+
+// encodeOrigins returns a frame with the rows.
+func encodeOrigins(rows []wire.StreamOrigin) []byte {
+	frame := make([]byte, originFrameHeader)
+	for i := range rows {
+		// Encoding a plain structure does not fail.
+		frame, _ = rows[i].MarshalMsg(frame)
+	}
+	payload := frame[originFrameHeader:]
+	binary.LittleEndian.PutUint32(frame, uint32(len(payload)))
+	binary.LittleEndian.PutUint32(frame[4:], crc32.ChecksumIEEE(payload))
+	return frame
+}
+
+// readOrigins returns the origins of all whole frames at the start of a file.
+func readOrigins(path string) []wire.StreamOrigin {
+	// A file that can't be read holds no origins; their streams are rejected.
+	data, _ := os.ReadFile(path)
+	var rows []wire.StreamOrigin
+	for len(data) >= originFrameHeader {
+		length, sum := int64(binary.LittleEndian.Uint32(data)), binary.LittleEndian.Uint32(data[4:])
+		data = data[originFrameHeader:]
+		if length > int64(len(data)) || crc32.ChecksumIEEE(data[:length]) != sum {
+			break
+		}
+		payload := data[:length]
+		data = data[length:]
+		for len(payload) > 0 {
+			var row wire.StreamOrigin
+			rest, err := row.UnmarshalMsg(payload)
+			if err != nil {
+				return rows
+			}
+			rows, payload = append(rows, row), rest
+		}
+	}
+	return rows
+}
+
+// writeOrigins writes the origins that arrive to the log until ctx ends.
+func (s *Store) writeOrigins(ctx context.Context) {
+	failing := false
+	daemon.Every(ctx, originWriteInterval, func() {
+		rows := s.origins.takeUnwritten()
+		if len(rows) == 0 {
+			return
+		}
+		err := s.originLog.append(time.Now(), rows)
+		if err != nil && !failing {
+			logging.Warn(s.logger, "origins_not_stored", "error", err)
+		}
+		failing = err != nil
+	})
+}
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -55,6 +55,7 @@
 	metrics     *metrics
 	loads       *loads
 	origins     *origins
+	originLog   *originLog
 	runTimes    runTimes
 	client      *rpc.Client
 
@@ -93,6 +94,11 @@
 	if err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
+	var stored []wire.StreamOrigin
+	if s.originLog, stored, err = openOriginLog(config.DataFolder, time.Now()); err != nil {
+		logging.Warn(d.Logger, "origins_not_stored", "error", err)
+	}
+	s.origins.restore(clock.Now(), stored)
 	d.CompleteStep(daemon.StepStorage)
 	if s.identity, err = s.host.Hello(d.Context()); err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
@@ -108,6 +114,7 @@
 	d.Go(s.watcher.Run)
 	d.Go(s.statusLoop)
 	d.Go(s.serveLoads)
+	d.Go(s.writeOrigins)
 	d.Go(s.reportLoads)
 	d.Go(s.reportZone)
 	d.Go(s.rebalanceLoop)
--- a/test/versions_test.go
+++ b/test/versions_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/sedgemast/sedgemast/internal/emulator"
 )
@@ -76,6 +77,16 @@
 // TestRetryGoesOnAtAnotherVersion guards against streams that, after their edge was killed, another
 // edge continues at a worker of another version.
 func TestRetryGoesOnAtAnotherVersion(t *testing.T) {
+	for name, killed := range map[string][]string{
+		"an edge killed":                {"front-21"},
+		"an edge and a store killed":    {"front-21", "store-11"},
+		"an edge and all stores killed": {"front-21", "store-11", "store-12", "store-13"},
+	} {
+		t.Run(name, func(t *testing.T) { testRetries(t, killed) })
+	}
+}
+
+func testRetries(t *testing.T, killed []string) {
 	const streams, tokens = 16, 200
 	f, edges := newFleetOfVersions(t)
 	f.awaitOrigins(t, edges)
@@ -89,14 +100,25 @@
 		})
 	}
 	begun.Wait()
-	f.kill(f.machines["front-21"])
+	// Stores write origins to their logs every few milliseconds.
+	time.Sleep(100 * time.Millisecond)
+	for _, name := range killed {
+		f.kill(f.machines[name])
+	}
+	for _, name := range killed {
+		f.start(f.machines[name], false)
+	}
 	clients.Wait()
 	close(broken)
 	var goOn atomic.Int64
 	for stream := range broken {
 		clients.Go(func() {
 			last := strings.Count(stream.text, "\n\n")
-			status, _, rest, err := f.call(http.MethodPost, edges[1], "/stream/a", resumeHeaders(stream.id, tokens, last), "p")
+			status, header, rest, err := 0, http.Header(nil), "", error(nil)
+			for try := 0; try < 20 && (try == 0 || header.Get("Retry-After") != ""); try++ {
+				time.Sleep(time.Duration(min(try, 1)) * 150 * time.Millisecond)
+				status, header, rest, err = f.call(http.MethodPost, edges[1], "/stream/a", resumeHeaders(stream.id, tokens, last), "p")
+			}
 			if versions := versionsIn(stream.text + rest); len(versions) > 1 {
 				t.Errorf("stream %s, taken up after event %d, has events of %v", stream.id, last, versions)
 			}
