A restarted edge no longer takes the only version it has seen for that of a stream

fleetsim now has streams: callers of four edges, workers of up to three versions with a release, a roll-back and a second release, workers that break off, edges killed, frozen and cut off, stores that keep origins; it decides with origin.Decide, which the edge uses too. Fix: the list must have shown no other version for as long as the caller can have waited, whenever the edge started. That rejects such streams for 12 s after a start; design 0023 says what could serve them. TestSoleVersionNeedsTime.

--- a/internal/batchstore/originlog.go
+++ b/internal/batchstore/originlog.go
@@ -19,18 +19,24 @@
 	originFolder = "origins"
 	// originWriteInterval is the time between two writes of the origin log.
 	originWriteInterval = 25 * time.Millisecond
+	// originSyncInterval is the time between two syncs of the origin log. A sync delays the stores'
+	// other writes to the disk, and no request waits for it.
+	originSyncInterval = 250 * time.Millisecond
 	// originFileTime is how long a file of the origin log is written. The file before is kept.
 	originFileTime = time.Minute
 	// originFrameHeader is the length of a frame's header: length and checksum of the rows.
 	originFrameHeader = 8
 )
 
-// originLog keeps the origins of streams over a kill of the process. It is not synced: after a power
-// failure the origins may be gone, and their streams are rejected.
+// originLog keeps the origins of streams over a kill of the process. After a power failure those of the
+// last originSyncInterval may be gone, and their streams are rejected.
 type originLog struct {
 	folder    string
 	file      *os.File
 	startedAt time.Time
+	syncedAt  time.Time
+	// unsynced is set while the file holds origins that are not synced.
+	unsynced bool
 }
 
 func (l *originLog) path(name string) string { return filepath.Join(l.folder, name) }
@@ -75,10 +81,20 @@
 			return err
 		}
 	}
+	l.unsynced = true
 	_, err := l.file.Write(encodeOrigins(rows))
 	return err
 }
 
+// syncIfDue syncs the file if there is something to sync and the last sync is long enough ago.
+func (l *originLog) syncIfDue(now time.Time) error {
+	if l.file == nil || !l.unsynced || now.Sub(l.syncedAt) < originSyncInterval {
+		return nil
+	}
+	l.unsynced, l.syncedAt = false, now
+	return l.file.Sync()
+}
+
 // encodeOrigins returns a frame with the rows.
 func encodeOrigins(rows []wire.StreamOrigin) []byte {
 	frame := make([]byte, originFrameHeader)
@@ -121,11 +137,13 @@
 func (s *Store) writeOrigins(ctx context.Context) {
 	failing := false
 	daemon.Every(ctx, originWriteInterval, func() {
-		rows := s.origins.takeUnwritten()
-		if len(rows) == 0 {
-			return
+		var err error
+		if rows := s.origins.takeUnwritten(); len(rows) > 0 {
+			err = s.originLog.append(time.Now(), rows)
+		}
+		if err == nil {
+			err = s.originLog.syncIfDue(time.Now())
 		}
-		err := s.originLog.append(time.Now(), rows)
 		if err != nil && !failing {
 			logging.Warn(s.logger, "origins_not_stored", "error", err)
 		}
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -70,8 +70,8 @@
 	mutex sync.Mutex
 	count int
 	bytes int64
-	// metAt holds when the channels of satisfied were closed, the zero time for open ones.
-	metAt   [prerequisiteCount]time.Time
+	// met says which channels of satisfied are closed.
+	met     [prerequisiteCount]bool
 	stopped bool
 }
 
@@ -115,21 +115,14 @@
 func (g *startGate) satisfy(n prerequisite) (held int, first bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if !g.metAt[n].IsZero() {
+	if g.met[n] {
 		return 0, false
 	}
-	g.metAt[n] = clock.Now()
+	g.met[n] = true
 	close(g.satisfied[n])
 	return g.count, true
 }
 
-// satisfiedAt returns when the prerequisite became known, the zero time if it is not.
-func (g *startGate) satisfiedAt(n prerequisite) time.Time {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.metAt[n]
-}
-
 // stop lets all held requests continue, and admits no more.
 func (g *startGate) stop() {
 	g.mutex.Lock()
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -23,9 +23,6 @@
 	minCallerTime = 10 * time.Second
 	// callerTimeMargin covers the time for which a caller's requests are under way.
 	callerTimeMargin = 2 * time.Second
-	// maxListAge is how old the leader's last answer may be if the list of workers is to show that a
-	// pool has a single version. Coordinators answer each poll within 0.5 s, and changes at once.
-	maxListAge = 700 * time.Millisecond
 )
 
 // streamState is what a call knows about the origin of its stream. The origin is the pool and the
@@ -77,101 +74,93 @@
 	if !c.takesUpStream() {
 		return false
 	}
-	source, complete := c.findOrigin()
-	var err *failure.Error
-	switch {
-	case source == originUnknown && complete:
-		err = failure.New(failure.NotRun, "send the request anew, without the events received", "no process knows at which worker version the stream began")
-	case source == originUnknown:
-		err = failure.New(failure.NotRun, "try again", "it is not known now at which worker version the stream began").WithRetryAfter(shortRetryAfter)
-	case !c.edge.workers.VersionUsable(&c.demand, ""):
-		source = originGone
-		err = failure.New(failure.NotRun, "send the request anew, without the events received", "pool %q has no worker of version %q, at which the stream began", c.demand.Pool, c.demand.Version)
-		if !c.edge.listIsCurrent() {
-			err = err.WithRetryAfter(shortRetryAfter)
+	known := c.originKnowledge()
+	decision := origin.Decide(known)
+	if decision.Source != origin.Unknown {
+		c.bind(decision.Version)
+		if !c.edge.workers.VersionUsable(&c.demand, "") {
+			decision.Source, decision.RetryHelps = origin.Gone, !known.ListIsCurrent()
 		}
 	}
-	c.edge.metrics.resumed.WithLabelValues(source.String()).Inc()
-	logging.Info(c.edge.logger, "stream_taken_up", "id", c.id, "resumes", c.stream.resumes, "after_event", c.stream.resumedAfter, "origin", source, "complete", complete, "pool", c.demand.Pool, "version", string(c.demand.Version), "ms", c.elapsed())
+	c.edge.metrics.resumed.WithLabelValues(decision.Source.String()).Inc()
+	logging.Info(c.edge.logger, "stream_taken_up", "id", c.id, "resumes", c.stream.resumes, "after_event", c.stream.resumedAfter, "origin", decision.Source, "complete", known.HubsAnswered, "pool", c.demand.Pool, "version", string(c.demand.Version), "ms", c.elapsed())
+	err := originError(decision.Source, &c.demand)
 	if err == nil {
 		return false
 	}
+	if decision.RetryHelps {
+		err = err.WithRetryAfter(shortRetryAfter)
+	}
 	c.lastErr = err
 	c.reject(err)
 	return true
 }
 
-// originSource is how the origin of a stream was found.
-type originSource uint8
-
-const (
-	// originUnknown means that nothing shows the origin.
-	originUnknown originSource = iota
-	// originLocal means that the stream began at this process.
-	originLocal
-	// originFromHub means that a hub knows the origin.
-	originFromHub
-	// originSole means that the list of workers has shown a single version for as long as this process
-	// can know of the stream.
-	originSole
-	// originGone means that the origin is known and has no worker.
-	originGone
-)
-
-// String returns the source as used in logs and metrics.
-func (s originSource) String() string {
-	return [...]string{"unknown", "local", "hub", "sole", "gone"}[s]
-}
-
-// findOrigin finds the origin of a stream that the caller takes up and binds the call to it. complete
-// is set if waiting can't make an unknown origin known.
-func (c *call) findOrigin() (source originSource, complete bool) {
-	found, source, complete := c.lookupOrigin()
-	if source != originUnknown {
-		if c.routeHasPool(found.Pool) {
-			c.demand.Pool = found.Pool
-		}
-		c.bind(found.Version)
-		c.stream.origin = found
-		return source, true
-	}
-	switch version := c.soleVersion(); {
-	case version == "":
-		return originUnknown, complete
-	case !c.edge.listIsCurrent():
-		return originUnknown, false
-	default:
-		c.bind(version)
-		return originSole, true
+// originError returns the error for a request that takes up a stream whose origin was found in the
+// given way, nil if the stream goes on.
+func originError(source origin.Source, demand *balance.Request) *failure.Error {
+	switch source {
+	case origin.Unknown:
+		return failure.New(failure.NotRun, "send the request anew, without the events received", "it is not known at which worker version the stream began")
+	case origin.Gone:
+		return failure.New(failure.NotRun, "send the request anew, without the events received", "pool %q has no worker of version %q, at which the stream began", demand.Pool, demand.Version)
 	}
+	return nil
 }
 
-// routeHasPool reports whether the route leads to the pool. If an operator has moved the route since
-// the stream began, workers of the same version in the route's present pool continue the stream.
-func (c *call) routeHasPool(pool string) bool {
-	return slices.ContainsFunc(c.route.Parts, func(part routetable.PoolWeight) bool { return part.Pool == pool })
+// originKnowledge returns what this process and the hubs know of the stream that the caller takes up.
+// If the route leads to the pool of the origin, that pool becomes the call's. If an operator has moved
+// the route since the stream began, workers of the same version in its present pool continue the stream.
+func (c *call) originKnowledge() *origin.Knowledge {
+	snapshot := c.edge.watcher.Current()
+	known := &origin.Knowledge{
+		HubsAnswered: true,
+		StreamAge:    c.maxStreamAge(),
+		ListAge:      clock.Since(snapshot.LeaderSeenAt),
+		ListWhole:    snapshot.Fleet.Listed,
+	}
+	c.lookupOrigin(known)
+	if known.Source == origin.Unknown {
+		c.addSoleVersion(known)
+		return known
+	}
+	c.stream.origin = known.Found
+	if slices.ContainsFunc(c.route.Parts, func(part routetable.PoolWeight) bool { return part.Pool == known.Found.Pool }) {
+		c.demand.Pool = known.Found.Pool
+	}
+	return known
 }
 
 // lookupOrigin looks up the stream's origin here and at the hubs.
-func (c *call) lookupOrigin() (found origin.Origin, source originSource, complete bool) {
+func (c *call) lookupOrigin(known *origin.Knowledge) {
 	if c.stream.resumes == "" {
-		return origin.Origin{}, originUnknown, true
+		return
 	}
 	key := c.originKey(c.stream.resumes)
-	found, known := c.edge.origins.get(key)
-	source, complete = originLocal, true
-	if !known {
-		var row *wire.StreamOrigin
-		row, complete = c.edge.loads.LookupOrigin(c.context, uint64(key))
-		if row == nil {
-			return origin.Origin{}, originUnknown, complete
-		}
-		found, source = origin.Origin{Pool: row.Pool, Version: incarnation.Version(row.Version)}, originFromHub
+	if found, held := c.edge.origins.get(key); held {
+		known.Found, known.Source = found, origin.Local
+		return
 	}
-	if !found.Known() {
-		source = originUnknown
+	row, complete := c.edge.loads.LookupOrigin(c.context, uint64(key))
+	known.HubsAnswered = complete
+	if row != nil && row.Pool != "" && row.Version != "" {
+		known.Found, known.Source = origin.Origin{Pool: row.Pool, Version: incarnation.Version(row.Version)}, origin.Hub
+	}
+}
+
+// addSoleVersion adds the version of all listed workers that the route leads to, if there is only one.
+func (c *call) addSoleVersion(known *origin.Knowledge) {
+	for i, part := range c.route.Parts {
+		version, since := c.edge.workers.SoleVersion(part.Pool)
+		if i == 0 {
+			known.Sole, known.SoleFor = version, clock.Since(since)
+			continue
+		}
+		if version != known.Sole {
+			known.Sole = ""
+		}
+		known.SoleFor = min(known.SoleFor, clock.Since(since))
 	}
-	return found, source, true
 }
 
 // maxStreamAge returns how long ago the caller can have begun the stream.
@@ -183,27 +172,6 @@
 	return total + callerTimeMargin - c.stream.callerTime
 }
 
-// soleVersion returns the version of all listed workers that the route leads to, if the list has shown
-// no other one since the caller can have begun the stream, or since this process first read it.
-// Otherwise it returns an empty version.
-func (c *call) soleVersion() incarnation.Version {
-	e, sole := c.edge, incarnation.Version("")
-	for i, part := range c.route.Parts {
-		version, since := e.workers.SoleVersion(part.Pool)
-		if i > 0 && version != sole || clock.Since(since) < c.maxStreamAge() && since.After(e.gate.satisfiedAt(needsWorkers)) {
-			return ""
-		}
-		sole = version
-	}
-	return sole
-}
-
-// listIsCurrent reports whether the list of workers known here is whole and the leader's present one.
-func (e *Edge) listIsCurrent() bool {
-	snapshot := e.watcher.Current()
-	return snapshot.Fleet.Listed && clock.Since(snapshot.LeaderSeenAt) <= maxListAge
-}
-
 func (c *call) originKey(requestID string) origin.Key {
 	return origin.KeyOf(c.tenant.Owner(), requestID)
 }
--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/origin"
 )
@@ -46,12 +47,20 @@
 		worker.Version = versions[i%len(versions)]
 	}
 	server, e := startEdge(t, streamRoute(true, 3), workers...)
+	e.ageList()
 	for id, began := range map[string]origin.Origin{"began-v1": {Pool: "p", Version: "v1"}, "began-v2": {Pool: "p", Version: "v2"}, "moved": {Pool: "q", Version: "v2"}, "gone": {Pool: "p", Version: "v0"}} {
 		e.origins.put(origin.KeyOf("", id), began, time.Minute)
 	}
 	return server, e, workers
 }
 
+// ageList makes the list of workers an hour old, as if it had not changed for that long.
+func (e *Edge) ageList() {
+	before := clock.Now().Add(-time.Hour)
+	e.workers.Update(before, nil, nil)
+	e.workers.Update(before, e.watcher.Current().Workers, nil)
+}
+
 // TestTakenUpStreams takes up streams while several versions are listed, or a single one.
 func TestTakenUpStreams(t *testing.T) {
 	for _, test := range []struct {
@@ -130,13 +139,15 @@
 }
 
 // TestSoleVersionNeedsTime guards against a stream that goes on at the only version listed although
-// another one was listed when it may have begun.
+// another one was listed when it may have begun, or this process may have started since.
 func TestSoleVersionNeedsTime(t *testing.T) {
-	workers := startWorkers(t, 2)
-	workers[1].Version = "v2"
-	server, e := startEdge(t, streamRoute(true, 3), workers...)
-	e.workers.Update(time.Now(), e.watcher.Current().Workers.With(nil, []string{"w-1 0 v2"}), nil)
-	if status, _, body := takeUp(t, server, "", "2"); status != http.StatusServiceUnavailable {
-		t.Errorf("%d: %s", status, body)
+	for _, versions := range [][]string{{"v1", "v2"}, {"v1", "v1"}} {
+		workers := startWorkers(t, 2)
+		workers[0].Version, workers[1].Version = versions[0], versions[1]
+		server, e := startEdge(t, streamRoute(true, 3), workers...)
+		e.workers.Update(clock.Now(), e.watcher.Current().Workers.With(nil, []string{"w-1 0 v2"}), nil)
+		if status, _, body := takeUp(t, server, "", "2"); status != http.StatusServiceUnavailable {
+			t.Errorf("versions %v: %d: %s", versions, status, body)
+		}
 	}
 }
--- a/internal/fleetsim/edges.go
+++ b/internal/fleetsim/edges.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/fleetview"
+	"github.com/sedgemast/sedgemast/internal/origin"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -81,6 +82,7 @@
 	// pendingReport is the number of the report that waits for an answer, zero for none.
 	pendingReport int
 	reportCount   int
+	streams       streamKnowledge
 	// undisturbedSince is when the edge's last fault ends. Before the first fault it is when the
 	// edge's process started.
 	undisturbedSince time.Time
@@ -124,6 +126,7 @@
 	e.incarnation++
 	e.alive, e.frozen, e.backlog = true, false, nil
 	e.cache, e.pendingReport, e.undisturbedSince = quarantine.NewCache(), 0, e.world.now
+	e.streams = streamKnowledge{origins: origin.NewRegistry()}
 	incarnation := e.incarnation
 	running := func(action func()) func() bool {
 		return func() bool {
@@ -135,6 +138,7 @@
 	}
 	e.world.every(pollInterval, running(e.pollQuarantine))
 	e.world.every(reportInterval, running(e.report))
+	e.world.every(pollInterval, running(e.pollVersions))
 }
 
 // nextEdgeFault injects a fault into a random edge and schedules the next one.
--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/consensus"
+	"github.com/sedgemast/sedgemast/internal/origin"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -106,6 +107,7 @@
 // powerOff ends the process and loses a random part of the unsynced writes.
 func (m *machine) powerOff() {
 	m.kill()
+	m.origins = origin.NewRegistry()
 	m.disk = m.disk.Crash(m.world.random.IntN(m.disk.Unsynced() + 1))
 }
 
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/fleetstate"
 	"github.com/sedgemast/sedgemast/internal/fleetview"
+	"github.com/sedgemast/sedgemast/internal/origin"
 	"github.com/sedgemast/sedgemast/internal/placement"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/replication"
@@ -69,6 +71,8 @@
 	// while a store runs one that doesn't know saved progress.
 	firstGeneration bool
 	earlierBuild    bool
+	// origins are the origins of streams that a store keeps, which survive a kill but no loss of power.
+	origins *origin.Registry
 	// knownTerm, knownView and fleetView are the last view of the fleet that a store received.
 	knownTerm, knownView uint64
 	fleetView            wire.FleetView
@@ -77,7 +81,7 @@
 // add adds a machine and starts it.
 func (w *World) add(kind kind, bootstrap bool) *machine {
 	prefix := map[bool]string{true: "core", false: "store"}[kind == kindCoordinator]
-	m := &machine{world: w, kind: kind, name: fmt.Sprintf("%s-%d", prefix, len(w.machines)+1), disk: storage.NewMemory(), blocked: map[string]bool{}}
+	m := &machine{world: w, kind: kind, name: fmt.Sprintf("%s-%d", prefix, len(w.machines)+1), disk: storage.NewMemory(), blocked: map[string]bool{}, origins: origin.NewRegistry()}
 	w.machines = append(w.machines, m)
 	m.firstGeneration = w.twoBuilds && kind == kindCoordinator && w.now.Equal(startTime)
 	m.earlierBuild = w.twoBuilds && kind == kindStore && w.now.Equal(startTime)
@@ -240,13 +244,16 @@
 // this machine is down, if a partition blocks the direction at the start or at the end of the
 // delay, if the receiver is down or restarts meanwhile, and with a probability of 1/500. A frozen
 // receiver runs the action after the freeze.
-func (m *machine) transmit(to *machine, action func()) {
+func (m *machine) transmit(to *machine, action func()) { m.transmitWith(m.world.random, to, action) }
+
+// transmitWith is transmit with the given source of random numbers.
+func (m *machine) transmitWith(random *rand.Rand, to *machine, action func()) {
 	w := m.world
-	if to == nil || !m.alive || m.blocked[to.name] || w.random.IntN(500) == 0 {
+	if to == nil || !m.alive || m.blocked[to.name] || random.IntN(500) == 0 {
 		return
 	}
 	incarnation := to.incarnation
-	w.after(w.randomDuration(200*time.Microsecond, 3*time.Millisecond), func() {
+	w.after(randomDuration(random, 200*time.Microsecond, 3*time.Millisecond), func() {
 		if to.incarnation != incarnation || !to.alive || m.blocked[to.name] {
 			return
 		}
@@ -263,6 +270,11 @@
 	m.transmit(to, func() { to.runOnNode(func() { to.receive(&message) }) })
 }
 
+// leads reports whether this coordinator leads the fleet group and holds its lease.
+func (m *machine) leads() bool {
+	return m.node.Read(m.clock(), 0, func(uint64, storage.Reader) error { return nil }) == nil
+}
+
 // sendHellos exchanges hello messages with all peers that this process knows.
 func (m *machine) sendHellos() {
 	for _, address := range m.node.Peers(m.clock()) {
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -50,12 +50,16 @@
 	// MutationEarlyVotes lets restarted replicas vote for any candidate and stand for election
 	// at once, without waiting for leases that they may have helped to grant.
 	MutationEarlyVotes Mutation = "early_votes"
-	// MutationAnyWorkerVersion continues the saved text of an item at a worker of any version.
+	// MutationAnyWorkerVersion continues streams and the saved texts of items at a worker of any
+	// version.
 	MutationAnyWorkerVersion Mutation = "any_worker_version"
+	// MutationAssumeVersion takes the only version in an edge's list of workers for that of every
+	// stream, however old the list is and for how short a time it has been the only one.
+	MutationAssumeVersion Mutation = "assume_version"
 )
 
 // Mutations lists all mutations except MutationNone.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion}
 
 // mutatedStore returns the machine's disk, or one that never syncs with MutationForgetSync.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/sedgemast/sedgemast/internal/origin"
 )
 
 // World is the state of one simulation run.
@@ -24,13 +26,17 @@
 	fastRestarts  bool
 	// versionRandom supplies the random worker versions of items.
 	versionRandom *rand.Rand
-	mutation      Mutation
-	now           time.Time
-	events        eventQueue
-	sequence      uint64
-	machines      []*machine
-	ledger        *ledger
-	lastID        uint64
+	// streamRandom supplies the random numbers of streams. lastStream is the last stream begun.
+	streamRandom *rand.Rand
+	lastStream   origin.Key
+	streamCounts streamCounts
+	mutation     Mutation
+	now          time.Time
+	events       eventQueue
+	sequence     uint64
+	machines     []*machine
+	ledger       *ledger
+	lastID       uint64
 	// nextLossAt is the earliest time at which another disk may be lost.
 	nextLossAt time.Time
 	healed     bool
@@ -104,7 +110,11 @@
 
 // randomDuration returns a random duration of at least least and less than most.
 func (w *World) randomDuration(least, most time.Duration) time.Duration {
-	return least + time.Duration(w.random.Int64N(int64(most-least)))
+	return randomDuration(w.random, least, most)
+}
+
+func randomDuration(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)))
 }
 
 func (w *World) log(format string, arguments ...any) {
@@ -127,7 +137,7 @@
 
 // Run simulates a seed with a mutation and returns the world and the violations found.
 func Run(seed uint64, mutation Mutation) (*World, []string) {
-	w := &World{random: rand.New(rand.NewPCG(seed, 7)), extraRandom: rand.New(rand.NewPCG(seed, 8)), restartRandom: rand.New(rand.NewPCG(seed, 9)), fastRestarts: seed%5 == 2, versionRandom: rand.New(rand.NewPCG(seed, 10)), mutation: mutation, now: startTime, fixedIDs: seed%4 == 2, twoBuilds: seed%8 == 1 || seed%8 == 3}
+	w := &World{random: rand.New(rand.NewPCG(seed, 7)), extraRandom: rand.New(rand.NewPCG(seed, 8)), restartRandom: rand.New(rand.NewPCG(seed, 9)), fastRestarts: seed%5 == 2, versionRandom: rand.New(rand.NewPCG(seed, 10)), streamRandom: rand.New(rand.NewPCG(seed, 11)), mutation: mutation, now: startTime, fixedIDs: seed%4 == 2, twoBuilds: seed%8 == 1 || seed%8 == 3}
 	if seed%2 == 1 {
 		w.fullMeshLimit = 1
 	}
@@ -142,6 +152,7 @@
 	w.ledger.start()
 	w.startFaults()
 	w.startEdges()
+	w.startStreams()
 	w.startUpgrades()
 	w.startRestarts()
 	w.after(healAt, w.heal)
--- a/test/soak_versions_test.go
+++ b/test/soak_versions_test.go
@@ -230,7 +230,7 @@
 
 // rejectionReason returns the reason why a request that takes up a stream was rejected.
 func rejectionReason(body string) string {
-	for _, reason := range []string{"has no worker of version", "no process knows", "is not known now"} {
+	for _, reason := range []string{"has no worker of version", "it is not known at which worker version"} {
 		if strings.Contains(body, reason) {
 			return reason
 		}
