--- a/internal/admission/collapse_test.go
+++ b/internal/admission/collapse_test.go
@@ -141,7 +141,7 @@
 	}
 	for number := range simEdges {
 		table := balance.NewTable(fmt.Sprintf("z%d", number%simZones), rand.New(rand.NewPCG(seed, uint64(number))))
-		table.Update(set, nil)
+		table.Update(simStart, set, nil)
 		s.edges = append(s.edges, &simEdge{number: number, table: table, queue: admission.NewQueue(admission.Bounds{Requests: simMaxQueued, Bytes: 1 << 20}), waiting: map[*admission.Entry]*simRequest{}})
 	}
 	return s
--- a/test/soak_versions_test.go
+++ b/test/soak_versions_test.go
@@ -43,6 +43,9 @@
 	// requests for new streams at calm edges, calmTakenUp those that take up a stream there whose
 	// version has a worker that takes requests.
 	begun, takenUp, calmBegun, calmTakenUp share
+	// servable counts the requests that take up a stream whose version has a worker that takes requests,
+	// at any edge.
+	servable share
 	// rejections counts the rejections of such requests by reason.
 	rejections map[string]int
 }
@@ -72,7 +75,7 @@
 	s.run(time.Duration(envInt(t, "SEDGEMAST_SOAK_SECONDS", soakVersionsSeconds)) * time.Second)
 	s.checkEnd()
 	v := s.versions
-	t.Logf("seed %d, %d faults, versions %v; new streams begun %s, taken up %s; at calm edges %s and %s; rejected: %v; %s", seed, len(s.faults), v.released, v.begun, v.takenUp, v.calmBegun, v.calmTakenUp, v.rejections, s.summary())
+	t.Logf("seed %d, %d faults, versions %v; new streams begun %s, taken up %s, of those whose version serves %s; at calm edges %s and %s; rejected: %v; %s", seed, len(s.faults), v.released, v.begun, v.takenUp, v.servable, v.calmBegun, v.calmTakenUp, v.rejections, s.summary())
 	if v.calmTakenUp.requests >= minCalm && 2*v.calmTakenUp.served*v.calmBegun.requests < v.calmTakenUp.requests*v.calmBegun.served {
 		t.Errorf("at calm edges %s streams taken up go on, under half of the share of new ones, %s", v.calmTakenUp, v.calmBegun)
 	}
@@ -181,7 +184,7 @@
 // and otherwise when to try again.
 func (s *soak) sendStream(client *http.Client, edge string, stream *soakStream, try int, deadline time.Time) (complete bool, retryAfter time.Duration) {
 	id, had := fmt.Sprintf("%s.%d", stream.id, try), stream.received()
-	request, err := http.NewRequest(http.MethodPost, "http://"+s.address(s.machines[edge], portCallers)+"/stream/a", strings.NewReader("p"))
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.address(s.machines[edge], portCallers)+"/stream/a", strings.NewReader(stream.id))
 	if err != nil {
 		s.recordViolation("%v", err)
 		return false, 0
@@ -195,8 +198,8 @@
 		request.Header.Set("Resumes", stream.resumes)
 		request.Header.Set("Last-Event-Id", strconv.Itoa(had))
 	}
-	servable := func() bool { return s.isCalm(edge) && (had == 0 || s.versionServes(stream)) }
-	calm := servable()
+	serves := func() bool { return had == 0 || s.versionServes(stream) }
+	served, calm := serves(), s.isCalm(edge)
 	response, err := client.Do(request)
 	if err != nil {
 		return false, 0
@@ -205,7 +208,8 @@
 	body, err := io.ReadAll(response.Body)
 	goesOn := response.StatusCode == http.StatusOK && strings.Contains(string(body), "\n\n")
 	if err == nil {
-		s.recordServed(had > 0, goesOn, calm && servable())
+		served = served && serves()
+		s.recordServed(had > 0, goesOn, served, served && calm && s.isCalm(edge))
 	}
 	switch response.StatusCode {
 	case http.StatusServiceUnavailable:
@@ -273,7 +277,7 @@
 }
 
 // recordServed counts an answered request for a stream.
-func (s *soak) recordServed(takesUp, served, calm bool) {
+func (s *soak) recordServed(takesUp, served, servable, calm bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	all, atCalm := &s.versions.begun, &s.versions.calmBegun
@@ -282,6 +286,9 @@
 		all, atCalm = &s.versions.takenUp, &s.versions.calmTakenUp
 	}
 	all.add(served)
+	if takesUp && servable {
+		s.versions.servable.add(served)
+	}
 	if calm {
 		atCalm.add(served)
 	}
