Look up origins for up to 0.4 s while stores are starting

Callers would have seen: an edge that came back together with the stores, after a kill of all, answered 503 with Retry-After at once, because it knew no store yet, and used up the one retry that most have. Now a lookup reads the list of stores anew in each round, and has one more round of 0.2 s; after that Retry-After is 0.3 s. It still ends at once when all stores have answered. TestLookupWaitsForStartingHubs.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -21,6 +21,9 @@
 	// any caller may have waited for a stream, over all its requests.
 	maxCallerTime = time.Minute
 	minCallerTime = 10 * time.Second
+	// originRetryAfter is when a caller may take up a stream whose origin was not found: a hub that is
+	// starting, or a coordinator that is being elected, may answer then.
+	originRetryAfter = 300 * time.Millisecond
 	// callerTimeMargin covers the time for which a caller's requests are under way.
 	callerTimeMargin = 2 * time.Second
 )
@@ -89,7 +92,7 @@
 		return false
 	}
 	if decision.RetryHelps {
-		err = err.WithRetryAfter(shortRetryAfter)
+		err = err.WithRetryAfter(originRetryAfter)
 	}
 	c.lastErr = err
 	c.reject(err)
--- a/internal/loadshare/origins.go
+++ b/internal/loadshare/origins.go
@@ -14,8 +14,9 @@
 const originHubs = 2
 
 // lookupWaits are the times to wait for the answers to each round of a lookup. The first round asks
-// the hubs that processes of this zone send origins to, the others ask all hubs without an answer.
-var lookupWaits = [...]time.Duration{12 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond}
+// the hubs that processes of this zone send origins to, the others ask all hubs without an answer. The
+// last rounds are for hubs that are just starting.
+var lookupWaits = [...]time.Duration{12 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond}
 
 // originAnswer is a hub's answer to a lookup, without an origin if the hub knows none.
 type originAnswer struct {
@@ -40,44 +41,49 @@
 // LookupOrigin asks the hubs for the origin of a stream. It returns nil if no hub knows the origin or
 // none that does answers; complete is set if all hubs have answered that they know none.
 func (x *Exchange) LookupOrigin(ctx context.Context, stream uint64) (origin *wire.StreamOrigin, complete bool) {
-	hubs := slices.Clone(x.reporter.Hubs())
-	hubsKnown := len(hubs) > 0
-	answers := make(chan originAnswer, len(hubs)*len(lookupWaits))
+	answers, answered := make(chan originAnswer, maxLookupAnswers), map[string]bool{}
 	x.addLookup(stream, answers)
 	defer x.removeLookup(stream, answers)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for round, wait := range lookupWaits {
+		hubs := x.reporter.Hubs()
 		asked := hubs
 		if round == 0 {
 			asked = OriginHubs(hubs)
 		}
+		asked = unanswered(asked, answered)
 		x.sendOrigins(asked, &wire.LoadReport{Lookups: []uint64{stream}})
-		pending := len(asked)
 		timer.Reset(wait)
-		for waiting := true; waiting && pending > 0; {
+		for waiting := true; waiting; {
 			select {
 			case answer := <-answers:
 				if answer.origin != nil {
 					return answer.origin, true
 				}
-				if i := slices.Index(hubs, answer.hub); i >= 0 {
-					hubs = slices.Delete(slices.Clone(hubs), i, i+1)
-					pending--
-				}
+				answered[answer.hub] = true
+				waiting = len(unanswered(asked, answered)) > 0
 			case <-timer.C:
 				waiting = false
 			case <-ctx.Done():
 				return nil, false
 			}
 		}
-		if len(hubs) == 0 {
-			return nil, hubsKnown
+		if len(hubs) > 0 && len(unanswered(hubs, answered)) == 0 {
+			return nil, true
 		}
 	}
 	return nil, false
 }
 
+// maxLookupAnswers bounds the answers that wait for a lookup to read them.
+const maxLookupAnswers = 64
+
+// unanswered returns the hubs that have not answered.
+func unanswered(hubs []string, answered map[string]bool) []string {
+	return slices.DeleteFunc(slices.Clone(hubs), func(hub string) bool { return answered[hub] })
+}
+
 // sendOrigins sends a report on origins to hubs. Hubs of earlier builds take it for that of a source
 // that leaves, which none is registered under, and ignore it.
 func (x *Exchange) sendOrigins(hubs []string, report *wire.LoadReport) {
--- a/internal/loadshare/origins_test.go
+++ b/internal/loadshare/origins_test.go
@@ -148,3 +148,27 @@
 	}
 	return x
 }
+
+// TestLookupWaitsForStartingHubs looks up an origin before the hub that holds it is known, and before it
+// answers.
+func TestLookupWaitsForStartingHubs(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	row := wire.StreamOrigin{Stream: 7, Pool: "p", Version: "v1"}
+	hub := &originHub{origins: map[uint64]wire.StreamOrigin{row.Stream: row}}
+	address, known := freeUDP(t), make(chan struct{})
+	x := startExchange(ctx, t, nil)
+	x.reporter.Hubs = func() []string {
+		select {
+		case <-known:
+			return []string{address}
+		default:
+			return nil
+		}
+	}
+	time.AfterFunc(20*time.Millisecond, func() { close(known) })
+	time.AfterFunc(60*time.Millisecond, func() { _ = Serve(ctx, address, hub.answer) })
+	if got, complete := x.LookupOrigin(ctx, row.Stream); got == nil || *got != row || !complete {
+		t.Errorf("got %+v, %t", got, complete)
+	}
+}
