--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -294,7 +294,7 @@
 		firstMillis = c.firstByteAt.Sub(c.arrived).Milliseconds()
 		e.metrics.firstByteTime.WithLabelValues(c.route.Name).Observe(c.firstByteAt.Sub(c.arrived).Seconds())
 	}
-	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "attempts", c.attempts, "outcome", result, "first_ms", firstMillis, "ms", c.elapsed(), "resumes", c.stream.resumes, "resumed_after", c.stream.resumedAfter, "error", err)
+	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "attempts", c.attempts, "outcome", result, "first_ms", firstMillis, "ms", c.elapsed(), "error", err)
 }
 
 // headers returns the headers of one attempt: the caller's and those that the edge sets.
