Saved progress and the origin log after records that failed or were overwritten

Found by reading the diff. A store whose data folder can't take the origin log would have ended at its first origin (nil log); after a failed write, frames behind the cut one could not be read; an item whose worker failed before its first event lost its later progress when a store restored it, since the first record of the chain has the same key as the next.

--- a/internal/batchstate/read.go
+++ b/internal/batchstate/read.go
@@ -79,11 +79,12 @@
 	item.Recorded.appendRecord(record)
 }
 
-// restoreSaved ignores progress that an earlier build has left although the item went on otherwise.
+// restoreSaved does not check the chain of a record, whose predecessor may have been overwritten: a record
+// without events has the same key as the next one.
 func (j *Job) restoreSaved(record *wire.ItemRecord) {
 	item := &j.Items[record.Item]
 	item.Failures = max(item.Failures, record.Failures)
-	if item.Recorded.Events == 0 && item.Saved.follows(record) {
+	if item.Recorded.Events == 0 && record.From == item.Saved.Events {
 		item.Saved.appendRecord(record)
 	}
 }
--- a/internal/batchstore/originlog.go
+++ b/internal/batchstore/originlog.go
@@ -47,11 +47,12 @@
 	previousOrigins = "previous"
 )
 
-// openOriginLog opens the log in the data folder and returns the origins in it.
+// openOriginLog opens the log in the data folder and returns the origins in it. After an error the log can
+// be used: each append tries to open the file again.
 func openOriginLog(dataFolder string, now time.Time) (*originLog, []wire.StreamOrigin, error) {
 	l := &originLog{folder: filepath.Join(dataFolder, originFolder)}
 	if err := os.MkdirAll(l.folder, 0o700); err != nil {
-		return nil, nil, failure.Wrap(err, failure.Internal, "check the data folder", "the origins of streams can't be stored")
+		return l, nil, failure.Wrap(err, failure.Internal, "check the data folder", "the origins of streams can't be stored")
 	}
 	rows := append(readOrigins(l.path(previousOrigins)), readOrigins(l.path(currentOrigins))...)
 	return l, rows, l.rotate(now)
@@ -83,6 +84,11 @@
 	}
 	l.unsynced = true
 	_, err := l.file.Write(encodeOrigins(rows))
+	if err != nil {
+		// Frames after one that was cut could not be read.
+		_ = l.file.Close()
+		l.file = nil
+	}
 	return err
 }
 
--- a/internal/batchstore/origins_test.go
+++ b/internal/batchstore/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -63,6 +64,28 @@
 	}
 }
 
+// TestUnwritableOriginLog checks that a store goes on without its origin log, and uses it again later.
+func TestUnwritableOriginLog(t *testing.T) {
+	folder, now := t.TempDir(), time.Now()
+	blocked := filepath.Join(folder, originFolder)
+	if err := os.WriteFile(blocked, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, _, err := openOriginLog(folder, now)
+	if err == nil || log.append(now, originRows(1, 1)) == nil || log.syncIfDue(now) != nil {
+		t.Errorf("a log in a folder that can't be made opened with %v", err)
+	}
+	if err := os.Remove(blocked); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(blocked, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := log.append(now, originRows(2, 1)); err != nil || !slices.Equal(readOrigins(log.path(currentOrigins)), originRows(2, 1)) {
+		t.Errorf("the log is not used again: %v", err)
+	}
+}
+
 // TestHubKeepsOriginsOverKill checks that a hub which was killed answers lookups as before.
 func TestHubKeepsOriginsOverKill(t *testing.T) {
 	now := time.Now()
