A stream waits up to 0.5 s for a worker of its version that is full or about to restart

Callers saw: 503 and, soon after, again, when they took a stream up while the few workers of its version rejected or were down for a moment; new streams went to another version meanwhile. Cause: a call that finds no worker ends at once, which is right when any worker will do; a bound one has no other to go to. Fix: a bound call without a worker waits 0.1 s, five times at most, and tries the workers that did not run it again; those that broke off stay excluded, and maxAttempts holds. TestTakenUpStreamWaitsForItsVersion red before (503), green after.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -168,6 +168,9 @@
 		if done {
 			return
 		}
+		if lease == nil && c.awaitBoundWorker() {
+			continue
+		}
 		if lease == nil {
 			c.lastErr = failure.New(failure.NotRun, "try again", "pool %q has no worker for the request", c.demand.Pool)
 			break
@@ -189,6 +192,8 @@
 		c.demand.Exclude[lease.Endpoint.ID] = true
 		if result == failed {
 			c.mayHaveRun = true
+		} else {
+			c.stream.rejectedBy = append(c.stream.rejectedBy, lease.Endpoint.ID)
 		}
 		c.detectWorkerExit(lease, result)
 		logging.Info(c.edge.logger, "attempt_failed", "id", c.id, "attempt", c.attempts, "worker", lease.Endpoint.ID, "outcome", result, "last_event", c.lastEventID, "ms", c.elapsed(), "error", c.lastErr)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -24,6 +24,10 @@
 	// originRetryAfter is when a caller may take up a stream whose origin was not found: a hub that is
 	// starting, or a coordinator that is being elected, may answer then.
 	originRetryAfter = 300 * time.Millisecond
+	// boundWait is how long a stream waits while no worker of its origin takes it: they may be full, or
+	// about to restart. boundInterval is the time between two tries.
+	boundWait     = 500 * time.Millisecond
+	boundInterval = 100 * time.Millisecond
 	// callerTimeMargin covers the time for which a caller's requests are under way.
 	callerTimeMargin = 2 * time.Second
 )
@@ -46,6 +50,10 @@
 	// bound is set once the stream has an event. The call's demand then names the origin; without a
 	// version there, the origin is unknown.
 	bound bool
+	// rejectedBy are the workers that did not run the request. waited is how long the call has waited
+	// for a worker of the origin.
+	rejectedBy []string
+	waited     time.Duration
 }
 
 func (e *Edge) newStreamState(header http.Header, lastEventID int64, hasLastEvent bool) streamState {
@@ -68,6 +76,25 @@
 	c.stream.bound, c.demand.Version = true, version
 }
 
+// awaitBoundWorker waits a moment for a worker of the stream's origin, and reports whether to try again.
+// Unlike a new stream, this one can't go to another version.
+func (c *call) awaitBoundWorker() bool {
+	if !c.stream.bound || c.hasLostOrigin() || c.stream.waited >= boundWait {
+		return false
+	}
+	select {
+	case <-c.context.Done():
+		return false
+	case <-time.After(boundInterval):
+	}
+	c.stream.waited += boundInterval
+	for _, worker := range c.stream.rejectedBy {
+		delete(c.demand.Exclude, worker)
+	}
+	c.stream.rejectedBy = nil
+	return true
+}
+
 // hasLostOrigin reports whether no worker may continue the stream, because its origin is unknown.
 func (c *call) hasLostOrigin() bool { return c.stream.bound && c.demand.Version == "" }
 
--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -151,3 +151,17 @@
 		}
 	}
 }
+
+// TestTakenUpStreamWaitsForItsVersion takes up a stream while the only worker of its version is down for
+// a moment. New streams would go to another worker.
+func TestTakenUpStreamWaitsForItsVersion(t *testing.T) {
+	workers := startWorkers(t, 2)
+	workers[1].Version, workers[0].KeepID = "v2", true
+	server, e := startEdge(t, streamRoute(true, 3), workers...)
+	e.origins.put(origin.KeyOf("", "began-v1"), origin.Origin{Pool: "p", Version: "v1"}, time.Minute)
+	workers[0].Restart("v1", 2*boundInterval)
+	status, _, body := takeUp(t, server, "began-v1", "2")
+	if status != http.StatusOK || strings.Count(body, "@v1\n") != 3 {
+		t.Errorf("%d: %s", status, body)
+	}
+}
