--- a/internal/balance/version.go
+++ b/internal/balance/version.go
@@ -45,12 +45,20 @@
 	return p.soleVersion, p.soleSince
 }
 
-// VersionListed reports whether the list has a worker of the version in the pool, usable or not.
+// VersionListed reports whether the list has a worker of the version in the pool that is not leaving. It
+// may be unusable for a while because another worker answered at its address, as after a restart.
 func (t *Table) VersionListed(pool string, version incarnation.Version) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	p := t.pools[pool]
-	return p != nil && p.listedVersions[version] > 0
+	if p := t.pools[pool]; p == nil || p.listedVersions[version] == 0 {
+		return false
+	}
+	for _, w := range t.workers {
+		if w.listed.Pool == pool && w.version == version && !w.listed.Leaving {
+			return true
+		}
+	}
+	return false
 }
 
 // VersionUsable reports whether the pool has a usable worker of the request's version that the
--- a/internal/balance/version_test.go
+++ b/internal/balance/version_test.go
@@ -64,6 +64,16 @@
 	table.Update(start, workerset.Of([]wire.PoolWorker{a, b, other}), nil)
 	check("the other one is leaving", request(), a.ID, false)
 	check("without exception", request(), "", true)
+	for version, want := range map[incarnation.Version]bool{"v1": true, "v2": true, "v3": false} {
+		if table.VersionListed("p", version) != want {
+			t.Errorf("version %s: listed %t", version, !want)
+		}
+	}
+	a.Leaving = true
+	table.Update(start, workerset.Of([]wire.PoolWorker{a, b, other}), nil)
+	if table.VersionListed("p", "v1") {
+		t.Error("a version whose workers are all leaving counts as listed")
+	}
 	table.Update(start, workerset.Of([]wire.PoolWorker{other}), nil)
 	check("none listed", request(), "", false)
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -108,7 +108,7 @@
 	decision := origin.Decide(known)
 	if decision.Source != origin.Unknown {
 		c.bind(decision.Version)
-		if !c.edge.workers.VersionUsable(&c.demand, "") {
+		if !c.edge.workers.VersionListed(c.demand.Pool, c.demand.Version) {
 			decision.Source, decision.RetryHelps = origin.Gone, !known.ListIsCurrent()
 		}
 	}
