Log the parts of prompts whose workers end

worker_broke_off names the request by its fingerprint, which differs for requests that differ in anything. Whether the requests on ended workers share a part of their prompts could not be seen, so the hypotheses of docs/incidents/prompt-parts.md (the part is not what is counted; requests beside it are blamed) could not be told apart. The line now lists the ids of the parts, at edges and stores. No logic changes.

--- a/internal/batchstore/quarantine.go
+++ b/internal/batchstore/quarantine.go
@@ -7,6 +7,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/batchstate"
 	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/httpheader"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/upstream"
@@ -85,9 +86,14 @@
 		return
 	}
 	exited := store.upstream.WorkerExited(t.context, t.lease.Endpoint, t.started)
-	logging.Info(store.logger, "worker_broke_off", "job", t.key.job, "item", t.id, "request", t.fingerprint, "worker", t.lease.Endpoint.ID, "ended", exited, "events", t.progress.events, "ms", t.runTime.Milliseconds())
+	logging.Info(store.logger, "worker_broke_off", "job", t.key.job, "item", t.id, "request", t.fingerprint, "worker", t.lease.Endpoint.ID, "ended", exited, "parts", httpheader.FormatPartIDs(t.parts()), "events", t.progress.events, "ms", t.runTime.Milliseconds())
 	if exited {
 		t.onTrial = false
 		cache.RecordExit(clock.Now(), t.fingerprint, t.lease.Endpoint.ID, t.started)
 	}
 }
+
+// parts returns the parts of the item's prompt.
+func (t *task) parts() []httpheader.Part {
+	return httpheader.ParseParts(httpheader.Value(t.content.Headers, t.runner.store.headerNames.PromptParts))
+}
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -6,6 +6,7 @@
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/httpheader"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/upstream"
@@ -53,7 +54,7 @@
 		return
 	}
 	c.workerExited = c.edge.upstream.WorkerExited(c.context, lease.Endpoint, c.sentAt)
-	logging.Info(c.edge.logger, "worker_broke_off", "id", c.id, "request", c.fingerprint(), "worker", lease.Endpoint.ID, "ended", c.workerExited, "last_event", c.lastEventID, "ms", c.elapsed())
+	logging.Info(c.edge.logger, "worker_broke_off", "id", c.id, "request", c.fingerprint(), "worker", lease.Endpoint.ID, "ended", c.workerExited, "parts", httpheader.FormatPartIDs(c.demand.Parts), "last_event", c.lastEventID, "ms", c.elapsed())
 	if c.workerExited {
 		c.edge.metrics.workerExits.Inc()
 		c.edge.watcher.Quarantine().RecordExit(clock.Now(), c.fingerprint(), lease.Endpoint.ID, c.sentAt)
