--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -72,12 +72,28 @@
 	BreakAfter int
 	// Hang sends nothing until the caller disconnects.
 	Hang bool
-	// ExitAfter, if not 0, makes the worker exit this long after the request began.
-	// RestartAfter is the time from the exit to the restart at the same address.
+	// ExitAfter, if not 0, makes the worker exit this long after it has sent ExitEvents events of the
+	// answer. With 0 events it sends no headers either. RestartAfter is the time from the exit to the
+	// restart at the same address.
 	ExitAfter    time.Duration
+	ExitEvents   int
 	RestartAfter time.Duration
+	// Framing says how the end of the answer is marked.
+	Framing Framing
 }
 
+// Framing says how a caller knows where an answer ends.
+type Framing uint8
+
+const (
+	// FramingChunks sends the answer in chunks.
+	FramingChunks Framing = iota
+	// FramingLength announces the length of the answer.
+	FramingLength
+	// FramingNone ends the answer with its connection.
+	FramingNone
+)
+
 // HostedVersion is the software version of a new worker.
 const HostedVersion = "v1"
 
@@ -97,6 +113,7 @@
 		LastEvent:    "Last-Event-Id",
 		Resumes:      "Resumes",
 		Load:         "Server-Load",
+		PromptParts:  "Prompt-Prefix",
 		Tokens:       "Token-Count",
 	}
 }
@@ -209,10 +226,8 @@
 		writer.WriteHeader(fault.Status)
 		return
 	}
-	if fault.ExitAfter > 0 {
-		time.Sleep(fault.ExitAfter)
-		w.exit(fault.RestartAfter)
-		panic(http.ErrAbortHandler)
+	if fault.ExitAfter > 0 && fault.ExitEvents == 0 {
+		w.exitDuringRequest(&fault)
 	}
 	if fault.Hang {
 		<-httpRequest.Context().Done()
@@ -259,8 +274,9 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	_, outputTokens, _ := strings.Cut(request.Header.Get(w.HeaderNames.Tokens), ",")
 	count, _ := strconv.Atoi(outputTokens)
-	flusher, _ := writer.(http.Flusher)
 	version := w.version()
+	fault.Framing.setHeader(writer.Header(), eventsBytes(version, request.ID, request.LastEventID+1, count))
+	flusher, _ := writer.(http.Flusher)
 	for sent, number := 0, request.LastEventID+1; number <= count; number++ {
 		select {
 		case <-httpRequest.Context().Done():
@@ -271,13 +287,48 @@
 		if fault.BreakAfter > 0 && sent >= fault.BreakAfter {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, HostedEvent(version, request.ID, number)); err != nil {
+		if _, err := io.WriteString(writer, hostedEventText(version, request.ID, number)); err != nil {
 			return
 		}
 		if flusher != nil {
 			flusher.Flush()
 		}
 		sent++
+		if fault.ExitAfter > 0 && sent >= fault.ExitEvents {
+			w.exitDuringRequest(&fault)
+		}
+	}
+}
+
+// exitDuringRequest makes the worker exit while it handles a request.
+func (w *HostedWorker) exitDuringRequest(fault *HostedFault) {
+	time.Sleep(fault.ExitAfter)
+	w.exit(fault.RestartAfter)
+	panic(http.ErrAbortHandler)
+}
+
+// hostedEventText returns an event as it is sent.
+func hostedEventText(version, id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, HostedEvent(version, id, number))
+}
+
+// eventsBytes returns the length in bytes of the events from first to last.
+func eventsBytes(version, id string, first, last int) int {
+	total := 0
+	for number := first; number <= last; number++ {
+		total += len(hostedEventText(version, id, number))
+	}
+	return total
+}
+
+// setHeader sets the headers that announce how the end of an answer of the given length is marked.
+func (f Framing) setHeader(header http.Header, length int) {
+	switch f {
+	case FramingLength:
+		header.Set("Content-Length", strconv.Itoa(length))
+	case FramingNone:
+		// net/http then sends neither a length nor chunks, and closes the connection at the end.
+		header.Set("Transfer-Encoding", "identity")
 	}
 }
 
