Judge requests by the parts of their prompts, too, under which workers exit

Cause: the quarantine knew requests by owner, host, method, path and body only. Each request with the part has a body of its own, so it began with no exits and ended as many workers as its attempts allow. The bound was kept per request, the harm belongs to what requests share.

Fix: a run counts for a quarantine.Subject: the request, and the parts of its prompt but the last one, which is the request's own. All are fingerprints in the one table that exists, so log, updates, trials, restarts, relays and builds of before (which take parts for requests) work as they are. What keeps sound parts out, which are on the same workers: - a part with a success at this process within the last one to two seconds is not blamed, and a process with such a success readmits a part that others have had refused; - a part is not blamed for exits that the request alone explains; - a run that received output for a second before the worker exited counts as a success; - a request with several refused fingerprints is tried 2 s later than those with one of them, and the second trial comes 2.5 s after the first (before: a minute), because a worker may exit for another reason. Requests are checked again before each send, since they may have waited while a part was refused, and an answer without output is no success. Items of batch jobs carry the same subject.

An item's run counted as good if it took a second and had an event; one that waited at the worker and ended it with its first event thus spoke for the item. It is now the time from the first event to the last (TestRunOutcomesInQuarantine has the case).

--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -45,9 +45,9 @@
 	// result. It may be ahead of the progress in the log.
 	savedProgress map[itemKey]progress
 	backoffUntil  map[itemKey]time.Time
-	// fingerprints caches the fingerprints of items. grantedTrials holds the refused items that may
+	// subjects caches the fingerprints of items. grantedTrials holds the refused items that may
 	// run on trial. The channel trials delivers the items whose trial was granted just now.
-	fingerprints  map[itemKey]quarantine.Fingerprint
+	subjects      map[itemKey]*quarantine.Subject
 	grantedTrials map[itemKey]bool
 	trials        chan itemKey
 	// waiting is the number of items that could start, as of the last poll.
@@ -95,7 +95,7 @@
 		running:        map[itemKey]*task{},
 		savedProgress:  map[itemKey]progress{},
 		backoffUntil:   map[itemKey]time.Time{},
-		fingerprints:   map[itemKey]quarantine.Fingerprint{},
+		subjects:       map[itemKey]*quarantine.Subject{},
 		grantedTrials:  map[itemKey]bool{},
 		trials:         make(chan itemKey),
 		failedProbes:   map[itemKey]bool{},
@@ -238,7 +238,7 @@
 	switch {
 	case ended.finished:
 		r.pending[ended.key] = true
-		delete(r.fingerprints, ended.key)
+		delete(r.subjects, ended.key)
 		delete(r.failedProbes, ended.key)
 		delete(r.versionWaits, ended.key)
 		if ended.ranUninterrupted {
@@ -314,6 +314,6 @@
 	r.backoffUntil = map[itemKey]time.Time{}
 	r.failedProbes = map[itemKey]bool{}
 	r.versionWaits = map[itemKey]time.Time{}
-	r.fingerprints = map[itemKey]quarantine.Fingerprint{}
+	r.subjects = map[itemKey]*quarantine.Subject{}
 	r.grantedTrials = map[itemKey]bool{}
 }
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -85,10 +85,10 @@
 	chain    uint64
 	progress progress
 	failures int
-	// fingerprint is the identity of the request. onTrial is set if the item runs on trial although
-	// it is refused. It is cleared if the worker exits during the run.
-	fingerprint quarantine.Fingerprint
-	onTrial     bool
+	// subject is what the outcome of the run counts for. onTrial is set if the item runs on trial
+	// although it is refused. It is cleared if the worker exits during the run.
+	subject *quarantine.Subject
+	onTrial bool
 	// expected is the number of tokens that the caller expects.
 	expected int64
 	lease    *balance.Lease
@@ -105,8 +105,8 @@
 	// this progress continues from the state in the log.
 	preempted bool
 	unusable  bool
-	// receivedEvent is set once this run has received an event.
-	receivedEvent bool
+	// output is the output of this run.
+	output quarantine.Output
 	// probeFailed is set if the worker was avoided and this run shows that it still fails.
 	probeFailed bool
 	// inAdvance is set by the runner if the item is preempted for requests that are forecast,
@@ -137,7 +137,7 @@
 	t.lease.Release()
 	t.runTime = clock.Since(t.started)
 	t.progress.runTime += t.runTime
-	t.reportOutcome(err, t.progress.events > before)
+	t.reportOutcome(err)
 	t.ranUninterrupted = err == nil && before == 0
 	switch {
 	case err == nil:
@@ -163,7 +163,7 @@
 
 // failedAsProbe reports whether the end of the run shows that an avoided worker still fails.
 func (t *task) failedAsProbe(err error) bool {
-	if err == nil || !t.lease.IsProbe() || t.receivedEvent || t.context.Err() != nil {
+	if err == nil || !t.lease.IsProbe() || t.output.Received() || t.context.Err() != nil {
 		return false
 	}
 	return !failure.Is(err, failure.NotRun) && !failure.Is(err, failure.BadRequest)
@@ -348,7 +348,7 @@
 // recordDisconnect records that the worker ended its answer too early. A disconnect after the
 // first event is not recorded: by then the worker has shown that it serves requests.
 func (t *task) recordDisconnect() {
-	if !t.receivedEvent && t.context.Err() == nil {
+	if !t.output.Received() && t.context.Err() == nil {
 		t.lease.RecordDisconnect()
 	}
 }
@@ -371,10 +371,11 @@
 		return nil
 	}
 	t.lease.RecordPrefill()
-	if !t.receivedEvent {
-		t.receivedEvent = true
-		t.lease.RecordItemStart(clock.Now(), true)
+	now := clock.Now()
+	if !t.output.Received() {
+		t.lease.RecordItemStart(now, true)
 	}
+	t.output.Record(now)
 	t.recordPace(len(events))
 	for i := range events {
 		event := &events[i]
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -30,6 +30,7 @@
 func (c *Coordinator) handleReportLocal(ctx context.Context, request *wire.QuarantineReport) (*wire.QuarantineAnswer, error) {
 	answer := &wire.QuarantineAnswer{}
 	command := &wire.QuarantineCommand{Runs: request.Runs}
+	var trial []quarantine.Fingerprint
 	refusedBefore := map[uint64]bool{}
 	if err := c.checkQuarantineSupport(); err != nil {
 		return nil, err
@@ -40,12 +41,15 @@
 			refusedBefore[run.Request] = c.isRefused(run.Request)
 		}
 		if request.Trial != 0 {
-			c.decideTrial(now, quarantine.Fingerprint(request.Trial), command, answer)
+			trial = c.decideTrial(now, quarantine.Fingerprints(request.RequestedTrial()), answer)
 		}
 	})
-	if err == nil && (len(command.Runs) > 0 || command.Trial != 0) {
+	if err == nil && len(command.Runs) > 0 {
 		_, err = c.propose(ctx, &wire.FleetCommand{Quarantine: command})
 	}
+	for i := 0; err == nil && i < len(trial); i++ {
+		_, err = c.propose(ctx, &wire.FleetCommand{Quarantine: &wire.QuarantineCommand{AtMillis: command.AtMillis, Trial: uint64(trial[i])}})
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -133,16 +137,20 @@
 	return result, nil
 }
 
-// decideTrial decides whether a refused request may be tried on a worker, and fills in the command
-// and the answer.
-func (c *Coordinator) decideTrial(now time.Time, request quarantine.Fingerprint, command *wire.QuarantineCommand, answer *wire.QuarantineAnswer) {
-	granted, wait := c.timers.GrantTrial(now, c.machine.Quarantine(), request)
+// decideTrial decides whether a request may be tried on a worker for which the given fingerprints are
+// refused, and fills in the answer. It returns those for which a trial must be committed.
+func (c *Coordinator) decideTrial(now time.Time, refused []quarantine.Fingerprint, answer *wire.QuarantineAnswer) []quarantine.Fingerprint {
+	granted, wait := c.timers.GrantTrial(now, c.machine.Quarantine(), refused)
 	answer.Granted, answer.WaitMillis = granted, wait.Milliseconds()
+	var trial []quarantine.Fingerprint
 	trials := 0
-	if entry := c.machine.Quarantine().Entry(request); granted && entry != nil {
-		command.Trial, trials = uint64(request), entry.Trials
+	for _, fingerprint := range refused {
+		if entry := c.machine.Quarantine().Entry(fingerprint); granted && entry != nil {
+			trial, trials = append(trial, fingerprint), max(trials, entry.Trials)
+		}
 	}
-	logging.Info(c.logger, "quarantine_trial", "request", request, "granted", granted, "trials", trials, "wait_ms", answer.WaitMillis)
+	logging.Info(c.logger, "quarantine_trial", "request", quarantine.Format(refused), "granted", granted, "trials", trials, "wait_ms", answer.WaitMillis)
+	return trial
 }
 
 // onApplied wakes the watches after a command, unless the command only changed which requests are
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -24,16 +24,16 @@
 	if index > 0 && !t.workerExited || !local.InUse() {
 		return nil
 	}
-	allowed, wait := local.MayRun(clock.Now(), t.fingerprint())
+	allowed, wait := local.MayRun(clock.Now(), t.subject())
 	if allowed {
 		return nil
 	}
-	logging.Info(t.dispatcher.logger, "request_quarantined", "request", t.request.RequestID, "identity", t.fingerprint(), "wait_ms", wait.Milliseconds())
+	logging.Info(t.dispatcher.logger, "request_quarantined", "request", t.request.RequestID, "identity", t.subject().Request, "wait_ms", wait.Milliseconds())
 	kind := failure.NotRun
 	if t.started {
 		kind = failure.OutcomeUnknown
 	}
-	return failure.New(kind, "change the request, or have its workers' logs looked at", "workers ended under this request, and it goes to no other").WithRetryAfter(wait)
+	return failure.New(kind, "change the request, or have its workers' logs looked at", "workers ended under this request or a part of its prompt, and it goes to no other").WithRetryAfter(wait)
 }
 
 // recordOutcome records in the quarantine how an attempt ended for its worker. If the stream can't
@@ -42,19 +42,20 @@
 	local := t.dispatcher.quarantine
 	switch {
 	case err == nil:
-		if local.InUse() {
-			local.RecordSuccess(clock.Now(), t.fingerprint())
-		}
+		local.RecordSuccess(clock.Now(), t.subject())
 	case failure.Is(err, failure.OutcomeUnknown) && errors.Is(err, syscall.ECONNREFUSED):
 		t.workerExited = true
-		local.RecordExit(clock.Now(), t.fingerprint(), t.worker, t.startedAt)
-		logging.Info(t.dispatcher.logger, "worker_broke_off", "request", t.request.RequestID, "identity", t.fingerprint(), "worker", t.worker, "ended", true, "tokens", t.answer.tokens)
+		local.RecordExit(clock.Now(), t.subject(), t.worker, t.startedAt)
+		logging.Info(t.dispatcher.logger, "worker_broke_off", "request", t.request.RequestID, "identity", t.subject().Request, "worker", t.worker, "ended", true, "tokens", t.answer.tokens)
 	}
 }
 
-// fingerprint returns the identity of the request in the quarantine.
-func (t *task) fingerprint() quarantine.Fingerprint {
-	r := t.request
-	target := fmt.Sprintf("%s/%d", r.Adapter, r.MaxTokens)
-	return quarantine.FingerprintOf(tenancy.Name(r.Tenant), r.Model, "", target, []byte(r.Prompt))
+// subject returns the identity of the request in the quarantine.
+func (t *task) subject() *quarantine.Subject {
+	if t.cachedSubject == nil {
+		r := t.request
+		target := fmt.Sprintf("%s/%d", r.Adapter, r.MaxTokens)
+		t.cachedSubject = &quarantine.Subject{Request: quarantine.FingerprintOf(tenancy.Name(r.Tenant), r.Model, "", target, []byte(r.Prompt))}
+	}
+	return t.cachedSubject
 }
--- a/internal/dispatcher/task.go
+++ b/internal/dispatcher/task.go
@@ -12,6 +12,7 @@
 	"github.com/sedgemast/sedgemast/internal/engine"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/retry"
 	"github.com/sedgemast/sedgemast/internal/scheduling"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -62,6 +63,8 @@
 	worker    string
 	address   string
 	startedAt time.Time
+	// cachedSubject identifies the request for quarantine, nil until it is first needed.
+	cachedSubject *quarantine.Subject
 	// workerExited is set once a worker of this dispatcher has exited while running the request.
 	workerExited bool
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -79,12 +79,13 @@
 	lastErr    error
 	// status is the HTTP status of the last worker's answer.
 	status int
-	// cachedFingerprint identifies the request for quarantine, zero until it is first needed.
-	// onTrial is set if the request is quarantined but was granted a trial. workerExited is set if
-	// a worker exited while it ran this call.
-	cachedFingerprint quarantine.Fingerprint
-	onTrial           bool
-	workerExited      bool
+	// cachedSubject identifies the request for quarantine, nil until it is first needed. onTrial is
+	// set if the request is quarantined but was granted a trial. workerExited is set if a worker
+	// exited while it ran this call. output is that of the current attempt.
+	cachedSubject *quarantine.Subject
+	onTrial       bool
+	workerExited  bool
+	output        quarantine.Output
 	// tokenRequest asks for a token of the tenant's rate limit; hasToken is set while the token is
 	// granted and not returned. loadsFresh is set if the hub's answer also carried worker loads
 	// that no choice of a worker has used yet.
@@ -179,6 +180,11 @@
 			c.releaseLease(lease)
 			return
 		}
+		if c.refusedSinceArrival() {
+			c.releaseLease(lease)
+			c.giveUpQuarantined()
+			return
+		}
 		result := c.attempt(lease)
 		lease.Release()
 		c.edge.slotReleased(c.demand.Pool, releasedSlotWorker(lease.Endpoint.ID, result, c.status))
@@ -328,7 +334,7 @@
 	request := c.request
 	request.Headers = c.headers(lease)
 	c.attempts++
-	c.sentAt = clock.Now()
+	c.sentAt, c.output = clock.Now(), quarantine.Output{}
 	if lease.IsProbe() {
 		c.edge.metrics.probes.Inc()
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -93,6 +93,7 @@
 	}
 	lease.RecordPrefill()
 	lease.RecordContent()
+	c.output.Record(clock.Now())
 	c.recordPace(lease, len(events))
 	written := false
 	for i := range events {
@@ -156,6 +157,9 @@
 		}
 		count, err := response.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+count]
+		if count > 0 {
+			c.output.Record(clock.Now())
+		}
 		if err == io.EOF {
 			c.recordBodyReceived(lease, response)
 			return c.writeBody(response, buffer)
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -41,6 +41,10 @@
 	MutationForgetExits Mutation = "forget_ends"
 	// MutationIgnoreSuccess drops reports of successful runs.
 	MutationIgnoreSuccess Mutation = "no_acquittal"
+	// MutationWholeRequests judges requests only as a whole, not by the parts of their prompts.
+	MutationWholeRequests Mutation = "whole_requests"
+	// MutationNoCredit forgets the successes of parts under which no worker is known to have exited.
+	MutationNoCredit Mutation = "no_credit"
 	// MutationOneIncarnation counts only one exit for each worker id and request, over all
 	// incarnations of the worker.
 	MutationOneIncarnation Mutation = "one_life"
@@ -59,7 +63,7 @@
 )
 
 // Mutations lists all mutations except MutationNone.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion}
 
 // mutatedStore returns the machine's disk, or one that never syncs with MutationForgetSync.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetwatch/quarantine.go
+++ b/internal/fleetwatch/quarantine.go
@@ -42,7 +42,7 @@
 		answer, err := w.callQuarantine(callContext, attempt, report)
 		cancel()
 		if err == nil {
-			w.quarantineCache.RecordAnswer(&answer.News)
+			w.quarantineCache.RecordAnswer(clock.Now(), &answer.News)
 			if failing {
 				failing = false
 				logging.Info(w.logger, "runs_reported", "runs", len(report.Runs), "lost", w.quarantineCache.DroppedReportCount(), "turns", attempt)
@@ -50,7 +50,7 @@
 			attempt = 0
 			continue
 		}
-		w.quarantineCache.RecordAnswer(nil)
+		w.quarantineCache.RecordAnswer(clock.Now(), nil)
 		attempt++
 		if !failing {
 			failing = true
@@ -87,25 +87,27 @@
 	return addresses[attempt/2%len(addresses)]
 }
 
-// RequestTrial reports whether this process may try the refused request once. If not, it returns
-// after which time the caller may retry.
-func (w *Watcher) RequestTrial(ctx context.Context, request quarantine.Fingerprint) (bool, time.Duration) {
+// RequestTrial reports whether this process may try a request once for which the given fingerprints
+// are refused. If not, it returns after which time the caller may retry.
+func (w *Watcher) RequestTrial(ctx context.Context, refused []quarantine.Fingerprint) (bool, time.Duration) {
 	now := clock.Now()
-	if wait := w.quarantineCache.TrialDelay(now, request); wait > 0 {
+	if wait := w.quarantineCache.TrialDelay(now, refused); wait > 0 {
 		return false, wait
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	answer, err := w.callQuarantine(ctx, 0, &wire.QuarantineReport{Trial: uint64(request), Known: w.quarantineCache.Revision()})
+	report := &wire.QuarantineReport{Known: w.quarantineCache.Revision()}
+	report.RequestTrial(quarantine.Uint64s(refused))
+	answer, err := w.callQuarantine(ctx, 0, report)
 	if err != nil {
-		logging.Info(w.logger, "trial_not_asked", "request", request, "error", err)
-		w.quarantineCache.DenyTrial(now, request, unreachableRetryAfter)
+		logging.Info(w.logger, "trial_not_asked", "request", quarantine.Format(refused), "error", err)
+		w.quarantineCache.DenyTrial(now, refused, unreachableRetryAfter)
 		return false, unreachableRetryAfter
 	}
-	w.quarantineCache.Apply(&answer.News)
+	w.quarantineCache.Apply(clock.Now(), &answer.News)
 	wait := time.Duration(answer.WaitMillis) * time.Millisecond
 	if !answer.Granted {
-		w.quarantineCache.DenyTrial(now, request, wait)
+		w.quarantineCache.DenyTrial(now, refused, wait)
 	}
 	return answer.Granted, wait
 }
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -206,7 +206,7 @@
 		changed = w.applyFleet(target, response, before, &after) || changed
 	}
 	if response.Quarantine != nil {
-		w.quarantineCache.Apply(response.Quarantine)
+		w.quarantineCache.Apply(clock.Now(), response.Quarantine)
 		changed = changed || response.Quarantine.Urgent()
 	}
 	w.current.Store(&after)
--- a/internal/httpheader/httpheader.go
+++ b/internal/httpheader/httpheader.go
@@ -103,15 +103,18 @@
 	return parts
 }
 
-// FormatPartIDs returns the ids of the parts, separated by commas, as used in logs.
-func FormatPartIDs(parts []Part) string {
+// PartIDs returns the ids of the parts in order.
+func PartIDs(parts []Part) []string {
 	ids := make([]string, len(parts))
 	for i, part := range parts {
 		ids[i] = part.ID
 	}
-	return strings.Join(ids, ",")
+	return ids
 }
 
+// FormatPartIDs returns the ids of the parts, separated by commas, as used in logs.
+func FormatPartIDs(parts []Part) string { return strings.Join(PartIDs(parts), ",") }
+
 // ParseTokenCounts parses the number of prompt tokens and the maximum number of output tokens. A
 // missing count is zero.
 func ParseTokenCounts(value string) (prompt, maxOutput int64) {
--- a/internal/quarantine/cache.go
+++ b/internal/quarantine/cache.go
@@ -35,7 +35,10 @@
 	// inFlight is the number of runs at the start of ownRuns that are in flight: the last Report
 	// returned them, and RecordAnswer has not handled them yet.
 	inFlight int
-	// trialNotBefore holds, by refused request, the earliest time of the next trial request.
+	// credits holds the parts of prompts with a recent success at this process.
+	credits credits
+	// trialNotBefore holds, by refused fingerprints, see combine, the earliest time of the next trial
+	// request.
 	trialNotBefore map[Fingerprint]time.Time
 	// dropped counts the runs that were discarded because ownRuns was full.
 	dropped uint64
@@ -78,9 +81,40 @@
 	return c.standingLocked(now, request)
 }
 
-func (c *Cache) standingLocked(now time.Time, request Fingerprint) Standing {
-	row := c.rows[request]
-	exits := map[uint32]int{}
+// Refused returns which of the request and the parts of its prompt must not be sent to a worker.
+func (c *Cache) Refused(now time.Time, s *Subject) []Fingerprint {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var refused []Fingerprint
+	for _, fingerprint := range s.all() {
+		if c.standingLocked(now, fingerprint) == Refused {
+			refused = append(refused, fingerprint)
+		}
+	}
+	return refused
+}
+
+func (c *Cache) standingLocked(now time.Time, fingerprint Fingerprint) Standing {
+	exits, refused := c.exitsLocked(now, fingerprint)
+	total := 0
+	for _, count := range exits {
+		total += count
+	}
+	switch {
+	case refused || total >= Threshold:
+		return Refused
+	case total > 0:
+		return Suspect
+	}
+	return Unknown
+}
+
+// exitsLocked returns how often each worker is known to have exited under the fingerprint since its
+// last success, and whether the coordinators refuse it.
+func (c *Cache) exitsLocked(now time.Time, fingerprint Fingerprint) (exits map[uint32]int, refused bool) {
+	row := c.rows[fingerprint]
+	refused = row.Refused
+	exits = map[uint32]int{}
 	for _, worker := range row.Ended {
 		exits[worker]++
 	}
@@ -88,9 +122,9 @@
 	for i := range c.ownRuns {
 		run := &c.ownRuns[i]
 		switch {
-		case run.report.Request != uint64(request) || now.Sub(run.observedAt) > ownRunTTL:
+		case run.report.Request != uint64(fingerprint) || now.Sub(run.observedAt) > ownRunTTL:
 		case run.report.Worker == 0:
-			row.Refused = false
+			refused = false
 			clear(exits)
 			clear(observed)
 		default:
@@ -99,20 +133,10 @@
 	}
 	// The rows of the coordinators may include exits that this process reported, so for each worker
 	// the larger of the two counts applies, not their sum.
-	total := 0
 	for worker, seen := range observed {
 		exits[worker] = max(exits[worker], seen.count)
 	}
-	for _, count := range exits {
-		total += count
-	}
-	switch {
-	case row.Refused || total >= Threshold:
-		return Refused
-	case total > 0:
-		return Suspect
-	}
-	return Unknown
+	return exits, refused
 }
 
 // observedExits counts the exits of one worker that this process observed.
@@ -136,23 +160,36 @@
 // stands for a run without an exit.
 func WorkerHash(id string) uint32 { return max(uint32(xxhash.Sum64String(id)), 1) }
 
-// RecordExit records that the worker exited during a run of the request. startedAt is when that run
+// RecordExit records that the worker exited during a run of the subject. startedAt is when that run
 // started, zero if unknown.
-func (c *Cache) RecordExit(now time.Time, request Fingerprint, worker string, startedAt time.Time) {
-	c.addRun(ownRun{wire.RunReport{Request: uint64(request), Worker: WorkerHash(worker)}, now, startedAt})
-}
-
-// RecordSuccess records that a run of the request succeeded. The success is reported only if a
-// worker is known to have exited under the request.
-func (c *Cache) RecordSuccess(now time.Time, request Fingerprint) {
-	if c.Standing(now, request) != Unknown {
-		c.addRun(ownRun{wire.RunReport{Request: uint64(request)}, now, time.Time{}})
+func (c *Cache) RecordExit(now time.Time, s *Subject, worker string, startedAt time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	hash := WorkerHash(worker)
+	exitsOf := func(fingerprint Fingerprint) map[uint32]int {
+		exits, _ := c.exitsLocked(now, fingerprint)
+		return exits
+	}
+	for _, fingerprint := range c.credits.blamed(now, s, exitsOf) {
+		c.addRunLocked(ownRun{wire.RunReport{Request: uint64(fingerprint), Worker: hash}, now, startedAt})
 	}
 }
 
-func (c *Cache) addRun(run ownRun) {
+// RecordSuccess records that a run of the subject succeeded. The success is reported only for those
+// fingerprints under which a worker is known to have exited. If InUse is not set, the request's
+// fingerprint may be missing.
+func (c *Cache) RecordSuccess(now time.Time, s *Subject) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.credits.add(now, s.Parts)
+	for _, fingerprint := range s.all() {
+		if c.standingLocked(now, fingerprint) != Unknown {
+			c.addRunLocked(ownRun{wire.RunReport{Request: uint64(fingerprint)}, now, time.Time{}})
+		}
+	}
+}
+
+func (c *Cache) addRunLocked(run ownRun) {
 	if len(c.ownRuns) >= maxOwnRuns {
 		// Keep the newest runs, because the next requests are judged by them. Runs in flight
 		// stay in place, because RecordAnswer removes them by their count.
@@ -217,14 +254,16 @@
 // RecordAnswer handles the answer to the last Report: it removes the acknowledged runs and
 // applies the update. A nil update means that no coordinator answered, so the runs are reported
 // again.
-func (c *Cache) RecordAnswer(update *wire.QuarantineNews) {
+func (c *Cache) RecordAnswer(now time.Time, update *wire.QuarantineNews) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if update != nil {
 		c.ownRuns = append([]ownRun(nil), c.ownRuns[c.inFlight:]...)
-		c.applyLocked(update)
 	}
 	c.inFlight = 0
+	if update != nil {
+		c.applyLocked(now, update)
+	}
 	c.updateInUse()
 }
 
@@ -236,14 +275,14 @@
 }
 
 // Apply applies an update from a coordinator.
-func (c *Cache) Apply(update *wire.QuarantineNews) {
+func (c *Cache) Apply(now time.Time, update *wire.QuarantineNews) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.applyLocked(update)
+	c.applyLocked(now, update)
 	c.updateInUse()
 }
 
-func (c *Cache) applyLocked(update *wire.QuarantineNews) {
+func (c *Cache) applyLocked(now time.Time, update *wire.QuarantineNews) {
 	if update.Revision < c.revision && !update.Whole {
 		// Answers may arrive out of order. A full update of an older revision is applied: it
 		// comes only from coordinators that have lost state.
@@ -262,6 +301,9 @@
 		}
 		if !row.Refused {
 			delete(c.trialNotBefore, request)
+		} else if c.credits.has(now, request) {
+			// The exits came from processes that lack the successes of this one.
+			c.addRunLocked(ownRun{wire.RunReport{Request: row.Request}, now, time.Time{}})
 		}
 	}
 }
@@ -290,25 +332,40 @@
 // have not acknowledged the exits that this process observed under it.
 const reportRetryAfter = 150 * time.Millisecond
 
-// TrialDelay returns how long to wait before requesting a trial of a refused request. It returns
-// zero if the trial may be requested now.
-func (c *Cache) TrialDelay(now time.Time, request Fingerprint) time.Duration {
+// TrialDelay returns how long to wait before requesting a trial of a request for which the given
+// fingerprints are refused. It returns zero if the trial may be requested now.
+func (c *Cache) TrialDelay(now time.Time, refused []Fingerprint) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for i := range c.ownRuns {
-		if c.ownRuns[i].report.Request == uint64(request) && c.ownRuns[i].report.Worker != 0 {
+		report := &c.ownRuns[i].report
+		if report.Worker != 0 && slices.Contains(refused, Fingerprint(report.Request)) {
 			return reportRetryAfter
 		}
 	}
-	return max(c.trialNotBefore[request].Sub(now), 0)
+	delay := max(c.trialNotBefore[combine(refused)].Sub(now), 0)
+	for _, fingerprint := range refused {
+		delay = max(delay, c.trialNotBefore[fingerprint].Sub(now))
+	}
+	return delay
 }
 
-// DenyTrial records that no trial of the refused request may be requested before wait is over.
-func (c *Cache) DenyTrial(now time.Time, request Fingerprint, wait time.Duration) {
+// DenyTrial records that no trial of a request for which the given fingerprints are refused may be
+// requested before wait is over.
+func (c *Cache) DenyTrial(now time.Time, refused []Fingerprint, wait time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if len(c.trialNotBefore) >= maxRows {
 		clear(c.trialNotBefore)
 	}
-	c.trialNotBefore[request] = now.Add(wait)
+	c.trialNotBefore[combine(refused)] = now.Add(wait)
+}
+
+// combine returns a key for a set of fingerprints; for a single one, the fingerprint itself.
+func combine(fingerprints []Fingerprint) Fingerprint {
+	var key Fingerprint
+	for _, fingerprint := range fingerprints {
+		key ^= fingerprint
+	}
+	return key
 }
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -1,6 +1,7 @@
-// Package quarantine protects workers from requests that make them exit. A request under which
-// several workers exited, without a successful run since, is refused until a trial run is
-// granted. The package performs no I/O; callers pass in the time.
+// Package quarantine protects workers from requests that make them exit. The reason may be a whole
+// request that comes again, or a part of the prompt that many requests have. What several workers
+// exited under, without a successful run since, is refused until a trial run is granted. The
+// package performs no I/O; callers pass in the time.
 package quarantine
 
 import (
@@ -10,14 +11,16 @@
 	"hash"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 )
 
-// Fingerprint identifies a request. Two requests with the same fingerprint have the same owner,
-// host, method, target and body. Ids, deadlines and all other headers differ between arrivals of
-// the same request and are left out.
+// Fingerprint identifies a request, or a part of a prompt. Two requests with the same fingerprint
+// have the same owner, host, method, target and body. Ids, deadlines and all other headers differ
+// between arrivals of the same request and are left out. Two parts with the same fingerprint have
+// the same owner and id.
 type Fingerprint uint64
 
 // String returns the fingerprint in the form used in logs.
@@ -32,6 +35,33 @@
 	return Fingerprint(value), nil
 }
 
+// Format returns the fingerprints in the form used in logs, separated by commas.
+func Format(fingerprints []Fingerprint) string {
+	texts := make([]string, len(fingerprints))
+	for i, fingerprint := range fingerprints {
+		texts[i] = fingerprint.String()
+	}
+	return strings.Join(texts, ",")
+}
+
+// Fingerprints returns the fingerprints with the given values.
+func Fingerprints(values []uint64) []Fingerprint {
+	fingerprints := make([]Fingerprint, len(values))
+	for i, value := range values {
+		fingerprints[i] = Fingerprint(value)
+	}
+	return fingerprints
+}
+
+// Uint64s returns the values of the fingerprints.
+func Uint64s(fingerprints []Fingerprint) []uint64 {
+	values := make([]uint64, len(fingerprints))
+	for i, fingerprint := range fingerprints {
+		values[i] = uint64(fingerprint)
+	}
+	return values
+}
+
 // FingerprintOf returns a request's fingerprint. It is taken from a SHA-256 digest, so that nobody
 // can craft a request with the fingerprint of another request. If the two had the same fingerprint,
 // both would be refused once the crafted one is.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -252,6 +252,25 @@
 // Processes with an older revision must be updated at once.
 func (t *Table) UrgentRevision() uint64 { return t.urgentRevision }
 
+// refused returns those of the fingerprints that are refused.
+func (t *Table) refused(fingerprints []Fingerprint) []Fingerprint {
+	return slices.DeleteFunc(slices.Clone(fingerprints), func(fingerprint Fingerprint) bool {
+		row := t.rows[fingerprint]
+		return row == nil || !row.Refused
+	})
+}
+
+// exits returns how often each worker exited under the fingerprint since its last success.
+func (t *Table) exits(fingerprint Fingerprint) map[uint32]int {
+	exits := map[uint32]int{}
+	if row := t.rows[fingerprint]; row != nil {
+		for _, end := range row.Ends {
+			exits[end.Worker]++
+		}
+	}
+	return exits
+}
+
 // Entry returns the stored entry of a request, nil if there is none. The caller must not change
 // it.
 func (t *Table) Entry(request Fingerprint) *wire.QuarantineEntry { return t.rows[request] }
--- a/internal/quarantine/timers.go
+++ b/internal/quarantine/timers.go
@@ -16,11 +16,16 @@
 	// that ran on the same workers by coincidence have succeeded elsewhere. The trial readmits a
 	// harmless request; a harmful one makes one more worker exit.
 	firstTrialDelay = time.Second
-	// secondTrialDelay is the time from the first failed trial to the next one. Each further delay
-	// is twice as long, up to maxTrialDelay, so that a harmful request makes three more workers
-	// exit in the first quarter of an hour, and later one per hour.
-	secondTrialDelay = time.Minute
+	// secondTrialDelay is the time from the first failed trial to the next one. It is short because
+	// the worker of the first trial may have exited for another reason. thirdTrialDelay follows the
+	// second failed trial. Each further delay is twice as long, up to maxTrialDelay, so that a harmful
+	// request makes four more workers exit in the first quarter of an hour, and later one per hour.
+	secondTrialDelay = 2500 * time.Millisecond
+	thirdTrialDelay  = time.Minute
 	maxTrialDelay    = time.Hour
+	// jointTrialDelay is how much later a request is tried for which several fingerprints are refused.
+	// Until then, requests for which only one of them is refused may show that this one is harmless.
+	jointTrialDelay = 2 * time.Second
 	// trialTimeout is the usual upper bound of the time until a trial's outcome is known.
 	// trialPollInterval is the time after which a caller asks again while a trial runs. It is short
 	// because the request is readmitted if the trial succeeds.
@@ -38,11 +43,11 @@
 // use.
 type Timers struct {
 	rowTimers map[Fingerprint]*rowTimer
-	// trialRequest is the request that was last granted a trial, and trialStartedAt is when the
-	// trial was granted. exitBeforeTrial is the last exit of that request before the trial.
-	trialRequest    Fingerprint
-	trialStartedAt  time.Time
-	exitBeforeTrial wire.WorkerEnd
+	// onTrial are the fingerprints that were last granted a trial, and trialStartedAt is when the
+	// trial was granted. exitsBeforeTrial are their last exits before the trial.
+	onTrial          []Fingerprint
+	trialStartedAt   time.Time
+	exitsBeforeTrial []wire.WorkerEnd
 }
 
 // rowTimer holds when this leader first saw the present state of a row, and the times of its
@@ -110,11 +115,14 @@
 
 // trialDelay returns the time to the next trial after the given number of trials.
 func trialDelay(trials int) time.Duration {
-	if trials == 0 {
+	switch trials {
+	case 0:
 		return firstTrialDelay
+	case 1:
+		return secondTrialDelay
 	}
-	delay := secondTrialDelay
-	for range trials - 1 {
+	delay := thirdTrialDelay
+	for range trials - 2 {
 		if delay = 2 * delay; delay >= maxTrialDelay {
 			return maxTrialDelay
 		}
@@ -122,39 +130,62 @@
 	return delay
 }
 
-// GrantTrial reports whether a trial of the request may start now, and if not, after which time
-// to ask again. The caller must commit a granted trial before it answers the process that asked.
-func (tm *Timers) GrantTrial(now time.Time, t *Table, request Fingerprint) (granted bool, wait time.Duration) {
-	row := t.rows[request]
-	if row == nil || !row.Refused {
+// GrantTrial reports whether a request may be tried now for which the given fingerprints are refused,
+// and if not, after which time to ask again. The caller must commit a granted trial for each of them
+// before it answers the process that asked.
+func (tm *Timers) GrantTrial(now time.Time, t *Table, fingerprints []Fingerprint) (granted bool, wait time.Duration) {
+	refused := t.refused(fingerprints)
+	if len(refused) == 0 {
 		return true, 0
 	}
-	timer := tm.rowTimer(now, request, row)
-	if now.Before(timer.nextTrialAt) {
-		wait = timer.nextTrialAt.Sub(now)
-		if now.Sub(timer.grantedAt) < trialTimeout {
-			wait = min(wait, trialPollInterval)
-		}
+	for _, fingerprint := range refused {
+		wait = max(wait, tm.trialWait(now, fingerprint, t.rows[fingerprint], len(refused) > 1))
+	}
+	if wait > 0 {
 		return false, wait
 	}
-	if tm.otherTrialRuns(now, t, request) {
+	if tm.otherTrialRuns(now, t, refused) {
 		return false, trialPollInterval
 	}
-	timer.nextTrialAt, timer.grantedAt = now.Add(trialDelay(row.Trials+1)), now
-	tm.trialRequest, tm.trialStartedAt, tm.exitBeforeTrial = request, now, lastExit(row)
+	tm.onTrial, tm.trialStartedAt, tm.exitsBeforeTrial = refused, now, nil
+	for _, fingerprint := range refused {
+		row := t.rows[fingerprint]
+		timer := tm.rowTimer(now, fingerprint, row)
+		timer.nextTrialAt, timer.grantedAt = now.Add(trialDelay(row.Trials+1)), now
+		tm.exitsBeforeTrial = append(tm.exitsBeforeTrial, lastExit(row))
+	}
 	return true, 0
 }
 
+// trialWait returns after which time to ask again for a trial of a refused row, zero if it is due.
+func (tm *Timers) trialWait(now time.Time, fingerprint Fingerprint, row *wire.QuarantineEntry, joint bool) time.Duration {
+	timer := tm.rowTimer(now, fingerprint, row)
+	due := timer.nextTrialAt
+	if joint {
+		due = due.Add(jointTrialDelay)
+	}
+	wait := max(due.Sub(now), 0)
+	if now.Sub(timer.grantedAt) < trialTimeout {
+		wait = min(wait, trialPollInterval)
+	}
+	return wait
+}
+
 // otherTrialRuns reports whether another request is on trial. Requests that were refused together
 // are also due for a trial together. If their trials ran on the same worker, a harmful request
 // would make the worker exit, and a harmless one would be taken for harmful again and have to wait
-// for secondTrialDelay.
-func (tm *Timers) otherTrialRuns(now time.Time, t *Table, request Fingerprint) bool {
-	other := t.rows[tm.trialRequest]
-	if tm.trialRequest == request || other == nil || !other.Refused || now.Sub(tm.trialStartedAt) >= trialTimeout {
+// for thirdTrialDelay.
+func (tm *Timers) otherTrialRuns(now time.Time, t *Table, refused []Fingerprint) bool {
+	if now.Sub(tm.trialStartedAt) >= trialTimeout || slices.Equal(tm.onTrial, refused) {
 		return false
 	}
-	return lastExit(other) == tm.exitBeforeTrial
+	for i, fingerprint := range tm.onTrial {
+		row := t.rows[fingerprint]
+		if row == nil || !row.Refused || lastExit(row) != tm.exitsBeforeTrial[i] {
+			return false
+		}
+	}
+	return len(tm.onTrial) > 0
 }
 
 // lastExit returns the row's last exit, the zero value if there is none.
--- a/internal/wire/quarantine.go
+++ b/internal/wire/quarantine.go
@@ -9,7 +9,7 @@
 //
 //msgp:tuple RunReport
 type RunReport struct {
-	// Request is the request's quarantine.Fingerprint.
+	// Request is the quarantine.Fingerprint of the request, or of a part of its prompt.
 	Request uint64
 	// Worker is the hash of the worker's id if the worker exited; zero means that the run
 	// succeeded.
@@ -25,13 +25,30 @@
 type QuarantineReport struct {
 	// Runs holds the outcomes in the order in which the runs ended.
 	Runs []RunReport `msg:"runs"`
-	// Trial is the fingerprint of a rejected request, to ask whether the request may be tried now;
-	// zero for none.
-	Trial uint64 `msg:"trial"`
+	// Trial is the fingerprint of a rejected request or prompt part, to ask whether a request with it
+	// may be tried now; zero for none. TrialWith lists the other rejected fingerprints of that request.
+	Trial     uint64   `msg:"trial"`
+	TrialWith []uint64 `msg:"trial_with,omitempty"`
 	// Known is the revision of the quarantine that the process has.
 	Known uint64 `msg:"known"`
 }
 
+// RequestTrial sets the fingerprints of the request that the process wants to try.
+func (r *QuarantineReport) RequestTrial(refused []uint64) {
+	if len(refused) > 0 {
+		r.Trial, r.TrialWith = refused[0], refused[1:]
+	}
+}
+
+// RequestedTrial returns the fingerprints of the request that the process wants to try, none if it
+// does not ask for a trial.
+func (r *QuarantineReport) RequestedTrial() []uint64 {
+	if r.Trial == 0 {
+		return nil
+	}
+	return append([]uint64{r.Trial}, r.TrialWith...)
+}
+
 // QuarantineAnswer is the response to a QuarantineReport.
 type QuarantineAnswer struct {
 	News QuarantineNews `msg:"news"`
--- a/internal/wire/quarantine_gen.go
+++ b/internal/wire/quarantine_gen.go
@@ -1706,6 +1706,29 @@
 				err = msgp.WrapError(err, "Trial")
 				return
 			}
+		case "trial_with":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "TrialWith")
+				return
+			}
+			if zb0004 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.TrialWith) >= int(zb0004) {
+				z.TrialWith = (z.TrialWith)[:zb0004]
+			} else {
+				z.TrialWith = make([]uint64, zb0004)
+			}
+			for za0002 := range z.TrialWith {
+				z.TrialWith[za0002], err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "TrialWith", za0002)
+					return
+				}
+			}
 		case "known":
 			z.Known, err = dc.ReadUint64()
 			if err != nil {
@@ -1725,58 +1748,93 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *QuarantineReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "runs"
-	err = en.Append(0x83, 0xa4, 0x72, 0x75, 0x6e, 0x73)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.TrialWith == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Runs)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Runs")
 		return
 	}
-	for za0001 := range z.Runs {
-		// array header, size 3
-		err = en.Append(0x93)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "runs"
+		err = en.Append(0xa4, 0x72, 0x75, 0x6e, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Runs[za0001].Request)
+		err = en.WriteArrayHeader(uint32(len(z.Runs)))
 		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001, "Request")
+			err = msgp.WrapError(err, "Runs")
 			return
 		}
-		err = en.WriteUint32(z.Runs[za0001].Worker)
+		for za0001 := range z.Runs {
+			// array header, size 3
+			err = en.Append(0x93)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Runs[za0001].Request)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs", za0001, "Request")
+				return
+			}
+			err = en.WriteUint32(z.Runs[za0001].Worker)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs", za0001, "Worker")
+				return
+			}
+			err = en.WriteUint32(z.Runs[za0001].AgoMillis)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs", za0001, "AgoMillis")
+				return
+			}
+		}
+		// write "trial"
+		err = en.Append(0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
 		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001, "Worker")
 			return
 		}
-		err = en.WriteUint32(z.Runs[za0001].AgoMillis)
+		err = en.WriteUint64(z.Trial)
 		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001, "AgoMillis")
+			err = msgp.WrapError(err, "Trial")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "trial_with"
+			err = en.Append(0xaa, 0x74, 0x72, 0x69, 0x61, 0x6c, 0x5f, 0x77, 0x69, 0x74, 0x68)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.TrialWith)))
+			if err != nil {
+				err = msgp.WrapError(err, "TrialWith")
+				return
+			}
+			for za0002 := range z.TrialWith {
+				err = en.WriteUint64(z.TrialWith[za0002])
+				if err != nil {
+					err = msgp.WrapError(err, "TrialWith", za0002)
+					return
+				}
+			}
+		}
+		// write "known"
+		err = en.Append(0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Known)
+		if err != nil {
+			err = msgp.WrapError(err, "Known")
 			return
 		}
-	}
-	// write "trial"
-	err = en.Append(0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Trial)
-	if err != nil {
-		err = msgp.WrapError(err, "Trial")
-		return
-	}
-	// write "known"
-	err = en.Append(0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Known)
-	if err != nil {
-		err = msgp.WrapError(err, "Known")
-		return
 	}
 	return
 }
@@ -1784,23 +1842,44 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *QuarantineReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "runs"
-	o = append(o, 0x83, 0xa4, 0x72, 0x75, 0x6e, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
-	for za0001 := range z.Runs {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.Runs[za0001].Request)
-		o = msgp.AppendUint32(o, z.Runs[za0001].Worker)
-		o = msgp.AppendUint32(o, z.Runs[za0001].AgoMillis)
-	}
-	// string "trial"
-	o = append(o, 0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
-	o = msgp.AppendUint64(o, z.Trial)
-	// string "known"
-	o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
-	o = msgp.AppendUint64(o, z.Known)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.TrialWith == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "runs"
+		o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
+		for za0001 := range z.Runs {
+			// array header, size 3
+			o = append(o, 0x93)
+			o = msgp.AppendUint64(o, z.Runs[za0001].Request)
+			o = msgp.AppendUint32(o, z.Runs[za0001].Worker)
+			o = msgp.AppendUint32(o, z.Runs[za0001].AgoMillis)
+		}
+		// string "trial"
+		o = append(o, 0xa5, 0x74, 0x72, 0x69, 0x61, 0x6c)
+		o = msgp.AppendUint64(o, z.Trial)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "trial_with"
+			o = append(o, 0xaa, 0x74, 0x72, 0x69, 0x61, 0x6c, 0x5f, 0x77, 0x69, 0x74, 0x68)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.TrialWith)))
+			for za0002 := range z.TrialWith {
+				o = msgp.AppendUint64(o, z.TrialWith[za0002])
+			}
+		}
+		// string "known"
+		o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+		o = msgp.AppendUint64(o, z.Known)
+	}
 	return
 }
 
@@ -1875,6 +1954,29 @@
 				err = msgp.WrapError(err, "Trial")
 				return
 			}
+		case "trial_with":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TrialWith")
+				return
+			}
+			if zb0004 > z8d86017climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.TrialWith) >= int(zb0004) {
+				z.TrialWith = (z.TrialWith)[:zb0004]
+			} else {
+				z.TrialWith = make([]uint64, zb0004)
+			}
+			for za0002 := range z.TrialWith {
+				z.TrialWith[za0002], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "TrialWith", za0002)
+					return
+				}
+			}
 		case "known":
 			z.Known, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -1895,7 +1997,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *QuarantineReport) Msgsize() (s int) {
-	s = 1 + 5 + msgp.ArrayHeaderSize + (len(z.Runs) * (26 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size)) + 6 + msgp.Uint64Size + 6 + msgp.Uint64Size
+	s = 1 + 5 + msgp.ArrayHeaderSize + (len(z.Runs) * (26 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size)) + 6 + msgp.Uint64Size + 11 + msgp.ArrayHeaderSize + (len(z.TrialWith) * (msgp.Uint64Size)) + 6 + msgp.Uint64Size
 	return
 }
 
