Dispatchers judge the beginnings of prompts under which engines exit

The same cause as in the edges' and stores' quarantine: a dispatcher knew prompts only as a whole, so prompts that differ at their end made one engine exit after the other. The blocks of a prompt, by which dispatchers choose engines anyway, are its parts: a block's hash covers all blocks before it.

--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strconv"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/engine"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
@@ -50,12 +52,20 @@
 	}
 }
 
-// subject returns the identity of the request in the quarantine.
+// subject returns the fingerprints of the request and of the blocks of its prompt. A block's hash
+// covers all blocks before it, so a block is a beginning of a prompt that other requests may have.
 func (t *task) subject() *quarantine.Subject {
 	if t.cachedSubject == nil {
 		r := t.request
-		target := fmt.Sprintf("%s/%d", r.Adapter, r.MaxTokens)
-		t.cachedSubject = &quarantine.Subject{Request: quarantine.FingerprintOf(tenancy.Name(r.Tenant), r.Model, "", target, []byte(r.Prompt))}
+		target, owner := fmt.Sprintf("%s/%d", r.Adapter, r.MaxTokens), tenancy.Name(r.Tenant)
+		var blocks []string
+		for _, block := range engine.PrefixBlocks(r.Model, r.Adapter, r.Prompt) {
+			blocks = append(blocks, strconv.FormatUint(block, 16))
+		}
+		t.cachedSubject = &quarantine.Subject{
+			Request: quarantine.FingerprintOf(owner, r.Model, "", target, []byte(r.Prompt)),
+			Parts:   quarantine.PartFingerprints(owner, blocks),
+		}
 	}
 	return t.cachedSubject
 }
