The exit of a worker is not the end of an answer with neither length nor chunks

What callers would see: a stream or body that stops after some of its events and looks complete; an item whose text lacks its end. A worker that exits closes its connections cleanly, so its unfinished answer ended like a finished one. For the quarantine such an answer was even a success, which would have readmitted the request that ended the worker.

Fix: Response.Delimited says whether the worker marks the end. If it doesn't, the answer counts as whole only if the worker still runs (the check by which exits are found anyway; one connection, which is kept), and a stream only if it has an event. Otherwise it has broken off: another worker goes on, and the exit is recorded. Chunked answers and those with a length cost nothing more.

TestExitDuringUndelimitedAnswerCompletesNoItem failed before: an item of four events completed with two.

--- a/internal/batchstore/quarantine_test.go
+++ b/internal/batchstore/quarantine_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpheader"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
@@ -116,3 +117,30 @@
 		t.Error("an item with a granted trial did not start")
 	}
 }
+
+// TestExitDuringUndelimitedAnswerCompletesNoItem guards against taking the exit of a worker for the end
+// of an item's text, if the answer has neither a length nor chunks.
+func TestExitDuringUndelimitedAnswerCompletesNoItem(t *testing.T) {
+	for _, exits := range []bool{false, true} {
+		worker := emulator.NewHostedWorker("w", slots, 0)
+		defer worker.Close()
+		fault := emulator.HostedFault{Framing: emulator.FramingNone}
+		if exits {
+			fault.ExitEvents, fault.ExitAfter, fault.RestartAfter = 2, time.Millisecond, time.Hour
+		}
+		worker.InjectFaults(func(*emulator.HostedRequest) emulator.HostedFault { return fault })
+		r := testRunner(t, 1)
+		r.store.headerNames = worker.HeaderNames
+		r.store.upstream = upstream.NewClient(worker.HeaderNames)
+		running := r.runItem(t, 0, clock.Now())
+		running.content.Path = "/"
+		running.content.Headers = []wire.HeaderField{{Name: "Token-Count", Value: "10,4"}}
+		running.lease.Endpoint = upstream.Endpoint{ID: "w", Address: worker.Address()}
+		err := running.attempt()
+		running.reportOutcome(err)
+		suspect := r.store.watcher.Quarantine().Standing(clock.Now(), running.subject.Request) == quarantine.Suspect
+		if (err != nil) != exits || suspect != exits {
+			t.Errorf("worker exits %t: %v, %d events, suspect %t", exits, err, running.progress.events, suspect)
+		}
+	}
+}
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -327,7 +327,7 @@
 		}
 		switch {
 		case err == io.EOF && parser.Buffered() == 0 && t.progress.events > 0:
-			return nil
+			return response.VerifyEnd(t.context, t.started)
 		case err == io.EOF:
 			t.recordDisconnect()
 			return failure.Wrap(io.ErrUnexpectedEOF, failure.OutcomeUnknown, "", "the answer ended within an event")
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -62,7 +62,7 @@
 			return c.streamFailed(lease, sendErr)
 		}
 		if err == io.EOF {
-			return c.endStream(response, &parser)
+			return c.endStream(lease, response, &parser)
 		}
 		if err != nil {
 			return c.readFailed(lease, err)
@@ -135,13 +135,19 @@
 	c.paceLease, c.lastEventsAt = lease, now
 }
 
-// endStream ends the answer. Bytes left over in the parser are an incomplete event, so the
-// worker's answer is incomplete too.
-func (c *call) endStream(response *upstream.Response, parser *upstream.EventParser) outcome {
+// endStream ends the answer, unless the worker broke it off: bytes left over in the parser are an
+// incomplete event, and a stream has at least one event.
+func (c *call) endStream(lease *balance.Lease, response *upstream.Response, parser *upstream.EventParser) outcome {
 	if parser.Buffered() > 0 {
 		c.lastErr = failure.Wrap(io.ErrUnexpectedEOF, failure.OutcomeUnknown, "", "the stream ended within an event")
 		return failed
 	}
+	if !response.Delimited && !c.output.Received() && !c.hasLastEvent {
+		return c.readFailed(lease, failure.Wrap(io.ErrUnexpectedEOF, failure.OutcomeUnknown, "", "the stream ended without an event"))
+	}
+	if err := response.VerifyEnd(c.context, c.sentAt); err != nil {
+		return c.readFailed(lease, err)
+	}
 	c.writeHead(response, -1)
 	return delivered
 }
@@ -161,6 +167,9 @@
 			c.output.Record(clock.Now())
 		}
 		if err == io.EOF {
+			if err := response.VerifyEnd(c.context, c.sentAt); err != nil {
+				return c.readFailed(lease, err)
+			}
 			c.recordBodyReceived(lease, response)
 			return c.writeBody(response, buffer)
 		}
@@ -205,8 +214,10 @@
 			return c.abortResponse(writeErr)
 		}
 		if err == io.EOF {
-			c.recordBodyReceived(lease, response)
-			return delivered
+			if err = response.VerifyEnd(c.context, c.sentAt); err == nil {
+				c.recordBodyReceived(lease, response)
+				return delivered
+			}
 		}
 		if err != nil {
 			c.readFailed(lease, err)
--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -73,10 +73,11 @@
 	// Hang sends nothing until the caller disconnects.
 	Hang bool
 	// ExitAfter, if not 0, makes the worker exit this long after it has sent ExitEvents events of the
-	// answer. With 0 events it sends no headers either. RestartAfter is the time from the exit to the
-	// restart at the same address.
+	// answer. With 0 events it sends no headers either, unless ExitHeaders is set. RestartAfter is the
+	// time from the exit to the restart at the same address.
 	ExitAfter    time.Duration
 	ExitEvents   int
+	ExitHeaders  bool
 	RestartAfter time.Duration
 	// Framing says how the end of the answer is marked.
 	Framing Framing
@@ -226,7 +227,7 @@
 		writer.WriteHeader(fault.Status)
 		return
 	}
-	if fault.ExitAfter > 0 && fault.ExitEvents == 0 {
+	if fault.ExitAfter > 0 && fault.ExitEvents == 0 && !fault.ExitHeaders {
 		w.exitDuringRequest(&fault)
 	}
 	if fault.Hang {
@@ -277,6 +278,10 @@
 	version := w.version()
 	fault.Framing.setHeader(writer.Header(), eventsBytes(version, request.ID, request.LastEventID+1, count))
 	flusher, _ := writer.(http.Flusher)
+	if fault.ExitAfter > 0 && fault.ExitHeaders {
+		flusher.Flush()
+		w.exitDuringRequest(&fault)
+	}
 	for sent, number := 0, request.LastEventID+1; number <= count; number++ {
 		select {
 		case <-httpRequest.Context().Done():
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -189,6 +190,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
+	// Delimited is set if the worker marks the end of the body, by its length or by chunks. Other
+	// bodies end with their connection.
+	Delimited bool
 
 	client     *Client
 	endpoint   Endpoint
@@ -283,6 +287,7 @@
 	r.Status = response.StatusCode
 	r.Header = response.Header
 	r.Length = response.ContentLength
+	r.Delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 }
 
 // Read reads from the body. It returns io.EOF only at the end of a complete body.
@@ -294,6 +299,15 @@
 	return count, err
 }
 
+// VerifyEnd returns an error if the body may have been cut off although Read returned io.EOF: one that
+// is not delimited also ends when the worker exits. sentAt is when the request was sent.
+func (r *Response) VerifyEnd(ctx context.Context, sentAt time.Time) error {
+	if r.Delimited || !r.client.WorkerExited(ctx, r.endpoint, sentAt) {
+		return nil
+	}
+	return r.client.outcomeUnknown(io.ErrUnexpectedEOF, r.endpoint, "it exited, and the end of its answer is not marked")
+}
+
 // SetReadDeadline sets the deadline for reads of the body.
 func (r *Response) SetReadDeadline(at time.Time) error { return r.connection.SetReadDeadline(at) }
 
