Edges close new connections unread while they can't keep up

From the users' line: for some seconds most new connections of a zone or region may come to one edge, while callers open new ones more often. What callers would see: requests that the edge reads, each of which takes processor time, and serves too late, while the other edges idle; or, once descriptors run out, an edge that can neither accept nor reach workers.

Fix: package connlimit. An edge whose 50 ms ticks come more than 30 ms late three times in a row accepts a smaller share of new connections, halved with each late tick; the share recovers within two seconds. The others are closed before anything is read, which costs a few system calls, and their callers try another edge. Handing requests on to another edge was weighed: it takes the same reading and writing as serving them. Rejecting with a time to retry was, too: the request has been read by then. max_connections bounds what is open; from three quarters of it on, answers ask callers to close.

--- a/cmd/sedgemast/fleet.go
+++ b/cmd/sedgemast/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/sedgemast/sedgemast/internal/batchstore"
 	"github.com/sedgemast/sedgemast/internal/command"
 	"github.com/sedgemast/sedgemast/internal/coordinator"
+	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/edge"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpheader"
@@ -66,7 +67,7 @@
 	}
 	process := edge.New(d, config, httpheader.Default())
 	if config.Callers != "" {
-		if err := d.AddServer(config.Callers, &edge.API{Edge: process}, nil); err != nil {
+		if err := d.AddServer(config.Callers, &edge.API{Edge: process}, daemon.ServerOptions{Connections: process.Connections}); err != nil {
 			return err
 		}
 	}
@@ -97,7 +98,7 @@
 		return err
 	}
 	if config.Operators != "" {
-		if err := d.AddServer(config.Operators, &coordinator.API{Coordinator: process, Logger: d.Logger}, nil); err != nil {
+		if err := d.AddServer(config.Operators, &coordinator.API{Coordinator: process, Logger: d.Logger}, daemon.ServerOptions{}); err != nil {
 			return err
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/sedgemast/sedgemast/internal/connlimit"
 	"github.com/sedgemast/sedgemast/internal/decodeerror"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -134,22 +135,33 @@
 	return d, nil
 }
 
+// ServerOptions holds the options of an added server.
+type ServerOptions struct {
+	// Configure, if not nil, may change the server's limits.
+	Configure func(*http.Server)
+	// Connections, if not nil, decides which connections are accepted.
+	Connections *connlimit.Limiter
+}
+
 // AddServer serves another address with only the given handler: request paths are passed on
 // unchanged, and the routes that all processes have are not served there. It must be called
-// before Run. If configure is not nil, it may change the server's limits.
-func (d *Daemon) AddServer(listen string, handler http.Handler, configure func(*http.Server)) error {
+// before Run.
+func (d *Daemon) AddServer(listen string, handler http.Handler, options ServerOptions) error {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "free the address or choose another in the settings", "%s can't listen", d.options.Name).WithField(listen)
 	}
+	if options.Connections != nil {
+		listener = options.Connections.Listen(listener)
+	}
 	server := kratoshttp.NewServer(
 		kratoshttp.Listener(listener),
 		endpointOption(listener),
 		kratoshttp.Timeout(0),
 		kratoshttp.Filter(func(http.Handler) http.Handler { return handler }),
 	)
-	if configure != nil {
-		configure(server.Server)
+	if options.Configure != nil {
+		options.Configure(server.Server)
 	}
 	d.servers = append(d.servers, server)
 	return nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/sedgemast/sedgemast/internal/admission"
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/connlimit"
 	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/fairshare"
 	"github.com/sedgemast/sedgemast/internal/fleetwatch"
@@ -58,6 +59,8 @@
 	startedRequests atomic.Uint32
 	shortages       atomic.Uint32
 
+	// Connections bounds the connections of callers.
+	Connections *connlimit.Limiter
 	// Stores submits jobs to the stores.
 	Stores *storeclient.Client
 
@@ -108,6 +111,7 @@
 		origins:         newStreamOrigins(),
 
 		stallDetector: stall.New(clock.Now()),
+		Connections:   connlimit.New(config.MaxConnections),
 	}
 	e.setHubs(nil)
 	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.processReport)
@@ -119,6 +123,7 @@
 	e.loads = e.newLoadExchange()
 	d.Go(e.runLoadExchange)
 	d.Go(e.watchStalls)
+	e.registerConnections(d.Registry)
 	d.BeforeStop(e.drain)
 	d.BeforeStop(e.closeQueues)
 	return e
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -127,9 +127,10 @@
 	return failure.New(failure.NotRun, "ask another edge, or raise freeze_time", "no coordinator has been reached for %s", sinceLeader.Round(time.Millisecond)).WithRetryAfter(time.Second)
 }
 
-// closeWhenStopping makes the caller use another connection while the process stops.
+// closeWhenStopping makes the caller use another connection while the process stops, or has too many
+// open connections.
 func (e *Edge) closeWhenStopping(writer http.ResponseWriter) {
-	if e.daemon.Stopping() {
+	if e.daemon.Stopping() || e.Connections.Crowded() {
 		writer.Header().Set("Connection", "close")
 	}
 }
--- a/internal/edge/stall.go
+++ b/internal/edge/stall.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/clock"
-	"github.com/sedgemast/sedgemast/internal/daemon"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/stall"
@@ -23,9 +22,20 @@
 	coordinatorPollInterval = 5 * time.Millisecond
 )
 
-// watchStalls detects stalls of this process also while no requests arrive.
+// watchStalls detects stalls of this process also while no requests arrive, and how late the process
+// runs what is due.
 func (e *Edge) watchStalls(ctx context.Context) {
-	daemon.Every(ctx, stall.Interval, func() { e.checkStall(clock.Now()) })
+	ticker := time.NewTicker(stall.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case due := <-ticker.C:
+			e.checkStall(clock.Now())
+			e.observeLag(time.Since(due))
+		}
+	}
 }
 
 // checkStall returns the start and the end of this process's last stall.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -179,6 +179,9 @@
 	Seeds []string `json:"seeds"`
 	// Callers is the IP:port on which callers are served, empty for none.
 	Callers string `json:"callers"`
+	// MaxConnections bounds the open connections of callers; 0 means no limit. Further ones are closed
+	// before a request is read.
+	MaxConnections int `json:"max_connections"`
 	// FreezeTime is how long an edge serves requests with its last configuration while it reaches
 	// no coordinator; zero means without limit.
 	FreezeTime Duration `json:"freeze_time"`
@@ -200,6 +203,9 @@
 	}
 }
 
+// maxConnectionsLimit is the largest MaxConnections.
+const maxConnectionsLimit = 1_000_000
+
 // Check implements Checked.
 func (e *Edge) Check(checker *Checker) {
 	e.Process.check(checker)
@@ -207,6 +213,7 @@
 	if e.Callers != "" {
 		checker.Listen("callers", e.Callers)
 	}
+	checker.Range("max_connections", e.MaxConnections, 0, maxConnectionsLimit)
 	checker.Between("freeze_time", e.FreezeTime, 0, 24*time.Hour)
 	checker.Between("unready_time", e.UnreadyTime, 0, time.Minute)
 	e.RateTolerance.check(checker)
--- a/test/hosted_fleet_test.go
+++ b/test/hosted_fleet_test.go
@@ -51,8 +51,12 @@
 	portReady   = 3
 )
 
-// hostedWorkers is the default number of workers of a fleet.
-const hostedWorkers = 3
+const (
+	// hostedWorkers is the default number of workers of a fleet.
+	hostedWorkers = 3
+	// hostedMaxFDs is how many descriptors a machine has.
+	hostedMaxFDs = 800
+)
 
 func newHostedFleet(t *testing.T, workers int) *hostedFleet {
 	t.Helper()
@@ -146,6 +150,7 @@
 [limits]
 cores = 1
 memoryMb = 300
+maxFds = %d
 [tolerate]
 machines = 1
 [bounds]
@@ -154,7 +159,7 @@
 [cloud]
 address = %q
 `, machine.name, machine.ip, f.port, f.port, strings.Join(seeds, ","), bootstrap, machine.folder+"/data",
-		f.address(machine, portControl), f.address(machine, portCallers), f.address(machine, portReady), f.list.Address())
+		f.address(machine, portControl), f.address(machine, portCallers), f.address(machine, portReady), hostedMaxFDs, f.list.Address())
 	settingsFile := filepath.Join(machine.folder, "settings.toml")
 	writeFile(f.t, settingsFile, text)
 	log, err := os.OpenFile(filepath.Join(machine.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/test/prompt_parts_test.go
+++ b/test/prompt_parts_test.go
@@ -83,6 +83,7 @@
 // sound ones that share all their other parts.
 type partTraffic struct {
 	fleet   *hostedFleet
+	name    string
 	edges   []string
 	callers sync.WaitGroup
 	stop    chan struct{}
@@ -91,11 +92,11 @@
 	settled     atomic.Bool
 }
 
-func startPartTraffic(f *hostedFleet, edges []string, withCrashing bool) *partTraffic {
-	p := &partTraffic{fleet: f, edges: edges, stop: make(chan struct{})}
+func startPartTraffic(f *hostedFleet, name string, edges []string, withCrashing bool) *partTraffic {
+	p := &partTraffic{fleet: f, name: name, edges: edges, stop: make(chan struct{})}
 	if withCrashing {
 		p.every(partInterval, func(number int, edge string) {
-			f.sendPart(edge, "/stream/a", fmt.Sprintf("c-%d", number), crashingPart)
+			f.sendPart(edge, "/stream/a", p.name+fmt.Sprintf("-c-%d", number), crashingPart)
 		})
 	}
 	p.every(soundInterval, func(number int, edge string) {
@@ -104,7 +105,7 @@
 			count = &p.late
 		}
 		count.sent.Add(1)
-		if _, complete := f.sendPart(edge, "/stream/a", fmt.Sprintf("s-%d", number), fmt.Sprintf("b%d", number%4)); complete {
+		if _, complete := f.sendPart(edge, "/stream/a", p.name+fmt.Sprintf("-s-%d", number), fmt.Sprintf("b%d", number%4)); complete {
 			count.complete.Add(1)
 		}
 	})
@@ -139,7 +140,7 @@
 	edges := f.configure(t)
 	faults := &partFaults{fault: emulator.HostedFault{ExitAfter: 15 * time.Millisecond, RestartAfter: partRestart}}
 	f.injectFaults(faults.faultFor)
-	traffic := startPartTraffic(f, edges, true)
+	traffic := startPartTraffic(f, "all", edges, true)
 	eventually(t, "five exits", func() bool { return f.exits() >= firstExits })
 	fifth := time.Now()
 	time.Sleep(2 * contactTime)
