An answer of the leader that waited through a suspension is not new

After a suspension the answer to a poll from before is still in the connection, so the edge counted a list of workers, a configuration and revoked keys as current that were as old as the suspension.

Fix: an answer counts from when it was sent at the latest, which is when the poll had waited for as long as it may.

--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -171,24 +171,31 @@
 		// the request then omits the digests, and the coordinator sends the whole list.
 		request.Digests = known.Workers.Digests()
 	}
+	askedAt := clock.Now()
 	response, err := rpc.Call[wire.WatchResponse](ctx, w.client, target, wire.MethodWatch, request)
 	if err != nil {
 		return err
 	}
+	// An answer may have waited here while this process was suspended. It was sent once the poll had
+	// waited for as long as it may, or earlier.
+	answeredAt := askedAt.Add(time.Duration(request.WaitMillis) * time.Millisecond)
+	if now := clock.Now(); now.Before(answeredAt) {
+		answeredAt = now
+	}
 	if !w.reached {
 		w.reached = true
 		logging.Info(w.logger, "coordinator_reached", "address", target, "term", response.Term)
 	}
-	return w.apply(target, response)
+	return w.apply(target, response, answeredAt)
 }
 
-// apply applies an answer. It never replaces the configuration or the view by an older one. If the
+// apply applies an answer that was sent at answeredAt, or earlier. It never replaces the configuration or the view by an older one. If the
 // leader has not read the whole list of workers yet, apply does not let the leader's list replace
 // one that was read whole.
-func (w *Watcher) apply(target string, response *wire.WatchResponse) error {
+func (w *Watcher) apply(target string, response *wire.WatchResponse, answeredAt time.Time) error {
 	before := w.Current()
 	after := *before
-	after.LeaderSeenAt = clock.Now().Add(-time.Duration(response.AgeMillis) * time.Millisecond)
+	after.LeaderSeenAt = answeredAt.Add(-time.Duration(response.AgeMillis) * time.Millisecond)
 	changed := false
 	if response.Document != nil && response.Version > before.Version() {
 		configuration, err := routetable.Decode(response.Document)
