What an edge has not heard is no evidence that a single worker version served

Edges that were cut off reject streams of unknown origin for some seconds longer.

Streams whose origin a hub knows are not affected.

--- a/internal/balance/version.go
+++ b/internal/balance/version.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// RestartSoleVersions counts anew for how long the listed workers of each pool have had one version.
+func (t *Table) RestartSoleVersions(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, p := range t.pools {
+		p.soleSince = now
+	}
+}
+
 // SoleVersion returns the version of all listed workers of the pool and since when they all have it.
 // The version is empty if there are several or an unknown one.
 func (t *Table) SoleVersion(pool string) (version incarnation.Version, since time.Time) {
--- a/internal/balance/version_test.go
+++ b/internal/balance/version_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -77,3 +79,15 @@
 	table.Update(start, workerset.Of([]wire.PoolWorker{other}), nil)
 	check("none listed", request(), "", false)
 }
+
+// TestSilenceRestartsSoleVersions guards against taking a version for the only one because no other was
+// heard of.
+func TestSilenceRestartsSoleVersions(t *testing.T) {
+	table, now := NewTable("z", rand.New(rand.NewPCG(1, 1))), time.Unix(1000, 0)
+	table.Update(now, workerset.Of([]wire.PoolWorker{{ID: incarnation.Name("w", 0, "v1"), Pool: "p", Slots: 1}}), nil)
+	later := now.Add(time.Minute)
+	table.RestartSoleVersions(later)
+	if version, since := table.SoleVersion("p"); version != "v1" || !since.Equal(later) {
+		t.Errorf("%s since %s, want v1 since %s", version, since, later)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,6 +48,8 @@
 	hubs    atomic.Pointer[[]string]
 	metrics *metrics
 	started time.Time
+	// heardSince is the snapshots' HeardSince. Only applySnapshot uses it.
+	heardSince time.Time
 	// gate holds requests that arrived before the configuration and the workers were known.
 	gate *startGate
 	// origins holds the origins of the streams that this process passed on.
@@ -183,6 +185,11 @@
 // applySnapshot applies a new snapshot. The process is ready once it has a configuration and a
 // full or partial list of workers, and remains ready when the coordinators can't be reached.
 func (e *Edge) applySnapshot(snapshot *fleetwatch.Snapshot) {
+	if !snapshot.HeardSince.Equal(e.heardSince) {
+		// Another version may have come and gone while this process did not hear from the leader.
+		e.heardSince = snapshot.HeardSince
+		e.workers.RestartSoleVersions(clock.Now())
+	}
 	e.setHubs(snapshot.Fleet.Stores)
 	e.workers.Update(clock.Now(), snapshot.Workers, snapshot.Table.MemoryTokens())
 	e.upstream.CloseIdle(e.workers.Contains)
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -33,6 +33,7 @@
 		40821: "a store lost 2 s before counted as remaining when another one was asked to drain",
 		61519: "a store that was being replaced counted as remaining when another one was asked to drain, though it was gone",
 		81574: "a harmless request, refused together with the crashing one, had its trial beside that one, and was then refused for a minute",
+		185:   "an edge had heard nothing while another version came and went, and continued streams at the only version it had seen",
 		90375: "two stores, one of them retiring, transferred the leadership of a group to each other forever (a fault of the simulator)",
 	} {
 		if world, violations := Run(seed, MutationNone); len(violations) > 0 {
--- a/internal/fleetsim/streams.go
+++ b/internal/fleetsim/streams.go
@@ -25,6 +25,9 @@
 	// the list.
 	listLag  = 800 * time.Millisecond
 	endDelay = time.Second
+	// maxListGap is the longest time between two answers of the coordinators in which no version can
+	// have come and gone.
+	maxListGap = 2 * time.Second
 	// lookupRounds and lookupInterval are how often an edge asks the hubs for an origin.
 	lookupRounds   = 4
 	lookupInterval = 40 * time.Millisecond
@@ -44,7 +47,7 @@
 
 // streamKnowledge is what an edge knows of worker versions and origins.
 type streamKnowledge struct {
-	// listed are the versions in the list of workers, which the leader confirmed at listedAt. They have
+	// listed are the versions in the list of workers, which the leader confirmed at listedAt or later. They have
 	// been the same since soleSince.
 	listed    []incarnation.Version
 	listedAt  time.Time
@@ -246,23 +249,28 @@
 
 // pollVersions asks the coordinators for the list of workers.
 func (e *edge) pollVersions() {
-	w, incarnation := e.world, e.incarnation
+	w, incarnation, askedAt := e.world, e.incarnation, e.clock()
 	for _, coordinator := range w.machinesOf(kindCoordinator) {
 		e.transmitWith(w.streamRandom, coordinator, func() {
 			if !coordinator.leads() {
 				return
 			}
 			listed := servingVersions(max(0, w.now.Sub(startTime)-listLag))
-			coordinator.transmitWith(w.streamRandom, e.machine, func() { e.runWhenAwake(incarnation, func() { e.applyVersions(listed) }) })
+			coordinator.transmitWith(w.streamRandom, e.machine, func() { e.runWhenAwake(incarnation, func() { e.applyVersions(listed, askedAt) }) })
 		})
 	}
 }
 
-func (e *edge) applyVersions(listed []incarnation.Version) {
+// applyVersions applies an answer to a poll that was sent at askedAt.
+func (e *edge) applyVersions(listed []incarnation.Version, askedAt time.Time) {
 	s := &e.streams
-	s.listedAt = e.clock()
-	if !slices.Equal(s.listed, listed) {
-		s.listed, s.soleSince = listed, s.listedAt
+	if askedAt.Before(s.listedAt) {
+		return
+	}
+	unheard := askedAt.Sub(s.listedAt) > maxListGap
+	s.listedAt = askedAt
+	if unheard || !slices.Equal(s.listed, listed) {
+		s.listed, s.soleSince = listed, e.clock()
 	}
 }
 
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -45,6 +45,8 @@
 	// LeaderSeenAt is when the leader last answered this process, or the relay from which this
 	// process got its last answer.
 	LeaderSeenAt time.Time
+	// HeardSince is since when the leader's answers have come without a gap longer than maxGap.
+	HeardSince time.Time
 }
 
 // Version returns the version of the configuration, zero before the first one.
@@ -143,6 +145,10 @@
 	}
 }
 
+// maxGap is the longest time between two answers of the leader during which nothing can have come and
+// gone unseen: a worker that leaves stays in the list for longer.
+const maxGap = 2 * time.Second
+
 // pollWait returns how long a coordinator may hold the poll of a process that got its last
 // answer the given time ago. A process that was cut off or suspended needs an answer at once, to
 // know that its copy is current.
@@ -196,7 +202,10 @@
 	before := w.Current()
 	after := *before
 	after.LeaderSeenAt = answeredAt.Add(-time.Duration(response.AgeMillis) * time.Millisecond)
-	changed := false
+	if after.LeaderSeenAt.Sub(before.LeaderSeenAt) > maxGap {
+		after.HeardSince = after.LeaderSeenAt
+	}
+	changed := !after.HeardSince.Equal(before.HeardSince)
 	if response.Document != nil && response.Version > before.Version() {
 		configuration, err := routetable.Decode(response.Document)
 		if err != nil {
