--- a/internal/fleetsim/edges.go
+++ b/internal/fleetsim/edges.go
@@ -147,6 +147,7 @@
 	})
 	if w.promptParts {
 		w.startPromptParts()
+		w.startLopsidedConnections()
 	}
 	w.after(faultsFrom, w.nextEdgeFault)
 	w.after(coordinatorsOffAt, w.powerOffCoordinators)
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -45,6 +45,11 @@
 	MutationWholeRequests Mutation = "whole_requests"
 	// MutationNoCredit forgets the successes of parts under which no worker is known to have exited.
 	MutationNoCredit Mutation = "no_credit"
+	// MutationTrustEnd takes the end of a connection for the end of an answer without checking whether
+	// the worker has exited.
+	MutationTrustEnd Mutation = "trust_end"
+	// MutationNoConnectionLimit accepts all connections.
+	MutationNoConnectionLimit Mutation = "no_connection_limit"
 	// MutationOneIncarnation counts only one exit for each worker id and request, over all
 	// incarnations of the worker.
 	MutationOneIncarnation Mutation = "one_life"
@@ -63,7 +68,7 @@
 )
 
 // Mutations lists all mutations except MutationNone.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion}
 
 // mutatedStore returns the machine's disk, or one that never syncs with MutationForgetSync.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetsim/streams.go
+++ b/internal/fleetsim/streams.go
@@ -7,6 +7,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/origin"
+	"github.com/sedgemast/sedgemast/internal/upstream"
 )
 
 const (
@@ -138,9 +139,15 @@
 		if !workersRun(version, w.now.Sub(startTime)) {
 			return false
 		}
-		if w.streamRandom.IntN(workerBreaks) == 0 && !slices.Contains(e.streams.listed, version) {
-			// No other worker of the version is listed.
-			return false
+		if w.streamRandom.IntN(workerBreaks) == 0 {
+			if e.takesExitForEnd(stream) {
+				w.ledger.recordViolation("%s ends stream %d as complete after %d of %d events", e.name, stream.key, len(stream.versions), streamEvents)
+				stream.ended = true
+			}
+			if stream.ended || !slices.Contains(e.streams.listed, version) {
+				// No other worker of the version is listed.
+				return false
+			}
 		}
 		if len(stream.versions) == 0 {
 			e.shareOrigin(stream.key, version)
@@ -150,6 +157,13 @@
 	})
 }
 
+// takesExitForEnd reports whether the edge takes the exit of the stream's worker for the end of the
+// answer. The workers don't mark the ends of every other stream.
+func (e *edge) takesExitForEnd(stream *simStream) bool {
+	delimited, knowsOfExit := stream.key%2 == 0, e.world.mutation != MutationTrustEnd
+	return !delimited && upstream.ProvesEnd(delimited, knowsOfExit)
+}
+
 // addEvent passes an event of a worker of the version to the caller.
 func (s *simStream) addEvent(w *World, version incarnation.Version) {
 	s.eventAt = w.now
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -302,12 +302,15 @@
 // VerifyEnd returns an error if the body may have been cut off although Read returned io.EOF: one that
 // is not delimited also ends when the worker exits. sentAt is when the request was sent.
 func (r *Response) VerifyEnd(ctx context.Context, sentAt time.Time) error {
-	if r.Delimited || !r.client.WorkerExited(ctx, r.endpoint, sentAt) {
+	if r.Delimited || ProvesEnd(false, r.client.WorkerExited(ctx, r.endpoint, sentAt)) {
 		return nil
 	}
 	return r.client.outcomeUnknown(io.ErrUnexpectedEOF, r.endpoint, "it exited, and the end of its answer is not marked")
 }
 
+// ProvesEnd reports whether the end of a connection proves that the answer on it is whole.
+func ProvesEnd(delimited, workerExited bool) bool { return delimited || !workerExited }
+
 // SetReadDeadline sets the deadline for reads of the body.
 func (r *Response) SetReadDeadline(at time.Time) error { return r.connection.SetReadDeadline(at) }
 
