Soak with parts of prompts under which workers exit, unmarked ends and uneven connections

TestSoakParts draws the machines' faults of the other soaks (series, overlaps, kills of everything, planned stops, callers that keep their connections until the process is gone) beside a crashing part that changes, workers that exit by themselves, answers with a length, chunks or neither, and times in which one edge gets all new connections. It checks that what looks complete is complete, that calm edges send at most three requests with a part later than 3 s after its fifth exit, and, after all faults, that three quarters of the sound requests are served at the first attempt, at one edge too.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -69,9 +69,12 @@
 	// ackedVersion is the newest acknowledged configuration version. jobs holds the accepted jobs.
 	ackedVersion int
 	jobs         map[string]*soakJob
-	// versions is the state of a run with several worker versions, nil in other runs. scale is the
-	// factor by which the run has more edges, stores, workers and clients than by default.
+	// disturbedAt is when a fault last ended, by machine, or began if it has not ended.
+	disturbedAt map[string]time.Time
+	// versions is the state of a run with several worker versions, parts that of a run with crashing
+	// parts of prompts; both are nil in other runs. scale is the factor by which the run has more edges, stores, workers and clients than by default.
 	versions *soakVersions
+	parts    *soakParts
 	scale    int
 }
 
@@ -135,6 +138,7 @@
 		sentDuringClose: map[string]int{},
 		faulty:          map[string]bool{},
 		wiped:           map[string]time.Time{},
+		disturbedAt:     map[string]time.Time{},
 		jobs:            map[string]*soakJob{},
 	}
 	for i := 3; i <= 3*scale; i++ {
@@ -162,9 +166,12 @@
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	seed := s.random.Int63()
-	if s.versions != nil {
+	switch {
+	case s.versions != nil:
 		s.startStreamClients(&clients, seed, stop)
-	} else {
+	case s.parts != nil:
+		s.startPartClients(&clients, seed, stop)
+	default:
 		for number := range 8 * s.scale {
 			clients.Go(func() { s.runClient(number, rand.New(rand.NewSource(seed+int64(number))), stop) })
 		}
@@ -188,6 +195,9 @@
 	}
 	faults.Wait()
 	s.logFault("all faults are over")
+	if s.parts != nil {
+		s.checkCalmParts()
+	}
 	close(stop)
 	clients.Wait()
 }
@@ -237,10 +247,12 @@
 		classes = append(classes, "front", "front", "workers")
 	}
 	class := classes[s.random.Intn(len(classes))]
-	if class == "workers" {
-		if s.versions != nil {
-			return s.drawWorkerFault()
-		}
+	switch {
+	case class == "workers" && s.versions != nil:
+		return s.drawWorkerFault()
+	case class == "workers" && s.parts != nil:
+		return s.drawPartFault()
+	case class == "workers":
 		return s.rejectAtWorkers
 	}
 	var idle []string
--- a/test/soak_versions_test.go
+++ b/test/soak_versions_test.go
@@ -37,8 +37,6 @@
 type soakVersions struct {
 	// released are the versions released so far.
 	released []string
-	// disturbedAt is when a fault last ended, by machine, or began if it has not ended.
-	disturbedAt map[string]time.Time
 	// begun counts the streams and those that began, takenUp those that were taken up and those of
 	// them that went on. servable counts the same for streams taken up while their version had a worker
 	// that takes requests. calmBegun and calmTakenUp count begun and servable for calm edges.
@@ -68,7 +66,7 @@
 	s := newSoak(t, seed)
 	// An earlier build doesn't keep streams at their version.
 	s.released = ""
-	s.versions = &soakVersions{released: []string{emulator.HostedVersion}, disturbedAt: map[string]time.Time{}, rejections: map[string]int{}}
+	s.versions = &soakVersions{released: []string{emulator.HostedVersion}, rejections: map[string]int{}}
 	s.run(time.Duration(envInt(t, "SEDGEMAST_SOAK_SECONDS", soakVersionsSeconds)) * time.Second)
 	s.checkEnd()
 	v := s.versions
@@ -264,7 +262,7 @@
 		if name != edge && strings.HasPrefix(name, "front") {
 			continue
 		}
-		if s.faulty[name] || time.Since(s.versions.disturbedAt[name]) < calmTime {
+		if s.faulty[name] || time.Since(s.disturbedAt[name]) < calmTime {
 			return false
 		}
 	}
@@ -337,10 +335,7 @@
 func (s *soak) recordDisturbed(names ...string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.versions == nil {
-		return
-	}
 	for _, name := range names {
-		s.versions.disturbedAt[name] = time.Now()
+		s.disturbedAt[name] = time.Now()
 	}
 }
