--- a/internal/batchstore/quarantine.go
+++ b/internal/batchstore/quarantine.go
@@ -87,7 +87,7 @@
 		return
 	}
 	exited := store.upstream.WorkerExited(t.context, t.lease.Endpoint, t.started)
-	logging.Info(store.logger, "worker_broke_off", "job", t.key.job, "item", t.id, "request", t.subject.Request, "worker", t.lease.Endpoint.ID, "ended", exited, "parts", httpheader.FormatPartIDs(t.runner.partsOf(t.content)), "events", t.progress.events, "wrote_ms", t.output.Duration().Milliseconds(), "ms", t.runTime.Milliseconds())
+	logging.Info(store.logger, "worker_broke_off", "job", t.key.job, "item", t.id, "request", t.subject.Request, "worker", t.lease.Endpoint.ID, "ended", exited, "parts", quarantine.FormatParts(t.owner, httpheader.PartIDs(t.runner.partsOf(t.content))), "events", t.progress.events, "wrote_ms", t.output.Duration().Milliseconds(), "ms", t.runTime.Milliseconds())
 	if exited {
 		t.onTrial = false
 		cache.RecordExit(clock.Now(), t.subject, t.lease.Endpoint.ID, t.started)
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -24,7 +24,7 @@
 		return false
 	}
 	granted, wait := c.edge.watcher.RequestTrial(c.context, refused)
-	logging.Info(c.edge.logger, "request_quarantined", "id", c.id, "request", c.subject().Request, "refused", quarantine.Format(refused), "parts", httpheader.FormatPartIDs(c.demand.Parts), "route", c.route.Name, "trial", granted, "wait_ms", wait.Milliseconds(), "revision", c.edge.watcher.Quarantine().Revision(), "heard_ms", clock.Since(c.edge.watcher.Current().LeaderSeenAt).Milliseconds())
+	logging.Info(c.edge.logger, "request_quarantined", "id", c.id, "request", c.subject().Request, "refused", quarantine.Format(refused), "parts", quarantine.FormatParts(c.tenant.Owner(), httpheader.PartIDs(c.demand.Parts)), "route", c.route.Name, "trial", granted, "wait_ms", wait.Milliseconds(), "revision", c.edge.watcher.Quarantine().Revision(), "heard_ms", clock.Since(c.edge.watcher.Current().LeaderSeenAt).Milliseconds())
 	if granted {
 		c.onTrial = true
 		return false
@@ -77,7 +77,7 @@
 		return
 	}
 	c.workerExited = c.edge.upstream.WorkerExited(c.context, lease.Endpoint, c.sentAt)
-	logging.Info(c.edge.logger, "worker_broke_off", "id", c.id, "request", c.subject().Request, "worker", lease.Endpoint.ID, "ended", c.workerExited, "parts", httpheader.FormatPartIDs(c.demand.Parts), "last_event", c.lastEventID, "wrote_ms", c.output.Duration().Milliseconds(), "ms", c.elapsed())
+	logging.Info(c.edge.logger, "worker_broke_off", "id", c.id, "request", c.subject().Request, "worker", lease.Endpoint.ID, "ended", c.workerExited, "parts", quarantine.FormatParts(c.tenant.Owner(), httpheader.PartIDs(c.demand.Parts)), "last_event", c.lastEventID, "wrote_ms", c.output.Duration().Milliseconds(), "ms", c.elapsed())
 	if !c.workerExited {
 		return
 	}
--- a/internal/httpheader/httpheader.go
+++ b/internal/httpheader/httpheader.go
@@ -112,9 +112,6 @@
 	return ids
 }
 
-// FormatPartIDs returns the ids of the parts, separated by commas, as used in logs.
-func FormatPartIDs(parts []Part) string { return strings.Join(PartIDs(parts), ",") }
-
 // ParseTokenCounts parses the number of prompt tokens and the maximum number of output tokens. A
 // missing count is zero.
 func ParseTokenCounts(value string) (prompt, maxOutput int64) {
--- a/internal/quarantine/subject.go
+++ b/internal/quarantine/subject.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/tenancy"
@@ -62,6 +63,19 @@
 	return PartFingerprints(owner, shared)
 }
 
+// FormatParts returns the ids of the parts that are judged with their fingerprints, in the form used in
+// logs.
+func FormatParts(owner tenancy.Name, ids []string) string {
+	var texts []string
+	shared := SharedParts(owner, ids)
+	for _, id := range ids {
+		if fingerprint := PartFingerprint(owner, id); slices.Contains(shared, fingerprint) {
+			texts = append(texts, id+"="+fingerprint.String())
+		}
+	}
+	return strings.Join(texts, ",")
+}
+
 // all returns the request and the parts.
 func (s *Subject) all() []Fingerprint {
 	return append([]Fingerprint{s.Request}, s.Parts...)
