--- a/test/prompt_parts_test.go
+++ b/test/prompt_parts_test.go
@@ -176,3 +176,44 @@
 		t.Errorf("%d requests with the part were sent to workers after a restart, want at most 1, in a trial", after-before)
 	}
 }
+
+// TestItemsWithPromptPartThatMakesWorkersExit guards against worker exits under the items of a job that
+// have one part of their prompts in common.
+func TestItemsWithPromptPartThatMakesWorkersExit(t *testing.T) {
+	const items, crashing, tokens = 24, 12, 20
+	f := newHostedFleet(t, 12)
+	edges := f.configure(t)
+	faults := &partFaults{fault: emulator.HostedFault{ExitAfter: 15 * time.Millisecond, RestartAfter: partRestart}}
+	f.injectFaults(faults.faultFor)
+	document := jobDocument("j1", items, tokens)
+	for number := range items {
+		part := "b0"
+		if number%2 == 0 {
+			part = crashingPart
+		}
+		headers := fmt.Sprintf(`"headers":{"Prompt-Prefix":"%s:100,%s:50,%d:10",`, commonPart, part, number)
+		document = strings.Replace(document, `"headers":{"Token-Count"`, headers+`"Token-Count"`, 1)
+	}
+	eventually(t, "the job accepted", func() bool {
+		status, _, _, err := f.call(http.MethodPost, edges[0], "/batch/j1", map[string]string{"Request-Id": "j1"}, document)
+		return err == nil && status == http.StatusAccepted
+	})
+	eventually(t, "the results of the sound items", func() bool {
+		page, _ := f.readResults(edges[1], "j1", 0)
+		return page != nil && len(page.Results) == items-crashing
+	})
+	eventually(t, "three exits", func() bool { return f.exits() >= 3 })
+	settled := time.Now()
+	time.Sleep(2 * contactTime)
+	late, total := faults.lateSends(settled.Add(contactTime))
+	t.Logf("%d exits; %d sends of the part, %d of them late", f.exits(), total, late)
+	if late > maxLateSends || total > 2*crashing {
+		t.Errorf("%d sends of the part, %d of them late, want at most %d and %d", total, late, 2*crashing, maxLateSends)
+	}
+	page, _ := f.readResults(edges[0], "j1", 0)
+	for _, row := range page.Results {
+		if row.State != "completed" {
+			t.Errorf("item %s is %s", row.ID, row.State)
+		}
+	}
+}
