--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -54,7 +54,7 @@
 
 // serve relays a request that arrived at the given time.
 func (e *Edge) serve(writer http.ResponseWriter, request *http.Request, arrived time.Time) {
-	e.closeWhenStopping(writer)
+	e.endConnection(writer)
 	if err := e.awaitPrerequisite(writer, request, arrived, needsWorkers); err != nil {
 		e.Reject(writer, request, err)
 		return
@@ -127,9 +127,9 @@
 	return failure.New(failure.NotRun, "ask another edge, or raise freeze_time", "no coordinator has been reached for %s", sinceLeader.Round(time.Millisecond)).WithRetryAfter(time.Second)
 }
 
-// closeWhenStopping makes the caller use another connection while the process stops, or has too many
-// open connections.
-func (e *Edge) closeWhenStopping(writer http.ResponseWriter) {
+// endConnection makes the caller use another connection for its next request, if the process stops or
+// has too many open connections.
+func (e *Edge) endConnection(writer http.ResponseWriter) {
 	if e.daemon.Stopping() || e.Connections.Crowded() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -138,7 +138,7 @@
 // Reject answers a request that was not relayed.
 func (e *Edge) Reject(writer http.ResponseWriter, request *http.Request, err error) {
 	// The stop may have begun while the request was held.
-	e.closeWhenStopping(writer)
+	e.endConnection(writer)
 	typed := failure.From(err)
 	status := httpapi.StatusCode(typed)
 	logging.Info(e.logger, "request_refused", "id", request.Header.Get(e.headerNames.RequestID), "host", request.Host, "path", request.URL.Path, "status", status, "error", err)
--- a/internal/edge/waiting.go
+++ b/internal/edge/waiting.go
@@ -116,7 +116,7 @@
 	if r.admissionReason == admission.OverShare {
 		c.countByRank("sent_back")
 	}
-	c.edge.closeWhenStopping(c.writer)
+	c.edge.endConnection(c.writer)
 	c.reject(admissionError(r.admissionReason).WithRetryAfter(r.retryAfter))
 }
 
