--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -302,7 +302,8 @@
 // VerifyEnd returns an error if the body may have been cut off although Read returned io.EOF: one that
 // is not delimited also ends when the worker exits. sentAt is when the request was sent.
 func (r *Response) VerifyEnd(ctx context.Context, sentAt time.Time) error {
-	if r.Delimited || ProvesEnd(false, r.client.WorkerExited(ctx, r.endpoint, sentAt)) {
+	exited := !r.Delimited && r.client.WorkerExited(ctx, r.endpoint, sentAt)
+	if ProvesEnd(r.Delimited, exited) {
 		return nil
 	}
 	return r.client.outcomeUnknown(io.ErrUnexpectedEOF, r.endpoint, "it exited, and the end of its answer is not marked")
