Edges create their load exchange before they listen to coordinators

Cause: New started the goroutine that polls the coordinators one statement before it created the exchange; if the first answer came in between, which takes a busy machine, it was used while nil.

Fix: the order.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,8 +121,9 @@
 	e.watcher.OnChange(e.applySnapshot)
 	e.Stores = storeclient.New(d.Traffic, config.Zone, func() *wire.FleetView { return &e.watcher.Current().Fleet })
 	e.upstream.SetMeter(d.Traffic)
-	d.Go(e.watcher.Run)
+	// The first answer of a coordinator, which may come at once, needs the exchange.
 	e.loads = e.newLoadExchange()
+	d.Go(e.watcher.Run)
 	d.Go(e.runLoadExchange)
 	d.Go(e.watchStalls)
 	e.registerConnections(d.Registry)
