--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -59,6 +59,8 @@
 	machines     map[string]*machine
 	unframed     int
 	interval     time.Duration
+	// spread is how much later than the first core machine the others start, 0.3 s at most.
+	spread time.Duration
 
 	mutex     sync.Mutex
 	workers   map[string]*workerProcess
@@ -141,7 +143,15 @@
 			f.machines[fmt.Sprintf("%s%d", class, i)] = m
 		}
 	}
+	first := f.machines["core1"]
+	if err := f.startMachine(first); err != nil {
+		return err
+	}
+	time.Sleep(f.spread)
 	for _, m := range f.machines {
+		if m == first {
+			continue
+		}
 		if err := f.startMachine(m); err != nil {
 			return err
 		}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -65,6 +65,7 @@
 	"truncated": truncated,
 	"abandoned": abandoned,
 	"streams":   streams,
+	"outage":    outage,
 }
 
 func (f *fleet) must(err error) {
