--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -64,7 +64,6 @@
 var cases = map[string]func(f *fleet, trouble bool) int{
 	"truncated": truncated,
 	"abandoned": abandoned,
-	"streams":   streams,
 	"outage":    outage,
 }
 
--- a/review/standins/streams.go
+++ b/review/standins/streams.go
@@ -61,16 +61,9 @@
 	workerDown  = time.Second
 )
 
-// streams checks that no client gets a part of a worker's answer as a complete one.
-func streams(f *fleet, trouble bool) int {
-	f.unframed = unframedEvery
-	for i := range truncatedWorkers {
-		f.must(f.addWorker(i))
-	}
-	f.must(f.start())
-	f.must(f.putConfiguration(1, 20*time.Second, streamRoute("r-1", "/lohu930/")))
-	f.must(f.awaitReady(20 * time.Second))
-	f.must(f.awaitRoute("/lohu930/", 10*time.Second))
+// truncatedStreams plays the second part: two workers crash and come back while a front machine stands
+// still.
+func (f *fleet) truncatedStreams(trouble bool) int {
 	broken := 0
 	for round := range streamRounds {
 		sent := make([]*stream, streamsEach)
@@ -84,9 +77,12 @@
 			time.Sleep(time.Second)
 			f.signal(syscall.SIGSTOP, front)
 			time.Sleep(100 * time.Millisecond)
-			f.killWorker(f.workerAt(round))
+			first, second := 2*round%truncatedWorkers, (2*round+1)%truncatedWorkers
+			f.killWorker(f.workerAt(first))
+			f.killWorker(f.workerAt(second))
 			time.Sleep(workerDown)
-			f.must(f.addWorker(round))
+			f.must(f.addWorker(first))
+			f.must(f.addWorker(second))
 			time.Sleep(frontFrozen - workerDown - 100*time.Millisecond)
 			f.signal(syscall.SIGCONT, front)
 		}
--- a/review/standins/truncated.go
+++ b/review/standins/truncated.go
@@ -29,7 +29,8 @@
 	restartDelay = 30 * time.Millisecond
 )
 
-// truncated checks that no item is completed with a part of its output.
+// truncated checks that no item is completed with a part of its output, and that no client gets a
+// part of an answer as a complete one.
 func truncated(f *fleet, trouble bool) int {
 	f.unframed = unframedEvery
 	for i := range truncatedWorkers {
@@ -38,6 +39,12 @@
 	f.must(f.start())
 	f.must(f.putConfiguration(1, 20*time.Second, streamRoute("r-1", "/lohu930/"), batchRoute("r-2", "/pule252/")))
 	f.must(f.awaitReady(20 * time.Second))
+	f.must(f.awaitRoute("/lohu930/", 10*time.Second))
+	return f.truncatedItems(trouble) + f.truncatedStreams(trouble)
+}
+
+// truncatedItems plays the first part: workers crash one after the other while they run items.
+func (f *fleet) truncatedItems(trouble bool) int {
 	var jobs []*job
 	for i := range 8 {
 		j := newJob(fmt.Sprintf("%x41e09b52d6a3f8%d", 7+i, i), "/pule252/", 40, 60)
