--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -132,11 +132,11 @@
 
 var zones = []string{"hall-a", "hall-b", "hall-c"}
 
-// start starts the fleet: five core machines, three stores and two fronts.
+// start starts the fleet: five core machines, three stores and eight fronts.
 func (f *fleet) start() error {
 	f.serveList()
 	number := 0
-	for class, count := range map[string]int{"core": 5, "store": 3, "front": 2} {
+	for class, count := range map[string]int{"core": 5, "store": 3, "front": 8} {
 		for i := 1; i <= count; i++ {
 			number = map[string]int{"core": 0, "store": 10, "front": 20}[class] + i
 			m := &machine{name: fmt.Sprintf("%s-%s-%d", class, zones[(i-1)%3], i), class: class, ip: f.ip(number)}
--- a/review/standins/jobs.go
+++ b/review/standins/jobs.go
@@ -37,8 +37,16 @@
 
 // submit sends the job to the front machines in turn until it is accepted.
 func (f *fleet) submit(j *job, timeout time.Duration) error {
+	return f.submitTo(j, nil, timeout)
+}
+
+// submitTo sends the job to one front machine, or to all in turn if it is nil, until it is accepted.
+func (f *fleet) submitTo(j *job, only *machine, timeout time.Duration) error {
 	until := time.Now().Add(timeout)
 	fronts := f.class("front")
+	if only != nil {
+		fronts = []*machine{only}
+	}
 	for turn := 0; time.Now().Before(until); turn++ {
 		front := fronts[turn%len(fronts)]
 		status, answer, err := call("POST", fmt.Sprintf("%s:%d", front.ip, portFront), hostName, j.prefix+j.id, map[string]string{"Request-Id": j.id, "Content-Type": "application/json", "Deadline-Ms": "4000"}, j.body(), 4*time.Second)
