--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p ../target
-go build -o ../target/review-standins ./standins
+go build -buildvcs=false -o ../target/review-standins ./standins
