--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -61,6 +61,8 @@
 	interval     time.Duration
 	// spread is how much later than the first core machine the others start, 0.3 s at most.
 	spread time.Duration
+	// firstControl is the number of the control machine that the operator calls first.
+	firstControl int
 
 	mutex     sync.Mutex
 	workers   map[string]*workerProcess
