--- a/review/standins/abandoned.go
+++ b/review/standins/abandoned_test.go
@@ -1,4 +1,4 @@
-package main
+package standins
 
 import (
 	"fmt"
@@ -40,7 +40,9 @@
 	f.must(f.putConfiguration(1, 20*time.Second, routes...))
 	f.must(f.awaitReady(20 * time.Second))
 	f.must(f.awaitRoute("/lohu930/", 10*time.Second))
-	broken := 0
+	before := newJob("1a0e09b52d6a3f80", "/pule252/", itemsEach, eventsEach)
+	f.must(f.submit(before, 20*time.Second))
+	broken := f.checkAbandoned(before, f.readAll(before, 20*time.Second))
 	for round := range abandonRounds {
 		online, batch := fmt.Sprintf("/tuke%d/", round), fmt.Sprintf("/wami%d/", round)
 		// After a change all processes ask for the next one at the same time.
--- a/review/standins/main.go
+++ b/review/standins/main_test.go
@@ -1,12 +1,14 @@
-// Command standins plays the cases of the review: it starts a small deployment of sedgemast's own
+// Package standins plays the cases of the review: it starts a small deployment of sedgemast's own
 // programs on loopback addresses, with stand-ins for workers, clients, the operator and the
-// platform, and checks one rule.
-package main
+// platform, and checks one rule. It consists of test files only, and is built as a test program
+// (review/build.sh), because it is no part of the product.
+package standins
 
 import (
 	"fmt"
 	"os"
 	"strconv"
+	"testing"
 	"time"
 )
 
@@ -26,7 +28,8 @@
 	os.Exit(exitNotRun)
 }
 
-func main() {
+// TestMain plays the case that the arguments name, or serves as a worker.
+func TestMain(*testing.M) {
 	if len(os.Args) == 6 && os.Args[1] == "worker" {
 		interval, _ := time.ParseDuration(os.Args[4])
 		unframed, _ := strconv.Atoi(os.Args[5])
