Tell the age of the list of workers on which each send rests

A hidden value of each process: when the platform was asked for the list by which it sends.

A reading carries when it began, or when the oldest reading began that confirmed a row still in use (a zone that can't be read, a missing row, a contradiction). The leader and the relays answer each poll with the digest and the age of their list; a process takes the age only for the list that it has itself. The age counts from the arrival of the poll, so neither a held poll nor an answer that waited makes a list younger than it is.

New: list_age_ms in request_done and item_attempt, leaving and age_ms in workers_changed, leaving in fleet_view; edge_send_list_age_seconds, store_send_list_age_seconds, coordinator_list_age_seconds. Two fields of WatchResponse are new; builds that don't know them tell no age. No decision rests on the age yet.

--- a/internal/batchstore/metrics.go
+++ b/internal/batchstore/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 )
 
 // metrics are the metrics of the process.
@@ -9,6 +11,8 @@
 	jobs     *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	runTime  prometheus.Histogram
+	// listAge is the age of the list of workers at each send of an item.
+	listAge prometheus.Histogram
 	// restarted counts items that started again because no worker of their text's version had room.
 	restarted prometheus.Counter
 	// healthChanges counts changes in the health rating of workers, by the new rating.
@@ -26,8 +30,9 @@
 	}
 	m.healthChanges = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "store_workers_judged_total", Help: "Changes in the judgement of workers that fail requests: avoided, probed, readmitted."}, []string{"change"})
 	m.forecastError = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "store_forecast_off_slots", Help: "By how many slots the online need differs from what was forecast 200 ms before, in the mean, by pool and way; zero without a pattern."}, []string{"pool", "way"})
+	m.listAge = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "store_send_list_age_seconds", Help: "Age of the list of workers when an item was sent to a worker.", Buckets: fleetwatch.ListAgeBuckets})
 	m.restarted = prometheus.NewCounter(prometheus.CounterOpts{Name: "store_items_restarted_total", Help: "Items that started again from their first event, because no worker of their text's software version had room."})
-	registry.MustRegister(m.restarted, m.healthChanges, m.jobs, m.attempts, m.runTime, m.forecastError)
+	registry.MustRegister(m.restarted, m.healthChanges, m.jobs, m.attempts, m.runTime, m.listAge, m.forecastError)
 	return m
 }
 
--- a/internal/batchstore/quarantine_test.go
+++ b/internal/batchstore/quarantine_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/emulator"
@@ -131,6 +133,7 @@
 		worker.InjectFaults(func(*emulator.HostedRequest) emulator.HostedFault { return fault })
 		r := testRunner(t, 1)
 		r.store.headerNames = worker.HeaderNames
+		r.store.metrics = newMetrics(prometheus.NewRegistry())
 		r.store.upstream = upstream.NewClient(worker.HeaderNames)
 		running := r.runItem(t, 0, clock.Now())
 		running.content.Path = "/"
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -93,10 +93,12 @@
 	expected int64
 	lease    *balance.Lease
 	// goal is the tightest goal of the pool's online requests.
-	goal       time.Duration
-	context    context.Context
-	cancel     context.CancelFunc
-	started    time.Time
+	goal    time.Duration
+	context context.Context
+	cancel  context.CancelFunc
+	started time.Time
+	// listAge is the age of the list of workers when the item was sent.
+	listAge    time.Duration
 	recordedAt time.Time
 	// lastEventsAt is when the last events arrived.
 	lastEventsAt time.Time
@@ -157,7 +159,7 @@
 	}
 	t.runner.store.metrics.attempts.WithLabelValues(t.outcome(err)).Inc()
 	t.runner.store.metrics.runTime.Observe(t.runTime.Seconds())
-	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.lease.Endpoint.ID, "from_event", before, "began", string(t.progress.version), "events", t.progress.events, "failures", t.failures, "state", t.state, "yielded", t.context.Err() != nil, "ms", clock.Since(t.started).Milliseconds(), "error", err)
+	logging.Info(t.runner.store.logger, "item_attempt", "job", t.key.job, "item", t.id, "worker", t.lease.Endpoint.ID, "list_age_ms", t.listAge.Milliseconds(), "from_event", before, "began", string(t.progress.version), "events", t.progress.events, "failures", t.failures, "state", t.state, "yielded", t.context.Err() != nil, "ms", clock.Since(t.started).Milliseconds(), "error", err)
 	t.runner.ended <- t
 }
 
@@ -229,6 +231,8 @@
 		ID:      t.id,
 	}
 	store := t.runner.store
+	t.listAge = store.watcher.Current().ListAge(clock.Now())
+	store.metrics.listAge.Observe(t.listAge.Seconds())
 	response, err := store.upstream.Send(t.context, t.lease.Endpoint, request, time.Now().Add(t.responseTimeout()))
 	if err != nil {
 		if t.context.Err() == nil {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -28,6 +28,7 @@
 	"github.com/sedgemast/sedgemast/internal/settings"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
+	"github.com/sedgemast/sedgemast/internal/workerset"
 )
 
 const (
@@ -72,8 +73,10 @@
 	gate    quarantine.Gate
 	changed chan struct{}
 	// pendingRows are the rows of a first reading that are not in the view yet; partialAt is
-	// when rows of a first reading were last added to the view.
+	// when rows of a first reading were last added to the view. readingFrom is when the reading in
+	// progress began.
 	pendingRows []wire.PoolWorker
+	readingFrom time.Time
 	partialAt   time.Time
 }
 
@@ -98,12 +101,13 @@
 
 		invalidEntries: prometheus.NewCounter(prometheus.CounterOpts{Name: "coordinator_odd_entries_total", Help: "Entries of the list of workers that name none to use, counted at each reading."}),
 	}
+	listAge := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "coordinator_list_age_seconds", Help: "Time since the reading began by which this process, as the leader, knows the list of workers; -1 elsewhere."}, c.listAge)
 	c.host, err = replication.NewHost(c.replicationOptions(), replication.NewPeerTransport(d.Traffic))
 	if err != nil {
 		return nil, errors.CombineErrors(err, store.Close())
 	}
 	d.CompleteStep(daemon.StepStorage)
-	d.Registry.MustRegister(c.changes, c.watches, c.invalidEntries)
+	d.Registry.MustRegister(c.changes, c.watches, c.invalidEntries, listAge)
 	c.relay = newRelay(c)
 	c.list.OnPage = c.addWorkers
 	c.register()
@@ -242,6 +246,9 @@
 // readList reads the list and updates the view. It returns the number of calls.
 func (c *Coordinator) readList(ctx context.Context, logged *listLog) int {
 	start := clock.Now()
+	c.mutex.Lock()
+	c.readingFrom = start
+	c.mutex.Unlock()
 	callContext, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	reading, err := c.list.Read(callContext)
@@ -262,16 +269,29 @@
 	// An error means that another process leads now; that one reads the list itself.
 	_ = c.readLeader(func(_ time.Time, v *fleetview.View) {
 		c.pendingRows = nil
-		changed = v.SetWorkers(reading.Rows)
+		changed = v.SetWorkers(reading.Rows, reading.ReadAt)
 		viewNumber = v.Number
 	})
 	if changed {
-		logging.Info(c.logger, "workers_changed", "workers", len(reading.Rows), "view", viewNumber, "calls", reading.Calls, "kept", len(reading.StaleZones), "ms", clock.Now().Sub(start).Milliseconds())
+		logging.Info(c.logger, "workers_changed", "workers", len(reading.Rows), "leaving", workerset.CountLeaving(reading.Rows), "view", viewNumber, "calls", reading.Calls, "kept", len(reading.StaleZones), "ms", clock.Now().Sub(start).Milliseconds(), "age_ms", clock.Since(reading.ReadAt).Milliseconds())
 		c.notify()
 	}
 	return reading.Calls
 }
 
+// listAge returns the age of the list of workers in seconds, or -1 if this process does not lead or
+// has no list.
+func (c *Coordinator) listAge() float64 {
+	age := -1.0
+	// An error means that another process leads.
+	_ = c.readLeader(func(now time.Time, v *fleetview.View) {
+		if !v.ListReadAt.IsZero() {
+			age = now.Sub(v.ListReadAt).Seconds()
+		}
+	})
+	return age
+}
+
 // minPartialInterval is the minimum time between two updates with pages of a first reading: each
 // update wakes all watches, and a reading of 10,000 workers has 51 pages.
 const minPartialInterval = 200 * time.Millisecond
@@ -288,7 +308,7 @@
 		if now.Sub(c.partialAt) < minPartialInterval {
 			return
 		}
-		if added = v.AddWorkers(c.pendingRows); added {
+		if added = v.AddWorkers(c.pendingRows, c.readingFrom); added {
 			c.pendingRows, c.partialAt = nil, now
 		}
 	})
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -6,6 +6,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/fleetview"
@@ -85,6 +86,7 @@
 func (c *Coordinator) watchLeader(ctx context.Context, request *wire.WatchRequest) (*wire.WatchResponse, error) {
 	timeout := time.NewTimer(time.Duration(request.WaitMillis) * time.Millisecond)
 	defer timeout.Stop()
+	arrivedAt := clock.Now()
 	first := true
 	for {
 		response := &wire.WatchResponse{}
@@ -96,6 +98,7 @@
 				drained = v.DrainedStores(now, request, c.pendingRetirements(), len(c.machine.InitialVoters()))
 			}
 			c.fillUpdate(v, request, response)
+			fillListAge(v, arrivedAt, response)
 			if response.Document != nil || response.Fleet != nil || c.needsUrgentUpdate(request.Quarantine) {
 				c.fillQuarantine(request, response)
 			}
@@ -116,7 +119,10 @@
 		case <-changed:
 		case <-timeout.C:
 			// An error means that another process leads now; that one sends the update.
-			_ = c.readLeader(func(time.Time, *fleetview.View) { c.fillQuarantine(request, response) })
+			_ = c.readLeader(func(_ time.Time, v *fleetview.View) {
+				c.fillQuarantine(request, response)
+				fillListAge(v, arrivedAt, response)
+			})
 			return response, nil
 		case <-ctx.Done():
 			return response, nil
@@ -124,6 +130,16 @@
 	}
 }
 
+// fillListAge adds the digest and the age of the leader's list of workers to the response to a poll
+// that arrived at arrivedAt.
+func fillListAge(v *fleetview.View, arrivedAt time.Time, response *wire.WatchResponse) {
+	if v.ListReadAt.IsZero() {
+		return
+	}
+	response.ListDigest = v.Workers().Digest()
+	response.ListAgeMillis = roundUp(arrivedAt.Sub(v.ListReadAt)).Milliseconds()
+}
+
 // leaderWaitTimeout bounds the time that a watch waits for a leader to be known, and
 // leaderPollInterval is the time between checks. Without the wait, all processes of a fleet
 // would repeat their calls while the coordinators elect a leader. The timeout is short because
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -75,8 +75,9 @@
 func (r *relay) watch(ctx context.Context, request *wire.WatchRequest) (*wire.WatchResponse, bool) {
 	timeout := time.NewTimer(time.Duration(request.WaitMillis) * time.Millisecond)
 	defer timeout.Stop()
+	arrivedAt := clock.Now()
 	for last := false; ; {
-		response, changed, fresh := r.answer(request)
+		response, changed, fresh := r.answer(request, arrivedAt)
 		if !fresh || last || response.Document != nil || response.Fleet != nil || response.Quarantine != nil {
 			return response, fresh
 		}
@@ -90,9 +91,9 @@
 	}
 }
 
-// answer returns the update for the edge, a channel that is closed at the next change, and whether
+// answer returns the update for the edge, whose poll arrived at arrivedAt, a channel that is closed at the next change, and whether
 // the state is fresh.
-func (r *relay) answer(request *wire.WatchRequest) (response *wire.WatchResponse, changed <-chan struct{}, fresh bool) {
+func (r *relay) answer(request *wire.WatchRequest, arrivedAt time.Time) (response *wire.WatchResponse, changed <-chan struct{}, fresh bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := clock.Now()
@@ -110,6 +111,10 @@
 	if snapshot.Version() > request.Version {
 		response.Document = snapshot.Document
 	}
+	if !snapshot.ListReadAt.IsZero() {
+		response.ListDigest = snapshot.Workers.Digest()
+		response.ListAgeMillis = roundUp(arrivedAt.Sub(snapshot.ListReadAt)).Milliseconds()
+	}
 	response.Fleet = r.mirror.UpdateFor(request)
 	response.Quarantine = r.watcher.Quarantine().UpdateSince(request.Quarantine)
 	return response, r.changed, true
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -25,6 +25,8 @@
 	digests uint64
 	// ageMillis is the time since the leader was last heard from.
 	ageMillis int64
+	// listAgeMillis is the age of the list of workers.
+	listAgeMillis int64
 	// generation is the generation of the caller's build.
 	generation wire.Generation
 }
@@ -48,6 +50,8 @@
 		fromView: request.View, view: response.View,
 		ageMillis:  response.AgeMillis,
 		generation: request.Generation(),
+
+		listAgeMillis: response.ListAgeMillis,
 	}
 	if len(request.Digests) > 0 || request.Lost {
 		key.digests = xxhash.Sum64(request.Digests)
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -61,8 +61,10 @@
 	failedDials      int
 	failedDialTime   time.Duration
 	worker           string
-	// sentAt is when the request was sent to that worker.
-	sentAt time.Time
+	// sentAt is when the request was sent to that worker, and listAge was the age of the list of workers
+	// then.
+	sentAt  time.Time
+	listAge time.Duration
 	// responseStarted is set once the response headers have been written. aborted is set if that
 	// response can't be completed, or the caller has disconnected.
 	responseStarted bool
@@ -305,7 +307,7 @@
 		firstMillis = c.firstByteAt.Sub(c.arrived).Milliseconds()
 		e.metrics.firstByteTime.WithLabelValues(c.route.Name).Observe(c.firstByteAt.Sub(c.arrived).Seconds())
 	}
-	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "attempts", c.attempts, "outcome", result, "first_ms", firstMillis, "ms", c.elapsed(), "error", err)
+	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "list_age_ms", c.listAge.Milliseconds(), "attempts", c.attempts, "outcome", result, "first_ms", firstMillis, "ms", c.elapsed(), "error", err)
 }
 
 // headers returns the headers of one attempt: the caller's and those that the edge sets.
@@ -335,6 +337,8 @@
 	request.Headers = c.headers(lease)
 	c.attempts++
 	c.sentAt, c.output = clock.Now(), quarantine.Output{}
+	c.listAge = c.edge.watcher.Current().ListAge(c.sentAt)
+	c.edge.metrics.listAge.Observe(c.listAge.Seconds())
 	if lease.IsProbe() {
 		c.edge.metrics.probes.Inc()
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -318,6 +318,8 @@
 	continued *prometheus.CounterVec
 	// choices counts selected workers, by zone and by how they were compared.
 	choices *prometheus.CounterVec
+	// listAge is the age of the list of workers at each send.
+	listAge prometheus.Histogram
 	// stalls counts how often this process stalled.
 	stalls        prometheus.Counter
 	firstByteTime *prometheus.HistogramVec
@@ -341,10 +343,11 @@
 		resumed:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_resumed_requests_total", Help: "Requests of callers that take up a stream, by how its origin was found: local, hub, sole (one version is listed); unknown and gone are rejected."}, []string{"origin"}),
 		continued:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_continued_streams_total", Help: "Streams that went on at another worker, by who resumed them (edge, caller) and by that worker's software version compared with the one that began them (same, other, unknown)."}, []string{"by", "version"}),
 		choices:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_choices_total", Help: "Workers chosen, by their zone (own, other) and by how they were compared (cost, times)."}, []string{"zone", "by"}),
+		listAge:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "edge_send_list_age_seconds", Help: "Age of the list of workers when a request was sent to a worker.", Buckets: fleetwatch.ListAgeBuckets}),
 		stalls:        prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_standstills_total", Help: "Times for which this process stood still."}),
 		firstByteTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		responseTime:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.workerExits, m.quarantined, m.held, m.firstByteTime, m.responseTime, m.probes, m.resumed, m.continued, m.choices, m.stalls, m.capacity, m.queued, m.queueTime, m.queueLength)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.workerExits, m.quarantined, m.held, m.firstByteTime, m.responseTime, m.probes, m.resumed, m.continued, m.choices, m.listAge, m.stalls, m.capacity, m.queued, m.queueTime, m.queueLength)
 	return m
 }
--- a/internal/fleetview/generation_test.go
+++ b/internal/fleetview/generation_test.go
@@ -47,9 +47,9 @@
 		rows := []wire.PoolWorker{{ID: fmt.Sprint(random.IntN(3))}, {ID: "x", Leaving: random.IntN(2) == 0}}
 		switch {
 		case step < 20:
-			v.AddWorkers(rows)
+			v.AddWorkers(rows, start)
 		case random.IntN(2) == 0:
-			v.SetWorkers(rows)
+			v.SetWorkers(rows, start)
 		default:
 			v.ApplyReport(now, store(fmt.Sprintf("s%d", random.IntN(4)), "z", 1))
 		}
--- a/internal/fleetview/mirror_test.go
+++ b/internal/fleetview/mirror_test.go
@@ -96,7 +96,7 @@
 	if !f.leader.Current.Listed && f.random.IntN(3) > 0 {
 		// The leader has read only a part of the list.
 		for _, row := range f.rows {
-			f.leader.AddWorkers([]wire.PoolWorker{row})
+			f.leader.AddWorkers([]wire.PoolWorker{row}, start)
 			break
 		}
 		return
@@ -110,7 +110,7 @@
 	for _, row := range f.rows {
 		rows = append(rows, row)
 	}
-	f.leader.SetWorkers(rows)
+	f.leader.SetWorkers(rows, start)
 }
 
 // watchLeader does what the coordinator does for a watch request.
--- a/internal/fleetview/since_test.go
+++ b/internal/fleetview/since_test.go
@@ -26,7 +26,7 @@
 		now = now.Add(time.Duration(random.IntN(500)) * time.Millisecond)
 		switch random.IntN(3) {
 		case 0:
-			v.SetWorkers([]wire.PoolWorker{{ID: fmt.Sprint(random.IntN(3))}})
+			v.SetWorkers([]wire.PoolWorker{{ID: fmt.Sprint(random.IntN(3))}}, start)
 		case 1:
 			v.ApplyReport(now, store(fmt.Sprintf("s%d", random.IntN(5)), "z", 1))
 		case 2:
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -39,6 +39,9 @@
 	Term    uint64
 	Number  uint64
 	Current wire.FleetView
+	// ListReadAt is when the oldest reading began by which the list of workers is known, zero if there
+	// is no list. The platform may have changed the list since.
+	ListReadAt time.Time
 	// workers logs the list by view number. processesNumber is the number of the last view in
 	// which anything but workers and the count of edges changed.
 	workers         *workerset.Log
@@ -202,8 +205,9 @@
 // Workers returns the list of workers.
 func (v *View) Workers() *workerset.Set { return v.workers.Set() }
 
-// SetWorkers stores the platform's list and reports whether it changed.
-func (v *View) SetWorkers(workers []wire.PoolWorker) bool {
+// SetWorkers stores the platform's list, as of readAt, and reports whether it changed.
+func (v *View) SetWorkers(workers []wire.PoolWorker, readAt time.Time) bool {
+	v.ListReadAt = readAt
 	next := v.workers.Set().Replaced(workers)
 	if v.Current.Listed && next.Digest() == v.workers.Set().Digest() {
 		return false
@@ -214,13 +218,16 @@
 	return true
 }
 
-// AddWorkers adds a part of the platform's list while the whole list has not been read, and
-// reports whether the view changed. Processes that have no list yet start to serve with the
-// part.
-func (v *View) AddWorkers(workers []wire.PoolWorker) bool {
+// AddWorkers adds a part of the platform's list, as of readAt, while the whole list has not been
+// read, and reports whether the view changed. Processes that have no list yet start to serve with
+// the part.
+func (v *View) AddWorkers(workers []wire.PoolWorker, readAt time.Time) bool {
 	if v.Current.Listed || len(workers) == 0 {
 		return false
 	}
+	if v.ListReadAt.IsZero() || readAt.Before(v.ListReadAt) {
+		v.ListReadAt = readAt
+	}
 	v.Current.Partial = true
 	v.Number++
 	v.workers.Put(v.Number, v.workers.Set().With(workers, nil))
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -65,7 +65,7 @@
 	if !v.Refresh(start.Add(ProcessTTL+1), []string{"c:1"}, nil, nil) || len(v.Current.Stores) != 0 {
 		t.Errorf("Refresh reports no change for an unresponsive store: %+v", v.Current)
 	}
-	if !v.SetWorkers([]wire.PoolWorker{{ID: "w"}}) || v.SetWorkers([]wire.PoolWorker{{ID: "w"}}) {
+	if !v.SetWorkers([]wire.PoolWorker{{ID: "w"}}, start) || v.SetWorkers([]wire.PoolWorker{{ID: "w"}}, start) {
 		t.Error("SetWorkers does not report exactly the changes of the list")
 	}
 }
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -42,6 +42,9 @@
 	View  uint64
 	// Workers is the list of workers.
 	Workers *workerset.Set
+	// ListReadAt is when the reading of the platform's list began that Workers is known by, or
+	// earlier. It is zero if that is unknown. The platform may have changed the list since.
+	ListReadAt time.Time
 	// LeaderSeenAt is when the leader last answered this process, or the relay from which this
 	// process got its last answer.
 	LeaderSeenAt time.Time
@@ -192,13 +195,13 @@
 		w.reached = true
 		logging.Info(w.logger, "coordinator_reached", "address", target, "term", response.Term)
 	}
-	return w.apply(target, response, answeredAt)
+	return w.apply(target, response, askedAt, answeredAt)
 }
 
-// apply applies an answer that was sent at answeredAt, or earlier. It never replaces the configuration or the view by an older one. If the
-// leader has not read the whole list of workers yet, apply does not let the leader's list replace
-// one that was read whole.
-func (w *Watcher) apply(target string, response *wire.WatchResponse, answeredAt time.Time) error {
+// apply applies an answer to a poll sent at askedAt, which was answered at answeredAt, or earlier. It
+// never replaces the configuration or the view by an older one. If the leader has not read the whole
+// list of workers yet, apply does not let the leader's list replace one that was read whole.
+func (w *Watcher) apply(target string, response *wire.WatchResponse, askedAt, answeredAt time.Time) error {
 	before := w.Current()
 	after := *before
 	after.LeaderSeenAt = answeredAt.Add(-time.Duration(response.AgeMillis) * time.Millisecond)
@@ -221,6 +224,7 @@
 		}
 		changed = w.applyFleet(target, response, before, &after) || changed
 	}
+	after.confirmList(response, askedAt)
 	if response.Quarantine != nil {
 		w.quarantineCache.Apply(clock.Now(), response.Quarantine)
 		changed = changed || response.Quarantine.Urgent()
@@ -234,12 +238,38 @@
 	return nil
 }
 
+// ListAge returns the time since ListReadAt, or maxListAge if that is unknown or longer ago.
+func (s *Snapshot) ListAge(now time.Time) time.Duration {
+	if s.ListReadAt.IsZero() {
+		return maxListAge
+	}
+	return min(now.Sub(s.ListReadAt), maxListAge)
+}
+
+// ListAgeBuckets are the bounds, in seconds, of histograms of list ages.
+var ListAgeBuckets = []float64{.25, .5, 1, 1.5, 2, 2.5, 3, 4, 5, 10, 30}
+
+// maxListAge is the longest age of a list that is told from longer ones.
+const maxListAge = time.Hour
+
+// confirmList records how old the list of workers is. An answer tells the age of one list only, so it
+// does not count for a process that has another one.
+func (s *Snapshot) confirmList(response *wire.WatchResponse, askedAt time.Time) {
+	if response.ListDigest == 0 || response.ListDigest != s.Workers.Digest() {
+		return
+	}
+	readAt := askedAt.Add(-time.Duration(response.ListAgeMillis) * time.Millisecond)
+	if readAt.After(s.ListReadAt) {
+		s.ListReadAt = readAt
+	}
+}
+
 // applyFleet applies an update of the fleet and reports whether it did. If the digest of the
 // resulting list of workers is wrong nothing is applied, so that no relay passes the list on,
 // and the next request reports the mismatch.
 func (w *Watcher) applyFleet(target string, response *wire.WatchResponse, before, after *Snapshot) bool {
 	fleet := response.Fleet
-	rows, removed := 0, 0
+	rows, removed, leaving := 0, 0, 0
 	w.viewSource = target
 	switch update := workerUpdate(fleet); {
 	case update == nil:
@@ -248,7 +278,7 @@
 		// kept. Once the leader has read the whole list, the two lists are compared by digests.
 		w.viewSource = ""
 	default:
-		rows, removed = len(update.Rows), len(update.Gone)
+		rows, removed, leaving = len(update.Rows), len(update.Gone), workerset.CountLeaving(update.Rows)
 		after.Workers = before.Workers.Apply(update)
 		if after.Workers.Digest() != update.Digest {
 			logging.Warn(w.logger, "worker_list_differs", "from", target, "term", response.Term, "view", response.View, "workers", after.Workers.Len())
@@ -261,7 +291,7 @@
 	after.Fleet = fleet.ApplyTo(&before.Fleet)
 	after.Term, after.View = response.Term, response.View
 	w.setZones(before, after)
-	logging.Info(w.logger, "fleet_view", "from", target, "term", response.Term, "view", response.View, "workers", after.Workers.Len(), "rows", rows, "gone", removed, "stores", len(after.Fleet.Stores), "edges", after.Fleet.Edges, "age_ms", response.AgeMillis)
+	logging.Info(w.logger, "fleet_view", "from", target, "term", response.Term, "view", response.View, "workers", after.Workers.Len(), "rows", rows, "gone", removed, "leaving", leaving, "stores", len(after.Fleet.Stores), "edges", after.Fleet.Edges, "age_ms", response.AgeMillis)
 	return true
 }
 
--- a/internal/listreader/entries.go
+++ b/internal/listreader/entries.go
@@ -51,6 +51,7 @@
 	known, found := z.known[id]
 	if found && (sameEndpoint(&known, first) || sameEndpoint(&known, second)) {
 		rows[id] = known
+		z.kept[id] = true
 	}
 }
 
--- a/internal/listreader/incarnations.go
+++ b/internal/listreader/incarnations.go
@@ -23,12 +23,15 @@
 		if !found {
 			continue
 		}
-		resolved, err := r.reconcile(id, &known, &row)
+		resolved, kept, err := r.reconcile(id, &known, &row)
 		if err != nil {
 			z.invalid++
 			z.invalidErr = err
 		}
 		z.rows[id] = resolved
+		if kept {
+			z.kept[id] = true
+		}
 	}
 	for id := range r.contradictions {
 		if _, found := z.rows[id]; !found && z.known[id].ID != "" {
@@ -37,10 +40,11 @@
 	}
 }
 
-// reconcile returns the row to use for a worker, and an error if the row read is a stale entry.
-func (r *Reader) reconcile(id string, known, row *wire.PoolWorker) (wire.PoolWorker, error) {
+// reconcile returns the row to use for a worker, whether that is the known one although the row read
+// contradicts it, and an error if the row read is a stale entry.
+func (r *Reader) reconcile(id string, known, row *wire.PoolWorker) (resolved wire.PoolWorker, kept bool, err error) {
 	knownStart, listedStart := incarnation.StartTime(known.ID), incarnation.StartTime(row.ID)
-	resolved := *row
+	resolved = *row
 	if listedStart == 0 {
 		// The list has no start times: assume the known incarnation, unless the worker was
 		// leaving and is ready again, or runs another version.
@@ -55,17 +59,17 @@
 	restarted := listedStart == knownStart && known.Leaving && !row.Leaving
 	if !earlier && !restarted {
 		delete(r.contradictions, id)
-		return resolved, nil
+		return resolved, false, nil
 	}
 	if r.contradictions[id]++; r.contradictions[id] < maxContradictions {
 		if earlier {
-			return *known, errors.Newf("%s is listed as of an earlier life", id)
+			return *known, true, errors.Newf("%s is listed as of an earlier life", id)
 		}
-		return *known, nil
+		return *known, true, nil
 	}
 	delete(r.contradictions, id)
 	if restarted {
 		resolved.ID = incarnation.Name(id, max(clock.Now().UnixMilli(), knownStart+1), incarnation.VersionOf(row.ID))
 	}
-	return resolved, nil
+	return resolved, false, nil
 }
--- a/internal/listreader/reader.go
+++ b/internal/listreader/reader.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -61,6 +62,9 @@
 type Reading struct {
 	// Rows are the workers, each once, in no particular order.
 	Rows []wire.PoolWorker
+	// ReadAt is when the oldest reading began that confirmed a row that is not leaving: a zone that
+	// can't be read, a missing row or a contradiction keeps rows of earlier readings.
+	ReadAt time.Time
 	// Calls is the number of calls for pages. StaleZones are the zones that could not be
 	// read; their rows are those of the last reading.
 	Calls      int
@@ -83,6 +87,10 @@
 	// holds, by worker id, the number of consecutive readings that lacked a known row.
 	known  map[string]rowsByID
 	misses map[string]int
+	// readAt holds, by zone as in known, when its last successful reading began. keptFrom holds, by
+	// worker id, when the last reading began that confirmed a row, for rows that the last reading kept.
+	readAt   map[string]time.Time
+	keptFrom map[string]time.Time
 	// contradictions holds, by worker id, the number of consecutive readings in which the list
 	// contradicted the known incarnation of the worker.
 	contradictions map[string]int
@@ -94,13 +102,16 @@
 // New returns a reader of the pages. zones are the zones that workers may be in. If it is
 // empty, or a row has another zone, the list is read as one.
 func New(pages Pager, zones []string) *Reader {
-	return &Reader{pages: pages, zones: zones, known: map[string]rowsByID{}, misses: map[string]int{}, contradictions: map[string]int{}}
+	r := &Reader{pages: pages, zones: zones}
+	r.Reset()
+	return r
 }
 
 // Reset drops the known rows, so that the next reading doesn't depend on earlier ones. It is for
 // a process that has not read the list for a while.
 func (r *Reader) Reset() {
 	r.known, r.misses, r.contradictions = map[string]rowsByID{}, map[string]int{}, map[string]int{}
+	r.readAt, r.keptFrom = map[string]time.Time{}, map[string]time.Time{}
 }
 
 // Read reads the list. If a zone can't be read and never was before, it returns the error of
@@ -110,34 +121,38 @@
 	if r.byZones {
 		zones = r.zones
 	}
+	startedAt := clock.Now()
 	zoneReadings := make([]zoneReading, len(zones))
 	var group sync.WaitGroup
 	for i, zone := range zones {
-		zoneReadings[i] = zoneReading{zone: zone, known: r.known[zone], onPage: r.OnPage}
+		zoneReadings[i] = zoneReading{zone: zone, known: r.known[zone], kept: map[string]bool{}, onPage: r.OnPage}
 		group.Go(func() { zoneReadings[i].read(ctx, r.pages) })
 	}
 	group.Wait()
-	reading := &Reading{}
+	reading := &Reading{ReadAt: startedAt}
 	for i := range zoneReadings {
-		if err := r.merge(reading, &zoneReadings[i]); err != nil {
+		if err := r.merge(reading, &zoneReadings[i], startedAt); err != nil {
 			return nil, err
 		}
 	}
 	if !r.byZones {
-		r.chooseMode(reading)
+		r.chooseMode(reading, startedAt)
 	}
 	return reading, nil
 }
 
-// merge adds the rows read in a zone to the reading, or the known rows if the zone can't be read.
-func (r *Reader) merge(reading *Reading, z *zoneReading) error {
+// merge adds the rows read in a zone since startedAt to the reading, or the known rows if the zone
+// can't be read.
+func (r *Reader) merge(reading *Reading, z *zoneReading, startedAt time.Time) error {
 	reading.Calls += z.calls
 	if z.err != nil {
 		if z.known == nil {
 			return z.err
 		}
 		reading.StaleZones = append(reading.StaleZones, z.zone)
-		z.rows = z.known
+		reading.Rows = slices.AppendSeq(reading.Rows, maps.Values(z.known))
+		reading.confirmedFrom(r.readAt[z.zone])
+		return nil
 	}
 	r.reconcileZone(z)
 	reading.Invalid += z.invalid
@@ -145,6 +160,7 @@
 		reading.InvalidErr = z.invalidErr
 	}
 	r.keepMissing(z)
+	r.recordKept(reading, z, startedAt)
 	r.known[z.zone] = z.rows
 	reading.Rows = slices.AppendSeq(reading.Rows, maps.Values(z.rows))
 	return nil
@@ -163,11 +179,37 @@
 			continue
 		}
 		z.rows[id] = row
+		z.kept[id] = true
+	}
+}
+
+// confirmedFrom records that a reading that began at readAt is the last one that confirmed some row.
+func (r *Reading) confirmedFrom(readAt time.Time) {
+	if readAt.Before(r.ReadAt) {
+		r.ReadAt = readAt
+	}
+}
+
+// recordKept records which rows the reading that began at startedAt kept from earlier readings. A
+// kept row that is leaving may be of any age, because it can only stay so.
+func (r *Reader) recordKept(reading *Reading, z *zoneReading, startedAt time.Time) {
+	for id, row := range z.known {
+		if !z.kept[id] {
+			delete(r.keptFrom, id)
+			continue
+		}
+		if _, found := r.keptFrom[id]; !found {
+			r.keptFrom[id] = r.readAt[z.zone]
+		}
+		if !row.Leaving {
+			reading.confirmedFrom(r.keptFrom[id])
+		}
 	}
+	r.readAt[z.zone] = startedAt
 }
 
 // chooseMode decides whether later readings read the zones separately.
-func (r *Reader) chooseMode(reading *Reading) {
+func (r *Reader) chooseMode(reading *Reading, startedAt time.Time) {
 	if len(r.zones) < 2 || reading.Calls < pagesPerZone*len(r.zones) {
 		return
 	}
@@ -182,6 +224,9 @@
 		rowsByZone[row.Zone][incarnation.WorkerID(row.ID)] = row
 	}
 	r.byZones, r.known = true, rowsByZone
+	for _, zone := range r.zones {
+		r.readAt[zone] = startedAt
+	}
 }
 
 // zoneReading is the reading of one zone, or of all zones as one.
@@ -190,6 +235,8 @@
 	known  rowsByID
 	rows   rowsByID
 	onPage func(rows []wire.PoolWorker)
+	// kept holds the ids of the workers whose row is that of an earlier reading.
+	kept map[string]bool
 	// conflicting holds the worker ids for which the reading has different endpoints.
 	conflicting map[string]bool
 	// stable is set if the list did not shift while it was read: rows that are missing have
@@ -216,10 +263,17 @@
 	if z.stable || !z.missesKnown() {
 		return
 	}
+	keptBefore := z.kept
 	second, _, err := z.readOnce(ctx, pages)
 	if err != nil {
+		z.kept = keptBefore
 		return
 	}
+	for id := range keptBefore {
+		if _, found := second[id]; !found {
+			z.kept[id] = true
+		}
+	}
 	z.stable = sameIDs(z.rows, second)
 	maps.Copy(z.rows, second)
 }
@@ -241,7 +295,7 @@
 // readOnce reads all pages in sequence and returns their rows and number.
 func (z *zoneReading) readOnce(ctx context.Context, pages Pager) (rowsByID, int, error) {
 	rows := rowsByID{}
-	z.invalid, z.invalidErr, z.conflicting = 0, nil, map[string]bool{}
+	z.invalid, z.invalidErr, z.conflicting, z.kept = 0, nil, map[string]bool{}, map[string]bool{}
 	name, count := "", 0
 	for {
 		page, err := z.page(ctx, pages, name)
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -117,6 +117,11 @@
 	Quarantine *QuarantineNews `msg:"quarantine"`
 	// AgeMillis is set by relays: the age of the leader's last message to the relay.
 	AgeMillis int64 `msg:"age_millis"`
+	// ListDigest is the digest of the coordinator's list of workers, zero if it has none.
+	// ListAgeMillis is the time from the beginning of the reading that confirmed this list to the
+	// arrival of the poll. It is negative if the reading began later.
+	ListDigest    uint64 `msg:"list_digest"`
+	ListAgeMillis int64  `msg:"list_age_millis"`
 }
 
 // FleetView is the leader's view of the processes and the workers.
--- a/internal/wire/fleet_gen.go
+++ b/internal/wire/fleet_gen.go
@@ -4401,6 +4401,18 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "list_digest":
+			z.ListDigest, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ListDigest")
+				return
+			}
+		case "list_age_millis":
+			z.ListAgeMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ListAgeMillis")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4414,9 +4426,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *WatchResponse) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 9
 	// write "version"
-	err = en.Append(0x87, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x89, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -4499,15 +4511,35 @@
 		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
+	// write "list_digest"
+	err = en.Append(0xab, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ListDigest)
+	if err != nil {
+		err = msgp.WrapError(err, "ListDigest")
+		return
+	}
+	// write "list_age_millis"
+	err = en.Append(0xaf, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.ListAgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "ListAgeMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *WatchResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 9
 	// string "version"
-	o = append(o, 0x87, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x89, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "document"
 	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
@@ -4543,6 +4575,12 @@
 	// string "age_millis"
 	o = append(o, 0xaa, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMillis)
+	// string "list_digest"
+	o = append(o, 0xab, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendUint64(o, z.ListDigest)
+	// string "list_age_millis"
+	o = append(o, 0xaf, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.ListAgeMillis)
 	return
 }
 
@@ -4648,6 +4686,18 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "list_digest":
+			z.ListDigest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ListDigest")
+				return
+			}
+		case "list_age_millis":
+			z.ListAgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ListAgeMillis")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4674,7 +4724,7 @@
 	} else {
 		s += z.Quarantine.Msgsize()
 	}
-	s += 11 + msgp.Int64Size
+	s += 11 + msgp.Int64Size + 12 + msgp.Uint64Size + 16 + msgp.Int64Size
 	return
 }
 
--- a/internal/workerset/set.go
+++ b/internal/workerset/set.go
@@ -52,6 +52,16 @@
 	return s.count
 }
 
+// CountLeaving returns the number of rows of workers that are leaving.
+func CountLeaving(rows []wire.PoolWorker) (leaving int) {
+	for i := range rows {
+		if rows[i].Leaving {
+			leaving++
+		}
+	}
+	return leaving
+}
+
 // Digest returns a digest of the set's rows. Different sets have the same digest only by chance.
 func (s *Set) Digest() uint64 {
 	if s == nil {
