--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -193,6 +193,10 @@
 		w.serveReport(writer)
 		return
 	}
+	if httpRequest.URL.Path == hostedHealthPath {
+		w.serveHealth(writer)
+		return
+	}
 	header := httpRequest.Header
 	writer.Header().Set(w.HeaderNames.RequestID, header.Get(w.HeaderNames.RequestID))
 	if expected := header.Get(w.HeaderNames.ExpectWorker); expected != "" && expected != w.Incarnation() {
@@ -238,6 +242,20 @@
 	w.stream(writer, httpRequest, request, fault)
 }
 
+// hostedHealthPath is the path at which a worker says whether it takes requests.
+const hostedHealthPath = "/healthz"
+
+// serveHealth answers 200 with the worker's incarnation, or 503 if the worker is draining.
+func (w *HostedWorker) serveHealth(writer http.ResponseWriter) {
+	writer.Header().Set("Instance", w.Incarnation())
+	w.mutex.Lock()
+	draining := w.draining
+	w.mutex.Unlock()
+	if draining {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // hostedReportPath is the path of a worker's report on itself.
 const hostedReportPath = "/-/report"
 
@@ -343,6 +361,8 @@
 	service string
 	mutex   sync.Mutex
 	workers []*HostedWorker
+	// pageDelay is the time that each page takes.
+	pageDelay time.Duration
 }
 
 // NewHostedList starts a list of the workers of one service. Close stops it.
@@ -355,6 +375,13 @@
 // Close stops the list.
 func (l *HostedList) Close() { l.server.Close() }
 
+// SetPageDelay sets the time that each page takes.
+func (l *HostedList) SetPageDelay(delay time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.pageDelay = delay
+}
+
 // Address returns the list's IP:port.
 func (l *HostedList) Address() string { return l.server.Listener.Addr().String() }
 
@@ -379,6 +406,10 @@
 }
 
 func (l *HostedList) serve(writer http.ResponseWriter, request *http.Request) {
+	l.mutex.Lock()
+	delay := l.pageDelay
+	l.mutex.Unlock()
+	time.Sleep(delay)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	first, _ := strconv.Atoi(request.URL.Query().Get("pageToken"))
--- a/test/hosted_fleet_test.go
+++ b/test/hosted_fleet_test.go
@@ -56,6 +56,8 @@
 	hostedWorkers = 3
 	// hostedMaxFDs is how many descriptors a machine has.
 	hostedMaxFDs = 800
+	// hostedDrainTime is how long after it is listed as leaving a worker may still get new requests.
+	hostedDrainTime = 3 * time.Second
 )
 
 func newHostedFleet(t *testing.T, workers int) *hostedFleet {
@@ -155,11 +157,12 @@
 machines = 1
 [bounds]
 graceS = 8
+drainMs = %d
 statusS = 120
 [cloud]
 address = %q
 `, machine.name, machine.ip, f.port, f.port, strings.Join(seeds, ","), bootstrap, machine.folder+"/data",
-		f.address(machine, portControl), f.address(machine, portCallers), f.address(machine, portReady), hostedMaxFDs, f.list.Address())
+		f.address(machine, portControl), f.address(machine, portCallers), f.address(machine, portReady), hostedMaxFDs, hostedDrainTime.Milliseconds(), f.list.Address())
 	settingsFile := filepath.Join(machine.folder, "settings.toml")
 	writeFile(f.t, settingsFile, text)
 	log, err := os.OpenFile(filepath.Join(machine.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
