A request that rests on an old list asks its worker first

What callers saw: requests were sent to workers that had long been listed as leaving, and broke off with them. Cause: a process kept its last list for as long as nobody told a newer one, and sent by it whatever its age; no part of the code knew the drain time. Evidence: TestLeavingWorkerWithoutCoordinators, 51 and 53 requests more than 3 s after the worker was listed, on a list 5.9 s old.

The bound now stands where the request leaves: after the connection is there and just before the request is written, upstream.Client compares the age of the list with the drain time, and beyond it asks the worker's own health path, once a second and worker for all requests of a process. A worker that is listed as leaving, answers anything but 200 or has another id gets nothing, and another one is chosen. What happened before the write is no part of the bound, so neither lost leaders nor the length of the list count: docs/design/0024.

Setting drain_time (the platform's drainMs) for edges and stores, health_path for pools.

--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -408,6 +408,13 @@
 	}
 }
 
+// RecordNotReady records that the worker takes no requests, although the list says otherwise.
+func (l *Lease) RecordNotReady(now time.Time) {
+	l.table.mutex.Lock()
+	defer l.table.mutex.Unlock()
+	l.table.suspect(now, l.worker)
+}
+
 // RecordWrongWorker records that another worker answered at the address.
 func (l *Lease) RecordWrongWorker(now time.Time) {
 	l.table.mutex.Lock()
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -107,6 +107,8 @@
 	s.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, s.report)
 	s.watcher.OnChange(s.applySnapshot)
 	s.upstream.SetMeter(d.Traffic)
+	s.upstream.BoundListAge(s.watcher, config.DrainTime.Std())
+	d.Registry.MustRegister(s.upstream.HealthMetrics("store")...)
 	d.Registry.MustRegister(newCapacityCollector(s.loads))
 	s.client.SetMeter(d.Traffic)
 	s.register()
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -235,7 +235,12 @@
 	store.metrics.listAge.Observe(t.listAge.Seconds())
 	response, err := store.upstream.Send(t.context, t.lease.Endpoint, request, time.Now().Add(t.responseTimeout()))
 	if err != nil {
-		if t.context.Err() == nil {
+		switch {
+		case t.context.Err() != nil:
+		case upstream.NotReady(err):
+			t.backoff = notRunBackoff
+			t.lease.RecordNotReady(clock.Now())
+		default:
 			t.lease.RecordNoAnswer(clock.Now())
 		}
 		return err
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -378,7 +378,11 @@
 
 func (c *call) sendFailed(lease *balance.Lease, err error, dialTime time.Duration) outcome {
 	c.lastErr = err
-	if c.context.Err() == nil {
+	switch {
+	case c.context.Err() != nil:
+	case upstream.NotReady(err):
+		lease.RecordNotReady(clock.Now())
+	default:
 		lease.RecordNoAnswer(clock.Now())
 	}
 	if failure.Is(err, failure.NotRun) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,6 +121,8 @@
 	e.watcher.OnChange(e.applySnapshot)
 	e.Stores = storeclient.New(d.Traffic, config.Zone, func() *wire.FleetView { return &e.watcher.Current().Fleet })
 	e.upstream.SetMeter(d.Traffic)
+	e.upstream.BoundListAge(e.watcher, config.DrainTime.Std())
+	d.Registry.MustRegister(e.upstream.HealthMetrics("edge")...)
 	// The first answer of a coordinator, which may come at once, needs the exchange.
 	e.loads = e.newLoadExchange()
 	d.Go(e.watcher.Run)
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -15,6 +15,7 @@
 	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/routetable"
+	"github.com/sedgemast/sedgemast/internal/upstream"
 	"github.com/sedgemast/sedgemast/internal/wire"
 	"github.com/sedgemast/sedgemast/internal/workerset"
 )
@@ -69,6 +70,8 @@
 // caller disconnected.
 func TestContentDecidesProbe(t *testing.T) {
 	_, e := startEdge(t, streamRoute(true, 2), startWorkers(t, 1)...)
+	// The workers of this test are in no list.
+	e.upstream = upstream.NewClient(e.headerNames)
 	const event = "id: 1\ndata: x\n\n"
 	head := func(writer http.ResponseWriter, length int) {
 		writer.Header().Set("Content-Length", strconv.Itoa(length))
--- a/internal/httpheader/httpheader.go
+++ b/internal/httpheader/httpheader.go
@@ -23,6 +23,8 @@
 	Deadline string
 	// ExpectWorker carries the id of the only worker that may run the request.
 	ExpectWorker string
+	// WorkerID carries the id of the worker in the answer to a health check.
+	WorkerID string
 	// NotRun marks a response of a worker that did not run the request.
 	NotRun string
 	// LastEvent carries the id of the last event that was received of a stream.
@@ -71,6 +73,7 @@
 		RequestID:    "Sedgemast-Request-Id",
 		Deadline:     "Sedgemast-Deadline-Ms",
 		ExpectWorker: "Sedgemast-Expect-Worker",
+		WorkerID:     "Sedgemast-Worker",
 		NotRun:       "Sedgemast-Not-Run",
 		LastEvent:    "Last-Event-Id",
 		Resumes:      "Sedgemast-Resumes",
--- a/internal/routetable/configuration.go
+++ b/internal/routetable/configuration.go
@@ -85,6 +85,8 @@
 	// tokens that a worker holds in memory. Zero means unknown for both.
 	Slots        int   `json:"slots"`
 	MemoryTokens int64 `json:"memory_tokens"`
+	// HealthPath is the path at which a worker answers 200 while it takes requests, /healthz if empty.
+	HealthPath string `json:"health_path,omitempty"`
 }
 
 // Limits bound what a caller may send; zero means no bound.
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -146,7 +146,12 @@
 }
 
 // Pool returns the pool with the name, or nil.
-func (t *Table) Pool(name string) *Pool { return t.pools[name] }
+func (t *Table) Pool(name string) *Pool {
+	if t == nil {
+		return nil
+	}
+	return t.pools[name]
+}
 
 // MemoryTokens returns the number of tokens that a worker of each pool holds in memory,
 // for the pools that configure it. A nil table returns an empty map.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -119,6 +119,8 @@
 	ForgetAfter Duration `json:"forget_after"`
 	// BatchShare is the percentage of a worker's slots that batch items may use.
 	BatchShare int `json:"batch_share"`
+	// DrainTime is how long after it is listed as leaving a worker may still get items.
+	DrainTime Duration `json:"drain_time"`
 	// RateTolerance is the amount by which tenants' request limits may be exceeded.
 	RateTolerance RateTolerance `json:"rate_tolerance"`
 }
@@ -131,6 +133,7 @@
 		Seeds:       []string{"127.0.0.1:7600"},
 		ForgetAfter: Duration(time.Hour),
 		BatchShare:  60,
+		DrainTime:   defaultDrainTime,
 
 		RateTolerance: defaultRateTolerance(),
 	}
@@ -143,9 +146,21 @@
 	checker.Addresses("seeds", s.Seeds)
 	checker.Between("forget_after", s.ForgetAfter, time.Second, 30*24*time.Hour)
 	checker.Range("batch_share", s.BatchShare, 1, 100)
+	checkDrainTime(checker, s.DrainTime)
 	s.RateTolerance.check(checker)
 }
 
+const (
+	defaultDrainTime = Duration(3 * time.Second)
+	// minDrainTime is the shortest drain time: a request needs a part of it to reach its worker.
+	minDrainTime = time.Second
+	maxDrainTime = time.Hour
+)
+
+func checkDrainTime(checker *Checker, drainTime Duration) {
+	checker.Between("drain_time", drainTime, minDrainTime, maxDrainTime)
+}
+
 // RateTolerance is the amount by which a tenant's requests in the whole fleet may exceed its limit in
 // any window. All edges and stores have the same tolerance.
 type RateTolerance struct {
@@ -188,6 +203,8 @@
 	// UnreadyTime is how long a stopping edge still accepts requests after it has become unready, so
 	// that callers can be directed to other edges.
 	UnreadyTime Duration `json:"unready_time"`
+	// DrainTime is how long after it is listed as leaving a worker may still get requests.
+	DrainTime Duration `json:"drain_time"`
 	// RateTolerance is the amount by which tenants' request limits may be exceeded.
 	RateTolerance RateTolerance `json:"rate_tolerance"`
 }
@@ -198,6 +215,7 @@
 		Process:     defaultProcess("edge-1", "127.0.0.1:7800"),
 		Seeds:       []string{"127.0.0.1:7600"},
 		UnreadyTime: Duration(2500 * time.Millisecond),
+		DrainTime:   defaultDrainTime,
 
 		RateTolerance: defaultRateTolerance(),
 	}
@@ -216,5 +234,6 @@
 	checker.Range("max_connections", e.MaxConnections, 0, maxConnectionsLimit)
 	checker.Between("freeze_time", e.FreezeTime, 0, 24*time.Hour)
 	checker.Between("unready_time", e.UnreadyTime, 0, time.Minute)
+	checkDrainTime(checker, e.DrainTime)
 	e.RateTolerance.check(checker)
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -71,6 +71,15 @@
 	exitChecks map[string]*exitCheck
 	// startTimes holds the start time that each worker last reported, in Unix milliseconds.
 	startTimes map[string]int64
+	// directory, if set, tells what is known about workers, and maxListAge is the age from which on a
+	// list of workers needs a health check beside it.
+	directory  Directory
+	maxListAge time.Duration
+	// healthChecks holds the latest health check of each worker. healthyChecks and unhealthyChecks
+	// count them by result.
+	healthChecks    map[string]*healthCheck
+	healthyChecks   uint64
+	unhealthyChecks uint64
 }
 
 // SetMeter sets the meter that counts the bytes of requests. It must be called before the first
@@ -80,7 +89,7 @@
 // NewClient returns a client without connections. The names say which headers carry request ids and
 // where workers report their start time.
 func NewClient(names *httpheader.Names) *Client {
-	return &Client{headers: names, dialer: net.Dialer{Timeout: dialTimeout}, idle: map[string][]*connection{}, exitChecks: map[string]*exitCheck{}, startTimes: map[string]int64{}}
+	return &Client{headers: names, dialer: net.Dialer{Timeout: dialTimeout}, idle: map[string][]*connection{}, exitChecks: map[string]*exitCheck{}, startTimes: map[string]int64{}, healthChecks: map[string]*healthCheck{}}
 }
 
 // Connections returns how many connections were opened, and how many requests reused an idle
@@ -100,6 +109,11 @@
 			delete(c.startTimes, id)
 		}
 	}
+	for id := range c.healthChecks {
+		if !keep(id) {
+			delete(c.healthChecks, id)
+		}
+	}
 	for id, connections := range c.idle {
 		if keep(id) {
 			continue
@@ -154,7 +168,7 @@
 // have reached the worker, else OutcomeUnknown. The caller must close the response. When ctx ends,
 // the connection is closed. headDeadline bounds the wait for the head.
 func (c *Client) Send(ctx context.Context, endpoint Endpoint, request *Request, headDeadline time.Time) (*Response, error) {
-	connection, err := c.connect(ctx, endpoint)
+	connection, err := c.connectReady(ctx, endpoint)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/workerset/set.go
+++ b/internal/workerset/set.go
@@ -62,6 +62,16 @@
 	return leaving
 }
 
+// Get returns the row of a worker.
+func (s *Set) Get(id string) (row wire.PoolWorker, found bool) {
+	rows := s.bucket(bucketOf(id)).allRows()
+	at, found := find(rows, id)
+	if !found {
+		return wire.PoolWorker{}, false
+	}
+	return rows[at], true
+}
+
 // Digest returns a digest of the set's rows. Different sets have the same digest only by chance.
 func (s *Set) Digest() uint64 {
 	if s == nil {
