The age of a list belongs to that list alone

A process kept the later of two reading times also where the list itself was replaced. A new leader may begin with an older list than some process has; the age must go back with it.

--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -224,7 +224,7 @@
 		}
 		changed = w.applyFleet(target, response, before, &after) || changed
 	}
-	after.confirmList(response, askedAt)
+	after.confirmList(before, response, askedAt)
 	if response.Quarantine != nil {
 		w.quarantineCache.Apply(clock.Now(), response.Quarantine)
 		changed = changed || response.Quarantine.Urgent()
@@ -252,9 +252,13 @@
 // maxListAge is the longest age of a list that is told from longer ones.
 const maxListAge = time.Hour
 
-// confirmList records how old the list of workers is. An answer tells the age of one list only, so it
-// does not count for a process that has another one.
-func (s *Snapshot) confirmList(response *wire.WatchResponse, askedAt time.Time) {
+// confirmList records how old the list of workers is after an answer to a poll sent at askedAt. An
+// answer tells the age of one list only, so it does not count for a process that has another one.
+func (s *Snapshot) confirmList(before *Snapshot, response *wire.WatchResponse, askedAt time.Time) {
+	if s.Workers.Digest() != before.Workers.Digest() {
+		// A new leader may know an older list than this process did.
+		s.ListReadAt = time.Time{}
+	}
 	if response.ListDigest == 0 || response.ListDigest != s.Workers.Digest() {
 		return
 	}
