A new leader goes on from the list that is known, and its reading comes to an end

Cause: a new leader read the list as if nothing were known of it, all pages one after the other, and gave the whole reading up after 2 s, with all its pages; a list or a platform that needs more was never read.

A new leader now begins with the list that its own relay has from the leader before, with the age that it has, if that is at most 5 s: it tells changes only. The time is limited for each page, so a long list or a slow platform makes a reading long, not endless.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -20,6 +20,7 @@
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/fleetstate"
 	"github.com/sedgemast/sedgemast/internal/fleetview"
+	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/listreader"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
@@ -161,6 +162,9 @@
 			c.view, c.timers = fleetview.New(term), quarantine.NewTimers()
 			c.gate.StartTerm(c.machine.Quarantine())
 			c.pendingRows = nil
+			if list := c.continuedList(); list != nil {
+				c.view.ContinueList(list.Workers, list.ListReadAt)
+			}
 			logging.Info(c.logger, "leading", "term", term)
 		}
 		read(clock.Now(), c.view)
@@ -209,9 +213,6 @@
 	})
 }
 
-// listTimeout bounds a reading of the platform's list: 100 pages at 20 ms each.
-const listTimeout = 2 * time.Second
-
 // pollLoop reads the platform's list while this process leads: immediately when it becomes leader,
 // because no request is served before the list is known, and periodically after that.
 func (c *Coordinator) pollLoop(ctx context.Context) {
@@ -228,7 +229,7 @@
 			return
 		}
 		if term != polledTerm {
-			c.list.Reset()
+			c.takeOverList()
 		}
 		polledTerm = term
 		calls := c.readList(ctx, &logged)
@@ -236,6 +237,38 @@
 	})
 }
 
+// maxContinuedAge is the largest age of a list with which a new leader begins.
+const maxContinuedAge = 5 * time.Second
+
+// continuedList returns the copy of the list from which a new leader goes on, nil if there is none:
+// its own relay's, if that is whole and young. All processes have that list or one close to it, so a
+// change of leaders costs no more than the changes meanwhile.
+func (c *Coordinator) continuedList() *fleetwatch.Snapshot {
+	snapshot := c.relay.watcher.Current()
+	if !snapshot.Fleet.Listed || snapshot.ListAge(clock.Now()) > maxContinuedAge {
+		return nil
+	}
+	return snapshot
+}
+
+// takeOverList prepares the first reading of a term.
+func (c *Coordinator) takeOverList() {
+	var continued *workerset.Set
+	var readAt time.Time
+	// An error means that another process leads now.
+	_ = c.readLeader(func(_ time.Time, v *fleetview.View) {
+		if v.Current.Listed {
+			continued, readAt = v.Workers(), v.ListReadAt
+		}
+	})
+	if continued == nil {
+		c.list.Reset()
+		return
+	}
+	logging.Info(c.logger, "worker_list_continued", "workers", continued.Len(), "age_ms", clock.Since(readAt).Milliseconds())
+	c.list.Continue(continued.Rows(), readAt)
+}
+
 // listLog is the state of the list that was logged last; only changes are logged.
 type listLog struct {
 	failing bool
@@ -249,9 +282,7 @@
 	c.mutex.Lock()
 	c.readingFrom = start
 	c.mutex.Unlock()
-	callContext, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	reading, err := c.list.Read(callContext)
+	reading, err := c.list.Read(ctx)
 	failing := err != nil || len(reading.StaleZones) > 0
 	if failing != logged.failing {
 		logged.failing = failing
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -218,6 +218,14 @@
 	return true
 }
 
+// ContinueList begins the view with a list that is known from the leader of an earlier term, as of
+// readAt. It must be called before any other change of the list.
+func (v *View) ContinueList(workers *workerset.Set, readAt time.Time) {
+	v.Current.Listed, v.ListReadAt = true, readAt
+	// The first view that is told, after the processes are known, has the next number.
+	v.workers.Put(v.Number+1, workers)
+}
+
 // AddWorkers adds a part of the platform's list, as of readAt, while the whole list has not been
 // read, and reports whether the view changed. Processes that have no list yet start to serve with
 // the part.
--- a/internal/listreader/reader.go
+++ b/internal/listreader/reader.go
@@ -23,6 +23,8 @@
 	// of a second.
 	retryInterval   = 60 * time.Millisecond
 	maxPageAttempts = 4
+	// pageTimeout bounds one attempt at a page.
+	pageTimeout = 600 * time.Millisecond
 	// pagesPerZone is the average number of pages per zone from which on the zones are read
 	// separately and concurrently. A shorter list takes fewer calls if it is read as one.
 	pagesPerZone = 2
@@ -114,6 +116,18 @@
 	r.readAt, r.keptFrom = map[string]time.Time{}, map[string]time.Time{}
 }
 
+// Continue makes the next reading continue from rows that another process read at readAt. It is for a
+// process that takes over.
+func (r *Reader) Continue(rows []wire.PoolWorker, readAt time.Time) {
+	r.Reset()
+	r.byZones = false
+	known := make(rowsByID, len(rows))
+	for i := range rows {
+		known[incarnation.WorkerID(rows[i].ID)] = rows[i]
+	}
+	r.known[allZones], r.readAt[allZones] = known, readAt
+}
+
 // Read reads the list. If a zone can't be read and never was before, it returns the error of
 // the platform's call.
 func (r *Reader) Read(ctx context.Context) (*Reading, error) {
@@ -317,11 +331,14 @@
 	}
 }
 
-// page reads a page, with up to maxPageAttempts attempts.
+// page reads a page, with up to maxPageAttempts attempts. The time is limited for each page, not for
+// the reading, so that a reading of a long list or at a slow platform comes to its end.
 func (z *zoneReading) page(ctx context.Context, pages Pager, name string) (Page, error) {
 	for attempt := 1; ; attempt++ {
 		z.calls++
-		page, err := pages.Page(ctx, z.zone, name)
+		pageContext, cancel := context.WithTimeout(ctx, pageTimeout)
+		page, err := pages.Page(pageContext, z.zone, name)
+		cancel()
 		if err == nil || attempt == maxPageAttempts {
 			return page, err
 		}
--- a/internal/listreader/reader_test.go
+++ b/internal/listreader/reader_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -201,3 +202,64 @@
 		}
 	}
 }
+
+// TestSlowFirstReadingEnds guards against a reading that is given up as a whole and never ends.
+func TestSlowFirstReadingEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The pages together take 20 s.
+		platform := &platform{rows: newRows(10_000, 5), size: 200, between: func(*platform) { time.Sleep(400 * time.Millisecond) }}
+		reader := New(platform, nil)
+		started := time.Now()
+		reading, err := reader.Read(t.Context())
+		if err != nil || len(reading.Rows) != 10_000 {
+			t.Fatalf("%+v, %v", reading, err)
+		}
+		if took := time.Since(started); took != 20*time.Second {
+			t.Errorf("the reading took %s", took)
+		}
+	})
+}
+
+// TestSilentPlatformIsGivenUp checks that a page without an answer ends a reading.
+func TestSilentPlatformIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader := New(silentPlatform{}, nil)
+		started := time.Now()
+		if _, err := reader.Read(t.Context()); err == nil {
+			t.Error("no error")
+		}
+		if took := time.Since(started); took > maxPageAttempts*(pageTimeout+retryInterval) {
+			t.Errorf("the reading took %s", took)
+		}
+	})
+}
+
+// silentPlatform answers no call.
+type silentPlatform struct{}
+
+// Page implements Pager.
+func (silentPlatform) Page(ctx context.Context, _, _ string) (Page, error) {
+	<-ctx.Done()
+	return Page{}, ctx.Err()
+}
+
+// TestContinuedReadingTellsNoParts guards against parts of a list for processes that know all of it, and
+// checks the age of what a new leader continues from.
+func TestContinuedReadingTellsNoParts(t *testing.T) {
+	rows := newRows(100, 2)
+	platform := &platform{rows: rows[1:], size: 20}
+	reader := New(platform, nil)
+	reader.OnPage = func([]wire.PoolWorker) { t.Error("a part of the list was told") }
+	readAt := clock.Now().Add(-time.Second)
+	reader.Continue(rows, readAt)
+	reading, err := reader.Read(t.Context())
+	if err != nil || len(reading.Rows) != 99 || !reading.ReadAt.After(readAt) {
+		t.Errorf("%d rows as of %s after the takeover, %v", len(reading.Rows), reading.ReadAt.Sub(readAt), err)
+	}
+	platform.failed = func(string, string) bool { return true }
+	reader.Continue(rows, readAt)
+	reading, err = reader.Read(t.Context())
+	if err != nil || len(reading.Rows) != 100 || !reading.ReadAt.Equal(readAt) {
+		t.Errorf("unreadable: %d rows as of %s after the takeover, %v", len(reading.Rows), reading.ReadAt.Sub(readAt), err)
+	}
+}
