Of two entries for a worker, the one that says leaving counts

The later entry won, and where the two differ in the address the known row stayed, ready for as long as the conflict lasted; a second reading of a zone could bring a leaving worker back. TestConflictingEntryKeepsNoLeavingWorkerReady failed before in three of its four orders. A worker does not return from leaving, so the entry that says so is right in each case. TestKeptRowsAgeTheList shows that rows which no reading confirms age the list.

--- a/internal/listreader/entries.go
+++ b/internal/listreader/entries.go
@@ -28,10 +28,14 @@
 	case !found:
 		rows[id] = *row
 	case sameEndpoint(&before, row) && sameIncarnation(before.ID, row.ID):
-		rows[id] = *row
+		// The list may shift while it is read, or have two writers. A worker does not return from
+		// leaving, so the entry that says so is right.
+		merged := *row
 		if incarnation.VersionOf(row.ID) == "" {
-			rows[id] = before
+			merged = before
 		}
+		merged.Leaving = before.Leaving || row.Leaving
+		rows[id] = merged
 	case incarnation.StartTime(row.ID) != incarnation.StartTime(before.ID):
 		if incarnation.StartTime(row.ID) > incarnation.StartTime(before.ID) {
 			rows[id] = *row
@@ -49,9 +53,15 @@
 	z.conflicting[id] = true
 	delete(rows, id)
 	known, found := z.known[id]
-	if found && (sameEndpoint(&known, first) || sameEndpoint(&known, second)) {
-		rows[id] = known
-		z.kept[id] = true
+	if !found {
+		return
+	}
+	for _, entry := range []*wire.PoolWorker{first, second} {
+		if sameEndpoint(&known, entry) {
+			known.Leaving = known.Leaving || entry.Leaving
+			rows[id] = known
+			z.kept[id] = true
+		}
 	}
 }
 
--- a/internal/listreader/reader.go
+++ b/internal/listreader/reader.go
@@ -289,7 +289,12 @@
 		}
 	}
 	z.stable = sameIDs(z.rows, second)
-	maps.Copy(z.rows, second)
+	for id, row := range second {
+		if before, found := z.rows[id]; found && before.ID == row.ID {
+			row.Leaving = row.Leaving || before.Leaving
+		}
+		z.rows[id] = row
+	}
 }
 
 func sameIDs(a, b rowsByID) bool {
--- a/internal/listreader/reader_test.go
+++ b/internal/listreader/reader_test.go
@@ -263,3 +263,50 @@
 		t.Errorf("unreadable: %d rows as of %s after the takeover, %v", len(reading.Rows), reading.ReadAt.Sub(readAt), err)
 	}
 }
+
+// TestConflictingEntryKeepsNoLeavingWorkerReady guards against requests to a worker that one of two
+// entries lists as leaving.
+func TestConflictingEntryKeepsNoLeavingWorkerReady(t *testing.T) {
+	ready := wire.PoolWorker{ID: "w", Address: "a:1", Zone: "z"}
+	leaving, elsewhere := ready, ready
+	leaving.Leaving = true
+	elsewhere.Address = "b:1"
+	for _, entries := range [][]wire.PoolWorker{{leaving, ready}, {ready, leaving}, {leaving, elsewhere}, {elsewhere, leaving}} {
+		platform := &platform{rows: []wire.PoolWorker{ready}, size: 10}
+		reader := New(platform, nil)
+		if _, err := reader.Read(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		platform.rows = entries
+		reading, err := reader.Read(t.Context())
+		if err != nil || len(reading.Rows) != 1 || !reading.Rows[0].Leaving {
+			t.Errorf("%+v: %+v, %v", entries, reading.Rows, err)
+		}
+	}
+}
+
+// TestKeptRowsAgeTheList guards against a young list with rows that only old readings confirmed.
+func TestKeptRowsAgeTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		later := wire.PoolWorker{ID: "w 2000", Address: "a:1", Zone: "z"}
+		earlier := wire.PoolWorker{ID: "w 1000", Address: "a:1", Zone: "z"}
+		platform := &platform{rows: []wire.PoolWorker{later}, size: 10}
+		reader := New(platform, nil)
+		first, err := reader.Read(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		platform.rows = []wire.PoolWorker{earlier}
+		for range 3 {
+			time.Sleep(time.Second)
+			reading, err := reader.Read(t.Context())
+			if err != nil || reading.Rows[0] != later || !reading.ReadAt.Equal(first.ReadAt) {
+				t.Errorf("%+v as of %s after the first reading, %v", reading.Rows, reading.ReadAt.Sub(first.ReadAt), err)
+			}
+		}
+		platform.rows = []wire.PoolWorker{later}
+		if reading, _ := reader.Read(t.Context()); reading.ReadAt.Sub(first.ReadAt) != 3*time.Second {
+			t.Errorf("a confirmed row is as of %s after the first reading", reading.ReadAt.Sub(first.ReadAt))
+		}
+	})
+}
