fleetsim: workers leave, the list is long, leaders are lost, and the clock runs on

What fleetsim lacked: it had lost leaders and a list with a lag, but no leader that reads the list for a large part of the drain time, and no send that rests on what was read. Workers of a pool now leave, a reading takes 0.1 to 1.8 s of a drain time of 3 s, a new leader goes on from its relay's list, edges ask relays, and a request is sent up to 2 s after its worker was chosen, by the decision of package upstream. No request may reach a worker later than the drain time after the list showed it as leaving, whatever is disturbed.

--- a/cmd/sedgemast-lab/simulate.go
+++ b/cmd/sedgemast-lab/simulate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/fleetsim"
 	"github.com/sedgemast/sedgemast/internal/simulation"
 )
 
@@ -122,7 +123,8 @@
 	if err != nil {
 		return err
 	}
-	if !simulation.VerifyMutations(os.Stdout, first, last) {
+	passed := simulation.VerifyMutations(os.Stdout, first, last)
+	if !fleetsim.VerifyMutations(os.Stdout, first, last) || !passed {
 		return failure.New(failure.Internal, "look at the rows in capital letters", "a promise was red or a mutation was not")
 	}
 	return nil
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -237,7 +237,7 @@
 	if err != nil {
 		switch {
 		case t.context.Err() != nil:
-		case upstream.NotReady(err):
+		case upstream.TakesNoRequests(err):
 			t.backoff = notRunBackoff
 			t.lease.RecordNotReady(clock.Now())
 		default:
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -380,7 +380,7 @@
 	c.lastErr = err
 	switch {
 	case c.context.Err() != nil:
-	case upstream.NotReady(err):
+	case upstream.TakesNoRequests(err):
 		lease.RecordNotReady(clock.Now())
 	default:
 		lease.RecordNoAnswer(clock.Now())
--- a/internal/fleetsim/edges.go
+++ b/internal/fleetsim/edges.go
@@ -130,6 +130,7 @@
 	e.incarnation++
 	e.alive, e.frozen, e.backlog = true, false, nil
 	e.cache, e.pendingReport, e.undisturbedSince = quarantine.NewCache(), 0, e.world.now
+	e.lists = listKnowledge{}
 	e.streams = streamKnowledge{origins: origin.NewRegistry()}
 	incarnation := e.incarnation
 	running := func(action func()) func() bool {
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -53,6 +53,9 @@
 		}
 		resultCount += len(known.results)
 	}
+	if counts := world.listCounts; counts.sent < 100 || counts.asked < 10 || counts.rejected < 10 {
+		t.Errorf("too few sends to workers that may leave: %+v", counts)
+	}
 	if world.ledger.acknowledged < 10 || accepted < 10 || resultCount < 20 || len(world.Log) < 10 {
 		t.Errorf("too little happened: version %d acknowledged, %d jobs accepted, %d results, %d log lines", world.ledger.acknowledged, accepted, resultCount, len(world.Log))
 	}
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -76,6 +76,8 @@
 	// knownTerm, knownView and fleetView are the last view of the fleet that a store received.
 	knownTerm, knownView uint64
 	fleetView            wire.FleetView
+	// lists is what a coordinator or an edge knows of the list of workers.
+	lists listKnowledge
 }
 
 // add adds a machine and starts it.
@@ -120,6 +122,7 @@
 
 // start starts the process on the machine's disk.
 func (m *machine) start(bootstrap bool) {
+	m.lists = listKnowledge{}
 	w := m.world
 	m.incarnation++
 	m.alive, m.frozen, m.backlog = true, false, nil
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -65,10 +65,14 @@
 	// MutationAssumeVersion takes the only version in an edge's list of workers for that of every
 	// stream, however old the list is and for how short a time it has been the only one.
 	MutationAssumeVersion Mutation = "assume_version"
+	// MutationTrustOldList sends requests by the list of workers whatever its age.
+	MutationTrustOldList Mutation = "trust_old_list"
+	// MutationListAgeFromAnswer takes the time of an answer for that of the reading of its list.
+	MutationListAgeFromAnswer Mutation = "list_age_from_answer"
 )
 
 // Mutations lists all mutations except MutationNone.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion, MutationTrustOldList, MutationListAgeFromAnswer}
 
 // mutatedStore returns the machine's disk, or one that never syncs with MutationForgetSync.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -58,6 +58,13 @@
 	partRandom  *rand.Rand
 	lastRequest quarantine.Fingerprint
 	crashCounts [kindCount]crashCount
+	// pool are the workers of the pool from which workers leave, leaveRandom supplies their random
+	// numbers. losesLeaders is set in every seventh seed: the leader is lost when a worker leaves.
+	pool           []*poolWorker
+	lastPoolWorker int
+	leaveRandom    *rand.Rand
+	losesLeaders   bool
+	listCounts     listCounts
 	// Log holds the injected faults with their times, to be printed with the violations of a
 	// seed.
 	Log []string
@@ -138,7 +145,7 @@
 
 // Run simulates a seed with a mutation and returns the world and the violations found.
 func Run(seed uint64, mutation Mutation) (*World, []string) {
-	w := &World{random: rand.New(rand.NewPCG(seed, 7)), extraRandom: rand.New(rand.NewPCG(seed, 8)), restartRandom: rand.New(rand.NewPCG(seed, 9)), fastRestarts: seed%5 == 2, versionRandom: rand.New(rand.NewPCG(seed, 10)), streamRandom: rand.New(rand.NewPCG(seed, 11)), partRandom: rand.New(rand.NewPCG(seed, 12)), promptParts: seed%6 == 5, mutation: mutation, now: startTime, fixedIDs: seed%4 == 2, twoBuilds: seed%8 == 1 || seed%8 == 3}
+	w := &World{random: rand.New(rand.NewPCG(seed, 7)), extraRandom: rand.New(rand.NewPCG(seed, 8)), restartRandom: rand.New(rand.NewPCG(seed, 9)), fastRestarts: seed%5 == 2, versionRandom: rand.New(rand.NewPCG(seed, 10)), streamRandom: rand.New(rand.NewPCG(seed, 11)), partRandom: rand.New(rand.NewPCG(seed, 12)), promptParts: seed%6 == 5, leaveRandom: rand.New(rand.NewPCG(seed, 13)), losesLeaders: seed%7 == 1, mutation: mutation, now: startTime, fixedIDs: seed%4 == 2, twoBuilds: seed%8 == 1 || seed%8 == 3}
 	if seed%2 == 1 {
 		w.fullMeshLimit = 1
 	}
@@ -156,6 +163,7 @@
 	w.startStreams()
 	w.startUpgrades()
 	w.startRestarts()
+	w.startLeaving()
 	w.after(healAt, w.heal)
 	end := startTime.Add(endAt)
 	for w.events.Len() > 0 {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -71,10 +71,10 @@
 	exitChecks map[string]*exitCheck
 	// startTimes holds the start time that each worker last reported, in Unix milliseconds.
 	startTimes map[string]int64
-	// directory, if set, tells what is known about workers, and maxListAge is the age from which on a
-	// list of workers needs a health check beside it.
-	directory  Directory
-	maxListAge time.Duration
+	// directory, if set, tells what is known about workers. drainTime is how long after it is listed as
+	// leaving a worker may get requests.
+	directory Directory
+	drainTime time.Duration
 	// healthChecks holds the latest health check of each worker. healthyChecks and unhealthyChecks
 	// count them by result.
 	healthChecks    map[string]*healthCheck
--- a/internal/upstream/ready.go
+++ b/internal/upstream/ready.go
@@ -35,6 +35,31 @@
 	HealthPath string
 }
 
+// Readiness is what a process may conclude about a worker from the list.
+type Readiness uint8
+
+const (
+	// NotReady means that the worker is leaving or not listed.
+	NotReady Readiness = iota
+	// Ready means that a request which is sent now reaches the worker within the drain time.
+	Ready
+	// Unknown means that the worker may have been leaving for as long as the drain time when the
+	// request reaches it.
+	Unknown
+)
+
+// Readiness returns what the state says at the time now, for workers that get requests for drainTime
+// after they are listed as leaving.
+func (s WorkerState) Readiness(now time.Time, drainTime time.Duration) Readiness {
+	switch {
+	case !s.Ready:
+		return NotReady
+	case now.Sub(s.ListReadAt) <= drainTime-sendTime:
+		return Ready
+	}
+	return Unknown
+}
+
 // Directory tells what is known about workers now. It is safe for concurrent use.
 type Directory interface {
 	WorkerState(id string) WorkerState
@@ -45,14 +70,14 @@
 // drainTime when the request arrives, Send first asks the worker. BoundListAge must be called before
 // the first Send.
 func (c *Client) BoundListAge(directory Directory, drainTime time.Duration) {
-	c.directory, c.maxListAge = directory, max(drainTime-sendTime, 0)
+	c.directory, c.drainTime = directory, drainTime
 }
 
 // errNotReady marks the failure of a request that was not sent because its worker takes none.
 var errNotReady = errors.New("the worker takes no requests")
 
-// NotReady reports whether Send failed because the worker takes no requests.
-func NotReady(err error) bool { return errors.Is(err, errNotReady) }
+// TakesNoRequests reports whether Send failed because the worker takes no requests.
+func TakesNoRequests(err error) bool { return errors.Is(err, errNotReady) }
 
 // HealthMetrics returns counters of the health checks. role is the first part of their names.
 func (c *Client) HealthMetrics(role string) []prometheus.Collector {
@@ -85,12 +110,10 @@
 		return connection, err
 	}
 	state := c.directory.WorkerState(endpoint.ID)
-	switch {
-	case !state.Ready:
+	switch state.Readiness(clock.Now(), c.drainTime) {
+	case NotReady:
 		err = errors.Wrap(errNotReady, "it is leaving or not listed")
-	case clock.Since(state.ListReadAt) <= c.maxListAge:
-		return connection, nil
-	default:
+	case Unknown:
 		err = c.confirmReady(ctx, endpoint, state.HealthPath)
 	}
 	if err != nil {
--- a/internal/upstream/ready_test.go
+++ b/internal/upstream/ready_test.go
@@ -56,7 +56,7 @@
 			client.BoundListAge(fixedDirectory(test.state), drainTime)
 			w := &worker{endpoint: Endpoint{ID: "w-1", Address: server.Listener.Addr().String()}}
 			for range 2 {
-				if _, err := send(t, client, w, "r"); (err == nil) != (test.served > 0) || err != nil && !NotReady(err) {
+				if _, err := send(t, client, w, "r"); (err == nil) != (test.served > 0) || err != nil && !TakesNoRequests(err) {
 					t.Errorf("send: %v", err)
 				}
 			}
