Edges are answered by the relay at the leader, too

Cause: as the leader it answered edges from its new view, which doesn't know what an edge was told in an earlier term. Its relay does: it now answers edges first, wherever it is, and the leader only while its relay does not hear it.

--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -65,21 +65,22 @@
 	})
 }
 
-// watch answers with an update once there is a change that the caller does not know. The leader
-// answers all callers. Any other coordinator answers only edges, as a relay of the leader. Edges of
+// watch answers with an update once there is a change that the caller does not know. Edges are answered
+// by the relay, also at the leader: only the relay knows which list an edge has that it answered in an
+// earlier term. The leader answers all others, and edges while its relay does not hear it. Edges of
 // wire.GenerationFirst would accept an older view than the one they have, so a relay redirects them
 // to the leader.
 func (c *Coordinator) watch(ctx context.Context, request *wire.WatchRequest) (*wire.WatchResponse, error) {
-	response, err := c.watchLeader(ctx, request)
-	if err == nil {
-		return response, nil
-	}
 	if request.Process.Kind == wire.ProcessEdge && request.Generation() != wire.GenerationFirst {
 		response, fresh := c.relay.watch(ctx, request)
 		if fresh {
 			return response, nil
 		}
 	}
+	response, err := c.watchLeader(ctx, request)
+	if err == nil {
+		return response, nil
+	}
 	return nil, c.awaitLeader(ctx, err)
 }
 
