A soak in which workers leave while the list is slow and coordinators are lost

What the soak lacked: its workers never left, and its coordinators were lost one at a time. In TestSoakDrain workers leave all the time and come back as others, each page of the list takes up to 300 ms, and faults come as before; once all coordinators are lost for twice the drain time while a worker leaves.

--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -60,6 +60,8 @@
 	Body        string
 	LastEventID int
 	Header      http.Header
+	// ArrivedAt is when the worker had read the request.
+	ArrivedAt time.Time
 }
 
 // HostedFault is the fault that the worker injects into a request. The zero value is none.
@@ -217,6 +219,7 @@
 		Body:        string(body),
 		LastEventID: lastEventID,
 		Header:      header.Clone(),
+		ArrivedAt:   time.Now(),
 	}
 	fault := w.admit(request)
 	if fault.NotRun {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -72,9 +72,10 @@
 	// disturbedAt is when a fault last ended, by machine, or began if it has not ended.
 	disturbedAt map[string]time.Time
 	// versions is the state of a run with several worker versions, parts that of a run with crashing
-	// parts of prompts; both are nil in other runs. scale is the factor by which the run has more edges, stores, workers and clients than by default.
+	// parts of prompts, drain that of a run with leaving workers; all are nil in other runs. scale is the factor by which the run has more edges, stores, workers and clients than by default.
 	versions *soakVersions
 	parts    *soakParts
+	drain    *soakDrain
 	scale    int
 }
 
@@ -180,6 +181,9 @@
 	clients.Go(func() { s.runBatches(stop) })
 	var faults sync.WaitGroup
 	startedAt, fleetFaults := time.Now(), []func(){s.killAll, s.freezeThird}
+	if s.drain != nil {
+		fleetFaults = append(fleetFaults, s.loseCoordinators)
+	}
 	for parts := len(fleetFaults) + 1; time.Since(startedAt) < duration; {
 		if len(fleetFaults) > 0 && time.Since(startedAt) > duration*time.Duration(parts-len(fleetFaults))/time.Duration(parts) {
 			// Such a fault affects all classes of machines, so it waits until no other fault is
@@ -243,6 +247,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	classes := []string{"core", "store", "front", "workers"}
+	if s.drain != nil {
+		classes = append(classes, "workers", "workers", "core")
+	}
 	if s.versions != nil {
 		classes = append(classes, "front", "front", "workers")
 	}
@@ -252,6 +259,8 @@
 		return s.drawWorkerFault()
 	case class == "workers" && s.parts != nil:
 		return s.drawPartFault()
+	case class == "workers" && s.drain != nil:
+		return s.drawLeave()
 	case class == "workers":
 		return s.rejectAtWorkers
 	}
