An age is told of its own list only

Encoded updates are shared by callers that know the same state and get the same one; the key had the age of the list, but not the list. Found by reading; the new lines of TestUpdatesAreEncodedOnce failed before.

--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -25,7 +25,8 @@
 	digests uint64
 	// ageMillis is the time since the leader was last heard from.
 	ageMillis int64
-	// listAgeMillis is the age of the list of workers.
+	// listDigest and listAgeMillis are the digest and the age of the list of workers.
+	listDigest    uint64
 	listAgeMillis int64
 	// generation is the generation of the caller's build.
 	generation wire.Generation
@@ -51,6 +52,7 @@
 		ageMillis:  response.AgeMillis,
 		generation: request.Generation(),
 
+		listDigest:    response.ListDigest,
 		listAgeMillis: response.ListAgeMillis,
 	}
 	if len(request.Digests) > 0 || request.Lost {
--- a/internal/coordinator/updates_test.go
+++ b/internal/coordinator/updates_test.go
@@ -31,6 +31,18 @@
 	if len(cache.encoded) > maxCachedUpdates {
 		t.Errorf("%d updates are cached, want at most maxCachedUpdates", len(cache.encoded))
 	}
+	// An age belongs to one list: it must not be told of another one.
+	aged := func(digest uint64) any {
+		response := &wire.WatchResponse{Term: 1, View: 9, Fleet: &wire.FleetView{}, ListDigest: digest, ListAgeMillis: 100}
+		encoded, err := cache.encode(&wire.WatchRequest{Term: 1, View: 8}, response)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return encoded
+	}
+	if aged(1) != aged(1) || aged(1) == aged(2) {
+		t.Error("updates with the ages of different lists are shared")
+	}
 	empty := &wire.WatchResponse{Term: 1, View: 2}
 	if got, err := cache.encode(&wire.WatchRequest{Term: 1, View: 2}, empty); err != nil || got != empty {
 		t.Errorf("got %v, %v for a response without an update, want the response itself", got, err)
