A part of a list is told only to processes without a list

Since a new leader goes on from a known list, this is left for one that has just started itself or has been cut off. A poll now says whether its sender has a whole list, and such a sender gets the parts no more. Builds that don't say so get them as before.

--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -190,6 +190,9 @@
 		} else {
 			response.Fleet = v.Since(known, request.Digests)
 		}
+		if response.Fleet.Partial && request.Listed {
+			response.Fleet.News = nil
+		}
 	}
 }
 
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -28,6 +28,8 @@
 	// listDigest and listAgeMillis are the digest and the age of the list of workers.
 	listDigest    uint64
 	listAgeMillis int64
+	// listed is set if the caller has a whole list of workers.
+	listed bool
 	// generation is the generation of the caller's build.
 	generation wire.Generation
 }
@@ -52,6 +54,7 @@
 		ageMillis:  response.AgeMillis,
 		generation: request.Generation(),
 
+		listed:        request.Listed,
 		listDigest:    response.ListDigest,
 		listAgeMillis: response.ListAgeMillis,
 	}
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -174,6 +174,7 @@
 		WaitMillis: pollWait(clock.Since(known.LeaderSeenAt)).Milliseconds(),
 		Quarantine: w.quarantineCache.Revision(),
 		Lost:       w.listMismatches > 0,
+		Listed:     known.Fleet.Listed,
 	}
 	if w.listMismatches == 1 || w.listMismatches == 0 && target != w.viewSource {
 		// After a second mismatch, two different buckets must have the same digest by chance. So
@@ -276,11 +277,11 @@
 	rows, removed, leaving := 0, 0, 0
 	w.viewSource = target
 	switch update := workerUpdate(fleet); {
-	case update == nil:
 	case fleet.Partial && before.Fleet.Listed:
 		// A partial list says nothing about the workers that it lacks, so the list known here is
 		// kept. Once the leader has read the whole list, the two lists are compared by digests.
 		w.viewSource = ""
+	case update == nil:
 	default:
 		rows, removed, leaving = len(update.Rows), len(update.Gone), workerset.CountLeaving(update.Rows)
 		after.Workers = before.Workers.Apply(update)
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -101,6 +101,8 @@
 	// list's digest did not match after an update: View then does not describe the list.
 	Digests []byte `msg:"digests"`
 	Lost    bool   `msg:"lost"`
+	// Listed is set if the caller has a whole list of workers. It does not need a part of one.
+	Listed bool `msg:"listed"`
 }
 
 // WatchResponse carries what has changed.
--- a/internal/wire/fleet_gen.go
+++ b/internal/wire/fleet_gen.go
@@ -4074,6 +4074,12 @@
 				err = msgp.WrapError(err, "Lost")
 				return
 			}
+		case "listed":
+			z.Listed, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Listed")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4087,9 +4093,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *WatchRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
+	// map header, size 9
 	// write "process"
-	err = en.Append(0x88, 0xa7, 0x70, 0x72, 0x6f, 0x63, 0x65, 0x73, 0x73)
+	err = en.Append(0x89, 0xa7, 0x70, 0x72, 0x6f, 0x63, 0x65, 0x73, 0x73)
 	if err != nil {
 		return
 	}
@@ -4168,15 +4174,25 @@
 		err = msgp.WrapError(err, "Lost")
 		return
 	}
+	// write "listed"
+	err = en.Append(0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Listed)
+	if err != nil {
+		err = msgp.WrapError(err, "Listed")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *WatchRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "process"
-	o = append(o, 0x88, 0xa7, 0x70, 0x72, 0x6f, 0x63, 0x65, 0x73, 0x73)
+	o = append(o, 0x89, 0xa7, 0x70, 0x72, 0x6f, 0x63, 0x65, 0x73, 0x73)
 	o, err = z.Process.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Process")
@@ -4203,6 +4219,9 @@
 	// string "lost"
 	o = append(o, 0xa4, 0x6c, 0x6f, 0x73, 0x74)
 	o = msgp.AppendBool(o, z.Lost)
+	// string "listed"
+	o = append(o, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Listed)
 	return
 }
 
@@ -4292,6 +4311,12 @@
 				err = msgp.WrapError(err, "Lost")
 				return
 			}
+		case "listed":
+			z.Listed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Listed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4306,7 +4331,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WatchRequest) Msgsize() (s int) {
-	s = 1 + 8 + z.Process.Msgsize() + 8 + msgp.Uint64Size + 5 + msgp.Uint64Size + 5 + msgp.Uint64Size + 12 + msgp.Int64Size + 11 + msgp.Uint64Size + 8 + msgp.BytesPrefixSize + len(z.Digests) + 5 + msgp.BoolSize
+	s = 1 + 8 + z.Process.Msgsize() + 8 + msgp.Uint64Size + 5 + msgp.Uint64Size + 5 + msgp.Uint64Size + 12 + msgp.Int64Size + 11 + msgp.Uint64Size + 8 + msgp.BytesPrefixSize + len(z.Digests) + 5 + msgp.BoolSize + 7 + msgp.BoolSize
 	return
 }
 
