--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -208,7 +208,7 @@
 
 // maxFaultInterval returns the longest time between two faults, less 200 ms.
 func (s *soak) maxFaultInterval() time.Duration {
-	if s.versions != nil {
+	if s.versions != nil || s.drain != nil {
 		return 800 * time.Millisecond
 	}
 	return 1500 * time.Millisecond
