A deposed leader no longer says that nothing has changed

A poll that had waited for 0.5 s was answered as by the leader although the process did not lead any more, and its caller took the leader for heard just then. Found by reading while looking for knowledge whose age is not looked at; no test of its own. The poll is now rejected, and the caller asks the next coordinator.

--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -119,11 +119,14 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
-			// An error means that another process leads now; that one sends the update.
-			_ = c.readLeader(func(_ time.Time, v *fleetview.View) {
+			// Only the leader may say that nothing has changed.
+			err := c.readLeader(func(_ time.Time, v *fleetview.View) {
 				c.fillQuarantine(request, response)
 				fillListAge(v, arrivedAt, response)
 			})
+			if err != nil {
+				return nil, err
+			}
 			return response, nil
 		case <-ctx.Done():
 			return response, nil
