A list that a new leader could not read stays as old as it is

Found by reading: if the first reading of a continued list failed after ten calls, the zones that later readings go by were set up from the rows kept, as if they had just been read, and the list was young without having been read. TestUnreadableContinuedListStaysOld failed before (as of 1.0 and 1.2 s after the takeover instead of 0).

--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// answer returns the update for the edge, whose poll arrived at arrivedAt, a channel that is closed at the next change, and whether
-// the state is fresh.
+// answer returns the update for the edge, whose poll arrived at arrivedAt, a channel that is closed at
+// the next change, and whether the state is fresh.
 func (r *relay) answer(request *wire.WatchRequest, arrivedAt time.Time) (response *wire.WatchResponse, changed <-chan struct{}, fresh bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/listreader/reader.go
+++ b/internal/listreader/reader.go
@@ -149,7 +149,7 @@
 			return nil, err
 		}
 	}
-	if !r.byZones {
+	if !r.byZones && len(reading.StaleZones) == 0 {
 		r.chooseMode(reading, startedAt)
 	}
 	return reading, nil
--- a/internal/listreader/reader_test.go
+++ b/internal/listreader/reader_test.go
@@ -256,11 +256,23 @@
 	if err != nil || len(reading.Rows) != 99 || !reading.ReadAt.After(readAt) {
 		t.Errorf("%d rows as of %s after the takeover, %v", len(reading.Rows), reading.ReadAt.Sub(readAt), err)
 	}
-	platform.failed = func(string, string) bool { return true }
-	reader.Continue(rows, readAt)
-	reading, err = reader.Read(t.Context())
-	if err != nil || len(reading.Rows) != 100 || !reading.ReadAt.Equal(readAt) {
-		t.Errorf("unreadable: %d rows as of %s after the takeover, %v", len(reading.Rows), reading.ReadAt.Sub(readAt), err)
+}
+
+// TestUnreadableContinuedListStaysOld guards against a young age for a list that a new leader could not
+// read.
+func TestUnreadableContinuedListStaysOld(t *testing.T) {
+	rows := newRows(100, 2)
+	for _, unreadable := range []string{"", "80"} {
+		platform := &platform{rows: rows, size: 20, failed: func(_, name string) bool { return name == unreadable }}
+		reader := New(platform, []string{"z0", "z1"})
+		readAt := clock.Now().Add(-time.Second)
+		reader.Continue(rows, readAt)
+		for range 2 {
+			reading, err := reader.Read(t.Context())
+			if err != nil || len(reading.Rows) != 100 || !reading.ReadAt.Equal(readAt) {
+				t.Errorf("without page %q: %d rows as of %s after the takeover, %v", unreadable, len(reading.Rows), reading.ReadAt.Sub(readAt), err)
+			}
+		}
 	}
 }
 
