Stores abandon items only by a configuration as new as their job

Cause: a store looked the item's route up in the newest configuration that it had heard of, and counted 2 s of its own clock. The edge had accepted the job under a newer one, which the store could not hear of, because the coordinators were dead. Not hearing of a route was taken for its end.

Ruled out: a configuration that went back (the coordinators had the version again after their restart, and the stores never had it before), items that failed at workers (none was sent), a lost job (all are listed).

A store also knows as of when its configuration was the newest: a leader said so in answer to a poll sent at that time. A missing route counts only if the configuration is at least as new as the job's and was confirmed after the store first saw the job, which also bounds jobs of builds that tell no version; and the 2 s count up to the last confirmation, not by the store's clock. Without a coordinator nothing is concluded and the items wait; the wait is logged (job_awaits_configuration) and counted (store_jobs_awaiting_configuration_total). A stored version that the leader does not have is logged as a typed error, and the job waits. A job whose items match another route of the older configuration waits, too. The absence is kept for each item: one item with a route kept the others of its job from ever being abandoned.

--- a/internal/batchstate/machine.go
+++ b/internal/batchstate/machine.go
@@ -45,6 +45,9 @@
 	Owner tenancy.Name
 	// Sequence numbers the jobs in the order in which they were accepted.
 	Sequence uint64
+	// Accepted is the version of the configuration under which the job was accepted, zero if
+	// unknown.
+	Accepted uint64
 	Ended    bool
 	Items    []Item
 	// Results is the number of items with a result, and so the position of the next result.
@@ -188,7 +191,7 @@
 		return err
 	}
 	m.lastSequence++
-	meta := wire.BatchMeta{ID: submit.ID, Route: submit.Route, Host: submit.Host, Owner: submit.Owner, Order: m.lastSequence}
+	meta := wire.BatchMeta{ID: submit.ID, Route: submit.Route, Host: submit.Host, Owner: submit.Owner, Order: m.lastSequence, Accepted: submit.Accepted}
 	job := newJob(&meta)
 	for i := range submit.Items {
 		item := &submit.Items[i]
@@ -206,7 +209,7 @@
 }
 
 func newJob(meta *wire.BatchMeta) *Job {
-	return &Job{ID: meta.ID, Route: meta.Route, Host: meta.Host, Owner: tenancy.Name(meta.Owner), Sequence: meta.Order, byID: map[string]int{}}
+	return &Job{ID: meta.ID, Route: meta.Route, Host: meta.Host, Owner: tenancy.Name(meta.Owner), Sequence: meta.Order, Accepted: meta.Accepted, byID: map[string]int{}}
 }
 
 // addWaiting adds tokens, which may be negative, to the account of the job.
@@ -325,7 +328,7 @@
 	for i := range job.Items {
 		job.Items[i].dropProgress()
 	}
-	meta := wire.BatchMeta{ID: id, Route: job.Route, Host: job.Host, Owner: string(job.Owner), Order: job.Sequence, Ended: true}
+	meta := wire.BatchMeta{ID: id, Route: job.Route, Host: job.Host, Owner: string(job.Owner), Order: job.Sequence, Ended: true, Accepted: job.Accepted}
 	for i := range job.Items {
 		meta.Items = append(meta.Items, wire.BatchItemMeta{ID: job.Items[i].ID, Tokens: job.Items[i].Tokens, Expected: job.Items[i].Expected})
 	}
--- a/internal/batchstore/metrics.go
+++ b/internal/batchstore/metrics.go
@@ -15,6 +15,9 @@
 	listAge prometheus.Histogram
 	// restarted counts items that started again because no worker of their text's version had room.
 	restarted prometheus.Counter
+	// awaitConfiguration counts jobs that waited for a configuration as new as the one under which
+	// they were accepted.
+	awaitConfiguration prometheus.Counter
 	// healthChanges counts changes in the health rating of workers, by the new rating.
 	healthChanges *prometheus.CounterVec
 	// forecastError is the mean error, in slots, of the forecasts of online demand. As a baseline
@@ -32,7 +35,8 @@
 	m.forecastError = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "store_forecast_off_slots", Help: "By how many slots the online need differs from what was forecast 200 ms before, in the mean, by pool and way; zero without a pattern."}, []string{"pool", "way"})
 	m.listAge = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "store_send_list_age_seconds", Help: "Age of the list of workers when an item was sent to a worker.", Buckets: fleetwatch.ListAgeBuckets})
 	m.restarted = prometheus.NewCounter(prometheus.CounterOpts{Name: "store_items_restarted_total", Help: "Items that started again from their first event, because no worker of their text's software version had room."})
-	registry.MustRegister(m.restarted, m.healthChanges, m.jobs, m.attempts, m.runTime, m.listAge, m.forecastError)
+	m.awaitConfiguration = prometheus.NewCounter(prometheus.CounterOpts{Name: "store_jobs_awaiting_configuration_total", Help: "Jobs about which this store could not decide, because its configuration may be older than the one under which they were accepted."})
+	registry.MustRegister(m.awaitConfiguration, m.restarted, m.healthChanges, m.jobs, m.attempts, m.runTime, m.listAge, m.forecastError)
 	return m
 }
 
--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -19,8 +19,6 @@
 const (
 	// maxStarts bounds the items that are started in one poll.
 	maxStarts = 64
-	// routeGrace is how long a route must be missing before its items are abandoned.
-	routeGrace = 2 * time.Second
 	// minLoadsWait is how long a new leader collects load reports before it starts items.
 	// maxLoadsWait bounds how long it waits for edges to report.
 	minLoadsWait = 400 * time.Millisecond
@@ -138,7 +136,6 @@
 func (r *runner) tryPrepare(ctx context.Context, now time.Time, reader storage.Reader, table *routetable.Table, job *batchstate.Job, planned batchplan.Item, full map[string]bool) *task {
 	number := planned.Number
 	key := itemKey{job.ID, number}
-	observed := r.seen[job.ID]
 	if full[job.Route] {
 		return nil
 	}
@@ -147,14 +144,8 @@
 		logging.Warn(r.store.logger, "item_unreadable", "job", job.ID, "item", number, "error", err)
 		return nil
 	}
-	route := table.Match(job.Host, pathOf(content.Path))
-	if route == nil {
-		r.handleMissingRoute(now, key, observed)
-		return nil
-	}
-	observed.routeGoneSince = time.Time{}
-	if route.RetainMillis > 0 && now.Sub(observed.firstSeen) > time.Duration(route.RetainMillis)*time.Millisecond {
-		r.abandon(key, "retained_long_enough")
+	route := r.routeOf(table, key, job, pathOf(content.Path))
+	if route == nil || r.abandonOverdue(key, job, route) {
 		return nil
 	}
 	if r.quarantined(ctx, now, key, job, content) {
@@ -240,25 +231,6 @@
 	return progress{events: logged.Events, lastEvent: logged.LastEvent, prefix: logged.Text, recordedEvents: logged.Events, version: logged.Version, chain: rand.Uint64()}
 }
 
-// handleMissingRoute abandons an item once its route has been missing for routeGrace.
-func (r *runner) handleMissingRoute(now time.Time, key itemKey, observed *observedJob) {
-	switch {
-	case observed.routeGoneSince.IsZero():
-		observed.routeGoneSince = now
-	case now.Sub(observed.routeGoneSince) > routeGrace:
-		r.abandon(key, "route_gone")
-	}
-}
-
-func (r *runner) abandon(key itemKey, reason string) {
-	logging.Info(r.store.logger, "item_abandoned", "job", key.job, "item", key.item, "reason", reason)
-	r.pending[key] = true
-	delete(r.failedProbes, key)
-	if !r.enqueue(itemRecord{ItemRecord: wire.ItemRecord{Job: key.job, Item: key.item, State: wire.ItemAbandoned}}) {
-		delete(r.pending, key)
-	}
-}
-
 // enqueue hands a record to the record loop and reports whether the channel had space.
 func (r *runner) enqueue(record itemRecord) bool {
 	select {
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/batchplan"
 	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
@@ -57,8 +58,10 @@
 	// versionWaits holds since when items have found no room at a worker of their text's version.
 	versionWaits map[itemKey]time.Time
 	seen         map[string]*observedJob
-	ended        chan *task
-	records      chan itemRecord
+	// absences holds the items without a route.
+	absences map[itemKey]batchplan.RouteAbsence
+	ended    chan *task
+	records  chan itemRecord
 	// pending holds the items whose result is being written to the log.
 	pending  map[itemKey]bool
 	recorded chan recordOutcome
@@ -81,8 +84,11 @@
 // observedJob is what this store has seen of a job since it became the leader. The age of a job is
 // measured by this store's monotonic clock, because wall clocks may jump.
 type observedJob struct {
-	firstSeen      time.Time
-	routeGoneSince time.Time
+	firstSeen time.Time
+	// awaitsConfiguration is set once the job has waited for a newer configuration. unknownVersion is
+	// set if it was accepted under a version that the coordinators don't have.
+	awaitsConfiguration bool
+	unknownVersion      bool
 }
 
 const channelCapacity = 4096
@@ -101,6 +107,7 @@
 		failedProbes:   map[itemKey]bool{},
 		versionWaits:   map[itemKey]time.Time{},
 		seen:           map[string]*observedJob{},
+		absences:       map[itemKey]batchplan.RouteAbsence{},
 		pending:        map[itemKey]bool{},
 		ended:          make(chan *task, channelCapacity),
 		drainRequests:  make(chan chan struct{}),
@@ -314,6 +321,7 @@
 	r.backoffUntil = map[itemKey]time.Time{}
 	r.failedProbes = map[itemKey]bool{}
 	r.versionWaits = map[itemKey]time.Time{}
+	r.absences = map[itemKey]batchplan.RouteAbsence{}
 	r.subjects = map[itemKey]*quarantine.Subject{}
 	r.grantedTrials = map[itemKey]bool{}
 }
--- /dev/null
+++ b/internal/batchstore/verdict.go
@@ -0,0 +1,93 @@
+package batchstore
+
+import (
+	"time"
+
+	"github.com/sedgemast/sedgemast/internal/batchplan"
+	"github.com/sedgemast/sedgemast/internal/batchstate"
+	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/routetable"
+	"github.com/sedgemast/sedgemast/internal/wire"
+)
+
+// An abandoned item is lost for good. This store's configuration may be older than the one under
+// which an edge accepted the item's job, so it decides only once it covers the job
+// (batchplan.Knowledge). Until then the item waits.
+
+// maxConfirmDelay is the longest usual time between two confirmations of the configuration: a poll is
+// held for 0.5 s, and its answer arrives within 0.6 s.
+const maxConfirmDelay = 1200 * time.Millisecond
+
+// knowledge returns what this store knows of the configuration.
+func (r *runner) knowledge() batchplan.Knowledge {
+	snapshot := r.store.watcher.Current()
+	return batchplan.Knowledge{Version: snapshot.Version(), ConfirmedAt: snapshot.ConfirmedAt}
+}
+
+// routeOf returns the route of an item, or nil if this store knows none. It abandons an item whose
+// route has ended.
+func (r *runner) routeOf(table *routetable.Table, key itemKey, job *batchstate.Job, path string) *routetable.Route {
+	known := r.knowledge()
+	route := table.Match(job.Host, path)
+	if route != nil && route.Name != job.Route && known.Version < job.Accepted {
+		// The newer configuration may have the route under which the job was accepted.
+		route = nil
+	}
+	if route != nil {
+		delete(r.absences, key)
+		return route
+	}
+	absence := r.absences[key]
+	covered := r.covers(known, job, r.seen[job.ID].firstSeen)
+	if absence.RecordMissing(known, covered) {
+		delete(r.absences, key)
+		r.abandon(key, "route_gone")
+		return nil
+	}
+	r.absences[key] = absence
+	return nil
+}
+
+// covers reports whether the knowledge covers the job, and was confirmed after since.
+func (r *runner) covers(known batchplan.Knowledge, job *batchstate.Job, since time.Time) bool {
+	if known.Covers(job.Accepted, since) {
+		return true
+	}
+	observed := r.seen[job.ID]
+	age := clock.Since(known.ConfirmedAt)
+	if (known.Version < job.Accepted || age > maxConfirmDelay) && !observed.awaitsConfiguration {
+		observed.awaitsConfiguration = true
+		r.store.metrics.awaitConfiguration.Inc()
+		logging.Info(r.store.logger, "job_awaits_configuration", "job", job.ID, "route", job.Route, "accepted", job.Accepted, "version", known.Version, "confirmed_ms", age.Milliseconds())
+	}
+	if known.ConfirmedAt.After(since) && !observed.unknownVersion {
+		observed.unknownVersion = true
+		err := failure.New(failure.Conflict, "end the job, or apply a configuration of a higher version", "job %q was accepted under version %d, and the newest is %d", job.ID, job.Accepted, known.Version)
+		logging.Warn(r.store.logger, "job_of_unknown_version", "job", job.ID, "error", err)
+	}
+	return false
+}
+
+// abandonOverdue abandons an item whose job has been retained for long enough, which was
+// not done in time. It reports whether the item must not run.
+func (r *runner) abandonOverdue(key itemKey, job *batchstate.Job, route *routetable.Route) bool {
+	firstSeen := r.seen[job.ID].firstSeen
+	retain := time.Duration(route.RetainMillis) * time.Millisecond
+	if retain > 0 && clock.Since(firstSeen) > retain {
+		r.abandon(key, "retained_long_enough")
+		return true
+	}
+	return false
+}
+
+func (r *runner) abandon(key itemKey, reason string) {
+	known := r.knowledge()
+	logging.Info(r.store.logger, "item_abandoned", "job", key.job, "item", key.item, "reason", reason, "version", known.Version, "confirmed_ms", clock.Since(known.ConfirmedAt).Milliseconds())
+	r.pending[key] = true
+	delete(r.failedProbes, key)
+	if !r.enqueue(itemRecord{ItemRecord: wire.ItemRecord{Job: key.job, Item: key.item, State: wire.ItemAbandoned}}) {
+		delete(r.pending, key)
+	}
+}
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -36,6 +36,7 @@
 		return err
 	}
 	job.Route, job.Limit, job.Owner = route.Name, route.MaxQueuedTokens, string(tenant.Owner())
+	job.Accepted = table.Configuration.Version
 	if err := validateJob(job); err != nil {
 		return err
 	}
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -48,6 +48,9 @@
 	// LeaderSeenAt is when the leader last answered this process, or the relay from which this
 	// process got its last answer.
 	LeaderSeenAt time.Time
+	// ConfirmedAt is a time at which Table was still the newest configuration: a leader said so in
+	// answer to a poll that was sent then, or later. It is zero before the first such answer.
+	ConfirmedAt time.Time
 	// HeardSince is since when the leader's answers have come without a gap longer than maxGap.
 	HeardSince time.Time
 }
@@ -225,6 +228,7 @@
 		}
 		changed = w.applyFleet(target, response, before, &after) || changed
 	}
+	after.confirmConfiguration(response, askedAt)
 	after.confirmList(before, response, askedAt)
 	if response.Quarantine != nil {
 		w.quarantineCache.Apply(clock.Now(), response.Quarantine)
@@ -239,6 +243,22 @@
 	return nil
 }
 
+// confirmConfiguration records that the configuration was the newest one when a poll was sent at
+// askedAt. A relay dates the leader's answer up to maxPollWait too late, because it does not know for
+// how long the leader held its poll.
+func (s *Snapshot) confirmConfiguration(response *wire.WatchResponse, askedAt time.Time) {
+	if response.Version != s.Version() {
+		return
+	}
+	confirmedAt := askedAt
+	if response.AgeMillis > 0 {
+		confirmedAt = askedAt.Add(-time.Duration(response.AgeMillis)*time.Millisecond - maxPollWait)
+	}
+	if confirmedAt.After(s.ConfirmedAt) {
+		s.ConfirmedAt = confirmedAt
+	}
+}
+
 // ListAge returns the time since ListReadAt, or maxListAge if that is unknown or longer ago.
 func (s *Snapshot) ListAge(now time.Time) time.Duration {
 	if s.ListReadAt.IsZero() {
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -26,6 +26,9 @@
 	// means no limit.
 	Limit int64       `msg:"limit"`
 	Items []BatchItem `msg:"items"`
+	// Accepted is the version of the configuration under which an edge accepted the job, zero if
+	// unknown: builds before this field send none.
+	Accepted uint64 `msg:"accepted_version,omitempty"`
 }
 
 // BatchItem is one request of a job.
@@ -124,6 +127,8 @@
 	Ended bool            `msg:"ended"`
 	Order uint64          `msg:"order"`
 	Items []BatchItemMeta `msg:"items"`
+	// Accepted is SubmitBatch.Accepted.
+	Accepted uint64 `msg:"accepted_version,omitempty"`
 }
 
 // BatchItemMeta is the part of an item that is kept in memory.
--- a/internal/wire/batch_gen.go
+++ b/internal/wire/batch_gen.go
@@ -1485,6 +1485,12 @@
 					}
 				}
 			}
+		case "accepted_version":
+			z.Accepted, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1498,109 +1504,137 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *BatchMeta) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "id"
-	err = en.Append(0x87, 0xa2, 0x69, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "route"
-	err = en.Append(0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Route)
-	if err != nil {
-		err = msgp.WrapError(err, "Route")
-		return
-	}
-	// write "host"
-	err = en.Append(0xa4, 0x68, 0x6f, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Host)
-	if err != nil {
-		err = msgp.WrapError(err, "Host")
-		return
-	}
-	// write "owner"
-	err = en.Append(0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Owner)
-	if err != nil {
-		err = msgp.WrapError(err, "Owner")
-		return
-	}
-	// write "ended"
-	err = en.Append(0xa5, 0x65, 0x6e, 0x64, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Ended)
-	if err != nil {
-		err = msgp.WrapError(err, "Ended")
-		return
-	}
-	// write "order"
-	err = en.Append(0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Order)
-	if err != nil {
-		err = msgp.WrapError(err, "Order")
-		return
-	}
-	// write "items"
-	err = en.Append(0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Accepted == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Items)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Items")
 		return
 	}
-	for za0001 := range z.Items {
-		// map header, size 3
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
 		// write "id"
-		err = en.Append(0x83, 0xa2, 0x69, 0x64)
+		err = en.Append(0xa2, 0x69, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.ID)
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		// write "route"
+		err = en.Append(0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Items[za0001].ID)
+		err = en.WriteString(z.Route)
 		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001, "ID")
+			err = msgp.WrapError(err, "Route")
 			return
 		}
-		// write "tokens"
-		err = en.Append(0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		// write "host"
+		err = en.Append(0xa4, 0x68, 0x6f, 0x73, 0x74)
 		if err != nil {
 			return
 		}
-		err = en.WriteInt64(z.Items[za0001].Tokens)
+		err = en.WriteString(z.Host)
 		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001, "Tokens")
+			err = msgp.WrapError(err, "Host")
 			return
 		}
-		// write "expected"
-		err = en.Append(0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+		// write "owner"
+		err = en.Append(0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
 		if err != nil {
 			return
 		}
-		err = en.WriteInt64(z.Items[za0001].Expected)
+		err = en.WriteString(z.Owner)
 		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001, "Expected")
+			err = msgp.WrapError(err, "Owner")
 			return
 		}
+		// write "ended"
+		err = en.Append(0xa5, 0x65, 0x6e, 0x64, 0x65, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Ended)
+		if err != nil {
+			err = msgp.WrapError(err, "Ended")
+			return
+		}
+		// write "order"
+		err = en.Append(0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Order)
+		if err != nil {
+			err = msgp.WrapError(err, "Order")
+			return
+		}
+		// write "items"
+		err = en.Append(0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Items)))
+		if err != nil {
+			err = msgp.WrapError(err, "Items")
+			return
+		}
+		for za0001 := range z.Items {
+			// map header, size 3
+			// write "id"
+			err = en.Append(0x83, 0xa2, 0x69, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Items[za0001].ID)
+			if err != nil {
+				err = msgp.WrapError(err, "Items", za0001, "ID")
+				return
+			}
+			// write "tokens"
+			err = en.Append(0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.Items[za0001].Tokens)
+			if err != nil {
+				err = msgp.WrapError(err, "Items", za0001, "Tokens")
+				return
+			}
+			// write "expected"
+			err = en.Append(0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.Items[za0001].Expected)
+			if err != nil {
+				err = msgp.WrapError(err, "Items", za0001, "Expected")
+				return
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "accepted_version"
+			err = en.Append(0xb0, 0x61, 0x63, 0x63, 0x65, 0x70, 0x74, 0x65, 0x64, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Accepted)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1608,39 +1642,57 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *BatchMeta) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "id"
-	o = append(o, 0x87, 0xa2, 0x69, 0x64)
-	o = msgp.AppendString(o, z.ID)
-	// string "route"
-	o = append(o, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
-	o = msgp.AppendString(o, z.Route)
-	// string "host"
-	o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
-	o = msgp.AppendString(o, z.Host)
-	// string "owner"
-	o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
-	o = msgp.AppendString(o, z.Owner)
-	// string "ended"
-	o = append(o, 0xa5, 0x65, 0x6e, 0x64, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Ended)
-	// string "order"
-	o = append(o, 0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
-	o = msgp.AppendUint64(o, z.Order)
-	// string "items"
-	o = append(o, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
-	for za0001 := range z.Items {
-		// map header, size 3
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Accepted == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
 		// string "id"
-		o = append(o, 0x83, 0xa2, 0x69, 0x64)
-		o = msgp.AppendString(o, z.Items[za0001].ID)
-		// string "tokens"
-		o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-		o = msgp.AppendInt64(o, z.Items[za0001].Tokens)
-		// string "expected"
-		o = append(o, 0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
-		o = msgp.AppendInt64(o, z.Items[za0001].Expected)
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, z.ID)
+		// string "route"
+		o = append(o, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
+		o = msgp.AppendString(o, z.Route)
+		// string "host"
+		o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
+		o = msgp.AppendString(o, z.Host)
+		// string "owner"
+		o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Owner)
+		// string "ended"
+		o = append(o, 0xa5, 0x65, 0x6e, 0x64, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Ended)
+		// string "order"
+		o = append(o, 0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
+		o = msgp.AppendUint64(o, z.Order)
+		// string "items"
+		o = append(o, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
+		for za0001 := range z.Items {
+			// map header, size 3
+			// string "id"
+			o = append(o, 0x83, 0xa2, 0x69, 0x64)
+			o = msgp.AppendString(o, z.Items[za0001].ID)
+			// string "tokens"
+			o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+			o = msgp.AppendInt64(o, z.Items[za0001].Tokens)
+			// string "expected"
+			o = append(o, 0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+			o = msgp.AppendInt64(o, z.Items[za0001].Expected)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "accepted_version"
+			o = append(o, 0xb0, 0x61, 0x63, 0x63, 0x65, 0x70, 0x74, 0x65, 0x64, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, z.Accepted)
+		}
 	}
 	return
 }
@@ -1765,6 +1817,12 @@
 					}
 				}
 			}
+		case "accepted_version":
+			z.Accepted, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1783,6 +1841,7 @@
 	for za0001 := range z.Items {
 		s += 1 + 3 + msgp.StringPrefixSize + len(z.Items[za0001].ID) + 7 + msgp.Int64Size + 9 + msgp.Int64Size
 	}
+	s += 17 + msgp.Uint64Size
 	return
 }
 
@@ -4473,6 +4532,12 @@
 					return
 				}
 			}
+		case "accepted_version":
+			z.Accepted, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4486,73 +4551,101 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *SubmitBatch) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "id"
-	err = en.Append(0x86, 0xa2, 0x69, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "route"
-	err = en.Append(0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Route)
-	if err != nil {
-		err = msgp.WrapError(err, "Route")
-		return
-	}
-	// write "host"
-	err = en.Append(0xa4, 0x68, 0x6f, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Host)
-	if err != nil {
-		err = msgp.WrapError(err, "Host")
-		return
-	}
-	// write "owner"
-	err = en.Append(0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Owner)
-	if err != nil {
-		err = msgp.WrapError(err, "Owner")
-		return
-	}
-	// write "limit"
-	err = en.Append(0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Limit)
-	if err != nil {
-		err = msgp.WrapError(err, "Limit")
-		return
-	}
-	// write "items"
-	err = en.Append(0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Accepted == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Items)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Items")
 		return
 	}
-	for za0001 := range z.Items {
-		err = z.Items[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "id"
+		err = en.Append(0xa2, 0x69, 0x64)
 		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001)
 			return
 		}
+		err = en.WriteString(z.ID)
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		// write "route"
+		err = en.Append(0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Route)
+		if err != nil {
+			err = msgp.WrapError(err, "Route")
+			return
+		}
+		// write "host"
+		err = en.Append(0xa4, 0x68, 0x6f, 0x73, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Host)
+		if err != nil {
+			err = msgp.WrapError(err, "Host")
+			return
+		}
+		// write "owner"
+		err = en.Append(0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Owner)
+		if err != nil {
+			err = msgp.WrapError(err, "Owner")
+			return
+		}
+		// write "limit"
+		err = en.Append(0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Limit)
+		if err != nil {
+			err = msgp.WrapError(err, "Limit")
+			return
+		}
+		// write "items"
+		err = en.Append(0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Items)))
+		if err != nil {
+			err = msgp.WrapError(err, "Items")
+			return
+		}
+		for za0001 := range z.Items {
+			err = z.Items[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Items", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "accepted_version"
+			err = en.Append(0xb0, 0x61, 0x63, 0x63, 0x65, 0x70, 0x74, 0x65, 0x64, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Accepted)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		}
 	}
 	return
 }
@@ -4560,30 +4653,48 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *SubmitBatch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "id"
-	o = append(o, 0x86, 0xa2, 0x69, 0x64)
-	o = msgp.AppendString(o, z.ID)
-	// string "route"
-	o = append(o, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
-	o = msgp.AppendString(o, z.Route)
-	// string "host"
-	o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
-	o = msgp.AppendString(o, z.Host)
-	// string "owner"
-	o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
-	o = msgp.AppendString(o, z.Owner)
-	// string "limit"
-	o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
-	o = msgp.AppendInt64(o, z.Limit)
-	// string "items"
-	o = append(o, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
-	for za0001 := range z.Items {
-		o, err = z.Items[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Items", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Accepted == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, z.ID)
+		// string "route"
+		o = append(o, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
+		o = msgp.AppendString(o, z.Route)
+		// string "host"
+		o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
+		o = msgp.AppendString(o, z.Host)
+		// string "owner"
+		o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Owner)
+		// string "limit"
+		o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+		o = msgp.AppendInt64(o, z.Limit)
+		// string "items"
+		o = append(o, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
+		for za0001 := range z.Items {
+			o, err = z.Items[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Items", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "accepted_version"
+			o = append(o, 0xb0, 0x61, 0x63, 0x63, 0x65, 0x70, 0x74, 0x65, 0x64, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, z.Accepted)
 		}
 	}
 	return
@@ -4664,6 +4775,12 @@
 					return
 				}
 			}
+		case "accepted_version":
+			z.Accepted, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4682,5 +4799,6 @@
 	for za0001 := range z.Items {
 		s += z.Items[za0001].Msgsize()
 	}
+	s += 17 + msgp.Uint64Size
 	return
 }
