Attempts and retention are judged by a current configuration

What callers would see: items abandoned after as many attempts, or at the end of as long a retention, as an older configuration allowed, although the operator had raised either before.

MaxAttempts was taken from the configuration at the start of a run and RetainMillis from the newest one heard of, however old.

Change: a run that fails only records its failure. The next poll of the runner abandons the item if the attempts are spent by a configuration that a leader has confirmed after the last failure; until then the item neither runs nor ends. The end of the retention is judged by a configuration confirmed after that moment. Failures that are not in the log yet count, too; before, an attempt could begin from the log's older count.

Evidence: TestSpentAttemptsNeedCurrentConfiguration and TestRetentionNeedsCurrentConfiguration; by reading, without them the item is abandoned at once (the condition asked for no version and no time).

--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -58,10 +58,11 @@
 	// versionWaits holds since when items have found no room at a worker of their text's version.
 	versionWaits map[itemKey]time.Time
 	seen         map[string]*observedJob
-	// absences holds the items without a route.
-	absences map[itemKey]batchplan.RouteAbsence
-	ended    chan *task
-	records  chan itemRecord
+	// absences holds the items without a route. failedItems holds the items that failed here.
+	absences    map[itemKey]batchplan.RouteAbsence
+	failedItems map[itemKey]failedItem
+	ended       chan *task
+	records     chan itemRecord
 	// pending holds the items whose result is being written to the log.
 	pending  map[itemKey]bool
 	recorded chan recordOutcome
@@ -108,6 +109,7 @@
 		versionWaits:   map[itemKey]time.Time{},
 		seen:           map[string]*observedJob{},
 		absences:       map[itemKey]batchplan.RouteAbsence{},
+		failedItems:    map[itemKey]failedItem{},
 		pending:        map[itemKey]bool{},
 		ended:          make(chan *task, channelCapacity),
 		drainRequests:  make(chan chan struct{}),
@@ -239,6 +241,9 @@
 		// its worker did not accept it.
 		r.grantedTrials[ended.key] = true
 	}
+	if ended.failures > r.failedItems[ended.key].count {
+		r.failedItems[ended.key] = failedItem{ended.failures, clock.Now()}
+	}
 	if ended.probeFailed {
 		r.failedProbes[ended.key] = true
 	}
@@ -248,6 +253,7 @@
 		delete(r.subjects, ended.key)
 		delete(r.failedProbes, ended.key)
 		delete(r.versionWaits, ended.key)
+		delete(r.failedItems, ended.key)
 		if ended.ranUninterrupted {
 			r.store.runTimes.addRun(ended.runTime, ended.progress.events)
 		}
@@ -322,6 +328,7 @@
 	r.failedProbes = map[itemKey]bool{}
 	r.versionWaits = map[itemKey]time.Time{}
 	r.absences = map[itemKey]batchplan.RouteAbsence{}
+	r.failedItems = map[itemKey]failedItem{}
 	r.subjects = map[itemKey]*quarantine.Subject{}
 	r.grantedTrials = map[itemKey]bool{}
 }
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -149,7 +149,7 @@
 		if t.progress.recordedBytes < len(t.progress.text) {
 			t.enqueueRecord(wire.ItemWaiting)
 		}
-	case t.isPermanentFailure(err):
+	case failure.Is(err, failure.BadRequest):
 		t.finish(wire.ItemAbandoned)
 	case t.failures > failuresBefore:
 		t.enqueueRecord(wire.ItemWaiting)
@@ -171,15 +171,6 @@
 	return !failure.Is(err, failure.NotRun) && !failure.Is(err, failure.BadRequest)
 }
 
-// isPermanentFailure reports whether the item can never complete: the worker said so, or the item
-// has failed as often as its route allows.
-func (t *task) isPermanentFailure(err error) bool {
-	if failure.Is(err, failure.BadRequest) {
-		return true
-	}
-	return t.failures >= max(t.route.MaxAttempts, 1)
-}
-
 func (t *task) finish(state wire.ItemState) {
 	t.state = state
 	t.finished = t.enqueueRecord(state)
--- a/internal/batchstore/verdict.go
+++ b/internal/batchstore/verdict.go
@@ -70,16 +70,33 @@
 	return false
 }
 
-// abandonOverdue abandons an item whose job has been retained for long enough, which was
-// not done in time. It reports whether the item must not run.
+// abandonOverdue abandons an item whose job has been retained for long enough, or whose attempts are
+// spent. It reports whether the item must not run.
 func (r *runner) abandonOverdue(key itemKey, job *batchstate.Job, route *routetable.Route) bool {
-	firstSeen := r.seen[job.ID].firstSeen
+	known, firstSeen := r.knowledge(), r.seen[job.ID].firstSeen
 	retain := time.Duration(route.RetainMillis) * time.Millisecond
-	if retain > 0 && clock.Since(firstSeen) > retain {
+	if retain > 0 && clock.Since(firstSeen) > retain && r.covers(known, job, firstSeen.Add(retain)) {
 		r.abandon(key, "retained_long_enough")
 		return true
 	}
-	return false
+	failed := r.failedItems[key]
+	if max(job.Items[key.item].Failures, failed.count) < max(route.MaxAttempts, 1) {
+		return false
+	}
+	if failed.at.IsZero() {
+		failed.at = firstSeen
+	}
+	if r.covers(known, job, failed.at) {
+		r.abandon(key, "attempts_spent")
+	}
+	return true
+}
+
+// failedItem is an item that failed at workers during runs at this store.
+type failedItem struct {
+	// count is the number of failures, those in the log included. at is the time of the last one.
+	count int
+	at    time.Time
 }
 
 func (r *runner) abandon(key itemKey, reason string) {
@@ -87,6 +104,7 @@
 	logging.Info(r.store.logger, "item_abandoned", "job", key.job, "item", key.item, "reason", reason, "version", known.Version, "confirmed_ms", clock.Since(known.ConfirmedAt).Milliseconds())
 	r.pending[key] = true
 	delete(r.failedProbes, key)
+	delete(r.failedItems, key)
 	if !r.enqueue(itemRecord{ItemRecord: wire.ItemRecord{Job: key.job, Item: key.item, State: wire.ItemAbandoned}}) {
 		delete(r.pending, key)
 	}
--- a/internal/batchstore/verdict_test.go
+++ b/internal/batchstore/verdict_test.go
@@ -131,3 +131,52 @@
 		t.Errorf("runs %t, abandoned %t by the configuration of the job", runs, abandoned)
 	}
 }
+
+// TestSpentAttemptsNeedCurrentConfiguration guards against items that are abandoned after as many
+// attempts as an older configuration allowed, and against items that run again meanwhile.
+func TestSpentAttemptsNeedCurrentConfiguration(t *testing.T) {
+	r, leader := watchedRunner(t, 4)
+	leader.apply(t, routes(4, 2, 0))
+	awaitVersion(t, r, 4, time.Time{})
+	leader.stop()
+	r.seen["k"] = &observedJob{firstSeen: clock.Now()}
+	r.failedItems[itemKey{"k", 0}] = failedItem{2, clock.Now()}
+	time.Sleep(100 * time.Millisecond)
+	if runs, abandoned := judge(r); runs || abandoned {
+		t.Fatalf("runs %t, abandoned %t while no leader is heard", runs, abandoned)
+	}
+	leader.apply(t, routes(5, 3, 0))
+	awaitVersion(t, r, 5, time.Time{})
+	if runs, abandoned := judge(r); !runs || abandoned {
+		t.Fatalf("runs %t, abandoned %t although another attempt is allowed", runs, abandoned)
+	}
+	r.failedItems[itemKey{"k", 0}] = failedItem{3, clock.Now()}
+	awaitVersion(t, r, 5, clock.Now())
+	if _, abandoned := judge(r); !abandoned {
+		t.Error("the item is not abandoned after its last attempt")
+	}
+}
+
+// TestRetentionNeedsCurrentConfiguration guards against items that are abandoned because an older
+// configuration retained their results for a shorter time.
+func TestRetentionNeedsCurrentConfiguration(t *testing.T) {
+	r, leader := watchedRunner(t, 4)
+	leader.apply(t, routes(4, 2, 50*time.Millisecond))
+	awaitVersion(t, r, 4, time.Time{})
+	leader.stop()
+	r.seen["k"] = &observedJob{firstSeen: clock.Now()}
+	time.Sleep(100 * time.Millisecond)
+	if runs, abandoned := judge(r); !runs || abandoned {
+		t.Fatalf("runs %t, abandoned %t while no leader is heard", runs, abandoned)
+	}
+	leader.apply(t, routes(5, 2, 0))
+	awaitVersion(t, r, 5, time.Time{})
+	if runs, abandoned := judge(r); !runs || abandoned {
+		t.Fatalf("runs %t, abandoned %t although the job is retained for longer", runs, abandoned)
+	}
+	leader.apply(t, routes(6, 2, 50*time.Millisecond))
+	awaitVersion(t, r, 6, time.Time{})
+	if _, abandoned := judge(r); !abandoned {
+		t.Error("the item is not abandoned at the end of its retention")
+	}
+}
