An edge denies no route while it hears no coordinator

What callers would see: 404 for a route that was added while the edge was cut off. Callers don't try again after a 404, though another edge serves the route.

The edge's configuration was taken for the newest whatever its age; keys were checked for that already.

Change: beyond maxStaleness since the last answer of a coordinator a request without a route is answered 503 with Retry-After, at once, and the caller goes to another edge.

By reading: the 404 asked for no age.

--- a/internal/edge/identity.go
+++ b/internal/edge/identity.go
@@ -9,10 +9,6 @@
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 )
 
-// maxKeyStaleness is how long after the last answer of a coordinator this process is sure to know
-// all keys: the coordinator holds a watch for 0.5 s, and the answer arrives within 0.6 s.
-const maxKeyStaleness = 1200 * time.Millisecond
-
 // identify returns the tenant to which the request's key belongs, nil if the request needs no key.
 // An unknown key may have been added a moment ago, so a process rejects it as invalid only while it
 // is in touch with the coordinators.
@@ -31,7 +27,7 @@
 		return nil, nil
 	case len(keys) != 1:
 		return nil, failure.New(failure.Unauthenticated, "send one key in the header for keys", "the request has %d keys", len(keys))
-	case now.Sub(e.watcher.Current().LeaderSeenAt) > maxKeyStaleness:
+	case !e.inTouch(now):
 		return nil, failure.New(failure.NotRun, "ask another edge", "the key is not known here, and no coordinator is heard").WithRetryAfter(shortRetryAfter)
 	}
 	return nil, failure.New(failure.Unauthenticated, "ask your operator for a key", "no tenant holds the key in version %d", table.Configuration.Version)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -19,6 +19,9 @@
 	// configurationTime is how long a new process takes to learn the configuration if the
 	// coordinators start at the same time.
 	configurationTime = 1200 * time.Millisecond
+	// maxStaleness is the longest usual time since the last answer of a coordinator: it holds a poll
+	// for 0.5 s, and the answer arrives within 0.6 s.
+	maxStaleness = 1200 * time.Millisecond
 	// writeMargin is how long after the deadline a caller may still read the answer.
 	writeMargin = time.Second
 )
@@ -73,7 +76,7 @@
 	}
 	route := table.Match(request.Host, request.URL.Path)
 	if route == nil || route.Kind == routetable.KindBatch {
-		e.Reject(writer, request, failure.New(failure.NotFound, "check host and path", "no route leads to %s%s in version %d", request.Host, request.URL.Path, table.Configuration.Version))
+		e.Reject(writer, request, e.noRouteError(now, table, request))
 		return
 	}
 	tenant, err := e.identify(now, table, route.Public, request)
@@ -116,6 +119,21 @@
 	return failure.New(failure.NotRun, "try again", "no configuration is known here yet").WithRetryAfter(retry)
 }
 
+// noRouteError returns the error for a request without a route. A route may have been added a moment
+// ago, so a process denies it only while it is in touch with the coordinators.
+func (e *Edge) noRouteError(now time.Time, table *routetable.Table, request *http.Request) error {
+	if !e.inTouch(now) {
+		return failure.New(failure.NotRun, "ask another edge", "no route leads to %s%s in version %d, and no coordinator is heard", request.Host, request.URL.Path, table.Configuration.Version).WithRetryAfter(shortRetryAfter)
+	}
+	return failure.New(failure.NotFound, "check host and path", "no route leads to %s%s in version %d", request.Host, request.URL.Path, table.Configuration.Version)
+}
+
+// inTouch reports whether this process knows all routes and keys that have been in force for
+// maxStaleness.
+func (e *Edge) inTouch(now time.Time) bool {
+	return now.Sub(e.watcher.Current().LeaderSeenAt) <= maxStaleness
+}
+
 // checkFreeze returns an error once the process has reached no coordinator for longer than the
 // settings allow.
 func (e *Edge) checkFreeze(now time.Time) error {
