Items under which workers crashed run again once the workers are calm

Cause: an item was held back by exits whose age nobody asked. Trials counted when they were granted, and the delays between them grew to a minute and on to an hour, although what broke the trials off was the same burst. Successes were told at an item's end only, so that its second trial was granted, and its next one put off, while the first ran well. One trial ran at a time.

Change: - Exits of an item's own runs hold it back at its store alone (quarantine.Pacer): until no worker has been seen to exit for 2 s. The first refused item then runs alone, each success lets one more run, an exit brings that back to one. A trial counts as failed only if no other worker exited at that time. After two such failures, or one and eight exits, only the usual delays are left. - An item's run speaks for it after one second of output, not only at its end. - Dispatchers use the same rule for items of batch jobs.

--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -210,6 +210,7 @@
 	}
 	r.running[key] = prepared
 	delete(r.grantedTrials, key)
+	r.startPaced(prepared)
 	return prepared
 }
 
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -51,6 +51,12 @@
 	subjects      map[itemKey]*quarantine.Subject
 	grantedTrials map[itemKey]bool
 	trials        chan itemKey
+	// heldItems are the refused items that this store runs again by itself. pacer decides when, and
+	// paced holds those that may start now. The channel ranWell delivers tasks that have run well.
+	heldItems map[itemKey]*quarantine.HeldItem
+	pacer     quarantine.Pacer
+	paced     map[itemKey]bool
+	ranWell   chan *task
 	// waiting is the number of items that could start, as of the last poll.
 	waiting atomic.Int64
 	// failedProbes holds the items whose run as a probe failed.
@@ -105,6 +111,9 @@
 		subjects:       map[itemKey]*quarantine.Subject{},
 		grantedTrials:  map[itemKey]bool{},
 		trials:         make(chan itemKey),
+		heldItems:      map[itemKey]*quarantine.HeldItem{},
+		paced:          map[itemKey]bool{},
+		ranWell:        make(chan *task, channelCapacity),
 		failedProbes:   map[itemKey]bool{},
 		versionWaits:   map[itemKey]time.Time{},
 		seen:           map[string]*observedJob{},
@@ -138,6 +147,8 @@
 			r.handleRecorded(outcome)
 		case key := <-r.trials:
 			r.grantedTrials[key] = true
+		case running := <-r.ranWell:
+			r.endPaced(running, clock.Now())
 		case r.drained = <-r.drainRequests:
 			r.stopAll()
 		case <-r.resumeRequests:
@@ -229,6 +240,7 @@
 // finishTask removes an attempt that is over, and keeps what the next attempt at the item needs.
 func (r *runner) finishTask(ended *task) {
 	ended.cancel()
+	r.endPaced(ended, clock.Now())
 	if r.running[ended.key] == ended {
 		delete(r.running, ended.key)
 	}
@@ -251,6 +263,7 @@
 	case ended.finished:
 		r.pending[ended.key] = true
 		delete(r.subjects, ended.key)
+		delete(r.heldItems, ended.key)
 		delete(r.failedProbes, ended.key)
 		delete(r.versionWaits, ended.key)
 		delete(r.failedItems, ended.key)
@@ -331,4 +344,6 @@
 	r.failedItems = map[itemKey]failedItem{}
 	r.subjects = map[itemKey]*quarantine.Subject{}
 	r.grantedTrials = map[itemKey]bool{}
+	r.heldItems = map[itemKey]*quarantine.HeldItem{}
+	r.paced = map[itemKey]bool{}
 }
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
@@ -89,6 +90,12 @@
 	// although it is refused. It is cleared if the worker exits during the run.
 	subject *quarantine.Subject
 	onTrial bool
+	// paced is set while the run counts for the runner's pacer; only the runner's loop uses it.
+	// workerExited is set if the worker exited during the run, ranWell once the run shows that the item
+	// is harmless.
+	paced        bool
+	workerExited bool
+	ranWell      atomic.Bool
 	// expected is the number of tokens that the caller expects.
 	expected int64
 	lease    *balance.Lease
@@ -376,6 +383,7 @@
 		t.lease.RecordItemStart(now, true)
 	}
 	t.output.Record(now)
+	t.recordGoodRun()
 	t.recordPace(len(events))
 	for i := range events {
 		event := &events[i]
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -41,7 +41,7 @@
 			refusedBefore[run.Request] = c.isRefused(run.Request)
 		}
 		if request.Trial != 0 {
-			trial = c.decideTrial(now, quarantine.Fingerprints(request.RequestedTrial()), answer)
+			trial = c.decideTrial(now, quarantine.Fingerprints(request.RequestedTrial()), request.Owed, answer)
 		}
 	})
 	if err == nil && len(command.Runs) > 0 {
@@ -139,8 +139,8 @@
 
 // decideTrial decides whether a request may be tried on a worker for which the given fingerprints are
 // refused, and fills in the answer. It returns those for which a trial must be committed.
-func (c *Coordinator) decideTrial(now time.Time, refused []quarantine.Fingerprint, answer *wire.QuarantineAnswer) []quarantine.Fingerprint {
-	granted, wait := c.timers.GrantTrial(now, c.machine.Quarantine(), refused)
+func (c *Coordinator) decideTrial(now time.Time, refused []quarantine.Fingerprint, owed bool, answer *wire.QuarantineAnswer) []quarantine.Fingerprint {
+	granted, wait := c.timers.GrantTrial(now, c.machine.Quarantine(), refused, owed)
 	answer.Granted, answer.WaitMillis = granted, wait.Milliseconds()
 	var trial []quarantine.Fingerprint
 	trials := 0
@@ -149,7 +149,7 @@
 			trial, trials = append(trial, fingerprint), max(trials, entry.Trials)
 		}
 	}
-	logging.Info(c.logger, "quarantine_trial", "request", quarantine.Format(refused), "granted", granted, "trials", trials, "wait_ms", answer.WaitMillis)
+	logging.Info(c.logger, "quarantine_trial", "request", quarantine.Format(refused), "granted", granted, "owed", owed, "trials", trials, "wait_ms", answer.WaitMillis)
 	return trial
 }
 
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
+	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
 // Worker exits are recorded for longer than the call during which they happened. Otherwise a
@@ -26,7 +27,7 @@
 	if index > 0 && !t.workerExited || !local.InUse() {
 		return nil
 	}
-	allowed, wait := local.MayRun(clock.Now(), t.subject())
+	allowed, wait := local.MayRun(clock.Now(), t.subject(), t.request.Class == wire.Batch)
 	if allowed {
 		return nil
 	}
--- a/internal/dispatcher/quarantine_test.go
+++ b/internal/dispatcher/quarantine_test.go
@@ -24,10 +24,10 @@
 		t := newPrompt("crash", number)
 		d.quarantine.RecordExit(now, t.subject(), fmt.Sprint("w", number), now)
 	}
-	if allowed, wait := d.quarantine.MayRun(now, newPrompt("crash", 99).subject()); allowed || wait <= 0 {
+	if allowed, wait := d.quarantine.MayRun(now, newPrompt("crash", 99).subject(), false); allowed || wait <= 0 {
 		t.Errorf("a further prompt with the same beginning: allowed %t, retry after %s", allowed, wait)
 	}
-	if allowed, _ := d.quarantine.MayRun(now, newPrompt("sound", 99).subject()); !allowed {
+	if allowed, _ := d.quarantine.MayRun(now, newPrompt("sound", 99).subject(), false); !allowed {
 		t.Error("a prompt with another beginning is refused")
 	}
 }
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -23,7 +23,7 @@
 	if len(refused) == 0 {
 		return false
 	}
-	granted, wait := c.edge.watcher.RequestTrial(c.context, refused)
+	granted, wait := c.edge.watcher.RequestTrial(c.context, refused, false)
 	logging.Info(c.edge.logger, "request_quarantined", "id", c.id, "request", c.subject().Request, "refused", quarantine.Format(refused), "parts", quarantine.FormatParts(c.tenant.Owner(), httpheader.PartIDs(c.demand.Parts)), "route", c.route.Name, "trial", granted, "wait_ms", wait.Milliseconds(), "revision", c.edge.watcher.Quarantine().Revision(), "heard_ms", clock.Since(c.edge.watcher.Current().LeaderSeenAt).Milliseconds())
 	if granted {
 		c.onTrial = true
--- a/internal/fleetsim/edges.go
+++ b/internal/fleetsim/edges.go
@@ -411,7 +411,7 @@
 			return
 		}
 		refused := quarantine.Fingerprints(report.RequestedTrial())
-		granted, wait := m.quarantineTimers.GrantTrial(m.clock(), m.fleet.Quarantine(), refused)
+		granted, wait := m.quarantineTimers.GrantTrial(m.clock(), m.fleet.Quarantine(), refused, report.Owed)
 		answer.Granted, answer.WaitMillis = granted, wait.Milliseconds()
 		for _, fingerprint := range refused {
 			if granted && m.fleet.Quarantine().Entry(fingerprint) != nil {
--- a/internal/fleetwatch/quarantine.go
+++ b/internal/fleetwatch/quarantine.go
@@ -88,15 +88,16 @@
 }
 
 // RequestTrial reports whether this process may try a request once for which the given fingerprints
-// are refused. If not, it returns after which time the caller may retry.
-func (w *Watcher) RequestTrial(ctx context.Context, refused []quarantine.Fingerprint) (bool, time.Duration) {
+// are refused. If not, it returns after which time the caller may retry. owed is set for an item of a
+// batch job.
+func (w *Watcher) RequestTrial(ctx context.Context, refused []quarantine.Fingerprint, owed bool) (bool, time.Duration) {
 	now := clock.Now()
 	if wait := w.quarantineCache.TrialDelay(now, refused); wait > 0 {
 		return false, wait
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	report := &wire.QuarantineReport{Known: w.quarantineCache.Revision()}
+	report := &wire.QuarantineReport{Known: w.quarantineCache.Revision(), Owed: owed}
 	report.RequestTrial(quarantine.Uint64s(refused))
 	answer, err := w.callQuarantine(ctx, 0, report)
 	if err != nil {
--- a/internal/fleetwatch/quarantine_test.go
+++ b/internal/fleetwatch/quarantine_test.go
@@ -105,7 +105,7 @@
 			if w.Quarantine().TrialDelay(clock.Now(), []quarantine.Fingerprint{request}) > 0 {
 				continue
 			}
-			if allowed, _ := w.RequestTrial(context.Background(), []quarantine.Fingerprint{request}); allowed {
+			if allowed, _ := w.RequestTrial(context.Background(), []quarantine.Fingerprint{request}, false); allowed {
 				granted++
 				w.Quarantine().RecordSuccess(clock.Now(), &quarantine.Subject{Request: request})
 				return true
@@ -132,7 +132,7 @@
 	if !hasStanding(w, request, quarantine.Refused)() {
 		t.Error("the request is not refused")
 	}
-	if allowed, wait := w.RequestTrial(context.Background(), []quarantine.Fingerprint{request}); allowed || wait <= 0 {
+	if allowed, wait := w.RequestTrial(context.Background(), []quarantine.Fingerprint{request}, false); allowed || wait <= 0 {
 		t.Errorf("a trial is granted (%t), or may be requested at once (retry after %s)", allowed, wait)
 	}
 }
--- a/internal/quarantine/cache.go
+++ b/internal/quarantine/cache.go
@@ -35,6 +35,8 @@
 	// inFlight is the number of runs at the start of ownRuns that are in flight: the last Report
 	// returned them, and RecordAnswer has not handled them yet.
 	inFlight int
+	// lastExitAt is when this process last learned of an exit.
+	lastExitAt time.Time
 	// credits holds the parts of prompts with a recent success at this process.
 	credits credits
 	// trialNotBefore holds, by refused fingerprints, see combine, the earliest time of the next trial
@@ -170,6 +172,7 @@
 func (c *Cache) RecordExit(now time.Time, s *Subject, worker string, startedAt time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.lastExitAt = now
 	hash := WorkerHash(worker)
 	exitsOf := func(fingerprint Fingerprint) map[uint32]int {
 		exits, _ := c.exitsLocked(now, fingerprint)
@@ -180,6 +183,13 @@
 	}
 }
 
+// LastExitAt returns when this process last learned of the exit of a worker, zero for never.
+func (c *Cache) LastExitAt() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.lastExitAt
+}
+
 // RecordSuccess records that a run of the subject succeeded. The success is reported only for those
 // fingerprints under which a worker is known to have exited. If InUse is not set, the request's
 // fingerprint may be missing.
@@ -294,11 +304,15 @@
 		return
 	}
 	c.revision = update.Revision
+	before := c.rows
 	if update.Whole {
-		clear(c.rows)
+		c.rows = map[Fingerprint]wire.QuarantineRow{}
 	}
 	for _, row := range update.Rows {
 		request := Fingerprint(row.Request)
+		if len(row.Ended) > 0 && !slices.Equal(row.Ended, before[request].Ended) {
+			c.lastExitAt = now
+		}
 		if len(row.Ended) == 0 {
 			delete(c.rows, request)
 		} else {
--- a/internal/quarantine/local.go
+++ b/internal/quarantine/local.go
@@ -54,15 +54,15 @@
 }
 
 // MayRun reports whether the subject may be sent to a worker, as a trial if it is refused. If
-// not, it returns after which time the caller may retry.
-func (l *Local) MayRun(now time.Time, s *Subject) (bool, time.Duration) {
+// not, it returns after which time the caller may retry. owed is set for an item of a batch job.
+func (l *Local) MayRun(now time.Time, s *Subject, owed bool) (bool, time.Duration) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if command := l.timers.Tick(now, l.table); command != nil {
 		l.table.Apply(command)
 	}
 	refused := l.table.refused(s.all())
-	allowed, wait := l.timers.GrantTrial(now, l.table, refused)
+	allowed, wait := l.timers.GrantTrial(now, l.table, refused, owed)
 	if allowed {
 		for _, fingerprint := range refused {
 			l.table.Apply(&wire.QuarantineCommand{Trial: uint64(fingerprint)})
--- a/internal/quarantine/subject_test.go
+++ b/internal/quarantine/subject_test.go
@@ -127,15 +127,15 @@
 	both := []Fingerprint{commonPart, crashingPart}
 	f.timers.Tick(f.now, f.table)
 	f.now = f.now.Add(firstTrialDelay)
-	if granted, wait := f.timers.GrantTrial(f.now, f.table, both); granted || wait != jointTrialDelay {
+	if granted, wait := f.timers.GrantTrial(f.now, f.table, both, false); granted || wait != jointTrialDelay {
 		t.Errorf("both parts: granted %t, wait %s", granted, wait)
 	}
-	if granted, _ := f.timers.GrantTrial(f.now, f.table, both[:1]); !granted {
+	if granted, _ := f.timers.GrantTrial(f.now, f.table, both[:1], false); !granted {
 		t.Error("no trial of the common part alone")
 	}
 	f.table.Apply(&wire.QuarantineCommand{Trial: uint64(commonPart), Runs: []wire.RunReport{successReport(commonPart)}})
 	f.now = f.now.Add(jointTrialDelay)
-	if granted, wait := f.timers.GrantTrial(f.now, f.table, both); !granted {
+	if granted, wait := f.timers.GrantTrial(f.now, f.table, both, false); !granted {
 		t.Errorf("no trial of the crashing part after the common one was readmitted, wait %s", wait)
 	}
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -205,17 +205,17 @@
 	var delays []time.Duration
 	last := now
 	for range 9 {
-		granted, wait := timers.GrantTrial(now, table, []Fingerprint{1})
+		granted, wait := timers.GrantTrial(now, table, []Fingerprint{1}, false)
 		if granted {
 			t.Fatalf("a trial is granted %s early", wait)
 		}
 		now = now.Add(wait)
 		delays = append(delays, now.Sub(last))
 		last = now
-		if granted, _ := timers.GrantTrial(now, table, []Fingerprint{1}); !granted {
+		if granted, _ := timers.GrantTrial(now, table, []Fingerprint{1}, false); !granted {
 			t.Fatal("no trial is granted when it is due")
 		}
-		if granted, wait := timers.GrantTrial(now, table, []Fingerprint{1}); granted || wait != trialPollInterval {
+		if granted, wait := timers.GrantTrial(now, table, []Fingerprint{1}, false); granted || wait != trialPollInterval {
 			t.Fatalf("while a trial runs: granted %t, retry after %s", granted, wait)
 		}
 		table.Apply(&wire.QuarantineCommand{Trial: 1})
@@ -232,7 +232,7 @@
 	if command := NewTimers().Tick(now, table); command != nil {
 		t.Errorf("a new leader's due command is %+v, want none", command)
 	}
-	if granted, _ := timers.GrantTrial(now, table, []Fingerprint{7}); !granted {
+	if granted, _ := timers.GrantTrial(now, table, []Fingerprint{7}, false); !granted {
 		t.Error("a request that is not refused may not run")
 	}
 }
--- a/internal/quarantine/timers.go
+++ b/internal/quarantine/timers.go
@@ -31,6 +31,9 @@
 	// because the request is readmitted if the trial succeeds.
 	trialTimeout      = 2 * time.Second
 	trialPollInterval = 300 * time.Millisecond
+	// maxCalmFailures is how many trials for owed items may fail in calm before further ones wait for
+	// the usual delays.
+	maxCalmFailures = 2
 	// suspectTTL is how long the exits of a request that is not refused are remembered. refusedTTL
 	// is how long a refused request is remembered after its last change.
 	suspectTTL = time.Minute
@@ -48,6 +51,8 @@
 	onTrial          []Fingerprint
 	trialStartedAt   time.Time
 	exitsBeforeTrial []wire.WorkerEnd
+	// exits are the exits that this leader has seen. A new leader counts all known exits as new.
+	exits recentExits
 }
 
 // rowTimer holds when this leader first saw the present state of a row, and the times of its
@@ -62,6 +67,13 @@
 	trials      int
 	// grantedAt is the time of the last granted trial.
 	grantedAt time.Time
+	// lastExit is the row's last exit that was seen.
+	lastExit wire.WorkerEnd
+	// calmTrialAt is when the last trial was granted in calm, zero once its outcome is counted.
+	// exitBefore is the row's last exit before it. calmFailures counts those that failed.
+	calmTrialAt  time.Time
+	exitBefore   wire.WorkerEnd
+	calmFailures int
 }
 
 // NewTimers returns the timers of a new leader.
@@ -100,6 +112,10 @@
 		timer = &rowTimer{}
 		tm.rowTimers[request] = timer
 	}
+	if last := lastExit(row); last != timer.lastExit && last.Worker != 0 {
+		timer.lastExit = last
+		tm.exits.record(now, last.Worker)
+	}
 	if timer.changedAt.IsZero() || timer.revision != row.Revision {
 		timer.revision, timer.changedAt = row.Revision, now
 	}
@@ -131,15 +147,24 @@
 }
 
 // GrantTrial reports whether a request may be tried now for which the given fingerprints are refused,
-// and if not, after which time to ask again. The caller must commit a granted trial for each of them
-// before it answers the process that asked.
-func (tm *Timers) GrantTrial(now time.Time, t *Table, fingerprints []Fingerprint) (granted bool, wait time.Duration) {
+// and if not, after which time to ask again. owed is set for an item of a batch job, which may also be
+// tried once the workers are calm. The caller must commit a granted trial for each fingerprint before it
+// answers the process that asked.
+func (tm *Timers) GrantTrial(now time.Time, t *Table, fingerprints []Fingerprint, owed bool) (granted bool, wait time.Duration) {
 	refused := t.refused(fingerprints)
 	if len(refused) == 0 {
 		return true, 0
 	}
+	for fingerprint, row := range t.rows {
+		tm.rowTimer(now, fingerprint, row)
+	}
+	inCalm := false
 	for _, fingerprint := range refused {
-		wait = max(wait, tm.trialWait(now, fingerprint, t.rows[fingerprint], len(refused) > 1))
+		usual := tm.trialWait(now, fingerprint, t.rows[fingerprint], len(refused) > 1)
+		if calm, possible := tm.calmWait(now, fingerprint, t.rows[fingerprint]); owed && possible && calm < usual {
+			usual, inCalm = calm, true
+		}
+		wait = max(wait, usual)
 	}
 	if wait > 0 {
 		return false, wait
@@ -153,6 +178,9 @@
 		timer := tm.rowTimer(now, fingerprint, row)
 		timer.nextTrialAt, timer.grantedAt = now.Add(trialDelay(row.Trials+1)), now
 		tm.exitsBeforeTrial = append(tm.exitsBeforeTrial, lastExit(row))
+		if inCalm {
+			timer.calmTrialAt, timer.exitBefore = now, lastExit(row)
+		}
 	}
 	return true, 0
 }
@@ -171,6 +199,34 @@
 	return wait
 }
 
+// calmWait returns after which time an owed item may ask again for a trial of a refused row, because
+// the workers are calm by then. It is not possible once trials in calm have shown that the row is
+// harmful. The exits of a burst show nothing, however many trials they broke off.
+func (tm *Timers) calmWait(now time.Time, fingerprint Fingerprint, row *wire.QuarantineEntry) (wait time.Duration, possible bool) {
+	timer := tm.rowTimer(now, fingerprint, row)
+	if !timer.calmTrialAt.IsZero() && now.Sub(timer.calmTrialAt) >= trialTimeout {
+		if last := lastExit(row); last != timer.exitBefore && !tm.exits.othersSince(timer.calmTrialAt, last.Worker) {
+			timer.calmFailures++
+		}
+		timer.calmTrialAt = time.Time{}
+	}
+	if timer.calmFailures >= maxCalmFailures || timer.calmFailures > 0 && len(row.Ends) >= maxExits {
+		return 0, false
+	}
+	due := tm.exits.lastAt().Add(CalmTime)
+	if !timer.grantedAt.IsZero() {
+		due = maxTime(due, timer.grantedAt.Add(trialTimeout<<timer.calmFailures))
+	}
+	return max(due.Sub(now), 0), true
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // otherTrialRuns reports whether another request is on trial. Requests that were refused together
 // are also due for a trial together. If their trials ran on the same worker, a harmful request
 // would make the worker exit, and a harmless one would be taken for harmful again and have to wait
--- a/internal/wire/quarantine.go
+++ b/internal/wire/quarantine.go
@@ -31,6 +31,8 @@
 	TrialWith []uint64 `msg:"trial_with,omitempty"`
 	// Known is the revision of the quarantine that the process has.
 	Known uint64 `msg:"known"`
+	// Owed is set if the trial is for an item of a batch job.
+	Owed bool `msg:"owed,omitempty"`
 }
 
 // RequestTrial sets the fingerprints of the request that the process wants to try.
--- a/internal/wire/quarantine_gen.go
+++ b/internal/wire/quarantine_gen.go
@@ -1735,6 +1735,12 @@
 				err = msgp.WrapError(err, "Known")
 				return
 			}
+		case "owed":
+			z.Owed, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Owed")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1749,13 +1755,17 @@
 // EncodeMsg implements msgp.Encodable
 func (z *QuarantineReport) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.TrialWith == nil {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Owed == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -1835,6 +1845,18 @@
 			err = msgp.WrapError(err, "Known")
 			return
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "owed"
+			err = en.Append(0xa4, 0x6f, 0x77, 0x65, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Owed)
+			if err != nil {
+				err = msgp.WrapError(err, "Owed")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1843,13 +1865,17 @@
 func (z *QuarantineReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.TrialWith == nil {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Owed == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1879,6 +1905,11 @@
 		// string "known"
 		o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
 		o = msgp.AppendUint64(o, z.Known)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "owed"
+			o = append(o, 0xa4, 0x6f, 0x77, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.Owed)
+		}
 	}
 	return
 }
@@ -1983,6 +2014,12 @@
 				err = msgp.WrapError(err, "Known")
 				return
 			}
+		case "owed":
+			z.Owed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Owed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1997,7 +2034,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *QuarantineReport) Msgsize() (s int) {
-	s = 1 + 5 + msgp.ArrayHeaderSize + (len(z.Runs) * (26 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size)) + 6 + msgp.Uint64Size + 11 + msgp.ArrayHeaderSize + (len(z.TrialWith) * (msgp.Uint64Size)) + 6 + msgp.Uint64Size
+	s = 1 + 5 + msgp.ArrayHeaderSize + (len(z.Runs) * (26 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size)) + 6 + msgp.Uint64Size + 11 + msgp.ArrayHeaderSize + (len(z.TrialWith) * (msgp.Uint64Size)) + 6 + msgp.Uint64Size + 5 + msgp.BoolSize
 	return
 }
 
--- /dev/null
+++ b/test/owed_items_test.go
@@ -0,0 +1,69 @@
+package test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// burstTime is how long workers crash in the tests of owed items. Every burstInterval a half of them
+	// exits, and each is back after burstRestart.
+	burstTime     = 10 * time.Second
+	burstInterval = 450 * time.Millisecond
+	burstRestart  = 400 * time.Millisecond
+	// calmBound is the longest time from the last exit to the results of all items.
+	calmBound = 15 * time.Second
+)
+
+// crashHalves makes a random half of the workers exit, again and again.
+func (f *hostedFleet) crashHalves(random *rand.Rand) {
+	for until := time.Now().Add(burstTime); time.Now().Before(until); time.Sleep(burstInterval) {
+		for _, number := range random.Perm(len(f.workers))[:len(f.workers)/2] {
+			f.workers[number].Restart("", burstRestart)
+		}
+	}
+}
+
+// TestItemsUnderBurstOfExitsAreRunInCalm guards against items that are held back for a minute or more
+// because workers exited under them by coincidence, though the workers have been calm and idle since.
+func TestItemsUnderBurstOfExitsAreRunInCalm(t *testing.T) {
+	const items, tokens, workers = 48, 300, 8
+	f := newHostedFleet(t, workers)
+	edges := f.configure(t)
+	f.waitServing(t, edges[0])
+	document := jobDocument("j1", items, tokens)
+	for number := range items {
+		headers := fmt.Sprintf(`"headers":{"Prompt-Prefix":"common:100,part-%d:50,%d:10",`, number%3, number)
+		document = strings.Replace(document, `"headers":{"Token-Count"`, headers+`"Token-Count"`, 1)
+	}
+	eventually(t, "the job accepted", func() bool {
+		status, _, _, err := f.call(http.MethodPost, edges[0], "/batch/j1", map[string]string{"Request-Id": "j1"}, document)
+		return err == nil && status == http.StatusAccepted
+	})
+	f.crashHalves(rand.New(rand.NewPCG(1, 1)))
+	calm := time.Now()
+	done := func() (count int) {
+		if page, _ := f.readResults(edges[0], "j1", 0); page != nil {
+			for _, row := range page.Results {
+				if row.State == "completed" {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	before := done()
+	eventually(t, "the results of all items", func() bool { return done() == items })
+	took := time.Since(calm)
+	t.Logf("%d exits; %d of %d items done in the burst, all %s after it", f.exits(), before, items, took.Round(time.Millisecond))
+	if took > calmBound {
+		t.Errorf("the last item was done %s after the last exit, want at most %s", took, calmBound)
+	}
+	if before == items {
+		t.Error("no item was left at the end of the burst")
+	}
+}
