The job of a tenant whose key is new is neither denied nor taken for nobody's

What callers would see: 404 for their own job, or a job without an owner, at an edge that was cut off when their key was added, where the host has a public batch route.

On a public route a key that no tenant holds is ignored; the edge did not ask whether it could have heard of the key.

Change: calls on jobs with an unknown key are told 503 with Retry-After once no coordinator has been heard for maxStaleness. Streams on public routes are served as before.

Evidence: TestRemovedKeyIsRejected, extended; by reading, the age was asked for on other routes only.

--- a/internal/edge/identity.go
+++ b/internal/edge/identity.go
@@ -33,6 +33,16 @@
 	return nil, failure.New(failure.Unauthenticated, "ask your operator for a key", "no tenant holds the key in version %d", table.Configuration.Version)
 }
 
+// checkNewKey returns an error if the request's key may have been added a moment ago. On a public route a
+// key that no tenant holds is ignored, but the owner of a job is part of its name.
+func (e *Edge) checkNewKey(now time.Time, table *routetable.Table, request *http.Request) error {
+	keys := request.Header.Values(e.headerNames.Key)
+	if !table.RequiresKeys() || len(keys) != 1 || table.TenantByKey(keys[0]) != nil || e.inTouch(now) {
+		return nil
+	}
+	return failure.New(failure.NotRun, "ask another edge", "the key is not known here, and no coordinator is heard").WithRetryAfter(shortRetryAfter)
+}
+
 // jobOwner returns the tenant whose jobs the request may access. Where the host accepts jobs
 // without a key, a request without a key accesses those without an owner.
 func (e *Edge) jobOwner(now time.Time, request *http.Request) (tenancy.Name, error) {
--- a/internal/edge/identity_test.go
+++ b/internal/edge/identity_test.go
@@ -303,6 +303,12 @@
 	if _, err := f.edge.identify(late, f.edge.Table(), false, request); !failure.Is(err, failure.NotRun) {
 		t.Errorf("a key that may have been added meanwhile: %v", err)
 	}
+	// The job of a new tenant must neither be denied nor taken for one without an owner.
+	for at, want := range map[time.Time]bool{late: true, f.edge.watcher.Current().LeaderSeenAt: false} {
+		if err := f.edge.checkNewKey(at, f.edge.Table(), request); (err != nil) != want {
+			t.Errorf("a job with a key that may have been added meanwhile: %v", err)
+		}
+	}
 }
 
 // TestJobsHaveAnOwner checks that callers access only their own jobs, also where two tenants use
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -35,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if err := e.checkNewKey(clock.Now(), table, request); err != nil {
+		return err
+	}
 	job.Route, job.Limit, job.Owner = route.Name, route.MaxQueuedTokens, string(tenant.Owner())
 	job.Accepted = table.Configuration.Version
 	if err := validateJob(job); err != nil {
@@ -144,8 +147,14 @@
 		return zero, failure.New(failure.NotFound, "check the id", "no job has such an id")
 	}
 	answer, err := call(request.Context(), tenancy.ScopedName(owner, id))
-	if owner != "" && failure.Is(err, failure.NotFound) {
+	switch {
+	case !failure.Is(err, failure.NotFound):
+	case owner != "":
 		return call(request.Context(), id)
+	default:
+		if newKey := e.checkNewKey(clock.Now(), e.Table(), request); newKey != nil {
+			return zero, newKey
+		}
 	}
 	return answer, err
 }
