fleetsim, the soak and make prove draw configurations and exits in both orders

fleetsim: in two of nine seeds jobs are submitted on routes that come and go, by edges that know more than the stores (these are cut off while changes go on, then all coordinators lose power) or less, some by edges that tell no version, with stores of an earlier build beside. An item may be abandoned only if its route was missing from a version at least as new as its job's, and must be within 5 s of the end. In one of five seeds half of the workers of items exit again and again, one runner is killed in between: all items are done in calm, and refused ones do not start together. Mutations trust_old_configuration, trust_version, no_verdict, hold_items and no_pace are each found within 160 seeds (TestMutationsAreDetected), and are rows of make prove. The seeds are chosen apart from those that guard against earlier faults.

TestSoakOwed and make soak-owed: routes that come and go every half second, jobs on the newest over open connections; stores, or edges, stand still during changes and then all coordinators are lost, beside kills, freezes, planned stops, lost disks and bursts of worker exits.

--- a/Makefile
+++ b/Makefile
@@ -62,10 +62,11 @@
 # soak tests separate processes under random faults from a seed. SECONDS (default 60) is the
 # duration, SEED (default 1) the seed, SCALE (default 1) the factor for the size of the fleet.
 # soak-versions does so with workers of several versions, soak-parts with parts of prompts under which
-# workers exit, soak-drain with workers that leave while coordinators are lost and the list is slow.
+# workers exit, soak-drain with workers that leave while coordinators are lost and the list is slow,
+# soak-owed with routes that come and go unheard and with bursts of worker exits.
 SECONDS_OF_SOAK = $(or $(SECONDS),60)
 SOAK = SEDGEMAST_SOAK_SECONDS=$(SECONDS_OF_SOAK) SEDGEMAST_SOAK_SEED=$(or $(SEED),1) SEDGEMAST_SOAK_SCALE=$(or $(SCALE),1) $(GO) test -count=1 -timeout 60m -v ./test
-.PHONY: soak soak-versions soak-parts soak-drain
+.PHONY: soak soak-versions soak-parts soak-drain soak-owed
 soak:
 	$(SOAK) -run 'TestSoak$$'
 soak-versions:
@@ -74,3 +75,5 @@
 	$(SOAK) -run 'TestSoakParts$$'
 soak-drain:
 	$(SOAK) -run 'TestSoakDrain$$'
+soak-owed:
+	$(SOAK) -run 'TestSoakOwed$$'
--- a/internal/fleetsim/builds.go
+++ b/internal/fleetsim/builds.go
@@ -40,15 +40,18 @@
 	return current
 }
 
-// earlierBatchMachine is a state machine of a store group as in a build that doesn't know saved
-// progress.
+// earlierBatchMachine is a state machine of a store group as in a build that knows neither saved
+// progress nor the version under which a job was accepted.
 type earlierBatchMachine struct{ replication.StateMachine }
 
 // Apply implements replication.StateMachine.
 func (e earlierBatchMachine) Apply(command []byte) ([]byte, []storage.Mutation) {
 	var batch wire.BatchCommand
-	if _, err := batch.UnmarshalMsg(command); err == nil && batch.Save != nil {
+	if _, err := batch.UnmarshalMsg(command); err == nil && (batch.Save != nil || batch.Submit != nil) {
 		batch.Save = nil
+		if batch.Submit != nil {
+			batch.Submit.Accepted = 0
+		}
 		command = encode(&batch)
 	}
 	return e.StateMachine.Apply(command)
--- a/internal/fleetsim/edges.go
+++ b/internal/fleetsim/edges.go
@@ -71,6 +71,9 @@
 	subject     *quarantine.Subject
 	attempts    int
 	trial       bool
+	// owed and runner are set if the run is one of an item.
+	owed   *owedItem
+	runner *runner
 	// startedAt is when the edge sent the last attempt, by the edge's clock.
 	startedAt time.Time
 }
@@ -130,7 +133,7 @@
 	e.incarnation++
 	e.alive, e.frozen, e.backlog = true, false, nil
 	e.cache, e.pendingReport, e.undisturbedSince = quarantine.NewCache(), 0, e.world.now
-	e.lists = listKnowledge{}
+	e.lists, e.configuration = listKnowledge{}, configurationKnowledge{}
 	e.streams = streamKnowledge{origins: origin.NewRegistry()}
 	incarnation := e.incarnation
 	running := func(action func()) func() bool {
@@ -303,6 +306,10 @@
 func (r *simRun) handleWorkerExit(worker string) {
 	e := r.edge
 	e.runWhenAwake(r.incarnation, func() {
+		if r.owed != nil {
+			r.runner.handleExit(r.owed, worker)
+			return
+		}
 		e.cache.RecordExit(e.clock(), r.subject, worker, r.startedAt)
 		if !r.trial && r.attempts < maxAttempts && len(e.refused(r)) == 0 {
 			e.sendToWorker(r)
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -56,6 +56,13 @@
 	if counts := world.listCounts; counts.sent < 100 || counts.asked < 10 || counts.rejected < 10 {
 		t.Errorf("too few sends to workers that may leave: %+v", counts)
 	}
+	other, _ := Run(3, MutationNone)
+	if counts := other.owedCounts; counts.done < owedItems || counts.exits < 10 {
+		t.Errorf("too few runs of items: %+v", counts)
+	}
+	if counts := other.verdicts.counts; counts.jobs < 20 || counts.abandoned < 10 || counts.waited < 10 {
+		t.Errorf("too few jobs on routes that come and go: %+v", counts)
+	}
 	if world.ledger.acknowledged < 10 || accepted < 10 || resultCount < 20 || len(world.Log) < 10 {
 		t.Errorf("too little happened: version %d acknowledged, %d jobs accepted, %d results, %d log lines", world.ledger.acknowledged, accepted, resultCount, len(world.Log))
 	}
--- a/internal/fleetsim/ledger.go
+++ b/internal/fleetsim/ledger.go
@@ -280,7 +280,7 @@
 func (l *ledger) checkQuota(m *machine, group int) {
 	waiting := map[tenancy.Name]int64{}
 	m.batch[group].EachJob(func(job *batchstate.Job) {
-		if job.Ended {
+		if job.Ended || l.jobs[job.ID] == nil {
 			return
 		}
 		for i := range job.Items {
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -76,6 +76,8 @@
 	// knownTerm, knownView and fleetView are the last view of the fleet that a store received.
 	knownTerm, knownView uint64
 	fleetView            wire.FleetView
+	// configuration is what a store or an edge knows of the configuration.
+	configuration configurationKnowledge
 	// lists is what a coordinator or an edge knows of the list of workers.
 	lists listKnowledge
 }
@@ -122,7 +124,7 @@
 
 // start starts the process on the machine's disk.
 func (m *machine) start(bootstrap bool) {
-	m.lists = listKnowledge{}
+	m.lists, m.configuration = listKnowledge{}, configurationKnowledge{}
 	w := m.world
 	m.incarnation++
 	m.alive, m.frozen, m.backlog = true, false, nil
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -65,6 +65,18 @@
 	// MutationAssumeVersion takes the only version in an edge's list of workers for that of every
 	// stream, however old the list is and for how short a time it has been the only one.
 	MutationAssumeVersion Mutation = "assume_version"
+	// MutationTrustOldConfiguration abandons items by the configuration that a store knows, whatever its
+	// age.
+	MutationTrustOldConfiguration Mutation = "trust_old_configuration"
+	// MutationTrustVersion abandons items by a configuration of at least the job's version, whether or
+	// not a leader has confirmed it since.
+	MutationTrustVersion Mutation = "trust_version"
+	// MutationNoVerdict never abandons items of a route that has ended.
+	MutationNoVerdict Mutation = "no_verdict"
+	// MutationHoldItems holds items back like requests of callers.
+	MutationHoldItems Mutation = "hold_items"
+	// MutationNoPace runs all refused items at the first calm moment.
+	MutationNoPace Mutation = "no_pace"
 	// MutationTrustOldList sends requests by the list of workers whatever its age.
 	MutationTrustOldList Mutation = "trust_old_list"
 	// MutationListAgeFromAnswer takes the time of an answer for that of the reading of its list.
@@ -72,7 +84,7 @@
 )
 
 // Mutations lists all mutations except MutationNone.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion, MutationTrustOldList, MutationListAgeFromAnswer}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion, MutationTrustOldList, MutationListAgeFromAnswer, MutationTrustOldConfiguration, MutationTrustVersion, MutationNoVerdict, MutationHoldItems, MutationNoPace}
 
 // mutatedStore returns the machine's disk, or one that never syncs with MutationForgetSync.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetsim/mutation_check.go
+++ b/internal/fleetsim/mutation_check.go
@@ -16,6 +16,11 @@
 
 var mutationChecks = []mutationCheck{
 	{"no request rests on an old list of workers", MutationTrustOldList, "after it was listed as leaving"},
+	{"no item is abandoned by an older configuration than its job's", MutationTrustOldConfiguration, "under which it was accepted"},
+	{"nor, if its version is unknown, by one that no leader has confirmed since", MutationTrustVersion, "under which it was accepted"},
+	{"the items of an ended route are abandoned in time", MutationNoVerdict, "after the end of"},
+	{"no item is held back in calm for the exits of a burst", MutationHoldItems, "still waits"},
+	{"refused items do not all start at the first calm moment", MutationNoPace, "refused items at once"},
 	{"the age of a list counts from its reading", MutationListAgeFromAnswer, "after it was listed as leaving"},
 }
 
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -65,6 +65,14 @@
 	leaveRandom    *rand.Rand
 	losesLeaders   bool
 	listCounts     listCounts
+	// owedPool are the workers of items, in one of five seeds, see startOwed. owedRandom supplies their
+	// random numbers.
+	owedPool   []*simWorker
+	owedRandom *rand.Rand
+	owedCounts owedCounts
+	runners    []*runner
+	// verdicts is set in two of nine seeds, see startVerdicts.
+	verdicts *verdicts
 	// Log holds the injected faults with their times, to be printed with the violations of a
 	// seed.
 	Log []string
@@ -164,6 +172,8 @@
 	w.startUpgrades()
 	w.startRestarts()
 	w.startLeaving()
+	w.startVerdicts(seed)
+	w.startOwed(seed)
 	w.after(healAt, w.heal)
 	end := startTime.Add(endAt)
 	for w.events.Len() > 0 {
--- a/test/soak_clients_test.go
+++ b/test/soak_clients_test.go
@@ -117,7 +117,7 @@
 		case <-time.After(500 * time.Millisecond):
 		}
 		version++
-		if s.putConfiguration(fmt.Sprintf("core-%d", 1+version%3), s.configuration(version, soakRoutes(version))) == http.StatusOK {
+		if s.putConfiguration(fmt.Sprintf("core-%d", 1+version%3), s.configuration(version, s.routesOf(version))) == http.StatusOK {
 			s.mutex.Lock()
 			s.ackedVersion = version
 			s.mutex.Unlock()
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -72,10 +72,13 @@
 	// disturbedAt is when a fault last ended, by machine, or began if it has not ended.
 	disturbedAt map[string]time.Time
 	// versions is the state of a run with several worker versions, parts that of a run with crashing
-	// parts of prompts, drain that of a run with leaving workers; all are nil in other runs. scale is the factor by which the run has more edges, stores, workers and clients than by default.
+	// parts of prompts, drain that of a run with leaving workers, owed that of a run with owed items; all
+	// are nil in other runs. scale is the factor by which the run has more edges, stores, workers and
+	// clients than by default.
 	versions *soakVersions
 	parts    *soakParts
 	drain    *soakDrain
+	owed     *soakOwed
 	scale    int
 }
 
@@ -172,6 +175,8 @@
 		s.startStreamClients(&clients, seed, stop)
 	case s.parts != nil:
 		s.startPartClients(&clients, seed, stop)
+	case s.owed != nil:
+		s.startOwedClients(&clients, seed, stop)
 	default:
 		for number := range 8 * s.scale {
 			clients.Go(func() { s.runClient(number, rand.New(rand.NewSource(seed+int64(number))), stop) })
@@ -184,6 +189,12 @@
 	if s.drain != nil {
 		fleetFaults = append(fleetFaults, s.loseCoordinators)
 	}
+	if s.owed != nil {
+		fleetFaults = append([]func(){
+			func() { s.blind("store-", "blind stores") },
+			func() { s.blind("front-", "blind edges") },
+		}, fleetFaults...)
+	}
 	for parts := len(fleetFaults) + 1; time.Since(startedAt) < duration; {
 		if len(fleetFaults) > 0 && time.Since(startedAt) > duration*time.Duration(parts-len(fleetFaults))/time.Duration(parts) {
 			// Such a fault affects all classes of machines, so it waits until no other fault is
@@ -208,7 +219,7 @@
 
 // maxFaultInterval returns the longest time between two faults, less 200 ms.
 func (s *soak) maxFaultInterval() time.Duration {
-	if s.versions != nil || s.drain != nil {
+	if s.versions != nil || s.drain != nil || s.owed != nil {
 		return 800 * time.Millisecond
 	}
 	return 1500 * time.Millisecond
@@ -250,6 +261,9 @@
 	if s.drain != nil {
 		classes = append(classes, "workers", "workers", "core")
 	}
+	if s.owed != nil {
+		classes = append(classes, "workers", "store", "core")
+	}
 	if s.versions != nil {
 		classes = append(classes, "front", "front", "workers")
 	}
@@ -261,6 +275,8 @@
 		return s.drawPartFault()
 	case class == "workers" && s.drain != nil:
 		return s.drawLeave()
+	case class == "workers" && s.owed != nil:
+		return s.drawBurst()
 	case class == "workers":
 		return s.rejectAtWorkers
 	}
