--- a/internal/batchstore/plan.go
+++ b/internal/batchstore/plan.go
@@ -34,7 +34,9 @@
 			task.cancel()
 		}
 	}
-	table := r.store.watcher.Current().Table
+	snapshot := r.store.watcher.Current()
+	table := snapshot.Table
+	r.known = knowledgeOf(snapshot)
 	items := r.waitingItems(now, table)
 	r.waiting.Store(int64(len(items)))
 	r.preempt(now, table)
--- a/internal/batchstore/quarantine.go
+++ b/internal/batchstore/quarantine.go
@@ -37,6 +37,7 @@
 // it runs again. If a part of its prompt is refused, other requests may have it, too, and the
 // coordinators grant trials.
 func (r *runner) quarantined(ctx context.Context, now time.Time, key itemKey, job *batchstate.Job, content *wire.ItemContent) bool {
+	delete(r.paced, key)
 	cache := r.store.watcher.Quarantine()
 	if !cache.InUse() {
 		clear(r.subjects)
@@ -49,7 +50,6 @@
 		subject = r.subjectOf(job, content)
 		r.subjects[key] = subject
 	}
-	delete(r.paced, key)
 	refused := cache.Refused(now, subject)
 	if len(refused) == 0 {
 		delete(r.heldItems, key)
--- a/internal/batchstore/quarantine_test.go
+++ b/internal/batchstore/quarantine_test.go
@@ -147,3 +147,45 @@
 		}
 	}
 }
+
+// TestHeldItemRunsInCalm guards against an item that waits for minutes, or for a coordinator, because
+// workers exited under it, and against a start without a record of why it was held.
+func TestHeldItemRunsInCalm(t *testing.T) {
+	r, now := testRunner(t, 2), clock.Now()
+	job, err := r.group.machine.Job("j")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cache := r.store.watcher.Quarantine()
+	contents := []*wire.ItemContent{{Path: "/0"}, {Path: "/1"}}
+	for _, content := range contents {
+		for _, worker := range []string{"a", "b", "c"} {
+			cache.RecordExit(now, r.subjectOf(job, content), worker, time.Time{})
+		}
+	}
+	held := func(number int, at time.Time) bool {
+		return r.quarantined(t.Context(), at, itemKey{"j", number}, job, contents[number])
+	}
+	if !held(0, now) || !held(1, now) {
+		t.Fatal("an item started at once after three exits")
+	}
+	calm := now.Add(quarantine.CalmTime)
+	if held(0, calm) {
+		t.Fatal("the item is held although the workers are calm")
+	}
+	running := r.runItem(t, 0, calm)
+	r.startPaced(running)
+	if !held(1, calm) {
+		t.Error("two refused items start at the first calm moment")
+	}
+	running.finished, running.state = true, wire.ItemCompleted
+	r.finishTask(running)
+	if held(1, calm) {
+		t.Error("the second item is held after the first has run well")
+	}
+	cache.RecordSuccess(calm, r.subjectOf(job, contents[1]))
+	cache.RecordSuccess(calm, r.subjectOf(job, contents[0]))
+	if held(1, calm) || r.paced[itemKey{"j", 1}] {
+		t.Error("an item that is no longer refused still counts as paced")
+	}
+}
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -64,6 +64,8 @@
 	// versionWaits holds since when items have found no room at a worker of their text's version.
 	versionWaits map[itemKey]time.Time
 	seen         map[string]*observedJob
+	// known is the knowledge of the configuration by which the present poll decides.
+	known batchplan.Knowledge
 	// absences holds the items without a route. failedItems holds the items that failed here.
 	absences    map[itemKey]batchplan.RouteAbsence
 	failedItems map[itemKey]failedItem
--- a/internal/batchstore/verdict.go
+++ b/internal/batchstore/verdict.go
@@ -7,6 +7,7 @@
 	"github.com/sedgemast/sedgemast/internal/batchstate"
 	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -20,16 +21,15 @@
 // held for 0.5 s, and its answer arrives within 0.6 s.
 const maxConfirmDelay = 1200 * time.Millisecond
 
-// knowledge returns what this store knows of the configuration.
-func (r *runner) knowledge() batchplan.Knowledge {
-	snapshot := r.store.watcher.Current()
+// knowledgeOf returns what a snapshot knows of its configuration.
+func knowledgeOf(snapshot *fleetwatch.Snapshot) batchplan.Knowledge {
 	return batchplan.Knowledge{Version: snapshot.Version(), ConfirmedAt: snapshot.ConfirmedAt}
 }
 
 // routeOf returns the route of an item, or nil if this store knows none. It abandons an item whose
 // route has ended.
 func (r *runner) routeOf(table *routetable.Table, key itemKey, job *batchstate.Job, path string) *routetable.Route {
-	known := r.knowledge()
+	known := r.known
 	route := table.Match(job.Host, path)
 	if route != nil && route.Name != job.Route && known.Version < job.Accepted {
 		// The newer configuration may have the route under which the job was accepted.
@@ -73,7 +73,7 @@
 // abandonOverdue abandons an item whose job has been retained for long enough, or whose attempts are
 // spent. It reports whether the item must not run.
 func (r *runner) abandonOverdue(key itemKey, job *batchstate.Job, route *routetable.Route) bool {
-	known, firstSeen := r.knowledge(), r.seen[job.ID].firstSeen
+	known, firstSeen := r.known, r.seen[job.ID].firstSeen
 	retain := time.Duration(route.RetainMillis) * time.Millisecond
 	if retain > 0 && clock.Since(firstSeen) > retain && r.covers(known, job, firstSeen.Add(retain)) {
 		r.abandon(key, "retained_long_enough")
@@ -100,7 +100,7 @@
 }
 
 func (r *runner) abandon(key itemKey, reason string) {
-	known := r.knowledge()
+	known := r.known
 	logging.Info(r.store.logger, "item_abandoned", "job", key.job, "item", key.item, "reason", reason, "version", known.Version, "confirmed_ms", clock.Since(known.ConfirmedAt).Milliseconds())
 	r.pending[key] = true
 	delete(r.failedProbes, key)
--- a/internal/batchstore/verdict_test.go
+++ b/internal/batchstore/verdict_test.go
@@ -87,7 +87,7 @@
 func awaitVersion(t *testing.T, r *runner, version uint64, since time.Time) {
 	t.Helper()
 	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
-		if known := r.knowledge(); known.Version == version && known.ConfirmedAt.After(since) {
+		if known := knowledgeOf(r.store.watcher.Current()); known.Version == version && known.ConfirmedAt.After(since) {
 			return
 		}
 		if time.Now().After(deadline) {
@@ -105,7 +105,9 @@
 func judge(r *runner) (runs, abandoned bool) {
 	key := itemKey{"k", 0}
 	job, _ := r.group.machine.Job("k")
-	table := r.store.watcher.Current().Table
+	snapshot := r.store.watcher.Current()
+	table := snapshot.Table
+	r.known = knowledgeOf(snapshot)
 	route := r.routeOf(table, key, job, "/")
 	runs = route != nil && !r.abandonOverdue(key, job, route)
 	return runs, r.pending[key]
