--- a/test/restart_test.go
+++ b/test/restart_test.go
@@ -261,6 +261,7 @@
 	if err := process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
+	eventually(t, "the edge stopped", func() bool { return isStopped(process.Pid) })
 	var callers sync.WaitGroup
 	for number := range frozenRequests {
 		id, deadlineMillis, want := fmt.Sprintf("short-%d", number), "900", http.StatusServiceUnavailable
