--- a/internal/quarantine/calm.go
+++ b/internal/quarantine/calm.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// maxRecentExits bounds the exits that are remembered: more than the workers of a pool exit in a burst
-// only confirm the burst.
+// maxRecentExits bounds the memory that a burst of exits takes.
 const maxRecentExits = 256
 
 // recentExits are the exits of workers that a process has seen lately, oldest first.
