One failure alone in calm ends the trials for owed items

What callers would see: items with a harmful part of a prompt end up to four workers more than the online requests that brought the part, nine in all, where eight are allowed.

A refused part got its two usual trials and two in calm; the limit by the exits on record did not bind, since exits that one request explains are not counted against its part.

Change: a trial in calm that fails although no other worker exits at that time is the last of its kind: then only the usual delays are left. At most one trial more than before.

The bound: eight, less the five that end before all edges refuse the part; on a busy machine seven and more end before.

--- a/internal/quarantine/timers.go
+++ b/internal/quarantine/timers.go
@@ -31,9 +31,6 @@
 	// because the request is readmitted if the trial succeeds.
 	trialTimeout      = 2 * time.Second
 	trialPollInterval = 300 * time.Millisecond
-	// maxCalmFailures is how many trials for owed items may fail in calm before further ones wait for
-	// the usual delays.
-	maxCalmFailures = 2
 	// suspectTTL is how long the exits of a request that is not refused are remembered. refusedTTL
 	// is how long a refused request is remembered after its last change.
 	suspectTTL = time.Minute
@@ -70,10 +67,10 @@
 	// lastExit is the row's last exit that was seen.
 	lastExit wire.WorkerEnd
 	// calmTrialAt is when the last trial was granted in calm, zero once its outcome is counted.
-	// exitBefore is the row's last exit before it. calmFailures counts those that failed.
-	calmTrialAt  time.Time
-	exitBefore   wire.WorkerEnd
-	calmFailures int
+	// exitBefore is the row's last exit before it. calmFailed is set if one has failed.
+	calmTrialAt time.Time
+	exitBefore  wire.WorkerEnd
+	calmFailed  bool
 }
 
 // NewTimers returns the timers of a new leader.
@@ -200,31 +197,24 @@
 }
 
 // calmWait returns after which time an owed item may ask again for a trial of a refused row, because
-// the workers are calm by then. It is not possible once trials in calm have shown that the row is
+// the workers are calm by then. It is not possible once a trial in calm has shown that the row is
 // harmful. The exits of a burst show nothing, however many trials they broke off.
 func (tm *Timers) calmWait(now time.Time, fingerprint Fingerprint, row *wire.QuarantineEntry) (wait time.Duration, possible bool) {
 	timer := tm.rowTimer(now, fingerprint, row)
 	if !timer.calmTrialAt.IsZero() && now.Sub(timer.calmTrialAt) >= trialTimeout {
 		if last := lastExit(row); last != timer.exitBefore && !tm.exits.othersSince(timer.calmTrialAt, last.Worker) {
-			timer.calmFailures++
+			timer.calmFailed = true
 		}
 		timer.calmTrialAt = time.Time{}
 	}
-	if timer.calmFailures >= maxCalmFailures || timer.calmFailures > 0 && len(row.Ends) >= maxExits {
+	if timer.calmFailed {
 		return 0, false
 	}
-	due := tm.exits.lastAt().Add(CalmTime)
+	wait = max(tm.exits.lastAt().Add(CalmTime).Sub(now), 0)
 	if !timer.grantedAt.IsZero() {
-		due = maxTime(due, timer.grantedAt.Add(trialTimeout<<timer.calmFailures))
+		wait = max(wait, timer.grantedAt.Add(trialTimeout).Sub(now))
 	}
-	return max(due.Sub(now), 0), true
-}
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	return wait, true
 }
 
 // otherTrialRuns reports whether another request is on trial. Requests that were refused together
--- a/test/owed_items_test.go
+++ b/test/owed_items_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/sedgemast/sedgemast/internal/emulator"
 )
 
 const (
@@ -17,6 +19,11 @@
 	burstRestart  = 400 * time.Millisecond
 	// calmBound is the longest time from the last exit to the results of all items.
 	calmBound = 15 * time.Second
+	// maxPartExits is how many workers may end under a part of prompts that online requests bring, once all
+	// edges refuse it: eight in all, of which five end before. partTestTime is how long the part is brought
+	// after that.
+	maxPartExits = 8 - firstExits
+	partTestTime = 20 * time.Second
 )
 
 // crashHalves makes a random half of the workers exit, again and again.
@@ -67,3 +74,54 @@
 		t.Error("no item was left at the end of the burst")
 	}
 }
+
+// TestOnlinePartEndsFewWorkersBesideItems guards against owed items that end worker after worker under a
+// part of their prompts that online requests have brought, and that hold up the other items of their job.
+func TestOnlinePartEndsFewWorkersBesideItems(t *testing.T) {
+	const items, tokens = 24, 20
+	f := newHostedFleet(t, 12)
+	edges := f.configure(t)
+	faults := &partFaults{fault: emulator.HostedFault{ExitAfter: 15 * time.Millisecond, RestartAfter: partRestart}}
+	f.injectFaults(faults.faultFor)
+	traffic := startPartTraffic(f, "all", edges, true)
+	eventually(t, "five exits", func() bool { return f.exits() >= firstExits })
+	for number, edge := range edges {
+		eventually(t, "the part refused", func() bool {
+			status, _ := f.sendPart(edge, "/stream/a", fmt.Sprintf("probe-%d", number), crashingPart)
+			return status == http.StatusServiceUnavailable
+		})
+	}
+	before := f.exits()
+	document := jobDocument("j1", items, tokens)
+	for number := range items {
+		part := "b0"
+		if number%2 == 0 {
+			part = crashingPart
+		}
+		headers := fmt.Sprintf(`"headers":{"Prompt-Prefix":"%s:100,%s:50,%d:10",`, commonPart, part, number)
+		document = strings.Replace(document, `"headers":{"Token-Count"`, headers+`"Token-Count"`, 1)
+	}
+	eventually(t, "the job accepted", func() bool {
+		status, _, _, err := f.call(http.MethodPost, edges[0], "/batch/j1", map[string]string{"Request-Id": "j1"}, document)
+		return err == nil && status == http.StatusAccepted
+	})
+	submitted := time.Now()
+	eventually(t, "the results of the other items", func() bool {
+		page, _ := f.readResults(edges[1], "j1", 0)
+		return page != nil && len(page.Results) == items/2
+	})
+	took := time.Since(submitted)
+	time.Sleep(time.Until(submitted.Add(partTestTime)))
+	traffic.end()
+	exits := f.exits() - before
+	t.Logf("%d exits, then %d beside the items; the other items done after %s", before, exits, took.Round(time.Millisecond))
+	if exits > maxPartExits {
+		t.Errorf("%d workers ended once the part was refused, want at most %d", exits, maxPartExits)
+	}
+	page, _ := f.readResults(edges[0], "j1", 0)
+	for _, row := range page.Results {
+		if row.State != "completed" {
+			t.Errorf("item %s is %s", row.ID, row.State)
+		}
+	}
+}
