--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -263,9 +263,6 @@
 	return source, nil
 }
 
-// leaderSettleTime is how long a new leader usually needs to hear of all stores.
-const leaderSettleTime = time.Second
-
 // Retire starts to drain a store. It fails with NotFound for an unknown store, and with Conflict
 // if too few stores would remain.
 func (c *Coordinator) Retire(ctx context.Context, name string) error {
@@ -278,14 +275,12 @@
 
 func (c *Coordinator) retireLocal(ctx context.Context, request *wire.RetireStore) (*wire.FleetResult, error) {
 	var rejection error
-	complete := false
 	command := &wire.RetireStore{Name: request.Name}
 	err := c.readLeader(func(now time.Time, v *fleetview.View) {
 		command.Counted = len(c.machine.Retiring())
 		if retiring, _ := c.machine.Retirement(request.Name); retiring {
 			return
 		}
-		complete = v.Complete(now)
 		remaining := v.RemainingStoreCount(now, request.Name, c.machine.Retiring())
 		switch {
 		case !v.HasStore(request.Name):
@@ -294,9 +289,6 @@
 			rejection = failure.New(failure.Conflict, "add a store first", "only %d stores would be left", remaining)
 		}
 	})
-	if err == nil && rejection != nil && !complete {
-		err = failure.Wrap(rejection, failure.NotRun, "try again", "this leader does not know all stores yet").WithRetryAfter(leaderSettleTime)
-	}
 	if err == nil {
 		err = rejection
 	}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -47,8 +47,6 @@
 	workers         *workerset.Log
 	processesNumber uint64
 	processes       map[string]*process
-	// firstReportAt is when the first process called, zero before.
-	firstReportAt time.Time
 	// lastNewStoreAt is when the latest new store made its first call.
 	lastNewStoreAt time.Time
 	// drained holds, by name of a retiring store and by group, when the group's leader last
@@ -71,9 +69,6 @@
 
 // ApplyReport stores a process's report on itself.
 func (v *View) ApplyReport(now time.Time, report *wire.ProcessReport) {
-	if v.firstReportAt.IsZero() {
-		v.firstReportAt = now
-	}
 	known := v.processes[report.Name]
 	if known == nil && report.Kind == wire.ProcessStore {
 		v.lastNewStoreAt = now
@@ -287,12 +282,6 @@
 	return count
 }
 
-// Complete reports whether every live process has had the time to call this leader, so that one that
-// has not called is not there.
-func (v *View) Complete(now time.Time) bool {
-	return !v.firstReportAt.IsZero() && now.Sub(v.firstReportAt) >= ProcessTTL
-}
-
 // HasStore reports whether a store of that name has called.
 func (v *View) HasStore(name string) bool {
 	known := v.processes[name]
