TestDelayedAnswerIsNotNew compares with the newest answer

It is compared with the bound of the last poll that was received, as strict as before: an answer that counts from its arrival, 200 ms late, exceeds that bound too.

--- a/internal/fleetwatch/age_test.go
+++ b/internal/fleetwatch/age_test.go
@@ -35,7 +35,12 @@
 	defer cancel()
 	go w.Run(ctx)
 	waitFor(t, func() bool { return !w.Current().LeaderSeenAt.IsZero() })
-	if seenAt, most := w.Current().LeaderSeenAt, <-latest; seenAt.After(most) {
+	seenAt, most := w.Current().LeaderSeenAt, <-latest
+	// On a busy machine a second answer may have been applied.
+	for len(latest) > 0 {
+		most = <-latest
+	}
+	if seenAt.After(most) {
 		t.Errorf("an answer counts as %s newer than it can be", seenAt.Sub(most))
 	}
 }
