One constant for the usual time between two answers of a coordinator

Edges and stores each had the same 1.2 s with the same reason; it follows from the poll of package fleetwatch and stands there. Behaviour is the same.

--- a/internal/batchstore/verdict.go
+++ b/internal/batchstore/verdict.go
@@ -17,10 +17,6 @@
 // which an edge accepted the item's job, so it decides only once it covers the job
 // (batchplan.Knowledge). Until then the item waits.
 
-// maxConfirmDelay is the longest usual time between two confirmations of the configuration: a poll is
-// held for 0.5 s, and its answer arrives within 0.6 s.
-const maxConfirmDelay = 1200 * time.Millisecond
-
 // knowledgeOf returns what a snapshot knows of its configuration.
 func knowledgeOf(snapshot *fleetwatch.Snapshot) batchplan.Knowledge {
 	return batchplan.Knowledge{Version: snapshot.Version(), ConfirmedAt: snapshot.ConfirmedAt}
@@ -57,7 +53,7 @@
 	}
 	observed := r.seen[job.ID]
 	age := clock.Since(known.ConfirmedAt)
-	if (known.Version < job.Accepted || age > maxConfirmDelay) && !observed.awaitsConfiguration {
+	if (known.Version < job.Accepted || age > fleetwatch.MaxUsualGap) && !observed.awaitsConfiguration {
 		observed.awaitsConfiguration = true
 		r.store.metrics.awaitConfiguration.Inc()
 		logging.Info(r.store.logger, "job_awaits_configuration", "job", job.ID, "route", job.Route, "accepted", job.Accepted, "version", known.Version, "confirmed_ms", age.Milliseconds())
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 	"github.com/sedgemast/sedgemast/internal/httpapi"
 	"github.com/sedgemast/sedgemast/internal/httpheader"
 	"github.com/sedgemast/sedgemast/internal/logging"
@@ -19,9 +20,6 @@
 	// configurationTime is how long a new process takes to learn the configuration if the
 	// coordinators start at the same time.
 	configurationTime = 1200 * time.Millisecond
-	// maxStaleness is the longest usual time since the last answer of a coordinator: it holds a poll
-	// for 0.5 s, and the answer arrives within 0.6 s.
-	maxStaleness = 1200 * time.Millisecond
 	// writeMargin is how long after the deadline a caller may still read the answer.
 	writeMargin = time.Second
 )
@@ -128,10 +126,10 @@
 	return failure.New(failure.NotFound, "check host and path", "no route leads to %s%s in version %d", request.Host, request.URL.Path, table.Configuration.Version)
 }
 
-// inTouch reports whether this process knows all routes and keys that have been in force for
-// maxStaleness.
+// inTouch reports whether a coordinator has answered lately, so that this process knows the routes and
+// keys that were in force then.
 func (e *Edge) inTouch(now time.Time) bool {
-	return now.Sub(e.watcher.Current().LeaderSeenAt) <= maxStaleness
+	return now.Sub(e.watcher.Current().LeaderSeenAt) <= fleetwatch.MaxUsualGap
 }
 
 // checkFreeze returns an error once the process has reached no coordinator for longer than the
--- a/internal/edge/touch_test.go
+++ b/internal/edge/touch_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/fleetwatch"
 )
 
 // TestUnheardRouteIsNotDenied guards against edges that answer 404, after which callers don't try
@@ -19,7 +20,7 @@
 		after time.Duration
 		want  failure.Kind
 	}{
-		{0, failure.NotFound}, {maxStaleness, failure.NotFound}, {maxStaleness + 1, failure.NotRun},
+		{0, failure.NotFound}, {fleetwatch.MaxUsualGap, failure.NotFound}, {fleetwatch.MaxUsualGap + 1, failure.NotRun},
 	} {
 		err := e.noRouteError(seenAt.Add(test.after), e.Table(), request)
 		if !failure.Is(err, test.want) {
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -155,6 +155,11 @@
 // gone unseen: a worker that leaves stays in the list for longer.
 const maxGap = 2 * time.Second
 
+// MaxUsualGap is the longest time between two answers of a coordinator while all is well: it holds a poll
+// for maxPollWait, and the answer arrives within replyTimeout. A process that has heard nothing for longer
+// may lack what has changed since.
+const MaxUsualGap = 1200 * time.Millisecond
+
 // pollWait returns how long a coordinator may hold the poll of a process that got its last
 // answer the given time ago. A process that was cut off or suspended needs an answer at once, to
 // know that its copy is current.
