--- a/internal/batchstore/quarantine.go
+++ b/internal/batchstore/quarantine.go
@@ -59,16 +59,13 @@
 		// The grant lasts until the item has a worker.
 		return false
 	}
-	if len(refused) == 1 && refused[0] == subject.Request {
-		if r.mayRunRefused(now, cache.LastExitAt(), key) {
-			r.paced[key] = true
-			return false
-		}
-		r.backoffUntil[key] = now.Add(quarantineBackoff)
-		return true
+	ownRunsOnly := len(refused) == 1 && refused[0] == subject.Request
+	if ownRunsOnly && r.mayRunRefused(now, cache.LastExitAt(), key) {
+		r.paced[key] = true
+		return false
 	}
 	r.backoffUntil[key] = now.Add(quarantineBackoff)
-	if cache.TrialDelay(now, refused) == 0 {
+	if !ownRunsOnly && cache.TrialDelay(now, refused) == 0 {
 		go r.requestTrial(ctx, key, refused)
 	}
 	return true
