--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -15,6 +15,7 @@
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/wire"
+	"github.com/sedgemast/sedgemast/internal/workerset"
 )
 
 // RPC methods of the coordinator.
@@ -99,7 +100,7 @@
 				drained = v.DrainedStores(now, request, c.pendingRetirements(), len(c.machine.InitialVoters()))
 			}
 			c.fillUpdate(v, request, response)
-			fillListAge(v, arrivedAt, response)
+			fillListAge(v.Workers(), v.ListReadAt, arrivedAt, response)
 			if response.Document != nil || response.Fleet != nil || c.needsUrgentUpdate(request.Quarantine) {
 				c.fillQuarantine(request, response)
 			}
@@ -122,7 +123,7 @@
 			// Only the leader may say that nothing has changed.
 			err := c.readLeader(func(_ time.Time, v *fleetview.View) {
 				c.fillQuarantine(request, response)
-				fillListAge(v, arrivedAt, response)
+				fillListAge(v.Workers(), v.ListReadAt, arrivedAt, response)
 			})
 			if err != nil {
 				return nil, err
@@ -134,14 +135,14 @@
 	}
 }
 
-// fillListAge adds the digest and the age of the leader's list of workers to the response to a poll
-// that arrived at arrivedAt.
-func fillListAge(v *fleetview.View, arrivedAt time.Time, response *wire.WatchResponse) {
-	if v.ListReadAt.IsZero() {
+// fillListAge adds the digest and the age of a list of workers, whose reading began at readAt, to the
+// response to a poll that arrived at arrivedAt. It adds nothing if readAt is not known.
+func fillListAge(workers *workerset.Set, readAt, arrivedAt time.Time, response *wire.WatchResponse) {
+	if readAt.IsZero() {
 		return
 	}
-	response.ListDigest = v.Workers().Digest()
-	response.ListAgeMillis = roundUp(arrivedAt.Sub(v.ListReadAt)).Milliseconds()
+	response.ListDigest = workers.Digest()
+	response.ListAgeMillis = roundUp(arrivedAt.Sub(readAt)).Milliseconds()
 }
 
 // leaderWaitTimeout bounds the time that a watch waits for a leader to be known, and
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -111,10 +111,7 @@
 	if snapshot.Version() > request.Version {
 		response.Document = snapshot.Document
 	}
-	if !snapshot.ListReadAt.IsZero() {
-		response.ListDigest = snapshot.Workers.Digest()
-		response.ListAgeMillis = roundUp(arrivedAt.Sub(snapshot.ListReadAt)).Milliseconds()
-	}
+	fillListAge(snapshot.Workers, snapshot.ListReadAt, arrivedAt, response)
 	response.Fleet = r.mirror.UpdateFor(request)
 	response.Quarantine = r.watcher.Quarantine().UpdateSince(request.Quarantine)
 	return response, r.changed, true
