fleetsim: one choice of a worker and one question for a trial

Edges and runners each had their own. The check of waiting items stands in a function of its own, without a condition that left out jobs accepted in the first 3 s: it is stricter by these.

--- a/internal/fleetsim/edges.go
+++ b/internal/fleetsim/edges.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -231,20 +232,28 @@
 	}
 }
 
-// sendToWorker sends a request to a random worker that is up.
-func (e *edge) sendToWorker(run *simRun) {
-	w := e.world
+// randomUp returns a random one of the workers that are up, nil if none is.
+func randomUp(workers []*simWorker, random *rand.Rand) *simWorker {
 	var up []*simWorker
-	for _, worker := range w.workers {
+	for _, worker := range workers {
 		if worker.up {
 			up = append(up, worker)
 		}
 	}
 	if len(up) == 0 {
-		return
+		return nil
 	}
+	return up[random.IntN(len(up))]
+}
+
+// sendToWorker sends a request to a random worker that is up.
+func (e *edge) sendToWorker(run *simRun) {
+	w := e.world
 	random := w.randomOf(run.kind)
-	worker := up[random.IntN(len(up))]
+	worker := randomUp(w.workers, random)
+	if worker == nil {
+		return
+	}
 	run.attempts++
 	run.startedAt = e.clock()
 	worker.running[run] = true
@@ -376,22 +385,32 @@
 // requestTrial asks the coordinators for a trial run of a refused request. The request is sent to a
 // worker only if the coordinators grant the trial.
 func (e *edge) requestTrial(run *simRun, refused []quarantine.Fingerprint) {
-	answered := false
-	report := &wire.QuarantineReport{Known: e.cache.Revision()}
+	e.askTrial(refused, false, func(granted bool) {
+		if !granted {
+			e.reject(run)
+			return
+		}
+		run.trial = true
+		e.sendToWorker(run)
+	})
+}
+
+// askTrial asks the coordinators for a trial, and calls onAnswer with the first answer that this process
+// gets. owed is set for an item of a batch job.
+func (e *edge) askTrial(refused []quarantine.Fingerprint, owed bool, onAnswer func(granted bool)) {
+	answered, incarnation := false, e.incarnation
+	report := &wire.QuarantineReport{Known: e.cache.Revision(), Owed: owed}
 	report.RequestTrial(quarantine.Uint64s(refused))
 	e.callQuarantine(report, func(answer *wire.QuarantineAnswer) {
-		if answered || e.incarnation != run.incarnation {
+		if answered || e.incarnation != incarnation {
 			return
 		}
 		answered = true
 		e.cache.Apply(e.clock(), &answer.News)
 		if !answer.Granted {
 			e.cache.DenyTrial(e.clock(), refused, time.Duration(answer.WaitMillis)*time.Millisecond)
-			e.reject(run)
-			return
 		}
-		run.trial = true
-		e.sendToWorker(run)
+		onAnswer(answer.Granted)
 	})
 }
 
--- a/internal/fleetsim/owed.go
+++ b/internal/fleetsim/owed.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/quarantine"
-	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
 const (
@@ -148,36 +147,18 @@
 	if r.cache.TrialDelay(now, refused) > 0 {
 		return false
 	}
-	report := &wire.QuarantineReport{Known: r.cache.Revision(), Owed: !holds}
-	report.RequestTrial(quarantine.Uint64s(refused))
-	incarnation := r.incarnation
-	r.callQuarantine(report, func(answer *wire.QuarantineAnswer) {
-		if r.incarnation != incarnation {
-			return
-		}
-		r.cache.Apply(r.clock(), &answer.News)
-		item.granted = item.granted || answer.Granted
-		if !answer.Granted {
-			r.cache.DenyTrial(r.clock(), refused, time.Duration(answer.WaitMillis)*time.Millisecond)
-		}
-	})
+	r.askTrial(refused, !holds, func(granted bool) { item.granted = item.granted || granted })
 	return false
 }
 
 // start runs an item at a worker that is up.
 func (r *runner) start(item *owedItem) {
 	w := r.world
-	var up []*simWorker
-	for _, worker := range w.owedPool {
-		if worker.up {
-			up = append(up, worker)
-		}
-	}
-	if len(up) == 0 {
+	worker := randomUp(w.owedPool, w.owedRandom)
+	if worker == nil {
 		item.paced = false
 		return
 	}
-	worker := up[w.owedRandom.IntN(len(up))]
 	run := &simRun{edge: r.edge, incarnation: r.incarnation, subject: item.subject, startedAt: r.clock(), owed: item, runner: r}
 	item.run, item.granted = run, false
 	worker.running[run] = true
--- a/internal/fleetsim/verdicts.go
+++ b/internal/fleetsim/verdicts.go
@@ -267,9 +267,18 @@
 			w.ledger.recordViolation("%s abandons the item of %s by version %d, but %s has been there since version %d, under which it was accepted", m.name, job.ID, known.Version, job.Route, truth.accepted)
 		}
 	}
+	if !ended && w.now.Sub(startTime) > endedRouteCheckFrom {
+		v.checkWait(w, m, job)
+	}
+	return ended
+}
+
+// checkWait checks that an item does not wait for a route that ended long ago.
+func (v *verdicts) checkWait(w *World, m *machine, job *batchstate.Job) {
+	truth := v.jobs[job.ID]
 	since, missing := v.missingSince(truth.route)
-	if calm := w.now.Sub(startTime) > endedRouteCheckFrom; calm && !ended && missing && w.now.Sub(since) > endedRouteBound && w.now.Sub(truth.at) > endedRouteBound && w.now.Sub(truth.at) < w.now.Sub(startTime)-faultsFrom && m.clock().Sub(m.configuration.firstSeen[job.ID]) > endedRouteBound {
+	known := min(w.now.Sub(since), w.now.Sub(truth.at), m.clock().Sub(m.configuration.firstSeen[job.ID]))
+	if missing && known > endedRouteBound {
 		w.ledger.recordViolation("%s lets the item of %s wait %s after the end of %s", m.name, job.ID, w.now.Sub(since), job.Route)
 	}
-	return ended
 }
