--- a/test/hosted_fleet_test.go
+++ b/test/hosted_fleet_test.go
@@ -236,6 +236,11 @@
 
 // callWithin is call with a timeout.
 func (f *hostedFleet) callWithin(timeout time.Duration, method, address, target string, headers map[string]string, body string) (int, http.Header, string, error) {
+	return f.callOver(hostedClient, timeout, method, address, target, headers, body)
+}
+
+// callOver is callWithin over the connections of a client.
+func (f *hostedFleet) callOver(client *http.Client, timeout time.Duration, method, address, target string, headers map[string]string, body string) (int, http.Header, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+target, strings.NewReader(body))
@@ -246,7 +251,7 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
-	response, err := hostedClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil, "", err
 	}
--- a/test/hosted_test.go
+++ b/test/hosted_test.go
@@ -280,16 +280,22 @@
 	return `{"items":[` + document.String()[1:] + `]}`
 }
 
+// submitJob submits a job and repeats it until it is accepted.
+func (f *hostedFleet) submitJob(t *testing.T, edge, path, id, document string) {
+	t.Helper()
+	eventually(t, "the job accepted", func() bool {
+		status, _, _, err := f.call(http.MethodPost, edge, path+id, map[string]string{"Request-Id": id}, document)
+		return err == nil && status == http.StatusAccepted
+	})
+}
+
 // testJob submits a job twice, kills and restarts the leading store while items run, and reads all
 // results. Results that were read before must keep their positions.
 func (f *hostedFleet) testJob(t *testing.T, edge, second string) {
 	const items, tokens = 12, 120
 	document := jobDocument("j1", items, tokens)
 	for _, address := range []string{edge, second} {
-		eventually(t, "the job accepted", func() bool {
-			status, _, _, err := f.call(http.MethodPost, address, "/batch/j1", map[string]string{"Request-Id": "j1"}, document)
-			return err == nil && status == http.StatusAccepted
-		})
+		f.submitJob(t, address, "/batch/", "j1", document)
 	}
 	status, _, body, err := f.call(http.MethodGet, second, "/-/items/j1?id=j1-11", nil, "")
 	if err != nil || status != http.StatusOK || body != "body of j1-11" {
--- a/test/owed_items_test.go
+++ b/test/owed_items_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -42,15 +41,8 @@
 	f := newHostedFleet(t, workers)
 	edges := f.configure(t)
 	f.waitServing(t, edges[0])
-	document := jobDocument("j1", items, tokens)
-	for number := range items {
-		headers := fmt.Sprintf(`"headers":{"Prompt-Prefix":"common:100,part-%d:50,%d:10",`, number%3, number)
-		document = strings.Replace(document, `"headers":{"Token-Count"`, headers+`"Token-Count"`, 1)
-	}
-	eventually(t, "the job accepted", func() bool {
-		status, _, _, err := f.call(http.MethodPost, edges[0], "/batch/j1", map[string]string{"Request-Id": "j1"}, document)
-		return err == nil && status == http.StatusAccepted
-	})
+	document := partDocument("j1", items, tokens, func(number int) string { return fmt.Sprintf("part-%d", number%3) })
+	f.submitJob(t, edges[0], "/batch/", "j1", document)
 	f.crashHalves(rand.New(rand.NewPCG(1, 1)))
 	calm := time.Now()
 	done := func() (count int) {
@@ -92,19 +84,7 @@
 		})
 	}
 	before := f.exits()
-	document := jobDocument("j1", items, tokens)
-	for number := range items {
-		part := "b0"
-		if number%2 == 0 {
-			part = crashingPart
-		}
-		headers := fmt.Sprintf(`"headers":{"Prompt-Prefix":"%s:100,%s:50,%d:10",`, commonPart, part, number)
-		document = strings.Replace(document, `"headers":{"Token-Count"`, headers+`"Token-Count"`, 1)
-	}
-	eventually(t, "the job accepted", func() bool {
-		status, _, _, err := f.call(http.MethodPost, edges[0], "/batch/j1", map[string]string{"Request-Id": "j1"}, document)
-		return err == nil && status == http.StatusAccepted
-	})
+	f.submitJob(t, edges[0], "/batch/", "j1", partDocument("j1", items, tokens, crashingInHalf))
 	submitted := time.Now()
 	eventually(t, "the results of the other items", func() bool {
 		page, _ := f.readResults(edges[1], "j1", 0)
--- a/test/prompt_parts_test.go
+++ b/test/prompt_parts_test.go
@@ -72,6 +72,25 @@
 	return status, err == nil && status == http.StatusOK && text == events(id, 1, 6)
 }
 
+// partDocument returns a job whose items have prompts of three parts: a common one, the given one, and one
+// of their own.
+func partDocument(id string, items, tokens int, part func(number int) string) string {
+	document := jobDocument(id, items, tokens)
+	for number := range items {
+		headers := fmt.Sprintf(`"headers":{"Prompt-Prefix":"%s:100,%s:50,%s-%d:10",`, commonPart, part(number), id, number)
+		document = strings.Replace(document, `"headers":{"Token-Count"`, headers+`"Token-Count"`, 1)
+	}
+	return document
+}
+
+// crashingInHalf is the part of a job's items of which every second one has the crashing part.
+func crashingInHalf(number int) string {
+	if number%2 == 0 {
+		return crashingPart
+	}
+	return "b0"
+}
+
 // soundCounts counts sound requests: all of them, and those that were answered whole.
 type soundCounts struct{ sent, complete atomic.Int64 }
 
@@ -185,19 +204,7 @@
 	edges := f.configure(t)
 	faults := &partFaults{fault: emulator.HostedFault{ExitAfter: 15 * time.Millisecond, RestartAfter: partRestart}}
 	f.injectFaults(faults.faultFor)
-	document := jobDocument("j1", items, tokens)
-	for number := range items {
-		part := "b0"
-		if number%2 == 0 {
-			part = crashingPart
-		}
-		headers := fmt.Sprintf(`"headers":{"Prompt-Prefix":"%s:100,%s:50,%d:10",`, commonPart, part, number)
-		document = strings.Replace(document, `"headers":{"Token-Count"`, headers+`"Token-Count"`, 1)
-	}
-	eventually(t, "the job accepted", func() bool {
-		status, _, _, err := f.call(http.MethodPost, edges[0], "/batch/j1", map[string]string{"Request-Id": "j1"}, document)
-		return err == nil && status == http.StatusAccepted
-	})
+	f.submitJob(t, edges[0], "/batch/", "j1", partDocument("j1", items, tokens, crashingInHalf))
 	eventually(t, "the results of the sound items", func() bool {
 		page, _ := f.readResults(edges[1], "j1", 0)
 		return page != nil && len(page.Results) == items-crashing
--- a/test/soak_clients_test.go
+++ b/test/soak_clients_test.go
@@ -217,19 +217,28 @@
 	return jobs
 }
 
-// readJob reads a job's results and checks them. Results that were read before must have kept their
-// positions. readJob reports whether the results are complete.
-func (s *soak) readJob(name, edge string) bool {
+// readPage reads the results of an accepted job, nil if the edge can't serve them now.
+func (s *soak) readPage(name, edge string) *hostedPage {
 	status, _, body, err := s.callWithin(2*time.Second, http.MethodGet, s.address(s.machines[edge], portCallers), "/-/lots/"+name+"?sinceRev=0", map[string]string{"Wait-Ms": "0"}, "")
 	if err != nil || status != http.StatusOK {
 		if err == nil && status != http.StatusServiceUnavailable {
 			s.recordViolation("%s answers %d for the accepted job %s", edge, status, name)
 		}
-		return false
+		return nil
+	}
+	page, err := parsePage(body)
+	if err != nil {
+		s.recordViolation("%s: %v", name, err)
+		return nil
 	}
-	page, parseErr := parsePage(body)
-	if parseErr != nil {
-		s.recordViolation("%s: %v", name, parseErr)
+	return page
+}
+
+// readJob reads a job's results and checks them. Results that were read before must have kept their
+// positions. readJob reports whether the results are complete.
+func (s *soak) readJob(name, edge string) bool {
+	page := s.readPage(name, edge)
+	if page == nil {
 		return false
 	}
 	job := s.acceptedJobs()[name]
--- a/test/soak_drain_test.go
+++ b/test/soak_drain_test.go
@@ -122,16 +122,16 @@
 	if served < requests*9/10 {
 		s.recordViolation("%d of %d requests were served without coordinators", served, requests)
 	}
-	for _, machine := range killed {
-		s.start(machine, false)
-	}
+	s.startCoordinators(killed)
 	<-left
-	s.awaitCoordinators(killed)
 	s.count("coordinators lost")
 }
 
-// awaitCoordinators waits until the coordinators answer.
-func (s *soak) awaitCoordinators(machines []*hostedMachine) {
+// startCoordinators starts coordinators again and waits until they answer.
+func (s *soak) startCoordinators(machines []*hostedMachine) {
+	for _, machine := range machines {
+		s.start(machine, false)
+	}
 	for _, machine := range machines {
 		eventually(s.t, machine.name+" up", func() bool {
 			_, _, _, err := s.call(http.MethodGet, s.address(machine, portControl), "/-/config", nil, "")
--- a/test/soak_owed_test.go
+++ b/test/soak_owed_test.go
@@ -1,9 +1,7 @@
 package test
 
 import (
-	"bytes"
 	"fmt"
-	"io"
 	"math/rand"
 	"net/http"
 	"os"
@@ -25,6 +23,9 @@
 	routeVersions = 30
 	// blindOutage is how long the coordinators are down after stores or edges missed a change.
 	blindOutage = 3 * time.Second
+	// streamTimeout and lotTimeout are how long clients wait.
+	streamTimeout = 10 * time.Second
+	lotTimeout    = 3 * time.Second
 	// Within a burst, a half of the workers exits again and again.
 	shortBurst = 3 * time.Second
 )
@@ -96,7 +97,7 @@
 
 // runStreams sends streams to one edge after the other. An answer that looks complete must be whole.
 func (s *soak) runStreams(number int, random *rand.Rand, stop <-chan struct{}) {
-	client := &http.Client{Timeout: 10 * time.Second}
+	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	for sent := 0; ; sent++ {
 		select {
@@ -105,27 +106,14 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		edge, id, tokens := s.edges()[random.Intn(3*s.scale)], fmt.Sprintf("o-%d-%d", number, sent), 1+random.Intn(20)
-		request, err := http.NewRequest(http.MethodPost, "http://"+s.address(s.machines[edge], portCallers)+"/stream/a", strings.NewReader("p"))
-		if err != nil {
-			s.t.Error(err)
-			return
-		}
-		request.Host = hostedHost
-		request.Header.Set("Request-Id", id)
-		request.Header.Set("Token-Count", fmt.Sprintf("1,%d", tokens))
-		response, err := client.Do(request)
-		if err != nil {
-			s.count("cut")
-			continue
-		}
-		body, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
+		headers := map[string]string{"Request-Id": id, "Token-Count": fmt.Sprintf("1,%d", tokens)}
+		status, _, body, err := s.callOver(client, streamTimeout, http.MethodPost, s.address(s.machines[edge], portCallers), "/stream/a", headers, "p")
 		switch {
 		case err != nil:
 			s.count("cut")
-		case response.StatusCode != http.StatusOK:
+		case status != http.StatusOK:
 			s.count("refused")
-		case string(body) != expectedAnswer(id, tokens):
+		case body != expectedAnswer(id, tokens):
 			s.recordViolation("%s from %s looks complete: %q", id, edge, body)
 		default:
 			s.count("complete answers")
@@ -135,7 +123,7 @@
 
 // runLots submits jobs on the newest route that a coordinator has acknowledged, and reads them.
 func (s *soak) runLots(random *rand.Rand, stop <-chan struct{}) {
-	client := &http.Client{Timeout: 3 * time.Second}
+	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	for number := 0; ; number++ {
 		select {
@@ -159,25 +147,9 @@
 // submitLot submits a job and reports whether it was accepted.
 func (s *soak) submitLot(client *http.Client, edge, id string, version int) bool {
 	path := fmt.Sprintf("/lot-%d/", version)
-	document := strings.ReplaceAll(jobDocument(id, lotItems, lotTokens), "/batch/", path)
-	for item := range lotItems {
-		headers := fmt.Sprintf(`"headers":{"Prompt-Prefix":"lots:100,part-%d:50,%s-%d:10",`, item%3, id, item)
-		document = strings.Replace(document, `"headers":{"Token-Count"`, headers+`"Token-Count"`, 1)
-	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+s.address(s.machines[edge], portCallers)+path+"a", bytes.NewBufferString(document))
-	if err != nil {
-		s.t.Error(err)
-		return false
-	}
-	request.Host = hostedHost
-	request.Header.Set("Request-Id", id)
-	response, err := client.Do(request)
-	if err != nil {
-		return false
-	}
-	_, _ = io.Copy(io.Discard, response.Body)
-	_ = response.Body.Close()
-	if response.StatusCode != http.StatusAccepted {
+	document := partDocument(id, lotItems, lotTokens, func(number int) string { return fmt.Sprintf("part-%d", number%3) })
+	status, _, _, err := s.callOver(client, lotTimeout, http.MethodPost, s.address(s.machines[edge], portCallers), path+"a", map[string]string{"Request-Id": id}, strings.ReplaceAll(document, "/batch/", path))
+	if err != nil || status != http.StatusAccepted {
 		return false
 	}
 	s.mutex.Lock()
@@ -194,16 +166,8 @@
 	if read == nil {
 		return false
 	}
-	status, _, body, err := s.callWithin(2*time.Second, http.MethodGet, s.address(s.machines[edge], portCallers), "/-/lots/"+id+"?sinceRev=0", map[string]string{"Wait-Ms": "0"}, "")
-	if err != nil || status != http.StatusOK {
-		if err == nil && status != http.StatusServiceUnavailable {
-			s.recordViolation("%s answers %d for the accepted job %s", edge, status, id)
-		}
-		return false
-	}
-	page, err := parsePage(body)
-	if err != nil {
-		s.recordViolation("%s: %v", id, err)
+	page := s.readPage(id, edge)
+	if page == nil {
 		return false
 	}
 	s.mutex.Lock()
@@ -314,10 +278,7 @@
 	killed := s.killCoordinators()
 	s.resume(s.t, class)
 	time.Sleep(blindOutage)
-	for _, machine := range killed {
-		s.start(machine, false)
-	}
-	s.awaitCoordinators(killed)
+	s.startCoordinators(killed)
 	for _, name := range s.edges() {
 		s.waitServing(s.t, s.address(s.machines[name], portCallers))
 	}
--- a/test/unheard_route_test.go
+++ b/test/unheard_route_test.go
@@ -73,10 +73,7 @@
 // submitAdded submits a job on the added route.
 func (f *hostedFleet) submitAdded(t *testing.T, edge, id string, items int) {
 	document := strings.ReplaceAll(jobDocument(id, items, 3), "/batch/", "/added/")
-	eventually(t, id+" accepted", func() bool {
-		status, _, _, err := f.call(http.MethodPost, edge, "/added/"+id, map[string]string{"Request-Id": id}, document)
-		return err == nil && status == http.StatusAccepted
-	})
+	f.submitJob(t, edge, "/added/", id, document)
 }
 
 // expectStates waits until all items of a job have a result and checks its state.
--- a/test/versions_test.go
+++ b/test/versions_test.go
@@ -200,10 +200,7 @@
 	const items, tokens = 20, 40
 	f, edges := newFleetOfVersions(t)
 	f.breakFirstRuns(15)
-	eventually(t, "the job accepted", func() bool {
-		status, _, _, err := f.call(http.MethodPost, edges[0], "/batch/j1", map[string]string{"Request-Id": "j1"}, jobDocument("j1", items, tokens))
-		return err == nil && status == http.StatusAccepted
-	})
+	f.submitJob(t, edges[0], "/batch/", "j1", jobDocument("j1", items, tokens))
 	var page *hostedPage
 	eventually(t, "all results", func() bool {
 		page, _ = f.readResults(edges[1], "j1", 0)
--- a/test/worker_exits_test.go
+++ b/test/worker_exits_test.go
@@ -163,10 +163,7 @@
 		}
 		return emulator.HostedFault{}
 	})
-	eventually(t, "the job accepted", func() bool {
-		status, _, _, err := f.call(http.MethodPost, edges[0], "/batch/j1", map[string]string{"Request-Id": "j1"}, jobDocument("j1", items, tokens))
-		return err == nil && status == http.StatusAccepted
-	})
+	f.submitJob(t, edges[0], "/batch/", "j1", jobDocument("j1", items, tokens))
 	eventually(t, "all other results", func() bool {
 		page, _ := f.readResults(edges[1], "j1", 0)
 		return page != nil && len(page.Results) == items-1
