A trial counts as failed in calm only if the list of workers shows calm, too

Seen by callers: items of a batch job with a part of their prompts in common waited for two minutes after a burst of worker exits, though all workers were calm and idle.

Cause: the leader knew exits only from reports of runs. Once most items were refused nothing ran that could show the burst. So it granted a trial as in calm in the middle of it (10.79 s in a kept log, while each reading of the list showed other exits until 13.6 s); its worker exited alone, as far as reports told, and this counted as the one failure in calm after which only the usual delays are left: 111 s to the next trial.

Change: the leader records which workers each reading of the list shows to have exited: missing, though not listed as leaving. A trial that was broken off is judged only once the list has been read 2 s after it, or has not been read for 10 s. After the first trial that a burst broke off, the next one waits until the list is calm as well, so that a harmful part gains no series of trials from other workers' exits.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -297,14 +297,18 @@
 		logging.Warn(c.logger, "worker_list_entries", "odd", reading.Invalid, "workers", len(reading.Rows), "last", reading.InvalidErr)
 	}
 	changed, viewNumber := false, uint64(0)
+	var exited []string
 	// An error means that another process leads now; that one reads the list itself.
-	_ = c.readLeader(func(_ time.Time, v *fleetview.View) {
+	_ = c.readLeader(func(now time.Time, v *fleetview.View) {
 		c.pendingRows = nil
+		before := v.Workers()
 		changed = v.SetWorkers(reading.Rows, reading.ReadAt)
 		viewNumber = v.Number
+		exited = v.Workers().Exited(before)
+		c.timers.RecordList(now, reading.ReadAt, exited)
 	})
 	if changed {
-		logging.Info(c.logger, "workers_changed", "workers", len(reading.Rows), "leaving", workerset.CountLeaving(reading.Rows), "view", viewNumber, "calls", reading.Calls, "kept", len(reading.StaleZones), "ms", clock.Now().Sub(start).Milliseconds(), "age_ms", clock.Since(reading.ReadAt).Milliseconds())
+		logging.Info(c.logger, "workers_changed", "workers", len(reading.Rows), "leaving", workerset.CountLeaving(reading.Rows), "exited", len(exited), "view", viewNumber, "calls", reading.Calls, "kept", len(reading.StaleZones), "ms", clock.Now().Sub(start).Milliseconds(), "age_ms", clock.Since(reading.ReadAt).Milliseconds())
 		c.notify()
 	}
 	return reading.Calls
--- a/internal/quarantine/pacer_test.go
+++ b/internal/quarantine/pacer_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -146,6 +147,51 @@
 	}
 }
 
+// TestTrialInBurstOfIdleWorkersIsNoCalmFailure guards against an owed item that waits for minutes because
+// its trial met a burst in which no other request ran, so that only the list of workers shows the exits.
+func TestTrialInBurstOfIdleWorkersIsNoCalmFailure(t *testing.T) {
+	const part, listInterval = 7, 500 * time.Millisecond
+	table, timers, now := refusedPart(t, time.Unix(1000, 0), part)
+	timers.RecordList(now, now, nil)
+	grantTrial(t, table, timers, &now, part, true)
+	for trial := range uint32(6) {
+		// The next burst breaks off the trial, and the list shows the other workers later.
+		now = now.Add(300 * time.Millisecond)
+		table.Apply(&wire.QuarantineCommand{AtMillis: now.UnixMilli(), Runs: []wire.RunReport{exitReport(part, 100+trial)}})
+		timers.Tick(now, table)
+		now = now.Add(trialTimeout)
+		if granted, wait := timers.GrantTrial(now, table, []Fingerprint{part}, true); granted || wait > CalmTime {
+			t.Fatalf("granted %t, wait %s before the list is read", granted, wait)
+		}
+		for worker := range 10 {
+			timers.RecordList(now, now, []string{fmt.Sprint("other-", trial, worker)})
+			if granted, _ := timers.GrantTrial(now, table, []Fingerprint{part}, true); granted {
+				t.Fatal("a trial is granted as in calm although the list shows exits")
+			}
+			now = now.Add(listInterval)
+		}
+		if wait := grantTrial(t, table, timers, &now, part, true); wait > CalmTime {
+			t.Fatalf("after %d bursts an owed item waits %s", trial+1, wait)
+		}
+	}
+}
+
+// TestHarmfulPartEndsFewWorkersBesideList guards against a part that ends worker after worker because the
+// outcome of its trial waits for a list of workers that is never read again.
+func TestHarmfulPartEndsFewWorkersBesideList(t *testing.T) {
+	const part = 7
+	start := time.Unix(1000, 0)
+	table, timers, now := refusedPart(t, start, part)
+	timers.RecordList(now, now, nil)
+	grantTrial(t, table, timers, &now, part, true)
+	now = now.Add(300 * time.Millisecond)
+	table.Apply(&wire.QuarantineCommand{AtMillis: now.UnixMilli(), Runs: []wire.RunReport{exitReport(part, 50)}})
+	timers.Tick(now, table)
+	if wait := grantTrial(t, table, timers, &now, part, true); wait < thirdTrialDelay-CalmTime-time.Second {
+		t.Errorf("after a trial that failed in calm the next one starts %s later", wait)
+	}
+}
+
 // TestHarmfulPartEndsFewWorkers guards against items that end worker after worker under a part of their
 // prompts, because they are owed.
 func TestHarmfulPartEndsFewWorkers(t *testing.T) {
--- a/internal/quarantine/timers.go
+++ b/internal/quarantine/timers.go
@@ -31,6 +31,8 @@
 	// because the request is readmitted if the trial succeeds.
 	trialTimeout      = 2 * time.Second
 	trialPollInterval = 300 * time.Millisecond
+	// maxListWait is how long the outcome of a trial in calm waits for a reading of the list of workers.
+	maxListWait = 10 * time.Second
 	// suspectTTL is how long the exits of a request that is not refused are remembered. refusedTTL
 	// is how long a refused request is remembered after its last change.
 	suspectTTL = time.Minute
@@ -48,8 +50,12 @@
 	onTrial          []Fingerprint
 	trialStartedAt   time.Time
 	exitsBeforeTrial []wire.WorkerEnd
-	// exits are the exits that this leader has seen. A new leader counts all known exits as new.
-	exits recentExits
+	// exits are the exits that this leader has seen in reports of runs. A new leader counts all known ones
+	// as new. listedExits are those that the list of workers has shown, and listReadAt is when its last
+	// reading began, zero for none.
+	exits       recentExits
+	listedExits recentExits
+	listReadAt  time.Time
 }
 
 // rowTimer holds when this leader first saw the present state of a row, and the times of its
@@ -67,15 +73,27 @@
 	// lastExit is the row's last exit that was seen.
 	lastExit wire.WorkerEnd
 	// calmTrialAt is when the last trial was granted in calm, zero once its outcome is counted.
-	// exitBefore is the row's last exit before it. calmFailed is set if one has failed.
+	// exitBefore is the row's last exit before it. calmFailed is set if one has failed, and notCalm if one
+	// was broken off while other workers exited, too.
 	calmTrialAt time.Time
 	exitBefore  wire.WorkerEnd
 	calmFailed  bool
+	notCalm     bool
 }
 
 // NewTimers returns the timers of a new leader.
 func NewTimers() *Timers { return &Timers{rowTimers: map[Fingerprint]*rowTimer{}} }
 
+// RecordList records a reading of the list of workers that began at readAt, and the ids of the workers
+// that it shows to have exited. Reports of runs may lack these exits: the more requests are refused, the
+// fewer run.
+func (tm *Timers) RecordList(now, readAt time.Time, exited []string) {
+	for _, worker := range exited {
+		tm.listedExits.record(now, WorkerHash(worker))
+	}
+	tm.listReadAt = readAt
+}
+
 // Tick updates the timers from the table and returns the command with the rows that are due to
 // settle or to expire, nil for none.
 func (tm *Timers) Tick(now time.Time, t *Table) *wire.QuarantineCommand {
@@ -198,25 +216,42 @@
 
 // calmWait returns after which time an owed item may ask again for a trial of a refused row, because
 // the workers are calm by then. It is not possible once a trial in calm has shown that the row is
-// harmful. The exits of a burst show nothing, however many trials they broke off.
+// harmful. The exits of a burst show nothing, however many trials they broke off. After the first such
+// trial the list must show calm, too, before the next one.
 func (tm *Timers) calmWait(now time.Time, fingerprint Fingerprint, row *wire.QuarantineEntry) (wait time.Duration, possible bool) {
 	timer := tm.rowTimer(now, fingerprint, row)
-	if !timer.calmTrialAt.IsZero() && now.Sub(timer.calmTrialAt) >= trialTimeout {
-		if last := lastExit(row); last != timer.exitBefore && !tm.exits.othersSince(timer.calmTrialAt, last.Worker) {
-			timer.calmFailed = true
+	if age := now.Sub(timer.calmTrialAt); !timer.calmTrialAt.IsZero() && age >= trialTimeout {
+		brokenOff := lastExit(row) != timer.exitBefore
+		calm := !tm.othersExitedSince(timer.calmTrialAt, lastExit(row).Worker)
+		if brokenOff && calm && tm.listIsBefore(timer.calmTrialAt.Add(trialTimeout)) && age < maxListWait {
+			return trialPollInterval, true
 		}
+		timer.calmFailed, timer.notCalm = brokenOff && calm, timer.notCalm || brokenOff && !calm
 		timer.calmTrialAt = time.Time{}
 	}
 	if timer.calmFailed {
 		return 0, false
 	}
 	wait = max(tm.exits.lastAt().Add(CalmTime).Sub(now), 0)
+	if timer.notCalm {
+		wait = max(wait, tm.listedExits.lastAt().Add(CalmTime).Sub(now))
+	}
 	if !timer.grantedAt.IsZero() {
 		wait = max(wait, timer.grantedAt.Add(trialTimeout).Sub(now))
 	}
 	return wait, true
 }
 
+// othersExitedSince reports whether another worker than the given one exited since the time.
+func (tm *Timers) othersExitedSince(since time.Time, worker uint32) bool {
+	return tm.exits.othersSince(since, worker) || tm.listedExits.othersSince(since, worker)
+}
+
+// listIsBefore reports whether the list of workers is known, but was last read before the given time.
+func (tm *Timers) listIsBefore(at time.Time) bool {
+	return !tm.listReadAt.IsZero() && tm.listReadAt.Before(at)
+}
+
 // otherTrialRuns reports whether another request is on trial. Requests that were refused together
 // are also due for a trial together. If their trials ran on the same worker, a harmful request
 // would make the worker exit, and a harmless one would be taken for harmful again and have to wait
--- a/internal/workerset/set.go
+++ b/internal/workerset/set.go
@@ -126,6 +126,18 @@
 	}
 }
 
+// Exited returns the ids of the workers of the set before that are missing here although they were not
+// listed as leaving. A worker that has restarted has another id.
+func (s *Set) Exited(before *Set) []string {
+	var exited []string
+	s.Diff(before, func(*wire.PoolWorker) {}, func(row *wire.PoolWorker) {
+		if !row.Leaving {
+			exited = append(exited, row.ID)
+		}
+	})
+	return exited
+}
+
 // eachChanged calls visit with the rows that are missing from others or have different content
 // there.
 func eachChanged(rows, others []wire.PoolWorker, visit func(row *wire.PoolWorker)) {
--- a/internal/workerset/set_test.go
+++ b/internal/workerset/set_test.go
@@ -152,6 +152,25 @@
 	}
 }
 
+// TestPlannedLeavesAreNoExits guards against workers that have left as planned and count as exited, and
+// against exits that are not seen because the worker is listed again under another id.
+func TestPlannedLeavesAreNoExits(t *testing.T) {
+	rows := rowsOf(4)
+	rows[1].Leaving = true
+	restarted := rows[2]
+	restarted.ID += "-2"
+	before := Of(rows)
+	after := Of([]wire.PoolWorker{rows[0], restarted})
+	exited := after.Exited(before)
+	slices.Sort(exited)
+	if want := []string{rows[2].ID, rows[3].ID}; !slices.Equal(exited, want) {
+		t.Errorf("exited %q, want %q", exited, want)
+	}
+	if exited := before.Exited(nil); len(exited) > 0 {
+		t.Errorf("the first list shows exits of %q", exited)
+	}
+}
+
 // BenchmarkApply applies an update of one worker: 12 us and 10 kB at 10,000 workers, 10.5 us and
 // 11 kB at 20,000. With maps of the whole list in each process it took 14.4 ms, 2.3 MB and
 // 41,000 allocations at 10,000 workers.
