An item waits a second for the answer to its request for a trial, and one asks for all

Seen: after a burst of worker exits the last item of a job was done 15.2 s after the last exit, bound 15 s (1 of 12 runs of TestItemsUnderBurstOfExitsAreRunInCalm, three at a time). The log of the leader shows a trial granted at 38.03 s, that of the stores none received; the next one could be granted only 2 s later. This is the loss of granted trials that was so far known by reading only.

Cause: a request for a trial gave up after 150 ms, the bound for callers who wait. For an item nobody waits. Each item of a job asked for itself besides: 48 requests to the leader every half second.

Change: items wait a second, and while one asks, the others for which the same fingerprints are refused don't (Cache.ReserveTrial). Callers' requests are as before.

TestGrantToItemsIsNotLost before: 20 items asked 20 times and got 0 grants; now one of each. 15 runs of the test above, three at a time: green, last item done 2.9 to 8.1 s after the last exit.

--- a/internal/fleetwatch/quarantine.go
+++ b/internal/fleetwatch/quarantine.go
@@ -17,6 +17,8 @@
 	reportTimeout = time.Second
 	// trialTimeout bounds the request for a trial, for which a caller waits.
 	trialTimeout = 150 * time.Millisecond
+	// owedTrialTimeout bounds the request for a trial of an item, for which no caller waits.
+	owedTrialTimeout = time.Second
 	// unreachableRetryAfter is the time after which a caller may retry a refused request while no
 	// coordinator answers.
 	unreachableRetryAfter = time.Second
@@ -92,10 +94,15 @@
 // batch job.
 func (w *Watcher) RequestTrial(ctx context.Context, refused []quarantine.Fingerprint, owed bool) (bool, time.Duration) {
 	now := clock.Now()
-	if wait := w.quarantineCache.TrialDelay(now, refused); wait > 0 {
+	timeout, reserved := trialTimeout, time.Duration(0)
+	if owed {
+		// One request is enough for all items for which the same fingerprints are refused.
+		timeout, reserved = owedTrialTimeout, owedTrialTimeout
+	}
+	if wait := w.quarantineCache.ReserveTrial(now, refused, reserved); wait > 0 {
 		return false, wait
 	}
-	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	report := &wire.QuarantineReport{Known: w.quarantineCache.Revision(), Owed: owed}
 	report.RequestTrial(quarantine.Uint64s(refused))
--- a/internal/fleetwatch/quarantine_test.go
+++ b/internal/fleetwatch/quarantine_test.go
@@ -3,9 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/sedgemast/sedgemast/internal/clock"
 	"github.com/sedgemast/sedgemast/internal/coordinator"
 	"github.com/sedgemast/sedgemast/internal/daemon"
@@ -13,6 +18,8 @@
 	"github.com/sedgemast/sedgemast/internal/listreader"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
+	"github.com/sedgemast/sedgemast/internal/rpc"
+	"github.com/sedgemast/sedgemast/internal/rpc/rpctest"
 	"github.com/sedgemast/sedgemast/internal/settings"
 	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -136,3 +143,32 @@
 		t.Errorf("a trial is granted (%t), or may be requested at once (retry after %s)", allowed, wait)
 	}
 }
+
+// TestGrantToItemsIsNotLost guards against a trial that is granted, but whose answer comes after the item
+// has given up: all others then wait for its outcome. It also guards against one request per item.
+func TestGrantToItemsIsNotLost(t *testing.T) {
+	const items = 20
+	var asked atomic.Int32
+	mux := rpctest.NewMux()
+	rpc.Handle(mux, wire.MethodQuarantine, func(context.Context, *wire.QuarantineReport) (msgp.Marshaler, error) {
+		asked.Add(1)
+		time.Sleep(400 * time.Millisecond)
+		return &wire.QuarantineAnswer{Granted: true}, nil
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	w := fleetwatch.New(logging.Discard(), nil, []string{server.Listener.Addr().String()}, func() wire.ProcessReport { return wire.ProcessReport{} })
+	var granted atomic.Int32
+	var waiting sync.WaitGroup
+	for range items {
+		waiting.Go(func() {
+			if allowed, _ := w.RequestTrial(t.Context(), []quarantine.Fingerprint{77}, true); allowed {
+				granted.Add(1)
+			}
+		})
+	}
+	waiting.Wait()
+	if asked.Load() != 1 || granted.Load() != 1 {
+		t.Errorf("%d items asked %d times and got %d grants, want one of each", items, asked.Load(), granted.Load())
+	}
+}
--- a/internal/quarantine/cache.go
+++ b/internal/quarantine/cache.go
@@ -356,6 +356,22 @@
 func (c *Cache) TrialDelay(now time.Time, refused []Fingerprint) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	return c.trialDelayLocked(now, refused)
+}
+
+// ReserveTrial returns the delay of TrialDelay. If it is zero, no other trial for the same fingerprints
+// may be requested for the given time.
+func (c *Cache) ReserveTrial(now time.Time, refused []Fingerprint, reserved time.Duration) time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delay := c.trialDelayLocked(now, refused)
+	if delay == 0 && reserved > 0 {
+		c.denyTrialLocked(now, refused, reserved)
+	}
+	return delay
+}
+
+func (c *Cache) trialDelayLocked(now time.Time, refused []Fingerprint) time.Duration {
 	for i := range c.ownRuns {
 		report := &c.ownRuns[i].report
 		if report.Worker != 0 && slices.Contains(refused, Fingerprint(report.Request)) {
@@ -374,6 +390,10 @@
 func (c *Cache) DenyTrial(now time.Time, refused []Fingerprint, wait time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.denyTrialLocked(now, refused, wait)
+}
+
+func (c *Cache) denyTrialLocked(now time.Time, refused []Fingerprint, wait time.Duration) {
 	if len(c.trialNotBefore) >= maxRows {
 		clear(c.trialNotBefore)
 	}
