fleetsim: bursts of exits in which only trials run

Bursts so far broke off many runs, so that a leader always heard of other exits. In idleBursts a part of all items is refused early and three of four workers exit every 0.45 s for 15 s.

--- a/internal/fleetsim/edges.go
+++ b/internal/fleetsim/edges.go
@@ -52,8 +52,10 @@
 	number      int
 	incarnation int
 	fixedID     bool
-	up          bool
-	running     map[*simRun]bool
+	// owed is set for a worker of items.
+	owed    bool
+	up      bool
+	running map[*simRun]bool
 }
 
 // id returns the worker's id in its current incarnation.
@@ -292,7 +294,11 @@
 	if worker.fixedID {
 		delay = fixedIDRestartDelay
 	}
-	w.after(delay+time.Duration(w.extraRandom.Int64N(int64(restartJitter))), func() {
+	delay += time.Duration(w.extraRandom.Int64N(int64(restartJitter)))
+	if worker.owed && w.bursts.restartDelay > 0 {
+		delay = w.bursts.restartDelay
+	}
+	w.after(delay, func() {
 		worker.incarnation++
 		worker.up = true
 	})
@@ -479,6 +485,7 @@
 	m.updateGate()
 	var command *wire.QuarantineCommand
 	m.readAsLeader(func(*fleetview.View) {
+		m.readOwedWorkers()
 		command = m.gate.Command(m.quarantineTimers.Tick(m.clock(), m.fleet.Quarantine()), m.fleet.Quarantine())
 	})
 	if command == nil {
--- a/internal/fleetsim/machine.go
+++ b/internal/fleetsim/machine.go
@@ -16,6 +16,7 @@
 	"github.com/sedgemast/sedgemast/internal/replication"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
+	"github.com/sedgemast/sedgemast/internal/workerset"
 )
 
 type kind uint8
@@ -66,7 +67,10 @@
 	batch            []*batchstate.Machine
 	view             *fleetview.View
 	quarantineTimers *quarantine.Timers
-	gate             quarantine.Gate
+	// owedWorkers is the list of the workers of items as this leader last read it, nil for none.
+	owedWorkers *workerset.Set
+	owedReadAt  time.Time
+	gate        quarantine.Gate
 	// firstGeneration is set while a coordinator runs a build of the first generation, earlierBuild
 	// while a store runs one that doesn't know saved progress.
 	firstGeneration bool
@@ -300,7 +304,7 @@
 func (m *machine) readAsLeader(read func(v *fleetview.View)) {
 	_ = m.node.Read(m.clock(), 0, func(term uint64, _ storage.Reader) error {
 		if m.view == nil || m.view.Term != term {
-			m.view, m.quarantineTimers = fleetview.New(term), quarantine.NewTimers()
+			m.view, m.quarantineTimers, m.owedWorkers = fleetview.New(term), quarantine.NewTimers(), nil
 			m.gate.StartTerm(m.fleet.Quarantine())
 		}
 		read(m.view)
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -77,6 +77,8 @@
 	MutationHoldItems Mutation = "hold_items"
 	// MutationNoPace runs all refused items at the first calm moment.
 	MutationNoPace Mutation = "no_pace"
+	// MutationUnlistedExits keeps from the leader which exits the list of workers shows.
+	MutationUnlistedExits Mutation = "unlisted_exits"
 	// MutationTrustOldList sends requests by the list of workers whatever its age.
 	MutationTrustOldList Mutation = "trust_old_list"
 	// MutationListAgeFromAnswer takes the time of an answer for that of the reading of its list.
@@ -84,7 +86,7 @@
 )
 
 // Mutations lists all mutations except MutationNone.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion, MutationTrustOldList, MutationListAgeFromAnswer, MutationTrustOldConfiguration, MutationTrustVersion, MutationNoVerdict, MutationHoldItems, MutationNoPace}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion, MutationTrustOldList, MutationListAgeFromAnswer, MutationTrustOldConfiguration, MutationTrustVersion, MutationNoVerdict, MutationHoldItems, MutationNoPace, MutationUnlistedExits}
 
 // mutatedStore returns the machine's disk, or one that never syncs with MutationForgetSync.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetsim/mutation_check.go
+++ b/internal/fleetsim/mutation_check.go
@@ -21,6 +21,7 @@
 	{"the items of an ended route are abandoned in time", MutationNoVerdict, "after the end of"},
 	{"no item is held back in calm for the exits of a burst", MutationHoldItems, "still waits"},
 	{"refused items do not all start at the first calm moment", MutationNoPace, "refused items at once"},
+	{"nor for a trial that a burst broke off in which little else ran", MutationUnlistedExits, "still waits"},
 	{"the age of a list counts from its reading", MutationListAgeFromAnswer, "after it was listed as leaving"},
 }
 
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -65,10 +65,11 @@
 	leaveRandom    *rand.Rand
 	losesLeaders   bool
 	listCounts     listCounts
-	// owedPool are the workers of items, in one of five seeds, see startOwed. owedRandom supplies their
+	// owedPool are the workers of items, in some seeds, see startOwed. owedRandom supplies their
 	// random numbers.
 	owedPool   []*simWorker
 	owedRandom *rand.Rand
+	bursts     burstPlan
 	owedCounts owedCounts
 	runners    []*runner
 	// verdicts is set in two of nine seeds, see startVerdicts.
