--- a/internal/quarantine/pacer.go
+++ b/internal/quarantine/pacer.go
@@ -14,7 +14,8 @@
 
 // Pacer decides when refused items of batch jobs run again. An item is owed to its caller, so its
 // worker exits hold it back only until the workers are calm. The first of many refused items then runs
-// alone, and each success lets one more run at a time. An exit brings the number back to one. The zero value is ready for use. Pacer is not safe for concurrent use.
+// alone, and each success lets one more run at a time. An exit brings the number back to one. The zero
+// value is ready for use. Pacer is not safe for concurrent use.
 type Pacer struct {
 	pace       int
 	running    int
