Store: one place that forgets an item whose result is on its way

finishTask and abandon each kept a list of what to delete for an item, and the lists differed: an abandoned item left its subject, its held state and its version wait behind until the store stopped leading. recordFinal serves both. abandon deleted the count of failures before it knew whether the record could be handed over; with a full channel the item then counted as failed less often than it had. It is deleted afterwards now, as in finishTask. covers reads the knowledge of the present poll itself instead of getting it from each caller.

--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -263,12 +263,7 @@
 	}
 	switch {
 	case ended.finished:
-		r.pending[ended.key] = true
-		delete(r.subjects, ended.key)
-		delete(r.heldItems, ended.key)
-		delete(r.failedProbes, ended.key)
-		delete(r.versionWaits, ended.key)
-		delete(r.failedItems, ended.key)
+		r.recordFinal(ended.key)
 		if ended.ranUninterrupted {
 			r.store.runTimes.addRun(ended.runTime, ended.progress.events)
 		}
@@ -283,6 +278,18 @@
 	}
 }
 
+// recordFinal records that the result of an item is on its way to the log, and forgets what only a further
+// attempt would need.
+func (r *runner) recordFinal(key itemKey) {
+	r.pending[key] = true
+	delete(r.subjects, key)
+	delete(r.heldItems, key)
+	delete(r.failedProbes, key)
+	delete(r.versionWaits, key)
+	delete(r.absences, key)
+	delete(r.failedItems, key)
+}
+
 func (r *runner) stopAll() {
 	for _, task := range r.running {
 		task.cancel()
--- a/internal/batchstore/verdict.go
+++ b/internal/batchstore/verdict.go
@@ -25,9 +25,8 @@
 // routeOf returns the route of an item, or nil if this store knows none. It abandons an item whose
 // route has ended.
 func (r *runner) routeOf(table *routetable.Table, key itemKey, job *batchstate.Job, path string) *routetable.Route {
-	known := r.known
 	route := table.Match(job.Host, path)
-	if route != nil && route.Name != job.Route && known.Version < job.Accepted {
+	if route != nil && route.Name != job.Route && r.known.Version < job.Accepted {
 		// The newer configuration may have the route under which the job was accepted.
 		route = nil
 	}
@@ -36,18 +35,17 @@
 		return route
 	}
 	absence := r.absences[key]
-	covered := r.covers(known, job, r.seen[job.ID].firstSeen)
-	if absence.RecordMissing(known, covered) {
-		delete(r.absences, key)
+	ended := absence.RecordMissing(r.known, r.covers(job, r.seen[job.ID].firstSeen))
+	r.absences[key] = absence
+	if ended {
 		r.abandon(key, "route_gone")
-		return nil
 	}
-	r.absences[key] = absence
 	return nil
 }
 
-// covers reports whether the knowledge covers the job, and was confirmed after since.
-func (r *runner) covers(known batchplan.Knowledge, job *batchstate.Job, since time.Time) bool {
+// covers reports whether the known configuration covers the job, and was confirmed after since.
+func (r *runner) covers(job *batchstate.Job, since time.Time) bool {
+	known := r.known
 	if known.Covers(job.Accepted, since) {
 		return true
 	}
@@ -69,9 +67,9 @@
 // abandonOverdue abandons an item whose job has been retained for long enough, or whose attempts are
 // spent. It reports whether the item must not run.
 func (r *runner) abandonOverdue(key itemKey, job *batchstate.Job, route *routetable.Route) bool {
-	known, firstSeen := r.known, r.seen[job.ID].firstSeen
+	firstSeen := r.seen[job.ID].firstSeen
 	retain := time.Duration(route.RetainMillis) * time.Millisecond
-	if retain > 0 && clock.Since(firstSeen) > retain && r.covers(known, job, firstSeen.Add(retain)) {
+	if retain > 0 && clock.Since(firstSeen) > retain && r.covers(job, firstSeen.Add(retain)) {
 		r.abandon(key, "retained_long_enough")
 		return true
 	}
@@ -82,7 +80,7 @@
 	if failed.at.IsZero() {
 		failed.at = firstSeen
 	}
-	if r.covers(known, job, failed.at) {
+	if r.covers(job, failed.at) {
 		r.abandon(key, "attempts_spent")
 	}
 	return true
@@ -98,10 +96,7 @@
 func (r *runner) abandon(key itemKey, reason string) {
 	known := r.known
 	logging.Info(r.store.logger, "item_abandoned", "job", key.job, "item", key.item, "reason", reason, "version", known.Version, "confirmed_ms", clock.Since(known.ConfirmedAt).Milliseconds())
-	r.pending[key] = true
-	delete(r.failedProbes, key)
-	delete(r.failedItems, key)
-	if !r.enqueue(itemRecord{ItemRecord: wire.ItemRecord{Job: key.job, Item: key.item, State: wire.ItemAbandoned}}) {
-		delete(r.pending, key)
+	if r.enqueue(itemRecord{ItemRecord: wire.ItemRecord{Job: key.job, Item: key.item, State: wire.ItemAbandoned}}) {
+		r.recordFinal(key)
 	}
 }
