One question for items that only their own runs speak against, one error for new keys

The store and fleetsim each spelled out when only an item's own fingerprint is refused; Subject.OnlyRequest serves both. The error for a key that this edge may not have heard of stood twice. No change of behaviour.

--- a/internal/batchstore/quarantine.go
+++ b/internal/batchstore/quarantine.go
@@ -59,7 +59,7 @@
 		// The grant lasts until the item has a worker.
 		return false
 	}
-	ownRunsOnly := len(refused) == 1 && refused[0] == subject.Request
+	ownRunsOnly := subject.OnlyRequest(refused)
 	if ownRunsOnly && r.mayRunRefused(now, cache.LastExitAt(), key) {
 		r.paced[key] = true
 		return false
--- a/internal/edge/identity.go
+++ b/internal/edge/identity.go
@@ -28,11 +28,16 @@
 	case len(keys) != 1:
 		return nil, failure.New(failure.Unauthenticated, "send one key in the header for keys", "the request has %d keys", len(keys))
 	case !e.inTouch(now):
-		return nil, failure.New(failure.NotRun, "ask another edge", "the key is not known here, and no coordinator is heard").WithRetryAfter(shortRetryAfter)
+		return nil, unheardKeyError()
 	}
 	return nil, failure.New(failure.Unauthenticated, "ask your operator for a key", "no tenant holds the key in version %d", table.Configuration.Version)
 }
 
+// unheardKeyError returns the error for a key that may have been added a moment ago.
+func unheardKeyError() error {
+	return failure.New(failure.NotRun, "ask another edge", "the key is not known here, and no coordinator is heard").WithRetryAfter(shortRetryAfter)
+}
+
 // checkNewKey returns an error if the request's key may have been added a moment ago. On a public route a
 // key that no tenant holds is ignored, but the owner of a job is part of its name.
 func (e *Edge) checkNewKey(now time.Time, table *routetable.Table, request *http.Request) error {
@@ -40,7 +45,7 @@
 	if !table.RequiresKeys() || len(keys) != 1 || table.TenantByKey(keys[0]) != nil || e.inTouch(now) {
 		return nil
 	}
-	return failure.New(failure.NotRun, "ask another edge", "the key is not known here, and no coordinator is heard").WithRetryAfter(shortRetryAfter)
+	return unheardKeyError()
 }
 
 // jobOwner returns the tenant whose jobs the request may access. Where the host accepts jobs
--- a/internal/fleetsim/owed.go
+++ b/internal/fleetsim/owed.go
@@ -180,7 +180,7 @@
 	}
 	item.retryAt = r.world.now.Add(trialRetryTime)
 	holds := r.world.mutation == MutationHoldItems
-	if len(refused) == 1 && refused[0] == item.subject.Request && !holds {
+	if item.subject.OnlyRequest(refused) && !holds {
 		if item.held == nil {
 			item.held = &quarantine.HeldItem{Since: now}
 		}
--- a/internal/quarantine/subject.go
+++ b/internal/quarantine/subject.go
@@ -81,6 +81,11 @@
 	return append([]Fingerprint{s.Request}, s.Parts...)
 }
 
+// OnlyRequest reports whether the refused fingerprints are that of the request itself and none of a part.
+func (s *Subject) OnlyRequest(refused []Fingerprint) bool {
+	return len(refused) == 1 && refused[0] == s.Request
+}
+
 // Output records when a run received output. The zero value is that of a run without output.
 type Output struct{ first, last time.Time }
 
