--- a/test/hosted_fleet_test.go
+++ b/test/hosted_fleet_test.go
@@ -264,9 +264,14 @@
 	return fmt.Sprintf(`{"version":%d,"routes":[
  {"name":"stream","host":%q,"pathPrefix":"/stream/","routeKind":"streaming","timeoutMs":20000,"goalMs":2000,"gapGoalMs":2000,"service":%q,"maxAttempts":3,"resumable":true},
  {"name":"once","host":%q,"pathPrefix":"/once/","routeKind":"streaming","timeoutMs":20000,"goalMs":2000,"gapGoalMs":2000,"service":%q,"maxAttempts":3},
- {"name":"batch","host":%q,"pathPrefix":"/batch/","routeKind":"batch","timeoutMs":30000,"goalMs":400,"runGoalMs":20000,"retainS":60,"maxQueuedTokens":100000,"service":%q,"maxAttempts":3}%s],
+ %s%s],
  "services":[{"name":%q,"maxConns":100,"engine":{"slots":8,"kvCapacityTokens":100000}}],"limits":{"maxBodyBytes":1000000}}`,
-		version, hostedHost, hostedService, hostedHost, hostedService, hostedHost, hostedService, extraRoutes, hostedService)
+		version, hostedHost, hostedService, hostedHost, hostedService, batchRoute("batch", 100_000), extraRoutes, hostedService)
+}
+
+// batchRoute returns a batch route of the name, which is also the prefix of its paths.
+func batchRoute(name string, maxQueuedTokens int) string {
+	return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":"/%s/","routeKind":"batch","timeoutMs":30000,"goalMs":400,"runGoalMs":20000,"retainS":60,"maxQueuedTokens":%d,"service":%q,"maxAttempts":3}`, name, hostedHost, name, maxQueuedTokens, hostedService)
 }
 
 func (f *hostedFleet) putConfiguration(core, document string) int {
--- a/test/owed_items_test.go
+++ b/test/owed_items_test.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"testing"
 	"time"
-
-	"github.com/sedgemast/sedgemast/internal/emulator"
 )
 
 const (
@@ -25,10 +23,11 @@
 	partTestTime = 20 * time.Second
 )
 
-// crashHalves makes a random half of the workers exit, again and again.
-func (f *hostedFleet) crashHalves(random *rand.Rand) {
-	for until := time.Now().Add(burstTime); time.Now().Before(until); time.Sleep(burstInterval) {
-		for _, number := range random.Perm(len(f.workers))[:len(f.workers)/2] {
+// crashHalves makes a random half of the workers exit, again and again. permute returns a random
+// permutation.
+func (f *hostedFleet) crashHalves(duration time.Duration, permute func(int) []int) {
+	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(burstInterval) {
+		for _, number := range permute(len(f.workers))[:len(f.workers)/2] {
 			f.workers[number].Restart("", burstRestart)
 		}
 	}
@@ -43,7 +42,7 @@
 	f.waitServing(t, edges[0])
 	document := partDocument("j1", items, tokens, func(number int) string { return fmt.Sprintf("part-%d", number%3) })
 	f.submitJob(t, edges[0], "/batch/", "j1", document)
-	f.crashHalves(rand.New(rand.NewPCG(1, 1)))
+	f.crashHalves(burstTime, rand.New(rand.NewPCG(1, 1)).Perm)
 	calm := time.Now()
 	done := func() (count int) {
 		if page, _ := f.readResults(edges[0], "j1", 0); page != nil {
@@ -71,10 +70,7 @@
 // part of their prompts that online requests have brought, and that hold up the other items of their job.
 func TestOnlinePartEndsFewWorkersBesideItems(t *testing.T) {
 	const items, tokens = 24, 20
-	f := newHostedFleet(t, 12)
-	edges := f.configure(t)
-	faults := &partFaults{fault: emulator.HostedFault{ExitAfter: 15 * time.Millisecond, RestartAfter: partRestart}}
-	f.injectFaults(faults.faultFor)
+	f, edges, _ := newPartFleet(t)
 	traffic := startPartTraffic(f, "all", edges, true)
 	eventually(t, "five exits", func() bool { return f.exits() >= firstExits })
 	for number, edge := range edges {
@@ -98,10 +94,5 @@
 	if exits > maxPartExits {
 		t.Errorf("%d workers ended once the part was refused, want at most %d", exits, maxPartExits)
 	}
-	page, _ := f.readResults(edges[0], "j1", 0)
-	for _, row := range page.Results {
-		if row.State != "completed" {
-			t.Errorf("item %s is %s", row.ID, row.State)
-		}
-	}
+	f.checkStates(t, edges[0], "j1", "completed")
 }
--- a/test/prompt_parts_test.go
+++ b/test/prompt_parts_test.go
@@ -152,13 +152,20 @@
 	p.callers.Wait()
 }
 
-// TestPromptPartThatMakesWorkersExit guards against worker exits for as long as requests come that
-// have one part of their prompts in common.
-func TestPromptPartThatMakesWorkersExit(t *testing.T) {
+// newPartFleet starts a fleet whose workers exit under the crashing part.
+func newPartFleet(t *testing.T) (*hostedFleet, []string, *partFaults) {
+	t.Helper()
 	f := newHostedFleet(t, 12)
 	edges := f.configure(t)
 	faults := &partFaults{fault: emulator.HostedFault{ExitAfter: 15 * time.Millisecond, RestartAfter: partRestart}}
 	f.injectFaults(faults.faultFor)
+	return f, edges, faults
+}
+
+// TestPromptPartThatMakesWorkersExit guards against worker exits for as long as requests come that
+// have one part of their prompts in common.
+func TestPromptPartThatMakesWorkersExit(t *testing.T) {
+	f, edges, faults := newPartFleet(t)
 	traffic := startPartTraffic(f, "all", edges, true)
 	eventually(t, "five exits", func() bool { return f.exits() >= firstExits })
 	fifth := time.Now()
@@ -200,10 +207,7 @@
 // have one part of their prompts in common.
 func TestItemsWithPromptPartThatMakesWorkersExit(t *testing.T) {
 	const items, crashing, tokens = 24, 12, 20
-	f := newHostedFleet(t, 12)
-	edges := f.configure(t)
-	faults := &partFaults{fault: emulator.HostedFault{ExitAfter: 15 * time.Millisecond, RestartAfter: partRestart}}
-	f.injectFaults(faults.faultFor)
+	f, edges, faults := newPartFleet(t)
 	f.submitJob(t, edges[0], "/batch/", "j1", partDocument("j1", items, tokens, crashingInHalf))
 	eventually(t, "the results of the sound items", func() bool {
 		page, _ := f.readResults(edges[1], "j1", 0)
@@ -217,10 +221,5 @@
 	if late > maxLateSends || total > 2*crashing {
 		t.Errorf("%d sends of the part, %d of them late, want at most %d and %d", total, late, 2*crashing, maxLateSends)
 	}
-	page, _ := f.readResults(edges[0], "j1", 0)
-	for _, row := range page.Results {
-		if row.State != "completed" {
-			t.Errorf("item %s is %s", row.ID, row.State)
-		}
-	}
+	f.checkStates(t, edges[0], "j1", "completed")
 }
--- a/test/soak_owed_test.go
+++ b/test/soak_owed_test.go
@@ -71,7 +71,7 @@
 func lotRoutes(version int) string {
 	var routes strings.Builder
 	for added := max(21, version-routeVersions); added <= version; added++ {
-		fmt.Fprintf(&routes, `,{"name":"lot-%d","host":%q,"pathPrefix":"/lot-%d/","routeKind":"batch","timeoutMs":30000,"goalMs":400,"runGoalMs":20000,"retainS":60,"maxQueuedTokens":1000000,"service":%q,"maxAttempts":3}`, added, hostedHost, added, hostedService)
+		routes.WriteString("," + batchRoute(fmt.Sprintf("lot-%d", added), 1_000_000))
 	}
 	return routes.String()
 }
@@ -251,11 +251,7 @@
 	random := rand.New(rand.NewSource(s.random.Int63()))
 	return func() {
 		s.logFault("a half of the workers exits for %s, again and again", shortBurst)
-		for until := time.Now().Add(shortBurst); time.Now().Before(until); time.Sleep(burstInterval) {
-			for _, number := range random.Perm(len(s.workers))[:len(s.workers)/2] {
-				s.workers[number].Restart("", burstRestart)
-			}
-		}
+		s.crashHalves(shortBurst, random.Perm)
 		s.count("bursts")
 		s.mutex.Lock()
 		s.owed.bursting = false
--- a/test/unheard_route_test.go
+++ b/test/unheard_route_test.go
@@ -23,7 +23,7 @@
 )
 
 // addedRoute is a batch route that fleets of these tests add and remove.
-const addedRoute = `,{"name":"added","host":"` + hostedHost + `","pathPrefix":"/added/","routeKind":"batch","timeoutMs":30000,"goalMs":400,"runGoalMs":20000,"retainS":60,"maxQueuedTokens":100000,"service":"` + hostedService + `","maxAttempts":3}`
+var addedRoute = "," + batchRoute("added", 100_000)
 
 // stop stops the processes of the machines whose names begin with prefix, and waits until they stand
 // still.
@@ -83,7 +83,16 @@
 		page, _ := f.readResults(edge, id, 0)
 		return page != nil && len(page.Results) == items
 	})
-	page, _ := f.readResults(edge, id, 0)
+	f.checkStates(t, edge, id, state)
+}
+
+// checkStates checks the state of all results that a job has.
+func (f *hostedFleet) checkStates(t *testing.T, edge, id, state string) {
+	t.Helper()
+	page, status := f.readResults(edge, id, 0)
+	if page == nil {
+		t.Fatalf("the results of %s can't be read: status %d", id, status)
+	}
 	for _, row := range page.Results {
 		if row.State != state {
 			t.Errorf("item %s is %s, want %s", row.ID, row.State, state)
