--- a/review/standins2/fleet.go
+++ b/review/standins2/fleet.go
@@ -13,7 +13,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -255,13 +254,6 @@
 	return nil
 }
 
-// signal sends a signal to the process of a machine.
-func (f *fleet) signal(m *machine, signal syscall.Signal) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	_ = m.command.Process.Signal(signal)
-}
-
 // kill ends the process of a machine for good; start starts it again.
 func (f *fleet) kill(m *machine) {
 	m.mutex.Lock()
