Edge: log and count whose a failed answer is, and whether anything may have run

Cause: a 503 that a caller gets may be the edge's own or a worker's, and the line request_done says neither its status nor whose it is; whether a worker may have run the request was known only while it was retried.

Change: the edge counts sends that no proof has taken back (runs). request_done has status, status_of and may_have_run, attempt_failed has status and may_have_run, and edge_failed_answers_total counts failed answers by these three.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -76,9 +76,12 @@
 	lastEventID  int64
 	hasLastEvent bool
 	stream       streamState
-	// mayHaveRun is set once a worker may have started to run the request.
-	mayHaveRun bool
-	lastErr    error
+	// runs tells whether a worker may have run the request.
+	runs    runs
+	lastErr error
+	// answered is the status that the caller got, 0 if none, and answerSource says whose it is.
+	answered     int
+	answerSource answerSource
 	// status is the HTTP status of the last worker's answer.
 	status int
 	// cachedSubject identifies the request for quarantine, nil until it is first needed. onTrial is
@@ -133,6 +136,7 @@
 	if last, err := strconv.ParseInt(header.Get(e.headerNames.LastEvent), 10, 64); err == nil {
 		c.lastEventID, c.hasLastEvent = last, true
 	}
+	c.answerSource = sourceNone
 	c.stream = e.newStreamState(header, c.lastEventID, c.hasLastEvent)
 	return c
 }
@@ -198,13 +202,12 @@
 			return
 		}
 		c.demand.Exclude[lease.Endpoint.ID] = true
-		if result == failed {
-			c.mayHaveRun = true
-		} else {
+		if result == notRun {
+			c.runs.disprove()
 			c.stream.rejectedBy = append(c.stream.rejectedBy, lease.Endpoint.ID)
 		}
 		c.detectWorkerExit(lease, result)
-		logging.Info(c.edge.logger, "attempt_failed", "id", c.id, "attempt", c.attempts, "worker", lease.Endpoint.ID, "outcome", result, "last_event", c.lastEventID, "ms", c.elapsed(), "error", c.lastErr)
+		logging.Info(c.edge.logger, "attempt_failed", "id", c.id, "attempt", c.attempts, "worker", lease.Endpoint.ID, "outcome", result, "status", c.status, "may_have_run", c.runs.possible(), "last_event", c.lastEventID, "ms", c.elapsed(), "error", c.lastErr)
 		if result == failed && (!c.route.Idempotent() || c.retryQuarantined()) {
 			break
 		}
@@ -277,13 +280,13 @@
 		c.finish("broken", c.lastErr)
 	case c.context.Err() != nil && !c.expired():
 		c.aborted = true
-		if !c.mayHaveRun {
+		if !c.runs.possible() {
 			c.releaseToken()
 		}
 		c.finish("caller_gone", nil)
-	case c.mayHaveRun && c.expired():
+	case c.runs.possible() && c.expired():
 		c.reject(failure.New(failure.DeadlineExceeded, "allow more time", "no worker answered in time"))
-	case c.mayHaveRun:
+	case c.runs.possible():
 		c.reject(failure.New(failure.OutcomeUnknown, "ask again if the request may be repeated", "the worker broke off"))
 	default:
 		c.reject(failure.New(failure.NotRun, "try again", "no worker took the request").WithRetryAfter(shortRetryAfter))
@@ -294,7 +297,9 @@
 	if err.Kind == failure.NotRun {
 		c.releaseToken()
 	}
-	httpapi.WriteFailure(c.writer, err.Kind.HTTPStatus(), err)
+	status := err.Kind.HTTPStatus()
+	c.recordAnswer(status, sourceEdge)
+	httpapi.WriteFailure(c.writer, status, err)
 	c.finish(err.Kind.String(), c.lastErr)
 }
 
@@ -307,7 +312,7 @@
 		firstMillis = c.firstByteAt.Sub(c.arrived).Milliseconds()
 		e.metrics.firstByteTime.WithLabelValues(c.route.Name).Observe(c.firstByteAt.Sub(c.arrived).Seconds())
 	}
-	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "list_age_ms", c.listAge.Milliseconds(), "attempts", c.attempts, "outcome", result, "first_ms", firstMillis, "ms", c.elapsed(), "error", err)
+	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "list_age_ms", c.listAge.Milliseconds(), "attempts", c.attempts, "outcome", result, "status", c.answered, "status_of", string(c.answerSource), "may_have_run", c.runs.possible(), "first_ms", firstMillis, "ms", c.elapsed(), "error", err)
 }
 
 // headers returns the headers of one attempt: the caller's and those that the edge sets.
@@ -336,7 +341,8 @@
 	request := c.request
 	request.Headers = c.headers(lease)
 	c.attempts++
-	c.sentAt, c.output = clock.Now(), quarantine.Output{}
+	c.sentAt, c.output, c.status = clock.Now(), quarantine.Output{}, 0
+	c.runs.begin()
 	c.listAge = c.edge.watcher.Current().ListAge(c.sentAt)
 	c.edge.metrics.listAge.Observe(c.listAge.Seconds())
 	if lease.IsProbe() {
--- a/internal/edge/queue_test.go
+++ b/internal/edge/queue_test.go
@@ -425,7 +425,10 @@
 		c := f.call(httptest.NewRecorder(), testTimeout, testTimeout)
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		c.context, c.hasToken, c.mayHaveRun = ctx, true, mayHaveRun
+		c.context, c.hasToken = ctx, true
+		if mayHaveRun {
+			c.runs.begin()
+		}
 		c.giveUp()
 		if c.hasToken != mayHaveRun {
 			t.Errorf("may have run %t: the token is kept %t", mayHaveRun, c.hasToken)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -34,6 +34,7 @@
 	c.responseStarted = true
 	c.firstByteAt = time.Now()
 	c.countStarted()
+	c.recordAnswer(response.Status, sourceWorker)
 	header := c.writer.Header()
 	for _, field := range httpheader.Forwardable(response.Header) {
 		header.Add(field.Name, field.Value)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -157,6 +157,7 @@
 	e.endConnection(writer)
 	typed := failure.From(err)
 	status := httpapi.StatusCode(typed)
+	e.countAnswer(status, sourceEdge, false)
 	logging.Info(e.logger, "request_refused", "id", request.Header.Get(e.headerNames.RequestID), "host", request.Host, "path", request.URL.Path, "status", status, "error", err)
 	httpapi.WriteFailure(writer, status, typed)
 }
