Edge: a worker's failure is no promise that nothing ran

Cause: an edge looked for the mark only to find rejections. Any other answer was passed on where no other worker could take over, so a run that failed with 408, 429 or 503 became a promise. The other way round, 2xx and 500 with the mark counted as rejections, and the request ran again.

Ruled out: refusals of the edge's own in this case (status_of), false marks (the stand-ins' failing workers send none).

Why this works: every send counts as a possible run until a proof takes it back, and both ways to the caller, refusals and passed-on answers, pass one check. What an answer states is read in one place for edges and stores. An unmarked 408, 429 or 503 is that worker's failure: another takes over where it may, else 502.

--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -248,13 +248,17 @@
 		t.lease.ApplyReport(report)
 		store.logSlotMismatches()
 	}
+	statement := response.Statement()
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		t.lease.RecordWrongWorker(clock.Now())
 		return t.discardBody(response, failure.New(failure.NotRun, "", "another worker has the address"))
-	case response.Header.Get(store.headerNames.NotRun) != "":
+	case statement == upstream.StatesNotRun:
 		t.backoff = notRunBackoff
 		return t.discardBody(response, failure.New(failure.NotRun, "", "the worker answered %d and did not run it", response.Status))
+	case statement == upstream.StatesNothing:
+		t.lease.RecordItemStart(clock.Now(), false)
+		return t.discardBody(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d and may have run it", response.Status))
 	case response.Status == http.StatusUnprocessableEntity:
 		return t.discardBody(response, failure.New(failure.BadRequest, "", "the worker can't ever do it"))
 	case response.Status == http.StatusInternalServerError:
--- a/internal/batchstore/task_test.go
+++ b/internal/batchstore/task_test.go
@@ -132,6 +132,12 @@
 			writer.Header().Set("Not-Run", "1")
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}, 0, 0, false},
+		{"408", status(http.StatusRequestTimeout), 0, 1, true},
+		{"429", status(http.StatusTooManyRequests), 0, 1, true},
+		{"500, not run", func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Not-Run", "1")
+			writer.WriteHeader(http.StatusInternalServerError)
+		}, 0, 1, true},
 		{"422", status(http.StatusUnprocessableEntity), 0, 0, false},
 		{"an empty answer", status(http.StatusOK), 0, 1, true},
 		{"a head, then a reset", func(writer http.ResponseWriter, _ *http.Request) {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -293,7 +293,12 @@
 	}
 }
 
+// reject answers the caller with the failure, or with one that promises nothing if a worker may have run
+// the request.
 func (c *call) reject(err *failure.Error) {
+	if !c.mayAnswer(err.Kind.HTTPStatus()) {
+		err = failure.From(failure.Truthful(err, true))
+	}
 	if err.Kind == failure.NotRun {
 		c.releaseToken()
 	}
@@ -358,18 +363,21 @@
 		lease.ApplyReport(load)
 		c.edge.logSlotMismatches()
 	}
-	workerRejected := response.Status == http.StatusMisdirectedRequest || response.Header.Get(c.edge.headerNames.NotRun) != ""
-	if !workerRejected {
-		lease.RecordAnswer(clock.Now(), response.Status < http.StatusInternalServerError)
+	statement := response.Statement()
+	if statement != upstream.StatesNotRun {
+		lease.RecordAnswer(clock.Now(), statement == upstream.StatesAnswer && response.Status < http.StatusInternalServerError)
 	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		lease.RecordWrongWorker(clock.Now())
 		c.lastErr = failure.New(failure.NotRun, "", "another worker has the address")
 		return c.discardResponse(response, notRun)
-	case workerRejected:
+	case statement == upstream.StatesNotRun:
 		c.lastErr = failure.New(failure.NotRun, "", "the worker answered %d and did not run it", response.Status)
 		return c.discardResponse(response, notRun)
+	case statement == upstream.StatesNothing || !c.mayAnswer(response.Status):
+		c.lastErr = failure.New(failure.OutcomeUnknown, "", "the worker answered %d and may have run it", response.Status)
+		return c.discardResponse(response, failed)
 	case response.Status >= http.StatusInternalServerError && (c.responseStarted || c.canFailOver()):
 		c.lastErr = failure.New(failure.OutcomeUnknown, "", "the worker answered %d", response.Status)
 		return c.discardResponse(response, failed)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -125,7 +125,13 @@
 // error.
 func send(ctx context.Context, tb testing.TB, server *httptest.Server, id string, events int, deadline time.Duration) (int, http.Header, string, error) {
 	tb.Helper()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/a", strings.NewReader("prompt"))
+	return sendAs(ctx, tb, server, http.MethodPost, id, events, deadline)
+}
+
+// sendAs is send with the given method.
+func sendAs(ctx context.Context, tb testing.TB, server *httptest.Server, method, id string, events int, deadline time.Duration) (int, http.Header, string, error) {
+	tb.Helper()
+	request, err := http.NewRequestWithContext(ctx, method, server.URL+"/a", strings.NewReader("prompt"))
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/edge/runs.go
+++ b/internal/edge/runs.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strconv"
+
+	"github.com/sedgemast/sedgemast/internal/failure"
 )
 
 // runs is what the edge knows about whether a worker has run a request. Every send may run it; only a
@@ -18,6 +20,12 @@
 // possible reports whether a worker may have run the request.
 func (r *runs) possible() bool { return r.unproven > 0 }
 
+// mayAnswer reports whether the caller may get the status, be it the edge's own or a worker's. Every
+// answer to a call passes this check, so none promises that nothing ran while that is not known.
+func (c *call) mayAnswer(status int) bool {
+	return !failure.PromisesNotRun(status) || !c.runs.possible()
+}
+
 // answerSource says whose status the caller got.
 type answerSource string
 
--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -68,8 +68,11 @@
 type HostedFault struct {
 	// NotRun rejects the request without running it.
 	NotRun bool
-	// Status, if not 0, is the status of the answer, which then has no body.
+	// Status, if not 0, is the status of the answer, which then has no body. The worker runs the request
+	// for RunFor before it answers. Marked adds the header that states that it did not run the request.
 	Status int
+	RunFor time.Duration
+	Marked bool
 	// BreakAfter, if not 0, is the number of events after which the connection is closed.
 	BreakAfter int
 	// Hang sends nothing until the caller disconnects.
@@ -231,6 +234,10 @@
 	writer.Header().Set(w.HeaderNames.Load, w.loadHeader())
 	writer.Header().Set("Server-Seal", w.ID+"."+request.ID)
 	if fault.Status != 0 {
+		time.Sleep(fault.RunFor)
+		if fault.Marked {
+			writer.Header().Set(w.HeaderNames.NotRun, "1")
+		}
 		writer.WriteHeader(fault.Status)
 		return
 	}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -72,6 +72,25 @@
 	return properties[k].status
 }
 
+// PromisesNotRun reports whether callers take an HTTP status as a promise that their request has not run
+// and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// Truthful returns err, unless its status promises that nothing ran although something may have run. Then
+// it returns a failure of kind OutcomeUnknown with the cause err.
+func Truthful(err error, mayHaveRun bool) error {
+	if err == nil || !mayHaveRun || !PromisesNotRun(KindOf(err).HTTPStatus()) {
+		return err
+	}
+	return Wrap(err, OutcomeUnknown, "send it again if it may be repeated", "an earlier attempt may have run")
+}
+
 // ParseKind returns the kind with the given name; an unknown name is Internal.
 func ParseKind(name string) Kind {
 	for kind, property := range properties {
--- a/test/hosted_test.go
+++ b/test/hosted_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/emulator"
+	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/placement"
 )
 
@@ -52,6 +53,7 @@
 	t.Run("in force", func(t *testing.T) { f.testRouteUpdate(t, edge, second) })
 	t.Run("failing worker", func(t *testing.T) { f.testFailingWorker(t, edge) })
 	t.Run("leaving worker", func(t *testing.T) { f.testDraining(t, edge) })
+	t.Run("failure after the start", func(t *testing.T) { f.testFailureAfterStart(t, edge) })
 	t.Run("planned stop", func(t *testing.T) { f.testPlannedStop(t) })
 }
 
@@ -169,6 +171,24 @@
 	}
 }
 
+// testFailureAfterStart lets workers begin a request and fail with each status, and checks that no caller
+// is told that its request did not run.
+func (f *hostedFleet) testFailureAfterStart(t *testing.T, edge string) {
+	defer f.injectFaults(nil)
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		f.injectFaults(func(*emulator.HostedRequest) emulator.HostedFault {
+			return emulator.HostedFault{Status: status, RunFor: 5 * time.Millisecond}
+		})
+		for _, path := range []string{"/stream/a", "/once/a"} {
+			id := fmt.Sprintf("r-5%s-%d", path, status)
+			got, _, _, err := f.call(http.MethodPost, edge, path, map[string]string{"Request-Id": id, "Token-Count": "10,7"}, "p")
+			if err != nil || f.runCount(id) == 0 || failure.PromisesNotRun(got) {
+				t.Errorf("%s: status %d after %d runs that failed with %d, %v", path, got, f.runCount(id), status, err)
+			}
+		}
+	}
+}
+
 // testWrongInput sends requests that can't be served. Each must get its status, and none may run.
 func (f *hostedFleet) testWrongInput(t *testing.T, edge string) {
 	long := strings.Repeat("x", 1_000_001)
