Clients of stores and control: no refusal after an attempt that may reach the log

What callers would see: 429 or 503 for a batch job, or for a command to control, that is executed later.

Cause: the clients repeat a call whose outcome is unknown. A store checks the quota against its applied state; a refusal of the second attempt was passed on although the first could still reach the log, and control's likewise.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -98,14 +98,17 @@
 
 // Call calls the leader of the group and tries the control processes in turn until ctx ends. Every
 // call to control may be repeated, because commands contain what makes them idempotent. Responses
-// of the state machine, including failures, are final.
+// of the state machine, including failures, are final. Once an attempt may have been executed, no failure
+// promises that nothing was.
 func Call[Response any, Pointer decodable[Response]](ctx context.Context, c *Client, group int, method string, request msgp.Marshaler) (*Response, error) {
 	backoff := minBackoff
+	mayHaveRun := false
 	for attempt := 0; ; attempt++ {
 		response, err := CallOnce[Response, Pointer](ctx, c, group, method, request, attempt)
 		if err == nil || !retryable(err) || ctx.Err() != nil {
-			return response, err
+			return response, failure.Truthful(err, mayHaveRun)
 		}
+		mayHaveRun = mayHaveRun || failure.Is(err, failure.OutcomeUnknown)
 		if attempt%len(c.addresses) != len(c.addresses)-1 {
 			continue
 		}
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -117,9 +117,9 @@
 	}
 }
 
-// call calls the leader of the job's group until it responds or ctx ends. If ctx ends and any
-// attempt may have been executed, the failure is OutcomeUnknown, else NotRun. wait is how long the
-// store may wait before it responds.
+// call calls the leader of the job's group until it responds or ctx ends. Once an attempt may have been
+// executed, no failure promises that nothing was: a store may reject the call while an earlier attempt is
+// still on its way to the log. wait is how long the store may wait before it responds.
 func call[Response any, Pointer rpc.Decodable[Response]](ctx context.Context, c *Client, job, method string, request msgp.Marshaler, wait time.Duration) (*Response, error) {
 	outcomeUnknown := false
 	for {
@@ -141,14 +141,12 @@
 			outcomeUnknown = true
 		case failure.NotRun:
 		default:
-			return nil, err
+			return nil, failure.Truthful(err, outcomeUnknown)
 		}
 		select {
 		case <-ctx.Done():
-			if outcomeUnknown {
-				return nil, failure.Wrap(err, failure.OutcomeUnknown, "send it again", "no store answered in time")
-			}
-			return nil, failure.Wrap(err, failure.NotRun, "send it again", "no store could take it").WithRetryAfter(attemptTimeout)
+			err = failure.Wrap(err, failure.NotRun, "send it again", "no store could take it").WithRetryAfter(attemptTimeout)
+			return nil, failure.Truthful(err, outcomeUnknown)
 		case <-time.After(retryInterval):
 		}
 	}
--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -226,3 +226,29 @@
 		t.Errorf("%d calls to the store without data, %d to the replica", nearby.calls.Load(), holder.calls.Load())
 	}
 }
+
+// TestRejectionAfterUnknownAttemptIsNoPromise guards against answering a job with 429 or 503 while an
+// earlier attempt to submit it may still reach the log, after which its items run.
+func TestRejectionAfterUnknownAttemptIsNoPromise(t *testing.T) {
+	for _, kind := range []failure.Kind{failure.OverLimit, failure.NotRun} {
+		for _, unknownFirst := range []bool{false, true} {
+			rejecting := startStore(t, func(s *store) (msgp.Marshaler, error) {
+				if unknownFirst && s.calls.Load() == 1 {
+					return nil, failure.New(failure.OutcomeUnknown, "send it again", "leadership changed")
+				}
+				return nil, failure.New(kind, "try again", "rejected")
+			})
+			client := New(nil, "z", fleet(storesAt("z", rejecting.address)()...))
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			_, err := client.EndJob(ctx, "j")
+			cancel()
+			want := kind
+			if unknownFirst {
+				want = failure.OutcomeUnknown
+			}
+			if got := failure.KindOf(err); got != want {
+				t.Errorf("%s, after an unknown attempt %t: %s, %v", kind, unknownFirst, got, err)
+			}
+		}
+	}
+}
