Dispatcher: only engines' codes that state it mean that nothing started

What callers would see: 503 for a request that an engine has started.

Cause: every rejection with a code but invalid counted as not run, also duplicate_attempt (an attempt of this id has started), stopped, unknown_attempt and codes of newer engines.

Why this works: the codes that state it are listed; any other leaves the outcome unknown, and the dispatcher resumes the attempt's stream. Gateway and dispatcher use failure.Truthful, like the edge.

--- a/internal/dispatcher/failures.go
+++ b/internal/dispatcher/failures.go
@@ -50,8 +50,11 @@
 	if !errors.As(err, &rejected) {
 		return err
 	}
-	if rejected.Code == engine.CodeInvalid {
+	switch {
+	case rejected.Code == engine.CodeInvalid:
 		return failure.Wrap(err, failure.BadRequest, "correct the request", "the engine does not accept the request")
+	case rejected.NotStarted():
+		return failure.Wrap(err, failure.NotRun, "send it again", "the engine did not start the request").WithRetryAfter(shortRetryAfter)
 	}
-	return failure.Wrap(err, failure.NotRun, "send it again", "the engine did not start the request").WithRetryAfter(shortRetryAfter)
+	return failure.Wrap(err, failure.OutcomeUnknown, "send it again if it may be repeated", "the engine may have started the request")
 }
--- a/internal/dispatcher/online.go
+++ b/internal/dispatcher/online.go
@@ -42,12 +42,9 @@
 }
 
 // sendFailure ends the stream with the failure of the request as a whole: once any attempt may have
-// run, a NotRun failure is reported as OutcomeUnknown.
+// run, it promises nothing.
 func (d *Dispatcher) sendFailure(t *task, stream *rpc.FrameWriter, err error) error {
-	typed := failure.From(err)
-	if t.started && typed.Kind == failure.NotRun {
-		err = failure.Wrap(err, failure.OutcomeUnknown, "send it again if it may be repeated", "an earlier attempt may have run")
-	}
+	err = failure.Truthful(err, t.started)
 	logging.Info(d.logger, "request_failed", "request", t.request.RequestID, "tenant", t.request.Tenant, "worker", t.worker, "kind", failure.KindOf(err), "error", err)
 	return stream.Fail(err)
 }
--- a/internal/dispatcher/task.go
+++ b/internal/dispatcher/task.go
@@ -232,8 +232,11 @@
 	defer func() { cancel(); <-watchDone }()
 
 	stream, err := t.client.Generate(streamContext, t.address, t.engineRequest(start), t.request.NotRepeatable)
-	if err != nil && !failure.Is(startFailure(err), failure.OutcomeUnknown) {
-		return nil, t.stopCause(ctx, stopped, startFailure(err))
+	if err != nil {
+		err = startFailure(err)
+	}
+	if err != nil && !failure.Is(err, failure.OutcomeUnknown) {
+		return nil, t.stopCause(ctx, stopped, err)
 	}
 	t.started = true
 	t.emitStarted()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -25,7 +25,7 @@
 	maxReplyBytes      = 4 << 20
 )
 
-// RejectedError is an engine's rejection of a call, before anything was started.
+// RejectedError is an engine's rejection of a call.
 type RejectedError struct {
 	Code    string
 	Message string
@@ -37,6 +37,16 @@
 	return fmt.Sprintf("the engine refused: %s (%s)", e.Message, e.Code)
 }
 
+// NotStarted reports whether the rejection states that this attempt was not started and will not be. An
+// unknown code, as of a newer engine, states nothing.
+func (e *RejectedError) NotStarted() bool {
+	switch e.Code {
+	case CodeStaleEpoch, CodeUnknownModel, CodeLeaving, CodeSaturated, CodeInvalid, CodeBusy:
+		return true
+	}
+	return false
+}
+
 // Client calls engines over its own connections. Online and batch work use different
 // clients, so that batch work can't delay online work.
 type Client struct {
@@ -69,8 +79,8 @@
 	c.fresh.CloseIdleConnections()
 }
 
-// Generate starts an attempt and returns its stream. The error is a *RejectedError or a
-// NotRun failure if the attempt certainly did not start, otherwise an OutcomeUnknown failure.
+// Generate starts an attempt and returns its stream. If the attempt certainly did not start, the error is
+// a *RejectedError with NotStarted or a NotRun failure.
 // If fresh is set, Generate dials a new connection.
 func (c *Client) Generate(ctx context.Context, address string, request *GenerateRequest, fresh bool) (*Stream, error) {
 	client := c.pooled
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -57,8 +57,8 @@
 	Message      string `json:"message,omitempty"`
 }
 
-// Error codes. All but CodeStopped and CodeUnknownAttempt mean that the attempt was rejected
-// before it started.
+// Error codes. All but CodeStopped, CodeUnknownAttempt and CodeDuplicateAttempt mean that the attempt was
+// rejected before it started. CodeDuplicateAttempt means that an attempt of the same id has started.
 const (
 	CodeStaleEpoch       = "stale_epoch"
 	CodeUnknownModel     = "unknown_model"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -71,7 +71,7 @@
 			return r.contextFailure(ctx)
 		}
 		if r.gateway.nextAttempt(&r.policy, attempts, err) == retry.GiveUp {
-			return r.finalFailure(err)
+			return failure.Truthful(err, r.mayHaveRun)
 		}
 		r.gateway.metrics.retries.Inc()
 	}
@@ -84,13 +84,6 @@
 	return failure.Wrap(ctx.Err(), failure.OutcomeUnknown, "send it again if it may be repeated", "the caller went away")
 }
 
-func (r *relay) finalFailure(err error) error {
-	if r.mayHaveRun && failure.Is(err, failure.NotRun) {
-		return failure.Wrap(err, failure.OutcomeUnknown, "send it again if it may be repeated", "an earlier attempt may have run")
-	}
-	return err
-}
-
 // attempt sends the request to one dispatcher and reads the response. If the stream breaks off,
 // another dispatcher reads the rest from the engine.
 func (r *relay) attempt(ctx context.Context, number int) error {
--- a/internal/simulation/task.go
+++ b/internal/simulation/task.go
@@ -119,6 +119,9 @@
 		case err != nil:
 			t.started = true
 			t.resume(err)
+		case code == engine.CodeDuplicateAttempt:
+			t.started = true
+			t.resume(failure.New(failure.OutcomeUnknown, "send it again if it may be repeated", "the engine refused: %s", code))
 		case code != "":
 			t.attemptFailed(failure.New(failure.NotRun, "send it again", "the engine refused: %s", code))
 		default:
