Dispatcher: the text of an answer is bounded by the tokens that it asks for

What operators would see: a dispatcher that ends for memory.

Cause: an engine may send text for no tokens, which moves no offset, without end; the dispatcher keeps all of it. Heads of engines' answers had only the library's bound of 10 MB.

Evidence: TestTextWithoutEndIsCut is red before (1 MB and more kept).

Why this works: beyond 1 KiB for each token asked for, 64 KiB at least, the attempt fails with an unknown outcome; heads have 64 KiB.

--- a/internal/dispatcher/failures_test.go
+++ b/internal/dispatcher/failures_test.go
@@ -1,10 +1,13 @@
 package dispatcher
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/sedgemast/sedgemast/internal/engine"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/scheduling"
+	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
 // TestOnlyStatedRejectionsAreNotRun guards against a promise that nothing ran for an engine's rejection by
@@ -27,3 +30,19 @@
 		}
 	}
 }
+
+// TestTextWithoutEndIsCut guards against an engine that fills a dispatcher's memory with text for no
+// tokens.
+func TestTextWithoutEndIsCut(t *testing.T) {
+	task := &task{dispatcher: &Dispatcher{scheduler: scheduling.New(scheduling.Config{}, nil)}, request: &wire.GenerateRequest{MaxTokens: 4}, attempt: &scheduling.Attempt{}}
+	piece := &engine.Event{Type: engine.EventTokens, Text: strings.Repeat("x", 16<<10)}
+	for kept := 0; kept < 1<<20; kept += len(piece.Text) {
+		if err := task.applyTokens(piece); err != nil {
+			if !failure.Is(err, failure.OutcomeUnknown) || task.answer.text.Len() > minTextBytes+len(piece.Text) {
+				t.Errorf("%v after %d bytes", err, task.answer.text.Len())
+			}
+			return
+		}
+	}
+	t.Errorf("%d bytes kept", task.answer.text.Len())
+}
--- a/internal/dispatcher/task.go
+++ b/internal/dispatcher/task.go
@@ -28,6 +28,10 @@
 	progressTokens = 8
 	cancelTimeout  = time.Second
 	resumeTimeout  = time.Second
+	// An answer has at most maxTokenTextBytes of text for each token that the request asks for, or
+	// minTextBytes if that is more.
+	maxTokenTextBytes = 1 << 10
+	minTextBytes      = 64 << 10
 	// maxOnlineAttempts limits the attempts at an online request by this dispatcher.
 	maxOnlineAttempts = 3
 )
@@ -358,6 +362,9 @@
 	offset := t.answer.tokens
 	t.answer.tokens += event.Tokens
 	t.answer.text.WriteString(event.Text)
+	if limit := max(minTextBytes, t.request.MaxTokens*maxTokenTextBytes); t.answer.text.Len() > limit {
+		return failure.New(failure.OutcomeUnknown, "send it again if it may be repeated", "the engine sent more than %d bytes of text", limit)
+	}
 	if t.answer.tokens%progressTokens == 0 {
 		t.dispatcher.step(scheduling.AttemptProgress{AttemptID: t.attempt.ID, Tokens: t.answer.tokens})
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -23,6 +23,7 @@
 	dialTimeout        = 500 * time.Millisecond
 	maxIdleConnections = 256
 	maxReplyBytes      = 4 << 20
+	maxHeadBytes       = 64 << 10
 )
 
 // RejectedError is an engine's rejection of a call.
@@ -70,6 +71,8 @@
 		MaxIdleConnsPerHost: maxIdleConnections,
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
