--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -27,6 +27,7 @@
 	ShortDial          = 250 * time.Millisecond
 	idleTimeout        = 90 * time.Second
 	maxIdleConnections = 512
+	maxHeadBytes       = 64 << 10
 )
 
 // Client makes internal calls over shared, long-lived connections.
@@ -113,6 +114,8 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
