Edge: the body of a request is read until the request's deadline at the longest

What callers would see: connections refused at an edge whose connections are all taken by callers that never send the end of a body. Found by reading all readers.

Cause: only a body that comes before the configuration is known had a time.

Why this works: the body is read until the request's deadline, a job's for 30 s, and answered 504 then; operators have a minute for a whole call.

--- a/internal/edge/api.go
+++ b/internal/edge/api.go
@@ -68,11 +68,7 @@
 	}
 }
 
-func (a *API) submit(request *http.Request, table *routetable.Table, route *routetable.Route) error {
-	body, err := httpapi.ReadBody(request, table.Configuration.Limits.MaxBodyBytes)
-	if err != nil {
-		return err
-	}
+func (a *API) submit(request *http.Request, body []byte, table *routetable.Table, route *routetable.Route) error {
 	document := &JobDocument{}
 	if err := json.Unmarshal(body, document); err != nil {
 		return failure.Wrap(err, failure.BadRequest, "send the whole job as JSON", "the job can't be read")
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -22,6 +22,8 @@
 	configurationTime = 1200 * time.Millisecond
 	// writeMargin is how long after the deadline a caller may still read the answer.
 	writeMargin = time.Second
+	// jobBodyTimeout bounds the time for which the body of a job is read.
+	jobBodyTimeout = 30 * time.Second
 )
 
 // ServeHTTP relays an opaque request to a worker.
@@ -29,8 +31,8 @@
 	e.serve(writer, request, time.Now())
 }
 
-// Submit submits the job in a request that matched the batch route.
-type Submit func(request *http.Request, table *routetable.Table, route *routetable.Route) error
+// Submit submits the job in a request, with the given body, that matched the batch route.
+type Submit func(request *http.Request, body []byte, table *routetable.Table, route *routetable.Route) error
 
 // ServeWithJobs passes a request to submit if it matches a batch route, and otherwise relays it
 // as ServeHTTP does. If submit returns nil, the request is answered with 202 Accepted.
@@ -46,7 +48,11 @@
 		e.serve(writer, request, arrived)
 		return
 	}
-	if err := submit(request, table, route); err != nil {
+	body, err := readBody(writer, request, table, arrived.Add(jobBodyTimeout))
+	if err == nil {
+		err = submit(request, body, table, route)
+	}
+	if err != nil {
 		e.Reject(writer, request, err)
 		return
 	}
@@ -82,12 +88,12 @@
 		e.Reject(writer, request, err)
 		return
 	}
-	body, err := httpapi.ReadBody(request, table.Configuration.Limits.MaxBodyBytes)
+	timeLeft := httpheader.ParseTimeLeft(request.Header.Get(e.headerNames.Deadline), route.Timeout())
+	body, err := readBody(writer, request, table, arrived.Add(timeLeft))
 	if err != nil {
 		e.Reject(writer, request, err)
 		return
 	}
-	timeLeft := httpheader.ParseTimeLeft(request.Header.Get(e.headerNames.Deadline), route.Timeout())
 	deadline := arrived.Add(timeLeft - stalledFor)
 	if stalledFor > 0 && !time.Now().Before(deadline) {
 		e.Reject(writer, request, stallError())
@@ -109,6 +115,22 @@
 	}
 }
 
+// readBody reads the body of a request until the given time.
+func readBody(writer http.ResponseWriter, request *http.Request, table *routetable.Table, until time.Time) ([]byte, error) {
+	controller := http.NewResponseController(writer)
+	// Only the writers of tests do not support deadlines.
+	_ = controller.SetReadDeadline(until)
+	body, err := httpapi.ReadBody(request, table.Configuration.Limits.MaxBodyBytes)
+	if err != nil {
+		if !time.Now().Before(until) {
+			err = failure.Wrap(err, failure.DeadlineExceeded, "send the body sooner", "the body was not whole in time")
+		}
+		return nil, err
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
 // noConfigurationError returns the error of a process of the given age that has no configuration
 // yet. Its retry time is when the process will probably have one: if all processes started
 // together, an election comes first.
