--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -16,6 +16,7 @@
 	"github.com/sedgemast/sedgemast/internal/httpheader"
 	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/promise"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
@@ -253,10 +254,10 @@
 	case response.Status == http.StatusMisdirectedRequest:
 		t.lease.RecordWrongWorker(clock.Now())
 		return t.discardBody(response, failure.New(failure.NotRun, "", "another worker has the address"))
-	case statement == upstream.StatesNotRun:
+	case statement == promise.NotRun:
 		t.backoff = notRunBackoff
 		return t.discardBody(response, failure.New(failure.NotRun, "", "the worker answered %d and did not run it", response.Status))
-	case statement == upstream.StatesNothing:
+	case statement == promise.Nothing:
 		t.lease.RecordItemStart(clock.Now(), false)
 		return t.discardBody(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d and may have run it", response.Status))
 	case response.Status == http.StatusUnprocessableEntity:
--- a/internal/edge/runs_test.go
+++ b/internal/edge/answers_test.go
@@ -94,9 +94,9 @@
 			f := startQueue(t, testTenant)
 			recorder := httptest.NewRecorder()
 			c := f.call(recorder, testTimeout, testTimeout)
-			c.runs.begin()
+			c.sends.Begin()
 			if !mayHaveRun {
-				c.runs.disprove()
+				c.sends.Disprove()
 			}
 			c.reject(failure.New(kind, "try again", "a refusal").WithRetryAfter(time.Second))
 			want := kind.HTTPStatus()
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -14,6 +14,7 @@
 	"github.com/sedgemast/sedgemast/internal/httpheader"
 	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/logging"
+	"github.com/sedgemast/sedgemast/internal/promise"
 	"github.com/sedgemast/sedgemast/internal/quarantine"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/upstream"
@@ -76,8 +77,8 @@
 	lastEventID  int64
 	hasLastEvent bool
 	stream       streamState
-	// runs tells whether a worker may have run the request.
-	runs    runs
+	// sends tells whether a worker may have run the request. Every answer to the caller asks it.
+	sends   promise.Sends
 	lastErr error
 	// answered is the status that the caller got, 0 if none, and answerSource says whose it is.
 	answered     int
@@ -203,11 +204,11 @@
 		}
 		c.demand.Exclude[lease.Endpoint.ID] = true
 		if result == notRun {
-			c.runs.disprove()
+			c.sends.Disprove()
 			c.stream.rejectedBy = append(c.stream.rejectedBy, lease.Endpoint.ID)
 		}
 		c.detectWorkerExit(lease, result)
-		logging.Info(c.edge.logger, "attempt_failed", "id", c.id, "attempt", c.attempts, "worker", lease.Endpoint.ID, "outcome", result, "status", c.status, "may_have_run", c.runs.possible(), "last_event", c.lastEventID, "ms", c.elapsed(), "error", c.lastErr)
+		logging.Info(c.edge.logger, "attempt_failed", "id", c.id, "attempt", c.attempts, "worker", lease.Endpoint.ID, "outcome", result, "status", c.status, "may_have_run", c.sends.MayHaveRun(), "last_event", c.lastEventID, "ms", c.elapsed(), "error", c.lastErr)
 		if result == failed && (!c.route.Idempotent() || c.retryQuarantined()) {
 			break
 		}
@@ -280,13 +281,13 @@
 		c.finish("broken", c.lastErr)
 	case c.context.Err() != nil && !c.expired():
 		c.aborted = true
-		if !c.runs.possible() {
+		if !c.sends.MayHaveRun() {
 			c.releaseToken()
 		}
 		c.finish("caller_gone", nil)
-	case c.runs.possible() && c.expired():
+	case c.sends.MayHaveRun() && c.expired():
 		c.reject(failure.New(failure.DeadlineExceeded, "allow more time", "no worker answered in time"))
-	case c.runs.possible():
+	case c.sends.MayHaveRun():
 		c.reject(failure.New(failure.OutcomeUnknown, "ask again if the request may be repeated", "the worker broke off"))
 	default:
 		c.reject(failure.New(failure.NotRun, "try again", "no worker took the request").WithRetryAfter(shortRetryAfter))
@@ -296,7 +297,7 @@
 // reject answers the caller with the failure, or with one that promises nothing if a worker may have run
 // the request.
 func (c *call) reject(err *failure.Error) {
-	if !c.mayAnswer(err.Kind.HTTPStatus()) {
+	if !c.sends.Allows(err.Kind.HTTPStatus()) {
 		err = failure.From(failure.Truthful(err, true))
 	}
 	if err.Kind == failure.NotRun {
@@ -317,7 +318,7 @@
 		firstMillis = c.firstByteAt.Sub(c.arrived).Milliseconds()
 		e.metrics.firstByteTime.WithLabelValues(c.route.Name).Observe(c.firstByteAt.Sub(c.arrived).Seconds())
 	}
-	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "list_age_ms", c.listAge.Milliseconds(), "attempts", c.attempts, "outcome", result, "status", c.answered, "status_of", string(c.answerSource), "may_have_run", c.runs.possible(), "first_ms", firstMillis, "ms", c.elapsed(), "error", err)
+	logging.Info(e.logger, "request_done", "id", c.id, "route", c.route.Name, "tenant", c.tenant.Owner(), "version", c.version, "worker", c.worker, "list_age_ms", c.listAge.Milliseconds(), "attempts", c.attempts, "outcome", result, "status", c.answered, "status_of", string(c.answerSource), "may_have_run", c.sends.MayHaveRun(), "first_ms", firstMillis, "ms", c.elapsed(), "error", err)
 }
 
 // headers returns the headers of one attempt: the caller's and those that the edge sets.
@@ -347,7 +348,7 @@
 	request.Headers = c.headers(lease)
 	c.attempts++
 	c.sentAt, c.output, c.status = clock.Now(), quarantine.Output{}, 0
-	c.runs.begin()
+	c.sends.Begin()
 	c.listAge = c.edge.watcher.Current().ListAge(c.sentAt)
 	c.edge.metrics.listAge.Observe(c.listAge.Seconds())
 	if lease.IsProbe() {
@@ -364,18 +365,18 @@
 		c.edge.logSlotMismatches()
 	}
 	statement := response.Statement()
-	if statement != upstream.StatesNotRun {
-		lease.RecordAnswer(clock.Now(), statement == upstream.StatesAnswer && response.Status < http.StatusInternalServerError)
+	if statement != promise.NotRun {
+		lease.RecordAnswer(clock.Now(), statement == promise.Answer && response.Status < http.StatusInternalServerError)
 	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		lease.RecordWrongWorker(clock.Now())
 		c.lastErr = failure.New(failure.NotRun, "", "another worker has the address")
 		return c.discardResponse(response, notRun)
-	case statement == upstream.StatesNotRun:
+	case statement == promise.NotRun:
 		c.lastErr = failure.New(failure.NotRun, "", "the worker answered %d and did not run it", response.Status)
 		return c.discardResponse(response, notRun)
-	case statement == upstream.StatesNothing || !c.mayAnswer(response.Status):
+	case statement == promise.Nothing || !c.sends.Allows(response.Status):
 		c.lastErr = failure.New(failure.OutcomeUnknown, "", "the worker answered %d and may have run it", response.Status)
 		return c.discardResponse(response, failed)
 	case response.Status >= http.StatusInternalServerError && (c.responseStarted || c.canFailOver()):
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -41,7 +41,7 @@
 
 // giveUpQuarantined ends a request that became refused after its arrival.
 func (c *call) giveUpQuarantined() {
-	if c.runs.possible() || c.responseStarted {
+	if c.sends.MayHaveRun() || c.responseStarted {
 		c.giveUp()
 		return
 	}
--- a/internal/edge/queue_test.go
+++ b/internal/edge/queue_test.go
@@ -427,7 +427,7 @@
 		cancel()
 		c.context, c.hasToken = ctx, true
 		if mayHaveRun {
-			c.runs.begin()
+			c.sends.Begin()
 		}
 		c.giveUp()
 		if c.hasToken != mayHaveRun {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -21,6 +21,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpheader"
+	"github.com/sedgemast/sedgemast/internal/promise"
 	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -304,31 +305,9 @@
 	r.Delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 }
 
-// Statement is what a worker's answer states about whether the worker ran the request.
-type Statement uint8
-
-const (
-	// StatesAnswer means that the answer is the worker's to the request, and may be passed on.
-	StatesAnswer Statement = iota
-	// StatesNotRun means that the worker did not run the request and will not.
-	StatesNotRun
-	// StatesNothing means that the worker may have run the request but has no answer to it: it failed with
-	// a status by which callers would take the request as not run, or its status contradicts its mark.
-	StatesNothing
-)
-
-// Statement returns what the answer states.
-func (r *Response) Statement() Statement {
-	marked := r.Header.Get(r.client.headers.NotRun) != ""
-	switch {
-	case r.Status == http.StatusMisdirectedRequest:
-		return StatesNotRun
-	case marked && (r.Status == http.StatusServiceUnavailable || r.Status >= http.StatusBadRequest && r.Status < http.StatusInternalServerError):
-		return StatesNotRun
-	case marked || failure.PromisesNotRun(r.Status):
-		return StatesNothing
-	}
-	return StatesAnswer
+// Statement returns what the answer states about whether the worker ran the request.
+func (r *Response) Statement() promise.Statement {
+	return promise.StatementOf(r.Status, r.Header.Get(r.client.headers.NotRun) != "")
 }
 
 // Read reads from the body. It returns io.EOF only at the end of a complete body.
