Bytes without end: each part of a worker's answer has a bound

Cause: our own reader of answers lacked the bounds of the library's client. Heads and events were kept without a bound, each byte put the deadline of a stream off, the end of an event was searched from its first byte at each read, and bodies that nobody needs were read until the deadline of the head.

Why this works: a connection knows which part it reads, and fails beyond what a sound worker sends with an error that names the part; that is the worker's failure, and another takes over where it may. Only events put a deadline off. An answer with more events than tokens asked for is no answer: streams are broken off, items start anew.

--- a/internal/batchstore/metrics.go
+++ b/internal/batchstore/metrics.go
@@ -23,6 +23,8 @@
 	// forecastError is the mean error, in slots, of the forecasts of online demand. As a baseline
 	// it also has the mean error of a forecast that demand stays as it is.
 	forecastError *prometheus.GaugeVec
+	// exceeded counts parts of answers that were longer than a sound worker's.
+	exceeded *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -36,7 +38,8 @@
 	m.listAge = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "store_send_list_age_seconds", Help: "Age of the list of workers when an item was sent to a worker.", Buckets: fleetwatch.ListAgeBuckets})
 	m.restarted = prometheus.NewCounter(prometheus.CounterOpts{Name: "store_items_restarted_total", Help: "Items that started again from their first event, because no worker of their text's software version had room."})
 	m.awaitConfiguration = prometheus.NewCounter(prometheus.CounterOpts{Name: "store_jobs_awaiting_configuration_total", Help: "Jobs about which this store could not decide, because its configuration may be older than the one under which they were accepted."})
-	registry.MustRegister(m.awaitConfiguration, m.restarted, m.healthChanges, m.jobs, m.attempts, m.runTime, m.listAge, m.forecastError)
+	m.exceeded = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "store_exceeded_limits_total", Help: "Parts of workers' answers that were cut because they were longer than a sound worker's, by part."}, []string{"part"})
+	registry.MustRegister(m.exceeded, m.awaitConfiguration, m.restarted, m.healthChanges, m.jobs, m.attempts, m.runTime, m.listAge, m.forecastError)
 	return m
 }
 
--- a/internal/batchstore/runner.go
+++ b/internal/batchstore/runner.go
@@ -247,7 +247,7 @@
 		delete(r.running, ended.key)
 	}
 	delete(r.savedProgress, ended.key)
-	if !ended.finished && !ended.unusable && ended.progress.events > 0 {
+	if !ended.finished && !ended.unusable && (ended.progress.events > 0 || ended.progress.restarts) {
 		r.savedProgress[ended.key] = ended.progress
 	}
 	if ended.onTrial && !ended.finished {
--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,6 +33,10 @@
 	// progressInterval is the time between two progress records of an item.
 	progressInterval = 600 * time.Millisecond
 	readBufferBytes  = 8 << 10
+	// maxTextBytes bounds the text of an item, which must fit into one read of results. If the item says
+	// how many tokens it asks for, the bound is maxTokenTextBytes for each.
+	maxTextBytes      = 1 << 20
+	maxTokenTextBytes = 1 << 10
 	// readInterval is the time between two reads of an answer.
 	readInterval = 80 * time.Millisecond
 	// failedBackoff is how long an item waits after a failed attempt.
@@ -72,6 +77,15 @@
 	lastWorker string
 }
 
+// discard drops the text, so that the next run starts it anew. A text that the log has as part of the
+// result stays.
+func (p *progress) discard() {
+	if p.recorded {
+		return
+	}
+	*p = progress{chain: rand.Uint64(), restarts: p.recordedEvents > 0 || p.restarts, lastWorker: p.lastWorker}
+}
+
 // task is one attempt at an item, which continues from its earlier progress.
 //
 // Its goroutine owns progress; the runner's loop may read chain, which does not change.
@@ -236,6 +250,9 @@
 	if err != nil {
 		switch {
 		case t.context.Err() != nil:
+		case upstream.ExceededLimit(err) != "":
+			store.metrics.exceeded.WithLabelValues(upstream.ExceededLimit(err)).Inc()
+			t.lease.RecordNoAnswer(clock.Now())
 		case upstream.TakesNoRequests(err):
 			t.backoff = notRunBackoff
 			t.lease.RecordNotReady(clock.Now())
@@ -289,15 +306,10 @@
 	return t.lease.ProbeTimeout(least, firstEventTimeout)
 }
 
-// discardBody reads the rest of an answer, so that the connection can be reused, and returns
-// result.
+// discardBody discards the rest of an answer and returns result.
 func (t *task) discardBody(response *upstream.Response, result error) error {
-	buffer := make([]byte, readBufferBytes)
-	for {
-		if _, err := response.Read(buffer); err != nil {
-			return result
-		}
-	}
+	response.Discard()
+	return result
 }
 
 func (t *task) headers() []wire.HeaderField {
@@ -324,20 +336,28 @@
 func (t *task) readEvents(response *upstream.Response) error {
 	var parser upstream.EventParser
 	buffer := make([]byte, readBufferBytes)
-	timeout := t.responseTimeout()
+	response.SetLimit(upstream.AnswerLimit(t.tokenCounts()))
+	deadline := time.Now().Add(t.responseTimeout())
 	for {
-		if err := response.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		if err := response.SetReadDeadline(deadline); err != nil {
 			return err
 		}
 		t.waitForMoreEvents()
 		count, err := response.Read(buffer)
-		if orderErr := t.applyEvents(parser.Feed(buffer[:count])); orderErr != nil {
-			return orderErr
+		eventsBefore := t.progress.events
+		if eventsErr := t.applyEvents(parser.Feed(buffer[:count])); eventsErr != nil {
+			return eventsErr
 		}
-		if t.progress.events > 0 {
-			timeout = eventGapTimeout
+		if t.progress.events > eventsBefore {
+			// Only events put the deadline off: bytes alone may come without end.
+			deadline = time.Now().Add(eventGapTimeout)
+		}
+		if err == nil {
+			err = parser.Err()
 		}
 		switch {
+		case upstream.ExceededLimit(err) != "":
+			return t.exceeded(err)
 		case err == io.EOF && parser.Buffered() == 0 && t.progress.events > 0:
 			return response.VerifyEnd(t.context, t.started)
 		case err == io.EOF:
@@ -357,6 +377,28 @@
 	}
 }
 
+// exceeded records that an answer was longer than a sound worker's. Nothing of its text is kept.
+func (t *task) exceeded(err error) error {
+	t.runner.store.metrics.exceeded.WithLabelValues(upstream.ExceededLimit(err)).Inc()
+	t.lease.RecordNoAnswer(clock.Now())
+	t.progress.discard()
+	return failure.Wrap(err, failure.OutcomeUnknown, "", "the worker sent too much")
+}
+
+// tokenCounts returns the item's header that says how many tokens it has and asks for.
+func (t *task) tokenCounts() string {
+	return httpheader.Value(t.content.Headers, t.runner.store.headerNames.Tokens)
+}
+
+// textLimit returns the bound of the item's text in bytes.
+func (t *task) textLimit() int64 {
+	_, most := httpheader.ParseTokenCounts(t.tokenCounts())
+	if most <= 0 || most > maxTextBytes/maxTokenTextBytes {
+		return maxTextBytes
+	}
+	return most * maxTokenTextBytes
+}
+
 // recordDisconnect records that the worker ended its answer too early. A disconnect after the
 // first event is not recorded: by then the worker has shown that it serves requests.
 func (t *task) recordDisconnect() {
@@ -407,6 +449,10 @@
 		t.progress.events++
 		t.progress.lastEvent = event.ID
 	}
+	limit := t.textLimit()
+	if int64(len(t.progress.prefix)+len(t.progress.text)) > limit || upstream.TooManyEvents(t.progress.events, t.tokenCounts()) {
+		return t.exceeded(&upstream.LimitError{What: "an item's text", Bytes: limit})
+	}
 	return nil
 }
 
--- a/internal/batchstore/version.go
+++ b/internal/batchstore/version.go
@@ -1,7 +1,6 @@
 package batchstore
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/balance"
@@ -46,7 +45,7 @@
 	delete(r.versionWaits, key)
 	r.store.metrics.restarted.Inc()
 	logging.Info(r.store.logger, "item_restarted", "job", key.job, "item", key.item, "events", resumed.events, "began", string(resumed.version), "worker", lease.Endpoint.ID)
-	*resumed = progress{chain: rand.Uint64(), restarts: resumed.recordedEvents > 0 || resumed.restarts}
+	resumed.discard()
 	return lease
 }
 
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -76,7 +76,10 @@
 	lastEventsAt time.Time
 	lastEventID  int64
 	hasLastEvent bool
-	stream       streamState
+	// relayedEvents is the number of events that were passed on, relayedBytes their size.
+	relayedEvents int
+	relayedBytes  int64
+	stream        streamState
 	// sends tells whether a worker may have run the request. Every answer to the caller asks it.
 	sends   promise.Sends
 	lastErr error
@@ -393,6 +396,7 @@
 
 func (c *call) sendFailed(lease *balance.Lease, err error, dialTime time.Duration) outcome {
 	c.lastErr = err
+	c.countExceeded(err)
 	switch {
 	case c.context.Err() != nil:
 	case upstream.TakesNoRequests(err):
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -312,6 +312,8 @@
 	// refusals counts answers that are failures, by status, by whose the status is and by whether a
 	// worker may have run the request.
 	refusals *prometheus.CounterVec
+	// exceeded counts parts of answers that were longer than a sound worker's.
+	exceeded *prometheus.CounterVec
 	// held counts requests that arrived before this process knew what they need.
 	held *prometheus.CounterVec
 	// probes counts requests sent to avoided workers.
@@ -342,6 +344,7 @@
 		queued:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_queue_requests_total", Help: "Requests that found no room at once, by what came of it."}, []string{"outcome"}),
 		queueTime:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_queue_seconds", Help: "Time that requests waited here before they were sent to a worker.", Buckets: buckets}, []string{"route"}),
 		refusals:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_failed_answers_total", Help: "Answers to callers with a status of 400 or more, by status, by whose status it is (edge, worker) and by whether a worker may have run the request."}, []string{"status", "status_of", "may_have_run"}),
+		exceeded:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_exceeded_limits_total", Help: "Parts of workers' answers that were cut because they were longer than a sound worker's, by part."}, []string{"part"}),
 		queueLength:   prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "edge_queue_length", Help: "Requests that wait here for a worker with room."}, []string{"pool"}),
 		quarantined:   prometheus.NewCounter(prometheus.CounterOpts{Name: "edge_quarantined_total", Help: "Requests refused because workers ended under them before."}),
 		held:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "edge_held_total", Help: "Requests that came before the configuration or the workers were known, by what they needed and what came of it."}, []string{"need", "outcome"}),
@@ -354,6 +357,6 @@
 		firstByteTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_first_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets}, []string{"route"}),
 		responseTime:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "edge_whole_seconds", Help: "Time to the end of an answer.", Buckets: buckets}, []string{"route"}),
 	}
-	registry.MustRegister(m.requests, m.attempts, m.tenants, m.workerExits, m.quarantined, m.held, m.firstByteTime, m.responseTime, m.probes, m.resumed, m.continued, m.choices, m.listAge, m.stalls, m.capacity, m.queued, m.queueTime, m.queueLength, m.refusals)
+	registry.MustRegister(m.requests, m.attempts, m.tenants, m.workerExits, m.quarantined, m.held, m.firstByteTime, m.responseTime, m.probes, m.resumed, m.continued, m.choices, m.listAge, m.stalls, m.capacity, m.queued, m.queueTime, m.queueLength, m.refusals, m.exceeded)
 	return m
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -15,15 +16,10 @@
 
 const relayBufferBytes = 8 << 10
 
-// discardResponse reads an answer that is not passed to the caller, so that the connection can be
-// reused.
+// discardResponse discards an answer that is not passed to the caller.
 func (c *call) discardResponse(response *upstream.Response, result outcome) outcome {
-	buffer := make([]byte, relayBufferBytes)
-	for {
-		if _, err := response.Read(buffer); err != nil {
-			return result
-		}
-	}
+	response.Discard()
+	return result
 }
 
 // writeHead writes the response headers once.
@@ -54,14 +50,31 @@
 func (c *call) relayStream(lease *balance.Lease, response *upstream.Response) outcome {
 	var parser upstream.EventParser
 	buffer := make([]byte, relayBufferBytes)
+	limit := c.answerLimit()
+	response.SetLimit(2 * limit)
+	deadline := c.gapDeadline()
 	for {
-		if err := response.SetReadDeadline(c.gapDeadline()); err != nil {
+		if err := response.SetReadDeadline(deadline); err != nil {
 			return c.streamFailed(lease, err)
 		}
 		count, err := response.Read(buffer)
-		if sendErr := c.forwardEvents(lease, response, parser.Feed(buffer[:count])); sendErr != nil {
+		progressed, sendErr := c.forwardEvents(lease, response, parser.Feed(buffer[:count]))
+		if sendErr != nil {
 			return c.streamFailed(lease, sendErr)
 		}
+		if parser.Err() != nil {
+			return c.readFailed(lease, parser.Err())
+		}
+		if c.relayedBytes > limit || upstream.TooManyEvents(c.relayedEvents, c.tokenCounts()) {
+			// The caller has events of no sound answer, so no other worker can continue it.
+			err := &upstream.LimitError{What: upstream.PartAnswer, Bytes: limit}
+			c.readFailed(lease, err)
+			return c.abortResponse(err)
+		}
+		if progressed {
+			// Only events put the deadline off: bytes alone may come without end.
+			deadline = c.gapDeadline()
+		}
 		if err == io.EOF {
 			return c.endStream(lease, response, &parser)
 		}
@@ -81,16 +94,33 @@
 
 func (c *call) streamFailed(lease *balance.Lease, err error) outcome {
 	c.lastErr = err
-	if upstream.TimedOut(err) && c.context.Err() == nil {
+	c.countExceeded(err)
+	if (upstream.TimedOut(err) || upstream.ExceededLimit(err) != "") && c.context.Err() == nil {
 		lease.RecordNoAnswer(clock.Now())
 	}
 	return failed
 }
 
-// forwardEvents writes the events that the caller does not have yet.
-func (c *call) forwardEvents(lease *balance.Lease, response *upstream.Response, events []upstream.Event) error {
+// countExceeded counts a part of an answer that was longer than a sound worker's.
+func (c *call) countExceeded(err error) {
+	if what := upstream.ExceededLimit(err); what != "" {
+		c.edge.metrics.exceeded.WithLabelValues(what).Inc()
+	}
+}
+
+// tokenCounts returns the request's header that says how many tokens it has and asks for.
+func (c *call) tokenCounts() string {
+	return httpheader.Value(c.request.Headers, c.edge.headerNames.Tokens)
+}
+
+// answerLimit returns the bound in bytes of the answer to the request.
+func (c *call) answerLimit() int64 { return upstream.AnswerLimit(c.tokenCounts()) }
+
+// forwardEvents writes the events that the caller does not have yet. It reports whether the stream has
+// progressed: comments and repeated events are no progress.
+func (c *call) forwardEvents(lease *balance.Lease, response *upstream.Response, events []upstream.Event) (progressed bool, err error) {
 	if len(events) == 0 {
-		return nil
+		return false, nil
 	}
 	lease.RecordPrefill()
 	lease.RecordContent()
@@ -104,7 +134,7 @@
 				continue
 			}
 			if c.hasLastEvent && event.ID != c.lastEventID+1 {
-				return failure.New(failure.OutcomeUnknown, "", "event %d came after event %d", event.ID, c.lastEventID)
+				return progressed, failure.New(failure.OutcomeUnknown, "", "event %d came after event %d", event.ID, c.lastEventID)
 			}
 		}
 		if !c.responseStarted {
@@ -113,17 +143,22 @@
 		c.recordStreamWorker(lease)
 		c.writeHead(response, -1)
 		if _, err := c.writer.Write(event.Raw); err != nil {
-			return err
+			return progressed, err
 		}
 		written = true
+		if event.HasID || event.Data != "" {
+			progressed = true
+			c.relayedBytes += int64(len(event.Raw))
+			c.relayedEvents++
+		}
 		if event.HasID {
 			c.lastEventID, c.hasLastEvent = event.ID, true
 		}
 	}
 	if !written {
-		return nil
+		return progressed, nil
 	}
-	return c.controller.Flush()
+	return progressed, c.controller.Flush()
 }
 
 // recordPace records that the given number of events has just arrived. The first events from a
@@ -154,15 +189,24 @@
 }
 
 // relayBody relays an answer that is not a stream. It reads the first part before it writes the
-// response headers, so that another worker can take over if this one fails early.
+// response headers, so that another worker can take over if this one fails early. The answer of a failure
+// is read whole before.
 func (c *call) relayBody(lease *balance.Lease, response *upstream.Response) outcome {
+	size, isFailure := relayBufferBytes, response.Status >= http.StatusBadRequest
+	response.SetLimit(c.answerLimit())
+	if isFailure {
+		size = upstream.MaxFailureBytes
+		response.SetLimit(upstream.MaxFailureBytes)
+	}
+	deadline := c.headDeadline()
 	buffer := make([]byte, 0, relayBufferBytes)
-	for len(buffer) < cap(buffer) {
-		if err := response.SetReadDeadline(c.headDeadline()); err != nil {
+	for len(buffer) < size {
+		buffer = slices.Grow(buffer, 1)
+		if err := response.SetReadDeadline(deadline); err != nil {
 			c.lastErr = err
 			return failed
 		}
-		count, err := response.Read(buffer[len(buffer):cap(buffer)])
+		count, err := response.Read(buffer[len(buffer):min(cap(buffer), size)])
 		buffer = buffer[:len(buffer)+count]
 		if count > 0 {
 			c.output.Record(clock.Now())
@@ -178,6 +222,9 @@
 			return c.readFailed(lease, err)
 		}
 	}
+	if isFailure {
+		return c.readFailed(lease, &upstream.LimitError{What: "a failure", Bytes: upstream.MaxFailureBytes})
+	}
 	lease.RecordPrefill()
 	c.writeHead(response, response.Length)
 	if _, err := c.writer.Write(buffer); err != nil {
--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -49,6 +49,9 @@
 	faultFor    func(request *HostedRequest) HostedFault
 	draining    bool
 	disconnects int
+	// endlessAnswers counts answers without end, maxEndless is the most bytes that one of them had.
+	endlessAnswers int
+	maxEndless     int
 }
 
 // HostedRequest is a request as the worker received it.
@@ -86,6 +89,9 @@
 	RestartAfter time.Duration
 	// Framing says how the end of the answer is marked.
 	Framing Framing
+	// Endless, if not empty, is sent in place of the answer. Trickle sends it slowly, byte by byte.
+	Endless Endless
+	Trickle bool
 }
 
 // Framing says how a caller knows where an answer ends.
@@ -244,6 +250,10 @@
 	if fault.ExitAfter > 0 && fault.ExitEvents == 0 && !fault.ExitHeaders {
 		w.exitDuringRequest(&fault)
 	}
+	if fault.Endless != "" {
+		w.sendEndless(writer, request.ID, &fault)
+		return
+	}
 	if fault.Hang {
 		<-httpRequest.Context().Done()
 		w.recordDisconnect()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -259,6 +259,7 @@
 func (r *Response) readHead(request *Request, idHeader string) error {
 	httpRequest := &http.Request{Method: request.Method}
 	for {
+		r.connection.setLimit("the head", maxHeadBytes)
 		response, err := readResponse(r.connection.reader, httpRequest)
 		if err != nil {
 			return err
@@ -269,9 +270,13 @@
 			return nil
 		}
 		r.strayResponses++
-		if r.strayResponses > maxStrayResponses || response.Close || discard(response) != nil {
+		if r.strayResponses > maxStrayResponses || response.Close {
 			return errStrayResponses
 		}
+		r.connection.setLimit("an answer to another request", maxStrayBytes)
+		if err := discard(response); err != nil {
+			return err
+		}
 	}
 }
 
@@ -285,6 +290,7 @@
 	}
 }
 
+// discard reads a body to its end.
 func discard(response *http.Response) error {
 	buffer := make([]byte, readBufferBytes)
 	for {
@@ -298,6 +304,7 @@
 }
 
 func (r *Response) setResponse(response *http.Response) {
+	r.SetLimit(AnswerLimit(""))
 	r.response = response
 	r.Status = response.StatusCode
 	r.Header = response.Header
@@ -332,6 +339,19 @@
 // ProvesEnd reports whether the end of a connection proves that the answer on it is whole.
 func ProvesEnd(delimited, workerExited bool) bool { return delimited || !workerExited }
 
+// SetLimit bounds the bytes that are read of the body from now on. Without it the bound of the longest
+// answer holds.
+func (r *Response) SetLimit(bytes int64) { r.connection.setLimit(PartAnswer, bytes) }
+
+// Discard reads the rest of a body that is not needed, if it is short and comes at once. Then the
+// connection can be used again.
+func (r *Response) Discard() {
+	r.connection.setLimit("a discarded body", maxDiscardBytes)
+	if r.SetReadDeadline(time.Now().Add(discardTimeout)) == nil && discard(r.response) == nil {
+		r.complete = true
+	}
+}
+
 // SetReadDeadline sets the deadline for reads of the body.
 func (r *Response) SetReadDeadline(at time.Time) error { return r.connection.SetReadDeadline(at) }
 
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -23,6 +23,9 @@
 	idleUntil time.Time
 	// readDeadline is the deadline of reads.
 	readDeadline time.Time
+	// limit is the bound of the part of the answer that is read now, unread what is left of it.
+	limit  LimitError
+	unread int64
 }
 
 const (
@@ -37,19 +40,30 @@
 func newConnection(conn net.Conn) *connection {
 	c := &connection{Conn: conn}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.setLimit("the head", maxHeadBytes)
 	return c
 }
 
+// setLimit bounds what is read from now on, and names it for the error of a read beyond the bound.
+func (c *connection) setLimit(what string, bytes int64) {
+	c.limit, c.unread = LimitError{What: what, Bytes: bytes}, bytes
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *connection) SetReadDeadline(at time.Time) error {
 	c.readDeadline = at
 	return c.Conn.SetReadDeadline(at)
 }
 
-// Read implements net.Conn. If a read times out long after its deadline, this process was stalled,
+// Read implements net.Conn. It fails with a LimitError beyond the limit. If a read times out long after its deadline, this process was stalled,
 // and the worker may have responded in time. Then Read tries once more before it reports the
 // timeout.
 func (c *connection) Read(buffer []byte) (int, error) {
+	if c.unread <= 0 {
+		exceeded := c.limit
+		return 0, &exceeded
+	}
+	buffer = buffer[:min(int64(len(buffer)), c.unread)]
 	count, err := c.Conn.Read(buffer)
 	if late := time.Since(c.readDeadline); err != nil && count == 0 && !c.readDeadline.IsZero() && late > lateThreshold && TimedOut(err) {
 		if c.SetReadDeadline(time.Now().Add(rereadTimeout)) == nil {
@@ -57,6 +71,7 @@
 		}
 	}
 	c.received.Add(int64(count))
+	c.unread -= int64(count)
 	return count, err
 }
 
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -20,32 +20,44 @@
 // stream is never returned. The zero value is ready for use.
 type EventParser struct {
 	pending []byte
+	err     error
 }
 
 var eventEnd = []byte("\n\n")
 
 // Feed appends bytes and returns the events that are now complete. Their Raw is valid until the
-// next call.
+// next call. After an event that is too long it returns none.
 func (p *EventParser) Feed(data []byte) []Event {
+	if p.err != nil {
+		return nil
+	}
+	// The bytes before searched hold no end of an event.
+	searched := max(0, len(p.pending)-len(eventEnd)+1)
 	p.pending = append(p.pending, data...)
 	var events []Event
 	rest := p.pending
 	for {
-		end := bytes.Index(rest, eventEnd)
+		end := bytes.Index(rest[searched:], eventEnd)
 		if end < 0 {
 			break
 		}
-		raw := rest[:end+len(eventEnd)]
-		rest = rest[end+len(eventEnd):]
-		events = append(events, parseEvent(raw))
+		end += searched + len(eventEnd)
+		events = append(events, parseEvent(rest[:end]))
+		rest, searched = rest[end:], 0
 	}
 	// The returned events still point into the old array, so it must not be overwritten.
 	if len(events) > 0 {
 		p.pending = append([]byte(nil), rest...)
 	}
+	if len(p.pending) > maxEventBytes {
+		p.err = &LimitError{What: "one event", Bytes: maxEventBytes}
+	}
 	return events
 }
 
+// Err returns a LimitError if an event was too long.
+func (p *EventParser) Err() error { return p.err }
+
 // Buffered returns the number of buffered bytes of an incomplete event.
 func (p *EventParser) Buffered() int { return len(p.pending) }
 
--- a/internal/upstream/ready.go
+++ b/internal/upstream/ready.go
@@ -171,10 +171,7 @@
 		return errors.Mark(err, errNotReady)
 	}
 	defer response.Close()
-	// A connection whose answer is not read to its end is not used again.
-	if discard(response.response) == nil {
-		response.complete = true
-	}
+	response.Discard()
 	if response.Status != http.StatusOK {
 		return errors.Wrapf(errNotReady, "its health check answered %d", response.Status)
 	}
