Stand-ins, fleetsim and soak: workers that fail in any way, and send without end

Nothing we had drew a refusing status without the mark, a mark on the answer of a run, or bytes without end, so no check of ours could see these faults.

fleetsim: startAnswers draws status, mark and whether a run began independently, and answers without end; its edges decide by package promise and the parser and bounds of upstream.

The first form of the test counted a marked rejection with a body without end as a run (a fault of the stand-in, corrected: it doesn't run the request).

--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -194,7 +194,9 @@
 	}
 	if !fault.NotRun {
 		w.running++
-		w.requests = append(w.requests, *request)
+		if fault.Endless != EndlessRejection {
+			w.requests = append(w.requests, *request)
+		}
 	}
 	return fault
 }
--- a/internal/fleetsim/edges.go
+++ b/internal/fleetsim/edges.go
@@ -89,6 +89,10 @@
 	pendingReport int
 	reportCount   int
 	streams       streamKnowledge
+	// endlessAnswers is the number of answers without end that the edge reads now, endlessBytes what it
+	// keeps of them.
+	endlessAnswers int
+	endlessBytes   int64
 	// undisturbedSince is when the edge's last fault ends. Before the first fault it is when the
 	// edge's process started.
 	undisturbedSince time.Time
@@ -138,6 +142,7 @@
 	e.cache, e.pendingReport, e.undisturbedSince = quarantine.NewCache(), 0, e.world.now
 	e.lists, e.configuration = listKnowledge{}, configurationKnowledge{}
 	e.streams = streamKnowledge{origins: origin.NewRegistry()}
+	e.endlessAnswers, e.endlessBytes = 0, 0
 	incarnation := e.incarnation
 	running := func(action func()) func() bool {
 		return func() bool {
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -83,10 +83,21 @@
 	MutationTrustOldList Mutation = "trust_old_list"
 	// MutationListAgeFromAnswer takes the time of an answer for that of the reading of its list.
 	MutationListAgeFromAnswer Mutation = "list_age_from_answer"
+	// MutationTrustStatus passes on the status of any worker, whether or not the worker states that
+	// nothing ran.
+	MutationTrustStatus Mutation = "trust_status"
+	// MutationTrustMark takes the mark of a rejection for one on any status.
+	MutationTrustMark Mutation = "trust_mark"
+	// MutationForgetSends forgets earlier sends of a request at each attempt.
+	MutationForgetSends Mutation = "forget_sends"
+	// MutationNoAnswerBounds reads all that workers send, and lets each byte put the deadline off.
+	MutationNoAnswerBounds Mutation = "no_answer_bounds"
+	// MutationAnyEvents passes on more events than a request asks tokens for.
+	MutationAnyEvents Mutation = "any_events"
 )
 
 // Mutations lists all mutations except MutationNone.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion, MutationTrustOldList, MutationListAgeFromAnswer, MutationTrustOldConfiguration, MutationTrustVersion, MutationNoVerdict, MutationHoldItems, MutationNoPace, MutationUnlistedExits}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion, MutationTrustOldList, MutationListAgeFromAnswer, MutationTrustOldConfiguration, MutationTrustVersion, MutationNoVerdict, MutationHoldItems, MutationNoPace, MutationUnlistedExits, MutationTrustStatus, MutationTrustMark, MutationForgetSends, MutationNoAnswerBounds, MutationAnyEvents}
 
 // mutatedStore returns the machine's disk, or one that never syncs with MutationForgetSync.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetsim/mutation_check.go
+++ b/internal/fleetsim/mutation_check.go
@@ -22,6 +22,11 @@
 	{"no item is held back in calm for the exits of a burst", MutationHoldItems, "still waits"},
 	{"refused items do not all start at the first calm moment", MutationNoPace, "refused items at once"},
 	{"nor for a trial that a burst broke off in which little else ran", MutationUnlistedExits, "still waits"},
+	{"a status that promises that nothing ran is no failed run's", MutationTrustStatus, "workers have run"},
+	{"nor one after an earlier run", MutationForgetSends, "workers have run"},
+	{"a mark on the answer of a run lets nothing run twice", MutationTrustMark, "that may run once"},
+	{"answers without end don't fill an edge's memory", MutationNoAnswerBounds, "without end"},
+	{"nor pass for whole ones", MutationAnyEvents, "for a whole answer"},
 	{"the age of a list counts from its reading", MutationListAgeFromAnswer, "after it was listed as leaving"},
 }
 
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -72,6 +72,9 @@
 	bursts     burstPlan
 	owedCounts owedCounts
 	runners    []*runner
+	// answerRandom supplies the random numbers of requests whose workers may fail in any way.
+	answerRandom *rand.Rand
+	answerCounts answerCounts
 	// verdicts is set in two of nine seeds, see startVerdicts.
 	verdicts *verdicts
 	// Log holds the injected faults with their times, to be printed with the violations of a
@@ -175,6 +178,7 @@
 	w.startLeaving()
 	w.startVerdicts(seed)
 	w.startOwed(seed)
+	w.startAnswers(seed)
 	w.after(healAt, w.heal)
 	end := startTime.Add(endAt)
 	for w.events.Len() > 0 {
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -49,7 +49,7 @@
 	watching.Go(func() {
 		for ctx.Err() == nil {
 			for name, machine := range f.machines {
-				w.record(name, anonymousBytes(machine.command.Process.Pid))
+				w.record(name, anonymousBytes(machine.pid.Load()))
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -80,8 +80,8 @@
 }
 
 // anonymousBytes returns the anonymous memory of a process, 0 if it has ended.
-func anonymousBytes(pid int) int {
-	file, err := os.Open(filepath.Join("/proc", strconv.Itoa(pid), "status"))
+func anonymousBytes(pid int64) int {
+	file, err := os.Open(filepath.Join("/proc", strconv.FormatInt(pid, 10), "status"))
 	if err != nil {
 		return 0
 	}
--- a/test/hosted_fleet_test.go
+++ b/test/hosted_fleet_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,8 @@
 	binary  string
 	command *exec.Cmd
 	exited  chan error
+	// pid is the number of the present process.
+	pid atomic.Int64
 	// logStart is the size of the machine's log when its process was last started.
 	logStart int64
 }
@@ -180,6 +183,7 @@
 	if err := machine.command.Start(); err != nil {
 		f.t.Fatal(err)
 	}
+	machine.pid.Store(int64(machine.command.Process.Pid))
 	exited := make(chan error, 1)
 	machine.exited = exited
 	go func(command *exec.Cmd) {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -72,13 +72,14 @@
 	// disturbedAt is when a fault last ended, by machine, or began if it has not ended.
 	disturbedAt map[string]time.Time
 	// versions is the state of a run with several worker versions, parts that of a run with crashing
-	// parts of prompts, drain that of a run with leaving workers, owed that of a run with owed items; all
-	// are nil in other runs. scale is the factor by which the run has more edges, stores, workers and
+	// parts of prompts, drain that of a run with leaving workers, owed that of a run with owed items,
+	// answers that of a run with failing answers; all are nil in other runs. scale is the factor by which the run has more edges, stores, workers and
 	// clients than by default.
 	versions *soakVersions
 	parts    *soakParts
 	drain    *soakDrain
 	owed     *soakOwed
+	answers  *soakAnswers
 	scale    int
 }
 
@@ -177,6 +178,8 @@
 		s.startPartClients(&clients, seed, stop)
 	case s.owed != nil:
 		s.startOwedClients(&clients, seed, stop)
+	case s.answers != nil:
+		s.startAnswerClients(&clients, seed, stop)
 	default:
 		for number := range 8 * s.scale {
 			clients.Go(func() { s.runClient(number, rand.New(rand.NewSource(seed+int64(number))), stop) })
@@ -224,7 +227,7 @@
 
 // maxFaultInterval returns the longest time between two faults, less 200 ms.
 func (s *soak) maxFaultInterval() time.Duration {
-	if s.versions != nil || s.drain != nil || s.owed != nil {
+	if s.versions != nil || s.drain != nil || s.owed != nil || s.answers != nil {
 		return 800 * time.Millisecond
 	}
 	return 1500 * time.Millisecond
@@ -266,6 +269,9 @@
 	if s.drain != nil {
 		classes = append(classes, "workers", "workers", "core")
 	}
+	if s.answers != nil {
+		classes = append(classes, "workers", "front", "store")
+	}
 	if s.owed != nil {
 		classes = append(classes, "workers", "store", "core")
 	}
@@ -282,6 +288,8 @@
 		return s.drawLeave()
 	case class == "workers" && s.owed != nil:
 		return s.drawBurst()
+	case class == "workers" && s.answers != nil:
+		return s.drawEpisode()
 	case class == "workers":
 		return s.rejectAtWorkers
 	}
