Upstream: no request follows a health check or a report on its connection

Cause: a worker may answer twice, the second time where the next answer is due. The id that workers echo tells answers apart, but health checks and reports have none, and their connections were used for requests afterwards.

Evidence: TestHealthCheckAnsweredTwiceIsNoAnswer is red before: 4 of 4 requests get an empty 200, after a health check and after a report.

Why this works: a request without an id gets a connection of its own, which is closed after it. All that may come late on another connection bears an id.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -54,7 +54,8 @@
 	Host    string
 	Headers []wire.HeaderField
 	Body    []byte
-	// ID is the request id. A response that carries another id is discarded.
+	// ID is the request id. A response that carries another id is discarded. Health checks and reports
+	// have none, nor have their answers, so no other request may follow on their connection.
 	ID string
 }
 
@@ -155,6 +156,11 @@
 	if pooled := c.takeIdle(endpoint.ID); pooled != nil {
 		return pooled, nil
 	}
+	return c.dial(ctx, endpoint)
+}
+
+// dial returns a new connection.
+func (c *Client) dial(ctx context.Context, endpoint Endpoint) (*connection, error) {
 	conn, err := c.dialer.DialContext(ctx, "tcp", endpoint.Address)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.NotRun, "try another worker", "no connection to worker %s", endpoint.ID)
@@ -178,7 +184,7 @@
 
 // sendOver sends a request over the given connection.
 func (c *Client) sendOver(ctx context.Context, endpoint Endpoint, connection *connection, request *Request, headDeadline time.Time) (*Response, error) {
-	response := &Response{client: c, endpoint: endpoint, connection: connection, written: make(chan error, 1)}
+	response := &Response{client: c, endpoint: endpoint, connection: connection, written: make(chan error, 1), identified: request.ID != ""}
 	response.stopCancel = context.AfterFunc(ctx, func() { _ = connection.Close() })
 	if err := response.write(request); err != nil {
 		response.Close()
@@ -217,6 +223,8 @@
 	stopCancel func() bool
 	// complete is set once the body was read to its end without an error.
 	complete bool
+	// identified is set if the request has an id.
+	identified bool
 	// strayResponses counts responses to other requests that came before the response to this one.
 	strayResponses int
 }
@@ -355,8 +363,9 @@
 // SetReadDeadline sets the deadline for reads of the body.
 func (r *Response) SetReadDeadline(at time.Time) error { return r.connection.SetReadDeadline(at) }
 
-// Close ends the exchange. The connection returns to the pool only if the request was written
-// whole, the response was complete and nothing unexpected was received. Otherwise it is closed,
+// Close ends the exchange. The connection returns to the pool only if the request has an id and was
+// written whole, the response was complete and nothing unexpected was received. An answer without an id
+// that came once more would be taken for that of the next request without one. Otherwise it is closed,
 // which cancels the request at the worker.
 func (r *Response) Close() {
 	intact := r.stopCancel()
@@ -372,7 +381,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if r.response == nil || !r.complete || r.response.Close || r.strayResponses > 0 || r.connection.reader.Buffered() > 0 {
+	if !r.identified || r.response == nil || !r.complete || r.response.Close || r.strayResponses > 0 || r.connection.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/internal/upstream/exit.go
+++ b/internal/upstream/exit.go
@@ -94,8 +94,8 @@
 	close(check.done)
 }
 
-// fetchStartTime reads the start time from the worker's report and keeps the connection. It returns
-// zero if the worker does not report it.
+// fetchStartTime reads the start time from the worker's report. Without a report it keeps the connection
+// for requests. It returns zero if the worker does not report it.
 func (c *Client) fetchStartTime(ctx context.Context, endpoint Endpoint, conn *connection) int64 {
 	if c.headers.ReportPath == "" {
 		conn.idleUntil = clock.Now().Add(defaultIdleTimeout)
--- a/internal/upstream/ready.go
+++ b/internal/upstream/ready.go
@@ -161,7 +161,7 @@
 }
 
 func (c *Client) askHealth(ctx context.Context, endpoint Endpoint, path string) error {
-	connection, err := c.connect(ctx, endpoint)
+	connection, err := c.dial(ctx, endpoint)
 	if err != nil {
 		return errors.Mark(err, errNotReady)
 	}
--- a/internal/upstream/ready_test.go
+++ b/internal/upstream/ready_test.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -66,3 +68,46 @@
 		})
 	}
 }
+
+// TestHealthCheckAnsweredTwiceIsNoAnswer guards against a client that gets the answer to a health check, or
+// a worker's report, as its own, because it came once more on the connection that then carried the client's
+// request.
+func TestHealthCheckAnsweredTwiceIsNoAnswer(t *testing.T) {
+	names := httpheader.Default()
+	names.ReportPath = "/report"
+	for name, ask := range map[string]func(client *Client, endpoint Endpoint){
+		"health check": func(client *Client, endpoint Endpoint) {
+			if err := client.confirmReady(context.Background(), endpoint, ""); err != nil {
+				t.Error(err)
+			}
+		},
+		"report": func(client *Client, endpoint Endpoint) {
+			client.WorkerExited(context.Background(), endpoint, clock.Now())
+		},
+	} {
+		// Each answer on a connection comes once more in the place of the next one.
+		answersTwice := func() script {
+			before := ""
+			step := func(request *http.Request, body string, connection net.Conn) {
+				answer := "HTTP/1.1 200 OK\r\nSedgemast-Worker: w-1\r\nContent-Length: 0\r\n\r\n"
+				if id := request.Header.Get("Sedgemast-Request-Id"); id != "" {
+					answer = okResponse(id, "own")
+				}
+				respondWith(before+answer)(request, body, connection)
+				before = answer
+			}
+			return script{step, step, step, step}
+		}
+		w := startWorker(t, answersTwice(), answersTwice(), answersTwice())
+		client := NewClient(names)
+		for _, id := range []string{"1", "2"} {
+			ask(client, w.endpoint)
+			if body, err := send(t, client, w, id); err != nil || body != "own" {
+				t.Errorf("%s, request %s: %q, %v", name, id, body, err)
+			}
+			client.mutex.Lock()
+			clear(client.healthChecks)
+			client.mutex.Unlock()
+		}
+	}
+}
