Upstream: an unmarked end counts only if the same start of the worker answers

Cause: the end counted unless the worker was shown to have exited. A worker that is back before the check refuses no connection, not each tells its start time, and a check without a result counted for the end.

Why this works: the worker's id on its health path, and its start time where it reports one, must show the same start, in a check that begins after the end. No result is no proof.

Tests: the emulator's names have the header for workers' ids, as the platform's do; where a worker is back at once, whether the exit is reported depends on which of two calls comes first, and is not compared.

--- a/internal/batchstore/quarantine_test.go
+++ b/internal/batchstore/quarantine_test.go
@@ -123,13 +123,17 @@
 // TestExitDuringUndelimitedAnswerCompletesNoItem guards against taking the exit of a worker for the end
 // of an item's text, if the answer has neither a length nor chunks.
 func TestExitDuringUndelimitedAnswerCompletesNoItem(t *testing.T) {
-	for _, exits := range []bool{false, true} {
+	for _, test := range []struct{ exits, backAtOnce bool }{{false, false}, {true, false}, {true, true}} {
+		exits := test.exits
 		worker := emulator.NewHostedWorker("w", slots, 0)
 		defer worker.Close()
 		fault := emulator.HostedFault{Framing: emulator.FramingNone}
 		if exits {
 			fault.ExitEvents, fault.ExitAfter, fault.RestartAfter = 2, time.Millisecond, time.Hour
 		}
+		if test.backAtOnce {
+			fault.RestartAfter, worker.HideStartTime = time.Nanosecond, true
+		}
 		worker.InjectFaults(func(*emulator.HostedRequest) emulator.HostedFault { return fault })
 		r := testRunner(t, 1)
 		r.store.headerNames = worker.HeaderNames
@@ -142,8 +146,8 @@
 		err := running.attempt()
 		running.reportOutcome(err)
 		suspect := r.store.watcher.Quarantine().Standing(clock.Now(), running.subject.Request) == quarantine.Suspect
-		if (err != nil) != exits || suspect != exits {
-			t.Errorf("worker exits %t: %v, %d events, suspect %t", exits, err, running.progress.events, suspect)
+		if (err != nil) != exits || !test.backAtOnce && suspect != exits {
+			t.Errorf("%+v: %v, %d events, suspect %t", test, err, running.progress.events, suspect)
 		}
 	}
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -33,7 +33,7 @@
 func testHeaderNames() *httpheader.Names {
 	names := httpheader.Default()
 	names.RequestID, names.Deadline, names.ExpectWorker = "Request-Id", "Deadline-Ms", "Expect-Instance"
-	names.NotRun, names.Tokens = "Not-Run", "Token-Count"
+	names.NotRun, names.Tokens, names.WorkerID = "Not-Run", "Token-Count", "Instance"
 	return names
 }
 
--- a/internal/edge/framing_test.go
+++ b/internal/edge/framing_test.go
@@ -30,11 +30,17 @@
 			{"exit after two events, length", emulator.HostedFault{ExitEvents: 2, Framing: emulator.FramingLength}},
 			{"exit after two events, neither", emulator.HostedFault{ExitEvents: 2, Framing: emulator.FramingNone}},
 			{"exit after the headers, neither", emulator.HostedFault{ExitHeaders: true, Framing: emulator.FramingNone}},
+			{"exit after two events, neither, back at once", emulator.HostedFault{ExitEvents: 2, Framing: emulator.FramingNone, RestartAfter: time.Nanosecond}},
+			{"exit after the headers, neither, back at once", emulator.HostedFault{ExitHeaders: true, Framing: emulator.FramingNone, RestartAfter: time.Nanosecond}},
 		} {
 			t.Run(string(kind)+", "+test.name, func(t *testing.T) {
 				exits := test.fault.ExitEvents > 0 || test.fault.ExitHeaders
 				if exits {
-					test.fault.ExitAfter, test.fault.RestartAfter = time.Millisecond, time.Hour
+					test.fault.ExitAfter = time.Millisecond
+				}
+				backAtOnce := test.fault.RestartAfter > 0
+				if exits && !backAtOnce {
+					test.fault.RestartAfter = time.Hour
 				}
 				workers := startWorkers(t, 2)
 				faults := make(chan emulator.HostedFault, 1)
@@ -56,7 +62,7 @@
 				if want := eventsOf("1", total); err != nil || status != http.StatusOK || body != want {
 					t.Errorf("status %d, %q, %v, want %q", status, body, err, want)
 				}
-				if reports := e.watcher.Quarantine().Report(clock.Now()); (reports != nil) != exits {
+				if reports := e.watcher.Quarantine().Report(clock.Now()); !backAtOnce && (reports != nil) != exits {
 					t.Errorf("reports of exits: %v, want some: %t", reports, exits)
 				}
 			})
--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -27,6 +27,8 @@
 	// KeepID makes the worker keep its ID when it restarts; set it before the first request.
 	// Otherwise each incarnation has its own id.
 	KeepID bool
+	// HideStartTime makes the worker's report leave out its start time; set it before the first request.
+	HideStartTime bool
 	// Version is the version of the worker's software, which its list entry and its events tell. It
 	// changes only with a restart.
 	Version string
@@ -127,6 +129,7 @@
 		Load:         "Server-Load",
 		PromptParts:  "Prompt-Prefix",
 		Tokens:       "Token-Count",
+		WorkerID:     "Instance",
 	}
 }
 
@@ -287,8 +290,12 @@
 	startedAt := w.startedAt.UnixMilli()
 	w.mutex.Unlock()
 	writer.Header().Set("Content-Type", "application/json")
+	born := fmt.Sprintf(`,"born":%d`, startedAt)
+	if w.HideStartTime {
+		born = ""
+	}
 	// A failed write means that the caller disconnected.
-	_, _ = fmt.Fprintf(writer, `{"stage":"mixed","running":0,"born":%d}`, startedAt)
+	_, _ = fmt.Fprintf(writer, `{"stage":"mixed","running":0%s}`, born)
 }
 
 func (w *HostedWorker) release() {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -337,15 +337,16 @@
 // VerifyEnd returns an error if the body may have been cut off although Read returned io.EOF: one that
 // is not delimited also ends when the worker exits. sentAt is when the request was sent.
 func (r *Response) VerifyEnd(ctx context.Context, sentAt time.Time) error {
-	exited := !r.Delimited && r.client.WorkerExited(ctx, r.endpoint, sentAt)
-	if ProvesEnd(r.Delimited, exited) {
+	sameStart := !r.Delimited && r.client.provesSameStart(ctx, r.endpoint, sentAt)
+	if ProvesEnd(r.Delimited, sameStart) {
 		return nil
 	}
-	return r.client.outcomeUnknown(io.ErrUnexpectedEOF, r.endpoint, "it exited, and the end of its answer is not marked")
+	return r.client.outcomeUnknown(io.ErrUnexpectedEOF, r.endpoint, "the end of its answer is not marked, and it may have exited")
 }
 
-// ProvesEnd reports whether the end of a connection proves that the answer on it is whole.
-func ProvesEnd(delimited, workerExited bool) bool { return delimited || !workerExited }
+// ProvesEnd reports whether the end of a connection proves that the answer on it is whole. sameStart is set
+// if the worker is shown to be the same start of it as the one that got the request.
+func ProvesEnd(delimited, sameStart bool) bool { return delimited || sameStart }
 
 // SetLimit bounds the bytes that are read of the body from now on. Without it the bound of the longest
 // answer holds.
--- a/internal/upstream/exit.go
+++ b/internal/upstream/exit.go
@@ -10,6 +10,8 @@
 	"github.com/sedgemast/sedgemast/internal/clock"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sedgemast/sedgemast/internal/incarnation"
 )
 
 // exitCheckTimeout bounds an exit check. It can be short: the worker's machine has just sent the
@@ -23,6 +25,42 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// provesSameStart reports whether the process that answers at the worker's address now is the start of the
+// worker that got a request at requestStart. The worker tells its id, which a new start may keep only if it
+// tells its start time in its report. A check without a result proves nothing.
+//
+// Unlike WorkerExited, concurrent calls share no check: one that is in progress may have begun before the
+// caller's answer ended.
+func (c *Client) provesSameStart(ctx context.Context, endpoint Endpoint, requestStart time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	connection, err := c.dial(ctx, endpoint)
+	if err != nil {
+		return false
+	}
+	request := &Request{Method: http.MethodGet, Target: c.healthPath(endpoint), Host: endpoint.Address}
+	response, err := c.sendOver(ctx, endpoint, connection, request, time.Now().Add(healthTimeout))
+	if err != nil {
+		return false
+	}
+	id := response.Header.Get(c.headers.WorkerID)
+	response.Close()
+	if id == "" || id != incarnation.WorkerID(endpoint.ID) {
+		return false
+	}
+	return c.headers.ReportPath == "" || !c.WorkerExited(ctx, endpoint, requestStart)
+}
+
+// healthPath returns the path of the worker's health checks.
+func (c *Client) healthPath(endpoint Endpoint) string {
+	if c.directory != nil {
+		if path := c.directory.WorkerState(endpoint.ID).HealthPath; path != "" {
+			return path
+		}
+	}
+	return defaultHealthPath
+}
+
 // exitCheck is a check whether a worker has exited, shared by all requests that wait for it.
 type exitCheck struct {
 	done chan struct{}
