Bounds: events without an id are not counted as tokens, items keep a sound text

From reading the diff: a stream may end with an event that has neither an id nor a token, so only those with an id are compared with the tokens asked for. An item dropped its text also where another part of the answer was too long, for example an event without an end; its events so far are sound, and the next run continues them.

--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -377,11 +377,10 @@
 	}
 }
 
-// exceeded records that an answer was longer than a sound worker's. Nothing of its text is kept.
+// exceeded records that a part of an answer was longer than a sound worker's.
 func (t *task) exceeded(err error) error {
 	t.runner.store.metrics.exceeded.WithLabelValues(upstream.ExceededLimit(err)).Inc()
 	t.lease.RecordNoAnswer(clock.Now())
-	t.progress.discard()
 	return failure.Wrap(err, failure.OutcomeUnknown, "", "the worker sent too much")
 }
 
@@ -449,8 +448,10 @@
 		t.progress.events++
 		t.progress.lastEvent = event.ID
 	}
+	// A text that is too long is no sound answer's, so nothing may continue it.
 	limit := t.textLimit()
 	if int64(len(t.progress.prefix)+len(t.progress.text)) > limit || upstream.TooManyEvents(t.progress.events, t.tokenCounts()) {
+		t.progress.discard()
 		return t.exceeded(&upstream.LimitError{What: "an item's text", Bytes: limit})
 	}
 	return nil
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -76,7 +76,7 @@
 	lastEventsAt time.Time
 	lastEventID  int64
 	hasLastEvent bool
-	// relayedEvents is the number of events that were passed on, relayedBytes their size.
+	// relayedEvents is the number of events with an id that were passed on, relayedBytes the size of all.
 	relayedEvents int
 	relayedBytes  int64
 	stream        streamState
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -149,6 +149,8 @@
 		if event.HasID || event.Data != "" {
 			progressed = true
 			c.relayedBytes += int64(len(event.Raw))
+		}
+		if event.HasID {
 			c.relayedEvents++
 		}
 		if event.HasID {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -55,9 +55,9 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
-// Read implements net.Conn. It fails with a LimitError beyond the limit. If a read times out long after its deadline, this process was stalled,
-// and the worker may have responded in time. Then Read tries once more before it reports the
-// timeout.
+// Read implements net.Conn. It fails with a LimitError beyond the limit. If a read times out long after
+// its deadline, this process was stalled, and the worker may have responded in time. Then Read tries
+// once more before it reports the timeout.
 func (c *connection) Read(buffer []byte) (int, error) {
 	if c.unread <= 0 {
 		exceeded := c.limit
