--- a/test/hosted_fleet_test.go
+++ b/test/hosted_fleet_test.go
@@ -39,10 +39,16 @@
 	logStart int64
 }
 
+// hostedLimits are the limits of each machine of a fleet, and the configured limit of a body.
+type hostedLimits struct {
+	memoryMB, maxFDs, maxBodyBytes int
+}
+
 // hostedFleet is a fleet on loopback addresses, set up as the users' platform does.
 type hostedFleet struct {
 	t        *testing.T
 	binary   string
+	limits   hostedLimits
 	port     int
 	list     *emulator.HostedList
 	workers  []*emulator.HostedWorker
@@ -61,6 +67,10 @@
 	hostedWorkers = 3
 	// hostedMaxFDs is how many descriptors a machine has.
 	hostedMaxFDs = 800
+	// hostedMemoryMB is the memory of a machine in MiB.
+	hostedMemoryMB = 300
+	// hostedMaxBodyBytes is the configured limit of a body.
+	hostedMaxBodyBytes = 1_000_000
 	// hostedDrainTime is how long after it is listed as leaving a worker may still get new requests.
 	hostedDrainTime = 3 * time.Second
 )
@@ -84,7 +94,13 @@
 // newHostedFleetWith starts a fleet whose machines run the given program.
 func newHostedFleetWith(t *testing.T, binary string, workers int) *hostedFleet {
 	t.Helper()
-	f := &hostedFleet{t: t, binary: binary, port: freePorts(t), machines: map[string]*hostedMachine{}}
+	return newLimitedFleet(t, binary, workers, hostedLimits{memoryMB: hostedMemoryMB, maxFDs: hostedMaxFDs, maxBodyBytes: hostedMaxBodyBytes})
+}
+
+// newLimitedFleet starts a fleet whose machines run the given program and have the given limits.
+func newLimitedFleet(t *testing.T, binary string, workers int, limits hostedLimits) *hostedFleet {
+	t.Helper()
+	f := &hostedFleet{t: t, binary: binary, limits: limits, port: freePorts(t), machines: map[string]*hostedMachine{}}
 	for i := 1; i <= workers; i++ {
 		worker := emulator.NewHostedWorker(fmt.Sprintf("w-%d", i), 8, 5*time.Millisecond)
 		t.Cleanup(worker.Close)
@@ -156,7 +172,7 @@
 ready = %q
 [limits]
 cores = 1
-memoryMb = 300
+memoryMb = %d
 maxFds = %d
 [tolerate]
 machines = 1
@@ -167,7 +183,7 @@
 [cloud]
 address = %q
 `, machine.name, machine.ip, f.port, f.port, strings.Join(seeds, ","), bootstrap, machine.folder+"/data",
-		f.address(machine, portControl), f.address(machine, portCallers), f.address(machine, portReady), hostedMaxFDs, hostedDrainTime.Milliseconds(), f.list.Address())
+		f.address(machine, portControl), f.address(machine, portCallers), f.address(machine, portReady), f.limits.memoryMB, f.limits.maxFDs, hostedDrainTime.Milliseconds(), f.list.Address())
 	settingsFile := filepath.Join(machine.folder, "settings.toml")
 	writeFile(f.t, settingsFile, text)
 	log, err := os.OpenFile(filepath.Join(machine.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -269,8 +285,8 @@
  {"name":"stream","host":%q,"pathPrefix":"/stream/","routeKind":"streaming","timeoutMs":20000,"goalMs":2000,"gapGoalMs":2000,"service":%q,"maxAttempts":3,"resumable":true},
  {"name":"once","host":%q,"pathPrefix":"/once/","routeKind":"streaming","timeoutMs":20000,"goalMs":2000,"gapGoalMs":2000,"service":%q,"maxAttempts":3},
  %s%s],
- "services":[{"name":%q,"maxConns":100,"engine":{"slots":8,"kvCapacityTokens":100000}}],"limits":{"maxBodyBytes":1000000}}`,
-		version, hostedHost, hostedService, hostedHost, hostedService, batchRoute("batch", 100_000), extraRoutes, hostedService)
+ "services":[{"name":%q,"maxConns":100,"engine":{"slots":8,"kvCapacityTokens":100000}}],"limits":{"maxBodyBytes":%d}}`,
+		version, hostedHost, hostedService, hostedHost, hostedService, batchRoute("batch", 100_000), extraRoutes, hostedService, f.limits.maxBodyBytes)
 }
 
 // batchRoute returns a batch route of the name, which is also the prefix of its paths.
