Connections and heads: clients that ask nothing give way to callers

What callers saw: beside 400 silent connections none of 5 ordinary requests was answered (all places were held until the idle time). At the ready, metrics, operators' and own addresses a crowd took 471 to 486 descriptors of 400. Heads of 60 KB that never end took 157 MB of 96. Requests without a route whose body stayed open were neither answered nor closed.

Cause: one limit of connections, at the callers' address only, which closed whoever came next. net/http bounds one head, not their sum, and waits without a deadline for up to 256 KB of a body that nobody reads before it writes an answer.

Package intake watches the connections of all servers of a process. At the limit a new connection takes the place of one that is silent, then of one whose request is unfinished for a second, then of an idle one; only what is being served stays (connlimit, pure). Every address has a limit from the process's descriptors. Heads are charged from 4 KiB on, 16 bytes for one. An answer is announced as the connection's last if the body does not end within 50 ms, so net/http does not wait for it; the rest is read for 250 ms, as a close with unread bytes may lose the answer. A client has 10 s, and a second for each 64 KiB, to take a part of an answer. Long bodies are read in turns: what follows a read, such as the headers of chunks of one byte, takes one processor at a time.

Settings: memory_mb, request_memory_mb, max_descriptors, listen_connections; log line clients_limited with the setting's name; metrics intake_*.

TestCrowdedEdgeGivesUpConnections asserted that a caller over the limit gets no answer, which is the fault; it now wants the answer, and checks the descriptors. TestOpenConnectionsAreBounded checks the same limit while all connections are served, without sockets.

--- a/cmd/sedgemast/fleet.go
+++ b/cmd/sedgemast/fleet.go
@@ -67,7 +67,7 @@
 	}
 	process := edge.New(d, config, httpheader.Default())
 	if config.Callers != "" {
-		if err := d.AddServer(config.Callers, &edge.API{Edge: process}, daemon.ServerOptions{Connections: process.Connections}); err != nil {
+		if err := d.AddServer(config.Callers, &edge.API{Edge: process}, daemon.ServerOptions{Name: "callers", Connections: process.Connections}); err != nil {
 			return err
 		}
 	}
@@ -98,7 +98,7 @@
 		return err
 	}
 	if config.Operators != "" {
-		if err := d.AddServer(config.Operators, &coordinator.API{Coordinator: process, Logger: d.Logger}, daemon.ServerOptions{}); err != nil {
+		if err := d.AddServer(config.Operators, &coordinator.API{Coordinator: process, Logger: d.Logger}, daemon.ServerOptions{Name: "operators"}); err != nil {
 			return err
 		}
 	}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -110,5 +110,17 @@
 		Advertise:   process.Advertise,
 		Logger:      logger,
 		StopTimeout: process.StopTimeout.Std(),
+		Limits:      Limits(process),
 	})
 }
+
+// Limits returns the limits of a process from its settings.
+func Limits(process *settings.Process) daemon.Limits {
+	const bytesPerMB = 1 << 20
+	return daemon.Limits{
+		MemoryBytes:       int64(process.MemoryMB) * bytesPerMB,
+		RequestBytes:      int64(process.RequestMemoryMB) * bytesPerMB,
+		Descriptors:       process.MaxDescriptors,
+		ListenConnections: process.ListenConnections,
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/sedgemast/sedgemast/internal/connlimit"
 	"github.com/sedgemast/sedgemast/internal/decodeerror"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/intake"
 	"github.com/sedgemast/sedgemast/internal/logging"
 	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -71,8 +72,10 @@
 	// StopTimeout bounds the time between the request to stop and the exit.
 	StopTimeout time.Duration
 	// Embedded is set for processes that share an operating-system process. They leave
-	// its signals to the program that runs them.
+	// its signals to the program that runs them, and have no limits.
 	Embedded bool
+	// Limits bounds what clients make the process hold.
+	Limits Limits
 }
 
 // Daemon is one process of the system, possibly embedded in a shared operating-system process.
@@ -83,10 +86,13 @@
 	Registry *prometheus.Registry
 	// Traffic counts the messages and bytes exchanged with other processes.
 	Traffic *traffic.Meter
+	// Intake bounds what the clients of all servers make the process hold.
+	Intake *intake.Guard
 	// Logger is the logger of the options; without one, log lines are discarded.
 	Logger logging.Logger
 
 	options    Options
+	limits     Limits
 	listener   net.Listener
 	servers    []transport.Server
 	app        *kratos.App
@@ -102,6 +108,7 @@
 
 // New listens at the address of the options. Nothing is served before Run.
 func New(options Options) (*Daemon, error) {
+	limits := options.Limits.withDefaults(options.Embedded)
 	listener, err := net.Listen("tcp", options.Listen)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, "free the address or choose another in the settings", "%s can't listen", options.Name).WithField("listen")
@@ -116,11 +123,15 @@
 		Traffic:  traffic.NewMeter(),
 		Logger:   options.Logger,
 		options:  options,
+		limits:   limits,
 		listener: listener,
 		context:  ctx,
 		cancel:   cancel,
 		steps:    newStartupSteps(options.Embedded),
 	}
+	d.Intake = intake.New(limits.RequestBytes, d.Logger, d.Registry)
+	listener = d.Intake.Listen(listener, connlimit.New(limits.ListenConnections), "listen", "listen_connections")
+	d.listener = listener
 	// kratos' default timeout would cut long streams; each request has a deadline of its own.
 	d.Server = kratoshttp.NewServer(
 		kratoshttp.Listener(listener),
@@ -130,6 +141,8 @@
 		kratoshttp.NotFoundHandler(http.HandlerFunc(notFound)),
 		kratoshttp.MethodNotAllowedHandler(http.HandlerFunc(notFound)),
 	)
+	setConnectionTimes(d.Server.Server)
+	d.Intake.Protect(d.Server.Server)
 	d.registerCommon()
 	d.CompleteStep(StepSettings)
 	return d, nil
@@ -137,9 +150,12 @@
 
 // ServerOptions holds the options of an added server.
 type ServerOptions struct {
+	// Name is the name of the server in metrics and logs.
+	Name string
 	// Configure, if not nil, may change the server's limits.
 	Configure func(*http.Server)
-	// Connections, if not nil, decides which connections are accepted.
+	// Connections decides which connections are accepted; nil allows the few that operators and
+	// monitoring need.
 	Connections *connlimit.Limiter
 }
 
@@ -151,18 +167,22 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "free the address or choose another in the settings", "%s can't listen", d.options.Name).WithField(listen)
 	}
-	if options.Connections != nil {
-		listener = options.Connections.Listen(listener)
+	connections, limit := options.Connections, "max_connections"
+	if connections == nil {
+		connections, limit = connlimit.New(auxiliaryConnections), "fixed"
 	}
+	listener = d.Intake.Listen(listener, connections, options.Name, limit)
 	server := kratoshttp.NewServer(
 		kratoshttp.Listener(listener),
 		endpointOption(listener),
 		kratoshttp.Timeout(0),
 		kratoshttp.Filter(func(http.Handler) http.Handler { return handler }),
 	)
+	setConnectionTimes(server.Server)
 	if options.Configure != nil {
 		options.Configure(server.Server)
 	}
+	d.Intake.Protect(server.Server)
 	d.servers = append(d.servers, server)
 	return nil
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -90,6 +90,13 @@
 	}
 }
 
+// RangeOrZero checks that a number is from minimum to maximum, or zero for a default.
+func (c *Checker) RangeOrZero(path string, value, minimum, maximum int) {
+	if value != 0 && (value < minimum || value > maximum) {
+		c.AddError(path, value, fmt.Sprintf("choose from %d to %d, or 0 for the default", minimum, maximum))
+	}
+}
+
 // Between checks that a duration is from minimum to maximum.
 func (c *Checker) Between(path string, value Duration, minimum, maximum time.Duration) {
 	if value.Std() < minimum || value.Std() > maximum {
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -20,12 +20,30 @@
 	LogLevel  string `json:"log_level"`
 	// StopTimeout bounds the time that a planned stop takes.
 	StopTimeout Duration `json:"stop_timeout"`
+	// MemoryMB is the memory of the process in MiB, zero for that of GOMEMLIMIT or of the machine.
+	MemoryMB int `json:"memory_mb"`
+	// RequestMemoryMB bounds the memory in MiB that the requests of clients hold together, zero for a
+	// share of the process's memory.
+	RequestMemoryMB int `json:"request_memory_mb"`
+	// MaxDescriptors is how many files and connections the process may have open, zero for as many as
+	// the system allows.
+	MaxDescriptors int `json:"max_descriptors"`
+	// ListenConnections bounds the open connections at the listen address, zero for a share of the
+	// descriptors.
+	ListenConnections int `json:"listen_connections"`
 }
 
 const (
 	defaultStopTimeout = 60 * time.Second
 	maxStopTimeout     = time.Hour
 	digestBytes        = 32
+	// minMemoryMB is the least memory with which a process works, minDescriptors the least descriptors.
+	minMemoryMB     = 32
+	minRequestMB    = 8
+	maxMemoryMB     = 1 << 24
+	minDescriptors  = 128
+	maxDescriptors  = 1 << 30
+	minListenPlaces = 16
 )
 
 func defaultProcess(name, listen string) Process {
@@ -55,6 +73,13 @@
 	}
 	checker.OneOf("log_level", p.LogLevel, "debug", "info", "warn", "error")
 	checker.Between("stop_timeout", p.StopTimeout, time.Second, maxStopTimeout)
+	checker.RangeOrZero("memory_mb", p.MemoryMB, minMemoryMB, maxMemoryMB)
+	checker.RangeOrZero("request_memory_mb", p.RequestMemoryMB, minRequestMB, maxMemoryMB)
+	if p.MemoryMB > 0 && p.RequestMemoryMB > p.MemoryMB {
+		checker.AddError("request_memory_mb", p.RequestMemoryMB, "choose at most memory_mb")
+	}
+	checker.RangeOrZero("max_descriptors", p.MaxDescriptors, minDescriptors, maxDescriptors)
+	checker.RangeOrZero("listen_connections", p.ListenConnections, minListenPlaces, maxDescriptors)
 }
 
 // Heartbeat holds the settings of the heartbeats by which a daemon renews its lease with control.
