Bodies and documents: what requests hold together has a bound

What callers saw: 160 chunked bodies of 1 MB that stop 16 bytes short of their end took an edge to 204 MB of 96, with a length to 160 MB; 40 documents of 8 MB a coordinator to 502 MB. On the users' machines the process ends.

Cause: a body has a limit, all bodies together had none. ReadBody allocated a told length at once, and without one grew by copies of copies.

ReadBody charges the request for its buffer as that grows, so for what has arrived. If the account is full the request that has held most for longest without being whole gives way: its reading ends, and it gets 503 with Retry-After on a connection that is then closed. The promise is true, as no request is passed on before its body is whole. Operators' documents are charged for their decoded form before they are decoded.

--- a/internal/coordinator/api.go
+++ b/internal/coordinator/api.go
@@ -103,7 +103,7 @@
 }
 
 func (a *API) putRoutes(request *http.Request) error {
-	source, err := httpapi.ReadBody(request, maxDocumentBytes)
+	source, err := httpapi.ReadDocument(request, maxDocumentBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -8,12 +8,14 @@
 	"strconv"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/intake"
 )
 
 // defaultMaxBody is the limit of a body in bytes if the configuration sets none.
 const defaultMaxBody = 16 << 20
 
-// ReadBody reads a whole body of at most limit bytes; a limit of zero means the default of 16 MiB.
+// ReadBody reads a whole body of at most limit bytes; a limit of zero means the default of 16 MiB. The
+// memory of what has arrived, not of the announced length, is charged to the request.
 func ReadBody(request *http.Request, limit int64) ([]byte, error) {
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -24,22 +26,25 @@
 	if request.ContentLength == 0 {
 		return nil, nil
 	}
+	// One byte more, if there is one, shows that a body without a length is too long.
+	longest := limit + 1
 	if request.ContentLength > 0 {
-		body := make([]byte, request.ContentLength)
-		if _, err := io.ReadFull(request.Body, body); err != nil {
-			return nil, failure.Wrap(err, failure.BadRequest, "send the whole body", "the body broke off")
-		}
-		// net/http detects a disconnect of the caller only after the end of the body has been read.
-		_, _ = request.Body.Read(make([]byte, 1))
-		return body, nil
+		longest = request.ContentLength
 	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
-	if err != nil {
+	body, err := intake.ReadAll(request.Context(), request.Body, longest)
+	switch {
+	case failure.Is(err, failure.NotRun):
+		return nil, err
+	case err == nil && request.ContentLength > int64(len(body)):
+		err = io.ErrUnexpectedEOF
+		fallthrough
+	case err != nil:
 		return nil, failure.Wrap(err, failure.BadRequest, "send the whole body", "the body broke off")
-	}
-	if int64(len(body)) > limit {
+	case int64(len(body)) > limit:
 		return nil, rejectLongBody(request, limit)
 	}
+	// net/http detects a disconnect of the caller only after the end of the body has been read.
+	_, _ = request.Body.Read(make([]byte, 1))
 	return body, nil
 }
 
