Jobs: a document is decoded item by item, and no further than the limit

What callers saw: 16 jobs of 1 MB, made of empty items, took an edge to 847 MB of 96 and an ordinary request needed three attempts beside them. The users saw 8.2 GB for 30 jobs of 4 MB.

Cause: the document was decoded whole, then its items counted. An empty item takes 3 bytes to send and 72 to keep, and the list grows by copies.

DecodeJob stops at the 201st item, bounds the headers of an item (64 KiB, as a head; no item that could be sent to a worker meets it), charges each item before it decodes the next, and decodes one document at a time. What can never be accepted gets 400 at once.

The type of an item's headers changed, so two tests write them as a list.

--- a/internal/edge/api.go
+++ b/internal/edge/api.go
@@ -29,9 +29,9 @@
 
 // JobItem is one request of a job.
 type JobItem struct {
-	ID      string            `json:"id"`
-	Path    string            `json:"path"`
-	Headers map[string]string `json:"headers"`
+	ID      string      `json:"id"`
+	Path    string      `json:"path"`
+	Headers ItemHeaders `json:"headers"`
 	// Body is base64 in JSON.
 	Body []byte `json:"body"`
 	// Tokens is the number of prompt tokens plus the maximum number of output tokens.
@@ -69,9 +69,9 @@
 }
 
 func (a *API) submit(request *http.Request, body []byte, table *routetable.Table, route *routetable.Route) error {
-	document := &JobDocument{}
-	if err := json.Unmarshal(body, document); err != nil {
-		return failure.Wrap(err, failure.BadRequest, "send the whole job as JSON", "the job can't be read")
+	document, err := DecodeJob(request.Context(), body)
+	if err != nil {
+		return err
 	}
 	return a.Edge.SubmitJob(request, table, route, document.Job(request.Header.Get(a.Edge.headerNames.RequestID), request.Host))
 }
@@ -81,11 +81,7 @@
 	job := &wire.SubmitBatch{ID: id, Host: host}
 	for i := range d.Items {
 		item := &d.Items[i]
-		fields := make([]wire.HeaderField, 0, len(item.Headers))
-		for name, value := range item.Headers {
-			fields = append(fields, wire.HeaderField{Name: name, Value: value})
-		}
-		job.Items = append(job.Items, wire.BatchItem{ID: item.ID, Path: item.Path, Headers: fields, Body: item.Body, Tokens: item.Tokens})
+		job.Items = append(job.Items, wire.BatchItem{ID: item.ID, Path: item.Path, Headers: item.Headers, Body: item.Body, Tokens: item.Tokens})
 	}
 	return job
 }
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -66,7 +67,7 @@
 		return failure.New(failure.BadRequest, "send its id, without control characters, in the header for request ids", "the job has no id").WithField("id")
 	}
 	if len(job.Items) == 0 || len(job.Items) > maxItems {
-		return failure.New(failure.BadRequest, "send 1 to 200", "a job can't have %d items", len(job.Items)).WithField("items")
+		return itemCountError(strconv.Itoa(len(job.Items)))
 	}
 	seen := make(map[string]bool, len(job.Items))
 	for i := range job.Items {
@@ -82,6 +83,10 @@
 	return nil
 }
 
+func itemCountError(count string) error {
+	return failure.New(failure.BadRequest, "send 1 to 200", "a job can't have %s items", count).WithField("items")
+}
+
 func validateItem(fieldPath string, item *wire.BatchItem) error {
 	switch {
 	case item.ID == "":
--- a/internal/edge/jobs_test.go
+++ b/internal/edge/jobs_test.go
@@ -31,8 +31,8 @@
 		"a path with a break":        {"j", []JobItem{item("a", "/p\r\nX: y")}, "items.0.path"},
 		"a path with a blank":        {"j", []JobItem{item("a", "/p HTTP/1.1")}, "items.0.path"},
 		"negative tokens":            {"j", []JobItem{{ID: "a", Path: "/p", Tokens: -1}}, "items.0.tokens"},
-		"a header with a break":      {"j", []JobItem{{ID: "a", Path: "/p", Headers: map[string]string{"A": "b\r\nC: d"}}}, "items.0.headers"},
-		"a header name with a break": {"j", []JobItem{{ID: "a", Path: "/p", Headers: map[string]string{"A\n": "b"}}}, "items.0.headers"},
+		"a header with a break":      {"j", []JobItem{{ID: "a", Path: "/p", Headers: ItemHeaders{{Name: "A", Value: "b\r\nC: d"}}}}, "items.0.headers"},
+		"a header name with a break": {"j", []JobItem{{ID: "a", Path: "/p", Headers: ItemHeaders{{Name: "A\n", Value: "b"}}}}, "items.0.headers"},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -47,7 +47,7 @@
 func TestValidJob(t *testing.T) {
 	document := &JobDocument{}
 	for i := range maxItems {
-		document.Items = append(document.Items, JobItem{ID: fmt.Sprint(i), Path: "/p", Headers: map[string]string{"A": "b"}, Body: []byte("x"), Tokens: 1})
+		document.Items = append(document.Items, JobItem{ID: fmt.Sprint(i), Path: "/p", Headers: ItemHeaders{{Name: "A", Value: "b"}}, Body: []byte("x"), Tokens: 1})
 	}
 	job := document.Job("j", "h.example")
 	if err := validateJob(job); err != nil {
--- a/test/fleet_api_test.go
+++ b/test/fleet_api_test.go
@@ -200,8 +200,8 @@
 func (f *nativeFleet) testJob(callers string) {
 	t := f.t
 	job := edge.JobDocument{Items: []edge.JobItem{
-		{ID: "i-1", Path: "/jobs/x", Headers: map[string]string{httpheader.Default().Tokens: "5,3"}, Body: []byte("one"), Tokens: 8},
-		{ID: "i-2", Path: "/jobs/x", Headers: map[string]string{httpheader.Default().Tokens: "5,2"}, Body: []byte("two"), Tokens: 7},
+		{ID: "i-1", Path: "/jobs/x", Headers: edge.ItemHeaders{{Name: httpheader.Default().Tokens, Value: "5,3"}}, Body: []byte("one"), Tokens: 8},
+		{ID: "i-2", Path: "/jobs/x", Headers: edge.ItemHeaders{{Name: httpheader.Default().Tokens, Value: "5,2"}}, Body: []byte("two"), Tokens: 7},
 	}}
 	body, err := json.Marshal(job)
 	if err != nil {
