Gateways: bodies are charged, and uploads must go on

What callers saw: 80 requests of 4 MiB that never end took a gateway to 388 MB of 96, silent ones to 820 descriptors of 400.

Cause: bodies of up to 8 MiB for each of 10,000 requests, heads and bodies without a time, and 16 uploads that may say nothing for ever.

A body is read whole within 30 s, charged as it arrives and for its decoded form, and decoded in turns. An upload is charged for its lines and has 30 s for its next bytes.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/httpapi"
+	"github.com/sedgemast/sedgemast/internal/intake"
 )
 
 // chatResponse writes the response to a chat request, as one body or as a stream of events.
@@ -143,7 +146,16 @@
 }
 
 func readJSON(request *http.Request, writer http.ResponseWriter, limit int64, body any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, limit))
+	controller := http.NewResponseController(writer)
+	// Only the writers of tests do not support deadlines.
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	document, err := httpapi.ReadDocument(request, limit)
+	if err != nil {
+		return err
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	defer intake.Work(request.Context())()
+	decoder := json.NewDecoder(bytes.NewReader(document))
 	if err := decoder.Decode(body); err != nil {
 		return failure.Wrap(err, failure.BadRequest, "send one JSON object of the documented shape", "the body does not parse").WithField("body")
 	}
@@ -152,3 +164,6 @@
 	}
 	return nil
 }
+
+// bodyTimeout bounds the time in which a caller sends the body of a request.
+const bodyTimeout = 30 * time.Second
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -20,6 +20,7 @@
 	"github.com/sedgemast/sedgemast/internal/configuration"
 	"github.com/sedgemast/sedgemast/internal/controlclient"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/intake"
 	"github.com/sedgemast/sedgemast/internal/jobstate"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -76,6 +77,10 @@
 	default:
 		return failure.New(failure.NotRun, "send it again after the time given", "%d uploads are in progress here", cap(g.uploads)).WithRetryAfter(shortRetryAfter)
 	}
+	if err := intake.Hold(request.Context(), int64(2*chunkBytes+g.settings.MaxLineBytes)); err != nil {
+		return err
+	}
+	request.Body = &progressReader{ReadCloser: request.Body, controller: http.NewResponseController(writer)}
 	parts, err := request.MultipartReader()
 	if err != nil {
 		return failure.Wrap(err, failure.BadRequest, "send multipart/form-data with the parts purpose and file", "the body is not a form").WithField("body")
@@ -90,6 +95,26 @@
 	return nil
 }
 
+// progressTimeout bounds the time in which an upload in progress sends its next bytes.
+const progressTimeout = 30 * time.Second
+
+// progressReader reads the body of an upload, which must go on.
+type progressReader struct {
+	io.ReadCloser
+	controller *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(buffer []byte) (int, error) {
+	// Only the writers of tests do not support deadlines.
+	_ = r.controller.SetReadDeadline(time.Now().Add(progressTimeout))
+	count, err := r.ReadCloser.Read(buffer)
+	if err == io.EOF {
+		_ = r.controller.SetReadDeadline(time.Time{})
+	}
+	return count, err
+}
+
 // readForm reads the parts of the form, which may come in any order.
 func (u *upload) readForm(ctx context.Context, parts *multipart.Reader) (*wire.FileRecord, error) {
 	purpose := ""
