Calls between processes: charged, in time, and over a bounded number of connections

Cause: 32 MB for each call, unpacked as well, without a time and a number; a response was loaded, encoded and compressed for each reader at once. An edge dialed a connection for each waiting read (498 to 542 descriptors of 400 once stores refused).

A call's body is charged as it arrives and has 30 s; an unpacked one before it is unpacked; a response before it is encoded. Stores load responses in turns, and refuse a long body that there is no room for before they load it. Calls on behalf of clients have an eighth of the descriptors; beyond it they fail as not run, before anything is sent. The runtime's memory limit leaves out what the database takes outside Go's heap.

--- a/internal/batchstore/reads.go
+++ b/internal/batchstore/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -9,6 +10,7 @@
 	"github.com/sedgemast/sedgemast/internal/batchstate"
 	"github.com/sedgemast/sedgemast/internal/consensus"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/intake"
 	"github.com/sedgemast/sedgemast/internal/rpc"
 	"github.com/sedgemast/sedgemast/internal/storage"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -28,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := g.results(request)
+	response, err := g.results(ctx, request)
 	if err == nil && len(response.Results) > 0 {
 		return response, nil
 	}
@@ -39,7 +41,7 @@
 	defer timeout.Stop()
 	for {
 		changed := s.changes()
-		response, err := g.results(request)
+		response, err := g.results(ctx, request)
 		if err != nil {
 			return nil, err
 		}
@@ -56,12 +58,22 @@
 	}
 }
 
-func (g *group) results(request *wire.BatchReadRequest) (response *wire.BatchReadResponse, err error) {
+func (g *group) results(ctx context.Context, request *wire.BatchReadRequest) (response *wire.BatchReadResponse, err error) {
+	defer intake.Work(ctx)()
 	err = g.store.host.ReadStale(g.number, func(_ uint64, reader storage.Reader) error {
 		response, err = g.machine.Read(reader, request.ID, request.Since, request.MaxBytes)
 		return err
 	})
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	return response, holdLoaded(ctx, response)
+}
+
+// holdLoaded charges a call for a response that was loaded from the disk. Calls load in turns, so that
+// few responses exist that are not charged yet.
+func holdLoaded(ctx context.Context, response msgp.Sizer) error {
+	return intake.Hold(ctx, int64(response.Msgsize()))
 }
 
 // body answers with the body of an item that has no result.
@@ -70,16 +82,22 @@
 	if err != nil {
 		return nil, err
 	}
-	if body, err := g.body(request); err == nil {
-		return body, nil
+	if body, err := g.body(ctx, request); err == nil || failure.Is(err, failure.NotRun) {
+		return body, err
 	}
 	if err := g.catchUp(ctx); err != nil {
 		return nil, err
 	}
-	return g.body(request)
+	return g.body(ctx, request)
 }
 
-func (g *group) body(request *wire.ItemBodyRequest) (*wire.ItemBody, error) {
+func (g *group) body(ctx context.Context, request *wire.ItemBodyRequest) (*wire.ItemBody, error) {
+	defer intake.Work(ctx)()
+	sizes, name := &g.store.bodySizes, bodyName{request.Job, request.Item}
+	size := sizes.get(name)
+	if err := intake.Hold(ctx, size); err != nil {
+		return nil, err
+	}
 	body := &wire.ItemBody{}
 	err := g.store.host.ReadStale(g.number, func(_ uint64, reader storage.Reader) error {
 		job, err := g.machine.Job(request.Job)
@@ -92,7 +110,49 @@
 		}
 		return g.loadBody(reader, job, number, body)
 	})
-	return body, err
+	if err != nil {
+		return nil, err
+	}
+	if size > 0 {
+		return body, nil
+	}
+	sizes.set(name, int64(body.Msgsize()))
+	return body, holdLoaded(ctx, body)
+}
+
+const (
+	// minBodySize is the size from which on the size of a body is remembered, maxBodySizes how many are.
+	minBodySize  = 64 << 10
+	maxBodySizes = 1024
+)
+
+// bodyName names the body of an item.
+type bodyName struct{ job, item string }
+
+// bodySizes remembers the sizes of long bodies, so that a call for one that there is no room for is
+// refused before it is loaded. It is safe for concurrent use.
+type bodySizes struct {
+	mutex sync.Mutex
+	sizes map[bodyName]int64
+}
+
+// get returns the size of a body, zero if it is short or unknown.
+func (b *bodySizes) get(name bodyName) int64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.sizes[name]
+}
+
+func (b *bodySizes) set(name bodyName, size int64) {
+	if size < minBodySize {
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.sizes == nil || len(b.sizes) >= maxBodySizes {
+		b.sizes = map[bodyName]int64{}
+	}
+	b.sizes[name] = size
 }
 
 func (g *group) loadBody(reader storage.Reader, job *batchstate.Job, number int, body *wire.ItemBody) error {
--- a/internal/batchstore/store.go
+++ b/internal/batchstore/store.go
@@ -53,6 +53,7 @@
 	headerNames *httpheader.Names
 	identity    wire.Hello
 	metrics     *metrics
+	bodySizes   bodySizes
 	loads       *loads
 	origins     *origins
 	originLog   *originLog
@@ -87,6 +88,8 @@
 		metrics:     newMetrics(d.Registry),
 		changed:     make(chan struct{}),
 	}
+	s.client.LimitConnections(d.OutgoingConnections())
+	d.ReserveMemory(storage.NativeBytes)
 	for number := range placement.MaxGroups {
 		s.groups = append(s.groups, newGroup(s, number))
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -74,6 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.ReserveMemory(storage.NativeBytes)
 	c := &Control{
 		daemon:   d,
 		settings: config,
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -88,6 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.ReserveMemory(storage.NativeBytes)
 	c := &Coordinator{
 		daemon:   d,
 		settings: config,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -120,6 +120,7 @@
 	e.watcher.UseRelays(config.Name, config.Zone)
 	e.watcher.OnChange(e.applySnapshot)
 	e.Stores = storeclient.New(d.Traffic, config.Zone, func() *wire.FleetView { return &e.watcher.Current().Fleet })
+	e.Stores.LimitConnections(d.OutgoingConnections())
 	e.upstream.SetMeter(d.Traffic)
 	e.upstream.BoundListAge(e.watcher, config.DrainTime.Std())
 	d.Registry.MustRegister(e.upstream.HealthMetrics("edge")...)
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/intake"
 	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
@@ -38,6 +40,10 @@
 	meter   *traffic.Meter
 }
 
+// LimitConnections bounds the open connections of the client to max; zero means no limit. Beyond it a call
+// that needs a new connection fails as not run. It must be called before the first call.
+func (c *Client) LimitConnections(max int) { c.traffic.maxOpen = int64(max) }
+
 // SetMeter makes the client count its calls by method in the meter. It must be called
 // before the first call.
 func (c *Client) SetMeter(meter *traffic.Meter) { c.meter = meter }
@@ -77,23 +83,36 @@
 	calls    atomic.Uint64
 	sent     atomic.Uint64
 	received atomic.Uint64
+	// open counts the open connections, maxOpen bounds them unless it is zero.
+	open    atomic.Int64
+	maxOpen int64
 }
 
+// errTooManyConnections means that a client has as many connections as it may have.
+var errTooManyConnections = errors.New("too many connections are open here")
+
 // countingConnection counts the bytes that are read from and written to a connection.
 type countingConnection struct {
 	net.Conn
 	traffic *trafficCounters
+	closed  sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countingConnection) Close() error {
+	c.closed.Do(func() { c.traffic.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
-func (c countingConnection) Read(buffer []byte) (int, error) {
+func (c *countingConnection) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
 	c.traffic.received.Add(uint64(count))
 	return count, err
 }
 
 // Write implements net.Conn.
-func (c countingConnection) Write(data []byte) (int, error) {
+func (c *countingConnection) Write(data []byte) (int, error) {
 	count, err := c.Conn.Write(data)
 	c.traffic.sent.Add(uint64(count))
 	return count, err
@@ -103,11 +122,16 @@
 	dialer := &net.Dialer{Timeout: timeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if open := counters.open.Add(1); counters.maxOpen > 0 && open > counters.maxOpen {
+				counters.open.Add(-1)
+				return nil, errTooManyConnections
+			}
 			connection, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
+				counters.open.Add(-1)
 				return nil, err
 			}
-			return countingConnection{connection, counters}, nil
+			return &countingConnection{Conn: connection, traffic: counters}, nil
 		},
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
@@ -166,7 +190,7 @@
 	}
 	defer httpResponse.Body.Close()
 	response := new(Response)
-	if err := ReadMessage(httpResponse.Header, httpResponse.Body, Pointer(response)); err != nil {
+	if err := ReadMessage(ctx, httpResponse.Header, httpResponse.Body, Pointer(response)); err != nil {
 		recordDecodeError(method, address, httpResponse.Header, err)
 		return nil, failure.Wrap(err, failure.OutcomeUnknown, "ask again for the state", "the answer of %s was cut", address)
 	}
@@ -178,6 +202,11 @@
 // that the peer closed while idle would leave the outcome unknown. The failures are those
 // of Call.
 func (c *Client) Open(ctx context.Context, address, method string, request msgp.Marshaler, fresh bool) (*http.Response, error) {
+	if sizer, ok := request.(msgp.Sizer); ok {
+		if err := intake.Hold(ctx, int64(sizer.Msgsize())); err != nil {
+			return nil, err
+		}
+	}
 	body, encoding, err := encodeBody(request)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, "report this", "the request does not encode")
@@ -203,6 +232,9 @@
 	if fresh {
 		httpClient = c.fresh
 	}
+	if c.traffic.maxOpen > 0 && c.traffic.open.Load() >= c.traffic.maxOpen {
+		c.pooled.CloseIdleConnections()
+	}
 	httpResponse, err := httpClient.Do(httpRequest)
 	sent := requestHeaderBytes + len(method) + len(body)
 	if err != nil {
@@ -249,7 +281,7 @@
 		return failure.New(failure.OutcomeUnknown, "check that the address is a peer's", "%s answered with status %d", address, httpResponse.StatusCode)
 	}
 	var remote wire.Failure
-	if err := ReadMessage(httpResponse.Header, httpResponse.Body, &remote); err != nil {
+	if err := ReadMessage(httpResponse.Request.Context(), httpResponse.Header, httpResponse.Body, &remote); err != nil {
 		return failure.Wrap(err, failure.OutcomeUnknown, "ask again for the state", "the answer of %s was cut", address)
 	}
 	return remote.Err()
--- a/internal/rpc/compress.go
+++ b/internal/rpc/compress.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -9,6 +10,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/intake"
 )
 
 const (
@@ -62,8 +64,11 @@
 }
 
 // readBody reads a whole body of at most MaxBodyBytes and decompresses it.
-func readBody(header http.Header, body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, MaxBodyBytes+1))
+func readBody(ctx context.Context, header http.Header, body io.Reader) ([]byte, error) {
+	data, err := intake.ReadAll(ctx, body, MaxBodyBytes+1)
+	if failure.Is(err, failure.NotRun) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, failure.Wrap(err, failure.BadRequest, "send the whole body", "the body could not be read")
 	}
@@ -74,15 +79,36 @@
 	case "":
 		return data, nil
 	case encodingZstd:
-		d, err := decoder()
-		if err != nil {
-			return nil, failure.Wrap(err, failure.Internal, "report this", "no decoder could be made")
-		}
-		if data, err = d.DecodeAll(data, nil); err != nil {
-			return nil, failure.Wrap(err, failure.BadRequest, "send the body whole and at most 32 MB long", "the body does not decompress")
-		}
-		return data, nil
+		return decompress(ctx, data)
 	default:
 		return nil, failure.New(failure.BadRequest, "use zstd or none", "the body has the unknown encoding %q", encoding)
 	}
 }
+
+// unknownSizeFactor is the assumed size of a decompressed body, relative to the compressed one, where the
+// sender does not tell it.
+const unknownSizeFactor = 16
+
+// decompress charges the context's request for the decompressed body before it decompresses it.
+func decompress(ctx context.Context, data []byte) ([]byte, error) {
+	d, err := decoder()
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, "report this", "no decoder could be made")
+	}
+	var frame zstd.Header
+	size := int64(len(data)) * unknownSizeFactor
+	if frame.Decode(data) == nil && frame.HasFCS {
+		size = int64(min(frame.FrameContentSize, MaxBodyBytes))
+	}
+	if err := intake.Hold(ctx, size); err != nil {
+		return nil, err
+	}
+	body, err := d.DecodeAll(data, nil)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.BadRequest, "send the body whole and at most 32 MB long", "the body does not decompress")
+	}
+	if excess := int64(cap(body)) - size; excess > 0 {
+		return body, intake.Hold(ctx, excess)
+	}
+	return body, nil
+}
--- a/internal/rpc/compress_test.go
+++ b/internal/rpc/compress_test.go
@@ -60,7 +60,7 @@
 		"no message within":    {encodingZstd, e.EncodeAll([]byte{0xc1}, nil)},
 		"two messages, no end": {encodingZstd, e.EncodeAll([]byte{0x80, 0x80}, nil)},
 	} {
-		err := ReadMessage(http.Header{encodingHeader: {test.encoding}}, bytes.NewReader(test.body), &wire.Empty{})
+		err := ReadMessage(context.Background(), http.Header{encodingHeader: {test.encoding}}, bytes.NewReader(test.body), &wire.Empty{})
 		if !failure.Is(err, failure.BadRequest) {
 			t.Errorf("%s: %v", name, err)
 		}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -8,12 +8,14 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/decodeerror"
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/intake"
 	"github.com/sedgemast/sedgemast/internal/wire"
 )
 
@@ -29,6 +31,8 @@
 	generationHeader = "Gen"
 	// MaxBodyBytes bounds the body of one internal call.
 	MaxBodyBytes = 32 << 20
+	// bodyTimeout bounds the time in which a call's body arrives.
+	bodyTimeout = 30 * time.Second
 )
 
 // currentGeneration is this build's generation as the value of generationHeader.
@@ -49,12 +53,15 @@
 func Handle[Request any, Pointer Decodable[Request]](router Router, method string, handler func(context.Context, *Request) (msgp.Marshaler, error)) {
 	router.HandleFunc(PathPrefix+method, func(writer http.ResponseWriter, httpRequest *http.Request) {
 		var request Request
-		if err := ReadMessage(httpRequest.Header, httpRequest.Body, Pointer(&request)); err != nil {
+		if err := readRequest(writer, httpRequest, Pointer(&request)); err != nil {
 			recordDecodeError(method, httpRequest.RemoteAddr, httpRequest.Header, err)
 			WriteFailure(writer, err)
 			return
 		}
 		response, err := handler(httpRequest.Context(), &request)
+		if err == nil {
+			err = holdEncoded(httpRequest.Context(), response)
+		}
 		if err != nil {
 			WriteFailure(writer, err)
 			return
@@ -74,6 +81,31 @@
 	})
 }
 
+// readRequest reads the message of a call.
+func readRequest(writer http.ResponseWriter, httpRequest *http.Request, message msgp.Unmarshaler) error {
+	controller := http.NewResponseController(writer)
+	// Only the writers of tests do not support deadlines.
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if err := ReadMessage(httpRequest.Context(), httpRequest.Header, httpRequest.Body, message); err != nil {
+		return err
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	return nil
+}
+
+// holdEncoded charges the call for its encoded response and for the compressed one. The call has run, so
+// the failure promises nothing.
+func holdEncoded(ctx context.Context, response msgp.Marshaler) error {
+	sizer, ok := response.(msgp.Sizer)
+	if !ok {
+		return nil
+	}
+	if err := intake.Hold(ctx, 2*int64(sizer.Msgsize())); err != nil {
+		return failure.Wrap(err, failure.OutcomeUnknown, "ask again", "the answer is too long for now")
+	}
+	return nil
+}
+
 // originSetter is a message that records the generation of the build that sent it.
 type originSetter interface {
 	SetGeneration(generation wire.Generation)
@@ -108,9 +140,9 @@
 }
 
 // ReadMessage decodes the one message of a body of at most MaxBodyBytes that was received
-// with the header.
-func ReadMessage(header http.Header, body io.Reader, message msgp.Unmarshaler) error {
-	data, err := readBody(header, body)
+// with the header. Its memory is charged to the request that the context belongs to, if any.
+func ReadMessage(ctx context.Context, header http.Header, body io.Reader, message msgp.Unmarshaler) error {
+	data, err := readBody(ctx, header, body)
 	if err != nil {
 		return err
 	}
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -57,7 +57,7 @@
 func HandleStream[Request any, Pointer Decodable[Request]](router Router, method string, handler func(context.Context, *Request, *FrameWriter) error) {
 	router.HandleFunc(PathPrefix+method, func(writer http.ResponseWriter, httpRequest *http.Request) {
 		var request Request
-		if err := ReadMessage(httpRequest.Header, httpRequest.Body, Pointer(&request)); err != nil {
+		if err := readRequest(writer, httpRequest, Pointer(&request)); err != nil {
 			recordDecodeError(method, httpRequest.RemoteAddr, httpRequest.Header, err)
 			WriteFailure(writer, err)
 			return
--- a/internal/storage/pebble.go
+++ b/internal/storage/pebble.go
@@ -26,6 +26,10 @@
 	maxOpenFiles = 500
 )
 
+// NativeBytes is the memory that a store takes outside Go's heap: the cache, the memtables, and blocks
+// of long values while they are read or written.
+const NativeBytes = 24 << 20
+
 // Pebble is a Store on disk, kept by a pebble database.
 type Pebble struct {
 	database *pebble.DB
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -65,6 +65,10 @@
 	return c
 }
 
+// LimitConnections bounds the open connections to stores, zero for no limit. It must be called before the
+// first call.
+func (c *Client) LimitConnections(max int) { c.client.LimitConnections(max) }
+
 // groupOf returns the group that stores the job, or -1 while the groups are unknown.
 func (c *Client) groupOf(job string) int {
 	return placement.GroupOf(job, min(len(c.fleet().Initial), placement.MaxGroups))
