Soak with clients that don't behave

TestSoakCrowds runs the soak beside three crowds at a time, at all addresses of edges, coordinators and stores: silent connections, heads, bodies in large and small chunks or with a length, told lengths, jobs of empty items, requests without a route, operators' documents. Clients use their connections until these are gone. Signals to read the settings come in series and overlap with stops, kills and freezes. Answers beside a crowd are only counted.

--- a/test/hosted_fleet_test.go
+++ b/test/hosted_fleet_test.go
@@ -44,6 +44,8 @@
 	memoryMB, maxFDs, maxBodyBytes int
 }
 
+var defaultLimits = hostedLimits{memoryMB: hostedMemoryMB, maxFDs: hostedMaxFDs, maxBodyBytes: hostedMaxBodyBytes}
+
 // hostedFleet is a fleet on loopback addresses, set up as the users' platform does.
 type hostedFleet struct {
 	t        *testing.T
@@ -94,7 +96,7 @@
 // newHostedFleetWith starts a fleet whose machines run the given program.
 func newHostedFleetWith(t *testing.T, binary string, workers int) *hostedFleet {
 	t.Helper()
-	return newLimitedFleet(t, binary, workers, hostedLimits{memoryMB: hostedMemoryMB, maxFDs: hostedMaxFDs, maxBodyBytes: hostedMaxBodyBytes})
+	return newLimitedFleet(t, binary, workers, defaultLimits)
 }
 
 // newLimitedFleet starts a fleet whose machines run the given program and have the given limits.
--- a/test/soak_clients_test.go
+++ b/test/soak_clients_test.go
@@ -98,6 +98,9 @@
 	switch {
 	case killed.After(sentAt.Add(-time.Second)):
 		s.counts["cut"]++
+	case s.crowds != nil:
+		// A crowd may be at this edge.
+		s.counts["closed beside crowds"]++
 	case s.incarnations[edge] != incarnation || s.faulty[edge]:
 		s.counts["crossed"]++
 		s.sentDuringClose[fmt.Sprintf("%s/%d", edge, max(incarnation, s.incarnations[edge]))]++
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -73,13 +73,15 @@
 	disturbedAt map[string]time.Time
 	// versions is the state of a run with several worker versions, parts that of a run with crashing
 	// parts of prompts, drain that of a run with leaving workers, owed that of a run with owed items,
-	// answers that of a run with failing answers; all are nil in other runs. scale is the factor by which the run has more edges, stores, workers and
-	// clients than by default.
+	// answers that of a run with failing answers, crowds that of a run with misbehaving clients; all are
+	// nil in other runs. scale is the factor by which the run has more edges, stores, workers and clients
+	// than by default.
 	versions *soakVersions
 	parts    *soakParts
 	drain    *soakDrain
 	owed     *soakOwed
 	answers  *soakAnswers
+	crowds   *soakCrowdState
 	scale    int
 }
 
@@ -129,9 +131,15 @@
 }
 
 func newSoak(t *testing.T, seed int) *soak {
+	t.Helper()
+	return newSoakWith(t, seed, defaultLimits)
+}
+
+func newSoakWith(t *testing.T, seed int, limits hostedLimits) *soak {
+	t.Helper()
 	newest, scale := buildHosted(t), envInt(t, "SEDGEMAST_SOAK_SCALE", 1)
 	s := &soak{
-		hostedFleet:     newHostedFleetWith(t, newest, soakWorkers*scale),
+		hostedFleet:     newLimitedFleet(t, newest, soakWorkers*scale, limits),
 		scale:           scale,
 		t:               t,
 		random:          rand.New(rand.NewSource(int64(seed))),
@@ -185,6 +193,11 @@
 			clients.Go(func() { s.runClient(number, rand.New(rand.NewSource(seed+int64(number))), stop) })
 		}
 	}
+	if s.crowds != nil {
+		for number := range soakCrowds * s.scale {
+			clients.Go(func() { s.runCrowds(rand.New(rand.NewSource(seed-1-int64(number))), stop) })
+		}
+	}
 	clients.Go(func() { s.runOperator(stop) })
 	clients.Go(func() { s.runBatches(stop) })
 	var faults sync.WaitGroup
@@ -230,7 +243,7 @@
 
 // maxFaultInterval returns the longest time between two faults, less 200 ms.
 func (s *soak) maxFaultInterval() time.Duration {
-	if s.versions != nil || s.drain != nil || s.owed != nil || s.answers != nil {
+	if s.versions != nil || s.drain != nil || s.owed != nil || s.answers != nil || s.crowds != nil {
 		return 800 * time.Millisecond
 	}
 	return 1500 * time.Millisecond
@@ -275,6 +288,9 @@
 	if s.answers != nil {
 		classes = append(classes, "workers", "front", "store")
 	}
+	if s.crowds != nil {
+		classes = append(classes, "signals", "front", "core")
+	}
 	if s.owed != nil {
 		classes = append(classes, "workers", "store", "core")
 	}
@@ -283,6 +299,9 @@
 	}
 	class := classes[s.random.Intn(len(classes))]
 	switch {
+	case class == "signals":
+		names := s.names()
+		return s.signalSeries(s.machines[names[s.random.Intn(len(names))]], 1+s.random.Intn(maxSignals), time.Duration(s.random.Int63n(int64(200*time.Millisecond))))
 	case class == "workers" && s.versions != nil:
 		return s.drawWorkerFault()
 	case class == "workers" && s.parts != nil:
