Requests in parts: what a part held is released when it is over

A request that reads or sends in a loop, such as an upload of many lines, was charged for all its calls together until its end, so a long one would be refused by what it no longer held: charges are released with the call that made them (intake.Borrow). Edges charge a page of results, or an item's body, while it is written.

--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -12,6 +12,7 @@
 
 	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpheader"
+	"github.com/sedgemast/sedgemast/internal/intake"
 	"github.com/sedgemast/sedgemast/internal/routetable"
 	"github.com/sedgemast/sedgemast/internal/tenancy"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -112,7 +113,11 @@
 		ctx, cancel := context.WithTimeout(ctx, readTimeout+hold)
 		defer cancel()
 		response, err := e.Stores.Read(ctx, &wire.BatchReadRequest{ID: name, Since: since, WaitMillis: hold.Milliseconds(), MaxBytes: maxReadBytes})
-		return response, retryableReadError(err)
+		if err != nil {
+			return nil, retryableReadError(err)
+		}
+		// The results, and the document that is made of them.
+		return response, intake.Hold(ctx, 2*int64(response.Msgsize()))
 	})
 }
 
@@ -125,7 +130,7 @@
 		if err != nil {
 			return nil, retryableReadError(err)
 		}
-		return response.Body, nil
+		return response.Body, intake.Hold(ctx, int64(len(response.Body)))
 	})
 }
 
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -141,16 +142,50 @@
 	}
 }
 
-// Hold charges the request that the context belongs to for more bytes until it ends. An error means that
-// they must not be allocated; it promises that nothing ran, so it fits only before anything did. A context
-// of no request is not charged.
+// Hold charges the request that the context belongs to for more bytes, until it ends or they are released.
+// An error means that they must not be allocated; it promises that nothing ran, so it fits only before
+// anything did. A context of no request is not charged.
 func Hold(ctx context.Context, bytes int64) error {
-	if r := requestOf(ctx); r != nil {
-		return r.hold(bytes)
+	r := requestOf(ctx)
+	if r == nil {
+		return nil
+	}
+	if err := r.hold(bytes); err != nil {
+		return err
+	}
+	if l, ok := ctx.Value(loanKey{}).(*loan); ok {
+		l.bytes.Add(bytes)
 	}
 	return nil
 }
 
+// Release takes bytes back that were charged with Hold.
+func Release(ctx context.Context, bytes int64) {
+	if r := requestOf(ctx); r != nil {
+		r.charge.Add(time.Now(), -bytes)
+		if l, ok := ctx.Value(loanKey{}).(*loan); ok {
+			l.bytes.Add(-bytes)
+		}
+	}
+}
+
+// loan counts what was charged with a context from Borrow.
+type loan struct{ bytes atomic.Int64 }
+
+// loanKey is the key of a loan in a context.
+type loanKey struct{}
+
+// Borrow returns a context for a part of a request. When the part is over, done releases what was charged
+// with that context.
+func Borrow(ctx context.Context) (borrowed context.Context, done func()) {
+	r := requestOf(ctx)
+	if r == nil {
+		return ctx, func() {}
+	}
+	l := &loan{}
+	return context.WithValue(ctx, loanKey{}, l), func() { r.charge.Add(time.Now(), -l.bytes.Load()) }
+}
+
 // Work waits until the context's request may use the processor for long, and returns the function that
 // must be called after it.
 func Work(ctx context.Context) (done func()) {
@@ -163,13 +198,6 @@
 	return func() { <-turns }
 }
 
-// Release takes bytes back that were charged with Hold.
-func Release(ctx context.Context, bytes int64) {
-	if r := requestOf(ctx); r != nil {
-		r.charge.Add(time.Now(), -bytes)
-	}
-}
-
 // firstBufferBytes is the size of the first buffer of ReadAll.
 const firstBufferBytes = 4 << 10
 
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -34,6 +34,16 @@
 	limiter, served = connlimit.New(maxConnections), &atomic.Int64{}
 	guard := intake.New(testRequestBytes, logging.Discard(), prometheus.NewRegistry())
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/parts" {
+			for range 4 * testRequestBytes / testBodyBytes {
+				ctx, done := intake.Borrow(request.Context())
+				if err := intake.Hold(ctx, testBodyBytes); err != nil {
+					t.Error(err)
+				}
+				done()
+			}
+			return
+		}
 		if request.URL.Path != "/read" {
 			http.NotFound(writer, request)
 			return
@@ -185,3 +195,12 @@
 		t.Errorf("%v, %v", response, err)
 	}
 }
+
+// TestPartsOfRequestAreReleased checks that a request may hold more in one part after the other than
+// requests may hold at a time.
+func TestPartsOfRequestAreReleased(t *testing.T) {
+	address, _, _ := startServer(t, 0)
+	if response, err := readResponse(t, dial(t, address, "GET /parts HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("%v, %v", response, err)
+	}
+}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -184,6 +184,8 @@
 // NotRun if no connection was made, so that no byte of the request can have been sent; the
 // peer's own typed failure if the peer answered with one; and OutcomeUnknown otherwise.
 func Call[Response any, Pointer Decodable[Response]](ctx context.Context, client *Client, address, method string, request msgp.Marshaler) (*Response, error) {
+	ctx, done := intake.Borrow(ctx)
+	defer done()
 	httpResponse, err := client.Open(ctx, address, method, request, false)
 	if err != nil {
 		return nil, err
