--- a/test/soak_crowds_test.go
+++ b/test/soak_crowds_test.go
@@ -182,3 +182,12 @@
 		s.count("signals")
 	}
 }
+
+// signalAll sends series of signals to all machines at the same time.
+func (s *soak) signalAll() {
+	var signals sync.WaitGroup
+	for _, name := range s.names() {
+		signals.Go(s.signalSeries(s.machines[name], maxSignals, 100*time.Millisecond))
+	}
+	signals.Wait()
+}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -208,6 +208,9 @@
 	if s.answers != nil {
 		fleetFaults = append(fleetFaults, s.failManyRuns, s.refuseAllRuns)
 	}
+	if s.crowds != nil {
+		fleetFaults = append(fleetFaults, s.signalAll)
+	}
 	if s.owed != nil {
 		fleetFaults = append([]func(){
 			func() { s.blind("store-", "blind stores") },
