Stores: a failure without an end says nothing about its item

A cut answer is none; so neither 500 counts as a failed attempt nor 422 as 'can never be done'.

The rest is read first; without an end the outcome is unknown and the item runs again. TestCutFailureIsNoAnswer: three of its checks red before.

--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -278,15 +278,21 @@
 		t.lease.RecordItemStart(clock.Now(), false)
 		return t.discardBody(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d and may have run it", response.Status))
 	case response.Status == http.StatusUnprocessableEntity:
-		return t.discardBody(response, failure.New(failure.BadRequest, "", "the worker can't ever do it"))
+		if !response.Discard() {
+			return t.cutFailure(response.Status)
+		}
+		return failure.New(failure.BadRequest, "", "the worker can't ever do it")
 	case response.Status == http.StatusInternalServerError:
 		t.lease.RecordItemStart(clock.Now(), false)
+		if !response.Discard() {
+			return t.cutFailure(response.Status)
+		}
 		if !t.lease.IsProbe() {
 			// A probe runs at a worker that is known to fail, so its failure says nothing about the
 			// item.
 			t.failures++
 		}
-		return t.discardBody(response, failure.New(failure.Internal, "", "the worker failed at it"))
+		return failure.New(failure.Internal, "", "the worker failed at it")
 	case response.Status > http.StatusInternalServerError:
 		t.lease.RecordDisconnect()
 		return t.discardBody(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d", response.Status))
@@ -312,6 +318,12 @@
 	return result
 }
 
+// cutFailure returns the error for an answer with the given status that did not end. It says nothing about
+// the item.
+func (t *task) cutFailure(status int) error {
+	return failure.New(failure.OutcomeUnknown, "", "the worker's answer of %d did not end", status)
+}
+
 func (t *task) headers() []wire.HeaderField {
 	names := t.runner.store.headerNames
 	fields := make([]wire.HeaderField, 0, len(t.content.Headers)+3)
--- a/internal/batchstore/task_test.go
+++ b/internal/batchstore/task_test.go
@@ -12,6 +12,7 @@
 	"github.com/sedgemast/sedgemast/internal/balance"
 	"github.com/sedgemast/sedgemast/internal/batchplan"
 	"github.com/sedgemast/sedgemast/internal/clock"
+	"github.com/sedgemast/sedgemast/internal/failure"
 	"github.com/sedgemast/sedgemast/internal/httpheader"
 	"github.com/sedgemast/sedgemast/internal/loadshare"
 	"github.com/sedgemast/sedgemast/internal/routetable"
@@ -179,3 +180,41 @@
 		server.Close()
 	}
 }
+
+// TestCutFailureIsNoAnswer lets a worker answer with a failure whose body never ends. Unlike a whole one
+// it must state neither that the worker failed at the item nor that the item can't be run.
+func TestCutFailureIsNoAnswer(t *testing.T) {
+	for _, test := range []struct {
+		status  int
+		endless bool
+		kind    failure.Kind
+		state   wire.ItemState
+	}{
+		{http.StatusInternalServerError, false, failure.Internal, wire.ItemWaiting},
+		{http.StatusInternalServerError, true, failure.OutcomeUnknown, wire.ItemWaiting},
+		{http.StatusUnprocessableEntity, false, failure.BadRequest, wire.ItemAbandoned},
+		{http.StatusUnprocessableEntity, true, failure.OutcomeUnknown, wire.ItemWaiting},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			writer.WriteHeader(test.status)
+			_ = http.NewResponseController(writer).Flush()
+			for test.endless && request.Context().Err() == nil {
+				_, _ = io.WriteString(writer, "more ")
+			}
+		}))
+		r := probeRunner(t, 1, server.Listener.Addr().String())
+		run := r.prepareItem(t, 0, map[string]bool{})
+		if run == nil {
+			t.Fatalf("%d: the item does not run", test.status)
+		}
+		if err := run.attempt(); failure.KindOf(err) != test.kind {
+			t.Errorf("%d, without an end %t: %v", test.status, test.endless, err)
+		}
+		run.run()
+		if run.state != test.state {
+			t.Errorf("%d, without an end %t: state %v, want %v", test.status, test.endless, run.state, test.state)
+		}
+		server.CloseClientConnections()
+		server.Close()
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -354,11 +354,12 @@
 
 // Discard reads the rest of a body that is not needed, if it is short and comes at once. Then the
 // connection can be used again.
-func (r *Response) Discard() {
+func (r *Response) Discard() (whole bool) {
 	r.connection.setLimit("a discarded body", maxDiscardBytes)
 	if r.SetReadDeadline(time.Now().Add(discardTimeout)) == nil && discard(r.response) == nil {
 		r.complete = true
 	}
+	return r.complete
 }
 
 // SetReadDeadline sets the deadline for reads of the body.
