Limits: names in logs, callers' connections of fleets of our own, a head that becomes a request

Seen when reading the diff: max_connections of 0 left the callers' address of an edge without a bound where no platform sets it (now half of the descriptors); operators' addresses were logged under a setting that is not theirs; a head that gave way in the moment in which it became a request closed that request's connection instead of refusing it.

--- a/cmd/sedgemast/fleet.go
+++ b/cmd/sedgemast/fleet.go
@@ -67,7 +67,7 @@
 	}
 	process := edge.New(d, config, httpheader.Default())
 	if config.Callers != "" {
-		if err := d.AddServer(config.Callers, &edge.API{Edge: process}, daemon.ServerOptions{Name: "callers", Connections: process.Connections}); err != nil {
+		if err := d.AddServer(config.Callers, &edge.API{Edge: process}, daemon.ServerOptions{Name: "callers", Connections: process.Connections, ConnectionsSetting: "max_connections"}); err != nil {
 			return err
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,9 +154,10 @@
 	Name string
 	// Configure, if not nil, may change the server's limits.
 	Configure func(*http.Server)
-	// Connections decides which connections are accepted; nil allows the few that operators and
-	// monitoring need.
-	Connections *connlimit.Limiter
+	// Connections decides which connections are accepted, and ConnectionsSetting names the setting that
+	// bounds them in logs. Without a limiter, the few that operators and monitoring need are accepted.
+	Connections        *connlimit.Limiter
+	ConnectionsSetting string
 }
 
 // AddServer serves another address with only the given handler: request paths are passed on
@@ -167,11 +168,10 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "free the address or choose another in the settings", "%s can't listen", d.options.Name).WithField(listen)
 	}
-	connections, limit := options.Connections, "max_connections"
-	if connections == nil {
-		connections, limit = connlimit.New(auxiliaryConnections), "fixed"
+	if options.Connections == nil {
+		options.Connections, options.ConnectionsSetting = d.auxiliaryConnections(), "fixed"
 	}
-	listener = d.Intake.Listen(listener, connections, options.Name, limit)
+	listener = d.Intake.Listen(listener, options.Connections, options.Name, options.ConnectionsSetting)
 	server := kratoshttp.NewServer(
 		kratoshttp.Listener(listener),
 		endpointOption(listener),
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -10,6 +10,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/sedgemast/sedgemast/internal/connlimit"
 )
 
 // Limits bounds what clients make a process hold. Zero fields have defaults.
@@ -33,7 +35,8 @@
 	// requestMemoryPercent is the memory for requests, in percent of the process's memory. The rest is
 	// for the process's own state, for its connections and for garbage.
 	requestMemoryPercent = 40
-	// listenDivisor divides the descriptors: one part is for connections at the listen address.
+	// listenDivisor divides the descriptors: one part is for connections at the listen address, or at
+	// the callers' address where that is another.
 	listenDivisor = 2
 	// outgoingDivisor does so for the connections that calls of clients need to other processes.
 	outgoingDivisor = 8
@@ -75,6 +78,18 @@
 // its clients, zero for no limit.
 func (d *Daemon) OutgoingConnections() int { return d.limits.Descriptors / outgoingDivisor }
 
+// CallerConnections returns how many connections of callers a process accepts at an address of their own,
+// zero for no limit.
+func (d *Daemon) CallerConnections() int { return d.limits.Descriptors / listenDivisor }
+
+// auxiliaryConnections returns a limiter for an address of operators or monitoring.
+func (d *Daemon) auxiliaryConnections() *connlimit.Limiter {
+	if d.options.Embedded {
+		return connlimit.New(0)
+	}
+	return connlimit.New(auxiliaryConnections)
+}
+
 // ReserveMemory takes memory outside Go's heap, in bytes, into account.
 func (d *Daemon) ReserveMemory(bytes int64) {
 	if left := d.limits.MemoryBytes - bytes; d.limits.MemoryBytes > 0 && left > 0 {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,6 +4,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -113,7 +114,7 @@
 		origins:         newStreamOrigins(),
 
 		stallDetector: stall.New(clock.Now()),
-		Connections:   connlimit.New(config.MaxConnections),
+		Connections:   connlimit.New(cmp.Or(config.MaxConnections, d.CallerConnections())),
 	}
 	e.setHubs(nil)
 	e.watcher = fleetwatch.New(d.Logger, d.Traffic, config.Seeds, e.processReport)
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -32,12 +32,12 @@
 		longest = request.ContentLength
 	}
 	body, err := intake.ReadAll(request.Context(), request.Body, longest)
+	if err == nil && int64(len(body)) < request.ContentLength {
+		err = io.ErrUnexpectedEOF
+	}
 	switch {
 	case failure.Is(err, failure.NotRun):
 		return nil, err
-	case err == nil && request.ContentLength > int64(len(body)):
-		err = io.ErrUnexpectedEOF
-		fallthrough
 	case err != nil:
 		return nil, failure.Wrap(err, failure.BadRequest, "send the whole body", "the body broke off")
 	case int64(len(body)) > limit:
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -94,7 +94,7 @@
 	if excess > 0 && c.headCharge == nil {
 		c.headCharge = c.guard.account.Open(time.Now(), func() {
 			c.guard.refused.WithLabelValues("revoked").Inc()
-			_ = c.Close()
+			c.giveUp()
 		})
 	}
 	charge := c.headCharge
@@ -140,11 +140,16 @@
 // evict gives the connection up in favour of a new one.
 func (c *conn) evict() {
 	c.listener.recordGivenUp(connlimit.State(c.state.Load()).String())
+	c.giveUp()
+}
+
+// giveUp ends the request that the connection sends, or closes it if there is none yet that could be
+// answered.
+func (c *conn) giveUp() {
 	if r := c.request.Load(); r != nil {
 		r.revoke()
 		return
 	}
-	// There is no request yet that could be answered.
 	_ = c.Close()
 }
 
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -194,8 +194,8 @@
 	Seeds []string `json:"seeds"`
 	// Callers is the IP:port on which callers are served, empty for none.
 	Callers string `json:"callers"`
-	// MaxConnections bounds the open connections of callers; 0 means no limit. Further ones are closed
-	// before a request is read.
+	// MaxConnections bounds the open connections of callers, zero for half of the descriptors. Further
+	// ones take the places of those that ask nothing, or are closed before a request is read.
 	MaxConnections int `json:"max_connections"`
 	// FreezeTime is how long an edge serves requests with its last configuration while it reaches
 	// no coordinator; zero means without limit.
@@ -211,8 +211,10 @@
 
 // DefaultEdge returns the default settings of an edge.
 func DefaultEdge() *Edge {
+	process := defaultProcess("edge-1", "127.0.0.1:7800")
+	process.ListenConnections = edgeListenConnections
 	return &Edge{
-		Process:     defaultProcess("edge-1", "127.0.0.1:7800"),
+		Process:     process,
 		Seeds:       []string{"127.0.0.1:7600"},
 		UnreadyTime: Duration(2500 * time.Millisecond),
 		DrainTime:   defaultDrainTime,
@@ -221,6 +223,9 @@
 	}
 }
 
+// edgeListenConnections bounds the connections at the listen address of an edge, which few processes call.
+const edgeListenConnections = 512
+
 // maxConnectionsLimit is the largest MaxConnections.
 const maxConnectionsLimit = 1_000_000
 
--- a/test/soak_crowds_test.go
+++ b/test/soak_crowds_test.go
@@ -183,11 +183,17 @@
 	}
 }
 
-// signalAll sends series of signals to all machines at the same time.
+// signalAll sends series of signals to all machines at the same time, while one of them is stopped as
+// planned and started again.
 func (s *soak) signalAll() {
+	restarted := s.edges()[0]
+	defer s.recordDisturbed(restarted)
 	var signals sync.WaitGroup
+	signals.Go(func() { s.restart(s.machines[restarted], false) })
 	for _, name := range s.names() {
-		signals.Go(s.signalSeries(s.machines[name], maxSignals, 100*time.Millisecond))
+		if name != restarted {
+			signals.Go(s.signalSeries(s.machines[name], maxSignals, 100*time.Millisecond))
+		}
 	}
 	signals.Wait()
 }
