Answers: an unmarked end counts only after the whole request was received

Cause: a write that fails takes the socket's pending error, and the read after it sees a plain end. The end counted since the same start of the worker still answered: it had only given up this request.

Change: such an end counts only if the write of the request has ended without an error and all of it is acknowledged. A reset stays with its connection. Package httpanswer decides it for edges, stores and fleetsim. Failures of items (422, 500) ask it as well.

The emulated worker sends broken answers byte by byte; it chooses a fault only for requests that it runs.

--- a/internal/batchstore/task.go
+++ b/internal/batchstore/task.go
@@ -278,13 +278,13 @@
 		t.lease.RecordItemStart(clock.Now(), false)
 		return t.discardBody(response, failure.New(failure.OutcomeUnknown, "", "the worker answered %d and may have run it", response.Status))
 	case response.Status == http.StatusUnprocessableEntity:
-		if !response.Discard() {
+		if !t.isWholeFailure(response) {
 			return t.cutFailure(response.Status)
 		}
 		return failure.New(failure.BadRequest, "", "the worker can't ever do it")
 	case response.Status == http.StatusInternalServerError:
 		t.lease.RecordItemStart(clock.Now(), false)
-		if !response.Discard() {
+		if !t.isWholeFailure(response) {
 			return t.cutFailure(response.Status)
 		}
 		if !t.lease.IsProbe() {
@@ -318,6 +318,11 @@
 	return result
 }
 
+// isWholeFailure discards the body of a failure and reports whether it was whole.
+func (t *task) isWholeFailure(response *upstream.Response) bool {
+	return response.Discard() && response.VerifyEnd(t.context, t.started) == nil
+}
+
 // cutFailure returns the error for an answer with the given status that did not end. It says nothing about
 // the item.
 func (t *task) cutFailure(status int) error {
--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -47,13 +47,17 @@
 	closed    bool
 	running   int
 	requests  []HostedRequest
-	// faultFor chooses the fault of a request; nil injects none.
-	faultFor    func(request *HostedRequest) HostedFault
-	draining    bool
-	disconnects int
+	// faultFor chooses the fault of a request; nil injects none. faultsBeforeBody is set if it does so
+	// before the request's body is read.
+	faultFor         func(request *HostedRequest) HostedFault
+	faultsBeforeBody bool
+	draining         bool
+	disconnects      int
 	// endlessAnswers counts answers without end, maxEndless is the most bytes that one of them had.
 	endlessAnswers int
 	maxEndless     int
+	// brokenAnswers counts broken answers.
+	brokenAnswers int
 }
 
 // HostedRequest is a request as the worker received it.
@@ -94,6 +98,9 @@
 	// Endless, if not empty, is sent in place of the answer. Trickle sends it slowly, byte by byte.
 	Endless Endless
 	Trickle bool
+	// Broken, if not empty, is sent in place of the answer. The connection is closed RunFor later. A form
+	// that comes during the upload needs InjectFaultsBeforeBody.
+	Broken Broken
 }
 
 // Framing says how a caller knows where an answer ends.
@@ -153,7 +160,20 @@
 func (w *HostedWorker) InjectFaults(faultFor func(request *HostedRequest) HostedFault) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.faultFor = faultFor
+	w.faultFor, w.faultsBeforeBody = faultFor, false
+}
+
+// InjectFaultsBeforeBody is InjectFaults with a function that gets each request before its body is read.
+func (w *HostedWorker) InjectFaultsBeforeBody(faultFor func(request *HostedRequest) HostedFault) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.faultFor, w.faultsBeforeBody = faultFor, true
+}
+
+func (w *HostedWorker) choosesBeforeBody() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.faultsBeforeBody
 }
 
 // Drain makes HostedList report the worker as draining until it restarts.
@@ -188,13 +208,13 @@
 func (w *HostedWorker) admit(request *HostedRequest) HostedFault {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.running >= w.Slots {
+		return HostedFault{NotRun: true}
+	}
 	fault := HostedFault{}
 	if w.faultFor != nil {
 		fault = w.faultFor(request)
 	}
-	if w.running >= w.Slots {
-		fault.NotRun = true
-	}
 	if !fault.NotRun {
 		w.running++
 		if fault.Endless != EndlessRejection {
@@ -220,21 +240,20 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	body, err := io.ReadAll(httpRequest.Body)
-	if err != nil {
-		return
-	}
 	lastEventID, _ := strconv.Atoi(header.Get(w.HeaderNames.LastEvent))
 	request := &HostedRequest{
 		ID:          header.Get(w.HeaderNames.RequestID),
 		Method:      httpRequest.Method,
 		Target:      httpRequest.RequestURI,
 		Host:        httpRequest.Host,
-		Body:        string(body),
 		LastEventID: lastEventID,
 		Header:      header.Clone(),
 		ArrivedAt:   time.Now(),
 	}
+	beforeBody := w.choosesBeforeBody()
+	if !beforeBody && request.readBody(httpRequest.Body) != nil {
+		return
+	}
 	fault := w.admit(request)
 	if fault.NotRun {
 		writer.Header().Set(w.HeaderNames.NotRun, "1")
@@ -242,6 +261,13 @@
 		return
 	}
 	defer w.release()
+	if beforeBody && !fault.Broken.DuringUpload() && request.readBody(httpRequest.Body) != nil {
+		return
+	}
+	if fault.Broken != "" {
+		w.sendBroken(writer, request.ID, &fault)
+		return
+	}
 	writer.Header().Set(w.HeaderNames.Load, w.loadHeader())
 	writer.Header().Set("Server-Seal", w.ID+"."+request.ID)
 	if fault.Status != 0 {
--- a/internal/fleetsim/streams.go
+++ b/internal/fleetsim/streams.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/httpanswer"
 	"github.com/sedgemast/sedgemast/internal/incarnation"
 	"github.com/sedgemast/sedgemast/internal/origin"
-	"github.com/sedgemast/sedgemast/internal/upstream"
 )
 
 const (
@@ -160,8 +160,8 @@
 // takesExitForEnd reports whether the edge takes the exit of the stream's worker for the end of the
 // answer. The workers don't mark the ends of every other stream.
 func (e *edge) takesExitForEnd(stream *simStream) bool {
-	delimited, takenForSame := stream.key%2 == 0, e.world.mutation == MutationTrustEnd
-	return !delimited && upstream.ProvesEnd(delimited, takenForSame)
+	ending := httpanswer.Ending{Marked: stream.key%2 == 0, RequestTaken: true, SameStart: e.world.mutation == MutationTrustEnd}
+	return !ending.Marked && ending.IsWhole()
 }
 
 // addEvent passes an event of a worker of the version to the caller.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/httpanswer"
 	"github.com/sedgemast/sedgemast/internal/httpheader"
 	"github.com/sedgemast/sedgemast/internal/promise"
 	"github.com/sedgemast/sedgemast/internal/traffic"
@@ -31,6 +32,8 @@
 	// concurrentWriteBytes is the body size from which the body is written while the response is
 	// read, because a worker may respond before it has read the whole body.
 	concurrentWriteBytes = 16 << 10
+	// writeResultTimeout bounds the wait for the result of a write that has ended.
+	writeResultTimeout = 50 * time.Millisecond
 	// maxStrayResponses bounds the responses to other requests that are discarded before the
 	// response to this one.
 	maxStrayResponses = 2
@@ -219,10 +222,15 @@
 	endpoint   Endpoint
 	connection *connection
 	response   *http.Response
+	// written delivers the result of writing the request. sent is set once it was received without an
+	// error.
 	written    chan error
+	sent       bool
 	stopCancel func() bool
-	// complete is set once the body was read to its end without an error.
+	// complete is set once the body was read to its end without an error. taken is set if the worker had
+	// received the whole request by then.
 	complete bool
+	taken    bool
 	// identified is set if the request has an id.
 	identified bool
 	// strayResponses counts responses to other requests that came before the response to this one.
@@ -317,7 +325,7 @@
 	r.Status = response.StatusCode
 	r.Header = response.Header
 	r.Length = response.ContentLength
-	r.Delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+	r.Delimited = httpanswer.IsMarked(response)
 }
 
 // Statement returns what the answer states about whether the worker ran the request.
@@ -330,23 +338,50 @@
 	count, err := r.response.Body.Read(buffer)
 	if err != nil && isEOF(err) {
 		r.complete = true
+		r.taken = !r.Delimited && r.requestTaken()
 	}
 	return count, err
 }
 
 // VerifyEnd returns an error if the body may have been cut off although Read returned io.EOF: one that
-// is not delimited also ends when the worker exits. sentAt is when the request was sent.
+// is not delimited also ends when the worker exits, or gives the request up. sentAt is when the request was
+// sent.
 func (r *Response) VerifyEnd(ctx context.Context, sentAt time.Time) error {
-	sameStart := !r.Delimited && r.client.provesSameStart(ctx, r.endpoint, sentAt)
-	if ProvesEnd(r.Delimited, sameStart) {
+	ending := httpanswer.Ending{Marked: r.Delimited, RequestTaken: r.taken}
+	if r.taken {
+		ending.SameStart = r.client.provesSameStart(ctx, r.endpoint, sentAt)
+	}
+	if ending.IsWhole() {
 		return nil
 	}
-	return r.client.outcomeUnknown(io.ErrUnexpectedEOF, r.endpoint, "the end of its answer is not marked, and it may have exited")
+	return r.client.outcomeUnknown(io.ErrUnexpectedEOF, r.endpoint, "the end of its answer is not marked, and it may have exited or given the request up")
 }
 
-// ProvesEnd reports whether the end of a connection proves that the answer on it is whole. sameStart is set
-// if the worker is shown to be the same start of it as the one that got the request.
-func ProvesEnd(delimited, sameStart bool) bool { return delimited || sameStart }
+// requestSent reports whether the whole request was written without an error by now.
+func (r *Response) requestSent() bool {
+	select {
+	case err := <-r.written:
+		r.sent = err == nil
+	default:
+	}
+	return r.sent
+}
+
+// requestTaken reports whether the worker's machine has acknowledged the whole request. If nothing is
+// unacknowledged, the result of writing it is due, but the goroutine that writes may not have delivered it.
+func (r *Response) requestTaken() bool {
+	if !r.connection.isAcknowledged() {
+		return false
+	}
+	if !r.sent {
+		select {
+		case err := <-r.written:
+			r.sent = err == nil
+		case <-time.After(writeResultTimeout):
+		}
+	}
+	return r.sent && r.connection.isAcknowledged()
+}
 
 // SetLimit bounds the bytes that are read of the body from now on. Without it the bound of the longest
 // answer holds.
@@ -386,12 +421,7 @@
 	if !r.identified || r.response == nil || !r.complete || r.response.Close || r.strayResponses > 0 || r.connection.reader.Buffered() > 0 {
 		return false
 	}
-	select {
-	case err := <-r.written:
-		return err == nil && r.connection.SetReadDeadline(time.Time{}) == nil
-	default:
-		return false
-	}
+	return r.requestSent() && r.connection.SetReadDeadline(time.Time{}) == nil
 }
 
 // idleTimeout returns how long a connection may stay idle after a response with the given headers.
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const readBufferBytes = 8 << 10
@@ -26,6 +28,8 @@
 	// limit is the bound of the part of the answer that is read now, unread what is left of it.
 	limit  LimitError
 	unread int64
+	// broken is the error, other than a timeout, that ended reading.
+	broken error
 }
 
 const (
@@ -57,8 +61,11 @@
 
 // Read implements net.Conn. It fails with a LimitError beyond the limit. If a read times out long after
 // its deadline, this process was stalled, and the worker may have responded in time. Then Read tries
-// once more before it reports the timeout.
+// once more before it reports the timeout. Any other error stays, since a socket reports a reset only once.
 func (c *connection) Read(buffer []byte) (int, error) {
+	if c.broken != nil {
+		return 0, c.broken
+	}
 	if c.unread <= 0 {
 		exceeded := c.limit
 		return 0, &exceeded
@@ -70,6 +77,9 @@
 			count, err = c.Conn.Read(buffer)
 		}
 	}
+	if err != nil && !TimedOut(err) {
+		c.broken = err
+	}
 	c.received.Add(int64(count))
 	c.unread -= int64(count)
 	return count, err
@@ -82,6 +92,24 @@
 	return count, err
 }
 
+// isAcknowledged reports whether the worker's machine has acknowledged all that was written.
+func (c *connection) isAcknowledged() bool {
+	socket, isSocket := c.Conn.(syscall.Conn)
+	if !isSocket {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var unacknowledged int
+	var countErr error
+	err = raw.Control(func(descriptor uintptr) {
+		unacknowledged, countErr = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+	})
+	return err == nil && countErr == nil && unacknowledged == 0
+}
+
 // isClean reports whether an idle connection is open and has no unread bytes. Bytes after the last
 // response belong to no request.
 func (c *connection) isClean() bool {
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -156,7 +156,7 @@
 		sending.Go(func() {
 			id := fmt.Sprintf("%s-%d", prefix, number)
 			sentAt := time.Now()
-			status, _, body, err := f.callAgain(edge, path, &id)
+			status, _, body, err := f.callAgain(edge, path, &id, "p")
 			took := time.Since(sentAt)
 			whole := err == nil && status == http.StatusOK && strings.ReplaceAll(body, ": note\n\n", "") == events(id, 1, 6)
 			repeatable := path == "/stream/a" && form != emulator.EndlessEvents
@@ -175,10 +175,10 @@
 
 // callAgain sends a request, and as callers do, sends it again under another id if it was refused before
 // any worker ran it.
-func (f *hostedFleet) callAgain(edge, path string, id *string) (status int, header http.Header, body string, err error) {
+func (f *hostedFleet) callAgain(edge, path string, id *string, upload string) (status int, header http.Header, body string, err error) {
 	first := *id
 	for sends := 1; ; sends++ {
-		status, header, body, err = f.call(http.MethodPost, edge, path, map[string]string{"Request-Id": *id, "Token-Count": "10,6"}, "p")
+		status, header, body, err = f.call(http.MethodPost, edge, path, map[string]string{"Request-Id": *id, "Token-Count": "10,6"}, upload)
 		wait, waitErr := strconv.ParseFloat(header.Get("Retry-After"), 64)
 		if err != nil || !failure.PromisesNotRun(status) || f.runCount(*id) > 0 || waitErr != nil || sends == maxSends {
 			return status, header, body, err
