Answers: a head is valid as a whole, or the answer is none

What callers saw: answers with status 000 and answers in whose head the name of a field held a blank came through, with that line passed on or with a body that was not the worker's.

Cause: net/http reads heads generously: every status below 200 is skipped as an interim answer, names that are no tokens are kept, folded lines joined, a length beside chunks dropped.

Change: package httpanswer decides whether a head is valid (version, status 100 to 599 without 101, names, framing, of interim answers, too) and whether the trailer is. A broken answer is a failure of its worker after a run; its connection is closed.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -4,7 +4,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -276,7 +275,7 @@
 	httpRequest := &http.Request{Method: request.Method}
 	for {
 		r.connection.setLimit("the head", maxHeadBytes)
-		response, err := readResponse(r.connection.reader, httpRequest)
+		response, err := r.connection.reader.ReadHead(httpRequest)
 		if err != nil {
 			return err
 		}
@@ -296,23 +295,13 @@
 	}
 }
 
-// readResponse reads the head of one final response and skips informational (1xx) ones.
-func readResponse(reader *bufio.Reader, httpRequest *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, httpRequest)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
-	}
-}
-
 // discard reads a body to its end.
 func discard(response *http.Response) error {
 	buffer := make([]byte, readBufferBytes)
 	for {
 		if _, err := response.Body.Read(buffer); err != nil {
 			if isEOF(err) {
-				return nil
+				return httpanswer.CheckTrailer(response)
 			}
 			return err
 		}
@@ -337,6 +326,9 @@
 func (r *Response) Read(buffer []byte) (int, error) {
 	count, err := r.response.Body.Read(buffer)
 	if err != nil && isEOF(err) {
+		if invalid := httpanswer.CheckTrailer(r.response); invalid != nil {
+			return count, invalid
+		}
 		r.complete = true
 		r.taken = !r.Delimited && r.requestTaken()
 	}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -1,13 +1,14 @@
 package upstream
 
 import (
-	"bufio"
 	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/sedgemast/sedgemast/internal/httpanswer"
 )
 
 const readBufferBytes = 8 << 10
@@ -15,7 +16,7 @@
 // connection is a TCP connection to a worker. It carries one request at a time.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
+	reader *httpanswer.Reader
 	// sent and received count the bytes of the current request.
 	sent     atomic.Int64
 	received atomic.Int64
@@ -43,7 +44,7 @@
 
 func newConnection(conn net.Conn) *connection {
 	c := &connection{Conn: conn}
-	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.reader = httpanswer.NewReader(c, readBufferBytes)
 	c.setLimit("the head", maxHeadBytes)
 	return c
 }
