Answers: engines, peers, gateways and lists are read as strictly

What was seen: broken heads, trailers and cut bodies passed for sound answers in the older half's calls to engines, in calls between own processes, in sedgemastctl's and in both readers of the workers' lists.

Cause: net/http's transport is as generous there; decoders of JSON stop at the end of the value, so they don't see that the body breaks off.

Change: these clients wrap their transport in httpanswer.Transport, and read bodies to their ends. Calls between own processes need a mark of the end.

Evidence: TestReadersRejectBrokenAnswers on: five to seven forms taken by each reader; green now.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/httpanswer"
 )
 
 const (
@@ -63,9 +64,9 @@
 	}
 }
 
-func newTransport(fresh bool) *http.Transport {
+func newTransport(fresh bool) *httpanswer.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return &httpanswer.Transport{Next: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
@@ -73,7 +74,7 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	}}
 }
 
 // Close drops the idle connections.
@@ -140,7 +141,7 @@
 		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxReplyBytes))
 		return err
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(reply)
+	return httpanswer.DecodeJSON(response.Body, maxReplyBytes, reply)
 }
 
 // send makes one call and returns the response if its status is 200.
@@ -177,7 +178,7 @@
 
 func readRejection(response *http.Response) error {
 	var body ErrorBody
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&body); err != nil || body.Code == "" {
+	if err := httpanswer.DecodeJSON(response.Body, maxReplyBytes, &body); err != nil || body.Code == "" {
 		return failure.New(failure.OutcomeUnknown, "check that the address is an engine's", "the engine answered with status %d", response.StatusCode)
 	}
 	return &RejectedError{Code: body.Code, Message: body.Message, Epoch: body.Epoch}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/httpanswer"
 )
 
 const (
@@ -28,7 +29,9 @@
 // NewClient returns a client of the gateway at address (IP:port) that authenticates with an
 // operator's key.
 func NewClient(address, key string) *Client {
-	return &Client{address: address, key: key, client: &http.Client{Timeout: callTimeout}}
+	transport := httpanswer.NewTransport()
+	transport.MarkedEnds = true
+	return &Client{address: address, key: key, client: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
 // Apply sends a change. It is idempotent: the same change may be sent again with the same id.
@@ -81,15 +84,14 @@
 		return failure.Wrap(err, failure.OutcomeUnknown, "send it again with the same change id, or ask another gateway", "the gateway does not answer")
 	}
 	defer response.Body.Close()
-	decoder := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes))
 	if response.StatusCode != http.StatusOK {
 		var failed failure.Body
-		if err := decoder.Decode(&failed); err != nil {
+		if err := httpanswer.DecodeJSON(response.Body, maxReplyBytes, &failed); err != nil {
 			return failure.New(failure.Internal, "check the address", "the gateway answered with status %d", response.StatusCode)
 		}
 		return failed.Error.Failure()
 	}
-	return decoder.Decode(reply)
+	return httpanswer.DecodeJSON(response.Body, maxReplyBytes, reply)
 }
 
 const (
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -15,6 +15,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/httpanswer"
 	"github.com/sedgemast/sedgemast/internal/intake"
 	"github.com/sedgemast/sedgemast/internal/traffic"
 	"github.com/sedgemast/sedgemast/internal/wire"
@@ -118,9 +119,9 @@
 	return count, err
 }
 
-func newTransport(fresh bool, timeout time.Duration, counters *trafficCounters) *http.Transport {
+func newTransport(fresh bool, timeout time.Duration, counters *trafficCounters) *httpanswer.Transport {
 	dialer := &net.Dialer{Timeout: timeout}
-	return &http.Transport{
+	return &httpanswer.Transport{MarkedEnds: true, Next: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if open := counters.open.Add(1); counters.maxOpen > 0 && open > counters.maxOpen {
 				counters.open.Add(-1)
@@ -140,7 +141,7 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	}}
 }
 
 const (
--- a/internal/workerlist/client.go
+++ b/internal/workerlist/client.go
@@ -4,12 +4,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/sedgemast/sedgemast/internal/failure"
+	"github.com/sedgemast/sedgemast/internal/httpanswer"
 )
 
 // PathWorkers is the HTTP path of the list.
@@ -49,7 +48,7 @@
 
 // NewClient returns a client of the platform at address (IP:port).
 func NewClient(address string) *Client {
-	return &Client{address: address, client: &http.Client{Timeout: readTimeout}}
+	return &Client{address: address, client: &http.Client{Transport: httpanswer.NewTransport(), Timeout: readTimeout}}
 }
 
 // Workers returns the workers of the list.
@@ -67,7 +66,7 @@
 		return nil, failure.New(failure.Internal, "check the platform's address", "the platform answered with status %d", response.StatusCode)
 	}
 	var list List
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+	if err := httpanswer.DecodeJSON(response.Body, maxListBytes, &list); err != nil {
 		return nil, failure.Wrap(err, failure.Internal, "check the platform's address", "the platform's list does not parse")
 	}
 	return list.Workers, nil
