--- a/test/versions_test.go
+++ b/test/versions_test.go
@@ -135,6 +135,86 @@
 	}
 }
 
+// TestResumeAfterReleaseAndKillOfAllEdges guards against streams that are taken up at another version if their
+// own has just left when all edges are killed at once. Some streams are younger than a report to the stores.
+func TestResumeAfterReleaseAndKillOfAllEdges(t *testing.T) {
+	const rounds, streams, tokens = 4, 60, 300
+	f, edges := newFleetOfVersions(t)
+	f.awaitOrigins(t, edges)
+	resumed, refused := 0, 0
+	for round := range rounds {
+		broken := make(chan brokenStream, streams)
+		var clients sync.WaitGroup
+		for number := range streams {
+			clients.Go(func() {
+				time.Sleep(time.Duration(number) * 5 * time.Millisecond)
+				id := fmt.Sprintf("e-%d-%d", round, number)
+				text, _, _ := f.readStream(edges[number%2], id, tokens, func() {})
+				broken <- brokenStream{id, text}
+			})
+		}
+		time.Sleep(streams * 4 * time.Millisecond)
+		leaving := []*emulator.HostedWorker{f.workers[round%2], f.workers[round%2+2]}
+		for _, worker := range leaving {
+			worker.Drain()
+		}
+		time.Sleep(time.Duration(40+80*round/rounds) * time.Millisecond)
+		for _, edge := range []string{"front-21", "front-22"} {
+			_ = f.machines[edge].command.Process.Kill()
+		}
+		for _, worker := range leaving {
+			worker.Restart(fmt.Sprintf("v2.%d", round), 20*time.Millisecond)
+		}
+		for _, edge := range []string{"front-21", "front-22"} {
+			<-f.machines[edge].exited
+			f.start(f.machines[edge], false)
+		}
+		clients.Wait()
+		close(broken)
+		var mutex sync.Mutex
+		for stream := range broken {
+			clients.Go(func() {
+				last := strings.Count(stream.text, "\n\n")
+				status, rest := f.takeUp(edges, stream.id, tokens, last)
+				mutex.Lock()
+				defer mutex.Unlock()
+				if versions := versionsIn(stream.text + rest); len(versions) > 1 {
+					t.Errorf("round %d: stream %s, taken up after event %d, has events of %v", round, stream.id, last, versions)
+				}
+				if status == http.StatusOK && last > 0 {
+					resumed++
+				} else if last > 0 {
+					refused++
+				}
+			})
+		}
+		clients.Wait()
+		f.waitServing(t, edges[0])
+		f.waitServing(t, edges[1])
+	}
+	t.Logf("%d streams were taken up, %d refused", resumed, refused)
+	if resumed == 0 || refused == 0 {
+		t.Errorf("%d streams were taken up, %d refused", resumed, refused)
+	}
+}
+
+// takeUpTries is how often a client tries to take up a stream.
+const takeUpTries = 20
+
+// takeUp takes up a stream after the event last as a client does, and returns what it gets at last.
+func (f *hostedFleet) takeUp(edges []string, id string, tokens, last int) (status int, rest string) {
+	for try := range takeUpTries {
+		var header http.Header
+		var err error
+		status, header, rest, err = f.call(http.MethodPost, edges[try%2], "/stream/a", resumeHeaders(id, tokens, last), "p")
+		if err == nil && header.Get("Retry-After") == "" {
+			break
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	return status, rest
+}
+
 // awaitOrigins waits until the second edge knows where a stream of the first one began, which means
 // that both know the stores.
 func (f *hostedFleet) awaitOrigins(t *testing.T, edges []string) {
@@ -159,37 +239,48 @@
 // readUntilBroken reads a stream until its connection breaks, and returns the complete events. It
 // calls begun after the first event, or if there is none.
 func (f *hostedFleet) readUntilBroken(edge, id string, tokens int, begun func()) string {
+	text, answered, err := f.readStream(edge, id, tokens, begun)
+	switch {
+	case !answered:
+		f.t.Error(err)
+	case err == nil:
+		f.t.Errorf("stream %s ended before its edge was killed", id)
+	}
+	return text
+}
+
+// readStream reads a stream until it ends or its connection breaks, and returns the complete events and
+// whether there was an answer. It calls begun after the first event, or if there is none.
+func (f *hostedFleet) readStream(edge, id string, tokens int, begun func()) (text string, answered bool, err error) {
 	var once sync.Once
 	defer once.Do(begun)
 	ctx, cancel := context.WithTimeout(context.Background(), hostedTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+edge+"/stream/a", strings.NewReader("p"))
 	if err != nil {
-		f.t.Error(err)
-		return ""
+		return "", false, err
 	}
 	request.Host = hostedHost
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Token-Count", fmt.Sprintf("10,%d", tokens))
 	response, err := hostedClient.Do(request)
 	if err != nil {
-		f.t.Error(err)
-		return ""
+		return "", false, err
 	}
 	defer response.Body.Close()
-	var text strings.Builder
+	var read strings.Builder
 	buffer := make([]byte, 4096)
 	for {
 		count, err := response.Body.Read(buffer)
-		text.Write(buffer[:count])
-		if strings.Contains(text.String(), "\n\n") {
+		read.Write(buffer[:count])
+		if strings.Contains(read.String(), "\n\n") {
 			once.Do(begun)
 		}
 		if err == io.EOF {
-			f.t.Errorf("stream %s ended before its edge was killed", id)
+			return completeEvents(read.String()), true, nil
 		}
 		if err != nil {
-			return completeEvents(text.String())
+			return completeEvents(read.String()), true, err
 		}
 	}
 }
