Soak and fleetsim: broken answers, early resets, long deadlines in a stop

TestSoakAnswers draws the 36 forms of broken answers and slow runs, uploads of up to 900 kB that are reset (short ones are not: a worker that has read a whole request may end its answer without a mark), deadlines that a planned stop doesn't leave, and signals in series at each stop, which must end within the grace.

--- a/internal/emulator/hosted_broken.go
+++ b/internal/emulator/hosted_broken.go
@@ -64,8 +64,13 @@
 // BrokenForms lists all forms.
 var BrokenForms = []Broken{BrokenReset, BrokenStatusZero, BrokenStatusLow, BrokenStatusSigned, BrokenStatusLong, BrokenStatusHigh, BrokenStatusHighest, BrokenStatusSwitches, BrokenInterimBody, BrokenBlankLength, BrokenBlankChunks, BrokenBlankName, BrokenControlName, BrokenTabName, BrokenDeleteName, BrokenSeparatorName, BrokenEmptyName, BrokenWideName, BrokenInterimName, BrokenNoColon, BrokenTrailerName, BrokenValue, BrokenReason, BrokenReturn, BrokenFolded, BrokenTwoLengths, BrokenSignedLength, BrokenListedLength, BrokenLengthAndChunks, BrokenChunksOld, BrokenCoding, BrokenVersion, BrokenInHead, BrokenInChunk, BrokenSignedChunk, BrokenLongChunk}
 
-// BrokenHeader is a field of every broken head, by which a test recognizes one that was passed on.
-const BrokenHeader = "X-Broken"
+// BrokenHeader is a field of every broken answer, by which a test recognizes one that was passed on. Its value
+// is BrokenHeadMark unless HasValidHead reports true.
+const (
+	BrokenHeader   = "X-Broken"
+	BrokenHeadMark = "head"
+	brokenEndMark  = "end"
+)
 
 // uploadBufferBytes is the size of the receive buffer of a connection that is reset during the upload.
 const uploadBufferBytes = 4 << 10
@@ -96,7 +101,11 @@
 
 // Text returns an answer of the form with the given lines of fields and body.
 func (b Broken) Text(fields, body string) string {
-	head := func(start string) string { return start + "\r\n" + BrokenHeader + ": 1\r\n" + fields }
+	mark := BrokenHeadMark
+	if b.HasValidHead() {
+		mark = brokenEndMark
+	}
+	head := func(start string) string { return start + "\r\n" + BrokenHeader + ": " + mark + "\r\n" + fields }
 	ok := head("HTTP/1.1 200 OK")
 	closing := "Connection: close\r\n"
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
--- a/internal/fleetsim/answers.go
+++ b/internal/fleetsim/answers.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/sedgemast/sedgemast/internal/emulator"
 	"github.com/sedgemast/sedgemast/internal/promise"
 	"github.com/sedgemast/sedgemast/internal/upstream"
 )
@@ -37,7 +38,9 @@
 var endlessPieces = []string{": " + strings.Repeat("x", 1<<10) + "\n\n", "x", "id: 1\ndata: x\n\n"}
 
 // answerCounts counts what became of the requests.
-type answerCounts struct{ asked, whole, rejected, unknown, broken, failedRuns, endless int }
+type answerCounts struct {
+	asked, whole, rejected, unknown, broken, failedRuns, endless, malformed int
+}
 
 // answerCall is a request at an edge, and what only the simulation knows about its runs.
 type answerCall struct {
@@ -54,7 +57,7 @@
 }
 
 // startAnswers starts the callers of requests whose workers may fail with any status, marked or not, before
-// or after they began, or send without end.
+// or after they began, send without end, or send what is no valid or no whole answer.
 func (w *World) startAnswers(seed uint64) {
 	w.answerRandom = rand.New(rand.NewPCG(seed, 15))
 	w.every(answerInterval, func() bool {
@@ -97,6 +100,10 @@
 			return
 		}
 		c.answer(status, false)
+	case drawn < 92:
+		c.runs++
+		w.answerCounts.malformed++
+		c.receiveBroken(emulator.BrokenForms[w.answerRandom.IntN(len(emulator.BrokenForms))])
 	default:
 		c.runs++
 		w.answerCounts.endless++
@@ -261,5 +268,5 @@
 
 // String returns the counts for the log of a test.
 func (c answerCounts) String() string {
-	return fmt.Sprintf("%d asked: %d whole, %d rejected, %d unknown, %d broken; %d failed runs, %d answers without end", c.asked, c.whole, c.rejected, c.unknown, c.broken, c.failedRuns, c.endless)
+	return fmt.Sprintf("%d asked: %d whole, %d rejected, %d unknown, %d broken; %d failed runs, %d answers without end, %d malformed", c.asked, c.whole, c.rejected, c.unknown, c.broken, c.failedRuns, c.endless, c.malformed)
 }
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -56,7 +56,7 @@
 	if counts := world.listCounts; counts.sent < 100 || counts.asked < 10 || counts.rejected < 10 {
 		t.Errorf("too few sends to workers that may leave: %+v", counts)
 	}
-	if counts := world.answerCounts; counts.whole < 100 || counts.rejected < 2 || counts.unknown < 30 || counts.broken < 3 || counts.failedRuns < 30 || counts.endless < 20 {
+	if counts := world.answerCounts; counts.whole < 100 || counts.rejected < 2 || counts.unknown < 30 || counts.broken < 3 || counts.failedRuns < 30 || counts.endless < 20 || counts.malformed < 20 {
 		t.Errorf("too few answers of workers that fail: %s", counts)
 	}
 	other, _ := Run(3, MutationNone)
--- a/internal/fleetsim/mutation.go
+++ b/internal/fleetsim/mutation.go
@@ -94,10 +94,14 @@
 	MutationNoAnswerBounds Mutation = "no_answer_bounds"
 	// MutationAnyEvents passes on more events than a request asks tokens for.
 	MutationAnyEvents Mutation = "any_events"
+	// MutationAnyHead takes every head that net/http does.
+	MutationAnyHead Mutation = "any_head"
+	// MutationTrustEarlyEnd takes an end without a mark for the answer's, also during the upload.
+	MutationTrustEarlyEnd Mutation = "trust_early_end"
 )
 
 // Mutations lists all mutations except MutationNone.
-var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion, MutationTrustOldList, MutationListAgeFromAnswer, MutationTrustOldConfiguration, MutationTrustVersion, MutationNoVerdict, MutationHoldItems, MutationNoPace, MutationUnlistedExits, MutationTrustStatus, MutationTrustMark, MutationForgetSends, MutationNoAnswerBounds, MutationAnyEvents}
+var Mutations = []Mutation{MutationForgetSync, MutationKeepIdentity, MutationAnyVersion, MutationGaps, MutationMixChains, MutationLoseBodies, MutationLoseOwner, MutationNoQuota, MutationSteadyClock, MutationLocalExits, MutationForgetExits, MutationIgnoreSuccess, MutationWholeRequests, MutationNoCredit, MutationTrustEnd, MutationNoConnectionLimit, MutationOneIncarnation, MutationNoGate, MutationEarlyVotes, MutationAnyWorkerVersion, MutationAssumeVersion, MutationTrustOldList, MutationListAgeFromAnswer, MutationTrustOldConfiguration, MutationTrustVersion, MutationNoVerdict, MutationHoldItems, MutationNoPace, MutationUnlistedExits, MutationTrustStatus, MutationTrustMark, MutationForgetSends, MutationNoAnswerBounds, MutationAnyEvents, MutationAnyHead, MutationTrustEarlyEnd}
 
 // mutatedStore returns the machine's disk, or one that never syncs with MutationForgetSync.
 func (m *machine) mutatedStore() storage.Store {
--- a/internal/fleetsim/mutation_check.go
+++ b/internal/fleetsim/mutation_check.go
@@ -27,6 +27,8 @@
 	{"a mark on the answer of a run lets nothing run twice", MutationTrustMark, "that may run once"},
 	{"answers without end don't fill an edge's memory", MutationNoAnswerBounds, "without end"},
 	{"nor pass for whole ones", MutationAnyEvents, "for a whole answer"},
+	{"an answer that is no valid HTTP is none", MutationAnyHead, "passes on a broken answer"},
+	{"nor one that ends during the upload", MutationTrustEarlyEnd, "passes on a broken answer"},
 	{"the age of a list counts from its reading", MutationListAgeFromAnswer, "after it was listed as leaving"},
 }
 
--- a/test/broken_test.go
+++ b/test/broken_test.go
@@ -4,6 +4,8 @@
 	"encoding/base64"
 	"fmt"
 	"net/http"
+	"path"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -19,7 +21,7 @@
 	brokenRequests = 24
 	// resetRounds is how often they do for an answer that is reset: its moment decides what the edge sees.
 	resetRounds = 4
-	// brokenItems is the number of items of a job that do.
+	// brokenItems is the number of items of a job that meet each form.
 	brokenItems = 4
 	// uploadBytes is the size of the longest upload. minUploadBytes is more than an edge sends in one write.
 	uploadBytes    = 900_000
@@ -49,9 +51,9 @@
 	return f, edge
 }
 
-// answerFirstRunsBroken makes the first run of each request end with the broken answer. Resets come up to
-// maxResetDelay later, at a time that differs between requests.
-func (f *hostedFleet) answerFirstRunsBroken(form emulator.Broken) {
+// answerFirstRunsBroken makes the first run of each request end with the broken answer that formOf returns for
+// it. Resets come up to maxResetDelay later, at a time that differs between requests.
+func (f *hostedFleet) answerFirstRunsBroken(formOf func(request *emulator.HostedRequest) emulator.Broken) {
 	var mutex sync.Mutex
 	seen := map[string]bool{}
 	for _, worker := range f.workers {
@@ -62,8 +64,8 @@
 				return emulator.HostedFault{}
 			}
 			seen[request.ID] = true
-			fault := emulator.HostedFault{Broken: form}
-			if form.DuringUpload() {
+			fault := emulator.HostedFault{Broken: formOf(request)}
+			if fault.Broken.DuringUpload() {
 				fault.RunFor = maxResetDelay * time.Duration(len(seen)%brokenRequests) / brokenRequests
 			}
 			return fault
@@ -86,7 +88,7 @@
 	for i, form := range emulator.BrokenForms {
 		t.Run(string(form), func(t *testing.T) {
 			before := f.brokenAnswers()
-			f.answerFirstRunsBroken(form)
+			f.answerFirstRunsBroken(func(*emulator.HostedRequest) emulator.Broken { return form })
 			defer f.injectFaults(nil)
 			rounds := 1
 			if form.DuringUpload() {
@@ -95,12 +97,12 @@
 			for round := range rounds {
 				f.sendMeetingBroken(t, edge, fmt.Sprintf("b-%d-%d", i, round), form)
 			}
-			f.submitMeetingBroken(t, edge, fmt.Sprintf("k-%d", i))
 			if sent := f.brokenAnswers() - before; sent < brokenRequests {
 				t.Errorf("%d broken answers were sent", sent)
 			}
 		})
 	}
+	t.Run("items", func(t *testing.T) { f.submitMeetingBroken(t, edge) })
 }
 
 // sendMeetingBroken sends uploads that all meet a broken answer at their first worker.
@@ -127,7 +129,7 @@
 	whole := err == nil && status == http.StatusOK && body == events(id, 1, 6)
 	brokenOff := form.HasValidHead() && err != nil && status == http.StatusOK
 	switch {
-	case err == nil && !form.HasValidHead() && header.Get(emulator.BrokenHeader) != "":
+	case err == nil && header.Get(emulator.BrokenHeader) == emulator.BrokenHeadMark:
 		t.Errorf("%s: a field of the broken head was passed on, with status %d and %.200q", path, status, body)
 	case err == nil && status == http.StatusOK && !whole:
 		t.Errorf("%s: the caller got as the worker's answer %.200q", path, body)
@@ -142,24 +144,39 @@
 	}
 }
 
-// submitMeetingBroken submits a job of long items that all meet a broken answer at their first worker, and
-// checks that each gets its own whole text.
-func (f *hostedFleet) submitMeetingBroken(t *testing.T, edge, job string) {
+// submitMeetingBroken submits a job with items that meet each form at their first worker, and checks that each
+// gets its own whole text. The number of the form is part of an item's path.
+func (f *hostedFleet) submitMeetingBroken(t *testing.T, edge string) {
 	t.Helper()
-	upload := base64.StdEncoding.EncodeToString(make([]byte, 4*minUploadBytes))
+	f.answerFirstRunsBroken(func(request *emulator.HostedRequest) emulator.Broken {
+		number, _ := strconv.Atoi(path.Base(request.Target))
+		return emulator.BrokenForms[number]
+	})
+	defer f.injectFaults(nil)
+	before := f.brokenAnswers()
 	var items []string
-	for number := range brokenItems {
-		items = append(items, fmt.Sprintf(`{"id":"%s-%d","path":"/batch/%d","headers":{"Token-Count":"10,6"},"body":%q,"tokens":6}`, job, number, number, upload))
+	for number, form := range emulator.BrokenForms {
+		size := 1
+		if form.DuringUpload() {
+			size = 4 * minUploadBytes
+		}
+		upload := base64.StdEncoding.EncodeToString(make([]byte, size))
+		for item := range brokenItems {
+			items = append(items, fmt.Sprintf(`{"id":"k-%d-%d","path":"/batch/%d","headers":{"Token-Count":"10,6"},"body":%q,"tokens":6}`, number, item, number, upload))
+		}
 	}
-	f.submitJob(t, edge, "/batch/", job, `{"items":[`+strings.Join(items, ",")+`]}`)
+	f.submitJob(t, edge, "/batch/", "k", `{"items":[`+strings.Join(items, ",")+`]}`)
 	var page *hostedPage
-	eventually(t, "all results of "+job, func() bool {
-		page, _ = f.readResults(edge, job, 0)
-		return page != nil && len(page.Results) == brokenItems
+	eventually(t, "all results", func() bool {
+		page, _ = f.readResults(edge, "k", 0)
+		return page != nil && len(page.Results) == len(items)
 	})
 	for _, row := range page.Results {
 		if row.State != "completed" || !isItemText(row.ID, row.Message, 6) {
 			t.Errorf("item %s is %s with the text %.200q", row.ID, row.State, row.Message)
 		}
 	}
+	if sent := f.brokenAnswers() - before; sent < len(items) {
+		t.Errorf("%d broken answers were sent to %d items", sent, len(items))
+	}
 }
--- a/test/planned_stop_test.go
+++ b/test/planned_stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"strings"
@@ -22,6 +23,8 @@
 	stopInterval = 100 * time.Millisecond
 	// acceptTime is how long after the signal an edge takes what it can serve.
 	acceptTime = 2 * time.Second
+	// maxSignalPause is the longest pause between two signals of a series.
+	maxSignalPause = 800 * time.Millisecond
 	// stopWorkers is the number of workers, enough for all requests that run at once.
 	stopWorkers = 10
 )
@@ -70,14 +73,21 @@
 	return f, machine
 }
 
-// stop sends SIGTERM, and again later, to the machine and checks that it exits by itself within the grace.
+// signalInSeries sends SIGTERM to the machine, and then more signals with drawn pauses.
+func (m *hostedMachine) signalInSeries(seed int64) {
+	random, process := rand.New(rand.NewSource(seed)), m.command.Process
+	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		// An error means that the process has ended.
+		_ = process.Signal(signal)
+		time.Sleep(time.Duration(random.Int63n(int64(maxSignalPause))))
+	}
+}
+
+// stop sends signals in series to the machine and checks that it exits by itself within the grace.
 func (m *hostedMachine) stop(t *testing.T) {
 	t.Helper()
 	signalledAt := time.Now()
-	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
-		_ = m.command.Process.Signal(signal)
-		time.Sleep(50 * time.Millisecond)
-	}
+	go m.signalInSeries(1)
 	ctx, cancel := context.WithDeadline(context.Background(), signalledAt.Add(hostedGrace))
 	defer cancel()
 	select {
--- a/test/soak_answers_test.go
+++ b/test/soak_answers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,14 +29,17 @@
 	refusalTime = 400 * time.Millisecond
 	// maxRunBeforeFailure is the longest time for which a worker runs a request before it fails.
 	maxRunBeforeFailure = 40 * time.Millisecond
-	// requestTime is the deadline of a request, which a planned stop leaves it. answerTimeout is how long
-	// clients wait.
-	requestTime   = 4 * time.Second
-	answerTimeout = 15 * time.Second
+	// requestTime is the deadline of most requests, which a planned stop leaves them. Some have
+	// longRequestTime, which it doesn't. answerTimeout is how long clients wait.
+	requestTime     = 4 * time.Second
+	longRequestTime = 12 * time.Second
+	answerTimeout   = 20 * time.Second
+	// maxSlowRun is the longest time that a sound worker takes before it answers.
+	maxSlowRun = 1500 * time.Millisecond
 )
 
 // soakAnswers is the state of a run whose workers fail with any status, marked or not, before or after they
-// began, and send without end.
+// began, send without end, and send what is no valid or no whole answer.
 type soakAnswers struct {
 	seed int64
 	// share is the percentage of runs that fail now.
@@ -58,24 +62,26 @@
 	s.answers = &soakAnswers{seed: int64(seed)}
 	s.answers.share.Store(faultyPercent)
 	memory := s.watchMemory(t)
-	s.injectFaults(s.answers.faultOf)
+	for _, worker := range s.workers {
+		worker.InjectFaultsBeforeBody(s.answers.faultOf)
+	}
 	s.run(time.Duration(envInt(t, "SEDGEMAST_SOAK_SECONDS", soakAnswersSeconds)) * time.Second)
 	s.injectFaults(nil)
 	s.checkEnd()
 	endless, taken := s.takenBytes()
-	s.counts["failed runs"], s.counts["endless answers"] = int(s.answers.failedRuns.Load()), endless
+	s.counts["failed runs"], s.counts["endless answers"], s.counts["broken answers"] = int(s.answers.failedRuns.Load()), endless, s.brokenAnswers()
 	if taken > maxTakenBytes {
 		s.recordViolation("%d bytes were taken of one answer", taken)
 	}
 	memory.check(t)
-	t.Logf("seed %d, %d faults; %d failed runs, %d answers without end, at most %d kB taken; %d other failures, %d episodes; %s", seed, len(s.faults), s.counts["failed runs"], endless, taken>>10, s.counts["failed answers"], s.counts["episodes"], s.summary())
+	t.Logf("seed %d, %d faults; %d failed runs, %d broken answers, %d answers without end, at most %d kB taken; %d other failures, %d episodes; %s", seed, len(s.faults), s.counts["failed runs"], s.counts["broken answers"], endless, taken>>10, s.counts["failed answers"], s.counts["episodes"], s.summary())
 	for _, violation := range s.violations {
 		t.Error(violation)
 	}
 	if len(s.violations) > 0 {
 		t.Logf("faults:\n%s", strings.Join(s.faults, "\n"))
 	}
-	s.requireChecks("complete answers", "at most once", "not run is true", "failed runs", "endless answers", "episodes", "refusals", "completed jobs", "stable positions", "planned stops", "all killed", "third frozen")
+	s.requireChecks("complete answers", "at most once", "not run is true", "failed runs", "endless answers", "broken answers", "episodes", "refusals", "completed jobs", "stable positions", "planned stops", "all killed", "third frozen")
 }
 
 // faultOf draws the fault of a run. It depends only on the seed, the request and how far it has come.
@@ -93,13 +99,17 @@
 	if random.Int63n(100) >= a.share.Load() {
 		return emulator.HostedFault{}
 	}
-	switch random.Intn(6) {
+	switch random.Intn(8) {
 	case 0:
 		return emulator.HostedFault{NotRun: true}
 	case 1:
 		return emulator.HostedFault{Endless: emulator.EndlessForms[random.Intn(len(emulator.EndlessForms))], Trickle: random.Intn(4) == 0}
 	case 2:
 		return emulator.HostedFault{BreakAfter: 1 + random.Intn(3)}
+	case 3, 4:
+		return emulator.HostedFault{Broken: drawBroken(random, request), RunFor: time.Duration(random.Int63n(int64(maxResetDelay)))}
+	case 5:
+		return emulator.HostedFault{RunFor: time.Duration(random.Int63n(int64(maxSlowRun)))}
 	}
 	a.failedRuns.Add(1)
 	fault := emulator.HostedFault{RunFor: time.Duration(random.Int63n(int64(maxRunBeforeFailure)))}
@@ -116,6 +126,22 @@
 	return fault
 }
 
+// drawBroken draws a form of broken answer. Long uploads are often reset, short ones never: a worker that has
+// read a whole request may end its answer without a mark.
+func drawBroken(random *rand.Rand, request *emulator.HostedRequest) emulator.Broken {
+	length, _ := strconv.Atoi(request.Header.Get("Content-Length"))
+	long := length >= minUploadBytes
+	if long && random.Intn(2) == 0 {
+		return emulator.BrokenReset
+	}
+	for {
+		form := emulator.BrokenForms[random.Intn(len(emulator.BrokenForms))]
+		if long || !form.DuringUpload() {
+			return form
+		}
+	}
+}
+
 // drawEpisode returns an episode in which many runs fail, or all are refused.
 func (s *soak) drawEpisode() func() {
 	if s.random.Intn(2) == 0 {
@@ -165,15 +191,31 @@
 			s.atMostOnce = append(s.atMostOnce, id)
 			s.mutex.Unlock()
 		}
-		if !s.sendAnswered(client, edge, path, id, 1+random.Intn(20)) {
+		call := answeredCall{edge: edge, path: path, id: id, events: 1 + random.Intn(20), deadline: requestTime, upload: "p"}
+		if random.Intn(4) == 0 {
+			call.deadline = longRequestTime
+		}
+		if random.Intn(8) == 0 {
+			call.upload = strings.Repeat("p", minUploadBytes+random.Intn(uploadBytes-minUploadBytes))
+		}
+		if !s.sendAnswered(client, &call) {
 			edge = s.edges()[random.Intn(len(s.edges()))]
 		}
 	}
 }
 
+// answeredCall is a request to an edge.
+type answeredCall struct {
+	edge, path, id string
+	events         int
+	deadline       time.Duration
+	upload         string
+}
+
 // sendAnswered sends a request, checks the answer and reports whether the connection is still there.
-func (s *soak) sendAnswered(client *http.Client, edge, path, id string, events int) bool {
-	request, err := http.NewRequest(http.MethodPost, "http://"+s.address(s.machines[edge], portCallers)+path, strings.NewReader("p"))
+func (s *soak) sendAnswered(client *http.Client, call *answeredCall) bool {
+	sentAt := time.Now()
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.address(s.machines[call.edge], portCallers)+call.path, strings.NewReader(call.upload))
 	if err != nil {
 		s.recordViolation("%v", err)
 		return false
@@ -181,20 +223,22 @@
 	// Without GetBody the transport never resends the request on its own.
 	request.GetBody = nil
 	request.Host = hostedHost
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Token-Count", fmt.Sprintf("10,%d", events))
-	request.Header.Set("Deadline-Ms", fmt.Sprint(requestTime.Milliseconds()))
+	request.Header.Set("Request-Id", call.id)
+	request.Header.Set("Token-Count", fmt.Sprintf("10,%d", call.events))
+	request.Header.Set("Deadline-Ms", fmt.Sprint(call.deadline.Milliseconds()))
 	response, err := client.Do(request)
 	if err != nil {
-		s.count("cut")
+		s.recordUnanswered(call, sentAt, err)
 		return false
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	switch {
+	case response.Header.Get(emulator.BrokenHeader) == emulator.BrokenHeadMark:
+		s.recordViolation("%s from %s has a field of a broken head: %d, %.300q", call.id, call.edge, response.StatusCode, body)
 	case failure.PromisesNotRun(response.StatusCode):
 		s.mutex.Lock()
-		s.rejected = append(s.rejected, id)
+		s.rejected = append(s.rejected, call.id)
 		s.counts["refused"]++
 		s.mutex.Unlock()
 	case err != nil:
@@ -202,10 +246,22 @@
 		return false
 	case response.StatusCode != http.StatusOK:
 		s.count("failed answers")
-	case strings.ReplaceAll(string(body), ": note\n\n", "") != expectedAnswer(id, events):
-		s.recordViolation("%s from %s looks whole: %.300q", id, edge, body)
+	case strings.ReplaceAll(string(body), ": note\n\n", "") != expectedAnswer(call.id, call.events):
+		s.recordViolation("%s from %s looks whole: %.300q", call.id, call.edge, body)
 	default:
 		s.count("complete answers")
 	}
 	return true
 }
+
+// recordUnanswered records that a request got no head of an answer. After a run that is allowed only if its
+// edge was killed after the request was sent, or at most a second before.
+func (s *soak) recordUnanswered(call *answeredCall, sentAt time.Time, err error) {
+	s.mutex.Lock()
+	killed := s.killed[call.edge]
+	s.mutex.Unlock()
+	if runs := s.runCount(call.id); runs > 0 && !killed.After(sentAt.Add(-time.Second)) {
+		s.recordViolation("%s, sent %s before, got no answer from %s after %d runs: %v", call.id, time.Since(sentAt), call.edge, runs, err)
+	}
+	s.count("cut")
+}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -462,17 +462,24 @@
 	incarnation := fmt.Sprintf("%s/%d", machine.name, s.incarnations[machine.name])
 	s.mutex.Unlock()
 	started := machine.hasStarted()
-	_ = machine.command.Process.Signal(syscall.SIGTERM)
+	timeout := hostedTimeout
+	if s.answers != nil {
+		go machine.signalInSeries(s.answers.seed)
+		// A third of the machines may be frozen meanwhile.
+		timeout = hostedGrace + thirdFrozen
+	} else {
+		_ = machine.command.Process.Signal(syscall.SIGTERM)
+	}
 	select {
 	case err := <-machine.exited:
 		switch {
 		case err == nil:
-		case !started && err.Error() == "signal: terminated":
+		case !started && (err.Error() == "signal: terminated" || err.Error() == "signal: hangup"):
 			s.count("stopped while starting")
 		default:
 			s.recordViolation("%s exited with %v", machine.name, err)
 		}
-	case <-time.After(hostedTimeout):
+	case <-time.After(timeout):
 		s.recordViolation("%s did not exit in time", machine.name)
 		s.kill(machine)
 	}
