Answers: a discarded body has an end, too

Discard reads like any reader now. Found by reading; TestUnmarkedEndDuringUpload covers discarded bodies.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -289,19 +289,22 @@
 			return errStrayResponses
 		}
 		r.connection.setLimit("an answer to another request", maxStrayBytes)
-		if err := discard(response); err != nil {
+		if err := discard(response.Body); err != nil {
+			return err
+		}
+		if err := httpanswer.CheckTrailer(response); err != nil {
 			return err
 		}
 	}
 }
 
 // discard reads a body to its end.
-func discard(response *http.Response) error {
+func discard(body io.Reader) error {
 	buffer := make([]byte, readBufferBytes)
 	for {
-		if _, err := response.Body.Read(buffer); err != nil {
+		if _, err := body.Read(buffer); err != nil {
 			if isEOF(err) {
-				return httpanswer.CheckTrailer(response)
+				return nil
 			}
 			return err
 		}
@@ -383,8 +386,8 @@
 // connection can be used again.
 func (r *Response) Discard() (whole bool) {
 	r.connection.setLimit("a discarded body", maxDiscardBytes)
-	if r.SetReadDeadline(time.Now().Add(discardTimeout)) == nil && discard(r.response) == nil {
-		r.complete = true
+	if r.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
+		_ = discard(r)
 	}
 	return r.complete
 }
--- a/internal/upstream/ending_test.go
+++ b/internal/upstream/ending_test.go
@@ -48,18 +48,24 @@
 				}()
 			}
 		}()
-		sentAt := clock.Now()
-		request := &Request{Method: http.MethodPost, Target: "/", Host: "h", ID: "1", Body: make([]byte, 2<<20)}
-		response, err := NewClient(httpheader.Default()).Send(context.Background(), Endpoint{ID: "w-1", Address: listener.Addr().String()}, request, time.Now().Add(testTimeout))
-		if err == nil {
-			_, err = io.Copy(io.Discard, response)
+		for _, discards := range []bool{false, true} {
+			sentAt := clock.Now()
+			request := &Request{Method: http.MethodPost, Target: "/", Host: "h", ID: "1", Body: make([]byte, 2<<20)}
+			response, err := NewClient(httpheader.Default()).Send(context.Background(), Endpoint{ID: "w-1", Address: listener.Addr().String()}, request, time.Now().Add(testTimeout))
 			if err == nil {
-				err = response.VerifyEnd(context.Background(), sentAt)
+				if discards {
+					response.Discard()
+				} else {
+					_, err = io.Copy(io.Discard, response)
+				}
+				if err == nil {
+					err = response.VerifyEnd(context.Background(), sentAt)
+				}
+				response.Close()
+			}
+			if (err == nil) != test.whole {
+				t.Errorf("%s, discards %t: %v", name, discards, err)
 			}
-			response.Close()
-		}
-		if (err == nil) != test.whole {
-			t.Errorf("%s: %v", name, err)
 		}
 	}
 }
