--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -186,12 +186,12 @@
 		options.Configure(server.Server)
 	}
 	d.Intake.Protect(server.Server)
-	d.servers = append(d.servers, d.stoppable(server))
+	d.servers = append(d.servers, d.stoppable(options.Name, server))
 	return nil
 }
 
-func (d *Daemon) stoppable(inner *kratoshttp.Server) *server {
-	return &server{Server: inner, stop: d.stop, logger: d.Logger}
+func (d *Daemon) stoppable(name string, inner *kratoshttp.Server) *server {
+	return &server{Server: inner, name: name, stop: d.stop, logger: d.Logger}
 }
 
 // application returns the kratos application. The first call creates it, so all servers must
@@ -294,7 +294,7 @@
 		kratos.ID(d.options.Name),
 		kratos.Version(Version),
 		kratos.Logger(logging.Kratos(d.Logger)),
-		kratos.Server(append([]transport.Server{d.stoppable(d.Server)}, d.servers...)...),
+		kratos.Server(append([]transport.Server{d.stoppable("listen", d.Server)}, d.servers...)...),
 		kratos.StopTimeout(d.options.StopTimeout),
 		signals,
 		kratos.BeforeStop(func(context.Context) error { d.runStopSteps(); return nil }),
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -5,9 +5,8 @@
 	"sync/atomic"
 	"time"
 
-	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
-
 	"github.com/cockroachdb/errors"
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/sedgemast/sedgemast/internal/logging"
 )
@@ -26,13 +25,13 @@
 	endsAt atomic.Pointer[time.Time]
 	// begun ends when the stop begins, running when it cuts the requests that still run.
 	begun, running        context.Context
-	closeBegun, cutAllRun context.CancelFunc
+	markBegun, cutRunning context.CancelFunc
 }
 
 func newPlannedStop(timeout time.Duration) *plannedStop {
 	s := &plannedStop{timeout: timeout}
-	s.begun, s.closeBegun = context.WithCancel(context.Background())
-	s.running, s.cutAllRun = context.WithCancel(context.Background())
+	s.begun, s.markBegun = context.WithCancel(context.Background())
+	s.running, s.cutRunning = context.WithCancel(context.Background())
 	return s
 }
 
@@ -40,8 +39,8 @@
 func (s *plannedStop) begin(now time.Time) {
 	endsAt := now.Add(s.timeout)
 	s.endsAt.Store(&endsAt)
-	time.AfterFunc(time.Until(s.cutsAt(endsAt)), s.cutAllRun)
-	s.closeBegun()
+	time.AfterFunc(time.Until(s.cutsAt(endsAt)), s.cutRunning)
+	s.markBegun()
 }
 
 func (s *plannedStop) cutsAt(endsAt time.Time) time.Time {
@@ -62,13 +61,13 @@
 	return context.WithCancel(ctx)
 }
 
-// CutsBefore reports whether a planned stop has begun that cuts requests before the given time. A new
-// request whose deadline that is should be rejected.
+// CutsBefore reports whether a planned stop has begun that cuts requests before the deadline. A request with
+// that deadline of which nothing has run should be rejected.
 func (d *Daemon) CutsBefore(deadline time.Time) bool { return d.stop.cutsBefore(deadline) }
 
-// UntilCertainCut returns a context that ends with ctx, or for ErrStopping as soon as a planned stop begins
+// WaitContext returns a context that ends with ctx, or for ErrStopping as soon as a planned stop begins
 // that cuts requests before the deadline. Requests of which nothing has run wait under it.
-func (d *Daemon) UntilCertainCut(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+func (d *Daemon) WaitContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	release := context.AfterFunc(d.stop.begun, func() {
 		if d.stop.cutsBefore(deadline) {
@@ -84,6 +83,7 @@
 // server is an HTTP server that stops within the planned stop of its process.
 type server struct {
 	*kratoshttp.Server
+	name   string
 	stop   *plannedStop
 	logger logging.Logger
 }
@@ -104,6 +104,6 @@
 	if ctx.Err() == nil {
 		return err
 	}
-	logging.Warn(s.logger, "connections_cut", "address", s.Addr)
+	logging.Warn(s.logger, "connections_cut", "server", s.name)
 	return s.Close()
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -40,8 +40,8 @@
 type call struct {
 	edge    *Edge
 	context context.Context
-	// waitContext ends before context if a planned stop begins that will cut the call. Nothing is sent to
-	// a worker after that, unless an attempt has been made before.
+	// waitContext is that of a call which waits and of which nothing has run. Unlike context it ends as
+	// soon as a planned stop begins that would cut the call.
 	waitContext context.Context
 	version     uint64
 	route       *routetable.Route
@@ -282,10 +282,10 @@
 
 // rejectedByStop rejects the request before it goes to any worker, if a planned stop would cut it.
 func (c *call) rejectedByStop() bool {
-	if c.sends.MayHaveRun() || !daemon.IsCut(c.waitContext) {
+	if c.sends.MayHaveRun() || !c.edge.daemon.CutsBefore(c.deadline) {
 		return false
 	}
-	c.giveUp()
+	c.reject(stopError())
 	return true
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -91,13 +91,13 @@
 	}
 	timeLeft := httpheader.ParseTimeLeft(request.Header.Get(e.headerNames.Deadline), route.Timeout())
 	deadline := arrived.Add(timeLeft - stalledFor)
-	waitContext, cancelWait := e.daemon.UntilCertainCut(request.Context(), deadline)
+	waitContext, cancelWait := e.daemon.WaitContext(request.Context(), deadline)
 	defer cancelWait()
-	err = e.checkStop(deadline)
-	var body []byte
-	if err == nil {
-		body, err = readBody(waitContext, writer, request, table, arrived.Add(timeLeft))
+	if e.daemon.CutsBefore(deadline) {
+		e.Reject(writer, request, stopError())
+		return
 	}
+	body, err := readBody(waitContext, writer, request, table, arrived.Add(timeLeft))
 	if err != nil {
 		e.Reject(writer, request, err)
 		return
@@ -143,14 +143,6 @@
 	return body, nil
 }
 
-// checkStop returns an error if a planned stop has begun that cuts requests before the deadline.
-func (e *Edge) checkStop(deadline time.Time) error {
-	if e.daemon.CutsBefore(deadline) {
-		return stopError()
-	}
-	return nil
-}
-
 // stopError returns the error for a request of which nothing has run and that a planned stop would cut.
 func stopError() *failure.Error {
 	return failure.New(failure.NotRun, "send it again, to another edge", "the process stops before the deadline of the request").WithRetryAfter(shortRetryAfter)
