--- a/Makefile
+++ b/Makefile
@@ -64,8 +64,8 @@
 # soak-versions does so with workers of several versions, soak-parts with parts of prompts under which
 # workers exit, soak-drain with workers that leave while coordinators are lost and the list is slow,
 # soak-owed with routes that come and go unheard and with bursts of worker exits, soak-answers with
-# workers that fail with any status, marked or not, and send without end, soak-crowds with clients that
-# don't behave at all addresses.
+# workers that fail with any status, marked or not, send broken answers and send without end, soak-crowds with
+# clients that don't behave at all addresses.
 SECONDS_OF_SOAK = $(or $(SECONDS),60)
 SOAK = SEDGEMAST_SOAK_SECONDS=$(SECONDS_OF_SOAK) SEDGEMAST_SOAK_SEED=$(or $(SEED),1) SEDGEMAST_SOAK_SCALE=$(or $(SCALE),1) $(GO) test -count=1 -timeout 60m -v ./test
 .PHONY: soak soak-versions soak-parts soak-drain soak-owed soak-answers soak-crowds
--- a/test/planned_stop_test.go
+++ b/test/planned_stop_test.go
@@ -45,6 +45,9 @@
 	{"single", "/single/a", 5 * time.Second, 15 * time.Second},
 }
 
+// fits reports whether an edge that takes such a request until acceptTime has time for it.
+func (k *stopKind) fits() bool { return k.deadline > 0 && k.deadline <= 4*time.Second }
+
 // kindOf returns the kind of a request with the id.
 func kindOf(id string) *stopKind {
 	name, _, _ := strings.Cut(id, "-")
@@ -95,6 +98,7 @@
 		if err != nil {
 			t.Errorf("%s exited with %v", m.name, err)
 		}
+		// Whoever kills the machine later reads the result, too.
 		m.exited <- err
 	case <-ctx.Done():
 		t.Errorf("%s still runs %s after SIGTERM", m.name, hostedGrace)
@@ -136,7 +140,7 @@
 			if header.Get("Retry-After") == "" {
 				t.Errorf("%s: a refusal without Retry-After", id)
 			}
-			if kind.deadline > 0 && kind.deadline <= 4*time.Second && sinceSignal < acceptTime {
+			if kind.fits() && sinceSignal < acceptTime {
 				t.Errorf("%s: refused %s after the signal, though there was time", id, sinceSignal)
 			}
 		case status == 0 && f.runCount(id) == 0 && sinceSignal > acceptTime:
@@ -159,7 +163,7 @@
 		case <-stopped:
 			sending.Wait()
 			for _, kind := range stopKinds {
-				if fits := kind.deadline > 0 && kind.deadline <= 4*time.Second; fits && served[kind.name] == 0 || !fits && refused[kind.name] == 0 {
+				if kind.fits() && served[kind.name] == 0 || !kind.fits() && refused[kind.name] == 0 {
 					t.Errorf("%s: %d served, %d refused after the signal", kind.name, served[kind.name], refused[kind.name])
 				}
 			}
