--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -100,7 +100,6 @@
 	app        *kratos.App
 	appOnce    sync.Once
 	ready      atomic.Bool
-	stopping   atomic.Bool
 	steps      *startupSteps
 	beforeStop []func(context.Context)
 	background sync.WaitGroup
@@ -265,7 +264,7 @@
 func (d *Daemon) Ready() bool { return d.ready.Load() }
 
 // Stopping reports whether a planned stop has begun.
-func (d *Daemon) Stopping() bool { return d.stopping.Load() }
+func (d *Daemon) Stopping() bool { return d.stop.begun.Err() != nil }
 
 // BeforeStop adds a step to the planned stop. The steps run in the order in which they
 // were added, before the servers stop, and share the stop timeout.
@@ -320,7 +319,6 @@
 
 func (d *Daemon) runStopSteps() {
 	logging.Info(d.Logger, "stopping")
-	d.stopping.Store(true)
 	d.stop.begin(time.Now())
 	d.SetReady(false)
 	ctx, cancel := d.stop.limit(context.Background())
