Connections: one way to check the socket

isAcknowledged had repeated isClean's way to the descriptor. checkSocket uses Control for both; isClean had used Read, which also fails at a read deadline that has passed, but an idle connection has none.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -95,20 +95,10 @@
 
 // isAcknowledged reports whether the worker's machine has acknowledged all that was written.
 func (c *connection) isAcknowledged() bool {
-	socket, isSocket := c.Conn.(syscall.Conn)
-	if !isSocket {
-		return true
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var unacknowledged int
-	var countErr error
-	err = raw.Control(func(descriptor uintptr) {
-		unacknowledged, countErr = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+	return c.checkSocket(func(descriptor int) bool {
+		unacknowledged, err := unix.IoctlGetInt(descriptor, unix.SIOCOUTQ)
+		return err == nil && unacknowledged == 0
 	})
-	return err == nil && countErr == nil && unacknowledged == 0
 }
 
 // isClean reports whether an idle connection is open and has no unread bytes. Bytes after the last
@@ -117,6 +107,16 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	return c.checkSocket(func(descriptor int) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(descriptor, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err == syscall.EAGAIN
+	})
+}
+
+// checkSocket reports whether the check of the connection's socket, which must not block, succeeds. A
+// connection without a socket passes.
+func (c *connection) checkSocket(check func(descriptor int) bool) bool {
 	socket, isSocket := c.Conn.(syscall.Conn)
 	if !isSocket {
 		return true
@@ -125,12 +125,7 @@
 	if err != nil {
 		return false
 	}
-	empty := false
-	err = raw.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = peekErr == syscall.EAGAIN
-		return true
-	})
-	return err == nil && empty
+	passed := false
+	err = raw.Control(func(descriptor uintptr) { passed = check(int(descriptor)) })
+	return err == nil && passed
 }
