--- a/internal/emulator/hosted.go
+++ b/internal/emulator/hosted.go
@@ -79,7 +79,8 @@
 	NotRun bool
 	// RunFor is how long the worker runs the request before it answers.
 	RunFor time.Duration
-	// Status, if not 0, is the status of the answer, which then has no body. Marked adds the header that states that it did not run the request.
+	// Status, if not 0, is the status of the answer, which then has no body. Marked adds the header that
+	// states that it did not run the request.
 	Status int
 	Marked bool
 	// BreakAfter, if not 0, is the number of events after which the connection is closed.
--- a/test/broken_test.go
+++ b/test/broken_test.go
@@ -166,16 +166,7 @@
 		}
 	}
 	f.submitJob(t, edge, "/batch/", "k", `{"items":[`+strings.Join(items, ",")+`]}`)
-	var page *hostedPage
-	eventually(t, "all results", func() bool {
-		page, _ = f.readResults(edge, "k", 0)
-		return page != nil && len(page.Results) == len(items)
-	})
-	for _, row := range page.Results {
-		if row.State != "completed" || !isItemText(row.ID, row.Message, 6) {
-			t.Errorf("item %s is %s with the text %.200q", row.ID, row.State, row.Message)
-		}
-	}
+	f.expectItemTexts(t, edge, "k", len(items))
 	if sent := f.brokenAnswers() - before; sent < len(items) {
 		t.Errorf("%d broken answers were sent to %d items", sent, len(items))
 	}
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -193,14 +193,21 @@
 func (f *hostedFleet) submitMeetingEndless(t *testing.T, edge, job string) {
 	t.Helper()
 	f.submitJob(t, edge, "/batch/", job, jobDocument(job, endlessItems, 6))
+	f.expectItemTexts(t, edge, job, endlessItems)
+}
+
+// expectItemTexts waits for the results of a job of that many items, and checks that each item has its own
+// whole text of six events.
+func (f *hostedFleet) expectItemTexts(t *testing.T, edge, job string, items int) {
+	t.Helper()
 	var page *hostedPage
 	eventually(t, "all results of "+job, func() bool {
 		page, _ = f.readResults(edge, job, 0)
-		return page != nil && len(page.Results) == endlessItems
+		return page != nil && len(page.Results) == items
 	})
 	for _, row := range page.Results {
 		if row.State != "completed" || !isItemText(row.ID, row.Message, 6) {
-			t.Errorf("item %s is %s with a text of %d bytes", row.ID, row.State, len(row.Message))
+			t.Errorf("item %s is %s with %d bytes of text, %.200q", row.ID, row.State, len(row.Message), row.Message)
 		}
 	}
 }
